--- /dev/null
+++ b/daisy-history/src/lib.rs
@@ -0,0 +1,3 @@
+//! Recorded histories of daisyshift runs and their checkers.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! The `daisyshift` command.
+
+#![deny(missing_docs, unsafe_code)]
+
+fn main() {}
