model: changes name the kind of job and parts of the policy

A change of a job said nothing of service or batch, so a statement could not be written back as it was read, and a wrong kind went unnoticed. A published policy was whole, so two operators who set different parts at one time undid one another: the later text carried old values of the earlier one's part. Publish now carries only the parts named. Ruled out: merging in the entry VM, which would read a state that is behind the log.

--- a/daisy-model/src/command.rs
+++ b/daisy-model/src/command.rs
@@ -1,6 +1,6 @@
 //! What operators may change.
 
-use crate::{Generation, JobKind, JobSpec, Name, Policy, Priority, Resources, WallTime};
+use crate::{Generation, JobKind, JobSpec, Name, PolicyChange, Priority, Resources, WallTime};
 
 /// A class of work that can be paused as a whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     Create(JobSpec),
     /// Changes parts of a job; absent parts stay as they are.
     Change {
+        /// Service or batch, as the statement said.
+        kind: JobKind,
         /// The job to change.
         job: Name,
         /// New number of tasks.
@@ -55,8 +57,8 @@
     Pause(WorkClass),
     /// Takes a pause back.
     Resume(WorkClass),
-    /// Publishes a policy.
-    Publish(Policy),
+    /// Publishes a policy; parts that are not named stay as they are.
+    Publish(PolicyChange),
 }
 
 /// What must hold for a change to be accepted.
--- a/daisy-model/src/lib.rs
+++ b/daisy-model/src/lib.rs
@@ -26,7 +26,7 @@
         TaskId, TeamId, VmId,
     },
     job::{JobKind, JobSpec, Priority, Tolerance},
-    policy::{Objective, Policy},
+    policy::{Objective, Policy, PolicyChange},
     resources::Resources,
     sorted::SortedMap,
     time::{Instant, WallTime},
--- a/daisy-model/src/policy.rs
+++ b/daisy-model/src/policy.rs
@@ -41,3 +41,56 @@
         }
     }
 }
+
+/// New values of some parts of the policy; absent parts stay as they are.
+///
+/// Two operators who publish different parts at one time thus both get their way.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PolicyChange {
+    /// See [`Objective::tail`].
+    pub tail: Option<u32>,
+    /// See [`Objective::throughput`].
+    pub throughput: Option<u32>,
+    /// See [`Objective::evictions`].
+    pub evictions: Option<u32>,
+    /// See [`Policy::retry_budget`].
+    pub retry_budget: Option<u32>,
+    /// See [`Policy::retry_window`].
+    pub retry_window: Option<Duration>,
+    /// See [`Policy::region_bytes`].
+    pub region_bytes: Option<u64>,
+    /// See [`Policy::throttle_above`].
+    pub throttle_above: Option<u32>,
+}
+
+impl PolicyChange {
+    /// The policy that this change makes of `policy`.
+    pub fn apply(&self, policy: &Policy) -> Policy {
+        let Objective { tail, throughput, evictions } = policy.objective;
+        Policy {
+            objective: Objective {
+                tail: self.tail.unwrap_or(tail),
+                throughput: self.throughput.unwrap_or(throughput),
+                evictions: self.evictions.unwrap_or(evictions),
+            },
+            retry_budget: self.retry_budget.unwrap_or(policy.retry_budget),
+            retry_window: self.retry_window.unwrap_or(policy.retry_window),
+            region_bytes: self.region_bytes.unwrap_or(policy.region_bytes),
+            throttle_above: self.throttle_above.unwrap_or(policy.throttle_above),
+        }
+    }
+}
+
+impl From<&Policy> for PolicyChange {
+    fn from(policy: &Policy) -> PolicyChange {
+        PolicyChange {
+            tail: Some(policy.objective.tail),
+            throughput: Some(policy.objective.throughput),
+            evictions: Some(policy.objective.evictions),
+            retry_budget: Some(policy.retry_budget),
+            retry_window: Some(policy.retry_window),
+            region_bytes: Some(policy.region_bytes),
+            throttle_above: Some(policy.throttle_above),
+        }
+    }
+}
