ledger: fold changes, claims, checkouts and exits into state

Every process must come to one state from the same records. The fold takes entries strictly in turn, once for each append id, and passes over damaged ones with a count. Epochs are the claim's offset plus one; records under any other epoch have no effect. One incarnation of a task is open at a time: exits of ended incarnations are ignored, so doubled reports are harmless, and a checkpoint token is spent by the incarnation that resumed it. A team's checked-out work never exceeds its quota, since the log's order decides each checkout. It keeps the arena's get and iter. Ruled out: reusing arena slots, since a worker may still report the old job's id.

--- /dev/null
+++ b/daisy-ledger/src/change.rs
@@ -0,0 +1,445 @@
+//! Operators' changes: accepted or refused, always in the audit trail.
+
+use daisy_model::{
+    Change, Command, Condition, Exit, Generation, JobId, JobKind, JobSpec, Name, Offset, Policy,
+    PolicyChange, Priority, Resources, TeamId, WorkClass,
+};
+
+use crate::{AuditEntry, Job, Outcome, State, Subject, Task, TaskState, Team, Verdict};
+
+/// Why a change was refused; the state stays as it was.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No team has the name.
+    #[error("team {0} is unknown; create it with a quota first")]
+    UnknownTeam(Name),
+    /// No job has the name.
+    #[error("job {0} is unknown")]
+    UnknownJob(Name),
+    /// A job that has not ended has the name.
+    #[error("job {name} exists already, as number {job}")]
+    Duplicate {
+        /// The name.
+        name: Name,
+        /// The job that has it.
+        job: JobId,
+    },
+    /// The statement says service and the job is batch, or the other way round.
+    #[error("job {name} is a {} job", match .kind { JobKind::Service => "service", JobKind::Batch => "batch" })]
+    WrongKind {
+        /// The name.
+        name: Name,
+        /// What the job is.
+        kind: JobKind,
+    },
+    /// The job is cancelled or has ended.
+    #[error("job {0} has ended")]
+    Over(Name),
+    /// A job has no tasks or too many.
+    #[error("a job has 1 to {max} tasks, not {found}", max = State::MAX_TASKS)]
+    Tasks {
+        /// The number declared.
+        found: u32,
+    },
+    /// All jobs together would have too many tasks.
+    #[error("more than {} tasks would be waiting or running", State::MAX_OPEN_TASKS)]
+    Full,
+    /// A task takes nothing.
+    #[error("a task takes at least 1m of processor and 1Mi of memory")]
+    NoSize,
+    /// The sizes of all tasks together overflow.
+    #[error("{tasks} tasks of {size} are more than can be counted")]
+    Overflow {
+        /// The number of tasks.
+        tasks: u32,
+        /// The size of each.
+        size: Resources,
+    },
+    /// What must run at one time is more than the team's quota.
+    #[error("needs {needed} at one time; the quota of team {team} is {limit}")]
+    Quota {
+        /// The team.
+        team: Name,
+        /// What must run at one time.
+        needed: Resources,
+        /// The quota.
+        limit: Resources,
+    },
+    /// Another change of the same subject came first.
+    #[error(
+        "{subject} was changed after generation {seen}: at generation {generation}, {who} said: {text}"
+    )]
+    Conflict {
+        /// What was changed.
+        subject: Box<str>,
+        /// The generation that the loser had seen.
+        seen: Generation,
+        /// Who came first.
+        who: Name,
+        /// The statement that came first.
+        text: Box<str>,
+        /// The generation that it made.
+        generation: Generation,
+    },
+    /// The generation named has not been reached.
+    #[error("generation {seen} is not reached; the newest is {newest}")]
+    Future {
+        /// The generation named.
+        seen: Generation,
+        /// The newest generation.
+        newest: Generation,
+    },
+    /// The audit trail does not reach back to the generation named.
+    #[error("generation {seen} is too old to check; the audit trail begins after {oldest}")]
+    TooOld {
+        /// The generation named.
+        seen: Generation,
+        /// The last generation before the audit trail.
+        oldest: Generation,
+    },
+    /// There is nothing to take back.
+    #[error("{0} is not in force")]
+    NotInForce(Box<str>),
+    /// A list of declared things is full.
+    #[error("no more than {max} {what}")]
+    TooMany {
+        /// What there would be too many of.
+        what: &'static str,
+        /// The most.
+        max: usize,
+    },
+    /// A field of a policy is out of range.
+    #[error("policy {field}: {reason}")]
+    Policy {
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        reason: &'static str,
+    },
+}
+
+impl State {
+    /// The most tasks of one job.
+    pub const MAX_TASKS: u32 = 100_000;
+    /// The most tasks waiting or running together: four times the users' size plan.
+    pub const MAX_OPEN_TASKS: u32 = 100_000;
+    /// The most teams: the users plan for 29.
+    pub const MAX_TEAMS: usize = 1_000;
+    /// The most VMs drained at one time.
+    pub const MAX_DRAINED: usize = 10_000;
+    /// The most entries of the audit trail: about a day of 8,600 jobs and 360 configurations.
+    pub const KEPT_AUDIT: usize = 10_000;
+    /// Entries dropped at one time, so that trimming costs little for each change.
+    const AUDIT_STEP: usize = 1_000;
+
+    pub(crate) fn change(&mut self, offset: Offset, change: &Change) -> Outcome {
+        let generation = Generation(offset.0 + 1);
+        let result = self.try_change(generation, change);
+        let (verdict, outcome) = match result {
+            Ok(()) => {
+                self.generation = generation;
+                (Verdict::Accepted(generation), Outcome::Accepted(generation))
+            }
+            Err(refusal) => {
+                self.counts.refused += 1;
+                let cause = refusal.to_string().into_boxed_str();
+                (Verdict::Refused(cause), Outcome::Refused(refusal))
+            }
+        };
+        self.audit(AuditEntry { offset, change: change.clone(), verdict });
+        outcome
+    }
+
+    fn audit(&mut self, entry: AuditEntry) {
+        if self.audit.len() >= State::KEPT_AUDIT {
+            for dropped in self.audit.drain(..State::AUDIT_STEP) {
+                self.audit_from = Generation(dropped.offset.0 + 1);
+            }
+        }
+        self.audit.push(entry);
+    }
+
+    fn try_change(&mut self, generation: Generation, change: &Change) -> Result<(), Refusal> {
+        if let Some(condition) = change.condition {
+            self.check_condition(condition, &change.command)?;
+        }
+        match &change.command {
+            Command::Create(spec) => self.create(generation, spec),
+            Command::Change { kind, job, tasks, priority, size } => {
+                self.change_job(generation, *kind, job, *tasks, *priority, *size)
+            }
+            Command::Cancel { kind, job } => self.cancel(generation, *kind, job),
+            Command::Quota { team, limit } => self.quota(team, *limit),
+            Command::Drain { vm } => self.drain(vm),
+            Command::Undrain { vm } => self.undrain(vm),
+            Command::Pause(class) => self.pause(*class),
+            Command::Resume(class) => self.resume(*class),
+            Command::Publish(policy) => self.publish(generation, policy),
+        }
+    }
+
+    /// Holds if the subject has not changed after the generation that the operator saw.
+    ///
+    /// Operators race one another; without this the later statement would silently undo the
+    /// earlier one. The order of the log decides, and the loser is told who came first.
+    fn check_condition(&self, condition: Condition, command: &Command) -> Result<(), Refusal> {
+        let seen = condition.generation;
+        if seen > self.generation {
+            return Err(Refusal::Future { seen, newest: self.generation });
+        }
+        if seen < self.audit_from {
+            return Err(Refusal::TooOld { seen, oldest: self.audit_from });
+        }
+        let subject = Subject::of(command);
+        let newer = self.audit.iter().rev().take_while(|it| it.offset.0 + 1 > seen.0);
+        for entry in newer {
+            let Verdict::Accepted(generation) = entry.verdict else { continue };
+            if Subject::of(&entry.change.command) == subject {
+                return Err(Refusal::Conflict {
+                    subject: subject.to_string().into(),
+                    seen,
+                    who: entry.change.who.clone(),
+                    text: entry.change.text.clone(),
+                    generation,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn create(&mut self, generation: Generation, spec: &JobSpec) -> Result<(), Refusal> {
+        let Some((team, _)) = self.team(&spec.team) else {
+            return Err(Refusal::UnknownTeam(spec.team.clone()));
+        };
+        if let Some((job, old)) = self.jobs.by_name(&spec.name)
+            && !old.cancelled
+            && old.open > 0
+        {
+            return Err(Refusal::Duplicate { name: spec.name.clone(), job });
+        }
+        self.check_size(team, None, spec.kind, spec.tasks, spec.size)?;
+        let tasks = vec![Task::NEW; spec.tasks as usize];
+        self.jobs.create(Job {
+            spec: spec.clone(),
+            team,
+            cancelled: false,
+            tasks,
+            open: spec.tasks,
+            generation,
+        });
+        Ok(())
+    }
+
+    /// Checks numbers and quota of a job that is created or, if `changed`, changed.
+    fn check_size(
+        &self,
+        team: TeamId,
+        changed: Option<JobId>,
+        kind: JobKind,
+        tasks: u32,
+        size: Resources,
+    ) -> Result<(), Refusal> {
+        if tasks == 0 || tasks > State::MAX_TASKS {
+            return Err(Refusal::Tasks { found: tasks });
+        }
+        if size.cpu_milli == 0 || size.memory_mib == 0 {
+            return Err(Refusal::NoSize);
+        }
+        let others = self.jobs.iter().filter(|(id, _)| Some(*id) != changed);
+        let open: u64 = others.map(|(_, job)| u64::from(job.open)).sum();
+        if open + u64::from(tasks) > u64::from(State::MAX_OPEN_TASKS) {
+            return Err(Refusal::Full);
+        }
+        let overflow = || Refusal::Overflow { tasks, size };
+        let total = size.try_mul(tasks).ok_or_else(overflow)?;
+        // All tasks of a service run at one time; tasks of a batch job may go one by one.
+        let needed = match kind {
+            JobKind::Batch => size,
+            JobKind::Service => {
+                self.services_of(team, changed).try_add(total).ok_or_else(overflow)?
+            }
+        };
+        match self.teams.get(team) {
+            Some(it) if !needed.fits(it.limit) => {
+                Err(Refusal::Quota { team: it.name.clone(), needed, limit: it.limit })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// What the services of `team` take together, `except` one.
+    fn services_of(&self, team: TeamId, except: Option<JobId>) -> Resources {
+        let services = self.jobs.iter().filter(|(id, job)| {
+            let running = !job.cancelled && job.open > 0;
+            running && job.team == team && job.spec.kind == JobKind::Service && Some(*id) != except
+        });
+        let sizes = services.filter_map(|(_, job)| job.spec.size.try_mul(job.spec.tasks));
+        sizes.fold(Resources::ZERO, |sum, size| sum.try_add(size).unwrap_or(sum))
+    }
+
+    fn open_job(&self, kind: JobKind, name: &Name) -> Result<(JobId, &Job), Refusal> {
+        match self.jobs.by_name(name) {
+            None => Err(Refusal::UnknownJob(name.clone())),
+            Some((_, job)) if job.spec.kind != kind => {
+                Err(Refusal::WrongKind { name: name.clone(), kind: job.spec.kind })
+            }
+            Some((_, job)) if job.cancelled || job.open == 0 => Err(Refusal::Over(name.clone())),
+            Some(found) => Ok(found),
+        }
+    }
+
+    fn change_job(
+        &mut self,
+        generation: Generation,
+        kind: JobKind,
+        name: &Name,
+        tasks: Option<u32>,
+        priority: Option<Priority>,
+        size: Option<Resources>,
+    ) -> Result<(), Refusal> {
+        let (id, job) = self.open_job(kind, name)?;
+        let spec = &job.spec;
+        let tasks = tasks.unwrap_or(spec.tasks);
+        let size = size.unwrap_or(spec.size);
+        let grows = tasks > spec.tasks || !size.fits(spec.size);
+        // A smaller job is always let through: it may be how a team gets below its quota.
+        if grows || tasks == 0 {
+            self.check_size(job.team, Some(id), spec.kind, tasks, size)?;
+        }
+        let before = job.spec.tasks;
+        let Some(job) = self.jobs.get_mut(id) else { return Ok(()) };
+        job.spec.priority = priority.unwrap_or(job.spec.priority);
+        job.spec.size = size;
+        job.spec.tasks = tasks;
+        job.generation = generation;
+        self.resize(id, before);
+        Ok(())
+    }
+
+    /// Makes the tasks fit the declared number, which was `before`.
+    fn resize(&mut self, id: JobId, before: u32) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let declared = job.spec.tasks;
+        for index in before..declared {
+            match job.tasks.get_mut(index as usize) {
+                None => job.tasks.push(Task::NEW),
+                Some(task) if was_stopped(task) => task.state = TaskState::Pending,
+                Some(_) => continue,
+            }
+            job.open += 1;
+        }
+        let closed = end_pending(job, declared as usize);
+        self.jobs.refresh(id);
+        self.close(id, closed);
+    }
+
+    fn cancel(
+        &mut self,
+        generation: Generation,
+        kind: JobKind,
+        name: &Name,
+    ) -> Result<(), Refusal> {
+        let (id, _) = self.open_job(kind, name)?;
+        let Some(job) = self.jobs.get_mut(id) else { return Ok(()) };
+        job.cancelled = true;
+        job.generation = generation;
+        let closed = end_pending(job, 0);
+        self.jobs.refresh(id);
+        self.close(id, closed);
+        Ok(())
+    }
+
+    fn quota(&mut self, name: &Name, limit: Resources) -> Result<(), Refusal> {
+        if let Some((id, _)) = self.team(name) {
+            if let Some(team) = self.teams.get_mut(id) {
+                team.limit = limit;
+            }
+            return Ok(());
+        }
+        if self.teams.len() >= State::MAX_TEAMS {
+            return Err(Refusal::TooMany { what: "teams", max: State::MAX_TEAMS });
+        }
+        self.teams.alloc(Team { name: name.clone(), limit, used: Resources::ZERO });
+        Ok(())
+    }
+
+    fn drain(&mut self, vm: &Name) -> Result<(), Refusal> {
+        let Err(at) = self.drained.binary_search(vm) else { return Ok(()) };
+        if self.drained.len() >= State::MAX_DRAINED {
+            return Err(Refusal::TooMany { what: "drained VMs", max: State::MAX_DRAINED });
+        }
+        self.drained.insert(at, vm.clone());
+        Ok(())
+    }
+
+    fn undrain(&mut self, vm: &Name) -> Result<(), Refusal> {
+        match self.drained.binary_search(vm) {
+            Ok(at) => {
+                self.drained.remove(at);
+                Ok(())
+            }
+            Err(_) => Err(Refusal::NotInForce(format!("drain of vm {vm}").into())),
+        }
+    }
+
+    fn pause(&mut self, class: WorkClass) -> Result<(), Refusal> {
+        if !self.paused.contains(&class) {
+            self.paused.push(class);
+        }
+        Ok(())
+    }
+
+    fn resume(&mut self, class: WorkClass) -> Result<(), Refusal> {
+        let Some(at) = self.paused.iter().position(|it| *it == class) else {
+            let subject = Subject::Class(class);
+            return Err(Refusal::NotInForce(format!("pause of {subject}").into()));
+        };
+        self.paused.remove(at);
+        Ok(())
+    }
+
+    fn publish(&mut self, generation: Generation, change: &PolicyChange) -> Result<(), Refusal> {
+        let policy = change.apply(&self.policy.1);
+        check_policy(&policy)?;
+        self.policy = (generation, policy);
+        Ok(())
+    }
+}
+
+/// Whether a task was ended by a change to fewer tasks or by a stop, with nothing to show.
+fn was_stopped(task: &Task) -> bool {
+    task.state == TaskState::Ended(Exit::Stopped)
+}
+
+/// Ends the pending tasks from `from` on; returns how many those are.
+fn end_pending(job: &mut Job, from: usize) -> u32 {
+    let mut closed = 0;
+    for task in job.tasks.iter_mut().skip(from) {
+        if task.state == TaskState::Pending {
+            task.state = TaskState::Ended(Exit::Stopped);
+            closed += 1;
+        }
+    }
+    closed
+}
+
+fn check_policy(policy: &Policy) -> Result<(), Refusal> {
+    let fail = |field, reason| Err(Refusal::Policy { field, reason });
+    let weights = [policy.objective.tail, policy.objective.throughput, policy.objective.evictions];
+    if weights.iter().all(|&it| it == 0) {
+        return fail("objective", "one weight at least is not 0");
+    }
+    if weights.iter().any(|&it| it > 1_000) {
+        return fail("objective", "weights are 0 to 1000");
+    }
+    if policy.retry_budget > 1_000 {
+        return fail("retry-budget", "0 to 1000 thousandths");
+    }
+    if policy.throttle_above == 0 || policy.throttle_above > 1_000 {
+        return fail("throttle-above", "1 to 1000 thousandths");
+    }
+    if policy.retry_window.is_zero() {
+        return fail("retry-window", "longer than 0s");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/daisy-ledger/src/checkout.rs
@@ -0,0 +1,169 @@
+//! Claims of data centres, and the tasks that their holders have.
+
+use daisy_model::{DcId, Ended, Epoch, Exit, JobId, Offset, Resources, TaskId, TeamId, VmId};
+
+use crate::{Holding, Outcome, Owner, Placement, State, Task, TaskState, exit};
+
+impl State {
+    /// The epoch of a claim is its offset plus one, so a later claim always fences an earlier.
+    pub(crate) fn claim(&mut self, offset: Offset, dc: DcId, holder: VmId) -> Outcome {
+        let epoch = Epoch(offset.0 + 1);
+        // Two claims in one append would share an epoch, and with it the fence: the first wins.
+        if self.holders.get(&dc).is_some_and(|it| it.epoch >= epoch) {
+            return self.stale();
+        }
+        self.holders.insert(dc, Holding { holder, epoch, released: false });
+        Outcome::Claimed(epoch)
+    }
+
+    pub(crate) fn release(&mut self, dc: DcId, epoch: Epoch) -> Outcome {
+        if !self.holds(dc, epoch) {
+            return self.stale();
+        }
+        if let Some(holding) = self.holders.get_mut(&dc) {
+            holding.released = true;
+        }
+        Outcome::Released
+    }
+
+    /// Grants the tasks that are still pending, startable and within their team's quota.
+    pub(crate) fn checkout(&mut self, dc: DcId, epoch: Epoch, tasks: &[TaskId]) -> Outcome {
+        if !self.holds(dc, epoch) {
+            return self.stale();
+        }
+        let mut granted = Vec::new();
+        for &task in tasks {
+            if self.try_grant(task, Owner { dc, epoch }).is_some() {
+                granted.push(task);
+            }
+        }
+        granted.sort_unstable();
+        self.jobs.dequeue(&granted);
+        Outcome::Granted(granted)
+    }
+
+    fn try_grant(&mut self, id: TaskId, owner: Owner) -> Option<()> {
+        let job = self.jobs.get(id.job)?;
+        if job.cancelled || self.is_paused(job.spec.kind, job.spec.priority) {
+            return None;
+        }
+        let (size, team) = (job.spec.size, job.team);
+        let team = self.teams.get_mut(team)?;
+        let task = self.jobs.get_mut(id.job)?.tasks.get_mut(id.index as usize)?;
+        if task.state != TaskState::Pending {
+            return None;
+        }
+        let used = team.used.try_add(size)?;
+        if !used.fits(team.limit) {
+            return None;
+        }
+        team.used = used;
+        task.size = size;
+        task.state = TaskState::Out(owner);
+        Some(())
+    }
+
+    pub(crate) fn give_back(&mut self, dc: DcId, epoch: Epoch, tasks: &[TaskId]) -> Outcome {
+        if !self.holds(dc, epoch) {
+            return self.stale();
+        }
+        let taken = tasks.iter().filter(|&&task| self.try_give_back(dc, task).is_some()).count();
+        self.took(taken, tasks.len())
+    }
+
+    fn try_give_back(&mut self, dc: DcId, id: TaskId) -> Option<()> {
+        let job = self.jobs.get(id.job)?;
+        let (team, wanted) = (job.team, !job.cancelled && id.index < job.spec.tasks);
+        let task = self.out_mut(dc, id)?;
+        // An incarnation recorded as placed has started: giving it back would let another
+        // data centre start the task a second time.
+        if task.incarnation > task.ended {
+            return None;
+        }
+        let size = task.size;
+        task.state = if wanted { TaskState::Pending } else { TaskState::Ended(Exit::Stopped) };
+        self.settle(id, team, size);
+        Some(())
+    }
+
+    pub(crate) fn placed(&mut self, dc: DcId, epoch: Epoch, placements: &[Placement]) -> Outcome {
+        if !self.holds(dc, epoch) {
+            return self.stale();
+        }
+        let taken = placements.iter().filter(|&it| self.try_place(dc, it).is_some()).count();
+        self.took(taken, placements.len())
+    }
+
+    fn try_place(&mut self, dc: DcId, placement: &Placement) -> Option<()> {
+        let task = self.out_mut(dc, placement.task)?;
+        // Told late, after the incarnation ended or a later one started.
+        if placement.incarnation <= task.ended || placement.incarnation < task.incarnation {
+            return None;
+        }
+        task.incarnation = placement.incarnation;
+        task.vm = Some(placement.vm);
+        Some(())
+    }
+
+    pub(crate) fn ended(&mut self, dc: DcId, epoch: Epoch, exits: &[Ended]) -> Outcome {
+        if !self.holds(dc, epoch) {
+            return self.stale();
+        }
+        let taken = exits.iter().filter(|&it| self.try_end(dc, it).is_some()).count();
+        self.took(taken, exits.len())
+    }
+
+    fn try_end(&mut self, dc: DcId, ended: &Ended) -> Option<()> {
+        let id = ended.task;
+        let mut task = *self.out_mut(dc, id)?;
+        // A worker keeps an exit report until it is acknowledged, so two holders in turn may
+        // record it; taken twice it would end, or resume, a later incarnation.
+        if ended.incarnation <= task.ended || ended.incarnation < task.incarnation {
+            return None;
+        }
+        let job = self.jobs.get(id.job)?;
+        let (team, size) = (job.team, task.size);
+        task.incarnation = ended.incarnation;
+        task.ended = ended.incarnation;
+        exit::end(job, id.index, &mut task, ended.exit);
+        *self.out_mut(dc, id)? = task;
+        self.settle(id, team, size);
+        Some(())
+    }
+
+    fn out_mut(&mut self, dc: DcId, id: TaskId) -> Option<&mut Task> {
+        let task = self.jobs.get_mut(id.job)?.tasks.get_mut(id.index as usize)?;
+        matches!(task.state, TaskState::Out(owner) if owner.dc == dc).then_some(task)
+    }
+
+    /// Accounts for a task that is no longer out.
+    fn settle(&mut self, id: TaskId, team: TeamId, size: Resources) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.used = team.used.try_sub(size).unwrap_or_default();
+        }
+        match self.jobs.task(id).map(|task| task.state) {
+            Some(TaskState::Pending) => self.jobs.enqueue(id),
+            Some(TaskState::Ended(_)) => self.close(id.job, 1),
+            _ => {}
+        }
+    }
+
+    /// Notes that `count` more tasks of `job` have ended.
+    pub(crate) fn close(&mut self, id: JobId, count: u32) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.open = job.open.saturating_sub(count);
+        if job.open == 0 && count > 0 {
+            self.jobs.finish(id);
+        }
+    }
+
+    fn stale(&mut self) -> Outcome {
+        self.counts.stale += 1;
+        Outcome::Stale
+    }
+
+    fn took(&mut self, taken: usize, of: usize) -> Outcome {
+        self.counts.ignored += (of - taken) as u64;
+        Outcome::Took(taken)
+    }
+}
--- /dev/null
+++ b/daisy-ledger/src/fold.rs
@@ -0,0 +1,103 @@
+//! The fold of the log into state.
+
+use daisy_model::{Epoch, Generation, Offset, TaskId};
+
+use crate::{Batch, Record, Refusal, State};
+
+/// What became of a log entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// Its records were folded.
+    Folded,
+    /// The same append was folded at an earlier offset.
+    Repeated,
+    /// The offset is below the next one: this entry was folded before.
+    Past,
+    /// The offset is above the next one: entries in between are missing, and nothing was done.
+    Gap,
+}
+
+/// What became of one record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The change is in force from the generation on.
+    Accepted(Generation),
+    /// The change was refused.
+    Refused(Refusal),
+    /// The data centre is held under the epoch.
+    Claimed(Epoch),
+    /// The data centre is given up.
+    Released,
+    /// The tasks that were checked out, sorted.
+    Granted(Vec<TaskId>),
+    /// How many returns, placements or exits took effect.
+    Took(usize),
+    /// The epoch is not in force; the record had no effect.
+    Stale,
+    /// Noted without a decision.
+    Noted,
+}
+
+/// What became of a log entry and its records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    /// Whether the entry was folded.
+    pub status: Status,
+    /// One outcome for each record; empty if the entry was not folded.
+    pub outcomes: Vec<Outcome>,
+}
+
+impl State {
+    /// Folds the log entry at `offset`.
+    ///
+    /// Equal entries in equal order always come to an equal state: nothing here depends on
+    /// the process, the time or the way in which entries were fetched.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Applied {
+        if let Some(status) = self.out_of_turn(offset) {
+            return Applied { status, outcomes: Vec::new() };
+        }
+        self.next = Offset(offset.0 + 1);
+        // An append whose answer was lost is sent again and may stand in the log twice; taken
+        // twice, a change would be made twice and a task checked out anew.
+        if !self.senders.note(batch.id, offset) {
+            self.counts.repeated += 1;
+            return Applied { status: Status::Repeated, outcomes: Vec::new() };
+        }
+        let records = batch.records.iter();
+        let outcomes = records.map(|record| self.apply_record(offset, record)).collect();
+        Applied { status: Status::Folded, outcomes }
+    }
+
+    /// Passes over the log entry at `offset`, which does not decode.
+    ///
+    /// Every process meets the same bytes and passes over them alike, so states stay equal.
+    pub fn skip(&mut self, offset: Offset) -> Status {
+        if let Some(status) = self.out_of_turn(offset) {
+            return status;
+        }
+        self.next = Offset(offset.0 + 1);
+        self.counts.corrupt += 1;
+        Status::Folded
+    }
+
+    fn out_of_turn(&self, offset: Offset) -> Option<Status> {
+        match offset.cmp(&self.next) {
+            std::cmp::Ordering::Less => Some(Status::Past),
+            std::cmp::Ordering::Equal => None,
+            std::cmp::Ordering::Greater => Some(Status::Gap),
+        }
+    }
+
+    fn apply_record(&mut self, offset: Offset, record: &Record) -> Outcome {
+        match record {
+            Record::Change(change) => self.change(offset, change),
+            Record::Claim { dc, holder } => self.claim(offset, *dc, *holder),
+            Record::Release { dc, epoch } => self.release(*dc, *epoch),
+            Record::Checkout { dc, epoch, tasks } => self.checkout(*dc, *epoch, tasks),
+            Record::Return { dc, epoch, tasks } => self.give_back(*dc, *epoch, tasks),
+            Record::Placed { dc, epoch, placements } => self.placed(*dc, *epoch, placements),
+            Record::Ended { dc, epoch, exits } => self.ended(*dc, *epoch, exits),
+            Record::Intent { .. } | Record::Snapshot { .. } => Outcome::Noted,
+        }
+    }
+}
--- a/daisy-ledger/src/lib.rs
+++ b/daisy-ledger/src/lib.rs
@@ -5,10 +5,22 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod change;
+mod checkout;
+mod exit;
+mod fold;
+mod jobs;
 mod record;
+mod senders;
 mod state;
+mod subject;
 
 pub use crate::{
+    change::Refusal,
+    fold::{Applied, Outcome, Status},
+    jobs::Jobs,
     record::{AppendId, Batch, Placement, Record},
-    state::{AuditEntry, Holding, Job, Owner, State, Task, TaskState, Team, Verdict},
+    senders::Senders,
+    state::{AuditEntry, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict},
+    subject::Subject,
 };
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -1,10 +1,12 @@
 //! The state that the fold of the log comes to.
 
 use daisy_model::{
-    Arena, Change, DcId, Epoch, Exit, Generation, Incarnation, JobId, JobSpec, Name, Offset,
-    Policy, Resources, SortedMap, TeamId, VmId, WorkClass,
+    Arena, Change, DcId, Epoch, Exit, Generation, Incarnation, JobKind, JobSpec, Name, Offset,
+    Policy, Priority, Resources, SortedMap, TaskId, TeamId, VmId, WorkClass,
 };
 
+use crate::{Jobs, Senders};
+
 /// A team and its quota.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Team {
@@ -12,6 +14,8 @@
     pub name: Name,
     /// The most that its running tasks may take together.
     pub limit: Resources,
+    /// What its checked-out tasks take together.
+    pub used: Resources,
 }
 
 /// The holder of a data centre.
@@ -52,10 +56,34 @@
     pub state: TaskState,
     /// The last incarnation recorded; 0 before the first.
     pub incarnation: Incarnation,
+    /// The last incarnation recorded as ended; the owner may only start the one after it.
+    pub ended: Incarnation,
     /// The worker of that incarnation, once recorded.
     pub vm: Option<VmId>,
     /// The checkpoint to resume from.
     pub checkpoint: Option<u64>,
+    /// What the task was last checked out with, and takes while it is out.
+    pub size: Resources,
+    /// How often the task ended with an error of its own.
+    pub failures: u8,
+}
+
+impl Task {
+    /// A task that has never run.
+    pub const NEW: Task = Task {
+        state: TaskState::Pending,
+        incarnation: Incarnation(0),
+        ended: Incarnation(0),
+        vm: None,
+        checkpoint: None,
+        size: Resources::ZERO,
+        failures: 0,
+    };
+
+    /// The one incarnation that the task's owner may start.
+    pub fn next_incarnation(&self) -> Incarnation {
+        Incarnation(self.ended.0.saturating_add(1))
+    }
 }
 
 /// A service or batch job.
@@ -67,8 +95,10 @@
     pub team: TeamId,
     /// Whether operators cancelled it.
     pub cancelled: bool,
-    /// The tasks by index.
+    /// The tasks by index; after a change to fewer, those at `spec.tasks` and above go.
     pub tasks: Vec<Task>,
+    /// The number of tasks that have not ended.
+    pub open: u32,
     /// The generation of the job's last change.
     pub generation: Generation,
 }
@@ -93,6 +123,21 @@
     pub verdict: Verdict,
 }
 
+/// What the fold took no effect of.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Appends folded before, sent again by their sender.
+    pub repeated: u64,
+    /// Records under an epoch that is no longer in force.
+    pub stale: u64,
+    /// Parts of records that contradict the state, such as the exit of an ended incarnation.
+    pub ignored: u64,
+    /// Log entries that do not decode.
+    pub corrupt: u64,
+    /// Operators' changes that were refused.
+    pub refused: u64,
+}
+
 /// The fold of the log up to an offset.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
@@ -102,11 +147,11 @@
     pub generation: Generation,
     /// Teams in the order of creation.
     pub teams: Arena<TeamId, Team>,
-    /// Jobs in the order of creation, ended ones included until compacted.
-    pub jobs: Arena<JobId, Job>,
+    /// Jobs in the order of creation, finished ones included until compacted.
+    pub jobs: Jobs,
     /// Holders by data centre.
     pub holders: SortedMap<DcId, Holding>,
-    /// VMs drained by operators.
+    /// VMs drained by operators, sorted.
     pub drained: Vec<Name>,
     /// Paused classes of work.
     pub paused: Vec<WorkClass>,
@@ -114,4 +159,41 @@
     pub policy: (Generation, Policy),
     /// The audit trail, oldest first, to a bound.
     pub audit: Vec<AuditEntry>,
+    /// Changes of this generation and older may be missing from the audit trail.
+    pub audit_from: Generation,
+    /// The last append of each sender.
+    pub senders: Senders,
+    /// What took no effect.
+    pub counts: Counts,
+}
+
+impl State {
+    /// The task, unless there is none or its job has been compacted away.
+    pub fn task(&self, task: TaskId) -> Option<&Task> {
+        self.jobs.task(task)
+    }
+
+    /// The team called `name`.
+    pub fn team(&self, name: &Name) -> Option<(TeamId, &Team)> {
+        self.teams.iter().find(|(_, team)| team.name == *name)
+    }
+
+    /// Whether work of a job is paused by operators.
+    pub fn is_paused(&self, kind: JobKind, priority: Priority) -> bool {
+        let batch = kind == JobKind::Batch;
+        self.paused.iter().any(|class| match class {
+            WorkClass::Batch => batch,
+            WorkClass::Priority(it) => *it == priority,
+        })
+    }
+
+    /// Whether operators have drained the VM called `name`.
+    pub fn is_drained(&self, name: &Name) -> bool {
+        self.drained.binary_search(name).is_ok()
+    }
+
+    /// Whether `epoch` is in force in `dc`.
+    pub fn holds(&self, dc: DcId, epoch: Epoch) -> bool {
+        self.holders.get(&dc).is_some_and(|it| it.epoch == epoch && !it.released)
+    }
 }
