wire: log entries in bincode with version and checksum

A damaged entry must be told from one of a newer version: all readers pass over the first alike, while passing over the second would make an old process's state differ from that of a new one. Version and checksum therefore keep their place in all versions. Ruled out: the standard library's hasher, whose algorithm may change with the compiler.

--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod headers;
+pub mod log;
 pub mod platform;
 pub mod worker;
 
