Read settings with every finding at once

Cause: serde stops at the first mistake of a settings file; an operator would mend one line a run. The settings also held raw texts and numbers.

Ruled out: deserializing straight into the settings (one finding a run).

--- a/daisy-model/src/id.rs
+++ b/daisy-model/src/id.rs
@@ -1,6 +1,6 @@
 //! Small `Copy` identifiers, and the checked names that operators use.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 /// A type that indexes an [`Arena`](crate::Arena).
 pub trait Key: Copy {
@@ -134,3 +134,11 @@
         f.write_str(&self.0)
     }
 }
+
+impl FromStr for Name {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Name, NameError> {
+        Name::new(text)
+    }
+}
--- a/daisy-settings/src/settings.rs
+++ b/daisy-settings/src/settings.rs
@@ -1,19 +1,21 @@
-//! The settings of an entry VM's process, as written in YAML.
+//! The settings of an entry VM's process, checked.
 
-use std::net::SocketAddr;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
-use serde::{Deserialize, Serialize};
+use daisy_model::{DcId, Name, VmId};
 
 /// Settings of one entry VM's process.
-#[derive(Debug, Clone, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// The VM's name, as in the platform's VM list.
-    pub name: String,
+    pub name: Name,
     /// The platform's number of this VM.
-    pub vm: u32,
-    /// The data centre of this VM; one of `data_centres`.
-    pub data_centre: String,
+    pub vm: VmId,
+    /// The data centre of this VM, by position in `data_centres`.
+    pub data_centre: DcId,
     /// All data centres, in the order of the platform's numbers.
     pub data_centres: Vec<DataCentre>,
     /// Address for callers' HTTP, and for `/healthz`, `/readyz` and `/metrics`.
@@ -24,46 +26,43 @@
     pub operators: SocketAddr,
     /// Address of the platform's log and VM list.
     pub platform: SocketAddr,
-    /// Who may change things, by token.
-    #[serde(default)]
+    /// Who may change things, by token; with none, nobody may.
     pub operator_tokens: Vec<Operator>,
-    /// Addresses that peers may connect from, empty for any in the VM list.
-    #[serde(default)]
-    pub allowed_peers: Vec<std::net::IpAddr>,
+    /// Addresses that peers may connect from; empty for any.
+    pub allowed_peers: Vec<IpAddr>,
     /// Events below this level are not logged.
-    #[serde(default)]
     pub log_level: LogLevel,
     /// Bounds against abuse.
-    #[serde(default)]
     pub limits: Limits,
     /// Periods and timeouts.
-    #[serde(default)]
     pub timing: Timing,
 }
 
 /// A data centre.
-#[derive(Debug, Clone, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DataCentre {
     /// Its name.
-    pub name: String,
+    pub name: Name,
     /// Its region's name.
-    pub region: String,
+    pub region: Name,
 }
 
 /// An operator and the token that proves it.
-#[derive(Debug, Clone, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Operator {
     /// The operator's name, for the audit trail.
-    pub who: String,
-    /// At least 16 characters.
-    pub token: String,
+    pub who: Name,
+    /// At least [`Operator::MIN_TOKEN`] characters.
+    pub token: Box<str>,
+}
+
+impl Operator {
+    /// The shortest token, in bytes: 16 hexadecimal digits are 64 bits, beyond guessing online.
+    pub const MIN_TOKEN: usize = 16;
 }
 
 /// Which events are logged.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LogLevel {
     /// Failures only.
     Error,
@@ -79,8 +78,7 @@
 }
 
 /// Bounds against abuse on the callers' port.
-#[derive(Debug, Clone, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
     /// Bytes of a request's body.
     pub body_bytes: u64,
@@ -88,8 +86,8 @@
     pub header_bytes: u32,
     /// Callers' connections open at one time.
     pub connections: u32,
-    /// Milliseconds in which a head must have come.
-    pub header_ms: u64,
+    /// Time in which a head must have come.
+    pub header_timeout: Duration,
     /// Idempotency keys remembered.
     pub keys: u32,
 }
@@ -100,36 +98,35 @@
             body_bytes: 1 << 20,
             header_bytes: 16 << 10,
             connections: 4096,
-            header_ms: 5_000,
+            header_timeout: Duration::from_secs(5),
             keys: 100_000,
         }
     }
 }
 
-/// Periods and timeouts in milliseconds.
-#[derive(Debug, Clone, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, default)]
+/// Periods and timeouts.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Timing {
     /// Between heartbeats to peers of the data centre.
-    pub heartbeat_ms: u64,
+    pub heartbeat: Duration,
     /// Silence after which a holder is replaced.
-    pub holder_timeout_ms: u64,
+    pub holder_timeout: Duration,
     /// A worker's lease; longer than a change-over of holders.
-    pub worker_lease_ms: u64,
+    pub worker_lease: Duration,
     /// Between not ready and the close of the callers' port in a planned stop.
-    pub balancer_ms: u64,
+    pub balancer: Duration,
     /// Between reads of the VM list.
-    pub vm_list_ms: u64,
+    pub vm_list: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Timing {
         Timing {
-            heartbeat_ms: 500,
-            holder_timeout_ms: 2_000,
-            worker_lease_ms: 30_000,
-            balancer_ms: 2_000,
-            vm_list_ms: 1_000,
+            heartbeat: Duration::from_millis(500),
+            holder_timeout: Duration::from_secs(2),
+            worker_lease: Duration::from_secs(30),
+            balancer: Duration::from_secs(2),
+            vm_list: Duration::from_secs(1),
         }
     }
 }
