--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,39 @@
+//! `daisyshift check`: every finding of a file at once.
+
+use std::{fmt::Display, path::Path, process::ExitCode};
+
+use anyhow::Context;
+
+use crate::args;
+
+/// Checks the file and prints `FILE:LINE:COLUMN: message` for each finding.
+///
+/// # Errors
+///
+/// If the file cannot be read; findings are no error but an exit code of 1.
+pub fn run(options: &args::Check) -> anyhow::Result<ExitCode> {
+    let path = &options.file;
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    let findings: Vec<String> = if holds_settings(path) {
+        lines(daisy_settings::read(&text).err().unwrap_or_default())
+    } else {
+        Vec::new()
+    };
+    for finding in &findings {
+        println!("{}:{finding}", path.display());
+    }
+    if findings.is_empty() {
+        println!("{}: good", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::FAILURE)
+}
+
+fn holds_settings(path: &Path) -> bool {
+    path.extension().is_some_and(|it| it == "yaml" || it == "yml")
+}
+
+fn lines<T: Display>(findings: Vec<T>) -> Vec<String> {
+    findings.iter().map(T::to_string).collect()
+}
