--- a/daisy-ledger/src/subject.rs
+++ b/daisy-ledger/src/subject.rs
@@ -40,9 +40,7 @@
             Subject::Team(name) => write!(f, "team {name}"),
             Subject::Vm(name) => write!(f, "vm {name}"),
             Subject::Class(WorkClass::Batch) => f.write_str("batch"),
-            Subject::Class(WorkClass::Priority(priority)) => {
-                write!(f, "priority {}", format!("{priority:?}").to_lowercase())
-            }
+            Subject::Class(WorkClass::Priority(priority)) => write!(f, "priority {priority}"),
             Subject::Policy => f.write_str("policy"),
         }
     }
--- a/daisy-model/src/job.rs
+++ b/daisy-model/src/job.rs
@@ -1,6 +1,6 @@
 //! Services and batch jobs as operators declare them.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use crate::{Name, Resources};
 
@@ -32,6 +32,18 @@
         [Priority::Low, Priority::Normal, Priority::Urgent, Priority::Critical];
 }
 
+impl fmt::Display for Priority {
+    /// The operators' word for the priority.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Priority::Low => "low",
+            Priority::Normal => "normal",
+            Priority::Urgent => "urgent",
+            Priority::Critical => "critical",
+        })
+    }
+}
+
 /// What the operators allow to be done to a job's work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tolerance {
