language: statements, findings with their place, text that parses back

Operators need every statement of the reference in one consistent form, and all mistakes of a pasted text at once: the parser goes on at the next clause, ';' or line, and each finding says line, column, what stands there and what should. winnow reads tokens and numbers; statements are read by a cursor, since combinators stop at the first mistake.

--- /dev/null
+++ b/daisy-language/src/lex.rs
@@ -0,0 +1,93 @@
+//! Source to tokens.
+
+use winnow::{
+    LocatingSlice, Parser, Result,
+    ascii::till_line_ending,
+    combinator::{alt, delimited, opt, preceded, repeat},
+    token::{any, one_of, take_while},
+};
+
+use crate::{
+    Test,
+    token::{Kind, Token},
+};
+
+type Input<'s> = LocatingSlice<&'s str>;
+
+/// The tokens of `source`; blanks, comments and joined lines are left out.
+///
+/// Never fails: what is no token becomes [`Kind::Unknown`], for the parser to report.
+pub(crate) fn lex(source: &str) -> Vec<Token> {
+    let mut input = LocatingSlice::new(source);
+    let mut tokens = Vec::new();
+    loop {
+        let blanks: Result<()> = repeat(0.., blank).parse_next(&mut input);
+        if blanks.is_err() || input.is_empty() {
+            return tokens;
+        }
+        let token: Result<_> = token.with_span().parse_next(&mut input);
+        let Ok((kind, span)) = token else { return tokens };
+        tokens.push(Token { kind, span });
+    }
+}
+
+fn blank(input: &mut Input<'_>) -> Result<()> {
+    alt((
+        take_while(1.., [' ', '\t', '\r']).void(),
+        ("\\", opt('\r'), '\n').void(),
+        ('#', till_line_ending).void(),
+    ))
+    .parse_next(input)
+}
+
+fn token(input: &mut Input<'_>) -> Result<Kind> {
+    alt((
+        word.value(Kind::Word),
+        number.value(Kind::Number),
+        quoted.value(Kind::Quoted),
+        unclosed.value(Kind::Unclosed),
+        test.map(Kind::Test),
+        ','.value(Kind::Comma),
+        one_of([';', '\n']).value(Kind::End),
+        any.value(Kind::Unknown),
+    ))
+    .parse_next(input)
+}
+
+fn word(input: &mut Input<'_>) -> Result<()> {
+    (one_of(|c: char| c.is_ascii_alphabetic()), take_while(0.., is_word_part))
+        .void()
+        .parse_next(input)
+}
+
+fn is_word_part(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | '/')
+}
+
+fn number(input: &mut Input<'_>) -> Result<()> {
+    (opt('-'), one_of(|c: char| c.is_ascii_digit()), take_while(0.., is_word_part))
+        .void()
+        .parse_next(input)
+}
+
+fn quoted(input: &mut Input<'_>) -> Result<()> {
+    let part = alt((take_while(1.., |c| c != '\'' && c != '\n').void(), "''".void()));
+    let parts = repeat::<_, _, (), _, _>(0.., part);
+    delimited('\'', parts, '\'').parse_next(input)
+}
+
+fn unclosed(input: &mut Input<'_>) -> Result<()> {
+    preceded('\'', till_line_ending).void().parse_next(input)
+}
+
+fn test(input: &mut Input<'_>) -> Result<Test> {
+    alt((
+        "!=".value(Test::NotEqual),
+        "<=".value(Test::AtMost),
+        ">=".value(Test::AtLeast),
+        "=".value(Test::Equal),
+        "<".value(Test::Below),
+        ">".value(Test::Above),
+    ))
+    .parse_next(input)
+}
