Serve one request from caller to backend server and back

Planned stop: connection: close while the balancer turns away, then the listener, then the connections.

hyper-util's pooled client was ruled out: it bounds idle connections only and does not say whether a request was written, so neither the 64 connections of a backend server nor `not-run` could be vouched for. hyper's own client gives an unwritten request back, which is the proof.

viz serves the control side's own routes; requests that name a service go past its boxed handlers, as the request path has no dyn.

The key protocol's messages are in daisy-routing for the peers' side; Routes gains `listed`, the entry VMs that the platform names.

--- a/daisy-entry/src/lib.rs
+++ b/daisy-entry/src/lib.rs
@@ -6,3 +6,4 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod boundary;
+pub mod proxy;
--- /dev/null
+++ b/daisy-entry/src/proxy.rs
@@ -0,0 +1,162 @@
+//! The request side of an entry VM: callers' HTTP in, backend servers' HTTP out.
+//!
+//! `daisy-routing` decides; the modules here hold sockets and timers. Mounted by
+//! [`Proxy::serve`], told of services by a [`RoutesWatch`], and asked by the control side
+//! through [`RequestSide`].
+
+use std::{
+    future::Future,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use daisy_model::{DcId, VmId};
+use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_settings::{Limits, Settings};
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::{
+    boundary::{PeerKeys, RequestSide, RoutesWatch},
+    proxy::{core::Core, serve::Stage},
+};
+
+mod answer;
+mod body;
+mod clock;
+mod core;
+mod forward;
+mod guard;
+mod head;
+mod pool;
+mod request;
+mod serve;
+
+pub use self::body::{AnswerBody, BodyError, Streamed};
+
+/// Between looks at the queue for requests that can no longer finish in time.
+const TICK: Duration = Duration::from_millis(5);
+
+/// What a [`Proxy`] needs of the settings.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub dc: DcId,
+    /// Bounds against abuse.
+    pub limits: Limits,
+    /// Between not ready and the close of the callers' port in a planned stop.
+    pub balancer: Duration,
+    /// Seeds the draws of backend servers and request ids; differs between processes.
+    pub seed: u64,
+}
+
+impl Options {
+    /// The options that `settings` give for a VM of the data centre `dc`.
+    pub fn new(settings: &Settings, dc: DcId, seed: u64) -> Options {
+        Options {
+            vm: VmId(settings.vm),
+            dc,
+            limits: settings.limits.clone(),
+            balancer: Duration::from_millis(settings.timing.balancer_ms),
+            seed,
+        }
+    }
+}
+
+/// The request side of an entry VM; clones share it.
+#[derive(Debug, Clone)]
+pub struct Proxy<K> {
+    core: Arc<Core>,
+    routes: RoutesWatch,
+    peers: K,
+    stage: Arc<watch::Sender<Stage>>,
+    done: watch::Receiver<bool>,
+    finished: Arc<watch::Sender<bool>>,
+}
+
+impl<K: PeerKeys<KeyQuery, KeyAnswer>> Proxy<K> {
+    /// A proxy that serves what `routes` shows and asks other entry VMs through `peers`.
+    pub fn new(options: Options, routes: RoutesWatch, peers: K) -> Proxy<K> {
+        let (finished, done) = watch::channel(false);
+        Proxy {
+            core: Arc::new(Core::new(options)),
+            routes,
+            peers,
+            stage: Arc::new(watch::Sender::new(Stage::Serving)),
+            done,
+            finished: Arc::new(finished),
+        }
+    }
+
+    /// What asks other entry VMs.
+    pub fn peers(&self) -> &K {
+        &self.peers
+    }
+
+    /// Whether a planned stop has begun: `/readyz` says no from then on.
+    pub fn is_draining(&self) -> bool {
+        self.core.is_draining()
+    }
+
+    /// Serves callers on `listener`, and `own` routes to requests that name no service.
+    ///
+    /// Returns once [`RequestSide::drain`] has closed the listener and every connection has ended.
+    pub async fn serve(&self, listener: TcpListener, own: viz::Router) -> io::Result<()> {
+        log::info!("event=serving callers={}", listener.local_addr()?);
+        let own = Arc::new(viz::Tree::from(own));
+        let served = serve::serve(Arc::clone(&self.core), listener, own, self.stage.subscribe());
+        tokio::select! {
+            () = served => {}
+            () = self.follow() => {}
+        }
+        self.finished.send_replace(true);
+        Ok(())
+    }
+
+    /// Takes in routes as they change and lets time pass for the queue; never returns.
+    async fn follow(&self) {
+        let mut routes = self.routes.clone();
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        routes.mark_changed();
+        loop {
+            tokio::select! {
+                Ok(()) = routes.changed() => {
+                    let routes = Arc::clone(&routes.borrow_and_update());
+                    self.core.set_routes(&routes);
+                }
+                _ = ticks.tick() => self.core.tick(),
+            }
+        }
+    }
+}
+
+impl<K: PeerKeys<KeyQuery, KeyAnswer>> RequestSide<KeyQuery, KeyAnswer> for Proxy<K> {
+    fn in_flight(&self) -> Vec<(VmId, u32)> {
+        self.core.in_flight()
+    }
+
+    fn peer_in_flight(&self, peer: VmId, in_flight: Vec<(VmId, u32)>) {
+        self.core.peer_in_flight(peer, &in_flight);
+    }
+
+    async fn answer(&self, _from: VmId, _query: KeyQuery) -> KeyAnswer {
+        KeyAnswer::NotHome
+    }
+
+    fn drain(&self) -> impl Future<Output = ()> + Send {
+        let mut done = self.done.clone();
+        async move {
+            let first = !self.core.draining.swap(true, Ordering::Relaxed);
+            if first {
+                log::info!("event=draining vm={}", self.core.options.vm);
+                self.stage.send_replace(Stage::Leaving);
+                tokio::time::sleep(self.core.options.balancer).await;
+                self.stage.send_replace(Stage::Closed);
+            }
+            let _ = done.wait_for(|done| *done).await;
+        }
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/answer.rs
@@ -0,0 +1,109 @@
+//! Answers that the entry VM gives itself.
+
+use std::time::Duration;
+
+use daisy_routing::{Reason, Refusal};
+use daisy_wire::headers;
+use http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER};
+
+use crate::proxy::{body::AnswerBody, forward::TryError, head::HeadError};
+
+/// What is known of a request that got no answer of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// It did not run: proven.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "outcome-unknown",
+        }
+    }
+}
+
+/// The outcome of an answer that a backend server gave.
+pub(super) const ANSWERED: &str = "answered";
+
+/// An answer of the entry VM's own: a status, an outcome and a reason.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Failure {
+    /// The status.
+    pub(super) status: StatusCode,
+    /// What is known.
+    pub(super) outcome: Outcome,
+    /// One word of `docs/PROTOCOL.md`, with the header's name where a header is at fault.
+    pub(super) reason: String,
+    /// When to come again, where that helps.
+    pub(super) retry_after: Option<Duration>,
+}
+
+impl Failure {
+    /// A failure that tells no time to come again.
+    pub(super) fn new(status: StatusCode, outcome: Outcome, reason: &str) -> Failure {
+        Failure { status, outcome, reason: reason.to_owned(), retry_after: None }
+    }
+
+    /// A refusal for now, that says when to come again.
+    pub(super) fn later(outcome: Outcome, reason: &str, retry_after: Duration) -> Failure {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Failure { retry_after: Some(retry_after), ..Failure::new(status, outcome, reason) }
+    }
+
+    /// The answer as it goes to the caller.
+    pub(super) fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::fixed(format!("{}\n", self.reason)));
+        *response.status_mut() = self.status;
+        let map = response.headers_mut();
+        map.insert(headers::OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        if let Ok(reason) = HeaderValue::from_str(&self.reason) {
+            map.insert(headers::REASON, reason);
+        }
+        if let Some(wait) = self.retry_after {
+            let millis = wait.as_millis().max(1) as u64;
+            map.insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000)));
+            map.insert(headers::RETRY_AFTER_MS, HeaderValue::from(millis));
+        }
+        response
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Failure {
+        let Refusal { reason, retry_after } = refusal;
+        match reason {
+            Reason::UnknownService => {
+                Failure::new(StatusCode::NOT_FOUND, Outcome::NotRun, "unknown-service")
+            }
+            Reason::NoBackend => Failure::later(Outcome::NotRun, "no-backend", retry_after),
+            Reason::Deadline => Failure::later(Outcome::NotRun, "deadline", retry_after),
+            Reason::Overload => Failure::later(Outcome::NotRun, "overload", retry_after),
+            Reason::Draining => Failure::later(Outcome::NotRun, "draining", retry_after),
+        }
+    }
+}
+
+impl From<HeadError> for Failure {
+    fn from(err: HeadError) -> Failure {
+        let status = match err {
+            HeadError::Method => StatusCode::METHOD_NOT_ALLOWED,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        Failure::new(status, Outcome::NotRun, &err.to_string())
+    }
+}
+
+impl From<TryError> for Failure {
+    fn from(err: TryError) -> Failure {
+        let status = match err {
+            TryError::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        let outcome = if err.proves_not_run() { Outcome::NotRun } else { Outcome::Unknown };
+        Failure::new(status, outcome, err.as_str())
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/core.rs
@@ -0,0 +1,179 @@
+//! What all requests of an entry VM share: the router, its waiters and the connections.
+
+use std::sync::{
+    Mutex,
+    atomic::{AtomicBool, Ordering},
+};
+
+use daisy_model::{SortedMap, VmId};
+use daisy_routing::{
+    Call, Grant, Offer, Refusal, Report, Router, Routes, Target, Ticket, TryEnd, TryId,
+};
+use tokio::sync::oneshot;
+
+use crate::proxy::{
+    Options,
+    clock::Clock,
+    pool::{Pool, lock},
+};
+
+/// Shared by all requests; free of the type that asks peers.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) options: Options,
+    pub(super) clock: Clock,
+    pub(super) pool: Pool,
+    pub(super) draining: AtomicBool,
+    deciding: Mutex<Deciding>,
+}
+
+/// The router and those who wait for it, under one lock, so that no grant is lost between them.
+#[derive(Debug)]
+struct Deciding {
+    router: Router,
+    rng: fastrand::Rng,
+    waiters: SortedMap<Ticket, oneshot::Sender<Grant>>,
+}
+
+/// A place in the queue; dropped, it is given up.
+#[derive(Debug)]
+pub(super) struct Waiting<'a> {
+    core: &'a Core,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Grant>,
+}
+
+/// What came of an offer.
+#[derive(Debug)]
+pub(super) enum Offered<'a> {
+    Send(Target),
+    Wait(Waiting<'a>),
+    Refuse(Refusal),
+}
+
+impl Core {
+    /// A core without routes.
+    pub(super) fn new(options: Options) -> Core {
+        let deciding = Deciding {
+            router: Router::new(options.vm),
+            rng: fastrand::Rng::with_seed(options.seed),
+            waiters: SortedMap::new(),
+        };
+        Core {
+            options,
+            clock: Clock::new(),
+            pool: Pool::default(),
+            draining: AtomicBool::new(false),
+            deciding: Mutex::new(deciding),
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// A number that no other request is likely to have.
+    pub(super) fn draw(&self) -> u64 {
+        lock(&self.deciding).rng.u64(..)
+    }
+
+    /// Asks the router for a backend server.
+    pub(super) fn offer(&self, call: &Call) -> Offered<'_> {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, waiters } = &mut *deciding;
+        match router.offer(now, call, rng) {
+            Offer::Send(target) => Offered::Send(target),
+            Offer::Refuse(refusal) => Offered::Refuse(refusal),
+            Offer::Wait(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                waiters.insert(ticket, tx);
+                Offered::Wait(Waiting { core: self, ticket, rx })
+            }
+        }
+    }
+
+    /// Ends a try.
+    pub(super) fn finish(&self, attempt: TryId, report: Report) {
+        let now = self.clock.now();
+        lock(&self.deciding).apply(|router, rng| router.finish(now, attempt, report, rng), now);
+    }
+
+    /// Takes in new routes and closes connections to backend servers that are gone.
+    pub(super) fn set_routes(&self, routes: &Routes) {
+        let now = self.clock.now();
+        lock(&self.deciding).apply(|router, rng| router.set_routes(now, routes, rng), now);
+        let backends = || routes.services.iter().flat_map(|(_, service)| &service.backends);
+        self.pool.retain(|address| backends().any(|backend| backend.address == *address));
+    }
+
+    /// Lets time pass for the queue.
+    pub(super) fn tick(&self) {
+        let now = self.clock.now();
+        lock(&self.deciding).apply(|router, rng| router.tick(now, rng), now);
+    }
+
+    /// Takes in what a peer has in flight.
+    pub(super) fn peer_in_flight(&self, peer: VmId, in_flight: &[(VmId, u32)]) {
+        let now = self.clock.now();
+        let take =
+            |router: &mut Router, rng: &mut _| router.peer_in_flight(now, peer, in_flight, rng);
+        lock(&self.deciding).apply(take, now);
+    }
+
+    /// Requests in flight by backend server.
+    pub(super) fn in_flight(&self) -> Vec<(VmId, u32)> {
+        lock(&self.deciding).router.in_flight()
+    }
+}
+
+impl Deciding {
+    /// Runs `step` and hands its grants to those who wait.
+    ///
+    /// A grant whose waiter has left is taken back at once, which may grant another.
+    fn apply(
+        &mut self,
+        step: impl FnOnce(&mut Router, &mut fastrand::Rng) -> Vec<Grant>,
+        now: daisy_model::Instant,
+    ) {
+        let mut grants = step(&mut self.router, &mut self.rng);
+        while let Some(grant) = grants.pop() {
+            let ticket = match &grant {
+                Grant::Send(target) => target.ticket,
+                Grant::Refuse(ticket, _) => *ticket,
+            };
+            let unheard = match self.waiters.remove(&ticket) {
+                Some(tx) => tx.send(grant).err(),
+                None => Some(grant),
+            };
+            if let Some(Grant::Send(target)) = unheard {
+                let more = self.router.finish(now, target.attempt, CANCELLED, &mut self.rng);
+                grants.extend(more);
+            }
+        }
+    }
+}
+
+/// The report of a try that was not begun.
+const CANCELLED: Report = Report { end: TryEnd::Cancelled, in_flight: None, leaving: false };
+
+impl Waiting<'_> {
+    /// The router's decision, which comes before the request's deadline.
+    pub(super) async fn decided(mut self) -> Option<Grant> {
+        (&mut self.rx).await.ok()
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.rx.close();
+        let now = self.core.clock.now();
+        let mut deciding = lock(&self.core.deciding);
+        deciding.waiters.remove(&self.ticket);
+        deciding.router.forget(self.ticket);
+        if let Ok(Grant::Send(target)) = self.rx.try_recv() {
+            deciding.apply(|router, rng| router.finish(now, target.attempt, CANCELLED, rng), now);
+        }
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/forward.rs
@@ -0,0 +1,232 @@
+//! One try of a request on one backend server.
+
+use std::sync::Arc;
+
+use daisy_model::Instant;
+use daisy_routing::{Report, Target, TryEnd};
+use daisy_wire::headers;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, Version,
+    header::{self, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+    request::Parts,
+};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::TrySendError,
+};
+
+use crate::proxy::{
+    answer::ANSWERED,
+    body::{AnswerBody, Outgoing, Streamed},
+    core::Core,
+    guard::{AnswerGuard, TryGuard},
+};
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// `keep-alive`, hop by hop too though RFC 9110 only names it in passing.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// A request as it is sent to backend servers, try after try.
+#[derive(Debug)]
+pub(super) struct Sending {
+    /// Method, path and headers, without those of one connection.
+    pub(super) parts: Parts,
+    /// Its id, the same in every try.
+    pub(super) id: String,
+    /// When its answer must be whole.
+    pub(super) deadline: Instant,
+}
+
+/// Why a try brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TryError {
+    /// Nothing was sent.
+    NotSent,
+    /// The backend server refused it and says that it did not run.
+    Refused,
+    /// It was sent, and the connection broke before an answer's head came.
+    Broken,
+    /// The answer is another request's.
+    WrongId,
+    /// The answer's end could not be told from a broken connection.
+    Unframed,
+    /// No answer's head came by the deadline.
+    Deadline,
+}
+
+impl TryError {
+    /// Whether it is proven that the request did not run in this try.
+    pub(super) fn proves_not_run(self) -> bool {
+        matches!(self, TryError::NotSent | TryError::Refused)
+    }
+
+    /// The word for it in `docs/PROTOCOL.md`.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            TryError::NotSent => "connect",
+            TryError::Refused => "backend-refused",
+            TryError::Broken => "connection-lost",
+            TryError::WrongId => "wrong-request-id",
+            TryError::Unframed => "unframed-answer",
+            TryError::Deadline => "deadline",
+        }
+    }
+}
+
+impl Sending {
+    /// Takes over the caller's head and leaves out what concerns its connection only.
+    pub(super) fn new(mut parts: Parts, id: u64, deadline: Instant) -> Sending {
+        strip_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(header::EXPECT);
+        parts.headers.remove(CONTENT_LENGTH);
+        parts.version = Version::HTTP_11;
+        parts.uri = path_only(&parts.uri);
+        parts.extensions = http::Extensions::new();
+        let id = format!("{id:016x}");
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            parts.headers.insert(headers::REQUEST_ID, value);
+        }
+        Sending { parts, id, deadline }
+    }
+
+    fn request(&self, body: Outgoing, target: &Target, now: Instant) -> Request<Outgoing> {
+        let mut parts = self.parts.clone();
+        let left = self.deadline.since(now).as_millis() as u64;
+        parts.headers.insert(headers::DEADLINE_MS, HeaderValue::from(left));
+        if !parts.headers.contains_key(HOST)
+            && let Ok(host) = HeaderValue::from_str(&target.address.to_string())
+        {
+            parts.headers.insert(HOST, host);
+        }
+        Request::from_parts(parts, body)
+    }
+}
+
+/// Sends a request to `target` and waits for the answer's head.
+pub(super) async fn try_once(
+    core: &Arc<Core>,
+    target: Target,
+    sending: &Sending,
+    body: Outgoing,
+) -> Result<Response<AnswerBody>, TryError> {
+    let mut guard = TryGuard::new(Arc::clone(core), target.attempt);
+    let sent = send(core, &target, sending, body);
+    let at = core.clock.timer_at(sending.deadline);
+    let result = tokio::time::timeout_at(at, sent).await.unwrap_or(Err(TryError::Deadline));
+    let (lease, response) = match result {
+        Ok(answered) => answered,
+        Err(err) => {
+            let end = match err {
+                TryError::NotSent => TryEnd::NotSent,
+                _ => TryEnd::Broken,
+            };
+            guard.end(Report { end, in_flight: None, leaving: false });
+            return Err(err);
+        }
+    };
+    let report = read_report(response.headers());
+    if let Err(err) = check(&response, &sending.id) {
+        let end = if err == TryError::Refused { TryEnd::Refused } else { TryEnd::Broken };
+        guard.end(Report { end, ..report });
+        return Err(err);
+    }
+    Ok(pass_on(response, AnswerGuard::new(guard, lease, report, sending.deadline)))
+}
+
+async fn send(
+    core: &Core,
+    target: &Target,
+    sending: &Sending,
+    body: Outgoing,
+) -> Result<(crate::proxy::pool::Lease, Response<Incoming>), TryError> {
+    let leased = core.pool.lease(target.address, target.connections).await;
+    let mut lease = leased.map_err(|err| {
+        log::debug!("event=no_connection vm={} error={err:?}", target.vm);
+        TryError::NotSent
+    })?;
+    let req = sending.request(body, target, core.clock.now());
+    match lease.tx.try_send_request(req).await {
+        Ok(response) => Ok((lease, response)),
+        Err(err) => Err(sent_or_not(err, target)),
+    }
+}
+
+/// Only a request that hyper gives back was surely not written.
+fn sent_or_not(mut err: TrySendError<Request<Outgoing>>, target: &Target) -> TryError {
+    let unwritten = err.take_message().is_some();
+    log::debug!("event=try_failed vm={} unwritten={unwritten} error={:?}", target.vm, err.error());
+    if unwritten { TryError::NotSent } else { TryError::Broken }
+}
+
+fn read_report(map: &HeaderMap) -> Report {
+    let text = |name| map.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    Report {
+        end: TryEnd::Answered,
+        in_flight: text(headers::IN_FLIGHT).and_then(|text| text.parse().ok()),
+        leaving: text(headers::LEAVING) == Some("1"),
+    }
+}
+
+/// Refuses an answer that is not surely the whole answer to this request.
+fn check(response: &Response<Incoming>, id: &str) -> Result<(), TryError> {
+    let map = response.headers();
+    // Guards against a late or doubled answer on a reused connection, which a caller would see
+    // as another's: such an answer has another id, or none.
+    if map.get(headers::REQUEST_ID).is_none_or(|value| value.as_bytes() != id.as_bytes()) {
+        return Err(TryError::WrongId);
+    }
+    let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && map.get(headers::OUTCOME).is_some_and(|value| value == "not-run");
+    if refused {
+        return Err(TryError::Refused);
+    }
+    // Guards against a short success: without a length or chunks, a body ends where the
+    // connection does, and a broken connection looks like the end.
+    let framed = response.body().is_end_stream()
+        || map.contains_key(CONTENT_LENGTH)
+        || map.contains_key(TRANSFER_ENCODING);
+    if framed { Ok(()) } else { Err(TryError::Unframed) }
+}
+
+fn pass_on(response: Response<Incoming>, mut guard: AnswerGuard) -> Response<AnswerBody> {
+    let (mut parts, body) = response.into_parts();
+    strip_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(headers::IN_FLIGHT);
+    parts.headers.remove(headers::LEAVING);
+    parts.headers.insert(headers::OUTCOME, HeaderValue::from_static(ANSWERED));
+    if body.is_end_stream() {
+        guard.complete();
+    }
+    Response::from_parts(parts, AnswerBody::Streamed(Streamed::new(body, guard)))
+}
+
+fn strip_hop_by_hop(map: &mut HeaderMap) {
+    let named: Vec<HeaderName> = map
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    // A caller may not have daisyshift's own headers taken out by naming them here.
+    for name in named.iter().filter(|name| !name.as_str().starts_with("daisy-")) {
+        map.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        map.remove(name);
+    }
+    map.remove(KEEP_ALIVE);
+}
+
+fn path_only(uri: &Uri) -> Uri {
+    uri.path_and_query().map_or_else(|| Uri::from_static("/"), |path| Uri::from(path.clone()))
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/guard.rs
@@ -0,0 +1,88 @@
+//! Ends a try exactly once, however its answer ends.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use daisy_model::Instant;
+use daisy_routing::{Report, TryEnd, TryId};
+use tokio::time::Sleep;
+
+use crate::proxy::{core::Core, pool::Lease};
+
+/// A try that has not ended; dropped, it counts as cancelled.
+///
+/// Guards against a slot that stays taken for ever: a caller that leaves, a hedge that loses and
+/// an answer that breaks off all drop the guard, and each such drop frees the slot.
+#[derive(Debug)]
+pub(super) struct TryGuard {
+    core: Arc<Core>,
+    attempt: TryId,
+    ended: bool,
+}
+
+impl TryGuard {
+    /// Guards `attempt`.
+    pub(super) fn new(core: Arc<Core>, attempt: TryId) -> TryGuard {
+        TryGuard { core, attempt, ended: false }
+    }
+
+    /// Tells the router how the try ended.
+    pub(super) fn end(&mut self, report: Report) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.core.finish(self.attempt, report);
+        }
+    }
+}
+
+impl Drop for TryGuard {
+    fn drop(&mut self) {
+        self.end(Report { end: TryEnd::Cancelled, in_flight: None, leaving: false });
+    }
+}
+
+/// What is held while an answer's body comes: the try and the connection.
+#[derive(Debug)]
+pub(super) struct AnswerGuard {
+    guard: TryGuard,
+    lease: Option<Lease>,
+    report: Report,
+    deadline: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl AnswerGuard {
+    /// Guards an answer whose head has come; `report` is told once the body is whole.
+    pub(super) fn new(
+        guard: TryGuard,
+        lease: Lease,
+        report: Report,
+        deadline: Instant,
+    ) -> AnswerGuard {
+        AnswerGuard { guard, lease: Some(lease), report, deadline, timer: None }
+    }
+
+    /// The body is whole: the connection may carry another request.
+    pub(super) fn complete(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.give_back();
+        }
+        self.guard.end(self.report);
+    }
+
+    /// The body broke off: the connection is closed, so that nothing of it reaches a later request.
+    pub(super) fn broken(&mut self) {
+        self.lease = None;
+        self.guard.end(Report { end: TryEnd::Broken, ..self.report });
+    }
+
+    /// Ready when the request's deadline has passed.
+    pub(super) fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let at = self.guard.core.clock.timer_at(self.deadline);
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(at)));
+        timer.as_mut().poll(cx)
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/pool.rs
@@ -0,0 +1,142 @@
+//! Connections to backend servers, bounded for each.
+//!
+//! hyper-util's pooled client bounds idle connections only and hides whether a request was
+//! written; a backend server takes a fixed number of connections from all entry VMs together,
+//! and `not-run` needs the proof, so connections are kept here over hyper's own client.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use daisy_model::SortedMap;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::proxy::body::Outgoing;
+
+/// Why no connection was had; nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum PoolError {
+    /// As many are open as this entry VM may have.
+    #[error("all {limit} connections in use")]
+    Full {
+        /// The limit.
+        limit: u32,
+    },
+    /// The backend server does not take connections.
+    #[error("connect: {0}")]
+    Connect(#[from] io::Error),
+    /// The connection broke before it was used.
+    #[error("handshake: {0}")]
+    Handshake(#[from] hyper::Error),
+}
+
+/// All connections of this entry VM to backend servers.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    hosts: Mutex<SortedMap<SocketAddr, Arc<Host>>>,
+}
+
+#[derive(Debug, Default)]
+struct Host {
+    state: Mutex<HostState>,
+}
+
+#[derive(Debug, Default)]
+struct HostState {
+    open: u32,
+    idle: Vec<Connection>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    tx: SendRequest<Outgoing>,
+}
+
+/// Counts one open connection until its driver ends.
+#[derive(Debug)]
+struct Open {
+    host: Arc<Host>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        lock(&self.host.state).open -= 1;
+    }
+}
+
+/// A connection in use by one request; dropped, it is closed.
+#[derive(Debug)]
+pub(super) struct Lease {
+    host: Arc<Host>,
+    /// Where requests are sent.
+    pub(super) tx: SendRequest<Outgoing>,
+}
+
+impl Lease {
+    /// Lets another request use the connection; only after a whole answer.
+    pub(super) fn give_back(self) {
+        let Lease { host, tx } = self;
+        if !tx.is_closed() {
+            lock(&host.state).idle.push(Connection { tx });
+        }
+    }
+}
+
+impl Pool {
+    /// A connection to `address`, at most `limit` of which are open at one time.
+    pub(super) async fn lease(&self, address: SocketAddr, limit: u32) -> Result<Lease, PoolError> {
+        let host = Arc::clone(lock(&self.hosts).get_or_insert_with(address, Arc::default));
+        while let Some(Connection { mut tx }) = pop_idle(&host) {
+            if tx.ready().await.is_ok() {
+                return Ok(Lease { host, tx });
+            }
+        }
+        let open = Host::try_open(&host, limit).ok_or(PoolError::Full { limit })?;
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (tx, conn) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            if let Err(err) = conn.await {
+                log::debug!("event=backend_connection address={address} error={err:?}");
+            }
+            drop(open);
+        });
+        Ok(Lease { host, tx })
+    }
+
+    /// Closes idle connections to backend servers that `keep` does not name.
+    pub(super) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.hosts).retain(|address, host| {
+            let mut state = lock(&host.state);
+            state.idle.retain(|conn| !conn.tx.is_closed());
+            if !keep(address) {
+                state.idle.clear();
+            }
+            keep(address) || state.open > 0
+        });
+    }
+}
+
+impl Host {
+    fn try_open(host: &Arc<Host>, limit: u32) -> Option<Open> {
+        let mut state = lock(&host.state);
+        if state.open >= limit {
+            return None;
+        }
+        state.open += 1;
+        Some(Open { host: Arc::clone(host) })
+    }
+}
+
+fn pop_idle(host: &Host) -> Option<Connection> {
+    lock(&host.state).idle.pop()
+}
+
+/// Locks `mutex`; what it guards is consistent between statements, so poison is no matter.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/daisy-entry/src/proxy/serve.rs
@@ -0,0 +1,130 @@
+//! Takes callers' connections.
+
+use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
+
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+use viz::{Responder, Tree};
+
+use crate::proxy::{body::AnswerBody, core::Core, request};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not burn a processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// What a connection beyond the limit is told before it is closed.
+const FLOOD_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ndaisy-outcome: not-run\r\n\
+    daisy-reason: connections\r\nretry-after: 1\r\ndaisy-retry-after-ms: 1000\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Stage {
+    /// Callers are served.
+    Serving,
+    /// Callers are served while the balancer turns away; connections close after their answer.
+    Leaving,
+    /// The listener is closed, and idle connections are too.
+    Closed,
+}
+
+/// Serves callers until the stop has come to [`Stage::Closed`] and every connection is done.
+pub(super) async fn serve(
+    core: Arc<Core>,
+    listener: TcpListener,
+    own: Arc<Tree>,
+    mut stage: watch::Receiver<Stage>,
+) {
+    let limit = core.options.limits.connections as usize;
+    let permits = Arc::new(Semaphore::new(limit));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed(&mut stage) => break,
+        };
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                log::warn!("event=accept_failed error={err:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            let _ = stream.try_write(FLOOD_ANSWER);
+            continue;
+        };
+        let conn = serve_connection(
+            Arc::clone(&core),
+            stream,
+            address.ip(),
+            Arc::clone(&own),
+            stage.clone(),
+        );
+        tokio::spawn(async move {
+            conn.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    // All permits are back only when every connection has ended.
+    let _ = permits.acquire_many(limit as u32).await;
+}
+
+async fn closed(stage: &mut watch::Receiver<Stage>) {
+    // An error means that the proxy is gone, which closes as well.
+    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+}
+
+async fn serve_connection(
+    core: Arc<Core>,
+    stream: TcpStream,
+    address: IpAddr,
+    own: Arc<Tree>,
+    mut stage: watch::Receiver<Stage>,
+) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("event=caller_connection address={address} error={err:?}");
+    }
+    let limits = &core.options.limits;
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_header_size(limits.header_bytes as usize)
+        .half_close(false);
+    let service = service_fn(|req| respond(&core, &own, req, address));
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = closed(&mut stage) => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("event=caller_connection address={address} error={err:?}");
+    }
+}
+
+async fn respond(
+    core: &Arc<Core>,
+    own: &Arc<Tree>,
+    req: Request<Incoming>,
+    address: IpAddr,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let names_service = req.headers().contains_key(daisy_wire::headers::SERVICE);
+    let mut response = if !names_service && own.find(req.method(), req.uri().path()).is_some() {
+        let responder = Responder::new(Arc::clone(own), Some(address));
+        hyper::service::Service::call(&responder, req).await?.map(AnswerBody::Own)
+    } else {
+        request::answer(core, req, address).await
+    };
+    if core.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/daisy-entry/tests/proxy.rs
@@ -0,0 +1,8 @@
+//! Tests of the request side over loopback, with small fakes for backend servers and callers.
+
+#[path = "proxy/drain.rs"]
+mod drain;
+#[path = "proxy/fixture.rs"]
+mod fixture;
+#[path = "proxy/forward.rs"]
+mod forward;
--- /dev/null
+++ b/daisy-entry/tests/proxy/fixture.rs
@@ -0,0 +1,254 @@
+//! A proxy on loopback, fakes of backend servers that misbehave byte by byte, and a plain caller.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use daisy_entry::{
+    boundary::{PeerKeys, RoutesWatch},
+    proxy::{Options, Proxy},
+};
+use daisy_model::{DcId, JobId, Name, Priority, SortedMap, VmId};
+use daisy_routing::{Backend, KeyAnswer, KeyQuery, Routes, Service};
+use daisy_settings::Limits;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// No other entry VM can be reached.
+#[derive(Debug, Clone)]
+pub struct NoPeers;
+
+impl PeerKeys<KeyQuery, KeyAnswer> for NoPeers {
+    async fn ask(&self, _: VmId, _: KeyQuery, _: Duration) -> Option<KeyAnswer> {
+        None
+    }
+}
+
+/// A proxy that serves callers at `address`.
+pub struct Entry {
+    pub address: SocketAddr,
+    pub proxy: Proxy<NoPeers>,
+    pub routes: watch::Sender<Arc<Routes>>,
+    pub served: tokio::task::JoinHandle<()>,
+}
+
+pub fn options() -> Options {
+    Options {
+        vm: VmId(1),
+        dc: DcId(0),
+        limits: Limits::default(),
+        balancer: Duration::from_millis(50),
+        seed: 7,
+    }
+}
+
+pub fn routes_to(backends: &[SocketAddr]) -> Routes {
+    let backends = backends
+        .iter()
+        .zip(100..)
+        .map(|(address, vm)| Backend {
+            vm: VmId(vm),
+            dc: DcId(0),
+            address: *address,
+            slots: 8,
+            connections: 64,
+            leaving: false,
+        })
+        .collect();
+    let service = Service { job: JobId(0), priority: Priority::Critical, refuse: false, backends };
+    let entries = vec![(DcId(0), VmId(1))];
+    Routes {
+        version: 1,
+        dc: DcId(0),
+        regions: vec![0],
+        entries: entries.clone(),
+        listed: entries,
+        services: SortedMap::from_iter([(Name::new("quote").unwrap(), service)]),
+        ..Routes::default()
+    }
+}
+
+/// Starts a proxy in front of `backends`.
+pub async fn entry(backends: &[SocketAddr]) -> Entry {
+    entry_with(options(), backends).await
+}
+
+pub async fn entry_with(options: Options, backends: &[SocketAddr]) -> Entry {
+    let (routes, watched) = watch::channel(Arc::new(routes_to(backends)));
+    let watched: RoutesWatch = watched;
+    let proxy = Proxy::new(options, watched, NoPeers);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = proxy.clone();
+    let served = tokio::spawn(async move {
+        serving.serve(listener, viz::Router::new()).await.unwrap();
+    });
+    Entry { address, proxy, routes, served }
+}
+
+/// A request as a backend server's fake sees it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    /// An answer's head with the request's id, to be followed by `rest` of the head.
+    pub fn answer(&self, status: &str, rest: &str, body: &str) -> Vec<u8> {
+        let id = self.header("daisy-request-id").unwrap();
+        let length = body.len();
+        format!(
+            "HTTP/1.1 {status}\r\ndaisy-request-id: {id}\r\ncontent-length: {length}\r\n{rest}\r\n{body}"
+        )
+        .into_bytes()
+    }
+}
+
+/// What a fake does with a request.
+pub enum Act {
+    /// Writes these bytes and goes on with the connection.
+    Write(Vec<u8>),
+    /// Writes these bytes and closes the connection.
+    WriteAndClose(Vec<u8>),
+    /// Closes the connection without a word.
+    Close,
+    /// Waits, then writes these bytes.
+    Later(Duration, Vec<u8>),
+}
+
+/// A backend server's fake; counts the requests that reached it.
+#[derive(Clone)]
+pub struct Fake {
+    pub address: SocketAddr,
+    pub requests: Arc<AtomicU32>,
+}
+
+impl Fake {
+    pub fn requests(&self) -> u32 {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+/// Starts a fake that does what `act` says of each request, numbered from 0.
+pub async fn fake(act: impl Fn(u32, &Seen) -> Act + Send + Sync + 'static) -> Fake {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&requests);
+    let act = Arc::new(act);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(play(stream, Arc::clone(&act), Arc::clone(&count)));
+        }
+    });
+    Fake { address, requests }
+}
+
+async fn play(mut stream: TcpStream, act: Arc<impl Fn(u32, &Seen) -> Act>, count: Arc<AtomicU32>) {
+    let mut buf = Vec::new();
+    while let Some(seen) = read_message(&mut stream, &mut buf).await {
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        let (bytes, close) = match act(number, &seen) {
+            Act::Write(bytes) => (bytes, false),
+            Act::WriteAndClose(bytes) => (bytes, true),
+            Act::Close => return,
+            Act::Later(wait, bytes) => {
+                tokio::time::sleep(wait).await;
+                (bytes, false)
+            }
+        };
+        if stream.write_all(&bytes).await.is_err() || close {
+            return;
+        }
+    }
+}
+
+/// Reads one message with a length; `None` when the connection ends first.
+async fn read_message(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Seen> {
+    loop {
+        if let Some(end) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+            let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap());
+            if buf.len() >= end + 4 + length {
+                let rest = buf.split_off(end + 4 + length);
+                let body = buf.split_off(end + 4);
+                *buf = rest;
+                return Some(Seen { head, body });
+            }
+        }
+        if stream.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().skip(1).find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// An answer as a caller sees it; `None` of a body that broke off.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: Option<Vec<u8>>,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("daisy-outcome").unwrap_or("none")
+    }
+
+    pub fn reason(&self) -> &str {
+        self.header("daisy-reason").unwrap_or("none")
+    }
+}
+
+/// Sends `head` and `body` over a connection of its own and reads all that comes back.
+pub async fn call(address: SocketAddr, head: &str, body: &str) -> Got {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let message = format!(
+        "{head}\r\nhost: entry\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    // The proxy may answer and close before all is written.
+    let _ = stream.write_all(message.as_bytes()).await;
+    read_answer(&mut stream).await.expect("an answer")
+}
+
+/// Reads one answer to its end or to the connection's.
+pub async fn read_answer(stream: &mut TcpStream) -> Option<Got> {
+    let mut buf = Vec::new();
+    let _ = stream.read_to_end(&mut buf).await;
+    let end = buf.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let body = buf[end + 4..].to_vec();
+    let whole = header(&head, "content-length").is_none_or(|text| text.parse() == Ok(body.len()));
+    Some(Got { status, head, body: whole.then_some(body) })
+}
+
+/// The head of a request to the service `quote`.
+pub fn head(method: &str, extra: &str) -> String {
+    format!("{method} /price HTTP/1.1\r\ndaisy-service: quote{extra}")
+}
--- a/daisy-routing/src/routes.rs
+++ b/daisy-routing/src/routes.rs
@@ -45,6 +45,11 @@
     pub regions: Vec<u16>,
     /// Live entry VMs of all data centres, among which connections are split; sorted.
     pub entries: Vec<(DcId, VmId)>,
+    /// Entry VMs that the platform's list names, whether they can be reached or not; sorted.
+    ///
+    /// One that is listed but not among `entries` may still be serving behind a partition,
+    /// so homes of keys do not vouch for their past while there is one.
+    pub listed: Vec<(DcId, VmId)>,
     /// Services by name.
     pub services: SortedMap<Name, Service>,
     /// The policy in force.
--- a/daisy-wire/src/headers.rs
+++ b/daisy-wire/src/headers.rs
@@ -23,3 +23,13 @@
 pub const FROM: &str = "daisy-from";
 /// The id of an append to the platform's log: two numbers of 16 hexadecimal digits, `-` between.
 pub const APPEND_ID: &str = "append-id";
+/// Names the caller for fairness between callers; absent means its address.
+pub const CALLER: &str = "daisy-caller";
+/// In refusals: why, as one word of `docs/PROTOCOL.md`.
+pub const REASON: &str = "daisy-reason";
+/// In refusals: milliseconds after which to come again, finer than `retry-after`'s seconds.
+pub const RETRY_AFTER_MS: &str = "daisy-retry-after-ms";
+/// In answers to keyed requests: `1` when the answer is that of an earlier attempt.
+pub const REPLAYED: &str = "daisy-replayed";
+/// `log` asks that a keyed request is noted in the platform's log before it runs.
+pub const AT_MOST_ONCE: &str = "daisy-at-most-once";
