--- a/daisy-entry/src/proxy.rs
+++ b/daisy-entry/src/proxy.rs
@@ -53,13 +53,13 @@
 }
 
 impl Options {
-    /// The options that `settings` give for a VM of the data centre `dc`.
-    pub fn new(settings: &Settings, dc: DcId, seed: u64) -> Options {
+    /// The options that `settings` give.
+    pub fn new(settings: &Settings, seed: u64) -> Options {
         Options {
-            vm: VmId(settings.vm),
-            dc,
+            vm: settings.vm,
+            dc: settings.data_centre,
             limits: settings.limits.clone(),
-            balancer: Duration::from_millis(settings.timing.balancer_ms),
+            balancer: settings.timing.balancer,
             seed,
         }
     }
--- a/daisy-entry/src/proxy/serve.rs
+++ b/daisy-entry/src/proxy/serve.rs
@@ -93,7 +93,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .header_read_timeout(limits.header_timeout)
         .max_header_size(limits.header_bytes as usize)
         .half_close(false);
     let service = service_fn(|req| respond(&core, &own, req, address));
