Add stand-ins for the platform, workers, backend servers and callers

The product's processes need something to talk to: the platform's log and VM list, workers with leases and epochs, backend servers, and callers that check every answer.

The servers stand on hyper itself and not on viz: viz turns each handler error into an answer, and losing an answer after its effect needs a handler that can close the connection. The worker, the log and the VM list are state machines with the time as an argument; sockets lie round them.

A lapsed lease ends a worker's tasks as of the lease's end, also when the worker was frozen past it: no work is done after that instant, and the history says so.

--- /dev/null
+++ b/daisy-standin/src/backend.rs
@@ -0,0 +1,245 @@
+//! A backend server: answers requests to the services on its VM.
+//!
+//! The query of a request chooses what it costs: `ms` of service time, `size` bytes of
+//! answer, `chunks` in which the answer is streamed, `gap_ms` between them.
+
+mod admission;
+mod reply;
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use daisy_history::{History, Kind};
+use daisy_wire::headers;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::{
+    FaultError, Faults, Recorder, answer,
+    fault::Switches,
+    http::{Abort, Body, Handler, Reply, Server, header_of, pass, query, read_body, standin, text},
+    repeat::Repeat,
+    run::until_stopped,
+};
+
+use self::{
+    admission::{Refusal, Slot, Slots},
+    reply::Shape,
+};
+
+pub use self::admission::{Presence, Served};
+
+/// How a backend server stand-in works.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its name in the history.
+    pub name: String,
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Requests that it works on at one time (8 at the users').
+    pub slots: u32,
+    /// Service time of requests that do not choose one.
+    pub service_time: Duration,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Where the history goes at the end.
+    pub history: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            name: "backend".to_owned(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            slots: 8,
+            service_time: Duration::from_millis(2),
+            body_bytes: 1 << 20,
+            history: None,
+        }
+    }
+}
+
+/// A running backend server stand-in.
+#[derive(Debug)]
+pub struct Backend {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    recorder: Recorder,
+    switches: Switches,
+    slots: Slots,
+    presence: Presence,
+    service_time: Duration,
+    body_bytes: usize,
+    /// The answer before, for the switch that reorders.
+    previous: Mutex<Option<(String, Bytes)>>,
+}
+
+/// Serves until SIGTERM.
+pub async fn run(options: Options) -> anyhow::Result<()> {
+    let history = options.history.clone();
+    let backend = Backend::start(options).await?;
+    log::info!("event=backend-started address={}", backend.address());
+    until_stopped(&backend.shared.recorder, history.as_deref()).await?;
+    backend.stop().await;
+    Ok(())
+}
+
+const OWN_SWITCHES: &[&str] =
+    &["leaving", "absent", "truncate", "doubled", "wrong_id", "reorder", "late_ms"];
+
+impl Backend {
+    /// Listens and serves every service until [`Backend::stop`].
+    ///
+    /// Fails if the address cannot be had.
+    pub async fn start(options: Options) -> anyhow::Result<Backend> {
+        let recorder = Recorder::new(&options.name);
+        Backend::start_with(options, recorder, Presence::default()).await
+    }
+
+    /// Listens and serves the services that `presence` has.
+    pub(crate) async fn start_with(
+        options: Options,
+        recorder: Recorder,
+        presence: Presence,
+    ) -> anyhow::Result<Backend> {
+        let shared = Arc::new(Shared {
+            recorder,
+            switches: Switches::new("backend server", OWN_SWITCHES),
+            slots: Slots::new(options.slots),
+            presence,
+            service_time: options.service_time,
+            body_bytes: options.body_bytes,
+            previous: Mutex::new(None),
+        });
+        let server = Server::bind(options.listen, shared.clone()).await?;
+        Ok(Backend { shared, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: Faults) -> Result<(), FaultError> {
+        self.shared.switches.set(faults)
+    }
+
+    /// What it saw so far.
+    pub fn history(&self) -> History {
+        self.shared.recorder.history()
+    }
+
+    /// Closes the port and all connections.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+/// What a request names.
+#[derive(Debug, Clone)]
+struct Named {
+    request: String,
+    call: Option<u64>,
+    key: Option<String>,
+}
+
+impl Handler for Shared {
+    /// Of the users' backend servers.
+    const CONNECTIONS: usize = 64;
+
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let req = match standin(req, &self.switches, &self.recorder).await {
+            Ok(reply) => return reply,
+            Err(req) => req,
+        };
+        if let Err(reply) = pass(&req, &self.switches).await {
+            return reply;
+        }
+        let Some(request) = header_of(&req, headers::REQUEST_ID).map(str::to_owned) else {
+            return Ok(text(StatusCode::BAD_REQUEST, "daisy-request-id is missing"));
+        };
+        let service = header_of(&req, headers::SERVICE).unwrap_or("").to_owned();
+        let key = header_of(&req, headers::IDEMPOTENCY_KEY).map(str::to_owned);
+        let mut shape = Shape::of(&req, self.service_time);
+        let repeat = req.extensions().get::<Repeat>().cloned().unwrap_or_default();
+        let body = match read_body(req.into_body(), self.body_bytes).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let named = Named { request, call: answer::call_of(&body), key };
+        match self.admit(&service) {
+            Ok((slot, slowdown)) => {
+                shape.slow_down(slowdown);
+                self.answer(named, body, shape, slot, repeat).await
+            }
+            Err(refusal) => Ok(self.refuse(named, refusal)),
+        }
+    }
+}
+
+impl Shared {
+    fn admit(&self, service: &str) -> Result<(Slot, u32), Refusal> {
+        let faults = self.switches.get();
+        if faults.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if faults.absent.iter().any(|absent| absent == service) {
+            return Err(Refusal::Absent);
+        }
+        let slowdown = self.presence.slowdown(service).ok_or(Refusal::Absent)?;
+        let slot = self.slots.try_take().ok_or(Refusal::Full)?;
+        Ok((slot, slowdown))
+    }
+
+    fn refuse(&self, named: Named, refusal: Refusal) -> Response<Body> {
+        let Named { request, call, .. } = named;
+        let mut response = text(StatusCode::SERVICE_UNAVAILABLE, &refusal.to_string());
+        reply::mark(&mut response, &request, "not-run", &self.slots, refusal == Refusal::Leaving);
+        self.recorder.record(Kind::RequestRefused { request, call });
+        response
+    }
+
+    async fn answer(
+        &self,
+        named: Named,
+        body: Bytes,
+        shape: Shape,
+        slot: Slot,
+        repeat: Repeat,
+    ) -> Reply {
+        let Named { request, call, key } = named;
+        self.recorder.record(Kind::RequestBegan { request: request.clone(), call, key });
+        let (recorder, id) = (self.recorder.clone(), request.clone());
+        let service_time = shape.service_time;
+        // A task of its own: the work is done also when nobody waits for it any more.
+        let work = tokio::spawn(async move {
+            sleep(service_time).await;
+            drop(slot);
+            recorder.record(Kind::RequestEnded { request: id });
+        });
+        work.await.map_err(|_| Abort)?;
+        let late_ms = self.switches.with(|faults| faults.late_ms);
+        sleep(Duration::from_millis(late_ms)).await;
+        if self.switches.loses_answer() {
+            return Err(Abort);
+        }
+        let whole = answer::compose(&body, shape.size);
+        Ok(self.deliver(request, whole, shape, &repeat))
+    }
+}
+
+/// A number of the query, or `default`.
+fn number<B>(req: &Request<B>, name: &str, default: u64) -> u64 {
+    query(req, name).unwrap_or(default)
+}
--- /dev/null
+++ b/daisy-standin/src/link.rs
@@ -0,0 +1,250 @@
+//! A TCP forwarder between pairs of addresses that can be cut, delayed and narrowed.
+
+use std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use daisy_history::{History, Kind};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    Recorder,
+    http::{Handler, Reply, Server, json, read_body, text},
+    run::until_stopped,
+};
+
+/// One forwarded address.
+#[derive(Debug, Clone, Copy)]
+pub struct Pair {
+    /// Where the link listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where it forwards to.
+    pub to: SocketAddr,
+}
+
+/// How a link works.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its name in the history.
+    pub name: String,
+    /// Where `POST /standin/faults` is taken.
+    pub control: SocketAddr,
+    /// What is forwarded; the switches hold for all pairs together.
+    pub pairs: Vec<Pair>,
+    /// The switches at the start.
+    pub faults: LinkFaults,
+    /// Where the history goes at the end.
+    pub history: Option<PathBuf>,
+}
+
+/// Switches of a link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LinkFaults {
+    /// Passes no byte on while it is set; connections stay open, as in a partition.
+    pub cut: bool,
+    /// Closes all connections and new ones at once.
+    pub reset: bool,
+    /// Milliseconds added each way.
+    pub delay_ms: u64,
+    /// Bytes a second of each connection and way; 0 for no bound.
+    pub bytes_a_second: u64,
+}
+
+/// A running link.
+#[derive(Debug)]
+pub struct Link {
+    shared: Arc<Shared>,
+    server: Server,
+    addresses: Vec<SocketAddr>,
+    forwarders: JoinSet<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    recorder: Recorder,
+    faults: watch::Sender<LinkFaults>,
+}
+
+/// Forwards until SIGTERM.
+pub async fn run(options: Options) -> anyhow::Result<()> {
+    let history = options.history.clone();
+    let link = Link::start(options).await?;
+    log::info!("event=link-started control={} addresses={:?}", link.control(), link.addresses());
+    until_stopped(&link.shared.recorder, history.as_deref()).await?;
+    link.stop().await;
+    Ok(())
+}
+
+impl Link {
+    /// Listens and forwards until [`Link::stop`].
+    ///
+    /// Fails if an address cannot be had.
+    pub async fn start(options: Options) -> anyhow::Result<Link> {
+        let recorder = Recorder::new(&options.name);
+        let shared = Arc::new(Shared { recorder, faults: watch::Sender::new(options.faults) });
+        let server = Server::bind(options.control, shared.clone()).await?;
+        let mut forwarders = JoinSet::new();
+        let mut addresses = Vec::new();
+        for pair in options.pairs {
+            let listener = TcpListener::bind(pair.listen).await?;
+            addresses.push(listener.local_addr()?);
+            forwarders.spawn(accept(listener, pair.to, shared.faults.subscribe()));
+        }
+        Ok(Link { shared, server, addresses, forwarders })
+    }
+
+    /// Where its switches are.
+    pub fn control(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The first address that it listens on; its control address if it forwards nothing.
+    pub fn address(&self) -> SocketAddr {
+        self.addresses.first().copied().unwrap_or_else(|| self.control())
+    }
+
+    /// Where it listens, in the order of its pairs.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Replaces all switches.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.shared.set(faults);
+    }
+
+    /// When its switches were set.
+    pub fn history(&self) -> History {
+        self.shared.recorder.history()
+    }
+
+    /// Closes the ports and all connections.
+    pub async fn stop(mut self) {
+        self.forwarders.shutdown().await;
+        self.server.stop().await;
+    }
+}
+
+const FAULTS_LIMIT: usize = 4 << 10;
+
+impl Handler for Shared {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/standin/history") => Ok(crate::http::history(&self.recorder)),
+            (&Method::GET, "/standin/faults") => Ok(json(StatusCode::OK, &*self.faults.borrow())),
+            (&Method::POST, "/standin/faults") => self.post_faults(req).await,
+            (_, path) => Ok(text(StatusCode::NOT_FOUND, &format!("no {path} here"))),
+        }
+    }
+}
+
+impl Shared {
+    async fn post_faults(&self, req: Request<Incoming>) -> Reply {
+        let body = match read_body(req.into_body(), FAULTS_LIMIT).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                self.set(faults);
+                Ok(json(StatusCode::OK, &faults))
+            }
+            Err(error) => Ok(text(StatusCode::BAD_REQUEST, &format!("faults: {error}"))),
+        }
+    }
+
+    fn set(&self, faults: LinkFaults) {
+        self.recorder.record(Kind::Fault { what: format!("{faults:?}") });
+        self.faults.send_replace(faults);
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, faults: watch::Receiver<LinkFaults>) {
+    let mut connections = JoinSet::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connections.spawn(forward(stream, to, faults.clone()));
+            }
+            Err(error) => log::warn!("event=accept-failed error={error:?}"),
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn forward(near: TcpStream, to: SocketAddr, mut faults: watch::Receiver<LinkFaults>) {
+    // A connection that is made during a cut gets through when the cut ends.
+    let open = faults.wait_for(|faults| !faults.cut || faults.reset).await;
+    if open.map_or(true, |faults| faults.reset) {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(to).await else { return };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_rx, near_tx) = near.into_split();
+    let (far_rx, far_tx) = far.into_split();
+    let mut resets = faults.clone();
+    tokio::select! {
+        _ = async {
+            tokio::join!(
+                copy(near_rx, far_tx, faults.clone()),
+                copy(far_rx, near_tx, faults.clone()),
+            )
+        } => {}
+        _ = resets.wait_for(|faults| faults.reset) => {}
+    }
+}
+
+const PIECE: usize = 16 << 10;
+/// Pieces on their way; more wait at the sender, as in a full link.
+const PIECES: usize = 64;
+
+async fn copy(from: OwnedReadHalf, to: OwnedWriteHalf, faults: watch::Receiver<LinkFaults>) {
+    let (tx, rx) = mpsc::channel(PIECES);
+    let _ = tokio::join!(read(from, tx, faults.clone()), write(to, rx, faults));
+}
+
+async fn read(
+    mut from: OwnedReadHalf,
+    tx: mpsc::Sender<(Instant, Vec<u8>)>,
+    faults: watch::Receiver<LinkFaults>,
+) -> io::Result<()> {
+    let mut buf = vec![0; PIECE];
+    loop {
+        let length = from.read(&mut buf).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        let delay = Duration::from_millis(faults.borrow().delay_ms);
+        if tx.send((Instant::now() + delay, buf[..length].to_vec())).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn write(
+    mut to: OwnedWriteHalf,
+    mut rx: mpsc::Receiver<(Instant, Vec<u8>)>,
+    mut faults: watch::Receiver<LinkFaults>,
+) -> io::Result<()> {
+    while let Some((due, piece)) = rx.recv().await {
+        sleep_until(due).await;
+        let Ok(open) = faults.wait_for(|faults| !faults.cut).await.map(|faults| *faults) else {
+            return Ok(());
+        };
+        let micros = (piece.len() as u64 * 1_000_000).checked_div(open.bytes_a_second);
+        sleep(Duration::from_micros(micros.unwrap_or(0))).await;
+        to.write_all(&piece).await?;
+    }
+    to.shutdown().await
+}
--- /dev/null
+++ b/daisy-standin/src/load.rs
@@ -0,0 +1,158 @@
+//! Callers: an open loop of requests that checks every answer.
+//!
+//! Requests are due at fixed times whatever became of the ones before; latencies count from
+//! when a request was due, so that a stalled system cannot hide its waiting callers.
+
+mod balancer;
+mod caller;
+mod report;
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use daisy_history::History;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use crate::{Recorder, client::Client};
+
+use self::{balancer::Balancer, caller::Caller};
+
+pub use self::report::Report;
+
+/// What the callers do.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Its name in the history.
+    pub name: String,
+    /// The entry VMs' addresses for callers.
+    pub entries: Vec<SocketAddr>,
+    /// The service.
+    pub service: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests in all.
+    pub count: u64,
+    /// Share of requests that are non-idempotent and bear a key, in thousandths.
+    pub keyed_per_mille: u32,
+    /// How long a caller waits for a call with all its attempts.
+    pub deadline: Duration,
+    /// Attempts of a call at most.
+    pub attempts: u32,
+    /// `critical`, `normal` or `low`; `None` sends no priority.
+    pub priority: Option<String>,
+    /// Service time asked of the backend server; `None` leaves it to the server.
+    pub service_ms: Option<u64>,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Bytes of an answer asked for.
+    pub answer_bytes: usize,
+    /// Pieces that the answer is streamed in, and milliseconds between them.
+    pub stream: Option<(u32, u64)>,
+    /// Numbers of calls begin here; runs side by side must not share numbers.
+    pub first_call: u64,
+    /// Seeds keys and which requests bear one.
+    pub seed: u64,
+    /// Where the history goes at the end.
+    pub history: Option<PathBuf>,
+}
+
+impl Options {
+    /// Requests in `seconds` at `rate`.
+    pub fn count_of(rate: f64, seconds: f64) -> u64 {
+        (rate * seconds).round() as u64
+    }
+}
+
+impl Default for Options {
+    /// 100 requests at 100 a second, 2 s of patience and four attempts each.
+    fn default() -> Options {
+        Options {
+            name: "load".to_owned(),
+            entries: Vec::new(),
+            service: "quotation".to_owned(),
+            rate: 100.0,
+            count: 100,
+            keyed_per_mille: 0,
+            deadline: Duration::from_secs(2),
+            attempts: 4,
+            priority: None,
+            service_ms: None,
+            body_bytes: 64,
+            answer_bytes: 256,
+            stream: None,
+            first_call: 1,
+            seed: 1,
+            history: None,
+        }
+    }
+}
+
+/// Callers at work.
+#[derive(Debug)]
+pub struct Load {
+    recorder: Recorder,
+    task: tokio::task::JoinHandle<Report>,
+}
+
+/// Sends all requests, writes the history if a file was asked for, and reports.
+pub async fn run(options: Options) -> anyhow::Result<Report> {
+    let history = options.history.clone();
+    let load = Load::start(options).await?;
+    let recorder = load.recorder.clone();
+    let report = load.finish().await?;
+    if let Some(path) = history {
+        recorder.write(&path)?;
+    }
+    Ok(report)
+}
+
+impl Load {
+    /// Begins to send.
+    ///
+    /// Fails without an entry VM or at a rate that is not above zero.
+    pub async fn start(options: Options) -> anyhow::Result<Load> {
+        anyhow::ensure!(!options.entries.is_empty(), "no entry VM to send to");
+        anyhow::ensure!(options.rate > 0.0, "the rate must be above zero");
+        let recorder = Recorder::new(&options.name);
+        let task = tokio::spawn(send_all(options, recorder.clone()));
+        Ok(Load { recorder, task })
+    }
+
+    /// What the callers saw so far.
+    pub fn history(&self) -> History {
+        self.recorder.history()
+    }
+
+    /// Waits for the last answer and reports.
+    pub async fn finish(self) -> anyhow::Result<Report> {
+        Ok(self.task.await?)
+    }
+}
+
+async fn send_all(options: Options, recorder: Recorder) -> Report {
+    let client = Client::new();
+    let balancer = Balancer::start(options.entries.clone(), client.clone()).await;
+    let count = options.count;
+    let between = Duration::from_secs_f64(1.0 / options.rate);
+    let caller = Arc::new(Caller::new(options, client, balancer, recorder));
+    let mut rng = fastrand::Rng::with_seed(caller.options().seed);
+    let began = Instant::now();
+    let mut calls = JoinSet::new();
+    for number in 0..count {
+        let due = began + between.mul_f64(number as f64);
+        sleep_until(due).await;
+        let key = caller.draw_key(&mut rng, number);
+        let caller = caller.clone();
+        calls.spawn(async move { caller.call(number, key, due).await });
+    }
+    let mut report = Report::new();
+    while let Some(done) = calls.join_next().await {
+        match done {
+            Ok(done) => report.add(done),
+            Err(error) => log::error!("event=caller-failed error={error:?}"),
+        }
+    }
+    report
+}
--- /dev/null
+++ b/daisy-standin/src/load/report.rs
@@ -0,0 +1,90 @@
+//! What came of all calls.
+
+use std::{fmt, time::Duration};
+
+use daisy_history::Outcome;
+use hdrhistogram::Histogram;
+
+/// How one call ended with all its attempts.
+#[derive(Debug)]
+pub(super) struct Done {
+    pub(super) outcome: Outcome,
+    pub(super) own: bool,
+    pub(super) latency: Duration,
+    pub(super) attempts: u32,
+}
+
+/// What came of all calls; the counts add up to `requests`.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// Calls made.
+    pub requests: u64,
+    /// Answered, whole and with the call's own answer.
+    pub answered: u64,
+    /// Answered with something else: another's answer or a part of one.
+    pub wrong: u64,
+    /// Refused as not run, or nobody could be reached, in every attempt.
+    pub refused: u64,
+    /// Never answered, and at least one attempt may have run.
+    pub unknown: u64,
+    /// Attempts beyond the first of each call.
+    pub retries: u64,
+    /// Latencies of answered calls in microseconds from when they were due.
+    pub latency: Histogram<u64>,
+}
+
+const MINUTE_US: u64 = 60_000_000;
+const DIGITS: u8 = 3;
+
+impl Report {
+    pub(super) fn new() -> Report {
+        Report {
+            requests: 0,
+            answered: 0,
+            wrong: 0,
+            refused: 0,
+            unknown: 0,
+            retries: 0,
+            latency: Histogram::new_with_max(MINUTE_US, DIGITS).expect("constant bounds are valid"),
+        }
+    }
+
+    pub(super) fn add(&mut self, done: Done) {
+        self.requests += 1;
+        self.retries += u64::from(done.attempts.saturating_sub(1));
+        match done.outcome {
+            Outcome::Answered if done.own => {
+                self.answered += 1;
+                self.latency.saturating_record(done.latency.as_micros() as u64);
+            }
+            Outcome::Answered => self.wrong += 1,
+            Outcome::NotRun | Outcome::Unreachable => self.refused += 1,
+            Outcome::Unknown | Outcome::Broken => self.unknown += 1,
+        }
+    }
+
+    /// The latency in milliseconds below which this share of answers stayed.
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Report { requests, answered, wrong, refused, unknown, retries, .. } = self;
+        writeln!(
+            f,
+            "latency_ms p50={:.1} p90={:.1} p99={:.1} p999={:.1} max={:.1}",
+            self.latency_ms(0.5),
+            self.latency_ms(0.9),
+            self.latency_ms(0.99),
+            self.latency_ms(0.999),
+            self.latency.max() as f64 / 1000.0,
+        )?;
+        write!(
+            f,
+            "requests={requests} answered={answered} refused={refused} unknown={unknown} \
+             wrong={wrong} retries={retries}"
+        )
+    }
+}
--- /dev/null
+++ b/daisy-standin/src/platform.rs
@@ -0,0 +1,274 @@
+//! The platform: its log and its list of VMs, over HTTP.
+//!
+//! The paths are those of [`daisy_wire::platform`]. Besides, `POST /standin/vms` with a
+//! [`VmChange`] adds, replaces, marks or removes a VM.
+
+mod log;
+mod vms;
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use daisy_history::{History, Kind};
+use daisy_wire::{
+    headers,
+    platform::{Appended, Expired, LogPage, LogRecord, StatusJson, VmList},
+};
+use http::{Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use tokio::{sync::watch, time::timeout};
+
+use crate::{
+    FaultError, Faults, Recorder,
+    fault::{Switches, count_down},
+    http::{
+        Abort, Body, Handler, Reply, Server, header_of, json, pass, query, read_body, standin, text,
+    },
+    recorder::locked,
+    run::until_stopped,
+};
+
+pub use self::{
+    log::{Log, LogError, LogOptions},
+    vms::{VmBook, VmChange, VmError},
+};
+
+/// How a platform stand-in works.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Records kept and appends taken.
+    pub log: LogOptions,
+    /// Bytes of one record.
+    pub body_bytes: usize,
+    /// How far the VM list lags behind.
+    pub vm_lag: Duration,
+    /// VMs from the start.
+    pub vms: Vec<daisy_wire::platform::VmJson>,
+    /// Where the history goes at the end.
+    pub history: Option<PathBuf>,
+}
+
+impl Default for Options {
+    /// A free port, the users' few hundred appends a second, nothing expires by age.
+    fn default() -> Options {
+        Options {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            log: LogOptions::default(),
+            body_bytes: 1 << 20,
+            vm_lag: Duration::from_millis(500),
+            vms: Vec::new(),
+            history: None,
+        }
+    }
+}
+
+/// A running platform stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    recorder: Recorder,
+    switches: Switches,
+    body_bytes: usize,
+    log: Mutex<Log>,
+    vms: Mutex<VmBook>,
+    /// The offset after the last record, for reads that wait.
+    next: watch::Sender<u64>,
+}
+
+/// Serves until SIGTERM.
+pub async fn run(options: Options) -> anyhow::Result<()> {
+    let history = options.history.clone();
+    let platform = Platform::start(options).await?;
+    ::log::info!("event=platform-started address={}", platform.address());
+    until_stopped(&platform.shared.recorder, history.as_deref()).await?;
+    platform.stop().await;
+    Ok(())
+}
+
+impl Platform {
+    /// Listens and serves until [`Platform::stop`].
+    ///
+    /// Fails if the address cannot be had or a VM is given twice.
+    pub async fn start(options: Options) -> anyhow::Result<Platform> {
+        let recorder = Recorder::new("platform");
+        let mut vms = VmBook::new(options.vm_lag);
+        let now = recorder.now();
+        for vm in options.vms {
+            vms.change(now, VmChange::Put(vm))?;
+        }
+        vms.publish_at_once();
+        let shared = Arc::new(Shared {
+            recorder,
+            switches: Switches::new("platform", &["double_appends"]),
+            body_bytes: options.body_bytes,
+            log: Mutex::new(Log::new(options.log)),
+            vms: Mutex::new(vms),
+            next: watch::Sender::new(0),
+        });
+        let server = Server::bind(options.listen, shared.clone()).await?;
+        Ok(Platform { shared, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces all fault switches.
+    pub fn set_faults(&self, faults: Faults) -> Result<(), FaultError> {
+        self.shared.switches.set(faults)
+    }
+
+    /// Changes the list of VMs; visible after the lag.
+    pub fn change_vm(&self, change: VmChange) -> Result<(), VmError> {
+        self.shared.change_vm(change)
+    }
+
+    /// What it saw so far.
+    pub fn history(&self) -> History {
+        self.shared.recorder.history()
+    }
+
+    /// Closes the port and all connections.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+const WAIT_MAX: Duration = Duration::from_secs(60);
+const RECORDS_MAX: usize = 1_000;
+
+impl Handler for Shared {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let req = match standin(req, &self.switches, &self.recorder).await {
+            Ok(reply) => return reply,
+            Err(req) => req,
+        };
+        if (req.method(), req.uri().path()) == (&Method::POST, "/standin/vms") {
+            return self.post_vm(req).await;
+        }
+        if let Err(reply) = pass(&req, &self.switches).await {
+            return reply;
+        }
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/v1/log") => self.append(req).await,
+            (&Method::GET, "/v1/log") => self.read(req).await,
+            (&Method::GET, "/v1/vms") => Ok(self.list(&req)),
+            (_, path) => Ok(text(StatusCode::NOT_FOUND, &format!("no {path} here"))),
+        }
+    }
+}
+
+impl Shared {
+    async fn append(&self, req: Request<Incoming>) -> Reply {
+        let Some(id) = header_of(&req, headers::APPEND_ID).map(str::to_owned) else {
+            return Ok(text(StatusCode::BAD_REQUEST, "append-id is missing"));
+        };
+        let from = crate::http::from(&req).to_owned();
+        let body = match read_body(req.into_body(), self.body_bytes).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let offset = match locked(&self.log).append(self.recorder.now(), &body) {
+            Ok(offset) => offset,
+            Err(wait) => return Ok(too_many(wait)),
+        };
+        self.appended(&id, &from, offset);
+        if self.switches.with(|faults| count_down(&mut faults.double_appends)) {
+            // A second copy, as of a request that the network delivered twice.
+            let copy = locked(&self.log).append_anyway(self.recorder.now(), &body);
+            self.appended(&id, &from, copy);
+        }
+        if self.switches.loses_answer() {
+            return Err(Abort);
+        }
+        Ok(json(StatusCode::OK, &Appended { offset }))
+    }
+
+    fn appended(&self, id: &str, from: &str, offset: u64) {
+        let (id, from) = (id.to_owned(), from.to_owned());
+        self.recorder.record(Kind::Appended { id, offset, from });
+        self.next.send_modify(|next| *next = (*next).max(offset + 1));
+    }
+
+    async fn read(&self, req: Request<Incoming>) -> Reply {
+        let Some(from) = query::<_, u64>(&req, "from") else {
+            return Ok(text(StatusCode::BAD_REQUEST, "from is missing or no number"));
+        };
+        let max = query(&req, "max").unwrap_or(RECORDS_MAX).min(RECORDS_MAX);
+        let wait = Duration::from_millis(query(&req, "wait_ms").unwrap_or(0)).min(WAIT_MAX);
+        let mut next = self.next.subscribe();
+        let _ = timeout(wait, next.wait_for(|next| *next > from)).await;
+        // An outage or a cut that began during the wait holds for this answer, too.
+        if let Err(reply) = pass(&req, &self.switches).await {
+            return reply;
+        }
+        Ok(self.page(from, max))
+    }
+
+    fn page(&self, from: u64, max: usize) -> Response<Body> {
+        let mut log = locked(&self.log);
+        match log.read(self.recorder.now(), from, max) {
+            Ok(records) => {
+                let records = records.iter().map(|(at, bytes)| LogRecord::new(*at, bytes));
+                let records = records.collect();
+                let (first, next) = log.bounds();
+                json(StatusCode::OK, &LogPage { first, next, records })
+            }
+            Err(LogError::Expired { first }) => json(StatusCode::GONE, &Expired { first }),
+        }
+    }
+
+    fn list(&self, req: &Request<Incoming>) -> Response<Body> {
+        let mut vms = locked(&self.vms);
+        let list: VmList = vms.list(self.recorder.now());
+        if query(req, "since") == Some(list.version) {
+            return text(StatusCode::NOT_MODIFIED, "");
+        }
+        json(StatusCode::OK, &list)
+    }
+
+    async fn post_vm(&self, req: Request<Incoming>) -> Reply {
+        let body = match read_body(req.into_body(), self.body_bytes).await {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let change: VmChange = match serde_json::from_slice(&body) {
+            Ok(change) => change,
+            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, &error.to_string())),
+        };
+        match self.change_vm(change) {
+            Ok(()) => Ok(text(StatusCode::OK, "changed")),
+            Err(error) => Ok(text(StatusCode::CONFLICT, &error.to_string())),
+        }
+    }
+
+    fn change_vm(&self, change: VmChange) -> Result<(), VmError> {
+        let told = locked(&self.vms).change(self.recorder.now(), change)?;
+        let status = match told.status {
+            Some(StatusJson::Live) => "live",
+            Some(StatusJson::Leaving) => "leaving",
+            None => "gone",
+        };
+        self.recorder.record(Kind::VmChanged { vm: told.name, status: status.to_owned() });
+        Ok(())
+    }
+}
+
+fn too_many(wait: Duration) -> Response<Body> {
+    let mut response = text(StatusCode::TOO_MANY_REQUESTS, "over the cap of appends a second");
+    let seconds = wait.as_secs().max(1);
+    response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+    response
+}
--- /dev/null
+++ b/daisy-standin/src/repeat.rs
@@ -0,0 +1,82 @@
+//! A connection that can send one answer twice.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Arms the repetition of the next answer on one connection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Repeat {
+    armed: Arc<AtomicBool>,
+}
+
+impl Repeat {
+    /// The next bytes up to a flush are sent twice.
+    pub(crate) fn arm(&self) {
+        self.armed.store(true, Ordering::Release);
+    }
+}
+
+/// Sends what is written between arming and the next flush twice.
+#[derive(Debug)]
+pub(crate) struct RepeatIo {
+    stream: TcpStream,
+    repeat: Repeat,
+    copy: Vec<u8>,
+}
+
+impl RepeatIo {
+    /// Wraps `stream`.
+    pub(crate) fn new(stream: TcpStream, repeat: Repeat) -> RepeatIo {
+        RepeatIo { stream, repeat, copy: Vec::new() }
+    }
+}
+
+impl AsyncRead for RepeatIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for RepeatIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        if self.repeat.armed.load(Ordering::Acquire) {
+            self.copy.extend_from_slice(&buf[..written]);
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        while !this.copy.is_empty() {
+            this.repeat.armed.store(false, Ordering::Release);
+            let written = ready!(Pin::new(&mut this.stream).poll_write(cx, &this.copy))?;
+            this.copy.drain(..written);
+        }
+        Pin::new(&mut this.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/daisy-standin/tests/worker.rs
@@ -0,0 +1,160 @@
+//! What runs on a worker stand-in.
+
+use std::time::Duration;
+
+use daisy_history::Kind;
+use daisy_model::{
+    Epoch, Exit, Incarnation, Instant, JobId, Order, OrderResult, Resources, TaskId, WorkerCall,
+};
+use daisy_standin::worker::{Interference, JobRun, WorkerOptions, WorkerState};
+
+const TASK: TaskId = TaskId { job: JobId(3), index: 0 };
+const OTHER: TaskId = TaskId { job: JobId(4), index: 0 };
+const FIRST: Incarnation = Incarnation(1);
+const CORE: Resources = Resources { cpu_milli: 1000, memory_mib: 1024, accelerators: 0 };
+
+fn worker(run_ms: u64) -> WorkerState {
+    let run_time = Some(Duration::from_millis(run_ms));
+    WorkerState::new(WorkerOptions { run_time, ..WorkerOptions::default() })
+}
+
+fn call(epoch: u64, orders: Vec<Order>) -> WorkerCall {
+    WorkerCall { epoch: Epoch(epoch), lease: Duration::from_secs(10), orders }
+}
+
+fn start(task: TaskId, checkpoint: Option<u64>) -> Order {
+    Order::Start { task, incarnation: FIRST, size: CORE, checkpoint }
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+#[test]
+fn refuses_a_stale_epoch_and_carries_nothing_out() {
+    let mut worker = worker(100);
+    worker.call(at(0), call(5, vec![]), false);
+
+    let report = worker.call(at(1), call(4, vec![start(TASK, None)]), false);
+
+    assert!(!report.accepted);
+    assert_eq!(report.epoch, Epoch(5));
+    assert!(report.results.is_empty() && report.running.is_empty());
+}
+
+#[test]
+fn starts_an_incarnation_once_ever() {
+    let mut worker = worker(100);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    worker.tick(at(200));
+
+    let again = worker.call(at(201), call(1, vec![start(TASK, None)]), false);
+
+    assert_eq!(again.results, [OrderResult::Done]);
+    assert!(again.running.is_empty());
+    assert_eq!(again.ended.len(), 1);
+}
+
+#[test]
+fn refuses_what_it_has_no_room_for() {
+    let mut worker = worker(100);
+    let size = Resources { cpu_milli: 64_001, ..CORE };
+
+    let order = Order::Start { task: TASK, incarnation: FIRST, size, checkpoint: None };
+    let report = worker.call(at(0), call(1, vec![order]), false);
+
+    assert_eq!(report.results, [OrderResult::NoRoom]);
+    assert!(report.running.is_empty());
+}
+
+#[test]
+fn a_lapsed_lease_ends_tasks_as_of_its_end_and_is_not_revived() {
+    let mut worker = worker(60_000);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+
+    // A frozen worker wakes long after the lease's end, at its holder's call.
+    let report = worker.call(at(30_000), call(1, vec![]), false);
+
+    assert!(report.running.is_empty());
+    assert_eq!(report.ended[0].exit, Exit::LeaseLapsed);
+    let events = worker.take_events();
+    let ended = events.iter().find(|(_, kind)| matches!(kind, Kind::TaskEnded { .. })).unwrap();
+    assert_eq!(ended.0, at(10_000));
+}
+
+#[test]
+fn keeps_an_exit_report_until_it_is_acknowledged() {
+    let mut worker = worker(100);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    let first = worker.call(at(150), call(1, vec![]), false);
+    let second = worker.call(at(160), call(2, vec![]), false);
+
+    let acknowledge = Order::Acknowledge { task: TASK, incarnation: FIRST };
+    let third = worker.call(at(170), call(2, vec![acknowledge]), false);
+
+    assert_eq!(first.ended, second.ended);
+    assert_eq!(first.ended[0].exit, Exit::Done);
+    assert!(third.ended.is_empty());
+}
+
+#[test]
+fn a_checkpoint_carries_the_work_done_to_another_worker() {
+    let (mut here, mut there) = (worker(1_000), worker(1_000));
+    here.call(at(0), call(1, vec![start(TASK, None)]), false);
+    let order = Order::Checkpoint { task: TASK, incarnation: FIRST };
+    let report = here.call(at(800), call(1, vec![order]), false);
+    let Exit::Checkpointed(token) = report.ended[0].exit else { panic!("{report:?}") };
+
+    there.call(at(0), call(1, vec![start(TASK, Some(token))]), false);
+    there.tick(at(150));
+    let early = there.call(at(150), call(1, vec![]), false);
+    let late = there.call(at(250), call(1, vec![]), false);
+
+    assert_eq!(early.running.len(), 1);
+    assert_eq!(late.ended[0].exit, Exit::Done);
+}
+
+#[test]
+fn a_throttled_task_takes_longer() {
+    let mut worker = worker(100);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    let throttle = Order::Throttle { task: TASK, incarnation: FIRST, share: 500 };
+    worker.call(at(0), call(1, vec![throttle]), false);
+
+    let early = worker.call(at(150), call(1, vec![]), false);
+    let late = worker.call(at(201), call(1, vec![]), false);
+
+    assert_eq!((early.running.len(), late.running.len()), (1, 0));
+}
+
+#[test]
+fn a_disturbed_task_is_slower_and_its_report_lags() {
+    let interference = vec![Interference { victim: 3, aggressor: 4, per_core: 1_000 }];
+    let usage_lag = Duration::from_secs(1);
+    let options = WorkerOptions { interference, usage_lag, ..WorkerOptions::default() };
+    let mut worker = WorkerState::new(options);
+    worker.set_jobs(vec![
+        JobRun { job: 3, run_ms: None, fails: false, service: Some("shop".to_owned()) },
+        JobRun { job: 4, run_ms: None, fails: false, service: None },
+    ]);
+    worker.call(at(0), call(1, vec![start(TASK, None), start(OTHER, None)]), false);
+    worker.tick(at(200));
+
+    let early = worker.call(at(900), call(1, vec![]), false);
+    let late = worker.call(at(1_300), call(1, vec![]), false);
+
+    assert!(early.usage.iter().all(|usage| usage.task != TASK));
+    let usage = late.usage.iter().find(|usage| usage.task == TASK).unwrap();
+    assert_eq!(usage.slowdown, 2_000);
+    assert_eq!(worker.services()[0].slowdown, Some(2_000));
+}
+
+#[test]
+fn the_switch_for_bad_workers_makes_every_start_fail() {
+    let mut worker = worker(100);
+
+    let report = worker.call(at(0), call(1, vec![start(TASK, None)]), true);
+
+    assert_eq!(report.results, [OrderResult::Failed]);
+    assert!(report.running.is_empty());
+}
