--- a/daisy-ledger/src/change.rs
+++ b/daisy-ledger/src/change.rs
@@ -5,118 +5,7 @@
     PolicyChange, Priority, Resources, TeamId, WorkClass,
 };
 
-use crate::{AuditEntry, Job, Outcome, State, Subject, Task, TaskState, Team, Verdict};
-
-/// Why a change was refused; the state stays as it was.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum Refusal {
-    /// No team has the name.
-    #[error("team {0} is unknown; create it with a quota first")]
-    UnknownTeam(Name),
-    /// No job has the name.
-    #[error("job {0} is unknown")]
-    UnknownJob(Name),
-    /// A job that has not ended has the name.
-    #[error("job {name} exists already, as number {job}")]
-    Duplicate {
-        /// The name.
-        name: Name,
-        /// The job that has it.
-        job: JobId,
-    },
-    /// The statement says service and the job is batch, or the other way round.
-    #[error("job {name} is a {} job", match .kind { JobKind::Service => "service", JobKind::Batch => "batch" })]
-    WrongKind {
-        /// The name.
-        name: Name,
-        /// What the job is.
-        kind: JobKind,
-    },
-    /// The job is cancelled or has ended.
-    #[error("job {0} has ended")]
-    Over(Name),
-    /// A job has no tasks or too many.
-    #[error("a job has 1 to {max} tasks, not {found}", max = State::MAX_TASKS)]
-    Tasks {
-        /// The number declared.
-        found: u32,
-    },
-    /// All jobs together would have too many tasks.
-    #[error("more than {} tasks would be waiting or running", State::MAX_OPEN_TASKS)]
-    Full,
-    /// A task takes nothing.
-    #[error("a task takes at least 1m of processor and 1Mi of memory")]
-    NoSize,
-    /// The sizes of all tasks together overflow.
-    #[error("{tasks} tasks of {size} are more than can be counted")]
-    Overflow {
-        /// The number of tasks.
-        tasks: u32,
-        /// The size of each.
-        size: Resources,
-    },
-    /// What must run at one time is more than the team's quota.
-    #[error("needs {needed} at one time; the quota of team {team} is {limit}")]
-    Quota {
-        /// The team.
-        team: Name,
-        /// What must run at one time.
-        needed: Resources,
-        /// The quota.
-        limit: Resources,
-    },
-    /// Another change of the same subject came first.
-    #[error(
-        "{subject} was changed after generation {seen}: at generation {generation}, {who} said: {text}"
-    )]
-    Conflict {
-        /// What was changed.
-        subject: Box<str>,
-        /// The generation that the loser had seen.
-        seen: Generation,
-        /// Who came first.
-        who: Name,
-        /// The statement that came first.
-        text: Box<str>,
-        /// The generation that it made.
-        generation: Generation,
-    },
-    /// The generation named has not been reached.
-    #[error("generation {seen} is not reached; the newest is {newest}")]
-    Future {
-        /// The generation named.
-        seen: Generation,
-        /// The newest generation.
-        newest: Generation,
-    },
-    /// The audit trail does not reach back to the generation named.
-    #[error("generation {seen} is too old to check; the audit trail begins after {oldest}")]
-    TooOld {
-        /// The generation named.
-        seen: Generation,
-        /// The last generation before the audit trail.
-        oldest: Generation,
-    },
-    /// There is nothing to take back.
-    #[error("{0} is not in force")]
-    NotInForce(Box<str>),
-    /// A list of declared things is full.
-    #[error("no more than {max} {what}")]
-    TooMany {
-        /// What there would be too many of.
-        what: &'static str,
-        /// The most.
-        max: usize,
-    },
-    /// A field of a policy is out of range.
-    #[error("policy {field}: {reason}")]
-    Policy {
-        /// The field.
-        field: &'static str,
-        /// What it must be.
-        reason: &'static str,
-    },
-}
+use crate::{AuditEntry, Job, Outcome, Refusal, State, Subject, Task, TaskState, Team, Verdict};
 
 impl State {
     /// The most tasks of one job.
@@ -129,6 +18,8 @@
     pub const MAX_DRAINED: usize = 10_000;
     /// The most entries of the audit trail: about a day of 8,600 jobs and 360 configurations.
     pub const KEPT_AUDIT: usize = 10_000;
+    /// The longest statement, in bytes.
+    pub const MAX_TEXT: usize = 4_096;
     /// Entries dropped at one time, so that trimming costs little for each change.
     const AUDIT_STEP: usize = 1_000;
 
@@ -146,7 +37,11 @@
                 (Verdict::Refused(cause), Outcome::Refused(refusal))
             }
         };
-        self.audit(AuditEntry { offset, change: change.clone(), verdict });
+        let mut change = change.clone();
+        if change.text.len() > State::MAX_TEXT {
+            change.text = "(too long)".into();
+        }
+        self.audit(AuditEntry { offset, change, verdict });
         outcome
     }
 
@@ -160,6 +55,9 @@
     }
 
     fn try_change(&mut self, generation: Generation, change: &Change) -> Result<(), Refusal> {
+        if change.text.len() > State::MAX_TEXT {
+            return Err(Refusal::TooLong);
+        }
         if let Some(condition) = change.condition {
             self.check_condition(condition, &change.command)?;
         }
@@ -217,7 +115,8 @@
         {
             return Err(Refusal::Duplicate { name: spec.name.clone(), job });
         }
-        self.check_size(team, None, spec.kind, spec.tasks, spec.size)?;
+        check_numbers(spec.tasks, spec.size)?;
+        self.check_room(team, None, spec.kind, spec.tasks, spec.size)?;
         let tasks = vec![Task::NEW; spec.tasks as usize];
         self.jobs.create(Job {
             spec: spec.clone(),
@@ -230,8 +129,9 @@
         Ok(())
     }
 
-    /// Checks numbers and quota of a job that is created or, if `changed`, changed.
-    fn check_size(
+    /// Checks that a job, created or, if `changed`, changed, has room beside all others and
+    /// within its team's quota.
+    fn check_room(
         &self,
         team: TeamId,
         changed: Option<JobId>,
@@ -239,12 +139,6 @@
         tasks: u32,
         size: Resources,
     ) -> Result<(), Refusal> {
-        if tasks == 0 || tasks > State::MAX_TASKS {
-            return Err(Refusal::Tasks { found: tasks });
-        }
-        if size.cpu_milli == 0 || size.memory_mib == 0 {
-            return Err(Refusal::NoSize);
-        }
         let others = self.jobs.iter().filter(|(id, _)| Some(*id) != changed);
         let open: u64 = others.map(|(_, job)| u64::from(job.open)).sum();
         if open + u64::from(tasks) > u64::from(State::MAX_OPEN_TASKS) {
@@ -302,9 +196,10 @@
         let tasks = tasks.unwrap_or(spec.tasks);
         let size = size.unwrap_or(spec.size);
         let grows = tasks > spec.tasks || !size.fits(spec.size);
-        // A smaller job is always let through: it may be how a team gets below its quota.
-        if grows || tasks == 0 {
-            self.check_size(job.team, Some(id), spec.kind, tasks, size)?;
+        // A smaller job needs no room: it may be how a team gets below its quota.
+        check_numbers(tasks, size)?;
+        if grows {
+            self.check_room(job.team, Some(id), spec.kind, tasks, size)?;
         }
         let before = job.spec.tasks;
         let Some(job) = self.jobs.get_mut(id) else { return Ok(()) };
@@ -423,6 +318,16 @@
     closed
 }
 
+fn check_numbers(tasks: u32, size: Resources) -> Result<(), Refusal> {
+    if tasks == 0 || tasks > State::MAX_TASKS {
+        return Err(Refusal::Tasks { found: tasks });
+    }
+    if size.cpu_milli == 0 || size.memory_mib == 0 {
+        return Err(Refusal::NoSize);
+    }
+    Ok(())
+}
+
 fn check_policy(policy: &Policy) -> Result<(), Refusal> {
     let fail = |field, reason| Err(Refusal::Policy { field, reason });
     let weights = [policy.objective.tail, policy.objective.throughput, policy.objective.evictions];
--- a/daisy-ledger/src/fold.rs
+++ b/daisy-ledger/src/fold.rs
@@ -2,7 +2,10 @@
 
 use daisy_model::{Epoch, Generation, Offset, TaskId};
 
-use crate::{Batch, Record, Refusal, State};
+use crate::{
+    Batch, Intent, Record, Refusal, State,
+    snapshot::{Mark, Part},
+};
 
 /// What became of a log entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,7 +37,11 @@
     Took(usize),
     /// The epoch is not in force; the record had no effect.
     Stale,
-    /// Noted without a decision.
+    /// The request may run: its key was not announced before.
+    Announced,
+    /// The key was announced before; that announcement alone may run.
+    AnnouncedBefore(Intent),
+    /// A part of a snapshot was noted.
     Noted,
 }
 
@@ -47,6 +54,14 @@
     pub outcomes: Vec<Outcome>,
 }
 
+/// Where a record stands, and who appended it.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    offset: Offset,
+    position: u32,
+    sender: u64,
+}
+
 impl State {
     /// Folds the log entry at `offset`.
     ///
@@ -63,8 +78,12 @@
             self.counts.repeated += 1;
             return Applied { status: Status::Repeated, outcomes: Vec::new() };
         }
-        let records = batch.records.iter();
-        let outcomes = records.map(|record| self.apply_record(offset, record)).collect();
+        let records = batch.records.iter().enumerate();
+        let outcomes = records.map(|(position, record)| {
+            let place = Place { offset, position: position as u32, sender: batch.id.sender };
+            self.apply_record(place, record)
+        });
+        let outcomes = outcomes.collect();
         Applied { status: Status::Folded, outcomes }
     }
 
@@ -88,7 +107,8 @@
         }
     }
 
-    fn apply_record(&mut self, offset: Offset, record: &Record) -> Outcome {
+    fn apply_record(&mut self, place: Place, record: &Record) -> Outcome {
+        let Place { offset, position, sender } = place;
         match record {
             Record::Change(change) => self.change(offset, change),
             Record::Claim { dc, holder } => self.claim(offset, *dc, *holder),
@@ -97,7 +117,27 @@
             Record::Return { dc, epoch, tasks } => self.give_back(*dc, *epoch, tasks),
             Record::Placed { dc, epoch, placements } => self.placed(*dc, *epoch, placements),
             Record::Ended { dc, epoch, exits } => self.ended(*dc, *epoch, exits),
-            Record::Intent { .. } | Record::Snapshot { .. } => Outcome::Noted,
+            Record::Intent { key, entry } => {
+                let intent = Intent { offset, position, entry: *entry };
+                match self.intents.announce(*key, intent) {
+                    Ok(()) => Outcome::Announced,
+                    Err(first) => Outcome::AnnouncedBefore(first),
+                }
+            }
+            Record::Snapshot { through, part, parts, .. } => {
+                let part = Part { sender, through: *through, part: *part, parts: *parts };
+                self.note_part(offset, part)
+            }
+        }
+    }
+
+    /// Follows snapshots in the log, so that every process knows when the next one is due.
+    fn note_part(&mut self, offset: Offset, part: Part) -> Outcome {
+        let whole = self.snapshots.push(part, ()).is_some();
+        let newer = self.snapshot.is_none_or(|mark| mark.through < part.through);
+        if whole && newer {
+            self.snapshot = Some(Mark { through: part.through, last: offset });
         }
+        Outcome::Noted
     }
 }
--- a/daisy-ledger/src/jobs.rs
+++ b/daisy-ledger/src/jobs.rs
@@ -154,9 +154,16 @@
     fn forget(&mut self, id: JobId) {
         let Some(job) = self.entries.remove(&id) else { return };
         self.finished_tasks = self.finished_tasks.saturating_sub(job.tasks.len());
-        if self.names.get(&job.spec.name) == Some(&id) {
-            self.names.remove(&job.spec.name);
+        let name = job.spec.name;
+        if self.names.get(&name) != Some(&id) {
+            return;
         }
+        // An older job of that name may still have tasks that are about to stop.
+        let older = self.entries.iter().rev().find(|(_, job)| job.spec.name == name);
+        match older.map(|(&id, _)| id) {
+            Some(older) => self.names.insert(name, older),
+            None => self.names.remove(&name),
+        };
     }
 }
 
--- a/daisy-ledger/src/lib.rs
+++ b/daisy-ledger/src/lib.rs
@@ -5,21 +5,26 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+pub mod append;
 mod change;
 mod checkout;
 mod exit;
 mod fold;
+mod intents;
 mod jobs;
 mod record;
+mod refusal;
 mod senders;
+pub mod snapshot;
 mod state;
 mod subject;
 
 pub use crate::{
-    change::Refusal,
     fold::{Applied, Outcome, Status},
+    intents::{Intent, Intents},
     jobs::Jobs,
     record::{AppendId, Batch, Placement, Record},
+    refusal::Refusal,
     senders::Senders,
     state::{AuditEntry, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict},
     subject::Subject,
--- a/daisy-ledger/src/record.rs
+++ b/daisy-ledger/src/record.rs
@@ -107,3 +107,22 @@
     /// The records, folded in turn.
     pub records: Vec<Record>,
 }
+
+impl Record {
+    /// About how many bytes the record takes in the log; never far below the truth.
+    pub fn weight(&self) -> usize {
+        /// A small record: a few integers.
+        const BASE: usize = 32;
+        match self {
+            // A job's names and numbers besides the text.
+            Record::Change(change) => 16 * BASE + change.text.len(),
+            Record::Claim { .. } | Record::Release { .. } | Record::Intent { .. } => BASE,
+            Record::Checkout { tasks, .. } | Record::Return { tasks, .. } => {
+                BASE + tasks.len() * 10
+            }
+            Record::Placed { placements, .. } => BASE + placements.len() * 20,
+            Record::Ended { exits, .. } => BASE + exits.len() * 25,
+            Record::Snapshot { bytes, .. } => BASE + bytes.len(),
+        }
+    }
+}
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -5,7 +5,10 @@
     Policy, Priority, Resources, SortedMap, TaskId, TeamId, VmId, WorkClass,
 };
 
-use crate::{Jobs, Senders};
+use crate::{
+    Intents, Jobs, Senders,
+    snapshot::{Collector, Mark},
+};
 
 /// A team and its quota.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -163,6 +166,12 @@
     pub audit_from: Generation,
     /// The last append of each sender.
     pub senders: Senders,
+    /// Announced non-idempotent requests.
+    pub intents: Intents,
+    /// The newest whole snapshot in the log.
+    pub snapshot: Option<Mark>,
+    /// Snapshots of which only the first parts are in the log.
+    pub snapshots: Collector<()>,
     /// What took no effect.
     pub counts: Counts,
 }
--- /dev/null
+++ b/daisy-ledger/tests/append.rs
@@ -0,0 +1,189 @@
+//! The queue of appends: order, lost answers, bounds, budget.
+
+mod common;
+
+use std::time::Duration;
+
+use daisy_ledger::{
+    Batch, Record, State,
+    append::{Action, Event, Options, Queue},
+};
+use daisy_model::{Command, DcId, Instant, Offset, VmId};
+use quickcheck::{Gen, QuickCheck};
+
+use crate::common::{Log, batch_job, change, script};
+
+const INTERVAL: Duration = Duration::from_millis(100);
+
+fn queue() -> Queue {
+    Queue::new(Options { max_records: 4, ..Options::new(9, INTERVAL) })
+}
+
+fn record(holder: u32) -> Record {
+    Record::Claim { dc: DcId(0), holder: VmId(holder) }
+}
+
+fn step(queue: &mut Queue, millis: u64, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    queue.step(Instant::from_millis(millis), event, &mut actions);
+    actions
+}
+
+fn sent(actions: &[Action]) -> Vec<&Batch> {
+    let batches = actions.iter().filter_map(|action| match action {
+        Action::Send(batch) => Some(batch),
+        _ => None,
+    });
+    batches.collect()
+}
+
+#[test]
+fn records_pushed_meanwhile_share_the_next_append() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    for holder in 1..=5 {
+        queue.push(record(holder)).expect("room");
+    }
+    let id = sent(&first)[0].id;
+    let early = step(&mut queue, 10, Event::Answered { id, offset: Offset(0) });
+    let second = step(&mut queue, 100, Event::Tick);
+
+    assert_eq!(sent(&first)[0].records, [record(0)]);
+    assert!(early.is_empty(), "the budget of appends is kept");
+    assert_eq!(sent(&second)[0].records, [record(1), record(2), record(3), record(4)]);
+    assert_eq!(queue.backlog(), 5);
+}
+
+/// The platform takes an append and its answer is lost, twice. The queue sends the same bytes
+/// under the same id, waiting longer each time, until the log itself shows the append; what was
+/// pushed later goes after it.
+#[test]
+fn a_lost_answer_is_made_good_by_the_log() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    queue.push(record(1)).expect("room");
+    let expired = step(&mut queue, 2_000, Event::Tick);
+    let again = step(&mut queue, 2_100, Event::Tick);
+    let id = sent(&first)[0].id;
+    step(&mut queue, 2_200, Event::Unanswered { id });
+    let waits_longer = step(&mut queue, 2_300, Event::Tick);
+    let folded = step(&mut queue, 2_310, Event::Folded { id });
+
+    assert!(expired.is_empty());
+    assert_eq!(sent(&again), sent(&first));
+    assert!(waits_longer.is_empty());
+    assert_eq!(folded[0], Action::Done(0..1));
+    assert_eq!(sent(&folded)[0].records, [record(1)]);
+}
+
+#[test]
+fn a_full_queue_gives_the_record_back() {
+    let mut queue = Queue::new(Options { capacity: 2, ..Options::new(9, INTERVAL) });
+    queue.push(record(0)).expect("room");
+    queue.push(record(1)).expect("room");
+    let full = queue.push(record(2)).expect_err("full");
+    assert_eq!((*full.record, full.waiting), (record(2), 2));
+}
+
+#[test]
+fn an_append_that_is_never_taken_is_dropped_by_name() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    queue.push(record(1)).expect("room");
+    let id = sent(&first)[0].id;
+    let actions = step(&mut queue, 200, Event::Rejected { id });
+    assert_eq!(actions[0], Action::Dropped(0..1));
+    assert_eq!(sent(&actions)[0].records, [record(1)]);
+}
+
+#[test]
+fn long_records_go_in_appends_of_their_own() {
+    let mut queue = Queue::new(Options { max_weight: 1_000, ..Options::new(9, INTERVAL) });
+    queue.push(Record::Change(change("ana", Command::Create(batch_job("a", 1))))).expect("room");
+    let bytes = vec![0; 5_000];
+    let part = Record::Snapshot { through: Offset(0), part: 0, parts: 1, bytes };
+    queue.push(part.clone()).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    let id = sent(&first)[0].id;
+    let second = step(&mut queue, 200, Event::Answered { id, offset: Offset(0) });
+    assert_eq!(sent(&first)[0].records.len(), 1);
+    assert_eq!(sent(&second)[0].records, [part]);
+}
+
+/// The log of a platform that loses appends, loses answers after the effect, or delivers an
+/// append again later, as told by a script of bytes.
+fn entries(records: &[Record], faults: &[u8]) -> Vec<Batch> {
+    let mut entries = Vec::new();
+    let mut queue = queue();
+    for record in records {
+        queue.push(record.clone()).expect("room");
+    }
+    let mut faults = faults.iter().copied();
+    let mut late: Option<Batch> = None;
+    let mut millis = 0;
+    while queue.backlog() > 0 {
+        millis += 50;
+        let mut actions = step(&mut queue, millis, Event::Tick);
+        while let Some(action) = actions.pop() {
+            let Action::Send(batch) = action else { continue };
+            let id = batch.id;
+            let fault = faults.next().map(|it| it % 5);
+            if fault == Some(2) {
+                late = Some(batch.clone());
+            }
+            if !matches!(fault, Some(0 | 2)) {
+                entries.push(batch);
+            }
+            let event = match fault {
+                Some(0..=2) => Event::Unanswered { id },
+                Some(3) => Event::Folded { id },
+                _ => {
+                    entries.extend(late.take());
+                    Event::Answered { id, offset: Offset(0) }
+                }
+            };
+            actions = step(&mut queue, millis, event);
+        }
+    }
+    entries
+}
+
+/// What a state says apart from the places of its records in the log.
+fn essence(state: &State) -> impl PartialEq + std::fmt::Debug {
+    let jobs = state.jobs.iter().map(|(id, job)| (id, job.spec.clone(), job.tasks.clone()));
+    let jobs: Vec<_> = jobs.collect();
+    let teams: Vec<_> = state.teams.iter().map(|(_, team)| team.clone()).collect();
+    let audit = state.audit.iter().map(|it| it.change.command.clone());
+    let audit: Vec<_> = audit.collect();
+    (jobs, teams, state.drained.clone(), state.paused.clone(), audit)
+}
+
+/// Whatever the platform loses, repeats or delivers late, and however records fall into
+/// batches, the log folds to what the records say one by one.
+#[test]
+fn faults_and_batches_make_no_difference() {
+    fn same(steps: Vec<script::Step>, faults: Vec<u8>) -> bool {
+        // The holder's claims come first, so that epochs do not depend on the batches.
+        let mut plain = Log::with_team();
+        let claims = [plain.claim(DcId(0), 1), plain.claim(DcId(1), 2)];
+        let mut records = Vec::new();
+        for (token, (kind, a, b)) in (1..).zip(steps) {
+            let step = (if kind % 16 < 2 { 12 } else { kind }, a, b);
+            let record = script::record(&plain.state, step, token);
+            plain.record(record.clone());
+            records.push(record);
+        }
+        let mut again = Log::with_team();
+        assert_eq!(claims, [again.claim(DcId(0), 1), again.claim(DcId(1), 2)]);
+        for batch in entries(&records, &faults) {
+            again.append(batch);
+        }
+        assert_eq!(essence(&again.state), essence(&plain.state));
+        true
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(120, 23)).tests(200);
+    check.quickcheck(same as fn(Vec<script::Step>, Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/daisy-ledger/tests/checkout.rs
@@ -0,0 +1,308 @@
+//! Claims, checkouts and exits: nobody has a task twice.
+
+mod common;
+
+use daisy_ledger::{AppendId, Batch, Outcome, Owner, Placement, Record, TaskState};
+use daisy_model::{Command, DcId, Epoch, Exit, Incarnation, JobKind, JobSpec, VmId, WorkClass};
+use quickcheck::{Gen, QuickCheck};
+
+use crate::common::{DC, Log, OTHER_DC, batch_job, cancel, quota, script, service, size, task};
+
+fn log_with_job(tasks: u32) -> Log {
+    let mut log = Log::with_team();
+    log.change(Command::Create(batch_job("render", tasks)));
+    log
+}
+
+fn owner(log: &Log, index: u32) -> Option<DcId> {
+    match log.state.task(task(0, index))?.state {
+        TaskState::Out(Owner { dc, .. }) => Some(dc),
+        _ => None,
+    }
+}
+
+fn state_of(log: &Log, index: u32) -> TaskState {
+    log.state.task(task(0, index)).expect("a task").state
+}
+
+/// Two data centres ask for the same tasks at one time. The log has one request first; the other
+/// gets only what is left, so no task is started in both.
+#[test]
+fn data_centres_race_for_tasks_and_the_log_decides() {
+    let mut log = log_with_job(3);
+    let (here, there) = (log.claim(DC, 1), log.claim(OTHER_DC, 2));
+
+    let first = log.checkout(DC, here, &[task(0, 0), task(0, 1)]);
+    let second = log.checkout(OTHER_DC, there, &[task(0, 1), task(0, 2)]);
+
+    assert_eq!(first, [task(0, 0), task(0, 1)]);
+    assert_eq!(second, [task(0, 2)]);
+    assert_eq!(owner(&log, 1), Some(DC));
+}
+
+/// A holder is paused, another entry VM claims its data centre, and the old holder wakes with
+/// records in hand. All of them must come to nothing, or a task would be owned twice.
+#[test]
+fn records_of_a_stale_epoch_come_to_nothing() {
+    let mut log = log_with_job(2);
+    let old = log.claim(DC, 1);
+    log.checkout(DC, old, &[task(0, 0)]);
+    let new = log.claim(DC, 2);
+    let before = log.state.jobs.clone();
+    let placement = Placement { task: task(0, 0), incarnation: Incarnation(1), vm: VmId(9) };
+
+    let outcomes = [
+        log.record(Record::Checkout { dc: DC, epoch: old, tasks: vec![task(0, 1)] }),
+        log.record(Record::Return { dc: DC, epoch: old, tasks: vec![task(0, 0)] }),
+        log.record(Record::Placed { dc: DC, epoch: old, placements: vec![placement] }),
+        log.end(DC, old, task(0, 0), 1, Exit::Done),
+        log.record(Record::Release { dc: DC, epoch: old }),
+    ];
+
+    assert!(new > old);
+    assert!(outcomes.iter().all(|it| *it == Outcome::Stale));
+    assert_eq!(log.state.jobs, before);
+    assert_eq!(log.state.counts.stale, 5);
+    assert!(log.state.holds(DC, new));
+}
+
+/// Two entry VMs' claims could stand in one append only by a fault. They would share an epoch,
+/// and the workers' fence could not tell them apart.
+#[test]
+fn claims_in_one_append_do_not_share_an_epoch() {
+    let mut log = Log::new();
+    let claim = |holder| Record::Claim { dc: DC, holder: VmId(holder) };
+    let id = AppendId { sender: 1, seq: 1 };
+
+    let applied = log.append(Batch { id, records: vec![claim(1), claim(2)] });
+
+    assert_eq!(applied.outcomes, [Outcome::Claimed(Epoch(1)), Outcome::Stale]);
+    assert_eq!(log.state.holders.get(&DC).expect("held").holder, VmId(1));
+}
+
+/// A task is checkpointed and evicted. Its exit report is recorded, the holder dies before it
+/// acknowledges it, and the next holder records it again after the task has been resumed. The
+/// resumed task must stay as it is, and its work is resumed once only.
+#[test]
+fn an_eviction_recorded_twice_resumes_the_task_once() {
+    let mut log = log_with_job(1);
+    let epoch = log.claim(DC, 1);
+    log.checkout(DC, epoch, &[task(0, 0)]);
+    log.end(DC, epoch, task(0, 0), 1, Exit::Checkpointed(77));
+    let evicted = *log.state.task(task(0, 0)).expect("a task");
+    let next = log.claim(DC, 2);
+    log.checkout(DC, next, &[task(0, 0)]);
+
+    let doubled = log.end(DC, next, task(0, 0), 1, Exit::Checkpointed(77));
+
+    assert_eq!(evicted.state, TaskState::Pending);
+    assert_eq!((evicted.checkpoint, evicted.next_incarnation()), (Some(77), Incarnation(2)));
+    assert_eq!(doubled, Outcome::Took(0));
+    assert_eq!(owner(&log, 0), Some(DC));
+    log.end(DC, next, task(0, 0), 2, Exit::Done);
+    assert_eq!(state_of(&log, 0), TaskState::Ended(Exit::Done));
+}
+
+#[test]
+fn a_checkpoint_is_spent_by_the_incarnation_that_resumed_it() {
+    let mut log = Log::with_team();
+    log.change(Command::Create(JobSpec { restartable: true, ..batch_job("render", 1) }));
+    let epoch = log.claim(DC, 1);
+    log.checkout(DC, epoch, &[task(0, 0)]);
+    log.end(DC, epoch, task(0, 0), 1, Exit::Checkpointed(77));
+    log.checkout(DC, epoch, &[task(0, 0)]);
+
+    log.end(DC, epoch, task(0, 0), 2, Exit::LeaseLapsed);
+
+    assert_eq!(state_of(&log, 0), TaskState::Pending);
+    assert_eq!(log.state.task(task(0, 0)).expect("a task").checkpoint, None);
+}
+
+/// What becomes of a task depends on how it ended and on what was declared. Work that was not
+/// declared restartable never runs again after an exit that leaves its outcome open.
+#[test]
+fn fate_by_exit_and_declaration() {
+    let batch = batch_job("render", 1);
+    let restartable = JobSpec { restartable: true, ..batch_job("render", 1) };
+    let service = service("render", 1);
+    let again = TaskState::Pending;
+    let over = TaskState::Ended;
+    let cases = [
+        (Exit::Done, over(Exit::Done), over(Exit::Done), again),
+        (Exit::Failed, over(Exit::Failed), again, again),
+        (Exit::Checkpointed(1), again, again, again),
+        (Exit::Stopped, over(Exit::Stopped), again, again),
+        (Exit::LeaseLapsed, over(Exit::LeaseLapsed), again, again),
+        (Exit::Unknown, over(Exit::Unknown), again, again),
+    ];
+    for (exit, plain_fate, restartable_fate, service_fate) in cases {
+        let specs = [&batch, &restartable, &service];
+        for (spec, fate) in specs.into_iter().zip([plain_fate, restartable_fate, service_fate]) {
+            let mut log = Log::with_team();
+            log.change(Command::Create(spec.clone()));
+            let epoch = log.claim(DC, 1);
+            log.checkout(DC, epoch, &[task(0, 0)]);
+            log.end(DC, epoch, task(0, 0), 1, exit);
+            assert_eq!(state_of(&log, 0), fate, "{exit:?} of {spec:?}");
+        }
+    }
+}
+
+#[test]
+fn a_task_that_fails_again_and_again_is_given_up() {
+    let mut log = Log::with_team();
+    log.change(Command::Create(JobSpec { restartable: true, ..batch_job("render", 1) }));
+    let epoch = log.claim(DC, 1);
+    for incarnation in 1..=3 {
+        log.checkout(DC, epoch, &[task(0, 0)]);
+        log.end(DC, epoch, task(0, 0), incarnation, Exit::Failed);
+    }
+    assert_eq!(state_of(&log, 0), TaskState::Ended(Exit::Failed));
+}
+
+/// A holder gives back a task that it had started: another data centre would start it a second
+/// time. The ledger has the placement on record and keeps the task where it is.
+#[test]
+fn a_started_task_cannot_be_given_back() {
+    let mut log = log_with_job(2);
+    let epoch = log.claim(DC, 1);
+    log.checkout(DC, epoch, &[task(0, 0), task(0, 1)]);
+    let placement = Placement { task: task(0, 0), incarnation: Incarnation(1), vm: VmId(9) };
+    log.record(Record::Placed { dc: DC, epoch, placements: vec![placement] });
+
+    let tasks = vec![task(0, 0), task(0, 1)];
+    let outcome = log.record(Record::Return { dc: DC, epoch, tasks });
+
+    assert_eq!(outcome, Outcome::Took(1));
+    assert_eq!(owner(&log, 0), Some(DC));
+    assert_eq!(state_of(&log, 1), TaskState::Pending);
+}
+
+/// Every task of the job is cancelled in a burst while some are out. What nobody has ends at
+/// once; what is out ends with its exit, even a checkpoint, and does not come back.
+#[test]
+fn cancelled_tasks_do_not_come_back() {
+    let mut log = log_with_job(3);
+    let epoch = log.claim(DC, 1);
+    log.checkout(DC, epoch, &[task(0, 0), task(0, 1)]);
+
+    log.change(cancel("render"));
+    let granted = log.checkout(DC, epoch, &[task(0, 2)]);
+    log.end(DC, epoch, task(0, 0), 1, Exit::Checkpointed(5));
+    log.record(Record::Return { dc: DC, epoch, tasks: vec![task(0, 1)] });
+
+    assert!(granted.is_empty());
+    assert_eq!(state_of(&log, 0), TaskState::Ended(Exit::Checkpointed(5)));
+    assert_eq!(state_of(&log, 1), TaskState::Ended(Exit::Stopped));
+    assert_eq!(state_of(&log, 2), TaskState::Ended(Exit::Stopped));
+    assert!(log.state.jobs.pending().is_empty());
+}
+
+/// Two data centres check out tasks of one team at one time. Together they must stay within its
+/// quota, which neither can see to alone.
+#[test]
+fn quotas_hold_across_data_centres() {
+    let mut log = log_with_job(4);
+    log.change(quota("bakery", size(2_000, 100_000)));
+    let (here, there) = (log.claim(DC, 1), log.claim(OTHER_DC, 2));
+
+    let first = log.checkout(DC, here, &[task(0, 0)]);
+    let second = log.checkout(OTHER_DC, there, &[task(0, 1), task(0, 2)]);
+    log.end(DC, here, task(0, 0), 1, Exit::Done);
+    let third = log.checkout(OTHER_DC, there, &[task(0, 2)]);
+
+    assert_eq!((first.len(), second.len(), third.len()), (1, 1, 1));
+}
+
+#[test]
+fn paused_work_is_not_checked_out() {
+    let mut log = log_with_job(1);
+    let epoch = log.claim(DC, 1);
+    log.change(Command::Pause(WorkClass::Batch));
+    let paused = log.checkout(DC, epoch, &[task(0, 0)]);
+    log.change(Command::Resume(WorkClass::Batch));
+    let resumed = log.checkout(DC, epoch, &[task(0, 0)]);
+    assert_eq!((paused.len(), resumed.len()), (0, 1));
+    assert!(!log.state.is_paused(JobKind::Batch, daisy_model::Priority::Low));
+}
+
+/// A buyer's order is sent through two entry VMs, which announce it at one time. Only the first
+/// in the log may run it; an announcement sent again after a lost answer is still its own.
+#[test]
+fn the_first_intent_of_a_key_wins() {
+    let mut log = Log::new();
+    let intent = |entry| Record::Intent { key: 7, entry: VmId(entry) };
+
+    let won = log.record(intent(1));
+    let lost = log.record(intent(2));
+
+    assert_eq!(won, Outcome::Announced);
+    let Outcome::AnnouncedBefore(first) = lost else { panic!("{lost:?}") };
+    assert_eq!((first.entry, first.offset.0, first.position), (VmId(1), 0, 0));
+}
+
+#[test]
+fn intents_are_kept_to_a_bound() {
+    let mut log = Log::new();
+    let kept = daisy_ledger::Intents::KEPT as u128;
+    for key in 0..kept + 5_000 {
+        log.record(Record::Intent { key: key.wrapping_mul(0x9e37_79b9_7f4a_7c15), entry: VmId(1) });
+    }
+    let intents = &log.state.intents;
+    assert!(intents.len() >= kept as usize && intents.len() < kept as usize + 2_048);
+    assert!(intents.get(0).is_none());
+}
+
+/// Claims, checkouts, returns, evictions, exits and cancellations of two data centres in any
+/// order, with stale epochs and doubled reports. At every step a task has one owner, changes
+/// owner only after it was ended or given back, a checkpoint is resumed by one incarnation, and
+/// quotas and queues add up.
+#[test]
+fn no_order_of_events_gives_a_task_two_owners() {
+    fn holds(steps: Vec<script::Step>) -> bool {
+        let mut log = Log::with_team();
+        let mut resumed: Vec<(u64, Incarnation)> = Vec::new();
+        for (token, step) in (1..).zip(steps) {
+            let before = log.state.jobs.clone();
+            let record = script::record(&log.state, step, token);
+            log.record(record);
+            for (id, job) in log.state.jobs.iter() {
+                for (index, task) in job.tasks.iter().enumerate() {
+                    let id = common::task(id.0, index as u32);
+                    check_task(before.task(id), task, &mut resumed);
+                    let queued = log.state.jobs.pending().binary_search(&id).is_ok();
+                    assert_eq!(queued, task.state == TaskState::Pending);
+                }
+                let open = job.tasks.iter().filter(|it| !matches!(it.state, TaskState::Ended(_)));
+                assert_eq!(open.count(), job.open as usize);
+            }
+            let used = log.state.teams.iter().next().expect("a team").1.used;
+            assert_eq!(used, script::out_size(&log.state));
+        }
+        true
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(300, 17)).tests(300);
+    check.quickcheck(holds as fn(Vec<script::Step>) -> bool);
+}
+
+fn check_task(
+    before: Option<&daisy_ledger::Task>,
+    after: &daisy_ledger::Task,
+    resumed: &mut Vec<(u64, Incarnation)>,
+) {
+    let Some(before) = before else { return };
+    if let (TaskState::Out(was), TaskState::Out(is)) = (before.state, after.state) {
+        assert_eq!(was, is, "owner changed in one step");
+    }
+    if let (TaskState::Ended(_), TaskState::Out(_)) = (before.state, after.state) {
+        panic!("an ended task was checked out");
+    }
+    assert!(after.ended >= before.ended, "an ended incarnation came back");
+    if let (TaskState::Out(_), Some(token)) = (after.state, after.checkpoint) {
+        let by = after.next_incarnation();
+        match resumed.iter().find(|(it, _)| *it == token) {
+            Some((_, first)) => assert_eq!(*first, by, "a checkpoint was resumed twice"),
+            None => resumed.push((token, by)),
+        }
+    }
+}
--- a/daisy-ledger/tests/common/mod.rs
+++ b/daisy-ledger/tests/common/mod.rs
@@ -1,5 +1,7 @@
 #![allow(dead_code, missing_docs)]
 
+pub mod script;
+
 use daisy_ledger::{AppendId, Applied, Batch, Outcome, Record, State};
 use daisy_model::{
     Change, Command, Condition, DcId, Ended, Epoch, Exit, Generation, Incarnation, JobId, JobKind,
