--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod headers;
 pub mod log;
 pub mod platform;
+pub mod snapshot;
 pub mod worker;
 
 /// Why a value from the wire is refused.
--- a/daisy-wire/src/log.rs
+++ b/daisy-wire/src/log.rs
@@ -7,13 +7,17 @@
 mod record;
 
 use bincode::config::{self, Config};
-use daisy_ledger::Batch;
+use daisy_ledger::{Applied, Batch, State};
+use daisy_model::Offset;
 
 use crate::WireError;
 
 pub use self::record::BatchWire;
 
-pub(crate) use self::command::ChangeWire;
+pub(crate) use self::{
+    command::{ChangeWire, JobSpecWire, PolicyWire, ResourcesWire, WorkClassWire, name},
+    record::ExitWire,
+};
 
 /// The newest version of entries that this build reads, and the one that it writes.
 pub const VERSION: u16 = 1;
@@ -25,7 +29,7 @@
 
 /// The body's encoding: integers of variable length, and no length above [`MAX_LEN`], so that
 /// a corrupt length allocates no memory.
-pub(crate) fn body_config() -> impl Config {
+fn body_config() -> impl Config {
     config::standard().with_limit::<{ 64 * MAX_LEN }>()
 }
 
@@ -33,16 +37,8 @@
 ///
 /// Fails on a batch that is longer than [`MAX_LEN`].
 pub fn encode(batch: &Batch) -> Result<Vec<u8>, WireError> {
-    let body = bincode::encode_to_vec(BatchWire::from(batch), body_config())
-        .map_err(|e| WireError::Malformed(e.to_string()))?;
-    let mut buf = Vec::with_capacity(HEADER_LEN + body.len());
-    buf.extend_from_slice(&VERSION.to_le_bytes());
-    buf.extend_from_slice(&checksum(VERSION, &body).to_le_bytes());
-    buf.extend_from_slice(&body);
-    if buf.len() > MAX_LEN {
-        return Err(too_long(buf.len()));
-    }
-    Ok(buf)
+    let buf = encode_framed(BatchWire::from(batch))?;
+    if buf.len() > MAX_LEN { Err(too_long(buf.len())) } else { Ok(buf) }
 }
 
 /// The batch that `bytes` hold.
@@ -55,6 +51,33 @@
     if bytes.len() > MAX_LEN {
         return Err(too_long(bytes.len()));
     }
+    decode_framed::<BatchWire>(bytes)?.try_into()
+}
+
+/// Folds the log entry of `bytes` at `offset` into `state`, or passes over it if it is damaged.
+///
+/// Fails only on a newer version, and then leaves the state as it was; see [`decode`].
+pub fn fold(state: &mut State, offset: Offset, bytes: &[u8]) -> Result<Applied, WireError> {
+    match decode(bytes) {
+        Ok(batch) => Ok(state.apply(offset, &batch)),
+        Err(error @ WireError::Version { .. }) => Err(error),
+        Err(_) => Ok(Applied { status: state.skip(offset), outcomes: Vec::new() }),
+    }
+}
+
+/// Encodes `value` under a version and a checksum.
+pub(crate) fn encode_framed<T: bincode::Encode>(value: T) -> Result<Vec<u8>, WireError> {
+    let body = bincode::encode_to_vec(value, body_config())
+        .map_err(|e| WireError::Malformed(e.to_string()))?;
+    let mut buf = Vec::with_capacity(HEADER_LEN + body.len());
+    buf.extend_from_slice(&VERSION.to_le_bytes());
+    buf.extend_from_slice(&checksum(VERSION, &body).to_le_bytes());
+    buf.extend_from_slice(&body);
+    Ok(buf)
+}
+
+/// Decodes what [`encode_framed`] wrote.
+pub(crate) fn decode_framed<T: bincode::Decode<()>>(bytes: &[u8]) -> Result<T, WireError> {
     let Some((header, body)) = bytes.split_at_checked(HEADER_LEN) else {
         return Err(WireError::Malformed(format!("{} bytes are too short", bytes.len())));
     };
@@ -66,12 +89,11 @@
     if version > VERSION {
         return Err(WireError::Version { found: version, known: VERSION });
     }
-    let batch: BatchWire = decode_body(body)?;
-    batch.try_into()
+    decode_body(body)
 }
 
 /// Decodes all of `body`; bytes left over are an error.
-pub(crate) fn decode_body<T: bincode::Decode<()>>(body: &[u8]) -> Result<T, WireError> {
+fn decode_body<T: bincode::Decode<()>>(body: &[u8]) -> Result<T, WireError> {
     let (value, used) = bincode::decode_from_slice(body, body_config())
         .map_err(|e| WireError::Malformed(e.to_string()))?;
     if used != body.len() {
--- a/daisy-wire/src/log/command.rs
+++ b/daisy-wire/src/log/command.rs
@@ -4,8 +4,8 @@
 
 use bincode::{Decode, Encode};
 use daisy_model::{
-    Change, Command, Condition, Generation, JobKind, JobSpec, Name, PolicyChange, Priority,
-    Resources, Tolerance, WallTime, WorkClass,
+    Change, Command, Condition, Generation, JobKind, JobSpec, Name, Objective, Policy,
+    PolicyChange, Priority, Resources, Tolerance, WallTime, WorkClass,
 };
 
 use crate::WireError;
@@ -208,6 +208,45 @@
     }
 }
 
+/// The policy in force.
+#[derive(Debug, Encode, Decode)]
+pub(crate) struct PolicyWire {
+    tail: u32,
+    throughput: u32,
+    evictions: u32,
+    retry_budget: u32,
+    retry_window: Duration,
+    region_bytes: u64,
+    throttle_above: u32,
+}
+
+impl From<&Policy> for PolicyWire {
+    fn from(it: &Policy) -> PolicyWire {
+        PolicyWire {
+            tail: it.objective.tail,
+            throughput: it.objective.throughput,
+            evictions: it.objective.evictions,
+            retry_budget: it.retry_budget,
+            retry_window: it.retry_window,
+            region_bytes: it.region_bytes,
+            throttle_above: it.throttle_above,
+        }
+    }
+}
+
+impl From<PolicyWire> for Policy {
+    fn from(it: PolicyWire) -> Policy {
+        let PolicyWire { tail, throughput, evictions, .. } = it;
+        Policy {
+            objective: Objective { tail, throughput, evictions },
+            retry_budget: it.retry_budget,
+            retry_window: it.retry_window,
+            region_bytes: it.region_bytes,
+            throttle_above: it.throttle_above,
+        }
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 enum CommandWire {
     Create(JobSpecWire),
--- /dev/null
+++ b/daisy-wire/src/snapshot/state.rs
@@ -0,0 +1,388 @@
+//! The state as snapshots hold it; what can be worked out again is left out.
+
+use bincode::{Decode, Encode};
+use daisy_ledger::{
+    AppendId, AuditEntry, Counts, Holding, Intent, Job, Jobs, Owner, State, Task, TaskState, Team,
+    Verdict,
+    snapshot::{Mark, Part, Partial},
+};
+use daisy_model::{
+    Arena, Change, DcId, Epoch, Generation, Incarnation, JobId, JobSpec, Name, Offset, Resources,
+    TeamId, VmId, WorkClass,
+};
+
+use crate::{
+    WireError,
+    log::{ChangeWire, ExitWire, JobSpecWire, PolicyWire, ResourcesWire, WorkClassWire, name},
+};
+
+/// The state, whole.
+#[derive(Debug, Encode, Decode)]
+pub struct StateWire {
+    next: u64,
+    generation: u64,
+    teams: Vec<TeamWire>,
+    next_job: u32,
+    jobs: Vec<JobWire>,
+    finished: Vec<u32>,
+    holders: Vec<HoldingWire>,
+    drained: Vec<String>,
+    paused: Vec<WorkClassWire>,
+    policy_generation: u64,
+    policy: PolicyWire,
+    audit: Vec<AuditWire>,
+    audit_from: u64,
+    senders: Vec<SenderWire>,
+    intents: Vec<IntentWire>,
+    snapshot: Option<MarkWire>,
+    snapshots: Vec<PartialWire>,
+    counts: CountsWire,
+}
+
+/// Name and limit.
+#[derive(Debug, Encode, Decode)]
+struct TeamWire(String, ResourcesWire);
+
+#[derive(Debug, Encode, Decode)]
+struct JobWire {
+    id: u32,
+    spec: JobSpecWire,
+    team: u16,
+    cancelled: bool,
+    tasks: Vec<TaskWire>,
+    generation: u64,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct TaskWire {
+    state: TaskStateWire,
+    incarnation: u32,
+    ended: u32,
+    vm: Option<u32>,
+    checkpoint: Option<u64>,
+    size: ResourcesWire,
+    failures: u8,
+}
+
+#[derive(Debug, Encode, Decode)]
+enum TaskStateWire {
+    Pending,
+    Out { dc: u16, epoch: u64 },
+    Ended(ExitWire),
+}
+
+#[derive(Debug, Encode, Decode)]
+struct HoldingWire {
+    dc: u16,
+    holder: u32,
+    epoch: u64,
+    released: bool,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct AuditWire {
+    offset: u64,
+    change: ChangeWire,
+    verdict: VerdictWire,
+}
+
+#[derive(Debug, Encode, Decode)]
+enum VerdictWire {
+    Accepted(u64),
+    Refused(String),
+}
+
+#[derive(Debug, Encode, Decode)]
+struct SenderWire {
+    sender: u64,
+    seq: u64,
+    offset: u64,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct IntentWire {
+    key: u128,
+    offset: u64,
+    position: u32,
+    entry: u32,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct MarkWire {
+    through: u64,
+    last: u64,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct PartialWire {
+    sender: u64,
+    through: u64,
+    part: u32,
+    parts: u32,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct CountsWire {
+    repeated: u64,
+    stale: u64,
+    ignored: u64,
+    corrupt: u64,
+    refused: u64,
+}
+
+impl From<&State> for StateWire {
+    fn from(it: &State) -> StateWire {
+        let Counts { repeated, stale, ignored, corrupt, refused } = it.counts;
+        StateWire {
+            next: it.next.0,
+            generation: it.generation.0,
+            teams: it.teams.iter().map(|(_, team)| team.into()).collect(),
+            next_job: it.jobs.next_id().0,
+            jobs: it.jobs.iter().map(JobWire::from).collect(),
+            finished: it.jobs.finished().map(|id| id.0).collect(),
+            holders: it.holders.iter().map(|(&dc, &holding)| (dc, holding).into()).collect(),
+            drained: it.drained.iter().map(Name::to_string).collect(),
+            paused: it.paused.iter().map(|&class| class.into()).collect(),
+            policy_generation: it.policy.0.0,
+            policy: (&it.policy.1).into(),
+            audit: it.audit.iter().map(AuditWire::from).collect(),
+            audit_from: it.audit_from.0,
+            senders: it.senders.iter().map(SenderWire::from).collect(),
+            intents: it.intents.iter().map(IntentWire::from).collect(),
+            snapshot: it.snapshot.map(MarkWire::from),
+            snapshots: it.snapshots.iter().map(PartialWire::from).collect(),
+            counts: CountsWire { repeated, stale, ignored, corrupt, refused },
+        }
+    }
+}
+
+impl TryFrom<StateWire> for State {
+    type Error = WireError;
+
+    fn try_from(it: StateWire) -> Result<State, WireError> {
+        let mut teams = teams(it.teams)?;
+        let jobs = it.jobs.into_iter().map(|job| job_from(job, &mut teams));
+        let jobs: Vec<(JobId, Job)> = jobs.collect::<Result<_, _>>()?;
+        let finished = it.finished.into_iter().map(JobId);
+        let CountsWire { repeated, stale, ignored, corrupt, refused } = it.counts;
+        Ok(State {
+            next: Offset(it.next),
+            generation: Generation(it.generation),
+            teams,
+            jobs: Jobs::from_parts(JobId(it.next_job), jobs, finished),
+            holders: it.holders.into_iter().map(<(DcId, Holding)>::from).collect(),
+            drained: names("drained", it.drained)?,
+            paused: it.paused.into_iter().map(WorkClass::from).collect(),
+            policy: (Generation(it.policy_generation), it.policy.into()),
+            audit: it.audit.into_iter().map(AuditEntry::try_from).collect::<Result<_, _>>()?,
+            audit_from: Generation(it.audit_from),
+            senders: it.senders.into_iter().map(<(AppendId, Offset)>::from).collect(),
+            intents: it.intents.into_iter().map(<(u128, Intent)>::from).collect(),
+            snapshot: it.snapshot.map(Mark::from),
+            snapshots: partials(it.snapshots)?.into_iter().collect(),
+            counts: Counts { repeated, stale, ignored, corrupt, refused },
+        })
+    }
+}
+
+fn names(field: &'static str, texts: Vec<String>) -> Result<Vec<Name>, WireError> {
+    texts.iter().map(|text| name(field, text)).collect()
+}
+
+fn teams(wire: Vec<TeamWire>) -> Result<Arena<TeamId, Team>, WireError> {
+    let mut teams = Arena::new();
+    for TeamWire(text, limit) in wire {
+        let name = name("team", &text)?;
+        teams.alloc(Team { name, limit: limit.into(), used: Resources::ZERO });
+    }
+    Ok(teams)
+}
+
+/// Checks a job and counts its checked-out tasks against its team.
+fn job_from(it: JobWire, teams: &mut Arena<TeamId, Team>) -> Result<(JobId, Job), WireError> {
+    let team_id = TeamId(it.team);
+    let no_team = || WireError::Field { field: "team", reason: format!("{team_id} is unknown") };
+    let overflow = || WireError::Field { field: "size", reason: "sum overflows".to_owned() };
+    let team = teams.get_mut(team_id).ok_or_else(no_team)?;
+    let tasks: Vec<Task> = it.tasks.into_iter().map(Task::from).collect();
+    let mut open = 0;
+    for task in &tasks {
+        match task.state {
+            TaskState::Ended(_) => continue,
+            TaskState::Out(_) => {
+                team.used = team.used.try_add(task.size).ok_or_else(overflow)?;
+            }
+            TaskState::Pending => {}
+        }
+        open += 1;
+    }
+    let spec = JobSpec::try_from(it.spec)?;
+    let generation = Generation(it.generation);
+    let job = Job { spec, team: team_id, cancelled: it.cancelled, tasks, open, generation };
+    Ok((JobId(it.id), job))
+}
+
+fn partials(wire: Vec<PartialWire>) -> Result<Vec<Partial<()>>, WireError> {
+    wire.into_iter().map(Partial::try_from).collect()
+}
+
+impl From<&Team> for TeamWire {
+    fn from(it: &Team) -> TeamWire {
+        TeamWire(it.name.to_string(), it.limit.into())
+    }
+}
+
+impl From<(JobId, &Job)> for JobWire {
+    fn from((id, it): (JobId, &Job)) -> JobWire {
+        JobWire {
+            id: id.0,
+            spec: (&it.spec).into(),
+            team: it.team.0,
+            cancelled: it.cancelled,
+            tasks: it.tasks.iter().map(TaskWire::from).collect(),
+            generation: it.generation.0,
+        }
+    }
+}
+
+impl From<&Task> for TaskWire {
+    fn from(it: &Task) -> TaskWire {
+        TaskWire {
+            state: match it.state {
+                TaskState::Pending => TaskStateWire::Pending,
+                TaskState::Out(Owner { dc, epoch }) => {
+                    TaskStateWire::Out { dc: dc.0, epoch: epoch.0 }
+                }
+                TaskState::Ended(exit) => TaskStateWire::Ended(exit.into()),
+            },
+            incarnation: it.incarnation.0,
+            ended: it.ended.0,
+            vm: it.vm.map(|vm| vm.0),
+            checkpoint: it.checkpoint,
+            size: it.size.into(),
+            failures: it.failures,
+        }
+    }
+}
+
+impl From<TaskWire> for Task {
+    fn from(it: TaskWire) -> Task {
+        Task {
+            state: match it.state {
+                TaskStateWire::Pending => TaskState::Pending,
+                TaskStateWire::Out { dc, epoch } => {
+                    TaskState::Out(Owner { dc: DcId(dc), epoch: Epoch(epoch) })
+                }
+                TaskStateWire::Ended(exit) => TaskState::Ended(exit.into()),
+            },
+            incarnation: Incarnation(it.incarnation),
+            ended: Incarnation(it.ended),
+            vm: it.vm.map(VmId),
+            checkpoint: it.checkpoint,
+            size: it.size.into(),
+            failures: it.failures,
+        }
+    }
+}
+
+impl From<(DcId, Holding)> for HoldingWire {
+    fn from((dc, it): (DcId, Holding)) -> HoldingWire {
+        let Holding { holder, epoch, released } = it;
+        HoldingWire { dc: dc.0, holder: holder.0, epoch: epoch.0, released }
+    }
+}
+
+impl From<HoldingWire> for (DcId, Holding) {
+    fn from(it: HoldingWire) -> (DcId, Holding) {
+        let HoldingWire { dc, holder, epoch, released } = it;
+        (DcId(dc), Holding { holder: VmId(holder), epoch: Epoch(epoch), released })
+    }
+}
+
+impl From<&AuditEntry> for AuditWire {
+    fn from(it: &AuditEntry) -> AuditWire {
+        AuditWire {
+            offset: it.offset.0,
+            change: (&it.change).into(),
+            verdict: match &it.verdict {
+                Verdict::Accepted(generation) => VerdictWire::Accepted(generation.0),
+                Verdict::Refused(cause) => VerdictWire::Refused(cause.to_string()),
+            },
+        }
+    }
+}
+
+impl TryFrom<AuditWire> for AuditEntry {
+    type Error = WireError;
+
+    fn try_from(it: AuditWire) -> Result<AuditEntry, WireError> {
+        Ok(AuditEntry {
+            offset: Offset(it.offset),
+            change: Change::try_from(it.change)?,
+            verdict: match it.verdict {
+                VerdictWire::Accepted(generation) => Verdict::Accepted(Generation(generation)),
+                VerdictWire::Refused(cause) => Verdict::Refused(cause.into()),
+            },
+        })
+    }
+}
+
+impl From<(AppendId, Offset)> for SenderWire {
+    fn from((id, offset): (AppendId, Offset)) -> SenderWire {
+        SenderWire { sender: id.sender, seq: id.seq, offset: offset.0 }
+    }
+}
+
+impl From<SenderWire> for (AppendId, Offset) {
+    fn from(it: SenderWire) -> (AppendId, Offset) {
+        (AppendId { sender: it.sender, seq: it.seq }, Offset(it.offset))
+    }
+}
+
+impl From<(u128, Intent)> for IntentWire {
+    fn from((key, it): (u128, Intent)) -> IntentWire {
+        let Intent { offset, position, entry } = it;
+        IntentWire { key, offset: offset.0, position, entry: entry.0 }
+    }
+}
+
+impl From<IntentWire> for (u128, Intent) {
+    fn from(it: IntentWire) -> (u128, Intent) {
+        let IntentWire { key, offset, position, entry } = it;
+        (key, Intent { offset: Offset(offset), position, entry: VmId(entry) })
+    }
+}
+
+impl From<Mark> for MarkWire {
+    fn from(it: Mark) -> MarkWire {
+        MarkWire { through: it.through.0, last: it.last.0 }
+    }
+}
+
+impl From<MarkWire> for Mark {
+    fn from(it: MarkWire) -> Mark {
+        Mark { through: Offset(it.through), last: Offset(it.last) }
+    }
+}
+
+impl From<&Partial<()>> for PartialWire {
+    fn from(it: &Partial<()>) -> PartialWire {
+        let Part { sender, through, part, parts } = it.seen;
+        PartialWire { sender, through: through.0, part, parts }
+    }
+}
+
+impl TryFrom<PartialWire> for Partial<()> {
+    type Error = WireError;
+
+    fn try_from(it: PartialWire) -> Result<Partial<()>, WireError> {
+        let PartialWire { sender, through, part, parts } = it;
+        if part >= parts {
+            let reason = format!("{part} of {parts}");
+            return Err(WireError::Field { field: "part", reason });
+        }
+        let seen = Part { sender, through: Offset(through), part, parts };
+        // One unit for each part seen: takes no memory.
+        Ok(Partial { seen, items: vec![(); part as usize + 1] })
+    }
+}
