placement: Hold a data centre: poll, check out, place, record

The holder of a data centre has to decide where work runs from events alone, so that it can be driven by any loop and by tests. It first calls every worker with nothing but its epoch and reads what runs there, then checks pending tasks out, starts them on a worker that has answered, records placements in bulk, and acknowledges an exit report only after the ledger shows it.

Ways weighed for a start whose answer was lost: start it elsewhere under a new incarnation (runs twice if the first took effect), wait for a timeout (the same, later), or keep its room and say the same order again to the same worker. The last is the only one that rests on nothing but "an incarnation is started once". Work that is not restartable is recorded before it starts: else a new holder could not tell a task that never started from one that ran on a VM which is gone, and would have to report the whole reserve as unknown.

Free room is kept in a tree with the part-wise most of each subtree, so that a search skips what is full; a sorted list by processors was ruled out because it says nothing of memory and accelerators.

--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -1,22 +1,21 @@
-//! The decisions of a data centre's holder.
+//! The decisions of a data centre's holder: what it learns and what it wants done.
 
-use std::time::Duration;
+use std::cmp::Reverse;
 
 use daisy_ledger::{Record, State};
-use daisy_model::{DcId, Epoch, Instant, Vm, VmId, WorkerCall, WorkerReport};
+use daisy_model::{
+    Epoch, Instant, JobId, Name, SortedMap, TaskId, Vm, VmId, WorkClass, WorkerCall, WorkerReport,
+};
 
-/// How a holder works.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// The data centre held.
-    pub dc: DcId,
-    /// The fencing token of this holding.
-    pub epoch: Epoch,
-    /// How long a worker's tasks go on without a call.
-    pub lease: Duration,
-    /// Seeds every random choice.
-    pub seed: u64,
-}
+use crate::{
+    job::JobView,
+    options::Options,
+    place::Turn,
+    records::Outbox,
+    roster::Roster,
+    task::{Local, Phase},
+    worker::{Worker, WorkerKey},
+};
 
 /// What a holder learns.
 #[derive(Debug)]
@@ -25,30 +24,39 @@
     Ledger(&'a State),
     /// The platform's VM list, whole.
     Vms(&'a [Vm]),
-    /// A worker answered a call.
+    /// A worker answered the outstanding call.
+    ///
+    /// An answer that comes after `Silent` was said of its call must not be passed on.
     Report {
         /// The worker.
         vm: VmId,
         /// Its answer.
         report: &'a WorkerReport,
     },
-    /// A call got no answer.
+    /// The outstanding call got no answer.
     Silent {
         /// The worker.
         vm: VmId,
         /// Whether the call may have reached it.
         sent: bool,
     },
-    /// Time has passed.
+    /// Whether the log takes appends; taken to be so until said otherwise.
+    Log {
+        /// Whether the last append was answered.
+        reachable: bool,
+    },
+    /// Time has passed; at least every 100 ms.
     Tick,
 }
 
 /// What a holder wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Append a record to the log.
+    /// Append a record to the log, again under the same append id until it is taken.
     Append(Record),
     /// Call a worker; at most one call a worker is outstanding.
+    ///
+    /// Each call is followed by exactly one `Report` or `Silent` of that worker.
     Call {
         /// The worker.
         vm: VmId,
@@ -58,15 +66,55 @@
 }
 
 /// The holder of one data centre's workers.
+///
+/// It acts once it has seen a [`State`] and a VM list, and never again after a worker or
+/// the ledger has shown a higher epoch.
 #[derive(Debug)]
 pub struct Holder {
-    options: Options,
+    pub(crate) options: Options,
+    pub(crate) superseded: bool,
+    pub(crate) log_reachable: bool,
+    pub(crate) ledger_seen: bool,
+    pub(crate) started: Option<Instant>,
+    pub(crate) roster: Roster,
+    /// Jobs with tasks that have not ended.
+    pub(crate) jobs: SortedMap<JobId, JobView>,
+    /// Jobs below this number have been taken in.
+    pub(crate) next_job: JobId,
+    pub(crate) paused: Vec<WorkClass>,
+    pub(crate) drained: Vec<Name>,
+    pub(crate) outbox: Outbox,
+    /// Whether room or work has changed since the last placement.
+    pub(crate) place_due: bool,
+    /// Jobs with waiting tasks, in the order of their turns.
+    pub(crate) line: Vec<Turn>,
+    /// Tasks of earlier epochs whose whereabouts are not known.
+    pub(crate) inherited: Vec<TaskId>,
+    /// Whether something was learnt about them.
+    pub(crate) inherit_due: bool,
 }
 
 impl Holder {
     /// A holder that knows nothing yet.
     pub fn new(options: Options) -> Holder {
-        Holder { options }
+        let roster = Roster::new(options.seed);
+        Holder {
+            options,
+            superseded: false,
+            log_reachable: true,
+            ledger_seen: false,
+            started: None,
+            roster,
+            jobs: SortedMap::new(),
+            next_job: JobId(0),
+            paused: Vec::new(),
+            drained: Vec::new(),
+            outbox: Outbox::default(),
+            place_due: false,
+            line: Vec::new(),
+            inherited: Vec::new(),
+            inherit_due: false,
+        }
     }
 
     /// The fencing token of this holding.
@@ -74,8 +122,74 @@
         self.options.epoch
     }
 
+    /// Whether a higher epoch has been seen; the holder then does nothing more.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
     /// Takes `event` in at `now` and pushes what is to be done.
     pub fn step(&mut self, now: Instant, event: Event<'_>, actions: &mut Vec<Action>) {
-        let _ = (now, event, actions);
+        if self.superseded {
+            return;
+        }
+        self.started.get_or_insert(now);
+        match event {
+            Event::Ledger(state) => self.take_ledger(now, state),
+            Event::Vms(vms) => self.take_vms(now, vms),
+            Event::Report { vm, report } => self.take_report(now, vm, report),
+            Event::Silent { vm, sent } => self.take_silence(now, vm, sent),
+            Event::Log { reachable } => self.log_reachable = reachable,
+            Event::Tick => self.take_tick(now),
+        }
+        if self.superseded || !self.is_ready() {
+            return;
+        }
+        self.resolve_inherited(now);
+        self.place(now);
+        self.append(now, actions);
+        self.call(now, actions);
+    }
+
+    /// Nothing is decided on half of the facts: a report could not be matched to its tasks.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ledger_seen && self.roster.list_seen()
+    }
+
+    fn take_tick(&mut self, now: Instant) {
+        self.settle_gone(now);
+        self.roster.touch_all();
+        self.want(now);
+        self.place_due = true;
+    }
+
+    pub(crate) fn local(&self, task: TaskId) -> Option<&Local> {
+        self.jobs.get(&task.job)?.tasks.get(task.index as usize)
+    }
+
+    pub(crate) fn local_mut(&mut self, task: TaskId) -> Option<&mut Local> {
+        self.jobs.get_mut(&task.job)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Whether a task is of a cancelled job, or of those that a change took away.
+    pub(crate) fn is_unwanted(&self, task: TaskId) -> bool {
+        self.jobs.get(&task.job).is_none_or(|job| job.cancelled || task.index >= job.spec.tasks)
+    }
+
+    pub(crate) fn worker_mut(&mut self, key: WorkerKey) -> Option<&mut Worker> {
+        self.roster.get_mut(key)
+    }
+
+    /// Puts a checked-out task that runs nowhere back in line.
+    pub(crate) fn wait(&mut self, now: Instant, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(local) = job.tasks.get_mut(task.index as usize) else { return };
+        local.phase = Phase::Waiting { since: now };
+        local.placed_at = None;
+        job.waiting.push_back(task.index);
+        let turn = (Reverse(job.spec.priority), task.job);
+        if let Err(at) = self.line.binary_search(&turn) {
+            self.line.insert(at, turn);
+        }
+        self.place_due = true;
     }
 }
--- /dev/null
+++ b/daisy-placement/src/index.rs
@@ -0,0 +1,88 @@
+//! Free room of all workers, searched without looking at each.
+
+use daisy_model::Resources;
+
+/// A binary tree over worker slots; each node holds the part-wise most of its leaves.
+///
+/// A change costs one walk to the root; a search skips every subtree in which some part
+/// of the room is too small everywhere, so that a start costs about `log(workers)` for
+/// each candidate.
+#[derive(Debug, Default)]
+pub(crate) struct FreeIndex {
+    /// Node 1 is the root, node `n` has children `2n` and `2n + 1`; leaves start at `width`.
+    nodes: Vec<Resources>,
+    width: usize,
+}
+
+impl FreeIndex {
+    /// Sets the room of a slot; no room takes it out of every search for more than nothing.
+    pub(crate) fn set(&mut self, slot: usize, free: Resources) {
+        if slot >= self.width {
+            self.grow(slot + 1);
+        }
+        let mut node = self.width + slot;
+        if self.nodes[node] == free {
+            return;
+        }
+        self.nodes[node] = free;
+        while node > 1 {
+            node /= 2;
+            self.nodes[node] = most(self.nodes[2 * node], self.nodes[2 * node + 1]);
+        }
+    }
+
+    /// Pushes up to `limit` slots with room for `size`, searching on from slot `start`.
+    pub(crate) fn find(&self, size: Resources, start: usize, limit: usize, found: &mut Vec<usize>) {
+        if self.width == 0 {
+            return;
+        }
+        let start = start % self.width;
+        self.visit(1, 0, self.width, (start, self.width), size, limit, found);
+        self.visit(1, 0, self.width, (0, start), size, limit, found);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn visit(
+        &self,
+        node: usize,
+        first: usize,
+        span: usize,
+        range: (usize, usize),
+        size: Resources,
+        limit: usize,
+        found: &mut Vec<usize>,
+    ) {
+        let outside = first >= range.1 || first + span <= range.0;
+        if outside || found.len() >= limit || !size.fits(self.nodes[node]) {
+            return;
+        }
+        if span == 1 {
+            found.push(first);
+            return;
+        }
+        let half = span / 2;
+        self.visit(2 * node, first, half, range, size, limit, found);
+        self.visit(2 * node + 1, first + half, half, range, size, limit, found);
+    }
+
+    fn grow(&mut self, slots: usize) {
+        let width = slots.next_power_of_two();
+        let mut nodes = vec![Resources::ZERO; 2 * width];
+        if self.width > 0 {
+            nodes[width..width + self.width].copy_from_slice(&self.nodes[self.width..]);
+        }
+        for node in (1..width).rev() {
+            nodes[node] = most(nodes[2 * node], nodes[2 * node + 1]);
+        }
+        self.nodes = nodes;
+        self.width = width;
+    }
+}
+
+fn most(a: Resources, b: Resources) -> Resources {
+    Resources {
+        cpu_milli: a.cpu_milli.max(b.cpu_milli),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
--- /dev/null
+++ b/daisy-placement/src/intake.rs
@@ -0,0 +1,243 @@
+//! What the fold of the log changes for the holder.
+
+use daisy_ledger::{Job, State, Task, TaskState};
+use daisy_model::{Exit, Incarnation, Instant, JobId, Order, TaskId};
+
+use crate::{
+    holder::Holder,
+    job::JobView,
+    task::{Local, Phase},
+    worker::{Hold, WorkerKey},
+};
+
+impl Holder {
+    /// Takes a newer fold in.
+    pub(crate) fn take_ledger(&mut self, now: Instant, state: &State) {
+        let Some(holding) = state.holders.get(&self.options.dc) else { return };
+        if holding.epoch > self.options.epoch || holding.released {
+            self.superseded = true;
+            return;
+        }
+        // A fold that has not reached our claim may lack what the holder before us recorded.
+        if holding.epoch < self.options.epoch {
+            return;
+        }
+        self.ledger_seen = true;
+        self.paused.clone_from(&state.paused);
+        self.apply_drains(&state.drained);
+        self.take_new_jobs(state);
+        let ids: Vec<JobId> = self.jobs.iter().map(|(id, _)| *id).collect();
+        for id in ids {
+            match state.jobs.get(id) {
+                Some(job) => self.take_job(now, id, job),
+                None => drop(self.jobs.remove(&id)),
+            }
+        }
+        self.want(now);
+    }
+
+    fn take_new_jobs(&mut self, state: &State) {
+        let known = self.next_job;
+        for (id, job) in state.jobs.iter().rev().take_while(|(id, _)| *id >= known) {
+            if job.open > 0 {
+                self.jobs.insert(id, JobView::new(id, job, &self.options));
+            }
+        }
+        self.next_job = state.jobs.next_id();
+    }
+
+    fn take_job(&mut self, now: Instant, id: JobId, job: &Job) {
+        let Some(view) = self.jobs.get_mut(&id) else { return };
+        if view.spec != job.spec {
+            view.change(&job.spec, &self.options);
+        }
+        view.cancelled = job.cancelled;
+        view.pending.clear();
+        for task in &job.tasks[view.tasks.len().min(job.tasks.len())..] {
+            view.tasks.push(Local::new(*task));
+        }
+        let mut is_over = true;
+        for (index, task) in job.tasks.iter().enumerate() {
+            let task_id = TaskId { job: id, index: index as u32 };
+            self.take_task(now, task_id, task);
+            is_over &= matches!(task.state, TaskState::Ended(_)) && self.is_elsewhere(task_id);
+        }
+        if is_over {
+            self.jobs.remove(&id);
+            self.line.retain(|(_, job)| *job != id);
+        }
+    }
+
+    fn is_elsewhere(&self, task: TaskId) -> bool {
+        self.local(task).is_none_or(|local| local.phase == Phase::Elsewhere)
+    }
+
+    fn take_task(&mut self, now: Instant, id: TaskId, task: &Task) {
+        let Some(view) = self.jobs.get_mut(&id.job) else { return };
+        let Some(local) = view.tasks.get_mut(id.index as usize) else { return };
+        let is_idle = local.phase == Phase::Elsewhere && matches!(task.state, TaskState::Ended(_));
+        local.ledger = *task;
+        if is_idle {
+            return;
+        }
+        match task.state {
+            TaskState::Pending => self.take_pending(now, id),
+            TaskState::Out(owner) if owner.dc == self.options.dc => {
+                let is_own = owner.epoch == self.options.epoch;
+                self.take_out(now, id, is_own);
+            }
+            TaskState::Out(_) | TaskState::Ended(_) => self.take_elsewhere(id),
+        }
+    }
+
+    /// Nobody has the task: it may be asked for.
+    fn take_pending(&mut self, now: Instant, id: TaskId) {
+        let Some(local) = self.local(id) else { return };
+        match local.phase {
+            Phase::Pending { .. } | Phase::Asked { .. } => {}
+            Phase::Ended { worker, .. } if local.is_end_recorded(local.incarnation) => {
+                let incarnation = local.incarnation;
+                self.acknowledge(worker, id, incarnation);
+                self.set_phase(id, Phase::Pending { since: now });
+            }
+            Phase::Elsewhere | Phase::Inherited { .. } => {
+                self.set_phase(id, Phase::Pending { since: now });
+            }
+            Phase::Waiting { .. } => {
+                self.leave_line(id);
+                self.set_phase(id, Phase::Pending { since: now });
+            }
+            Phase::Ended { .. } => self.record_end(now, id),
+            Phase::Starting { worker } | Phase::Running { worker } => self.stop(worker, id),
+        }
+        let Some(view) = self.jobs.get_mut(&id.job) else { return };
+        if matches!(
+            view.tasks[id.index as usize].phase,
+            Phase::Pending { .. } | Phase::Asked { .. }
+        ) {
+            view.pending.push(id.index);
+        }
+    }
+
+    /// The task is checked out to this data centre, by this epoch or an earlier one.
+    fn take_out(&mut self, now: Instant, id: TaskId, is_own: bool) {
+        let Some(local) = self.local(id) else { return };
+        let is_cancelled = self.is_unwanted(id);
+        match local.phase {
+            Phase::Elsewhere | Phase::Pending { .. } | Phase::Asked { .. } => {
+                let incarnation = local.ledger.incarnation;
+                if let Some(local) = self.local_mut(id) {
+                    local.incarnation = incarnation;
+                }
+                if is_own {
+                    self.wait(now, id);
+                } else {
+                    self.inherit(now, id);
+                }
+            }
+            Phase::Ended { worker, .. } if local.is_end_recorded(local.incarnation) => {
+                let incarnation = local.incarnation;
+                self.acknowledge(worker, id, incarnation);
+                self.wait(now, id);
+            }
+            Phase::Ended { .. } => self.record_end(now, id),
+            Phase::Running { worker } => {
+                self.record_place(now, id);
+                if is_cancelled {
+                    self.stop(worker, id);
+                }
+            }
+            Phase::Starting { worker } if is_cancelled => self.cancel_start(now, worker, id),
+            Phase::Starting { worker } => self.start_recorded(worker, id),
+            Phase::Waiting { .. } if is_cancelled => self.end_unstarted(now, id),
+            Phase::Waiting { .. } | Phase::Inherited { .. } => {}
+        }
+    }
+
+    /// The task is not ours, or will not run again.
+    fn take_elsewhere(&mut self, id: TaskId) {
+        let Some(local) = self.local(id) else { return };
+        match local.phase {
+            Phase::Starting { worker } | Phase::Running { worker } => self.stop(worker, id),
+            Phase::Ended { worker, .. } => {
+                let incarnation = local.incarnation;
+                self.acknowledge(worker, id, incarnation);
+                self.set_phase(id, Phase::Elsewhere);
+            }
+            Phase::Waiting { .. } => {
+                self.leave_line(id);
+                self.set_phase(id, Phase::Elsewhere);
+            }
+            _ => self.set_phase(id, Phase::Elsewhere),
+        }
+    }
+
+    pub(crate) fn set_phase(&mut self, id: TaskId, phase: Phase) {
+        if let Some(local) = self.local_mut(id) {
+            local.phase = phase;
+        }
+    }
+
+    fn leave_line(&mut self, id: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.waiting.retain(|index| *index != id.index);
+        }
+    }
+
+    /// Lets the worker forget an exit report whose end the ledger shows.
+    pub(crate) fn acknowledge(
+        &mut self,
+        worker: Option<WorkerKey>,
+        task: TaskId,
+        incarnation: Incarnation,
+    ) {
+        let Some(worker) = worker.and_then(|key| self.worker_mut(key)) else { return };
+        let order = Order::Acknowledge { task, incarnation };
+        if !worker.orders.contains(&order) {
+            worker.orders.push(order);
+        }
+    }
+
+    /// Orders a task to be stopped where it is.
+    pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId) {
+        let Some(worker) = self.worker_mut(key) else { return };
+        let Some(held) = worker.held.get_mut(&task) else { return };
+        if held.ending {
+            return;
+        }
+        held.ending = true;
+        let incarnation = held.incarnation;
+        worker.orders.push(Order::Stop { task, incarnation });
+        self.roster.touch(key);
+    }
+
+    /// Stops a start that is on its way; one that was never sent is taken back.
+    fn cancel_start(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
+        let Some(worker) = self.worker_mut(key) else { return };
+        let is_unsent = worker
+            .held
+            .get(&task)
+            .is_none_or(|held| matches!(held.hold, Hold::Queued | Hold::Reserved));
+        if !is_unsent {
+            self.stop(key, task);
+            return;
+        }
+        worker.let_go(task);
+        worker.orders.retain(|order| !is_start_of(order, task));
+        self.roster.reindex(key);
+        self.end_unstarted(now, task);
+    }
+
+    /// Records the end of a cancelled task that we have and that runs nowhere.
+    pub(crate) fn end_unstarted(&mut self, now: Instant, task: TaskId) {
+        self.leave_line(task);
+        let Some(local) = self.local_mut(task) else { return };
+        local.incarnation = local.next_incarnation();
+        local.phase = Phase::Ended { worker: None, exit: Exit::Stopped, asked: None };
+        self.record_end(now, task);
+    }
+}
+
+pub(crate) fn is_start_of(order: &Order, task: TaskId) -> bool {
+    matches!(order, Order::Start { task: it, .. } if *it == task)
+}
--- /dev/null
+++ b/daisy-placement/src/job.rs
@@ -0,0 +1,84 @@
+//! What a holder knows of one job.
+
+use std::collections::VecDeque;
+
+use daisy_ledger::Job;
+use daisy_model::{DcId, JobId, JobKind, JobSpec, Name, Priority, Resources};
+
+use crate::{options::Options, task::Local};
+
+/// A job and its tasks, as the holder sees them.
+#[derive(Debug)]
+pub(crate) struct JobView {
+    pub id: JobId,
+    pub spec: JobSpec,
+    pub cancelled: bool,
+    pub tasks: Vec<Local>,
+    /// Checked out and runs nowhere, in the order of their turn.
+    pub waiting: VecDeque<u32>,
+    /// Seen pending in the last fold.
+    pub pending: Vec<u32>,
+    /// Allowed data centres by preference.
+    preferred: Vec<DcId>,
+}
+
+impl JobView {
+    pub(crate) fn new(id: JobId, job: &Job, options: &Options) -> JobView {
+        JobView {
+            id,
+            spec: job.spec.clone(),
+            cancelled: job.cancelled,
+            tasks: job.tasks.iter().map(|task| Local::new(*task)).collect(),
+            waiting: VecDeque::new(),
+            pending: Vec::new(),
+            preferred: preferred(&job.spec.data_centres, options),
+        }
+    }
+
+    /// Takes an operator's change in.
+    pub(crate) fn change(&mut self, spec: &JobSpec, options: &Options) {
+        self.spec = spec.clone();
+        self.preferred = preferred(&spec.data_centres, options);
+    }
+
+    pub(crate) fn size(&self) -> Resources {
+        self.spec.size
+    }
+
+    pub(crate) fn is_service(&self) -> bool {
+        self.spec.kind == JobKind::Service
+    }
+
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.spec.priority >= Priority::Urgent
+    }
+
+    /// How many data centres go before `dc` for a task, or `None` if `dc` may not run it.
+    ///
+    /// A service's replicas take their data centres in turn, so that one lost data centre
+    /// takes only its share of them; so does batch work without a declared preference.
+    pub(crate) fn try_rank(&self, index: u32, dc: DcId) -> Option<u32> {
+        let count = self.preferred.len();
+        if count == 0 {
+            return Some(0);
+        }
+        let position = self.preferred.iter().position(|it| *it == dc)?;
+        let in_turn = self.is_service() || self.spec.data_centres.is_empty();
+        let first = if in_turn { (index as usize + self.offset()) % count } else { 0 };
+        Some(((position + count - first) % count) as u32)
+    }
+
+    /// Shifts the turn by job, so that one-task jobs do not all start in one data centre.
+    fn offset(&self) -> usize {
+        if self.spec.data_centres.is_empty() { self.id.0 as usize } else { 0 }
+    }
+}
+
+fn preferred(names: &[Name], options: &Options) -> Vec<DcId> {
+    let all = &options.data_centres;
+    if names.is_empty() {
+        return (0..all.len()).map(|at| DcId(at as u16)).collect();
+    }
+    let position = |name: &Name| all.iter().position(|dc| dc.name == *name);
+    names.iter().filter_map(position).map(|at| DcId(at as u16)).collect()
+}
--- a/daisy-placement/src/lib.rs
+++ b/daisy-placement/src/lib.rs
@@ -5,6 +5,26 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod calls;
 mod holder;
+mod index;
+mod inherit;
+mod intake;
+mod job;
+mod options;
+mod place;
+mod reason;
+mod records;
+mod reports;
+mod roster;
+mod task;
+mod view;
+mod want;
+mod worker;
 
-pub use crate::holder::{Action, Event, Holder, Options};
+pub use crate::{
+    holder::{Action, Event, Holder},
+    options::{DataCentre, Limits, Options},
+    reason::{Label, Miss, Noted, Reason, Wait},
+    view::{Replica, TaskStatus, TaskView, WorkerStatus, WorkerView},
+};
--- /dev/null
+++ b/daisy-placement/src/reason.rs
@@ -0,0 +1,316 @@
+//! Why a task or a VM is where it is, in words.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use daisy_model::{Exit, Instant, OrderResult, Resources, TaskId};
+
+/// The name of a VM, shared by all notes about it.
+pub type Label = Arc<str>;
+
+/// The worker that came closest to holding a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Miss {
+    /// The worker.
+    pub vm: Label,
+    /// What it lacked.
+    pub short: Resources,
+}
+
+impl fmt::Display for Miss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "nearest miss: {} short of {}", self.vm, Amount(self.short))
+    }
+}
+
+/// Resources with the parts that are zero left out.
+#[derive(Debug)]
+struct Amount(Resources);
+
+impl fmt::Display for Amount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources { cpu_milli, memory_mib, accelerators } = self.0;
+        let plural = if accelerators == 1 { "accelerator" } else { "accelerators" };
+        let parts = [
+            (cpu_milli > 0, format!("{cpu_milli}m of processor")),
+            (memory_mib > 0, format!("{memory_mib}Mi of memory")),
+            (accelerators > 0, format!("{accelerators} {plural}")),
+        ];
+        let parts: Vec<String> =
+            parts.into_iter().filter_map(|(is_there, text)| is_there.then_some(text)).collect();
+        f.write_str(if parts.is_empty() { "nothing" } else { "" })?;
+        f.write_str(&parts.join(" and "))
+    }
+}
+
+/// Why a task does not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wait {
+    /// No worker has room now.
+    NoRoom {
+        /// What the task takes.
+        size: Resources,
+        /// The nearest miss, if there is any worker.
+        miss: Option<Miss>,
+    },
+    /// No worker could hold it even if it were empty.
+    NeverFits {
+        /// What the task takes.
+        size: Resources,
+        /// The nearest miss, if there is any worker.
+        miss: Option<Miss>,
+    },
+    /// The team's quota is used up.
+    Quota,
+    /// An operator paused the class.
+    Paused,
+    /// Its start must be recorded first, and the log takes no appends.
+    LogDown,
+    /// An earlier holder may have started it on a worker that has not answered.
+    Blocked {
+        /// The worker, or `None` if it may be any that has not answered.
+        vm: Option<Label>,
+    },
+    /// Its starts failed one after another.
+    Backoff {
+        /// How long until the next try.
+        wait: Duration,
+    },
+    /// Data centres that it prefers have their turn first.
+    Turn,
+}
+
+impl fmt::Display for Wait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Wait::NoRoom { size, miss } => {
+                write!(f, "no worker with {} free", Amount(*size))?;
+                write_miss(f, miss)
+            }
+            Wait::NeverFits { size, miss } => {
+                write!(f, "no worker here can ever hold {}", Amount(*size))?;
+                write_miss(f, miss)
+            }
+            Wait::Quota => f.write_str("its team's quota is used up"),
+            Wait::Paused => f.write_str("operators paused its class of work"),
+            Wait::LogDown => {
+                f.write_str("its start must be recorded first and the log takes no appends")
+            }
+            Wait::Blocked { vm: Some(vm) } => {
+                write!(f, "it may run on {vm}, which has not answered this holder")
+            }
+            Wait::Blocked { vm: None } => f.write_str(
+                "an earlier holder may have started it on a worker that is not accounted for",
+            ),
+            Wait::Backoff { wait } => {
+                write!(f, "its starts failed; next try in {} ms", wait.as_millis())
+            }
+            Wait::Turn => f.write_str("a data centre that it prefers goes first"),
+        }
+    }
+}
+
+fn write_miss(f: &mut fmt::Formatter<'_>, miss: &Option<Miss>) -> fmt::Result {
+    match miss {
+        Some(miss) => write!(f, "; {miss}"),
+        None => f.write_str("; there is no open worker"),
+    }
+}
+
+/// One decision or finding about a task or VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reason {
+    /// The task does not run yet.
+    Waits(Wait),
+    /// This data centre has the task.
+    CheckedOut,
+    /// The task was given back, so that another data centre may have it.
+    Returned,
+    /// The task goes to a worker.
+    Placed {
+        /// The worker.
+        vm: Label,
+        /// How many workers with room were weighed.
+        weighed: usize,
+    },
+    /// The answer to a start was lost: the task may or may not run.
+    StartLost {
+        /// The worker.
+        vm: Label,
+    },
+    /// A start took no effect.
+    StartRefused {
+        /// The worker.
+        vm: Label,
+        /// What it said.
+        result: OrderResult,
+    },
+    /// A worker reported that the task runs.
+    Runs {
+        /// The worker.
+        vm: Label,
+    },
+    /// The task ended.
+    Ended {
+        /// How.
+        exit: Exit,
+    },
+    /// The task is stopped because its job no longer wants it, or another copy is recorded.
+    Stopped {
+        /// The worker.
+        vm: Label,
+    },
+    /// The task is checkpointed to make room.
+    Evicted {
+        /// The worker.
+        vm: Label,
+        /// The task that gets the room.
+        winner: TaskId,
+    },
+    /// The task is checkpointed because it slows services down.
+    Disturbs {
+        /// The worker.
+        vm: Label,
+        /// The slowdown of the worst service there, in thousandths.
+        slowdown: u32,
+    },
+    /// The task leaves a VM that is leaving or drained.
+    Moves {
+        /// The worker.
+        vm: Label,
+    },
+    /// The share of batch work on a worker changed.
+    Throttled {
+        /// The share in thousandths.
+        share: u32,
+        /// The slowdown of the worst service there, in thousandths.
+        slowdown: u32,
+    },
+    /// The worker answered under this epoch.
+    Answered {
+        /// How many tasks it runs.
+        running: usize,
+    },
+    /// The worker did not answer.
+    Silent,
+    /// Nothing new goes to the worker.
+    Closed,
+    /// The worker takes work again.
+    Opened,
+    /// The VM list does not have the VM any more.
+    Gone,
+    /// The worker failed what it started and gets nothing for a while.
+    PutAside {
+        /// Failures in a row.
+        failures: u32,
+        /// For how long.
+        wait: Duration,
+    },
+    /// The worker gets one task to see whether it works again.
+    Probed,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Waits(wait) => write!(f, "waits: {wait}"),
+            Reason::CheckedOut => f.write_str("checked out by this data centre"),
+            Reason::Returned => f.write_str("given back: no room here for a while"),
+            Reason::Placed { vm, weighed } => {
+                write!(f, "placed on {vm}, the best of {weighed} workers with room")
+            }
+            Reason::StartLost { vm } => {
+                write!(f, "start sent to {vm}, answer lost: kept there until it answers")
+            }
+            Reason::StartRefused { vm, result } => {
+                let what = match result {
+                    OrderResult::NoRoom => "had no room",
+                    _ => "could not start it",
+                };
+                write!(f, "{vm} {what}")
+            }
+            Reason::Runs { vm } => write!(f, "runs on {vm}"),
+            Reason::Ended { exit } => write!(f, "ended: {}", ExitWords(*exit)),
+            Reason::Stopped { vm } => write!(f, "ordered to stop on {vm}"),
+            Reason::Evicted { vm, winner } => {
+                write!(f, "checkpointed on {vm} to make room for task {winner}")
+            }
+            Reason::Disturbs { vm, slowdown } => {
+                write!(f, "checkpointed on {vm}: services there are slowed to {}", Times(*slowdown))
+            }
+            Reason::Moves { vm } => write!(f, "leaves {vm}, which takes no more work"),
+            Reason::Throttled { share, slowdown } => {
+                let slow = Times(*slowdown);
+                write!(f, "batch work limited to {share}/1000 of its processors, services {slow}")
+            }
+            Reason::Answered { running } => write!(f, "answered, runs {running} tasks"),
+            Reason::Silent => f.write_str("did not answer"),
+            Reason::Closed => f.write_str("leaving or drained: gets nothing new"),
+            Reason::Opened => f.write_str("takes work"),
+            Reason::Gone => f.write_str("missing from the VM list"),
+            Reason::PutAside { failures, wait } => {
+                write!(f, "put aside for {} s after {failures} failures in a row", wait.as_secs())
+            }
+            Reason::Probed => f.write_str("gets one task to see whether it works again"),
+        }
+    }
+}
+
+/// An exit in words.
+#[derive(Debug)]
+struct ExitWords(Exit);
+
+impl fmt::Display for ExitWords {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self.0 {
+            Exit::Done => "done",
+            Exit::Failed => "an error of its own",
+            Exit::Checkpointed(_) => "checkpointed, to be resumed",
+            Exit::Stopped => "stopped",
+            Exit::LeaseLapsed => "its worker's lease lapsed",
+            Exit::Unknown => "unknown, its worker is gone or lost it",
+        })
+    }
+}
+
+/// A slowdown in thousandths, as `1.25 times`.
+#[derive(Debug)]
+struct Times(u32);
+
+impl fmt::Display for Times {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02} times", self.0 / 1000, self.0 % 1000 / 10)
+    }
+}
+
+/// A reason and when it came up, by the holder's clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Noted {
+    /// When, or when last if it came up again and again.
+    pub at: Instant,
+    /// What.
+    pub reason: Reason,
+}
+
+/// The last few reasons of one subject, oldest first.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Notes(Vec<Noted>);
+
+impl Notes {
+    /// Reasons kept for each subject; what is older says little about the present.
+    const KEPT: usize = 6;
+
+    pub(crate) fn add(&mut self, at: Instant, reason: Reason) {
+        if let Some(last) = self.0.last_mut().filter(|last| last.reason == reason) {
+            last.at = at;
+            return;
+        }
+        if self.0.len() == Notes::KEPT {
+            self.0.remove(0);
+        }
+        self.0.push(Noted { at, reason });
+    }
+
+    pub(crate) fn to_vec(&self) -> Vec<Noted> {
+        self.0.clone()
+    }
+}
--- /dev/null
+++ b/daisy-placement/src/records.rs
@@ -0,0 +1,105 @@
+//! Records on their way to the log, batched.
+
+use daisy_ledger::{Placement, Record};
+use daisy_model::{Ended, Instant, TaskId};
+
+use crate::{
+    holder::{Action, Holder},
+    task::Phase,
+};
+
+/// Facts that the ledger does not show yet, and wishes.
+///
+/// Each list is bounded by the number of tasks that the holder has.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    pub placed: Vec<Placement>,
+    pub ended: Vec<Ended>,
+    pub wanted: Vec<TaskId>,
+    pub returned: Vec<TaskId>,
+    flushed: Option<Instant>,
+}
+
+impl Outbox {
+    fn is_empty(&self) -> bool {
+        self.placed.is_empty()
+            && self.ended.is_empty()
+            && self.wanted.is_empty()
+            && self.returned.is_empty()
+    }
+}
+
+impl Holder {
+    /// Appends what has gathered, at most once a flush period.
+    ///
+    /// While the log is down nothing is appended; the facts stay here and go out together.
+    /// Placements go before exits, so that the fold never sees an exit of an incarnation
+    /// that it has not heard of.
+    pub(crate) fn append(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let flush = self.options.limits.flush;
+        let is_early = self.outbox.flushed.is_some_and(|at| now < at + flush);
+        if self.outbox.is_empty() || !self.log_reachable || is_early {
+            return;
+        }
+        self.outbox.flushed = Some(now);
+        let (dc, epoch) = (self.options.dc, self.options.epoch);
+        let chunk = self.options.limits.record_tasks;
+        let Outbox { placed, ended, wanted, returned, .. } = &mut self.outbox;
+        for placements in chunks(std::mem::take(placed), chunk) {
+            actions.push(Action::Append(Record::Placed { dc, epoch, placements }));
+        }
+        for exits in chunks(std::mem::take(ended), chunk) {
+            actions.push(Action::Append(Record::Ended { dc, epoch, exits }));
+        }
+        for tasks in chunks(std::mem::take(returned), chunk) {
+            actions.push(Action::Append(Record::Return { dc, epoch, tasks }));
+        }
+        for tasks in chunks(std::mem::take(wanted), chunk) {
+            actions.push(Action::Append(Record::Checkout { dc, epoch, tasks }));
+        }
+    }
+
+    /// Records where a task runs, unless the ledger shows it or was told a moment ago.
+    pub(crate) fn record_place(&mut self, now: Instant, task: TaskId) {
+        let resend = self.options.limits.resend;
+        let Some(local) = self.local(task) else { return };
+        let Phase::Running { worker } = local.phase else { return };
+        let is_told = local.placed_at.is_some_and(|at| now < at + resend);
+        if local.is_place_recorded() || is_told {
+            return;
+        }
+        let incarnation = local.incarnation;
+        let Some(vm) = self.roster.get(worker).map(|worker| worker.id) else { return };
+        if let Some(local) = self.local_mut(task) {
+            local.placed_at = Some(now);
+        }
+        self.outbox.placed.push(Placement { task, incarnation, vm });
+    }
+
+    /// Records how a task ended, unless the ledger was told a moment ago.
+    pub(crate) fn record_end(&mut self, now: Instant, task: TaskId) {
+        let resend = self.options.limits.resend;
+        let Some(local) = self.local_mut(task) else { return };
+        let incarnation = local.incarnation;
+        let Phase::Ended { exit, asked, .. } = &mut local.phase else { return };
+        if asked.is_some_and(|at| now < at + resend) {
+            return;
+        }
+        *asked = Some(now);
+        let exit = *exit;
+        self.outbox.ended.push(Ended { task, incarnation, exit });
+    }
+}
+
+fn chunks<T>(mut items: Vec<T>, size: usize) -> Vec<Vec<T>> {
+    let size = size.max(1);
+    let mut chunks = Vec::new();
+    while items.len() > size {
+        let rest = items.split_off(size);
+        chunks.push(std::mem::replace(&mut items, rest));
+    }
+    if !items.is_empty() {
+        chunks.push(items);
+    }
+    chunks
+}
--- /dev/null
+++ b/daisy-placement/src/view.rs
@@ -0,0 +1,175 @@
+//! What a holder knows, as plain data for `show` and `why`.
+
+use daisy_model::{Incarnation, Instant, JobId, Name, Resources, TaskId, VmId};
+
+use crate::{
+    holder::Holder,
+    reason::{Noted, Reason},
+    task::{Local, Phase},
+    worker::{Standing, Worker},
+};
+
+/// How a worker stands with its holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerStatus {
+    /// Takes new work.
+    Open,
+    /// Has not answered under this epoch.
+    Unheard,
+    /// Did not answer the last call.
+    Silent,
+    /// Leaving or drained.
+    Closed,
+    /// Missing from the VM list.
+    Gone,
+    /// Put aside after failures.
+    Aside,
+}
+
+/// A worker of the data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerView {
+    /// The VM.
+    pub vm: VmId,
+    /// Its name.
+    pub name: Name,
+    /// Its rack.
+    pub rack: u16,
+    /// How it stands.
+    pub status: WorkerStatus,
+    /// What it holds in all.
+    pub capacity: Resources,
+    /// What is taken, tasks included whose start is not answered yet.
+    pub taken: Resources,
+    /// How many tasks take it.
+    pub tasks: usize,
+    /// The lowest share of processors among its tasks, in thousandths.
+    pub share: u32,
+}
+
+/// How a task stands with its holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskStatus {
+    /// Checked out, runs nowhere yet.
+    Waiting,
+    /// Its start is on the way.
+    Starting,
+    /// Runs.
+    Running,
+    /// An earlier holder may have started it; blocked until that is known.
+    Blocked,
+    /// Ended; the ledger does not show it yet.
+    Ending,
+}
+
+/// A task that the data centre has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TaskView {
+    /// The task.
+    pub task: TaskId,
+    /// How it stands.
+    pub status: TaskStatus,
+    /// Its worker.
+    pub vm: Option<VmId>,
+    /// Its incarnation, that of the last start if it does not run.
+    pub incarnation: Incarnation,
+    /// Since when it waits or is blocked.
+    pub since: Option<Instant>,
+}
+
+/// A running replica of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Replica {
+    /// The service.
+    pub job: JobId,
+    /// The replica.
+    pub task: TaskId,
+    /// Its worker.
+    pub vm: VmId,
+    /// Whether it is about to stop: it should get no new requests.
+    pub leaving: bool,
+}
+
+impl Holder {
+    /// The workers of the data centre by VM.
+    pub fn workers(&self) -> Vec<WorkerView> {
+        self.roster.iter().map(|(_, worker)| worker_view(worker)).collect()
+    }
+
+    /// The tasks that the data centre has, in the order of their ids.
+    pub fn running(&self) -> Vec<TaskView> {
+        let tasks = self.jobs.iter().flat_map(|(id, job)| {
+            let tasks = job.tasks.iter().enumerate();
+            tasks.map(move |(index, local)| (TaskId { job: *id, index: index as u32 }, local))
+        });
+        tasks.filter_map(|(task, local)| self.try_task_view(task, local)).collect()
+    }
+
+    /// The running replicas of all services, to route requests to.
+    pub fn replicas(&self) -> Vec<Replica> {
+        let mut replicas = Vec::new();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.is_service()) {
+            for (index, local) in job.tasks.iter().enumerate() {
+                let Phase::Running { worker } = local.phase else { continue };
+                let Some(worker) = self.roster.get(worker) else { continue };
+                let task = TaskId { job: *id, index: index as u32 };
+                let is_ending = worker.held.get(&task).is_some_and(|held| held.ending);
+                let leaving = is_ending || worker.leaving;
+                replicas.push(Replica { job: *id, task, vm: worker.id, leaving });
+            }
+        }
+        replicas
+    }
+
+    /// The last decisions about a task, oldest first; empty if this holder has made none.
+    pub fn reasons(&self, task: TaskId) -> Vec<Noted> {
+        self.local(task).map(|local| local.notes.to_vec()).unwrap_or_default()
+    }
+
+    /// The last decisions about a VM, oldest first; empty if it is none of our workers.
+    pub fn vm_reasons(&self, vm: VmId) -> Vec<Noted> {
+        let worker = self.roster.try_key(vm).and_then(|key| self.roster.get(key));
+        worker.map(|worker| worker.notes.to_vec()).unwrap_or_default()
+    }
+
+    pub(crate) fn note(&mut self, now: Instant, task: TaskId, reason: Reason) {
+        if let Some(local) = self.local_mut(task) {
+            local.notes.add(now, reason);
+        }
+    }
+
+    fn try_task_view(&self, task: TaskId, local: &Local) -> Option<TaskView> {
+        let (status, since) = match local.phase {
+            Phase::Elsewhere | Phase::Pending { .. } | Phase::Asked { .. } => return None,
+            Phase::Waiting { since } => (TaskStatus::Waiting, Some(since)),
+            Phase::Inherited { since } => (TaskStatus::Blocked, Some(since)),
+            Phase::Starting { .. } => (TaskStatus::Starting, None),
+            Phase::Running { .. } => (TaskStatus::Running, None),
+            Phase::Ended { .. } => (TaskStatus::Ending, None),
+        };
+        let worker = local.try_worker().and_then(|key| self.roster.get(key));
+        let vm = worker.map(|worker| worker.id).or(local.try_recorded_vm());
+        Some(TaskView { task, status, vm, incarnation: local.incarnation, since })
+    }
+}
+
+fn worker_view(worker: &Worker) -> WorkerView {
+    let status = match worker.standing {
+        Standing::Gone { .. } => WorkerStatus::Gone,
+        _ if !worker.heard => WorkerStatus::Unheard,
+        _ if !worker.answers => WorkerStatus::Silent,
+        Standing::Closed => WorkerStatus::Closed,
+        Standing::Live => WorkerStatus::Open,
+    };
+    let shares = worker.held.iter().map(|(_, held)| held.share);
+    WorkerView {
+        vm: worker.id,
+        name: worker.name.clone(),
+        rack: worker.rack,
+        status,
+        capacity: worker.capacity,
+        taken: worker.taken,
+        tasks: worker.held.len(),
+        share: shares.min().unwrap_or(crate::place::FULL_SHARE),
+    }
+}
--- /dev/null
+++ b/daisy-placement/src/worker.rs
@@ -0,0 +1,156 @@
+//! What a holder knows of one worker.
+
+use daisy_model::{Incarnation, Instant, Key, Name, Order, Resources, SortedMap, TaskId, Vm, VmId};
+
+use crate::reason::{Label, Notes};
+
+/// The slot of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WorkerKey(u32);
+
+impl Key for WorkerKey {
+    fn from_index(index: usize) -> WorkerKey {
+        WorkerKey(index as u32)
+    }
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Whether the platform keeps a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// In use.
+    Live,
+    /// Leaving or drained: nothing new goes there.
+    Closed,
+    /// Missing from the VM list since.
+    Gone { since: Instant },
+}
+
+/// How sure it is that a worker holds a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// Room is kept until the ledger shows the placement.
+    Reserved,
+    /// A start waits for the next call.
+    Queued,
+    /// A start is in the outstanding call.
+    Sent,
+    /// A start was sent and its answer was lost: it may have taken effect.
+    Maybe,
+    /// Reported by the worker.
+    Running,
+}
+
+/// A task's room on a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub incarnation: Incarnation,
+    pub size: Resources,
+    pub hold: Hold,
+    /// A stop or checkpoint is ordered.
+    pub ending: bool,
+    /// The share last ordered or reported, in thousandths.
+    pub share: u32,
+}
+
+/// A call that waits for its answer.
+#[derive(Debug)]
+pub(crate) struct Outstanding {
+    pub orders: Vec<Order>,
+}
+
+/// One worker of the data centre.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub id: VmId,
+    pub name: Name,
+    /// The name again, for notes.
+    pub label: Label,
+    pub rack: u16,
+    pub standing: Standing,
+    /// Whether the VM list says that the VM is about to be taken away.
+    pub leaving: bool,
+    pub capacity: Resources,
+    /// What `held` takes together.
+    pub taken: Resources,
+    pub held: SortedMap<TaskId, Held>,
+    /// Orders for the next call.
+    pub orders: Vec<Order>,
+    pub outstanding: Option<Outstanding>,
+    /// Whether it has answered under this epoch.
+    pub heard: bool,
+    /// Whether it answered the last call.
+    pub answers: bool,
+    pub called_at: Option<Instant>,
+    /// When it is called next, orders or not.
+    pub due: Instant,
+    pub notes: Notes,
+}
+
+impl Worker {
+    pub(crate) fn new(vm: &Vm, now: Instant) -> Worker {
+        Worker {
+            id: vm.id,
+            name: vm.name.clone(),
+            label: vm.name.as_str().into(),
+            rack: vm.rack,
+            standing: Standing::Live,
+            leaving: false,
+            capacity: vm.capacity,
+            taken: Resources::ZERO,
+            held: SortedMap::new(),
+            orders: Vec::new(),
+            outstanding: None,
+            heard: false,
+            answers: false,
+            called_at: None,
+            due: now,
+            notes: Notes::default(),
+        }
+    }
+
+    /// Whether new work may go there at all.
+    ///
+    /// A worker that has not answered under this epoch may run what we do not know of, and
+    /// a start there could take more than it holds.
+    pub(crate) fn is_open(&self) -> bool {
+        self.heard && self.answers && self.standing == Standing::Live
+    }
+
+    /// The room that is left; none if more is taken than the worker holds.
+    pub(crate) fn free(&self) -> Resources {
+        self.capacity.try_sub(self.taken).unwrap_or(Resources::ZERO)
+    }
+
+    /// Counts a task's room as taken.
+    pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
+        if let Some(old) = self.held.insert(task, held) {
+            self.taken = self.taken.try_sub(old.size).unwrap_or(Resources::ZERO);
+        }
+        self.taken = saturating_add(self.taken, held.size);
+    }
+
+    /// Forgets what was taken, before a report is taken in.
+    pub(crate) fn clear_taken(&mut self) {
+        self.taken = Resources::ZERO;
+    }
+
+    /// Gives a task's room back.
+    pub(crate) fn let_go(&mut self, task: TaskId) -> Option<Held> {
+        let held = self.held.remove(&task)?;
+        self.taken = self.taken.try_sub(held.size).unwrap_or(Resources::ZERO);
+        Some(held)
+    }
+}
+
+/// The sum with each part bounded: an unbelievable report must not wrap round to free room.
+pub(crate) fn saturating_add(a: Resources, b: Resources) -> Resources {
+    Resources {
+        cpu_milli: a.cpu_milli.saturating_add(b.cpu_milli),
+        memory_mib: a.memory_mib.saturating_add(b.memory_mib),
+        accelerators: a.accelerators.saturating_add(b.accelerators),
+    }
+}
--- /dev/null
+++ b/daisy-placement/tests/util/worker.rs
@@ -0,0 +1,159 @@
+//! A worker that enforces the platform's rules.
+
+use daisy_model::{
+    Ended, Epoch, Exit, Incarnation, Instant, Order, OrderResult, Resources, Running, SortedMap,
+    TaskId, WorkerCall, WorkerReport,
+};
+
+/// One start that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Started {
+    pub at: Instant,
+    pub task: TaskId,
+    pub incarnation: Incarnation,
+    pub checkpoint: Option<u64>,
+}
+
+/// Refuses lower epochs, starts an incarnation once, never exceeds its capacity, keeps exit
+/// reports until they are acknowledged, and ends its tasks when the lease lapses.
+#[derive(Debug, Clone)]
+pub struct FakeWorker {
+    pub capacity: Resources,
+    pub epoch: Epoch,
+    pub running: Vec<Running>,
+    pub ended: Vec<Ended>,
+    pub started: Vec<Started>,
+    /// Starts refused for want of room.
+    pub no_room: usize,
+    /// Whether every start fails.
+    pub broken: bool,
+    pub renewed: Option<Instant>,
+    pub lapsed: usize,
+    lease_end: Instant,
+    seen: SortedMap<TaskId, Incarnation>,
+}
+
+impl FakeWorker {
+    pub fn new(capacity: Resources) -> FakeWorker {
+        FakeWorker {
+            capacity,
+            epoch: Epoch(0),
+            running: Vec::new(),
+            ended: Vec::new(),
+            started: Vec::new(),
+            no_room: 0,
+            broken: false,
+            renewed: None,
+            lapsed: 0,
+            lease_end: Instant(0),
+            seen: SortedMap::new(),
+        }
+    }
+
+    pub fn call(&mut self, now: Instant, call: &WorkerCall) -> WorkerReport {
+        self.lapse(now);
+        if call.epoch < self.epoch {
+            return self.report(false, Vec::new());
+        }
+        self.epoch = call.epoch;
+        self.lease_end = self.lease_end.max(now + call.lease);
+        self.renewed = Some(now);
+        let results = call.orders.iter().map(|order| self.carry_out(now, order)).collect();
+        self.report(true, results)
+    }
+
+    /// Ends all tasks if the lease has run out by the worker's own clock.
+    pub fn lapse(&mut self, now: Instant) {
+        if now <= self.lease_end {
+            return;
+        }
+        self.lapsed += self.running.len();
+        for it in std::mem::take(&mut self.running) {
+            let Running { task, incarnation, .. } = it;
+            self.ended.push(Ended { task, incarnation, exit: Exit::LeaseLapsed });
+        }
+    }
+
+    pub fn finish(&mut self, task: TaskId, exit: Exit) {
+        let Some(at) = self.running.iter().position(|it| it.task == task) else { return };
+        let Running { task, incarnation, .. } = self.running.remove(at);
+        self.ended.push(Ended { task, incarnation, exit });
+    }
+
+    pub fn taken(&self) -> Resources {
+        let sizes = self.running.iter().map(|it| it.size);
+        sizes.fold(Resources::ZERO, |sum, size| sum.try_add(size).expect("sums are small"))
+    }
+
+    pub fn runs(&self, task: TaskId) -> bool {
+        self.running.iter().any(|it| it.task == task)
+    }
+
+    fn report(&self, accepted: bool, results: Vec<OrderResult>) -> WorkerReport {
+        WorkerReport {
+            epoch: self.epoch,
+            accepted,
+            capacity: self.capacity,
+            results,
+            running: self.running.clone(),
+            ended: self.ended.clone(),
+            usage: Vec::new(),
+        }
+    }
+
+    fn carry_out(&mut self, now: Instant, order: &Order) -> OrderResult {
+        match *order {
+            Order::Start { task, incarnation, size, checkpoint } => {
+                self.start(Started { at: now, task, incarnation, checkpoint }, size)
+            }
+            Order::Stop { task, incarnation } => self.end(task, incarnation, Exit::Stopped),
+            Order::Checkpoint { task, incarnation } => {
+                let token = u64::from(incarnation.0) + 1_000;
+                self.end(task, incarnation, Exit::Checkpointed(token))
+            }
+            Order::Throttle { task, share, .. } => {
+                let Some(it) = self.running.iter_mut().find(|it| it.task == task) else {
+                    return OrderResult::Unknown;
+                };
+                it.share = share;
+                OrderResult::Done
+            }
+            Order::Acknowledge { task, incarnation } => {
+                self.ended.retain(|it| (it.task, it.incarnation) != (task, incarnation));
+                OrderResult::Done
+            }
+        }
+    }
+
+    fn start(&mut self, started: Started, size: Resources) -> OrderResult {
+        let Started { task, incarnation, .. } = started;
+        if self.seen.get(&task).is_some_and(|seen| *seen >= incarnation) {
+            return OrderResult::Done;
+        }
+        if self.broken {
+            return OrderResult::Failed;
+        }
+        let taken = self.taken().try_add(size);
+        if !taken.is_some_and(|taken| taken.fits(self.capacity)) {
+            self.no_room += 1;
+            return OrderResult::NoRoom;
+        }
+        self.seen.insert(task, incarnation);
+        self.started.push(started);
+        self.running.push(Running { task, incarnation, size, share: 1000 });
+        OrderResult::Done
+    }
+
+    fn end(&mut self, task: TaskId, incarnation: Incarnation, exit: Exit) -> OrderResult {
+        let is_it = |it: &Running| (it.task, it.incarnation) == (task, incarnation);
+        if let Some(at) = self.running.iter().position(is_it) {
+            self.running.remove(at);
+            self.ended.push(Ended { task, incarnation, exit });
+            return OrderResult::Done;
+        }
+        // Stopped for good: a copy of a lost call must not start it later.
+        let seen = self.seen.get_or_insert_with(task, || incarnation);
+        *seen = (*seen).max(incarnation);
+        OrderResult::Unknown
+    }
+}
