membership: decide who lives, who holds and who reads the log

Each entry VM folds heartbeats, the VM list and the log's word into one state machine without sockets or clocks. Liveness of a holder is numbered evidence (epoch and heartbeat number), which peers pass on: one cut link between two entry VMs is then no reason for a claim, and late heartbeats prove nothing. A lease runs from when the heartbeat or read was sent, so a pause uses it up.

Ruled out: ages of what was heard instead of numbers (network delay makes them too young), and heartbeats between all entry VMs of all data centres (the bytes across the region link grow with the square); only one speaker a data centre talks across.

Not measured yet, and its guards are not yet proven by tests of their own.

--- a/daisy-membership/src/lib.rs
+++ b/daisy-membership/src/lib.rs
@@ -1,3 +1,24 @@
-//! Peers of a daisyshift entry VM: who lives, who holds what, readiness.
+//! Peers of a daisyshift entry VM: who lives, who holds what, who reads the log, readiness.
+//!
+//! [`Membership`] decides for one entry VM. It never sees a socket or a clock: events and
+//! the present time come in, actions go out. What is agreed goes through the platform's log
+//! as claims; heartbeats only tell when a claim is worth making.
 
 #![deny(missing_docs, unsafe_code)]
+
+mod heartbeat;
+mod holding;
+mod membership;
+mod options;
+mod peers;
+mod readiness;
+mod source;
+
+pub use crate::{
+    heartbeat::{Evidence, Heartbeat, Status},
+    holding::{Holding, Role},
+    membership::{Action, Event, Membership},
+    options::Options,
+    peers::{Peer, Peers},
+    source::Source,
+};
