wire: frames and messages between entry VMs

Length, version and one bincode message a frame.

Ruled out: one stream a heartbeat (headers of 40 bytes and more each time).

--- /dev/null
+++ b/daisy-wire/src/peer.rs
@@ -0,0 +1,18 @@
+//! Messages between entry VMs: frames of versioned bincode on h2 streams.
+//!
+//! A frame is its length (4 bytes, little endian), the version of the protocol (2 bytes)
+//! and one bincode message. `docs/PROTOCOL.md` names the streams and their messages.
+
+mod frame;
+mod key;
+mod notice;
+mod question;
+mod records;
+
+pub use self::{
+    frame::{Frames, MAX_FRAME, VERSION, frame},
+    key::{KeyAnswerWire, KeyQueryWire},
+    notice::{BeatWire, Notice, NoticeWire, ReplicaChange, ReplicasWire},
+    question::{Answer, AnswerWire, Question, QuestionWire},
+    records::{Pushed, PushedWire, RecordsFrom},
+};
--- /dev/null
+++ b/daisy-wire/src/peer/key.rs
@@ -0,0 +1,329 @@
+//! The key protocol of `daisy-routing` on the wire.
+
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use daisy_model::Name;
+use daisy_routing::{
+    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer,
+};
+
+use crate::WireError;
+
+/// The longest key, in bytes.
+const MAX_KEY: usize = 64;
+
+/// See [`KeyId`].
+#[derive(Debug, Encode, Decode)]
+pub struct KeyIdWire {
+    service: String,
+    key: String,
+}
+
+/// See [`StoredAnswer`].
+#[derive(Debug, Encode, Decode)]
+pub struct StoredAnswerWire {
+    status: u16,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Option<Vec<u8>>,
+}
+
+/// See [`ClaimEnd`].
+#[derive(Debug, Encode, Decode)]
+pub enum ClaimEndWire {
+    /// See [`ClaimEnd::Answered`].
+    Answered(StoredAnswerWire),
+    /// See [`ClaimEnd::NotRun`].
+    NotRun,
+    /// See [`ClaimEnd::Unknown`].
+    Unknown,
+}
+
+/// See [`KeyState`].
+#[derive(Debug, Encode, Decode)]
+pub enum KeyStateWire {
+    /// See [`KeyState::Running`].
+    Running(u64),
+    /// See [`KeyState::Answered`].
+    Answered(StoredAnswerWire),
+    /// See [`KeyState::Unknown`].
+    Unknown,
+    /// See [`KeyState::Fenced`].
+    Fenced,
+}
+
+/// See [`HandedKey`].
+#[derive(Debug, Encode, Decode)]
+pub struct HandedKeyWire {
+    key: KeyIdWire,
+    shape: u64,
+    state: KeyStateWire,
+    keep_ms: u64,
+}
+
+/// See [`KeyQuery`].
+#[derive(Debug, Encode, Decode)]
+pub enum KeyQueryWire {
+    /// See [`KeyQuery::Claim`].
+    Claim {
+        /// The key.
+        key: KeyIdWire,
+        /// A digest of method and path.
+        shape: u64,
+        /// The wish.
+        claim: u64,
+        /// Whether the caller has sent the request before.
+        repeated: bool,
+        /// How long the claim may run, in milliseconds.
+        hold_ms: u64,
+    },
+    /// See [`KeyQuery::Fence`].
+    Fence {
+        /// The key.
+        key: KeyIdWire,
+        /// A digest of method and path.
+        shape: u64,
+    },
+    /// See [`KeyQuery::Finish`].
+    Finish {
+        /// The key.
+        key: KeyIdWire,
+        /// The claim.
+        claim: u64,
+        /// How it ended.
+        end: ClaimEndWire,
+    },
+    /// See [`KeyQuery::Handover`].
+    Handover {
+        /// The keys.
+        keys: Vec<HandedKeyWire>,
+        /// Whether nothing follows.
+        last: bool,
+        /// Whether nothing is missing.
+        complete: bool,
+        /// Whether the sender stops.
+        leaving: bool,
+    },
+}
+
+/// See [`KeyAnswer`].
+#[derive(Debug, Encode, Decode)]
+pub enum KeyAnswerWire {
+    /// See [`KeyAnswer::Granted`].
+    Granted,
+    /// See [`KeyAnswer::Fenced`].
+    Fenced,
+    /// See [`KeyAnswer::Running`].
+    Running,
+    /// See [`KeyAnswer::Answered`].
+    Answered(StoredAnswerWire),
+    /// See [`KeyAnswer::Unknown`].
+    Unknown,
+    /// See [`KeyAnswer::Mismatch`].
+    Mismatch,
+    /// See [`KeyAnswer::Full`].
+    Full,
+    /// See [`KeyAnswer::NotHome`].
+    NotHome,
+    /// See [`KeyAnswer::Settling`].
+    Settling,
+    /// See [`KeyAnswer::Taken`].
+    Taken,
+}
+
+impl From<KeyId> for KeyIdWire {
+    fn from(it: KeyId) -> KeyIdWire {
+        KeyIdWire { service: it.service.to_string(), key: it.key.into() }
+    }
+}
+
+impl TryFrom<KeyIdWire> for KeyId {
+    type Error = WireError;
+
+    fn try_from(it: KeyIdWire) -> Result<KeyId, WireError> {
+        let service = Name::new(&it.service)
+            .map_err(|e| WireError::Field { field: "service", reason: e.to_string() })?;
+        let visible = it.key.bytes().all(|b| b.is_ascii_graphic());
+        if it.key.is_empty() || it.key.len() > MAX_KEY || !visible {
+            let reason = "a key has 1 to 64 visible ASCII characters".to_owned();
+            return Err(WireError::Field { field: "key", reason });
+        }
+        Ok(KeyId { service, key: it.key.into() })
+    }
+}
+
+impl From<StoredAnswer> for StoredAnswerWire {
+    fn from(it: StoredAnswer) -> StoredAnswerWire {
+        let headers = it.headers.into_iter().map(|(name, value)| (name.into(), value.into()));
+        StoredAnswerWire {
+            status: it.status,
+            headers: headers.collect(),
+            body: it.body.map(<[u8]>::into_vec),
+        }
+    }
+}
+
+impl From<StoredAnswerWire> for StoredAnswer {
+    fn from(it: StoredAnswerWire) -> StoredAnswer {
+        let headers = it.headers.into_iter().map(|(name, value)| (name.into(), value.into()));
+        StoredAnswer {
+            status: it.status,
+            headers: headers.collect(),
+            body: it.body.map(Vec::into_boxed_slice),
+        }
+    }
+}
+
+impl From<ClaimEnd> for ClaimEndWire {
+    fn from(it: ClaimEnd) -> ClaimEndWire {
+        match it {
+            ClaimEnd::Answered(answer) => ClaimEndWire::Answered(answer.into()),
+            ClaimEnd::NotRun => ClaimEndWire::NotRun,
+            ClaimEnd::Unknown => ClaimEndWire::Unknown,
+        }
+    }
+}
+
+impl From<ClaimEndWire> for ClaimEnd {
+    fn from(it: ClaimEndWire) -> ClaimEnd {
+        match it {
+            ClaimEndWire::Answered(answer) => ClaimEnd::Answered(answer.into()),
+            ClaimEndWire::NotRun => ClaimEnd::NotRun,
+            ClaimEndWire::Unknown => ClaimEnd::Unknown,
+        }
+    }
+}
+
+impl From<KeyState> for KeyStateWire {
+    fn from(it: KeyState) -> KeyStateWire {
+        match it {
+            KeyState::Running { claim } => KeyStateWire::Running(claim.0),
+            KeyState::Answered(answer) => KeyStateWire::Answered(answer.into()),
+            KeyState::Unknown => KeyStateWire::Unknown,
+            KeyState::Fenced => KeyStateWire::Fenced,
+        }
+    }
+}
+
+impl From<KeyStateWire> for KeyState {
+    fn from(it: KeyStateWire) -> KeyState {
+        match it {
+            KeyStateWire::Running(claim) => KeyState::Running { claim: ClaimId(claim) },
+            KeyStateWire::Answered(answer) => KeyState::Answered(answer.into()),
+            KeyStateWire::Unknown => KeyState::Unknown,
+            KeyStateWire::Fenced => KeyState::Fenced,
+        }
+    }
+}
+
+impl From<HandedKey> for HandedKeyWire {
+    fn from(it: HandedKey) -> HandedKeyWire {
+        HandedKeyWire {
+            key: it.key.into(),
+            shape: it.shape,
+            state: it.state.into(),
+            keep_ms: millis(it.keep),
+        }
+    }
+}
+
+impl TryFrom<HandedKeyWire> for HandedKey {
+    type Error = WireError;
+
+    fn try_from(it: HandedKeyWire) -> Result<HandedKey, WireError> {
+        Ok(HandedKey {
+            key: it.key.try_into()?,
+            shape: it.shape,
+            state: it.state.into(),
+            keep: Duration::from_millis(it.keep_ms),
+        })
+    }
+}
+
+impl From<KeyQuery> for KeyQueryWire {
+    fn from(query: KeyQuery) -> KeyQueryWire {
+        match query {
+            KeyQuery::Claim { key, shape, claim, repeated, hold } => KeyQueryWire::Claim {
+                key: key.into(),
+                shape,
+                claim: claim.0,
+                repeated,
+                hold_ms: millis(hold),
+            },
+            KeyQuery::Fence { key, shape } => KeyQueryWire::Fence { key: key.into(), shape },
+            KeyQuery::Finish { key, claim, end } => {
+                KeyQueryWire::Finish { key: key.into(), claim: claim.0, end: end.into() }
+            }
+            KeyQuery::Handover { keys, last, complete, leaving } => KeyQueryWire::Handover {
+                keys: keys.into_iter().map(HandedKeyWire::from).collect(),
+                last,
+                complete,
+                leaving,
+            },
+        }
+    }
+}
+
+impl TryFrom<KeyQueryWire> for KeyQuery {
+    type Error = WireError;
+
+    fn try_from(query: KeyQueryWire) -> Result<KeyQuery, WireError> {
+        Ok(match query {
+            KeyQueryWire::Claim { key, shape, claim, repeated, hold_ms } => KeyQuery::Claim {
+                key: key.try_into()?,
+                shape,
+                claim: ClaimId(claim),
+                repeated,
+                hold: Duration::from_millis(hold_ms),
+            },
+            KeyQueryWire::Fence { key, shape } => KeyQuery::Fence { key: key.try_into()?, shape },
+            KeyQueryWire::Finish { key, claim, end } => {
+                KeyQuery::Finish { key: key.try_into()?, claim: ClaimId(claim), end: end.into() }
+            }
+            KeyQueryWire::Handover { keys, last, complete, leaving } => KeyQuery::Handover {
+                keys: keys.into_iter().map(HandedKey::try_from).collect::<Result<_, _>>()?,
+                last,
+                complete,
+                leaving,
+            },
+        })
+    }
+}
+
+impl From<KeyAnswer> for KeyAnswerWire {
+    fn from(answer: KeyAnswer) -> KeyAnswerWire {
+        match answer {
+            KeyAnswer::Granted => KeyAnswerWire::Granted,
+            KeyAnswer::Fenced => KeyAnswerWire::Fenced,
+            KeyAnswer::Running => KeyAnswerWire::Running,
+            KeyAnswer::Answered(answer) => KeyAnswerWire::Answered(answer.into()),
+            KeyAnswer::Unknown => KeyAnswerWire::Unknown,
+            KeyAnswer::Mismatch => KeyAnswerWire::Mismatch,
+            KeyAnswer::Full => KeyAnswerWire::Full,
+            KeyAnswer::NotHome => KeyAnswerWire::NotHome,
+            KeyAnswer::Settling => KeyAnswerWire::Settling,
+            KeyAnswer::Taken => KeyAnswerWire::Taken,
+        }
+    }
+}
+
+impl From<KeyAnswerWire> for KeyAnswer {
+    fn from(answer: KeyAnswerWire) -> KeyAnswer {
+        match answer {
+            KeyAnswerWire::Granted => KeyAnswer::Granted,
+            KeyAnswerWire::Fenced => KeyAnswer::Fenced,
+            KeyAnswerWire::Running => KeyAnswer::Running,
+            KeyAnswerWire::Answered(answer) => KeyAnswer::Answered(answer.into()),
+            KeyAnswerWire::Unknown => KeyAnswer::Unknown,
+            KeyAnswerWire::Mismatch => KeyAnswer::Mismatch,
+            KeyAnswerWire::Full => KeyAnswer::Full,
+            KeyAnswerWire::NotHome => KeyAnswer::NotHome,
+            KeyAnswerWire::Settling => KeyAnswer::Settling,
+            KeyAnswerWire::Taken => KeyAnswer::Taken,
+        }
+    }
+}
+
+fn millis(it: Duration) -> u64 {
+    u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
+}
