--- /dev/null
+++ b/daisy-entry/src/control.rs
@@ -0,0 +1,371 @@
+//! The control task: it alone owns the state machines of an entry VM.
+//!
+//! Inputs come through one channel, decisions go out to the tasks that hold sockets. Nothing
+//! here waits for the network.
+
+mod fold;
+mod holder;
+mod input;
+mod replicas;
+mod routes;
+mod status;
+mod tell;
+
+use std::{sync::Arc, time::Duration};
+
+use daisy_ledger::{Batch, Outcome, Record, State};
+use daisy_membership::{Action, Event, Membership, Role};
+use daisy_model::{DcId, Instant, Name, Offset, SortedMap, Vm, VmId, WallTime};
+use daisy_routing::{KeyAnswer, KeyQuery, Routes};
+use daisy_wire::peer::{Answer, Question};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+use self::{fold::Suspect, holder::Driver, replicas::Running};
+pub(crate) use self::{input::Input, replicas::Replicas, status::StatusJson};
+use crate::{
+    boundary::RequestSide,
+    clock::Clock,
+    http::Http,
+    metrics::Metrics,
+    outbox::Outbox,
+    peers::{Links, Tail},
+    platform::Listing,
+    reader::{self, Plan},
+};
+
+/// Between ticks of the state machines: a fifth of the shortest period that they keep.
+const TICK: Duration = Duration::from_millis(100);
+/// Inputs that wait for the control task before their senders do.
+pub(crate) const QUEUE: usize = 1024;
+/// How long an operator's change may wait unsent before it is refused for sure.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Who waits for what the fold makes of a record.
+type Waiter = oneshot::Sender<Outcome>;
+
+/// Who this process is.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub vm: VmId,
+    pub name: Name,
+    pub dc: DcId,
+    /// Names of all data centres.
+    pub dcs: Vec<Name>,
+    /// The region of each data centre.
+    pub regions: Vec<u16>,
+    /// Names this process's appends.
+    pub sender: u64,
+    pub worker_lease: Duration,
+    pub holder_timeout: Duration,
+}
+
+/// The ways out of the control task.
+#[derive(Debug)]
+pub(crate) struct Outputs {
+    pub http: Http,
+    pub links: Links,
+    pub tail: Tail,
+    pub batches: mpsc::Sender<Batch>,
+    pub plan: watch::Sender<Plan>,
+    pub routes: watch::Sender<Arc<Routes>>,
+    pub ready: watch::Sender<bool>,
+    /// The way back in, for tasks that the control task spawns.
+    pub control: mpsc::Sender<Input>,
+    pub metrics: Metrics,
+}
+
+/// The state machines and what joins them.
+pub(crate) struct Control<R> {
+    clock: Clock,
+    identity: Identity,
+    requests: R,
+    out: Outputs,
+    membership: Membership,
+    state: Arc<State>,
+    vms: Arc<[Vm]>,
+    vms_version: u64,
+    outbox: Outbox<Waiter>,
+    driver: Driver,
+    running: Running,
+    replicas: SortedMap<DcId, Arc<Replicas>>,
+    /// An entry of the log that did not decode, until it is read again.
+    suspect: Option<Suspect>,
+    /// The offset of the configuration in force and when it came into force here.
+    config: Option<(Offset, WallTime)>,
+    routes_dirty: bool,
+    /// When the link to a silent peer was last given up.
+    resets: SortedMap<VmId, Instant>,
+    /// Whether peers are to be told of replicas at the next tick.
+    tell_all: bool,
+    log_reachable: bool,
+    flushing: Vec<oneshot::Sender<()>>,
+}
+
+impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
+    /// A control task that knows nothing yet.
+    pub fn new(
+        clock: Clock,
+        identity: Identity,
+        membership: Membership,
+        requests: R,
+        out: Outputs,
+    ) -> Control<R> {
+        let outbox = Outbox::new(identity.sender);
+        Control {
+            clock,
+            identity,
+            requests,
+            out,
+            membership,
+            state: Arc::default(),
+            vms: Arc::from([]),
+            vms_version: 0,
+            outbox,
+            driver: Driver::default(),
+            running: Running::default(),
+            replicas: SortedMap::new(),
+            suspect: None,
+            config: None,
+            routes_dirty: true,
+            resets: SortedMap::new(),
+            tell_all: false,
+            log_reachable: true,
+            flushing: Vec::new(),
+        }
+    }
+
+    /// Runs until every sender of inputs is gone or the task is aborted.
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+            self.flush();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.clock.now();
+        match input {
+            Input::Page { asked, end, records, ack } => {
+                let next = self.fold_page(now, asked, end, &records);
+                let _ = ack.send(next);
+            }
+            Input::Snapshot { next, bytes, ack } => {
+                let next = self.load(now, next, &bytes);
+                let _ = ack.send(next);
+            }
+            Input::Expired { first, ack } => {
+                let next = self.expired(now, first);
+                let _ = ack.send(next);
+            }
+            Input::ReadFailed { source } => self.read_failed(now, source),
+            Input::Append { asked, confirmed, failed, done } => {
+                self.append_ended(now, asked, confirmed, failed, done);
+            }
+            Input::Vms(listing) => self.list(now, listing),
+            Input::Beat { beat, in_flight } => {
+                self.requests.peer_in_flight(beat.vm, in_flight);
+                self.step(now, Event::Heartbeat(beat));
+            }
+            Input::Replicas(replicas) => self.hear_replicas(replicas),
+            Input::Worker { epoch, vm, outcome } => self.worker_answered(now, epoch, vm, outcome),
+            Input::Question { question, reply } => {
+                let _ = reply.send(self.answer(question));
+            }
+            Input::Encode { reply } => {
+                let _ = reply.send(self.encode());
+            }
+            Input::Submit { change, reply } => {
+                let until = Some(now + CHANGE_TIMEOUT);
+                self.outbox.push(Record::Change(*change), until, Some(reply));
+            }
+            Input::Status { reply } => {
+                let _ = reply.send(self.status(now));
+            }
+            Input::Stop => self.step(now, Event::Stop),
+            Input::Flushed { reply } => self.flushing.push(reply),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        // Waiters of what was never sent learn it by their dropped sender.
+        self.outbox.expire(now);
+        self.step(now, Event::Tick);
+        self.drive(now, daisy_placement::Event::Tick);
+        self.update_plan(now);
+        self.tell_replicas(now);
+        if self.routes_dirty {
+            self.publish_routes(now);
+        }
+        self.observe(now);
+    }
+
+    /// Lets the membership decide, and carries out what it wants.
+    fn step(&mut self, now: Instant, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.membership.step(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(now, action);
+        }
+    }
+
+    fn carry_out(&mut self, now: Instant, action: Action) {
+        match action {
+            Action::Beat(vm) => self.tell(now, vm),
+            Action::Claim => {
+                log::info!("event=claim dc={} vm={}", self.identity.dc, self.identity.vm);
+                self.out.metrics.claims.inc();
+                let record = Record::Claim { dc: self.identity.dc, holder: self.identity.vm };
+                self.outbox.push(record, None, None);
+            }
+            Action::Release(epoch) => {
+                self.outbox.push(Record::Release { dc: self.identity.dc, epoch }, None, None);
+            }
+            Action::Become(role) => self.become_role(now, role),
+            Action::Read(source) => {
+                log::info!("event=log_source source={source:?}");
+                self.update_plan(now);
+            }
+            Action::Ready(ready) => {
+                log::info!("event=ready value={ready} next={}", self.state.next);
+                self.out.ready.send_replace(ready);
+                self.routes_dirty = true;
+            }
+        }
+    }
+
+    fn update_plan(&mut self, now: Instant) {
+        let options = self.membership.options();
+        let alone = self.membership.peers().live_near(options, now).next().is_none();
+        let wait = reader::poll_wait(self.identity.holder_timeout, alone);
+        let plan = Plan { source: self.membership.source(), wait };
+        self.out.plan.send_if_modified(|it| std::mem::replace(it, plan) != plan);
+    }
+
+    fn read_failed(&mut self, now: Instant, source: daisy_membership::Source) {
+        match source {
+            daisy_membership::Source::Log => self.step(now, Event::LogFailed),
+            daisy_membership::Source::Peer(vm) => self.step(now, Event::SourceFailed(vm)),
+        }
+    }
+
+    fn append_ended(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        confirmed: bool,
+        failed: bool,
+        done: bool,
+    ) {
+        self.out.metrics.append(confirmed);
+        if done {
+            let claim = self.outbox.sent();
+            if claim {
+                self.step(now, Event::ClaimEnded);
+            }
+        }
+        if confirmed {
+            self.step(now, Event::Log { asked, end: None });
+        }
+        if confirmed || failed {
+            self.set_log_reachable(now, confirmed);
+        }
+    }
+
+    fn set_log_reachable(&mut self, now: Instant, reachable: bool) {
+        if self.log_reachable != reachable {
+            self.log_reachable = reachable;
+            log::warn!("event=log_appends reachable={reachable}");
+            self.drive(now, daisy_placement::Event::Log { reachable });
+        }
+    }
+
+    fn list(&mut self, now: Instant, listing: Listing) {
+        let Listing { version, mut vms } = listing;
+        vms.sort_by_key(|vm| vm.id);
+        self.vms_version = version;
+        self.vms = Arc::from(vms);
+        let vms = Arc::clone(&self.vms);
+        let others = vms.iter().filter(|vm| vm.role == daisy_model::VmRole::Entry);
+        let others = others.filter(|vm| vm.id != self.identity.vm);
+        self.out.links.set_addresses(others.map(|vm| (vm.id, vm.control)).collect());
+        self.step(now, Event::Vms(&vms));
+        self.drive(now, daisy_placement::Event::Vms(&vms));
+        if self.running.keep(|vm| vms.binary_search_by_key(&vm, |it| it.id).is_ok()) {
+            self.publish_replicas();
+        }
+        self.routes_dirty = true;
+    }
+
+    fn answer(&self, question: Question) -> Answer {
+        match question {
+            Question::Vms if !self.vms.is_empty() => {
+                Answer::Vms { version: self.vms_version, vms: self.vms.to_vec() }
+            }
+            _ => Answer::Unable,
+        }
+    }
+
+    fn publish_routes(&mut self, now: Instant) {
+        self.routes_dirty = false;
+        let version = self.out.routes.borrow().version + 1;
+        let parts = routes::Parts {
+            now,
+            dc: self.identity.dc,
+            regions: &self.identity.regions,
+            state: &self.state,
+            vms: &self.vms,
+            membership: &self.membership,
+            replicas: &self.replicas,
+        };
+        let routes = Arc::new(routes::build(version, &parts));
+        self.out.routes.send_if_modified(|it| {
+            let unversioned = Routes { version: it.version, ..Routes::clone(&routes) };
+            if **it == unversioned {
+                return false;
+            }
+            *it = routes;
+            true
+        });
+    }
+
+    /// Sends what is to be appended, and tells who waits that all is sent.
+    fn flush(&mut self) {
+        if let Some(batch) = self.outbox.try_next() {
+            // One batch is on its way at a time, so there is always room for it.
+            if self.out.batches.try_send(batch).is_err() {
+                log::error!("event=append_lost cause=\"appender is gone\"");
+            }
+        }
+        if self.outbox.is_idle() {
+            for waiter in self.flushing.drain(..) {
+                let _ = waiter.send(());
+            }
+        }
+    }
+
+    fn observe(&self, now: Instant) {
+        let options = self.membership.options();
+        let alive = self.membership.peers().iter();
+        let alive =
+            alive.filter(|(vm, _)| self.membership.peers().alive(options, now, *vm)).count();
+        let metrics = &self.out.metrics;
+        metrics.next_offset.set(self.state.next.0 as i64);
+        metrics.generation.set(self.state.generation.0 as i64);
+        metrics.holder.set(i64::from(matches!(self.membership.role(), Role::Holder(_))));
+        metrics.peers_alive.set(alive as i64);
+        metrics.unsent.set(self.outbox.len() as i64);
+        metrics.peer_traffic(self.out.links.sent.get(), self.out.links.received.get());
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/control/fold.rs
@@ -0,0 +1,160 @@
+//! Folding the log's records.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use daisy_ledger::{Applied, Batch, Outcome, Record};
+use daisy_membership::{Event, Holding};
+use daisy_model::{DcId, Epoch, Instant, Offset};
+use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_wire::WireError;
+
+use crate::{boundary::RequestSide, control::Control};
+
+/// An entry of the log that did not decode when it was first read.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Suspect {
+    offset: Offset,
+    bytes: Bytes,
+}
+
+/// Whether the fold can go on after an entry.
+enum Folded {
+    On,
+    Halt,
+}
+
+impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
+    /// Folds a page and tells the offset to read on from.
+    pub(super) fn fold_page(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        end: Option<Offset>,
+        records: &[(Offset, Bytes)],
+    ) -> Offset {
+        let before = self.state.next;
+        for (offset, bytes) in records {
+            // Others read on while this one may have been answered twice.
+            if *offset < self.state.next {
+                continue;
+            }
+            if let Folded::Halt = self.fold_entry(now, *offset, bytes) {
+                break;
+            }
+        }
+        if self.state.next != before {
+            self.folded(now);
+        }
+        if end.is_some() {
+            self.step(now, Event::Log { asked, end });
+        }
+        self.state.next
+    }
+
+    fn fold_entry(&mut self, now: Instant, offset: Offset, bytes: &Bytes) -> Folded {
+        let batch = match daisy_wire::log::decode(bytes) {
+            Ok(batch) => batch,
+            Err(e) => return self.undecoded(offset, bytes, &e),
+        };
+        let generation = self.state.generation;
+        let state = Arc::make_mut(&mut self.state);
+        let applied = state.apply(offset, &batch);
+        if applied.status == daisy_ledger::Status::Gap {
+            log::warn!("event=log_gap offset={offset} next={}", self.state.next);
+            return Folded::Halt;
+        }
+        self.out.tail.push(offset, bytes.clone());
+        if self.state.generation != generation {
+            self.config = Some((offset, self.clock.wall()));
+        }
+        self.learn(now, &batch, applied);
+        Folded::On
+    }
+
+    /// Guard: bytes spoilt on their way would be passed over here and folded elsewhere, and
+    /// states would differ for ever. An entry is passed over only when a second read gives the
+    /// same bytes; one of a newer version stops the fold, as newer processes take it in.
+    fn undecoded(&mut self, offset: Offset, bytes: &Bytes, e: &WireError) -> Folded {
+        if matches!(e, WireError::Version { .. }) {
+            log::error!("event=log_entry_newer offset={offset} cause=\"{e}\"");
+            return Folded::Halt;
+        }
+        let suspect = Suspect { offset, bytes: bytes.clone() };
+        if self.suspect.as_ref() != Some(&suspect) {
+            self.suspect = Some(suspect);
+            return Folded::Halt;
+        }
+        log::error!("event=log_entry_skipped offset={offset} cause=\"{e}\"");
+        Arc::make_mut(&mut self.state).skip(offset);
+        self.out.tail.push(offset, bytes.clone());
+        self.suspect = None;
+        Folded::On
+    }
+
+    /// Tells who waits, and looks for signs of life of the holder.
+    fn learn(&mut self, now: Instant, batch: &Batch, applied: Applied) {
+        for (position, waiter) in self.outbox.folded(batch.id) {
+            if let Some(outcome) = applied.outcomes.get(position) {
+                let _ = waiter.send(outcome.clone());
+            }
+        }
+        for (record, outcome) in batch.records.iter().zip(&applied.outcomes) {
+            if let (Record::Change(change), Outcome::Refused(refusal)) = (record, outcome) {
+                log::info!("event=change_refused who={} cause=\"{refusal}\"", change.who);
+            }
+            if let Some((dc, epoch)) = epoch_of(record)
+                && dc == self.identity.dc
+            {
+                self.step(now, Event::HolderSign(epoch));
+            }
+        }
+    }
+
+    /// The fold has moved on.
+    pub(super) fn folded(&mut self, now: Instant) {
+        self.out.tail.publish(self.state.next);
+        let holding = self.state.holders.get(&self.identity.dc).map(|it| Holding {
+            holder: it.holder,
+            epoch: it.epoch,
+            released: it.released,
+        });
+        let event =
+            Event::Folded { next: self.state.next, generation: self.state.generation.0, holding };
+        self.step(now, event);
+        let state = Arc::clone(&self.state);
+        let own = self.identity.dc;
+        for (dc, holding) in state.holders.iter().filter(|(dc, _)| **dc != own) {
+            self.step(now, Event::FarHolder { dc: *dc, holder: holding.holder });
+        }
+        self.drive(now, daisy_placement::Event::Ledger(&state));
+        self.routes_dirty = true;
+    }
+
+    /// Takes a peer's state in place of records that nobody has.
+    pub(super) fn load(&mut self, now: Instant, next: Offset, bytes: &[u8]) -> Offset {
+        let _ = (now, next, bytes);
+        self.state.next
+    }
+
+    /// The log begins after the next record: goes on with its first one.
+    pub(super) fn expired(&mut self, now: Instant, first: Offset) -> Offset {
+        let _ = (now, first);
+        self.state.next
+    }
+
+    /// The whole state, for a peer.
+    pub(super) fn encode(&self) -> (Offset, Vec<u8>) {
+        (self.state.next, Vec::new())
+    }
+}
+
+fn epoch_of(record: &Record) -> Option<(DcId, Epoch)> {
+    match record {
+        Record::Checkout { dc, epoch, .. }
+        | Record::Return { dc, epoch, .. }
+        | Record::Placed { dc, epoch, .. }
+        | Record::Ended { dc, epoch, .. } => Some((*dc, *epoch)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/control/input.rs
@@ -0,0 +1,115 @@
+//! What the control task is told and asked.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use daisy_ledger::Outcome;
+use daisy_membership::{Heartbeat, Source};
+use daisy_model::{Change, Epoch, Instant, Offset, VmId, WorkerReport};
+use daisy_wire::peer::{Answer, Question};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{Replicas, StatusJson},
+    platform::Listing,
+    worker_calls::Silence,
+};
+
+/// One event for the control task.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// Consecutive records of the log.
+    Page {
+        /// When the read was sent.
+        asked: Instant,
+        /// The end of the log, when the log itself answered.
+        end: Option<Offset>,
+        /// Offsets and bytes.
+        records: Vec<(Offset, Bytes)>,
+        /// Told the offset to read on from.
+        ack: oneshot::Sender<Offset>,
+    },
+    /// The state of a peer, in place of records that it no longer has.
+    Snapshot {
+        /// The offset of the next record.
+        next: Offset,
+        /// The encoded state.
+        bytes: Vec<u8>,
+        /// Told the offset to read on from.
+        ack: oneshot::Sender<Offset>,
+    },
+    /// The log no longer keeps the offset asked for.
+    Expired {
+        /// The first offset that it keeps.
+        first: Offset,
+        /// Told the offset to read on from.
+        ack: oneshot::Sender<Offset>,
+    },
+    /// A read got no answer, or a peer's stream ended.
+    ReadFailed {
+        /// Where it was read.
+        source: Source,
+    },
+    /// A try of the append on its way has ended.
+    Append {
+        /// When it was sent.
+        asked: Instant,
+        /// Whether the log has it.
+        confirmed: bool,
+        /// Whether the log is out of reach.
+        failed: bool,
+        /// Whether it is not tried again.
+        done: bool,
+    },
+    /// A new version of the platform's VM list.
+    Vms(Listing),
+    /// A peer's heartbeat.
+    Beat {
+        /// The heartbeat.
+        beat: Heartbeat,
+        /// All that the peer has in flight, by backend server.
+        in_flight: Vec<(VmId, u32)>,
+    },
+    /// Where services run, as a peer tells it.
+    Replicas(Arc<Replicas>),
+    /// A call to a worker has ended.
+    Worker {
+        /// The epoch of the call.
+        epoch: Epoch,
+        /// The worker.
+        vm: VmId,
+        /// Its answer.
+        outcome: Result<WorkerReport, Silence>,
+    },
+    /// A peer asks.
+    Question {
+        /// The question.
+        question: Question,
+        /// Told the answer.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A peer asks for the whole state.
+    Encode {
+        /// Told the offset of the next record, and the state.
+        reply: oneshot::Sender<(Offset, Vec<u8>)>,
+    },
+    /// An operator's change.
+    Submit {
+        /// The change.
+        change: Box<Change>,
+        /// Told what the fold made of it.
+        reply: oneshot::Sender<Outcome>,
+    },
+    /// A check asks how this entry VM stands.
+    Status {
+        /// Told how it stands.
+        reply: oneshot::Sender<StatusJson>,
+    },
+    /// A planned stop begins.
+    Stop,
+    /// Tells when all that was to be appended is in the log.
+    Flushed {
+        /// Told then.
+        reply: oneshot::Sender<()>,
+    },
+}
--- /dev/null
+++ b/daisy-entry/src/control/routes.rs
@@ -0,0 +1,110 @@
+//! Builds the request side's routes from the ledger, the VM list and the replicas.
+
+use std::sync::Arc;
+
+use daisy_ledger::State;
+use daisy_membership::{Membership, Status};
+use daisy_model::{DcId, Instant, JobKind, Name, SortedMap, Vm, VmId, VmRole, VmStatus};
+use daisy_routing::{Backend, Routes, Service};
+
+use crate::control::Replicas;
+
+/// Requests that a backend server works on at one time, on both users' workers.
+const SLOTS: u32 = 8;
+/// Connections that a backend server takes from all entry VMs, on both users' workers.
+const CONNECTIONS: u32 = 64;
+
+/// What routes are built from.
+pub(crate) struct Parts<'a> {
+    pub now: Instant,
+    pub dc: DcId,
+    pub regions: &'a [u16],
+    pub state: &'a State,
+    pub vms: &'a [Vm],
+    pub membership: &'a Membership,
+    pub replicas: &'a SortedMap<DcId, Arc<Replicas>>,
+}
+
+/// The routes of version `version`.
+pub(crate) fn build(version: u64, parts: &Parts<'_>) -> Routes {
+    Routes {
+        version,
+        dc: parts.dc,
+        regions: parts.regions.to_vec(),
+        entries: entries(parts),
+        listed: listed(parts),
+        services: services(parts),
+        policy: parts.state.policy.1.clone(),
+    }
+}
+
+/// Entry VMs that serve as far as this one knows, itself included.
+///
+/// Those of other data centres are not all heard of: the list's word is taken.
+fn entries(parts: &Parts<'_>) -> Vec<(DcId, VmId)> {
+    let options = parts.membership.options();
+    let peers = parts.membership.peers();
+    let serves = |(vm, peer): &(VmId, &daisy_membership::Peer)| {
+        if peer.dc != parts.dc {
+            return peer.listed;
+        }
+        let ready = peer.last.is_some_and(|last| last.status == Status::Ready);
+        ready && peers.alive(options, parts.now, *vm)
+    };
+    let mut entries: Vec<(DcId, VmId)> =
+        peers.iter().filter(serves).map(|(vm, peer)| (peer.dc, vm)).collect();
+    entries.push((options.dc, options.vm));
+    entries.sort_unstable();
+    entries
+}
+
+/// Entry VMs that the platform's list names, itself included.
+fn listed(parts: &Parts<'_>) -> Vec<(DcId, VmId)> {
+    let options = parts.membership.options();
+    let entries = parts.vms.iter().filter(|vm| vm.role == VmRole::Entry);
+    let mut listed: Vec<(DcId, VmId)> = entries.map(|vm| (vm.dc, vm.id)).collect();
+    listed.push((options.dc, options.vm));
+    listed.sort_unstable();
+    listed.dedup();
+    listed
+}
+
+fn services(parts: &Parts<'_>) -> SortedMap<Name, Service> {
+    let mut services = SortedMap::new();
+    for (id, job) in parts.state.jobs.iter() {
+        if job.spec.kind != JobKind::Service || job.cancelled {
+            continue;
+        }
+        let service = Service {
+            job: id,
+            priority: job.spec.priority,
+            refuse: job.spec.tolerance.refuse,
+            backends: Vec::new(),
+        };
+        services.insert(job.spec.name.clone(), service);
+    }
+    for replicas in parts.replicas.iter().map(|(_, it)| it) {
+        for (job, vm) in &replicas.pairs {
+            let Some(name) = parts.state.jobs.get(*job).map(|job| &job.spec.name) else { continue };
+            let Some(service) = services.get_mut(name) else { continue };
+            service.backends.extend(backend(parts, *vm));
+        }
+    }
+    for (_, service) in services.iter_mut() {
+        service.backends.sort_by_key(|it| it.vm);
+        service.backends.dedup_by_key(|it| it.vm);
+    }
+    services
+}
+
+fn backend(parts: &Parts<'_>, vm: VmId) -> Option<Backend> {
+    let vm = parts.vms.iter().find(|it| it.id == vm)?;
+    Some(Backend {
+        vm: vm.id,
+        dc: vm.dc,
+        address: vm.backend?,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        leaving: vm.status == VmStatus::Leaving || parts.state.is_drained(&vm.name),
+    })
+}
--- /dev/null
+++ b/daisy-entry/src/control/tell.rs
@@ -0,0 +1,148 @@
+//! What goes to peers: heartbeats, requests in flight and where services run.
+
+use std::{sync::Arc, time::Duration};
+
+use daisy_membership::{Role, Status};
+use daisy_model::{Instant, VmId};
+use daisy_routing::{KeyAnswer, KeyQuery};
+
+use crate::{
+    boundary::RequestSide,
+    control::{Control, Replicas, StatusJson, status::PeerJson},
+    peers::{Command, Told},
+};
+
+/// Before a connection to a silent peer is made anew.
+const RESET_PERIOD: Duration = Duration::from_secs(3);
+
+impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
+    /// Sends the present heartbeat to a peer, with all else that it should know.
+    pub(super) fn tell(&mut self, now: Instant, vm: VmId) {
+        self.reset_if_silent(now, vm);
+        let near = self.membership.peers().get(vm).is_some_and(|it| it.dc == self.identity.dc);
+        let mut in_flight = match near {
+            true => self.requests.in_flight(),
+            false => Vec::new(),
+        };
+        in_flight.sort_unstable();
+        let told = Told {
+            beat: self.membership.heartbeat(now),
+            in_flight: Arc::new(in_flight),
+            replicas: self.replicas_for(now, near),
+        };
+        self.out.links.send(vm, Command::Tell(told));
+    }
+
+    /// Guard: a connection through a link that was cut may hang until TCP gives up, many
+    /// minutes after the link is back, and the peer would stay silent for as long. The
+    /// connection to a peer that is not heard is made anew every few seconds.
+    fn reset_if_silent(&mut self, now: Instant, vm: VmId) {
+        let options = self.membership.options();
+        if self.membership.peers().alive(options, now, vm) {
+            self.resets.insert(vm, now);
+            return;
+        }
+        let last = *self.resets.get_or_insert_with(vm, || now);
+        if now.since(last) >= RESET_PERIOD {
+            self.resets.insert(vm, now);
+            self.out.links.send(vm, Command::Reset);
+        }
+    }
+
+    /// The speaker of a data centre tells the own replicas to others, and all to its peers.
+    fn replicas_for(&self, now: Instant, near: bool) -> Vec<Arc<Replicas>> {
+        if !self.membership.speaks(now) {
+            return Vec::new();
+        }
+        let known = self.replicas.iter();
+        known.filter(|(dc, _)| near || **dc == self.identity.dc).map(|(_, it)| it.clone()).collect()
+    }
+
+    /// Tells everybody where services of the own data centre run.
+    pub(super) fn publish_replicas(&mut self) {
+        let (Role::Holder(epoch) | Role::Caretaker(epoch)) = self.membership.role() else { return };
+        let dc = self.identity.dc;
+        let pairs = self.running.pairs();
+        let known = self.replicas.get(&dc);
+        if known.is_some_and(|it| it.pairs == pairs && it.epoch == epoch) {
+            return;
+        }
+        let version = known.map_or(1, |it| it.version + 1);
+        self.replicas.insert(dc, Arc::new(Replicas { dc, epoch, version, pairs }));
+        self.routes_dirty = true;
+        self.tell_all = true;
+    }
+
+    /// Takes in where services run, as a peer tells it.
+    pub(super) fn hear_replicas(&mut self, replicas: Arc<Replicas>) {
+        let own = replicas.dc == self.identity.dc;
+        if own && matches!(self.membership.role(), Role::Holder(epoch) if epoch >= replicas.epoch) {
+            return;
+        }
+        if self.replicas.get(&replicas.dc).is_some_and(|known| !known.is_before(&replicas)) {
+            return;
+        }
+        self.replicas.insert(replicas.dc, replicas);
+        self.routes_dirty = true;
+        self.tell_all = true;
+    }
+
+    /// Passes changed replicas on without waiting for the next heartbeat.
+    pub(super) fn tell_replicas(&mut self, now: Instant) {
+        if !std::mem::take(&mut self.tell_all) || !self.membership.speaks(now) {
+            return;
+        }
+        for vm in self.membership.audience() {
+            self.tell(now, vm);
+        }
+    }
+
+    /// How this entry VM stands.
+    pub(super) fn status(&self, now: Instant) -> StatusJson {
+        let status = self.membership.status();
+        let holding = self.membership.holding();
+        StatusJson {
+            vm: self.identity.vm.0,
+            name: self.identity.name.to_string(),
+            dc: self.identity.dcs[self.identity.dc.0 as usize].to_string(),
+            ready: status == Status::Ready,
+            status: match status {
+                Status::Starting => "starting",
+                Status::Ready => "ready",
+                Status::Leaving => "leaving",
+            },
+            role: match self.membership.role() {
+                Role::Idle => "idle",
+                Role::Holder(_) => "holder",
+                Role::Caretaker(_) => "caretaker",
+            },
+            source: match self.membership.source() {
+                daisy_membership::Source::Log => "log".to_owned(),
+                daisy_membership::Source::Peer(vm) => vm.to_string(),
+            },
+            log_answers: self.membership.log_answers(now),
+            next: self.state.next.0,
+            generation: self.state.generation.0,
+            config_offset: self.config.map(|(offset, _)| offset.0),
+            config_since_ms: self.config.map(|(_, since)| since.0),
+            holder: holding.map(|it| it.holder.0),
+            epoch: holding.map(|it| it.epoch.0),
+            released: holding.is_some_and(|it| it.released),
+            unsent: self.outbox.len(),
+            peers: self.peers(now),
+        }
+    }
+
+    fn peers(&self, now: Instant) -> Vec<PeerJson> {
+        let (options, peers) = (self.membership.options(), self.membership.peers());
+        let peer = |(vm, peer): (VmId, &daisy_membership::Peer)| PeerJson {
+            vm: vm.0,
+            dc: peer.dc.0,
+            listed: peer.listed,
+            alive: peers.alive(options, now, vm),
+            next: peer.last.map(|last| last.next.0),
+            generation: peer.last.map(|last| last.generation),
+        };
+        peers.iter().map(peer).collect()
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/http.rs
@@ -0,0 +1,105 @@
+//! A small HTTP client: one request, one whole answer, bounded in time and size.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use daisy_wire::headers;
+use http::{HeaderValue, Method, Request, StatusCode, Uri, request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+/// How long a connection may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+/// Why there is no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum HttpError {
+    /// No connection came about: the request cannot have had an effect.
+    #[error("not connected: {0}")]
+    Connect(String),
+    /// The connection broke, or the answer was too long.
+    #[error("no whole answer: {0}")]
+    Broken(String),
+    /// The answer took too long.
+    #[error("no answer in {0:?}")]
+    Timeout(Duration),
+}
+
+impl HttpError {
+    /// Whether the request may have reached the other side.
+    pub fn sent(&self) -> bool {
+        !matches!(self, HttpError::Connect(_))
+    }
+}
+
+/// Calls the platform and workers.
+#[derive(Debug, Clone)]
+pub(crate) struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    from: HeaderValue,
+}
+
+impl Http {
+    /// A client that gives its name as `from`.
+    pub fn new(from: &str) -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            // A request that may have had an effect is repeated only by whoever knows that
+            // it is idempotent.
+            .retry_canceled_requests(false)
+            .build(connector);
+        let from = HeaderValue::from_str(from).unwrap_or(HeaderValue::from_static("entry"));
+        Http { client, from }
+    }
+
+    /// A request to `target`, such as `/v1/log`, at `address`.
+    pub fn request(&self, method: Method, address: SocketAddr, target: &str) -> request::Builder {
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(address.to_string())
+            .path_and_query(target)
+            .build()
+            .unwrap_or_default();
+        Request::builder().method(method).uri(uri).header(headers::FROM, &self.from)
+    }
+
+    /// Sends `req` and reads its answer of at most `limit` bytes within `timeout`.
+    pub async fn call(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<Reply, HttpError> {
+        match tokio::time::timeout(timeout, self.exchange(req, limit)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(HttpError::Timeout(timeout)),
+        }
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>, limit: usize) -> Result<Reply, HttpError> {
+        let res = self.client.request(req).await.map_err(|e| match e.is_connect() {
+            true => HttpError::Connect(e.to_string()),
+            false => HttpError::Broken(e.to_string()),
+        })?;
+        let status = res.status();
+        let body = Limited::new(res.into_body(), limit).collect().await;
+        let body = body.map_err(|e| HttpError::Broken(e.to_string()))?.to_bytes();
+        Ok(Reply { status, body })
+    }
+}
--- a/daisy-entry/src/lib.rs
+++ b/daisy-entry/src/lib.rs
@@ -7,3 +7,25 @@
 
 pub mod boundary;
 pub mod proxy;
+
+mod appender;
+mod callers;
+mod clock;
+mod control;
+mod entry;
+mod http;
+mod metrics;
+mod operators;
+mod outbox;
+mod peers;
+mod platform;
+mod process;
+mod reader;
+mod vm_list;
+mod worker_calls;
+
+pub use crate::{
+    entry::{Addresses, Entry, start},
+    peers::Keys,
+    process::run,
+};
--- /dev/null
+++ b/daisy-entry/src/metrics.rs
@@ -0,0 +1,100 @@
+//! Metrics of the control side, by name and unit as `docs/OPERATING.md` lists them.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::{Registry, Unit},
+};
+
+/// How something ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    result: &'static str,
+}
+
+/// Which way bytes went.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Way {
+    direction: &'static str,
+}
+
+/// The metrics of the control side; clones share them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Metrics {
+    pub next_offset: Gauge,
+    pub generation: Gauge,
+    pub holder: Gauge,
+    pub peers_alive: Gauge,
+    pub unsent: Gauge,
+    pub claims: Counter,
+    appends: Family<Ended, Counter>,
+    worker_calls: Family<Ended, Counter>,
+    statements: Family<Ended, Counter>,
+    peer_bytes: Family<Way, Counter>,
+}
+
+impl Metrics {
+    /// The metrics, and the registry that renders them.
+    pub fn registered() -> (Metrics, Registry) {
+        let it = Metrics::default();
+        let mut registry = Registry::with_prefix("daisy");
+        let gauges = [
+            ("log_next_offset", "Offset of the next log record to fold", &it.next_offset),
+            ("config_generation", "Generation of the configuration in force", &it.generation),
+            ("holder", "1 while this entry VM holds its data centre", &it.holder),
+            ("peers_alive", "Other entry VMs heard of lately", &it.peers_alive),
+            ("unsent_records", "Records that wait to be appended", &it.unsent),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register("claims", "Claims of the data centre sent", it.claims.clone());
+        registry.register("appends", "Tries to append to the log", it.appends.clone());
+        registry.register("worker_calls", "Calls to workers", it.worker_calls.clone());
+        registry.register("statements", "Operators' statements", it.statements.clone());
+        registry.register_with_unit(
+            "peer_messages",
+            "Messages exchanged with other entry VMs",
+            Unit::Bytes,
+            it.peer_bytes.clone(),
+        );
+        (it, registry)
+    }
+
+    /// A try to append has ended.
+    pub fn append(&self, confirmed: bool) {
+        self.appends.get_or_create(&Ended { result: result(confirmed) }).inc();
+    }
+
+    /// A call to a worker has ended.
+    pub fn worker_call(&self, answered: bool) {
+        self.worker_calls.get_or_create(&Ended { result: result(answered) }).inc();
+    }
+
+    /// A statement was answered.
+    pub fn statement(&self, accepted: bool) {
+        self.statements.get_or_create(&Ended { result: result(accepted) }).inc();
+    }
+
+    /// Bytes of messages so far.
+    pub fn peer_traffic(&self, sent: u64, received: u64) {
+        let set = |direction: &'static str, bytes: u64| {
+            let counter = self.peer_bytes.get_or_create(&Way { direction });
+            counter.inc_by(bytes.saturating_sub(counter.get()));
+        };
+        set("sent", sent);
+        set("received", received);
+    }
+}
+
+fn result(ok: bool) -> &'static str {
+    if ok { "ok" } else { "failed" }
+}
+
+/// The registry's metrics as text.
+pub(crate) fn render(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = text::encode(&mut text, registry);
+    text
+}
--- /dev/null
+++ b/daisy-entry/src/operators.rs
@@ -0,0 +1,89 @@
+//! The operators' port: statements and status over HTTP.
+//!
+//! `docs/PROTOCOL.md` has the requests and their answers.
+
+mod answer;
+mod statements;
+mod token;
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
+use viz::{
+    Body, IntoResponse, Request, Response, Result, Router,
+    types::{State, StateError},
+};
+
+pub(crate) use self::{answer::Reply, token::Tokens};
+use crate::{clock::Clock, control::Input, metrics::Metrics};
+
+/// Bytes of a body of statements.
+const BODY_LIMIT: usize = 64 << 10;
+
+/// What the port needs to answer.
+#[derive(Debug)]
+pub(crate) struct Port {
+    pub tokens: Tokens,
+    pub clock: Clock,
+    pub control: mpsc::Sender<Input>,
+    pub metrics: Metrics,
+}
+
+/// Serves operators on `listener` until the task is aborted.
+pub(crate) async fn serve(port: Arc<Port>, listener: TcpListener) {
+    let router = Router::new()
+        .post("/v1/statements", post_statements)
+        .get("/v1/status", get_status)
+        .with(State::new(port));
+    if let Err(e) = viz::serve(listener, router).await {
+        log::error!("event=operators_port_failed cause={e:?}");
+    }
+}
+
+async fn post_statements(req: Request) -> Result<Response> {
+    let port = port(&req)?;
+    let Some(who) = port.tokens.try_find(req.headers()).cloned() else {
+        log::warn!("event=statement_refused cause=token");
+        return Ok(Reply::failed(StatusCode::UNAUTHORIZED, "no operator's token").into_response());
+    };
+    let body = Limited::new(req.into_body(), BODY_LIMIT).collect().await;
+    let text = body.ok().and_then(|body| String::from_utf8(body.to_bytes().into()).ok());
+    let Some(text) = text else {
+        log::warn!("event=statement_refused who={who} cause=body");
+        let cause = format!("the body is not UTF-8 text of at most {BODY_LIMIT} bytes");
+        return Ok(Reply::failed(StatusCode::PAYLOAD_TOO_LARGE, &cause).into_response());
+    };
+    let reply = statements::run(&port, who, &text).await;
+    port.metrics.statement(reply.status.is_success());
+    Ok(reply.into_response())
+}
+
+async fn get_status(req: Request) -> Result<Response> {
+    let port = port(&req)?;
+    let (reply, status) = oneshot::channel();
+    let asked = port.control.send(Input::Status { reply }).await;
+    match (asked, status.await) {
+        (Ok(()), Ok(status)) => Ok(json(StatusCode::OK, &status)),
+        _ => Ok(Reply::failed(StatusCode::SERVICE_UNAVAILABLE, "stopping").into_response()),
+    }
+}
+
+fn port(req: &Request) -> Result<Arc<Port>> {
+    let port = req.extensions().get::<Arc<Port>>().cloned();
+    port.ok_or_else(|| StateError::new::<Arc<Port>>().into())
+}
+
+/// A JSON answer.
+pub(crate) fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::Full(body.into()));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/daisy-entry/src/operators/statements.rs
@@ -0,0 +1,82 @@
+//! Runs operators' statements one after another.
+
+use std::time::Duration;
+
+use daisy_language::{Located, Statement};
+use daisy_ledger::Outcome;
+use daisy_model::{Change, Command, Condition, Name};
+use http::StatusCode;
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::{
+    control::Input,
+    operators::{
+        Port,
+        answer::{Reply, ResultJson},
+    },
+};
+
+/// How long an operator waits until a change is in force here.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Runs all statements of `text`, and stops after the first that is not accepted.
+pub(super) async fn run(port: &Port, who: Name, text: &str) -> Reply {
+    let statements = match daisy_language::parse_located(text) {
+        Ok(statements) => statements,
+        Err(findings) => {
+            let count = findings.0.len();
+            log::info!("event=statement_refused who={who} cause=findings count={count}");
+            return Reply::wrong(&findings.0);
+        }
+    };
+    let mut results = Vec::new();
+    for Located { statement, span } in statements {
+        let source = text.get(span).unwrap_or_default().trim();
+        let result = match statement {
+            Statement::Change { command, condition } => {
+                change(port, &who, source, command, condition).await
+            }
+            _ => {
+                let error = "only changes are answered yet";
+                return Reply::failed(StatusCode::NOT_IMPLEMENTED, error);
+            }
+        };
+        let Some(result) = result else {
+            return Reply::failed(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        };
+        let go_on = !matches!(result, ResultJson::Refused { .. } | ResultJson::Unknown { .. });
+        results.push(result);
+        if !go_on {
+            break;
+        }
+    }
+    Reply::done(results)
+}
+
+/// Appends a change and waits until the fold has decided.
+async fn change(
+    port: &Port,
+    who: &Name,
+    source: &str,
+    command: Command,
+    condition: Option<Condition>,
+) -> Option<ResultJson> {
+    let at = port.clock.wall();
+    let change = Change { who: who.clone(), at, text: source.into(), command, condition };
+    let (reply, verdict) = oneshot::channel();
+    port.control.send(Input::Submit { change: Box::new(change), reply }).await.ok()?;
+    let result = match timeout(VERDICT_TIMEOUT, verdict).await {
+        Ok(Ok(Outcome::Accepted(generation))) => ResultJson::Accepted { generation: generation.0 },
+        Ok(Ok(Outcome::Refused(refusal))) => ResultJson::Refused { cause: refusal.to_string() },
+        Ok(Ok(_)) => ResultJson::Unknown { cause: "the ledger gave no verdict".to_owned() },
+        // Its sender is dropped only while the change is unsent.
+        Ok(Err(_)) => {
+            ResultJson::Refused { cause: "the log takes no appends; nothing was sent".to_owned() }
+        }
+        Err(_) => ResultJson::Unknown {
+            cause: format!("no verdict of the log in {VERDICT_TIMEOUT:?}; it may still come"),
+        },
+    };
+    log::info!("event=statement who={who} text={source:?} result={result:?}");
+    Some(result)
+}
--- /dev/null
+++ b/daisy-entry/src/operators/token.rs
@@ -0,0 +1,46 @@
+//! Who an operator is, by the token shown.
+
+use std::hint::black_box;
+
+use daisy_model::Name;
+use daisy_settings::Operator;
+use http::{HeaderMap, header::AUTHORIZATION};
+
+/// The operators' tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct Tokens {
+    operators: Vec<Operator>,
+}
+
+impl Tokens {
+    /// Knows `operators`.
+    pub fn new(operators: Vec<Operator>) -> Tokens {
+        Tokens { operators }
+    }
+
+    /// The operator whose token the request shows as `authorization: Bearer TOKEN`.
+    pub fn try_find(&self, map: &HeaderMap) -> Option<&Name> {
+        let shown = map.get(AUTHORIZATION)?.as_bytes().strip_prefix(b"Bearer ")?;
+        // All are compared, so that the time tells nothing of which one was near.
+        let mut found = None;
+        for operator in &self.operators {
+            if is_same(operator.token.as_bytes(), shown) {
+                found = Some(&operator.who);
+            }
+        }
+        found
+    }
+}
+
+/// Compares without stopping at the first difference.
+///
+/// Guard: a comparison that stops early answers faster the sooner it differs, and a token
+/// could be guessed byte by byte from the time of the refusals.
+fn is_same(token: &[u8], shown: &[u8]) -> bool {
+    let mut difference = token.len() ^ shown.len();
+    for (at, byte) in token.iter().enumerate() {
+        let other = shown.get(at).copied().unwrap_or(0);
+        difference |= black_box(usize::from(byte ^ other));
+    }
+    difference == 0
+}
--- /dev/null
+++ b/daisy-entry/src/peers.rs
@@ -0,0 +1,27 @@
+//! What entry VMs say to one another: h2 streams of the frames of `daisy_wire::peer`.
+//!
+//! Three paths, in `docs/PROTOCOL.md`: `/v1/notices`, a long stream of heartbeats;
+//! `/v1/records`, the log passed on; `/v1/question`, one question and its answer.
+
+mod link;
+mod links;
+mod serve;
+mod stream;
+mod tail;
+
+pub(crate) use self::{
+    link::{Command, Told},
+    links::Links,
+    serve::{Allowed, Server},
+    stream::Counter,
+    tail::Tail,
+};
+
+pub use self::links::Keys;
+
+/// The path of the stream of notices.
+const NOTICES: &str = "/v1/notices";
+/// The path of the stream of records.
+const RECORDS: &str = "/v1/records";
+/// The path of a question.
+const QUESTION: &str = "/v1/question";
--- /dev/null
+++ b/daisy-entry/src/peers/link.rs
@@ -0,0 +1,284 @@
+//! The connection to one peer: notices go out, questions are asked.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use daisy_membership::Heartbeat;
+use daisy_model::{DcId, JobId, Offset, SortedMap, VmId};
+use daisy_wire::{
+    headers,
+    peer::{
+        Answer, AnswerWire, MAX_FRAME, Notice, NoticeWire, Pushed, PushedWire, Question,
+        QuestionWire, RecordsFrom, ReplicaChange,
+    },
+};
+use h2::client::{self, SendRequest};
+use http::{Method, Request};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::{Instant, timeout},
+};
+
+use crate::{
+    control::Replicas,
+    peers::{
+        Counter, NOTICES, QUESTION, RECORDS,
+        stream::{Receiver, Sender, StreamError},
+    },
+};
+
+/// How long a connection may take to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a notice may take to be handed over; a peer that is paused takes none.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Before another connection is tried; doubled up to [`MAX_BACKOFF`].
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
+/// The longest pause between tries.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Bytes that a peer may send before they are read.
+const WINDOW: u32 = 1 << 20;
+
+/// What is told to a peer at one time.
+#[derive(Debug, Clone)]
+pub(crate) struct Told {
+    pub beat: Heartbeat,
+    /// Requests in flight by backend server, sorted.
+    pub in_flight: Arc<Vec<(VmId, u32)>>,
+    /// Where services run, by data centre.
+    pub replicas: Vec<Arc<Replicas>>,
+}
+
+/// What the link is asked to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Tell the peer.
+    Tell(Told),
+    /// Ask the peer.
+    Ask(Question, oneshot::Sender<Option<Answer>>),
+    /// Read the log's records from the peer.
+    Records(Offset, oneshot::Sender<Option<Records>>),
+    /// Give the connection up: the peer seems to hear nothing through it.
+    Reset,
+}
+
+/// The log's records as a peer passes them on.
+#[derive(Debug)]
+pub(crate) struct Records {
+    receiver: Receiver,
+}
+
+impl Records {
+    /// The next message; `None` when the stream is of no further use.
+    pub async fn next(&mut self) -> Option<Pushed> {
+        match self.receiver.next::<PushedWire>().await {
+            Ok(Some(pushed)) => Some(pushed.into()),
+            Ok(None) => None,
+            Err(e) => {
+                log::debug!("event=records_stream_broken cause={e:?}");
+                None
+            }
+        }
+    }
+}
+
+/// One connection and what the peer was told through it.
+struct Connection {
+    requests: SendRequest<Bytes>,
+    notices: Sender,
+    in_flight: Option<Arc<Vec<(VmId, u32)>>>,
+    replicas: SortedMap<DcId, Arc<Replicas>>,
+}
+
+/// The link to one peer.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub own: VmId,
+    pub peer: VmId,
+    pub address: SocketAddr,
+    pub sent: Counter,
+    pub received: Counter,
+}
+
+impl Link {
+    /// Carries commands out until their senders are gone.
+    pub async fn run(self, mut commands: mpsc::Receiver<Command>) {
+        let mut connection = None;
+        let mut backoff = MIN_BACKOFF;
+        let mut retry_at = Instant::now();
+        while let Some(command) = commands.recv().await {
+            if matches!(command, Command::Reset) {
+                connection = None;
+                continue;
+            }
+            if connection.is_none() && Instant::now() >= retry_at {
+                connection = self.connect().await;
+                match connection.is_some() {
+                    true => backoff = MIN_BACKOFF,
+                    false => {
+                        retry_at = Instant::now() + backoff;
+                        backoff = (backoff * 2).min(MAX_BACKOFF);
+                    }
+                }
+            }
+            // Without a connection the command is dropped: heartbeats grow old at once, and
+            // a dropped reply tells its receiver that there is no answer.
+            let Some(it) = connection.as_mut() else { continue };
+            if let Err(e) = self.carry_out(it, command).await {
+                log::debug!("event=peer_link_broken peer={} cause={e:?}", self.peer);
+                connection = None;
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<Connection> {
+        match timeout(CONNECT_TIMEOUT, self.open()).await {
+            Ok(Ok(connection)) => {
+                log::debug!("event=peer_connected peer={} address={}", self.peer, self.address);
+                Some(connection)
+            }
+            Ok(Err(e)) => {
+                log::debug!("event=peer_connect_failed peer={} cause={e:?}", self.peer);
+                None
+            }
+            Err(_) => {
+                log::debug!("event=peer_connect_failed peer={} cause=timeout", self.peer);
+                None
+            }
+        }
+    }
+
+    async fn open(&self) -> anyhow::Result<Connection> {
+        let socket = TcpStream::connect(self.address).await?;
+        socket.set_nodelay(true)?;
+        let mut builder = client::Builder::new();
+        builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW);
+        builder.enable_push(false);
+        let (requests, driver) = builder.handshake::<_, Bytes>(socket).await?;
+        tokio::spawn(async move {
+            if let Err(e) = driver.await {
+                log::debug!("event=peer_connection_ended cause={e:?}");
+            }
+        });
+        let mut requests = requests.ready().await?;
+        let (_, stream) = requests.send_request(self.request(NOTICES)?, false)?;
+        Ok(Connection {
+            requests,
+            notices: Sender::new(stream, self.sent.clone()),
+            in_flight: None,
+            replicas: SortedMap::new(),
+        })
+    }
+
+    fn request(&self, path: &str) -> http::Result<Request<()>> {
+        Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
+            .header(headers::FROM, self.own.to_string())
+            .body(())
+    }
+
+    async fn carry_out(&self, it: &mut Connection, command: Command) -> anyhow::Result<()> {
+        match command {
+            Command::Tell(told) => Ok(timeout(NOTICE_TIMEOUT, it.tell(told)).await??),
+            Command::Ask(question, reply) => {
+                let mut requests = it.requests.clone().ready().await?;
+                let (response, stream) = requests.send_request(self.request(QUESTION)?, false)?;
+                let sender = Sender::new(stream, self.sent.clone());
+                tokio::spawn(ask(sender, response, self.received.clone(), question, reply));
+                Ok(())
+            }
+            Command::Records(from, reply) => {
+                let mut requests = it.requests.clone().ready().await?;
+                let (response, stream) = requests.send_request(self.request(RECORDS)?, false)?;
+                let sender = Sender::new(stream, self.sent.clone());
+                tokio::spawn(follow(sender, response, self.received.clone(), from, reply));
+                Ok(())
+            }
+            Command::Reset => Ok(()),
+        }
+    }
+}
+
+impl Connection {
+    async fn tell(&mut self, told: Told) -> Result<(), StreamError> {
+        for replicas in &told.replicas {
+            let known = self.replicas.get(&replicas.dc);
+            if known.is_some_and(|known| known.is_same(replicas)) {
+                continue;
+            }
+            let change = change_of(known.map(Arc::as_ref), replicas);
+            let notice = NoticeWire::from(&Notice::Replicas(change));
+            self.notices.send(&notice, false).await?;
+            self.replicas.insert(replicas.dc, Arc::clone(replicas));
+        }
+        let full = self.in_flight.is_none();
+        let known = self.in_flight.as_deref().map_or(&[][..], Vec::as_slice);
+        let in_flight = changed_counts(known, &told.in_flight);
+        let notice = NoticeWire::from(&Notice::Beat { beat: told.beat, full, in_flight });
+        self.notices.send(&notice, false).await?;
+        self.in_flight = Some(told.in_flight);
+        Ok(())
+    }
+}
+
+async fn ask(
+    mut sender: Sender,
+    response: client::ResponseFuture,
+    received: Counter,
+    question: Question,
+    reply: oneshot::Sender<Option<Answer>>,
+) {
+    let exchange = async {
+        sender.send(&QuestionWire::from(question), true).await?;
+        let mut receiver = Receiver::new(response.await?.into_body(), MAX_FRAME, received);
+        Ok::<_, StreamError>(Answer::try_from(receiver.only::<AnswerWire>().await?)?)
+    };
+    let answer = exchange.await;
+    if let Err(e) = &answer {
+        log::debug!("event=question_failed cause={e:?}");
+    }
+    let _ = reply.send(answer.ok());
+}
+
+async fn follow(
+    mut sender: Sender,
+    response: client::ResponseFuture,
+    received: Counter,
+    from: Offset,
+    reply: oneshot::Sender<Option<Records>>,
+) {
+    let exchange = async {
+        sender.send(&RecordsFrom { offset: from.0 }, true).await?;
+        Ok::<_, StreamError>(Receiver::new(response.await?.into_body(), MAX_FRAME, received))
+    };
+    let records = exchange.await.ok().map(|receiver| Records { receiver });
+    let _ = reply.send(records);
+}
+
+/// What has changed from `known` to `replicas`.
+fn change_of(known: Option<&Replicas>, replicas: &Replicas) -> ReplicaChange {
+    let known_pairs: &[(JobId, VmId)] = known.map_or(&[], |it| &it.pairs);
+    let missing_in =
+        |pairs: &[(JobId, VmId)], pair: &(JobId, VmId)| pairs.binary_search(pair).is_err();
+    let added = replicas.pairs.iter().filter(|it| missing_in(known_pairs, it));
+    let removed = known_pairs.iter().filter(|it| missing_in(&replicas.pairs, it));
+    ReplicaChange {
+        dc: replicas.dc,
+        epoch: replicas.epoch,
+        version: replicas.version,
+        full: known.is_none(),
+        added: added.copied().collect(),
+        removed: removed.copied().collect(),
+    }
+}
+
+/// The counts that differ; zero for those that are gone.
+fn changed_counts(known: &[(VmId, u32)], now: &[(VmId, u32)]) -> Vec<(VmId, u32)> {
+    let count_in = |counts: &[(VmId, u32)], vm: VmId| {
+        counts.binary_search_by_key(&vm, |it| it.0).map_or(0, |at| counts[at].1)
+    };
+    let changed = now.iter().filter(|(vm, count)| count_in(known, *vm) != *count).copied();
+    let gone = known.iter().filter(|(vm, _)| count_in(now, *vm) == 0).map(|(vm, _)| (*vm, 0));
+    changed.chain(gone).collect()
+}
--- /dev/null
+++ b/daisy-entry/src/peers/links.rs
@@ -0,0 +1,129 @@
+//! The links to all peers.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use daisy_model::{Offset, SortedMap, VmId};
+use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_wire::peer::{Answer, Question};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    boundary::PeerKeys,
+    peers::{
+        Command, Counter,
+        link::{Link, Records},
+    },
+};
+
+/// Commands that wait for a link; more are dropped, as heartbeats grow old.
+const QUEUE: usize = 256;
+/// How long a peer may take to begin passing records on.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+struct Open {
+    address: SocketAddr,
+    commands: mpsc::Sender<Command>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    own: VmId,
+    addresses: SortedMap<VmId, SocketAddr>,
+    open: SortedMap<VmId, Open>,
+}
+
+/// The links to all peers; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Links {
+    shared: Arc<Mutex<Shared>>,
+    pub sent: Counter,
+    pub received: Counter,
+}
+
+impl Links {
+    /// No links yet, of the entry VM `own`.
+    pub fn new(own: VmId) -> Links {
+        let shared = Shared { own, addresses: SortedMap::new(), open: SortedMap::new() };
+        Links {
+            shared: Arc::new(Mutex::new(shared)),
+            sent: Counter::default(),
+            received: Counter::default(),
+        }
+    }
+
+    /// Takes in where peers listen; links to all others are closed.
+    pub fn set_addresses(&self, addresses: SortedMap<VmId, SocketAddr>) {
+        let mut shared = self.lock();
+        shared.open.retain(|vm, open| addresses.get(vm) == Some(&open.address));
+        shared.addresses = addresses;
+    }
+
+    /// Hands a command to the link of `peer`; `false` if it is dropped.
+    pub fn send(&self, peer: VmId, command: Command) -> bool {
+        self.link(peer).is_some_and(|commands| commands.try_send(command).is_ok())
+    }
+
+    /// Asks `peer`; `None` when no answer came within `limit`.
+    pub async fn ask(&self, peer: VmId, question: Question, limit: Duration) -> Option<Answer> {
+        let (reply, answer) = oneshot::channel();
+        if !self.send(peer, Command::Ask(question, reply)) {
+            return None;
+        }
+        timeout(limit, answer).await.ok()?.ok()?
+    }
+
+    /// Reads the log's records from `peer`, `from` on.
+    pub async fn records(&self, peer: VmId, from: Offset) -> Option<Records> {
+        let (reply, records) = oneshot::channel();
+        if !self.send(peer, Command::Records(from, reply)) {
+            return None;
+        }
+        timeout(RECORDS_TIMEOUT, records).await.ok()?.ok()?
+    }
+
+    fn link(&self, peer: VmId) -> Option<mpsc::Sender<Command>> {
+        let mut shared = self.lock();
+        if let Some(open) = shared.open.get(&peer) {
+            return Some(open.commands.clone());
+        }
+        let address = *shared.addresses.get(&peer)?;
+        let (commands, queue) = mpsc::channel(QUEUE);
+        let link = Link {
+            own: shared.own,
+            peer,
+            address,
+            sent: self.sent.clone(),
+            received: self.received.clone(),
+        };
+        tokio::spawn(link.run(queue));
+        shared.open.insert(peer, Open { address, commands: commands.clone() });
+        Some(commands)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks peers about idempotency keys, for the request side.
+#[derive(Debug, Clone)]
+pub struct Keys {
+    pub(crate) links: Links,
+}
+
+impl PeerKeys<KeyQuery, KeyAnswer> for Keys {
+    async fn ask(&self, peer: VmId, query: KeyQuery, timeout: Duration) -> Option<KeyAnswer> {
+        match self.links.ask(peer, Question::Key(query), timeout).await? {
+            Answer::Key(answer) => Some(answer),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/peers/serve.rs
@@ -0,0 +1,326 @@
+//! The peers' port: notices, records and questions from other entry VMs.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use bytes::Bytes;
+use daisy_model::{DcId, JobId, Offset, SortedMap, VmId};
+use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_wire::{
+    headers,
+    peer::{
+        Answer, AnswerWire, Notice, NoticeWire, Pushed, PushedWire, Question, QuestionWire,
+        RecordsFrom, ReplicaChange,
+    },
+};
+use h2::{
+    RecvStream,
+    server::{self, SendResponse},
+};
+use http::{HeaderMap, Request, Response, StatusCode};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    boundary::RequestSide,
+    control::{Input, Replicas},
+    peers::{
+        Counter, NOTICES, QUESTION, RECORDS, Tail,
+        stream::{Receiver, Sender, StreamError},
+        tail::Chunk,
+    },
+};
+
+/// Bytes of a message that a peer may send unasked; handovers of keys are the longest.
+const MESSAGE_LIMIT: usize = 8 << 20;
+/// Streams of one peer at one time.
+const STREAMS: u32 = 256;
+/// Connections of all peers at one time: 48 entry VMs, each twice while one is replaced.
+const CONNECTIONS: usize = 128;
+/// Bytes of a request's headers.
+const HEADER_LIMIT: u32 = 4 << 10;
+/// Bytes that a peer may send before they are read.
+const WINDOW: u32 = 1 << 20;
+/// How long the handshake of a new connection may take.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a question may take to come and be answered.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Who may connect.
+#[derive(Debug, Clone)]
+pub(crate) struct Allowed {
+    addresses: Vec<IpAddr>,
+}
+
+impl Allowed {
+    /// Only `addresses`, or everybody if there are none.
+    pub fn new(addresses: Vec<IpAddr>) -> Allowed {
+        Allowed { addresses }
+    }
+
+    fn has(&self, address: SocketAddr) -> bool {
+        self.addresses.is_empty() || self.addresses.contains(&address.ip())
+    }
+}
+
+/// Serves peers.
+#[derive(Debug, Clone)]
+pub(crate) struct Server<R> {
+    pub allowed: Allowed,
+    pub requests: R,
+    pub control: mpsc::Sender<Input>,
+    pub tail: Tail,
+    pub sent: Counter,
+    pub received: Counter,
+}
+
+impl<R: RequestSide<KeyQuery, KeyAnswer>> Server<R> {
+    /// Accepts connections until it is dropped.
+    pub async fn run(self, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(CONNECTIONS));
+        loop {
+            let (socket, address) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    log::warn!("event=peer_accept_failed cause={e:?}");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    continue;
+                }
+            };
+            if !self.allowed.has(address) {
+                log::warn!("event=peer_refused address={address} cause=not_allowed");
+                continue;
+            }
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                log::warn!("event=peer_refused address={address} cause=too_many");
+                continue;
+            };
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(e) = server.connection(socket).await {
+                    log::debug!("event=peer_connection_broken address={address} cause={e:#}");
+                }
+                drop(place);
+            });
+        }
+    }
+
+    async fn connection(&self, socket: TcpStream) -> anyhow::Result<()> {
+        socket.set_nodelay(true)?;
+        let mut builder = server::Builder::new();
+        builder
+            .max_concurrent_streams(STREAMS)
+            .max_header_list_size(HEADER_LIMIT)
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW);
+        let handshake = builder.handshake::<_, Bytes>(socket);
+        let mut connection =
+            timeout(HANDSHAKE_TIMEOUT, handshake).await.context("handshake timed out")??;
+        while let Some(accepted) = connection.accept().await {
+            let (req, respond) = accepted?;
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(e) = server.stream(req, respond).await {
+                    log::warn!("event=peer_stream_refused cause=\"{e:#}\"");
+                }
+            });
+        }
+        Ok(())
+    }
+
+    async fn stream(
+        &self,
+        req: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) -> anyhow::Result<()> {
+        let (parts, body) = req.into_parts();
+        let Some(from) = sender(&parts.headers) else {
+            refuse(&mut respond, StatusCode::BAD_REQUEST)?;
+            anyhow::bail!("header {} is missing or malformed", headers::FROM);
+        };
+        let receiver = Receiver::new(body, MESSAGE_LIMIT, self.received.clone());
+        match parts.uri.path() {
+            NOTICES => self.notices(from, receiver, respond).await,
+            RECORDS => self.records(receiver, respond).await,
+            QUESTION => self.question(from, receiver, respond).await,
+            other => {
+                refuse(&mut respond, StatusCode::NOT_FOUND)?;
+                anyhow::bail!("unknown path {other:?}")
+            }
+        }
+    }
+
+    /// Takes a peer's notices in until it ends the stream.
+    async fn notices(
+        &self,
+        from: VmId,
+        mut receiver: Receiver,
+        mut respond: SendResponse<Bytes>,
+    ) -> anyhow::Result<()> {
+        let mut mirror = Mirror::default();
+        loop {
+            let notice = match next_notice(&mut receiver).await {
+                Ok(Some(notice)) => notice,
+                // A link that is given up ends here: its peer is gone or comes back on another.
+                Ok(None) | Err(StreamError::H2(_)) => return Ok(()),
+                Err(e) => {
+                    refuse(&mut respond, StatusCode::BAD_REQUEST)?;
+                    return Err(e.into());
+                }
+            };
+            let input = match notice {
+                Notice::Beat { beat, .. } if beat.vm != from => {
+                    refuse(&mut respond, StatusCode::BAD_REQUEST)?;
+                    anyhow::bail!("heartbeat of {} on the stream of {from}", beat.vm);
+                }
+                Notice::Beat { beat, full, in_flight } => {
+                    let in_flight = mirror.in_flight(full, in_flight);
+                    Input::Beat { beat, in_flight }
+                }
+                Notice::Replicas(change) => Input::Replicas(mirror.replicas(change)),
+            };
+            self.control.send(input).await.context("stopping")?;
+        }
+    }
+
+    /// Passes the log's records on until the peer wants no more.
+    async fn records(
+        &self,
+        mut receiver: Receiver,
+        mut respond: SendResponse<Bytes>,
+    ) -> anyhow::Result<()> {
+        let RecordsFrom { offset } = receiver.only().await?;
+        let mut from = Offset(offset);
+        let stream = respond.send_response(Response::new(()), false)?;
+        let mut sender = Sender::new(stream, self.sent.clone());
+        let mut moved = self.tail.subscribe();
+        loop {
+            moved.borrow_and_update();
+            let pushed = match self.tail.chunk(from) {
+                Chunk::Nothing => {
+                    if moved.changed().await.is_err() {
+                        sender.finish();
+                        return Ok(());
+                    }
+                    continue;
+                }
+                Chunk::Records(records) => {
+                    let first = from;
+                    from = Offset(from.0 + records.len() as u64);
+                    let bodies = records.iter().map(|it| it.to_vec()).collect();
+                    Pushed::Records { first, bodies }
+                }
+                Chunk::TooOld => {
+                    let (next, bytes) = self.snapshot().await?;
+                    from = next;
+                    Pushed::Snapshot { next, bytes }
+                }
+            };
+            // The peer's end of the stream shows as an error here, and ends the task.
+            sender.send(&PushedWire::from(pushed), false).await?;
+        }
+    }
+
+    async fn snapshot(&self) -> anyhow::Result<(Offset, Vec<u8>)> {
+        let (reply, encoded) = oneshot::channel();
+        self.control.send(Input::Encode { reply }).await.context("stopping")?;
+        encoded.await.context("stopping")
+    }
+
+    async fn question(
+        &self,
+        from: VmId,
+        mut receiver: Receiver,
+        mut respond: SendResponse<Bytes>,
+    ) -> anyhow::Result<()> {
+        let question = async {
+            let wire = receiver.only::<QuestionWire>().await?;
+            Ok::<_, StreamError>(Question::try_from(wire)?)
+        };
+        let question = match timeout(QUESTION_TIMEOUT, question).await.context("too slow")? {
+            Ok(question) => question,
+            Err(e) => {
+                refuse(&mut respond, StatusCode::BAD_REQUEST)?;
+                return Err(e.into());
+            }
+        };
+        let answer = timeout(QUESTION_TIMEOUT, self.answer(from, question)).await?;
+        let stream = respond.send_response(Response::new(()), false)?;
+        let mut sender = Sender::new(stream, self.sent.clone());
+        Ok(sender.send(&AnswerWire::from(answer), true).await?)
+    }
+
+    async fn answer(&self, from: VmId, question: Question) -> Answer {
+        if let Question::Key(query) = question {
+            return Answer::Key(self.requests.answer(from, query).await);
+        }
+        let (reply, answer) = oneshot::channel();
+        match self.control.send(Input::Question { question, reply }).await {
+            Ok(()) => answer.await.unwrap_or(Answer::Unable),
+            Err(_) => Answer::Unable,
+        }
+    }
+}
+
+async fn next_notice(receiver: &mut Receiver) -> Result<Option<Notice>, StreamError> {
+    match receiver.next::<NoticeWire>().await? {
+        Some(wire) => Ok(Some(Notice::try_from(wire)?)),
+        None => Ok(None),
+    }
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) -> Result<(), h2::Error> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    respond.send_response(response, true).map(drop)
+}
+
+fn sender(map: &HeaderMap) -> Option<VmId> {
+    map.get(headers::FROM)?.to_str().ok()?.parse().ok().map(VmId)
+}
+
+/// What a peer has told on one stream of notices, so that changes can be told alone.
+#[derive(Debug, Default)]
+struct Mirror {
+    in_flight: SortedMap<VmId, u32>,
+    replicas: SortedMap<DcId, Vec<(JobId, VmId)>>,
+}
+
+impl Mirror {
+    fn in_flight(&mut self, full: bool, changes: Vec<(VmId, u32)>) -> Vec<(VmId, u32)> {
+        if full {
+            self.in_flight = SortedMap::new();
+        }
+        for (vm, count) in changes {
+            match count {
+                0 => self.in_flight.remove(&vm),
+                count => self.in_flight.insert(vm, count),
+            };
+        }
+        self.in_flight.iter().map(|(vm, count)| (*vm, *count)).collect()
+    }
+
+    fn replicas(&mut self, change: ReplicaChange) -> Arc<Replicas> {
+        let pairs = self.replicas.get_or_insert_with(change.dc, Vec::new);
+        if change.full {
+            pairs.clear();
+        }
+        pairs.retain(|pair| change.removed.binary_search(pair).is_err());
+        pairs.extend(change.added);
+        pairs.sort_unstable();
+        pairs.dedup();
+        Arc::new(Replicas {
+            dc: change.dc,
+            epoch: change.epoch,
+            version: change.version,
+            pairs: pairs.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/peers/stream.rs
@@ -0,0 +1,121 @@
+//! Frames on h2 streams.
+
+use std::{
+    future::poll_fn,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+use daisy_wire::{
+    WireError,
+    peer::{Frames, frame},
+};
+use h2::{RecvStream, SendStream};
+
+/// Why a stream between peers is of no further use.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StreamError {
+    /// The connection or the stream broke.
+    #[error(transparent)]
+    H2(#[from] h2::Error),
+    /// What came is not understood.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// The stream ended in the middle of a message, or before one.
+    #[error("the stream is cut off")]
+    Cut,
+}
+
+/// Counts the bytes of messages between peers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Counter {
+    bytes: Arc<AtomicU64>,
+}
+
+impl Counter {
+    /// Adds `bytes`.
+    pub fn add(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// The sum so far.
+    pub fn get(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+/// Receives messages.
+#[derive(Debug)]
+pub(crate) struct Receiver {
+    stream: RecvStream,
+    frames: Frames,
+    counter: Counter,
+}
+
+impl Receiver {
+    /// Refuses messages of more than `limit` bytes.
+    pub fn new(stream: RecvStream, limit: usize, counter: Counter) -> Receiver {
+        Receiver { stream, frames: Frames::new(limit), counter }
+    }
+
+    /// The next message; `None` at the stream's regular end.
+    pub async fn next<T: Decode<()>>(&mut self) -> Result<Option<T>, StreamError> {
+        loop {
+            if let Some(message) = self.frames.try_next()? {
+                return Ok(Some(message));
+            }
+            match self.stream.data().await {
+                Some(bytes) => {
+                    let bytes = bytes?;
+                    self.counter.add(bytes.len());
+                    self.frames.push(&bytes);
+                    self.stream.flow_control().release_capacity(bytes.len())?;
+                }
+                None if self.frames.is_empty() => return Ok(None),
+                None => return Err(StreamError::Cut),
+            }
+        }
+    }
+
+    /// The only message of a stream.
+    pub async fn only<T: Decode<()>>(&mut self) -> Result<T, StreamError> {
+        self.next().await?.ok_or(StreamError::Cut)
+    }
+}
+
+/// Sends messages.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    stream: SendStream<Bytes>,
+    counter: Counter,
+}
+
+impl Sender {
+    /// A sender on `stream`.
+    pub fn new(stream: SendStream<Bytes>, counter: Counter) -> Sender {
+        Sender { stream, counter }
+    }
+
+    /// Sends a message as fast as the peer takes it.
+    pub async fn send<T: Encode>(&mut self, message: &T, last: bool) -> Result<(), StreamError> {
+        let mut rest = Bytes::from(frame(message));
+        self.counter.add(rest.len());
+        while !rest.is_empty() {
+            self.stream.reserve_capacity(rest.len());
+            let granted = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let granted = granted.ok_or(StreamError::Cut)??;
+            let part = rest.split_to(granted.min(rest.len()));
+            self.stream.send_data(part, last && rest.is_empty())?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream.
+    pub fn finish(&mut self) {
+        let _ = self.stream.send_data(Bytes::new(), true);
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/peers/tail.rs
@@ -0,0 +1,101 @@
+//! The newest records of the log, kept for peers that read from this entry VM.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bytes::Bytes;
+use daisy_model::Offset;
+use tokio::sync::watch;
+
+/// Bytes of records that are kept; a peer that lags further behind gets the state instead.
+const KEPT_BYTES: usize = 8 << 20;
+/// Bytes of records that go into one message.
+const CHUNK_BYTES: usize = 256 << 10;
+
+#[derive(Debug, Default)]
+struct Kept {
+    /// The offset of the first record.
+    first: u64,
+    records: VecDeque<Bytes>,
+    bytes: usize,
+}
+
+/// What a peer at some offset gets.
+#[derive(Debug)]
+pub(crate) enum Chunk {
+    /// Nothing yet.
+    Nothing,
+    /// Consecutive records.
+    Records(Vec<Bytes>),
+    /// The offset is below what is kept.
+    TooOld,
+}
+
+/// The newest records; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Tail {
+    kept: Arc<Mutex<Kept>>,
+    next: Arc<watch::Sender<Offset>>,
+}
+
+impl Tail {
+    /// An empty tail.
+    pub fn new() -> Tail {
+        Tail { kept: Arc::default(), next: Arc::new(watch::Sender::new(Offset(0))) }
+    }
+
+    /// Keeps the record at `offset`, which was just folded.
+    pub fn push(&self, offset: Offset, bytes: Bytes) {
+        let mut kept = self.lock();
+        let next = kept.first + kept.records.len() as u64;
+        if offset.0 != next {
+            // A jump over a snapshot: what came before no longer joins up.
+            *kept = Kept { first: offset.0, ..Kept::default() };
+        }
+        kept.bytes += bytes.len();
+        kept.records.push_back(bytes);
+        while kept.bytes > KEPT_BYTES {
+            let Some(oldest) = kept.records.pop_front() else { break };
+            kept.bytes -= oldest.len();
+            kept.first += 1;
+        }
+    }
+
+    /// Tells readers that the fold has come to `next`.
+    pub fn publish(&self, next: Offset) {
+        self.next.send_if_modified(|it| std::mem::replace(it, next) != next);
+    }
+
+    /// Tells when the fold moves on.
+    pub fn subscribe(&self) -> watch::Receiver<Offset> {
+        self.next.subscribe()
+    }
+
+    /// Records from `from` on.
+    pub fn chunk(&self, from: Offset) -> Chunk {
+        if *self.next.borrow() <= from {
+            return Chunk::Nothing;
+        }
+        let kept = self.lock();
+        let Some(skip) = from.0.checked_sub(kept.first) else { return Chunk::TooOld };
+        let mut bytes = 0;
+        let fits = |record: &&Bytes| {
+            bytes += record.len();
+            bytes <= CHUNK_BYTES || bytes == record.len()
+        };
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let records: Vec<Bytes> =
+            kept.records.iter().skip(skip).take_while(fits).cloned().collect();
+        match records.is_empty() {
+            true => Chunk::TooOld,
+            false => Chunk::Records(records),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        // A panic in the middle of a push leaves nothing worse than a record too few.
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/daisy-entry/src/platform.rs
@@ -0,0 +1,142 @@
+//! The platform's log and VM list, as `daisy_wire::platform` describes them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use daisy_ledger::AppendId;
+use daisy_model::{Offset, Vm};
+use daisy_wire::{
+    WireError, headers,
+    platform::{Appended, Expired, LogPage, VmList},
+};
+use http::{Method, StatusCode};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+
+use crate::http::{Http, HttpError, Reply};
+
+/// How long a call may take beyond the time that the platform is asked to wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of an answer that are read at most.
+const ANSWER_LIMIT: usize = 64 << 20;
+/// Records asked for at one time.
+const PAGE_RECORDS: u32 = 512;
+
+/// Why the platform did not do what it was asked.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PlatformError {
+    /// No whole answer came.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// The cap of appends a second is reached; nothing was appended.
+    #[error("too many appends")]
+    Busy,
+    /// The platform refused for another reason.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer does not decode.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+}
+
+/// Consecutive records.
+#[derive(Debug)]
+pub(crate) struct Page {
+    /// The offset after the last record of the whole log.
+    pub end: Offset,
+    /// Offsets and bytes.
+    pub records: Vec<(Offset, Bytes)>,
+}
+
+/// The answer to a read.
+#[derive(Debug)]
+pub(crate) enum Read {
+    /// Records from the offset asked for, or none.
+    Page(Page),
+    /// The offset is below the first one that the log keeps.
+    Expired(Offset),
+}
+
+/// The platform's list at a version.
+#[derive(Debug, Clone)]
+pub(crate) struct Listing {
+    pub version: u64,
+    pub vms: Vec<Vm>,
+}
+
+/// A client of the platform.
+#[derive(Debug, Clone)]
+pub(crate) struct Platform {
+    pub http: Http,
+    pub address: SocketAddr,
+}
+
+impl Platform {
+    /// Appends `bytes` under `id`.
+    pub async fn append(&self, id: AppendId, bytes: Bytes) -> Result<Offset, PlatformError> {
+        let AppendId { sender, seq } = id;
+        let req = self
+            .http
+            .request(Method::POST, self.address, "/v1/log")
+            .header(headers::APPEND_ID, format!("{sender:016x}-{seq:016x}"))
+            .body(Full::new(bytes))
+            .map_err(malformed)?;
+        let reply = self.http.call(req, CALL_TIMEOUT, ANSWER_LIMIT).await?;
+        let Appended { offset } = json(&checked(reply)?)?;
+        Ok(Offset(offset))
+    }
+
+    /// Reads from `from`, and waits up to `wait` for a record there.
+    pub async fn read(&self, from: Offset, wait: Duration) -> Result<Read, PlatformError> {
+        let wait_ms = wait.as_millis();
+        let target = format!("/v1/log?from={from}&max={PAGE_RECORDS}&wait_ms={wait_ms}");
+        let req = self.http.request(Method::GET, self.address, &target);
+        let req = req.body(Full::default()).map_err(malformed)?;
+        let reply = self.http.call(req, wait + CALL_TIMEOUT, ANSWER_LIMIT).await?;
+        if reply.status == StatusCode::GONE {
+            let Expired { first } = json(&reply)?;
+            return Ok(Read::Expired(Offset(first)));
+        }
+        let page: LogPage = json(&checked(reply)?)?;
+        let records = page
+            .records
+            .iter()
+            .map(|it| Ok((Offset(it.offset), Bytes::from(it.bytes()?))))
+            .collect::<Result<_, WireError>>()?;
+        Ok(Read::Page(Page { end: Offset(page.next), records }))
+    }
+
+    /// Reads the VM list unless its version is still `since`.
+    pub async fn vms(&self, since: Option<u64>) -> Result<Option<Listing>, PlatformError> {
+        let target = match since {
+            Some(version) => format!("/v1/vms?since={version}"),
+            None => "/v1/vms".to_owned(),
+        };
+        let req = self.http.request(Method::GET, self.address, &target);
+        let req = req.body(Full::default()).map_err(malformed)?;
+        let reply = self.http.call(req, CALL_TIMEOUT, ANSWER_LIMIT).await?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let list: VmList = json(&checked(reply)?)?;
+        let vms = list.vms.into_iter().map(Vm::try_from).collect::<Result<_, WireError>>()?;
+        Ok(Some(Listing { version: list.version, vms }))
+    }
+}
+
+fn checked(reply: Reply) -> Result<Reply, PlatformError> {
+    match reply.status {
+        StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Busy),
+        status if status.is_success() => Ok(reply),
+        status => Err(PlatformError::Status(status)),
+    }
+}
+
+fn json<T: DeserializeOwned>(reply: &Reply) -> Result<T, PlatformError> {
+    let value = serde_json::from_slice(&reply.body);
+    Ok(value.map_err(|e| WireError::Malformed(e.to_string()))?)
+}
+
+fn malformed(e: http::Error) -> PlatformError {
+    WireError::Malformed(e.to_string()).into()
+}
--- /dev/null
+++ b/daisy-entry/src/reader.rs
@@ -0,0 +1,148 @@
+//! Follows the log: from the platform by long polls, or from a peer that passes it on.
+
+use std::time::Duration;
+
+use daisy_membership::Source;
+use daisy_model::{Offset, VmId};
+use daisy_wire::peer::Pushed;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::sleep,
+};
+
+use crate::{
+    clock::Clock,
+    control::Input,
+    peers::Links,
+    platform::{Platform, PlatformError, Read},
+};
+
+/// The first pause after a read that failed; doubled up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause: a log that is back is seen within this time.
+const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Where to read from, and how long a poll may wait there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Plan {
+    pub source: Source,
+    /// The longest wait for a record; no longer than the holder's lease allows.
+    pub wait: Duration,
+}
+
+/// Reads records and passes them to the control task, which tells the offset to go on from.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    pub platform: Platform,
+    pub links: Links,
+    pub clock: Clock,
+    pub plan: watch::Receiver<Plan>,
+    pub control: mpsc::Sender<Input>,
+}
+
+/// The control task is gone.
+struct Closed;
+
+impl Reader {
+    /// Reads until the control task is gone.
+    pub async fn run(mut self) {
+        let mut next = Offset(0);
+        let mut pause = MIN_PAUSE;
+        loop {
+            let plan = *self.plan.borrow_and_update();
+            let outcome = match plan.source {
+                Source::Log => self.poll(&mut next, plan.wait).await,
+                Source::Peer(vm) => self.follow(&mut next, vm).await,
+            };
+            match outcome {
+                Ok(true) => pause = MIN_PAUSE,
+                Ok(false) => {
+                    tokio::select! {
+                        () = sleep(pause) => pause = (pause * 2).min(MAX_PAUSE),
+                        Ok(()) = self.plan.changed() => pause = MIN_PAUSE,
+                    }
+                }
+                Err(Closed) => return,
+            }
+        }
+    }
+
+    /// One read of the platform's log; `false` if it failed.
+    async fn poll(&mut self, next: &mut Offset, wait: Duration) -> Result<bool, Closed> {
+        let asked = self.clock.now();
+        match self.platform.read(*next, wait).await {
+            Ok(Read::Page(page)) => {
+                let end = Some(page.end);
+                let records = page.records;
+                self.pass(next, |ack| Input::Page { asked, end, records, ack }).await?;
+                Ok(true)
+            }
+            Ok(Read::Expired(first)) => {
+                log::warn!("event=log_expired from={next} first={first}");
+                self.pass(next, |ack| Input::Expired { first, ack }).await?;
+                Ok(true)
+            }
+            Err(e) => {
+                log::debug!("event=log_read_failed from={next} cause={e:?}");
+                // A cap on appends says nothing against reads.
+                if !matches!(e, PlatformError::Busy) {
+                    self.send(Input::ReadFailed { source: Source::Log }).await?;
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Follows a peer until its stream ends or another source is wanted; `false` if it failed.
+    async fn follow(&mut self, next: &mut Offset, vm: VmId) -> Result<bool, Closed> {
+        let Some(mut stream) = self.links.records(vm, *next).await else {
+            self.send(Input::ReadFailed { source: Source::Peer(vm) }).await?;
+            return Ok(false);
+        };
+        loop {
+            let pushed = tokio::select! {
+                pushed = stream.next() => pushed,
+                Ok(()) = self.plan.changed() => return Ok(true),
+            };
+            let asked = self.clock.now();
+            match pushed {
+                Some(Pushed::Records { first, bodies }) => {
+                    let offsets = (first.0..).map(Offset);
+                    let records = offsets.zip(bodies.into_iter().map(Into::into)).collect();
+                    self.pass(next, |ack| Input::Page { asked, end: None, records, ack }).await?;
+                }
+                Some(Pushed::Snapshot { next: through, bytes }) => {
+                    self.pass(next, |ack| Input::Snapshot { next: through, bytes, ack }).await?;
+                }
+                None => {
+                    self.send(Input::ReadFailed { source: Source::Peer(vm) }).await?;
+                    return Ok(false);
+                }
+            }
+        }
+    }
+
+    /// Passes what was read on, and learns where to go on.
+    async fn pass(
+        &self,
+        next: &mut Offset,
+        input: impl FnOnce(oneshot::Sender<Offset>) -> Input,
+    ) -> Result<(), Closed> {
+        let (ack, folded) = oneshot::channel();
+        self.send(input(ack)).await?;
+        *next = folded.await.map_err(|_| Closed)?;
+        Ok(())
+    }
+
+    async fn send(&self, input: Input) -> Result<(), Closed> {
+        self.control.send(input).await.map_err(|_| Closed)
+    }
+}
+
+/// The wait of a poll: short while only the log can show that a holder still is one.
+pub(crate) fn poll_wait(holder_timeout: Duration, alone: bool) -> Duration {
+    match alone {
+        true => holder_timeout / 4,
+        false => holder_timeout / 2,
+    }
+}
--- /dev/null
+++ b/daisy-entry/tests/control/cluster.rs
@@ -0,0 +1,143 @@
+//! A small cluster in one process: the platform, workers and entry VMs on loopback.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use daisy_entry::{Entry, start};
+use daisy_model::{DcId, Name, VmId};
+use daisy_settings::{DataCentre, Limits, LogLevel, Operator, Settings, Timing};
+use daisy_standin::{
+    Platform, Worker,
+    client::{Answer, Client},
+    platform::{self, VmChange},
+    worker,
+};
+use daisy_wire::platform::{ResourcesJson, RoleJson, StatusJson, VmJson};
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+
+/// The token of the fixture's only operator.
+pub const TOKEN: &str = "0123456789abcdef";
+/// How long a test waits for what must come about; far above what it takes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The platform and what runs beside it.
+pub struct Cluster {
+    pub platform: Platform,
+    pub workers: Vec<Worker>,
+    pub client: Client,
+}
+
+/// A platform without VMs, whose list does not lag.
+pub async fn cluster() -> Cluster {
+    let options = platform::Options { vm_lag: Duration::ZERO, ..platform::Options::default() };
+    let platform = Platform::start(options).await.expect("loopback has free ports");
+    Cluster { platform, workers: Vec::new(), client: Client::new() }
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("tests use valid names")
+}
+
+/// Settings of the entry VM `vm` in the data centre `dc` of two, each in its own region.
+pub fn settings(platform: SocketAddr, vm: u32, dc: u16) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let data_centre = |name: &str, region: &str| DataCentre {
+        name: self::name(name),
+        region: self::name(region),
+    };
+    Settings {
+        name: name(&format!("entry-{vm}")),
+        vm: VmId(vm),
+        data_centre: DcId(dc),
+        data_centres: vec![data_centre("porto", "north"), data_centre("lisbon", "south")],
+        callers: any,
+        peers: any,
+        operators: any,
+        platform,
+        operator_tokens: vec![Operator { who: name("ana"), token: TOKEN.into() }],
+        allowed_peers: Vec::new(),
+        log_level: LogLevel::Info,
+        limits: Limits::default(),
+        timing: Timing {
+            heartbeat: Duration::from_millis(200),
+            holder_timeout: Duration::from_millis(1_000),
+            balancer: Duration::from_millis(100),
+            vm_list: Duration::from_millis(100),
+            ..Timing::default()
+        },
+    }
+}
+
+impl Cluster {
+    /// Starts an entry VM and puts it into the platform's list.
+    pub async fn entry(&self, vm: u32, dc: u16) -> Entry {
+        let entry = start(settings(self.platform.address(), vm, dc)).await.expect("starts");
+        self.list(vm, dc, RoleJson::Entry, entry.addresses().peers, None);
+        entry
+    }
+
+    /// Starts a worker and puts it into the platform's list.
+    pub async fn worker(&mut self, vm: u32, dc: u16) {
+        let options = worker::Options { name: format!("worker-{vm}"), ..Default::default() };
+        let worker = Worker::start(options).await.expect("loopback has free ports");
+        self.list(vm, dc, RoleJson::Worker, worker.address(), worker.backend_address());
+        self.workers.push(worker);
+    }
+
+    /// Puts a VM into the platform's list.
+    pub fn list(
+        &self,
+        vm: u32,
+        dc: u16,
+        role: RoleJson,
+        control: SocketAddr,
+        backend: Option<SocketAddr>,
+    ) {
+        let vm = VmJson {
+            id: vm,
+            name: format!("vm-{vm}"),
+            dc,
+            rack: 0,
+            role,
+            status: StatusJson::Live,
+            control,
+            backend,
+            capacity: ResourcesJson { cpu_milli: 16_000, memory_mib: 61_440, accelerators: 0 },
+        };
+        self.platform.change_vm(VmChange::Put(vm)).expect("numbers are used once");
+    }
+
+    /// Sends statements to an entry VM.
+    pub async fn say(&self, entry: &Entry, text: &str) -> Answer {
+        let uri = format!("http://{}/v1/statements", entry.addresses().operators);
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(uri)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .body(Full::new(Bytes::copy_from_slice(text.as_bytes())))
+            .expect("valid request");
+        self.client.send(req, PATIENCE).await.expect("an answer")
+    }
+
+    /// The status of an entry VM.
+    pub async fn status(&self, entry: &Entry) -> Value {
+        let address = entry.addresses().operators;
+        let answer = self.client.get(address, "/v1/status", PATIENCE).await.expect("an answer");
+        serde_json::from_slice(&answer.body).expect("JSON")
+    }
+
+    /// Waits until the status of an entry VM fulfils `wanted`.
+    pub async fn until(&self, entry: &Entry, wanted: impl Fn(&Value) -> bool) -> Value {
+        let mut status = Value::Null;
+        for _ in 0..PATIENCE.as_millis() / 20 {
+            status = self.status(entry).await;
+            if wanted(&status) {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("never came about: {status:#}");
+    }
+}
