Check histories for each of the nine points

One checker per point of what must always hold, each a module with its check function; the events that show a violation go with it.

Decisions: an end and a start at the same instant are no overlap; an end that was never recorded lies at the end of time unless the worker was killed or began anew; a last line cut short is passed over and said so; a second resumption of a checkpoint is in order only after the first one's work was lost.

--- a/daisy-history/src/event.rs
+++ b/daisy-history/src/event.rs
@@ -68,6 +68,18 @@
     Unreachable,
 }
 
+/// What an operator learnt of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// Accepted as this generation.
+    Accepted(u64),
+    /// Refused, because another change came first.
+    Refused,
+    /// No answer came.
+    Unknown,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -176,16 +188,47 @@
     },
     /// An entry VM has a configuration in force.
     ConfigInForce {
-        /// The offset or generation; higher is newer.
+        /// The generation; higher is newer.
         version: u64,
     },
     /// A configuration was accepted; it has to be in force everywhere soon.
     ConfigAccepted {
-        /// Its version.
+        /// Its generation.
         version: u64,
     },
+    /// An operator sent a change.
+    ChangeSent {
+        /// Numbers the change.
+        change: u64,
+        /// The generation that it depends on.
+        expected: Option<u64>,
+    },
+    /// An operator learnt what came of a change.
+    ChangeEnded {
+        /// Numbers the change.
+        change: u64,
+        /// What came of it.
+        verdict: Verdict,
+    },
     /// A process began a planned stop.
-    Stopping,
+    Stopping {
+        /// An entry VM's address for callers.
+        entry: Option<String>,
+    },
+    /// A process was killed.
+    Killed {
+        /// An entry VM's address for callers.
+        entry: Option<String>,
+    },
+    /// A process was frozen, or cut off from what tells it of changes.
+    CutOff,
+    /// A process that was frozen or cut off is no longer so.
+    Healed,
+    /// Operators drained a VM, and the system accepted it.
+    Drained {
+        /// The VM's name.
+        vm: String,
+    },
     /// The test brought about a fault or took it back; for people who read the history.
     Fault {
         /// What.
--- /dev/null
+++ b/daisy-history/src/planned_stop.rs
@@ -0,0 +1,48 @@
+//! Point 8: a planned stop is a graceful shutdown that cuts off no request in flight.
+
+use std::collections::BTreeMap;
+
+use crate::{Event, History, Kind, Outcome, Point, Violation};
+
+/// Finds attempts at entry VMs with a planned stop that broke, could not be sent, or whose
+/// outcome the system could not tell.
+///
+/// Entry VMs that were killed before the attempt ended are passed over.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut stopping: BTreeMap<&str, &Event> = BTreeMap::new();
+    let mut sent: BTreeMap<(u64, u32), &Event> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for event in history.events() {
+        match &event.kind {
+            Kind::Stopping { entry: Some(entry) } => {
+                stopping.insert(entry, event);
+            }
+            Kind::Killed { entry: Some(entry) } => {
+                stopping.remove(entry.as_str());
+            }
+            Kind::CallSent { call, attempt, .. } => {
+                sent.insert((*call, *attempt), event);
+            }
+            Kind::CallEnded { call, attempt, outcome, .. } if is_cut(*outcome) => {
+                let Some(sent) = sent.get(&(*call, *attempt)) else { continue };
+                let Kind::CallSent { entry, .. } = &sent.kind else { continue };
+                let stop = stopping.get(entry.as_str());
+                violations.extend(stop.map(|stop| violation(sent, stop, event)));
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+fn is_cut(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Broken | Outcome::Unknown | Outcome::Unreachable)
+}
+
+fn violation(sent: &Event, stop: &Event, ended: &Event) -> Violation {
+    Violation {
+        point: Point::PlannedStop,
+        what: "a planned stop cut off a request".to_owned(),
+        events: vec![sent.clone(), stop.clone(), ended.clone()],
+    }
+}
--- /dev/null
+++ b/daisy-history/tests/checkers/history.rs
@@ -0,0 +1,54 @@
+//! Reading and merging of events.
+
+use daisy_history::{Event, History, Kind};
+
+use crate::history;
+
+const LINE: &str = r#"{"at_us":5,"who":"e","event":"healed"}"#;
+
+#[test]
+fn a_last_line_that_was_cut_short_is_passed_over_and_said_so() {
+    let text = format!("{LINE}\n{}", &LINE[..20]);
+
+    let read = History::parse(&text).unwrap();
+
+    assert_eq!(read.events().len(), 1);
+    assert!(read.is_truncated());
+    assert!(History::merge(vec![read, History::default()]).is_truncated());
+}
+
+#[test]
+fn a_bad_line_in_the_middle_is_an_error_at_its_place() {
+    let text = format!("{LINE}\nnonsense\n{LINE}\n");
+
+    let refused = History::parse(&text).unwrap_err();
+
+    assert_eq!(refused.line, 2);
+}
+
+#[test]
+fn events_of_one_process_at_the_same_time_keep_their_order() {
+    let parts = vec![
+        history(&[(5, "a", Kind::CutOff), (5, "a", Kind::Healed)]),
+        history(&[(4, "b", Kind::CutOff)]),
+    ];
+
+    let merged = History::merge(parts);
+
+    let kinds: Vec<&Kind> = merged.events().iter().map(|event| &event.kind).collect();
+    assert_eq!(kinds, [&Kind::CutOff, &Kind::CutOff, &Kind::Healed]);
+}
+
+#[test]
+fn what_is_written_is_read_again() {
+    let run = daisy_history::Run { job: 1, index: 2, incarnation: 3 };
+    let end = daisy_history::End::Checkpointed(u64::MAX);
+    let kind = Kind::TaskEnded { run, end };
+    let event = Event { at_us: 1, who: "w".to_owned(), kind };
+    let mut lines = Vec::new();
+
+    History::new(vec![event.clone()]).write(&mut lines).unwrap();
+    let read = History::parse(std::str::from_utf8(&lines).unwrap()).unwrap();
+
+    assert_eq!(read.events(), [event]);
+}
--- /dev/null
+++ b/daisy-history/tests/checkers/planned_stop.rs
@@ -0,0 +1,47 @@
+//! Point 8.
+
+use daisy_history::{Kind, Outcome, planned_stop::check};
+
+use crate::{call_ended, call_sent, history};
+
+fn entry() -> Option<String> {
+    Some("1.1.1.1:1".to_owned())
+}
+
+#[test]
+fn refuses_a_request_that_a_planned_stop_cut_off() {
+    for outcome in [Outcome::Broken, Outcome::Unknown, Outcome::Unreachable] {
+        let bad = history(&[
+            (1, "c", call_sent(1, 1)),
+            (2, "e", Kind::Stopping { entry: entry() }),
+            (3, "c", call_ended(1, 1, outcome)),
+        ]);
+
+        assert_eq!(check(&bad).len(), 1, "{outcome:?}");
+    }
+}
+
+#[test]
+fn accepts_answers_and_refusals_during_a_stop() {
+    let good = history(&[
+        (1, "c", call_sent(1, 1)),
+        (1, "c", call_sent(2, 1)),
+        (2, "e", Kind::Stopping { entry: entry() }),
+        (3, "c", call_ended(1, 1, Outcome::Answered)),
+        (4, "c", call_ended(2, 1, Outcome::NotRun)),
+    ]);
+
+    assert!(check(&good).is_empty());
+}
+
+#[test]
+fn a_kill_is_no_planned_stop() {
+    let good = history(&[
+        (1, "c", call_sent(1, 1)),
+        (2, "e", Kind::Stopping { entry: entry() }),
+        (3, "e", Kind::Killed { entry: entry() }),
+        (4, "c", call_ended(1, 1, Outcome::Broken)),
+    ]);
+
+    assert!(check(&good).is_empty());
+}
