--- a/daisy-standin/src/backend.rs
+++ b/daisy-standin/src/backend.rs
@@ -48,7 +48,7 @@
     pub service_time: Duration,
     /// Bytes of a request's body.
     pub body_bytes: usize,
-    /// Where the history goes at the end.
+    /// The file that each event is written to at once.
     pub history: Option<PathBuf>,
 }
 
@@ -86,10 +86,9 @@
 
 /// Serves until SIGTERM.
 pub async fn run(options: Options) -> anyhow::Result<()> {
-    let history = options.history.clone();
     let backend = Backend::start(options).await?;
     log::info!("event=backend-started address={}", backend.address());
-    until_stopped(&backend.shared.recorder, history.as_deref()).await?;
+    until_stopped().await?;
     backend.stop().await;
     Ok(())
 }
@@ -100,9 +99,9 @@
 impl Backend {
     /// Listens and serves every service until [`Backend::stop`].
     ///
-    /// Fails if the address cannot be had.
+    /// Fails if the address or the history's file cannot be had.
     pub async fn start(options: Options) -> anyhow::Result<Backend> {
-        let recorder = Recorder::new(&options.name);
+        let recorder = Recorder::open(&options.name, options.history.as_deref())?;
         Backend::start_with(options, recorder, Presence::default()).await
     }
 
@@ -113,8 +112,8 @@
         presence: Presence,
     ) -> anyhow::Result<Backend> {
         let shared = Arc::new(Shared {
+            switches: Switches::new(&recorder, "backend server", OWN_SWITCHES),
             recorder,
-            switches: Switches::new("backend server", OWN_SWITCHES),
             slots: Slots::new(options.slots),
             presence,
             service_time: options.service_time,
--- a/daisy-standin/src/fault.rs
+++ b/daisy-standin/src/fault.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Mutex, time::Duration};
 
+use daisy_history::Kind;
 use serde::{Deserialize, Serialize};
 
-use crate::recorder::locked;
+use crate::recorder::{Recorder, locked};
 
 /// All fault switches; what a stand-in has no use for, it refuses by name.
 ///
@@ -78,6 +79,7 @@
 /// The switches of one stand-in.
 #[derive(Debug)]
 pub(crate) struct Switches {
+    recorder: Recorder,
     standin: &'static str,
     own: &'static [&'static str],
     state: Mutex<State>,
@@ -94,15 +96,23 @@
 
 impl Switches {
     /// Switches, all off, of a stand-in that has those of every stand-in and its `own`.
-    pub(crate) fn new(standin: &'static str, own: &'static [&'static str]) -> Switches {
+    pub(crate) fn new(
+        recorder: &Recorder,
+        standin: &'static str,
+        own: &'static [&'static str],
+    ) -> Switches {
         let state = State { faults: Faults::default(), rng: fastrand::Rng::with_seed(0) };
-        Switches { standin, own, state: Mutex::new(state) }
+        Switches { recorder: recorder.clone(), standin, own, state: Mutex::new(state) }
     }
 
     /// Replaces all switches.
     pub(crate) fn set(&self, faults: Faults) -> Result<(), FaultError> {
         self.check(&faults)?;
+        self.recorder.record(Kind::Fault { what: serde_json::to_string(&faults)? });
         let mut state = locked(&self.state);
+        if faults.leaving && !state.faults.leaving {
+            self.recorder.record(Kind::Leaving);
+        }
         state.rng = fastrand::Rng::with_seed(faults.seed);
         state.faults = faults;
         Ok(())
--- a/daisy-standin/src/link.rs
+++ b/daisy-standin/src/link.rs
@@ -43,7 +43,7 @@
     pub pairs: Vec<Pair>,
     /// The switches at the start.
     pub faults: LinkFaults,
-    /// Where the history goes at the end.
+    /// The file that each event is written to at once.
     pub history: Option<PathBuf>,
 }
 
@@ -78,10 +78,9 @@
 
 /// Forwards until SIGTERM.
 pub async fn run(options: Options) -> anyhow::Result<()> {
-    let history = options.history.clone();
     let link = Link::start(options).await?;
     log::info!("event=link-started control={} addresses={:?}", link.control(), link.addresses());
-    until_stopped(&link.shared.recorder, history.as_deref()).await?;
+    until_stopped().await?;
     link.stop().await;
     Ok(())
 }
@@ -89,9 +88,9 @@
 impl Link {
     /// Listens and forwards until [`Link::stop`].
     ///
-    /// Fails if an address cannot be had.
+    /// Fails if an address or the history's file cannot be had.
     pub async fn start(options: Options) -> anyhow::Result<Link> {
-        let recorder = Recorder::new(&options.name);
+        let recorder = Recorder::open(&options.name, options.history.as_deref())?;
         let shared = Arc::new(Shared { recorder, faults: watch::Sender::new(options.faults) });
         let server = Server::bind(options.control, shared.clone()).await?;
         let mut forwarders = JoinSet::new();
--- a/daisy-standin/src/load.rs
+++ b/daisy-standin/src/load.rs
@@ -54,7 +54,7 @@
     pub first_call: u64,
     /// Seeds keys and which requests bear one.
     pub seed: u64,
-    /// Where the history goes at the end.
+    /// The file that each event is written to at once.
     pub history: Option<PathBuf>,
 }
 
@@ -96,26 +96,20 @@
     task: tokio::task::JoinHandle<Report>,
 }
 
-/// Sends all requests, writes the history if a file was asked for, and reports.
+/// Sends all requests and reports.
 pub async fn run(options: Options) -> anyhow::Result<Report> {
-    let history = options.history.clone();
-    let load = Load::start(options).await?;
-    let recorder = load.recorder.clone();
-    let report = load.finish().await?;
-    if let Some(path) = history {
-        recorder.write(&path)?;
-    }
-    Ok(report)
+    Load::start(options).await?.finish().await
 }
 
 impl Load {
     /// Begins to send.
     ///
-    /// Fails without an entry VM or at a rate that is not above zero.
+    /// Fails without an entry VM, at a rate that is not above zero, or if the history's file
+    /// cannot be had.
     pub async fn start(options: Options) -> anyhow::Result<Load> {
         anyhow::ensure!(!options.entries.is_empty(), "no entry VM to send to");
         anyhow::ensure!(options.rate > 0.0, "the rate must be above zero");
-        let recorder = Recorder::new(&options.name);
+        let recorder = Recorder::open(&options.name, options.history.as_deref())?;
         let task = tokio::spawn(send_all(options, recorder.clone()));
         Ok(Load { recorder, task })
     }
--- a/daisy-standin/src/platform.rs
+++ b/daisy-standin/src/platform.rs
@@ -50,7 +50,7 @@
     pub vm_lag: Duration,
     /// VMs from the start.
     pub vms: Vec<daisy_wire::platform::VmJson>,
-    /// Where the history goes at the end.
+    /// The file that each event is written to at once.
     pub history: Option<PathBuf>,
 }
 
@@ -88,10 +88,9 @@
 
 /// Serves until SIGTERM.
 pub async fn run(options: Options) -> anyhow::Result<()> {
-    let history = options.history.clone();
     let platform = Platform::start(options).await?;
     ::log::info!("event=platform-started address={}", platform.address());
-    until_stopped(&platform.shared.recorder, history.as_deref()).await?;
+    until_stopped().await?;
     platform.stop().await;
     Ok(())
 }
@@ -99,9 +98,9 @@
 impl Platform {
     /// Listens and serves until [`Platform::stop`].
     ///
-    /// Fails if the address cannot be had or a VM is given twice.
+    /// Fails if the address or the history's file cannot be had.
     pub async fn start(options: Options) -> anyhow::Result<Platform> {
-        let recorder = Recorder::new("platform");
+        let recorder = Recorder::open("platform", options.history.as_deref())?;
         let mut vms = VmBook::new(options.vm_lag);
         let now = recorder.now();
         for vm in options.vms {
@@ -109,8 +108,8 @@
         }
         vms.publish_at_once();
         let shared = Arc::new(Shared {
+            switches: Switches::new(&recorder, "platform", &["double_appends"]),
             recorder,
-            switches: Switches::new("platform", &["double_appends"]),
             body_bytes: options.body_bytes,
             log: Mutex::new(Log::new(options.log)),
             vms: Mutex::new(vms),
--- a/daisy-standin/src/recorder.rs
+++ b/daisy-standin/src/recorder.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    io::BufWriter,
+    io::Write,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Instant, SystemTime, UNIX_EPOCH},
@@ -21,12 +21,30 @@
     who: String,
     began: Instant,
     began_us: u64,
-    events: Mutex<Vec<Event>>,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Debug)]
+struct Kept {
+    events: Vec<Event>,
+    file: Option<File>,
 }
 
 impl Recorder {
-    /// A recorder for the process `who`.
+    /// A recorder for the process `who` that keeps its events in memory.
     pub fn new(who: &str) -> Recorder {
+        Recorder::with(who, None)
+    }
+
+    /// A recorder that also writes each event to `path` at once, if there is one.
+    ///
+    /// What a process saw before it was killed is then in its file.
+    pub fn open(who: &str, path: Option<&Path>) -> anyhow::Result<Recorder> {
+        let file = path.map(File::create).transpose()?;
+        Ok(Recorder::with(who, file))
+    }
+
+    fn with(who: &str, file: Option<File>) -> Recorder {
         // Wall time once, monotonic time from there: a step of the wall clock during a run
         // must not reorder the events of one process.
         let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -35,7 +53,7 @@
                 who: who.to_owned(),
                 began: Instant::now(),
                 began_us: u64::try_from(since_1970.as_micros()).unwrap_or(u64::MAX),
-                events: Mutex::default(),
+                kept: Mutex::new(Kept { events: Vec::new(), file }),
             }),
         }
     }
@@ -43,15 +61,17 @@
     /// Records `kind` at the present time.
     pub fn record(&self, kind: Kind) {
         // The time is read under the lock, so that the order of events is that of their times.
-        let mut events = locked(&self.shared.events);
-        let at_us = self.shared.began_us + self.now().0;
-        events.push(Event { at_us, who: self.shared.who.clone(), kind });
+        let mut kept = locked(&self.shared.kept);
+        kept.keep(self.event(self.now(), kind));
     }
 
     /// Records `kind` as of `at` of this recorder's clock.
     pub(crate) fn record_at(&self, at: daisy_model::Instant, kind: Kind) {
-        let at_us = self.shared.began_us + at.0;
-        locked(&self.shared.events).push(Event { at_us, who: self.shared.who.clone(), kind });
+        locked(&self.shared.kept).keep(self.event(at, kind));
+    }
+
+    fn event(&self, at: daisy_model::Instant, kind: Kind) -> Event {
+        Event { at_us: self.shared.began_us + at.0, who: self.shared.who.clone(), kind }
     }
 
     /// Time since the recorder was made.
@@ -62,16 +82,28 @@
 
     /// The events so far.
     pub fn history(&self) -> History {
-        History::new(locked(&self.shared.events).clone())
+        History::new(locked(&self.shared.kept).events.clone())
     }
+}
 
-    /// Writes the events so far to `path` as JSON lines.
-    pub fn write(&self, path: &Path) -> anyhow::Result<()> {
-        self.history().write(BufWriter::new(File::create(path)?))?;
-        Ok(())
+impl Kept {
+    fn keep(&mut self, event: Event) {
+        if let Some(file) = &mut self.file
+            && let Err(error) = write_line(file, &event)
+        {
+            log::error!("event=history-not-written error={error:?}");
+            self.file = None;
+        }
+        self.events.push(event);
     }
 }
 
+fn write_line(file: &mut File, event: &Event) -> std::io::Result<()> {
+    let mut line = serde_json::to_vec(event)?;
+    line.push(b'\n');
+    file.write_all(&line)
+}
+
 /// Locks `mutex`, also after a panic elsewhere: stand-ins go on recording.
 pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/daisy-standin/src/worker.rs
+++ b/daisy-standin/src/worker.rs
@@ -40,7 +40,7 @@
     pub worker: WorkerOptions,
     /// The backend server beside it; `None` for none.
     pub backend: Option<backend::Options>,
-    /// Where the history goes at the end.
+    /// The file that each event is written to at once.
     pub history: Option<PathBuf>,
 }
 
@@ -78,11 +78,10 @@
 
 /// Serves until SIGTERM.
 pub async fn run(options: Options) -> anyhow::Result<()> {
-    let history = options.history.clone();
     let worker = Worker::start(options).await?;
     let (control, backend) = (worker.address(), worker.backend_address());
     log::info!("event=worker-started control={control} backend={backend:?}");
-    until_stopped(&worker.shared.recorder, history.as_deref()).await?;
+    until_stopped().await?;
     worker.stop().await;
     Ok(())
 }
@@ -93,15 +92,15 @@
 impl Worker {
     /// Listens and works until [`Worker::stop`].
     ///
-    /// Fails if an address cannot be had.
+    /// Fails if an address or the history's file cannot be had.
     pub async fn start(options: Options) -> anyhow::Result<Worker> {
-        let recorder = Recorder::new(&options.name);
+        let recorder = Recorder::open(&options.name, options.history.as_deref())?;
         let capacity = state::size_of(options.worker.capacity);
         recorder.record(Kind::WorkerBegan { capacity });
         let presence = backend::Presence::default();
         let shared = Arc::new(Shared {
             recorder: recorder.clone(),
-            switches: Switches::new("worker", &["replay", "fail_everything"]),
+            switches: Switches::new(&recorder, "worker", &["replay", "fail_everything"]),
             state: Mutex::new(WorkerState::new(options.worker)),
             previous: Mutex::new(None),
             presence: presence.clone(),
