query: show, why and explain over the ledger and what runs

The entry VMs need one call that answers every question of the language from the declared state, the ledger and a plain view of what runs, so that all answers agree. Amounts now have a total order, since a sort must not meet values that do not compare.

--- a/daisy-language/src/value.rs
+++ b/daisy-language/src/value.rs
@@ -110,16 +110,18 @@
 }
 
 /// A value of a table that compares as a number: a count, processors, bytes or a time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+///
+/// The order puts counts before bytes before times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Amount {
     dimension: Dimension,
     micros: u128,
 }
 
-impl PartialOrd for Amount {
-    /// A count and a size or time do not compare.
-    fn partial_cmp(&self, rhs: &Amount) -> Option<std::cmp::Ordering> {
-        (self.dimension == rhs.dimension).then(|| self.micros.cmp(&rhs.micros))
+impl Amount {
+    /// Whether both count the same kind of thing.
+    pub fn is_comparable(self, rhs: Amount) -> bool {
+        self.dimension == rhs.dimension
     }
 }
 
--- /dev/null
+++ b/daisy-query/src/run.rs
@@ -0,0 +1,39 @@
+//! From a statement to its answer.
+
+use daisy_language::{Statement, TaskRef, Why};
+use daisy_ledger::State;
+use daisy_model::Name;
+
+use crate::{Live, Table, explain, show, why};
+
+/// Why a statement has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The statement changes something: it goes to the log.
+    #[error("a change is appended to the log, not answered from the state")]
+    Change,
+    /// No job has the name.
+    #[error("job {0} is unknown")]
+    Job(Name),
+    /// There is no such task.
+    #[error("task {0} is unknown, or its job ended long ago")]
+    Task(TaskRef),
+    /// No VM of the platform's list has the name.
+    #[error("vm {0} is not in the platform's list")]
+    Vm(Name),
+}
+
+/// Answers `statement` from the state and what runs now.
+pub fn run(state: &State, live: &Live, statement: &Statement) -> Result<Table, Error> {
+    match statement {
+        Statement::Change { .. } => Err(Error::Change),
+        Statement::Show(query) => Ok(show::show(state, live, query)),
+        Statement::Why(Why::Task(task)) => why::task(state, live, task),
+        Statement::Why(Why::Job(name)) => why::job(state, live, name),
+        Statement::Why(Why::Vm(name)) => why::vm(state, live, name),
+        Statement::Why(Why::RequestClass(class)) => Ok(why::request_class(state, live, class)),
+        Statement::Explain { command, condition } => {
+            Ok(explain::explain(state, live, command, *condition))
+        }
+    }
+}
--- /dev/null
+++ b/daisy-query/tests/common/mod.rs
@@ -0,0 +1,138 @@
+#![allow(dead_code, missing_docs)]
+
+use std::time::Duration;
+
+use daisy_language::{Statement, parse};
+use daisy_ledger::{AppendId, Batch, Outcome, Placement, Record, State};
+use daisy_model::{
+    Change, Command, Condition, DcId, Epoch, Incarnation, JobId, Name, Resources, TaskId, Vm, VmId,
+    VmRole, VmStatus, WallTime,
+};
+use daisy_query::{Live, LiveTask, LiveWorker, Table, WorkerState, run};
+
+/// A small shop: two data centres, an entry VM each, three workers of 16 cores and 64 GiB.
+pub struct Shop {
+    pub state: State,
+    pub live: Live,
+}
+
+impl Shop {
+    /// Nothing declared.
+    pub fn empty() -> Shop {
+        let dcs = vec![name("braga"), name("porto")];
+        let vms = [
+            vm(1, "entry-1", 0, VmRole::Entry),
+            vm(2, "entry-2", 1, VmRole::Entry),
+            vm(11, "worker-11", 0, VmRole::Worker),
+            vm(12, "worker-12", 0, VmRole::Worker),
+            vm(13, "worker-13", 1, VmRole::Worker),
+        ];
+        let vms = vms.into_iter().map(|vm| (vm.id, vm)).collect();
+        let workers = [11, 12, 13].map(|id| (VmId(id), worker(16_000)));
+        let workers = workers.into_iter().collect();
+        Shop { state: State::default(), live: Live { dcs, vms, workers, ..Live::default() } }
+    }
+
+    /// Team `shop`, the service `stock` and the batch job `renders`, one task of which runs on
+    /// `worker-12` in data centre `braga`.
+    pub fn open() -> Shop {
+        let mut shop = Shop::empty();
+        shop.say("ana", "quota team shop cpu 20 memory 64Gi");
+        shop.say("ana", "create service stock team shop tasks 2 cpu 2 memory 4Gi");
+        shop.say("rui", "create job renders team shop tasks 3 cpu 500m memory 1Gi may evict");
+        let epoch = shop.claim(0, 1);
+        shop.start(epoch, renders(0), 12);
+        shop
+    }
+
+    pub fn append(&mut self, record: Record) -> Outcome {
+        let id = AppendId { sender: 1, seq: self.state.next.0 + 1 };
+        let batch = Batch { id, records: vec![record] };
+        self.state.apply(self.state.next, &batch).outcomes.remove(0)
+    }
+
+    pub fn change(&mut self, who: &str, command: Command, condition: Option<Condition>) -> Outcome {
+        let text = Statement::Change { command: command.clone(), condition }.to_string().into();
+        // 2026-12-03, a minute for each entry.
+        let at = WallTime(1_796_256_000_000 + self.state.next.0 * 60_000);
+        self.append(Record::Change(Change { who: name(who), at, text, command, condition }))
+    }
+
+    /// Makes the change that `source` says.
+    pub fn say(&mut self, who: &str, source: &str) -> Outcome {
+        match one(source) {
+            Statement::Change { command, condition } => self.change(who, command, condition),
+            other => panic!("no change: {other}"),
+        }
+    }
+
+    /// Asks what `source` says.
+    pub fn ask(&self, source: &str) -> Table {
+        run(&self.state, &self.live, &one(source)).expect("an answer")
+    }
+
+    pub fn claim(&mut self, dc: u16, holder: u32) -> Epoch {
+        match self.append(Record::Claim { dc: DcId(dc), holder: VmId(holder) }) {
+            Outcome::Claimed(epoch) => epoch,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Checks a task out in `braga` and lets it run on a worker for 35 s.
+    pub fn start(&mut self, epoch: Epoch, task: TaskId, vm: u32) {
+        let (dc, vm, incarnation) = (DcId(0), VmId(vm), Incarnation(1));
+        self.append(Record::Checkout { dc, epoch, tasks: vec![task] });
+        let placements = vec![Placement { task, incarnation, vm }];
+        self.append(Record::Placed { dc, epoch, placements });
+        let since = Duration::from_secs(35);
+        self.live.tasks.insert(task, LiveTask { incarnation, vm, share: 400, since });
+    }
+}
+
+pub fn one(source: &str) -> Statement {
+    parse(source).unwrap_or_else(|e| panic!("{}", e.render(source))).remove(0)
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+/// A task of the job `renders`.
+pub fn renders(index: u32) -> TaskId {
+    TaskId { job: JobId(1), index }
+}
+
+pub fn capacity(cpu_milli: u32) -> Resources {
+    Resources { cpu_milli, memory_mib: 65_536, accelerators: 0 }
+}
+
+pub fn worker(cpu_milli: u32) -> LiveWorker {
+    let capacity = capacity(cpu_milli);
+    LiveWorker { capacity, free: capacity, tasks: 0, state: WorkerState::Ready }
+}
+
+fn vm(id: u32, text: &str, dc: u16, role: VmRole) -> Vm {
+    Vm {
+        id: VmId(id),
+        name: name(text),
+        dc: DcId(dc),
+        rack: 1,
+        role,
+        status: VmStatus::Live,
+        control: ([127, 0, 0, 1], 7_000).into(),
+        backend: None,
+        capacity: capacity(16_000),
+    }
+}
+
+/// Whether a line of an answer in words holds `words`.
+pub fn says(table: &Table, words: &str) -> bool {
+    table.rows.iter().any(|row| row.join(": ").contains(words))
+}
+
+/// Fails unless every one of `words` stands in a line of its own or with others.
+pub fn assert_says(table: &Table, words: &[&str]) {
+    for words in words {
+        assert!(says(table, words), "'{words}' is not in\n{table}");
+    }
+}
--- /dev/null
+++ b/daisy-query/tests/show.rs
@@ -0,0 +1,131 @@
+//! Tables: rows, filters, order, counts.
+
+mod common;
+
+use daisy_query::{Error, Table, run};
+
+use crate::common::{Shop, one};
+
+fn column(table: &Table, name: &str) -> Vec<String> {
+    let at = table.columns.iter().position(|it| *it == name).expect("a column");
+    table.rows.iter().map(|row| row[at].clone()).collect()
+}
+
+#[test]
+fn tasks_with_what_runs() {
+    let shop = Shop::open();
+
+    let table = shop.ask("show tasks where job = 1");
+    let named = shop.ask("show tasks where task like 'renders/%'");
+
+    assert_eq!(table, named);
+    assert_eq!(column(&table, "task"), ["renders/0", "renders/1", "renders/2"]);
+    assert_eq!(column(&table, "state"), ["running", "pending", "pending"]);
+    assert_eq!(column(&table, "vm"), ["worker-12", "-", "-"]);
+    assert_eq!(column(&table, "dc"), ["braga", "-", "-"]);
+    assert_eq!(column(&table, "since"), ["35s", "-", "-"]);
+    assert_eq!(column(&table, "share"), ["400", "-", "-"]);
+}
+
+#[test]
+fn filters_compare_numbers_by_value_and_texts_as_text() {
+    let shop = Shop::open();
+    let count =
+        |query: &str| shop.ask(&format!("show tasks where {query} count")).rows[0][0].clone();
+    let cases = [
+        ("cpu > 1", "2"),
+        ("cpu <= 0.5", "3"),
+        ("memory >= 1.5Gi", "2"),
+        ("memory = 1Gi", "3"),
+        ("since > 30s", "1"),
+        ("since < 30s", "0"),
+        ("since != 35s", "4"),
+        ("vm = '-'", "4"),
+        ("vm < z", "1"),
+        ("task like 'renders/%' and state != running", "2"),
+        ("task like '%/0'", "2"),
+        ("task like 'r%d%s/1'", "1"),
+        ("task like 'ender%'", "0"),
+        ("priority = critical", "2"),
+    ];
+    for (query, expected) in cases {
+        assert_eq!(count(query), expected, "{query}");
+    }
+}
+
+#[test]
+fn order_limit_and_count() {
+    let shop = Shop::open();
+    let by_cpu = shop.ask("show jobs order by cpu desc limit 1");
+    let counted = shop.ask("show tasks count by state");
+    let sorted = shop.ask("show tasks order by task limit 2");
+    assert_eq!(column(&by_cpu, "job"), ["stock"]);
+    assert_eq!(counted.rows, [["pending", "4"], ["running", "1"]]);
+    assert_eq!(column(&sorted, "task"), ["renders/0", "renders/1"]);
+}
+
+#[test]
+fn jobs_services_and_teams() {
+    let mut shop = Shop::open();
+    shop.say("ana", "cancel job renders");
+    let jobs = shop.ask("show jobs");
+    assert_eq!(column(&jobs, "state"), ["open", "stopping"]);
+    assert_eq!(column(&jobs, "out"), ["0", "1"]);
+    assert_eq!(column(&shop.ask("show services"), "job"), ["stock"]);
+    let teams = shop.ask("show teams");
+    assert_eq!(column(&teams, "cpu-used"), ["500m"]);
+    assert_eq!(column(&teams, "memory-used"), ["1024Mi"]);
+}
+
+#[test]
+fn workers_vms_and_holders() {
+    let mut shop = Shop::open();
+    shop.say("ana", "drain vm worker-13");
+    shop.live.workers.remove(&daisy_model::VmId(11));
+    let workers = shop.ask("show workers");
+    assert_eq!(column(&workers, "state"), ["not-seen", "ready", "drained"]);
+    assert_eq!(column(&workers, "cpu-free"), ["-", "16000m", "16000m"]);
+    let vms = shop.ask("show vms where role = entry");
+    assert_eq!(column(&vms, "state"), ["holds braga", "-"]);
+    let holders = shop.ask("show holders");
+    assert_eq!(holders.rows, [["braga", "entry-1", "4", "held"]]);
+}
+
+#[test]
+fn changes_with_who_when_what_and_why() {
+    let mut shop = Shop::open();
+    shop.say("rui", "cancel job absent");
+    let refused = shop.ask("show changes where result = refused");
+    assert_eq!(column(&refused, "who"), ["rui"]);
+    assert_eq!(column(&refused, "cause"), ["job absent is unknown"]);
+    assert_eq!(column(&refused, "statement"), ["cancel job absent"]);
+    assert_eq!(column(&refused, "time"), ["2026-12-03T00:06:00Z"]);
+    let later = shop.ask("show changes where time >= '2026-12-03T00:02' and subject like 'job %'");
+    assert_eq!(column(&later, "subject"), ["job renders", "job absent"]);
+}
+
+#[test]
+fn config_shows_policy_pauses_and_drains() {
+    let mut shop = Shop::open();
+    shop.say("ana", "publish policy tail=900");
+    shop.say("ana", "pause priority low");
+    shop.say("ana", "drain vm worker-13");
+    let config = shop.ask("show config where key = tail");
+    assert_eq!(config.rows, [["tail", "900", "7"]]);
+    assert_eq!(column(&shop.ask("show config where key = paused"), "value"), ["priority low"]);
+    assert_eq!(column(&shop.ask("show config where key = drained"), "value"), ["worker-13"]);
+}
+
+#[test]
+fn a_change_is_not_answered() {
+    let shop = Shop::open();
+    let answer = run(&shop.state, &shop.live, &one("pause batch"));
+    assert_eq!(answer, Err(Error::Change));
+}
+
+#[test]
+fn tables_read_as_text() {
+    let shop = Shop::open();
+    let text = shop.ask("show holders").to_string();
+    assert_eq!(text, "dc     holder   epoch  state\nbraga  entry-1  4      held\n");
+}
