Add the command line and the demo of the whole path

Cause: the roles could be started from code only; nobody could see a request and a batch task go from one end to the other.

Ruled out: a separate client library for the operators' port (the stand-ins' plain HTTP client does).

--- a/daisy-standin/src/load.rs
+++ b/daisy-standin/src/load.rs
@@ -114,6 +114,11 @@
         Ok(Load { recorder, task })
     }
 
+    /// Where the callers record what they see; it outlives the load.
+    pub fn recorder(&self) -> Recorder {
+        self.recorder.clone()
+    }
+
     /// What the callers saw so far.
     pub fn history(&self) -> History {
         self.recorder.history()
--- a/src/args.rs
+++ b/src/args.rs
@@ -1,9 +1,13 @@
 //! What can stand on the command line.
 
-use std::path::PathBuf;
+mod standin;
+
+use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
 
+pub use self::standin::{Backend, Link, Load, Platform, Standin, StandinKind, Worker};
+
 /// Scheduler for latency-critical services and batch work on the same VMs.
 #[derive(Debug, FromArgs)]
 pub struct Args {
@@ -18,8 +22,16 @@
 pub enum Command {
     /// `check`
     Check(Check),
+    /// `ctl`
+    Ctl(Ctl),
+    /// `demo`
+    Demo(Demo),
     /// `entry`
     Entry(Entry),
+    /// `load`
+    Load(Load),
+    /// `standin`
+    Standin(Standin),
 }
 
 /// Check a settings file, or a file of statements, and print every finding.
@@ -31,6 +43,36 @@
     pub file: PathBuf,
 }
 
+/// Send statements to an entry VM and print what came of them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ctl")]
+pub struct Ctl {
+    /// the entry VM's operators' address
+    #[argh(option)]
+    pub entry: SocketAddr,
+    /// the operator's token; DAISYSHIFT_TOKEN in the environment if not given
+    #[argh(option)]
+    pub token: Option<String>,
+    /// print the answer's JSON as it came
+    #[argh(switch)]
+    pub json: bool,
+    /// the statements; "-" reads them from standard input
+    #[argh(positional)]
+    pub statements: String,
+}
+
+/// Run the whole path on loopback with embedded stand-ins, and check what came of it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// requests that callers make (default 1000)
+    #[argh(option, default = "1000")]
+    pub requests: u64,
+    /// events of this level and above go to standard error (default error)
+    #[argh(option, default = "daisy_settings::LogLevel::Error")]
+    pub log_level: daisy_settings::LogLevel,
+}
+
 /// Run an entry VM's process until SIGTERM, then stop it as planned.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "entry")]
--- a/src/check.rs
+++ b/src/check.rs
@@ -18,7 +18,7 @@
     let findings: Vec<String> = if holds_settings(path) {
         lines(daisy_settings::read(&text).err().unwrap_or_default())
     } else {
-        Vec::new()
+        lines(daisy_language::parse(&text).err().map(|it| it.0).unwrap_or_default())
     };
     for finding in &findings {
         println!("{}:{finding}", path.display());
--- /dev/null
+++ b/src/ctl.rs
@@ -0,0 +1,175 @@
+//! `daisyshift ctl`: statements to an entry VM, and what came of them.
+
+use std::{io::Read, process::ExitCode, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use daisy_standin::client::Client;
+use http::{Method, Request, header};
+use http_body_util::Full;
+use serde::Deserialize;
+
+use crate::{args, runtime};
+
+/// A verdict comes within seconds; the entry VM itself gives up after 8 s.
+const TIMEOUT: Duration = Duration::from_secs(15);
+const TOKEN: &str = "DAISYSHIFT_TOKEN";
+
+/// The answer to a body of statements; `docs/PROTOCOL.md` has its meaning.
+#[derive(Debug, Default, Deserialize)]
+pub struct Answer {
+    /// One for each statement that was run.
+    #[serde(default)]
+    pub results: Vec<StatementResult>,
+    /// All that is wrong with the text.
+    #[serde(default)]
+    pub findings: Vec<FindingJson>,
+    /// Why nothing was run, or the rest was not.
+    pub error: Option<String>,
+}
+
+/// What came of one statement.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum StatementResult {
+    /// A change is in force.
+    Accepted {
+        /// From this generation on.
+        generation: u64,
+    },
+    /// A change had no effect.
+    Refused {
+        /// Why.
+        cause: String,
+    },
+    /// Whether a change took effect is not known.
+    Unknown {
+        /// Why.
+        cause: String,
+    },
+    /// A table.
+    Table {
+        /// The heads of the columns.
+        columns: Vec<String>,
+        /// Cells by row.
+        rows: Vec<Vec<String>>,
+    },
+    /// An explanation.
+    Text {
+        /// Its lines.
+        lines: Vec<String>,
+    },
+}
+
+/// One thing that is wrong with the text.
+#[derive(Debug, Deserialize)]
+pub struct FindingJson {
+    line: u32,
+    column: u32,
+    found: String,
+    expected: String,
+}
+
+/// Sends the statements and prints the answer; an exit code of 1 says that one was not
+/// accepted.
+///
+/// # Errors
+///
+/// If the entry VM cannot be reached, answers no JSON, or no token is given.
+pub fn run(options: &args::Ctl) -> anyhow::Result<ExitCode> {
+    let token = match &options.token {
+        Some(token) => token.clone(),
+        None => std::env::var(TOKEN).with_context(|| format!("no --token and no {TOKEN}"))?,
+    };
+    let statements = read_statements(&options.statements)?;
+    let body = runtime()?.block_on(send(options.entry, &token, &statements))?;
+    if options.json {
+        println!("{}", String::from_utf8_lossy(&body));
+    }
+    let answer = parse(&body)?;
+    if !options.json {
+        print(&answer);
+    }
+    Ok(if answer.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Sends `statements` to the operators' port of an entry VM and gives the answer's body.
+///
+/// # Errors
+///
+/// If no whole answer comes in time.
+pub async fn send(
+    entry: std::net::SocketAddr,
+    token: &str,
+    statements: &str,
+) -> anyhow::Result<Bytes> {
+    let req = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{entry}/v1/statements"))
+        .header(header::AUTHORIZATION, format!("Bearer {token}"))
+        .body(Full::new(Bytes::copy_from_slice(statements.as_bytes())))?;
+    let answer = Client::new().send(req, TIMEOUT).await?;
+    Ok(answer.body)
+}
+
+/// Reads the answer's body.
+///
+/// # Errors
+///
+/// If it is not the JSON of an answer.
+pub fn parse(body: &[u8]) -> anyhow::Result<Answer> {
+    let text = || format!("not an entry VM's answer: {}", String::from_utf8_lossy(body));
+    serde_json::from_slice(body).with_context(text)
+}
+
+impl Answer {
+    /// Whether every statement was accepted or answered.
+    pub fn is_good(&self) -> bool {
+        let refused = |it: &StatementResult| {
+            matches!(it, StatementResult::Refused { .. } | StatementResult::Unknown { .. })
+        };
+        self.findings.is_empty() && self.error.is_none() && !self.results.iter().any(refused)
+    }
+}
+
+fn read_statements(argument: &str) -> anyhow::Result<String> {
+    if argument != "-" {
+        return Ok(argument.to_owned());
+    }
+    let mut text = String::new();
+    std::io::stdin().read_to_string(&mut text).context("reading standard input")?;
+    Ok(text)
+}
+
+fn print(answer: &Answer) {
+    for finding in &answer.findings {
+        let FindingJson { line, column, found, expected } = finding;
+        println!("line {line}, column {column}: found {found}, expected {expected}");
+    }
+    for result in &answer.results {
+        match result {
+            StatementResult::Accepted { generation } => {
+                println!("accepted generation={generation}")
+            }
+            StatementResult::Refused { cause } => println!("refused: {cause}"),
+            StatementResult::Unknown { cause } => println!("unknown: {cause}"),
+            StatementResult::Text { lines } => lines.iter().for_each(|line| println!("{line}")),
+            StatementResult::Table { columns, rows } => print_table(columns, rows),
+        }
+    }
+    if let Some(error) = &answer.error {
+        println!("error: {error}");
+    }
+}
+
+fn print_table(columns: &[String], rows: &[Vec<String>]) {
+    let width = |at: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(at)).chain(columns.get(at));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns.len()).map(width).collect();
+    for row in std::iter::once(columns).chain(rows.iter().map(Vec::as_slice)) {
+        let cells = row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+        println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+    }
+}
--- /dev/null
+++ b/src/demo/fleet.rs
@@ -0,0 +1,202 @@
+//! Everything that the demo runs, in this process and on loopback.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use daisy_entry::Entry;
+use daisy_history::History;
+use daisy_model::{DcId, Name, Resources, Vm, VmId, VmRole, VmStatus};
+use daisy_settings::{DataCentre, Limits, LogLevel, Operator, Settings, Timing};
+use daisy_standin::{
+    Platform, Worker, backend,
+    client::Client,
+    platform,
+    platform::VmChange,
+    worker,
+    worker::{JobRun, WorkerOptions},
+};
+use daisy_wire::{headers, platform::VmJson};
+use http::Request;
+use http_body_util::Full;
+
+use super::SERVICE;
+
+/// The demo's operator proves itself with this; it is worth nothing elsewhere.
+pub const TOKEN: &str = "demo-token-0123456789";
+
+const DATA_CENTRES: [&str; 2] = ["porto", "lisbon"];
+const ENTRIES: u32 = 2;
+const WORKERS: u32 = 3;
+const FIRST_WORKER: u32 = 100;
+/// The service is created first, so the ledger numbers it 0.
+const SERVICE_JOB: u32 = 0;
+const ANY_PORT: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The running parts.
+pub struct Fleet {
+    platform: Platform,
+    workers: Vec<Worker>,
+    entries: Vec<(VmId, Entry)>,
+    /// All entry VMs' addresses, the stopped one's included: the balancer finds out.
+    callers: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts the platform, then the workers, then the entry VMs.
+    ///
+    /// # Errors
+    ///
+    /// If a port cannot be taken.
+    pub async fn start() -> anyhow::Result<Fleet> {
+        let platform = Platform::start(platform::Options::default()).await?;
+        let mut fleet =
+            Fleet { platform, workers: Vec::new(), entries: Vec::new(), callers: Vec::new() };
+        for dc in 0..DATA_CENTRES.len() as u16 {
+            for at in 0..WORKERS {
+                fleet.add_worker(DcId(dc), at).await?;
+            }
+            for at in 0..ENTRIES {
+                fleet.add_entry(DcId(dc), at).await?;
+            }
+        }
+        Ok(fleet)
+    }
+
+    /// An entry VM's address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        let (_, last) = self.entries.last().expect("the demo stops one entry VM of several");
+        last.addresses().operators
+    }
+
+    /// All entry VMs' addresses for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.callers.clone()
+    }
+
+    /// What workers recorded, their backend servers included.
+    pub fn worker_history(&self) -> History {
+        History::merge(self.workers.iter().map(Worker::history).collect())
+    }
+
+    /// Stops one entry VM as the platform would: it is listed as leaving, stops, and is gone.
+    ///
+    /// # Errors
+    ///
+    /// If the platform refuses the change of its list.
+    pub async fn stop_one_entry(&mut self) -> anyhow::Result<()> {
+        let (vm, entry) = self.entries.remove(0);
+        self.platform.change_vm(VmChange::Leave(vm.0))?;
+        entry.stop().await;
+        self.platform.change_vm(VmChange::Remove(vm.0))?;
+        Ok(())
+    }
+
+    /// Stops everything.
+    pub async fn stop(self) {
+        let stops = self.entries.into_iter().map(|(_, entry)| tokio::spawn(entry.stop()));
+        for stop in stops.collect::<Vec<_>>() {
+            // A stop that panicked has been reported by its task.
+            let _ = stop.await;
+        }
+        for worker in self.workers {
+            worker.stop().await;
+        }
+        self.platform.stop().await;
+    }
+
+    async fn add_worker(&mut self, dc: DcId, at: u32) -> anyhow::Result<()> {
+        let id = FIRST_WORKER + u32::from(dc.0) * WORKERS + at;
+        let name = format!("worker-{id}");
+        let serves = JobRun {
+            job: SERVICE_JOB,
+            run_ms: None,
+            fails: false,
+            service: Some(SERVICE.to_owned()),
+        };
+        let worker = WorkerOptions { jobs: vec![serves], ..WorkerOptions::default() };
+        let capacity = worker.capacity;
+        let beside = backend::Options { name: name.clone(), ..backend::Options::default() };
+        let worker = Worker::start(worker::Options {
+            name: name.clone(),
+            worker,
+            backend: Some(beside),
+            ..worker::Options::default()
+        })
+        .await?;
+        let vm = Vm {
+            id: VmId(id),
+            name: Name::new(&name)?,
+            dc,
+            rack: at as u16,
+            role: VmRole::Worker,
+            status: VmStatus::Live,
+            control: worker.address(),
+            backend: worker.backend_address(),
+            capacity,
+        };
+        self.platform.change_vm(VmChange::Put(VmJson::from(&vm)))?;
+        self.workers.push(worker);
+        Ok(())
+    }
+
+    async fn add_entry(&mut self, dc: DcId, at: u32) -> anyhow::Result<()> {
+        let id = VmId(u32::from(dc.0) * ENTRIES + at + 1);
+        let settings = settings(id, dc, self.platform.address())?;
+        let name = settings.name.clone();
+        let entry = daisy_entry::start(settings).await.context("starting an entry VM")?;
+        let vm = Vm {
+            id,
+            name,
+            dc,
+            rack: at as u16,
+            role: VmRole::Entry,
+            status: VmStatus::Live,
+            control: entry.addresses().peers,
+            backend: None,
+            capacity: Resources::ZERO,
+        };
+        self.platform.change_vm(VmChange::Put(VmJson::from(&vm)))?;
+        self.callers.push(entry.addresses().callers);
+        self.entries.push((id, entry));
+        Ok(())
+    }
+}
+
+fn settings(vm: VmId, dc: DcId, platform: SocketAddr) -> anyhow::Result<Settings> {
+    let data_centres = DATA_CENTRES
+        .iter()
+        .map(|name| Ok(DataCentre { name: Name::new(name)?, region: Name::new(name)? }))
+        .collect::<anyhow::Result<_>>()?;
+    let operator = Operator { who: Name::new("demo")?, token: TOKEN.into() };
+    Ok(Settings {
+        name: Name::new(&format!("entry-{vm}"))?,
+        vm,
+        data_centre: dc,
+        data_centres,
+        callers: SocketAddr::from(ANY_PORT),
+        peers: SocketAddr::from(ANY_PORT),
+        operators: SocketAddr::from(ANY_PORT),
+        platform,
+        operator_tokens: vec![operator],
+        allowed_peers: Vec::new(),
+        log_level: LogLevel::Info,
+        limits: Limits::default(),
+        timing: Timing::default(),
+    })
+}
+
+/// Whether an entry VM is ready and answers a request to `service`.
+pub async fn answers(entry: SocketAddr, service: &str) -> bool {
+    let ready = Client::new().get(entry, "/readyz", PROBE_TIMEOUT).await;
+    if !ready.is_ok_and(|answer| answer.status.is_success()) {
+        return false;
+    }
+    let req = Request::builder()
+        .uri(format!("http://{entry}/"))
+        .header(headers::SERVICE, service)
+        .body(Full::new(Bytes::new()));
+    let Ok(req) = req else { return false };
+    Client::new().send(req, PROBE_TIMEOUT).await.is_ok_and(|answer| answer.status.is_success())
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail};
 
-use crate::{args, logging};
+use crate::{args, logging, runtime};
 
 /// Runs the process until SIGTERM and its planned stop.
 ///
@@ -25,5 +25,6 @@
         }
     };
     logging::start(settings.log_level)?;
+    runtime()?.block_on(daisy_entry::run(settings))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,18 +4,28 @@
 
 mod args;
 mod check;
+mod ctl;
+mod demo;
 mod entry;
 mod logging;
+mod standin;
 
 use std::process::ExitCode;
 
+use anyhow::Context;
+use tokio::runtime::Runtime;
+
 use crate::args::{Args, Command};
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let outcome = match args.command {
         Command::Check(options) => check::run(&options),
+        Command::Ctl(options) => ctl::run(&options),
+        Command::Demo(options) => demo::run(&options),
         Command::Entry(options) => entry::run(&options),
+        Command::Load(options) => standin::run_load(options),
+        Command::Standin(options) => standin::run(options),
     };
     match outcome {
         Ok(code) => code,
@@ -25,3 +35,7 @@
         }
     }
 }
+
+fn runtime() -> anyhow::Result<Runtime> {
+    Runtime::new().context("starting the runtime")
+}
