--- a/daisy-ledger/src/change.rs
+++ b/daisy-ledger/src/change.rs
@@ -5,7 +5,9 @@
     PolicyChange, Priority, Resources, TeamId, WorkClass,
 };
 
-use crate::{AuditEntry, Job, Outcome, Refusal, State, Subject, Task, TaskState, Team, Verdict};
+use crate::{
+    AuditEntry, AuditFrom, Job, Outcome, Refusal, State, Subject, Task, TaskState, Team, Verdict,
+};
 
 impl State {
     /// The most tasks of one job.
@@ -16,8 +18,12 @@
     pub const MAX_TEAMS: usize = 1_000;
     /// The most VMs drained at one time.
     pub const MAX_DRAINED: usize = 10_000;
-    /// The most entries of the audit trail: about a day of 8,600 jobs and 360 configurations.
-    pub const KEPT_AUDIT: usize = 10_000;
+    /// The most entries of the audit trail; half of them at least are for changes of jobs once
+    /// there are so many, and half for all others.
+    ///
+    /// With 8,600 jobs and 360 other changes a day (the users' size plan) that is over a day of
+    /// jobs and four weeks of the others.
+    pub const KEPT_AUDIT: usize = 20_000;
     /// The longest statement, in bytes.
     pub const MAX_TEXT: usize = 4_096;
     /// Entries dropped at one time, so that trimming costs little for each change.
@@ -47,13 +53,31 @@
 
     fn audit(&mut self, entry: AuditEntry) {
         if self.audit.len() >= State::KEPT_AUDIT {
-            for dropped in self.audit.drain(..State::AUDIT_STEP) {
-                self.audit_from = Generation(dropped.offset.0 + 1);
-            }
+            self.trim_audit();
         }
         self.audit.push(entry);
     }
 
+    /// Drops the oldest entries of those about jobs or of all others, whichever are more.
+    ///
+    /// Thousands of jobs a day would otherwise push out in a day or two who drained a VM.
+    fn trim_audit(&mut self) {
+        let jobs = self.audit.iter().filter(|it| is_about_job(&it.change.command)).count();
+        let drops_jobs = jobs * 2 > self.audit.len();
+        let mut left = State::AUDIT_STEP;
+        let mut dropped = Generation(0);
+        self.audit.retain(|entry| {
+            let drops = left > 0 && is_about_job(&entry.change.command) == drops_jobs;
+            if drops {
+                left -= 1;
+                dropped = Generation(entry.offset.0 + 1);
+            }
+            !drops
+        });
+        let from = if drops_jobs { &mut self.audit_from.jobs } else { &mut self.audit_from.others };
+        *from = dropped;
+    }
+
     fn try_change(&mut self, generation: Generation, change: &Change) -> Result<(), Refusal> {
         if change.text.len() > State::MAX_TEXT {
             return Err(Refusal::TooLong);
@@ -85,8 +109,10 @@
         if seen > self.generation {
             return Err(Refusal::Future { seen, newest: self.generation });
         }
-        if seen < self.audit_from {
-            return Err(Refusal::TooOld { seen, oldest: self.audit_from });
+        let AuditFrom { jobs, others } = self.audit_from;
+        let oldest = if is_about_job(command) { jobs } else { others };
+        if seen < oldest {
+            return Err(Refusal::TooOld { seen, oldest });
         }
         let subject = Subject::of(command);
         let newer = self.audit.iter().rev().take_while(|it| it.offset.0 + 1 > seen.0);
@@ -318,6 +344,10 @@
     closed
 }
 
+fn is_about_job(command: &Command) -> bool {
+    matches!(Subject::of(command), Subject::Job(_))
+}
+
 fn check_numbers(tasks: u32, size: Resources) -> Result<(), Refusal> {
     if tasks == 0 || tasks > State::MAX_TASKS {
         return Err(Refusal::Tasks { found: tasks });
--- a/daisy-ledger/src/lib.rs
+++ b/daisy-ledger/src/lib.rs
@@ -26,6 +26,8 @@
     record::{AppendId, Batch, Placement, Record},
     refusal::Refusal,
     senders::Senders,
-    state::{AuditEntry, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict},
+    state::{
+        AuditEntry, AuditFrom, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict,
+    },
     subject::Subject,
 };
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -126,6 +126,15 @@
     pub verdict: Verdict,
 }
 
+/// The generations up to which changes may be missing from the audit trail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AuditFrom {
+    /// For changes of jobs.
+    pub jobs: Generation,
+    /// For all other changes.
+    pub others: Generation,
+}
+
 /// What the fold took no effect of.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -162,8 +171,8 @@
     pub policy: (Generation, Policy),
     /// The audit trail, oldest first, to a bound.
     pub audit: Vec<AuditEntry>,
-    /// Changes of this generation and older may be missing from the audit trail.
-    pub audit_from: Generation,
+    /// Where the audit trail begins.
+    pub audit_from: AuditFrom,
     /// The last append of each sender.
     pub senders: Senders,
     /// Announced non-idempotent requests.
--- a/daisy-ledger/tests/change.rs
+++ b/daisy-ledger/tests/change.rs
@@ -133,6 +133,27 @@
     assert_eq!(outcome, Outcome::Refused(Refusal::TooOld { seen: Generation(1), oldest }));
 }
 
+/// Thousands of jobs come and go after a VM was drained. The operators still find who drained
+/// it, and a racing statement about it is still judged.
+#[test]
+fn jobs_do_not_push_other_changes_out_of_the_audit_trail() {
+    let mut log = Log::with_team();
+    log.change(Command::Drain { vm: name("vm-1") });
+    for _ in 0..State::KEPT_AUDIT {
+        log.change(Command::Create(batch_job("render", 1)));
+        log.change(cancel("render"));
+    }
+
+    let undrain = Command::Undrain { vm: name("vm-1") };
+    let outcome = log.change_if("rui", undrain, Generation(1));
+    let create = Command::Create(batch_job("other", 1));
+    let job = log.change_if("rui", create, Generation(1));
+
+    assert!(matches!(log.state.audit[1].change.command, Command::Drain { .. }));
+    assert!(matches!(outcome, Outcome::Refused(Refusal::Conflict { .. })));
+    assert!(matches!(job, Outcome::Refused(Refusal::TooOld { .. })));
+}
+
 #[test]
 fn policy_keeps_the_parts_that_are_not_named() {
     let mut log = Log::new();
--- a/daisy-measure/src/ledger.rs
+++ b/daisy-measure/src/ledger.rs
@@ -138,7 +138,7 @@
          single_appends_s={:.1} single_bytes_s={:.0} changes_bytes_s={change_bytes:.1} \
          core_percent={:.3} grant_p50_ms={} grant_p99_ms={} single_grant_p99_ms={} tasks={} \
          memory_mib={:.1} snapshot_kib={} snapshot_parts={} encode_ms={:.1} restore_ms={:.1} \
-         tail_entries={} clone_ms={:.2} memory_slope_bytes_a_task={:.0} \
+         tail_entries={} clone_ms={:.2} count_ms={:.1} explain_ms={:.1} memory_slope_bytes_a_task={:.0} \
          restore_slope_us_a_task={:.3}",
         batched.appends(),
         batched.bytes(),
@@ -156,6 +156,8 @@
         design.restore_ms,
         design.tail_entries,
         design.clone_ms,
+        design.count_ms,
+        design.explain_ms,
         slope(sizes, |it| it.memory_bytes as f64),
         slope(sizes, |it| it.restore_ms * 1e3),
     );
--- a/daisy-measure/src/ledger/size.rs
+++ b/daisy-measure/src/ledger/size.rs
@@ -6,6 +6,7 @@
 };
 
 use daisy_ledger::{Record, State};
+use daisy_query::Live;
 use daisy_wire::snapshot::{self, Restore};
 
 use crate::ledger::{
@@ -31,6 +32,10 @@
     pub(crate) restore_ms: f64,
     pub(crate) tail_entries: usize,
     pub(crate) clone_ms: f64,
+    /// Time to count tasks by a filter.
+    pub(crate) count_ms: f64,
+    /// Time to explain a change.
+    pub(crate) explain_ms: f64,
     /// Bytes in the log of one operator's change.
     pub(crate) change_bytes: f64,
 }
@@ -48,7 +53,7 @@
 
     pub(crate) fn print(&self) {
         println!(
-            "{:>7} {:>6} {:>11.1} {:>13} {:>6} {:>10.1} {:>9.2} {:>11.1}",
+            "{:>7} {:>6} {:>11.1} {:>13} {:>6} {:>10.1} {:>9.2} {:>11.1} {:>9.1} {:>11.1}",
             self.tasks,
             self.jobs,
             self.memory_mib(),
@@ -57,6 +62,8 @@
             self.encode_ms,
             self.clone_ms,
             self.restore_ms,
+            self.count_ms,
+            self.explain_ms,
         );
     }
 }
@@ -90,6 +97,8 @@
     black_box(state.clone());
     let clone_ms = millis(began);
     let memory_bytes = memory_of(&state)?;
+    let count_ms = ask(&state, "show tasks where state = starting and cpu < 1 count")?;
+    let explain_ms = ask(&state, "explain pause batch")?;
     Ok(Figures {
         tasks,
         jobs: state.jobs.len(),
@@ -100,10 +109,23 @@
         restore_ms,
         tail_entries: log.entries.len() - parts,
         clone_ms,
+        count_ms,
+        explain_ms,
         change_bytes,
     })
 }
 
+/// Milliseconds to answer the one statement of `source`.
+fn ask(state: &State, source: &str) -> anyhow::Result<f64> {
+    let statements = daisy_language::parse(source)?;
+    let live = Live::default();
+    let began = Instant::now();
+    for statement in &statements {
+        black_box(daisy_query::run(state, &live, statement)?);
+    }
+    Ok(millis(began))
+}
+
 /// Bytes of a copy of `state`: the growth of resident memory over several copies, since memory
 /// that was freed earlier and is used again counts less the more copies there are.
 fn memory_of(state: &State) -> anyhow::Result<u64> {
--- a/daisy-wire/src/snapshot/state.rs
+++ b/daisy-wire/src/snapshot/state.rs
@@ -2,8 +2,8 @@
 
 use bincode::{Decode, Encode};
 use daisy_ledger::{
-    AppendId, AuditEntry, Counts, Holding, Intent, Job, Jobs, Owner, State, Task, TaskState, Team,
-    Verdict,
+    AppendId, AuditEntry, AuditFrom, Counts, Holding, Intent, Job, Jobs, Owner, State, Task,
+    TaskState, Team, Verdict,
     snapshot::{Mark, Part, Partial},
 };
 use daisy_model::{
@@ -31,7 +31,8 @@
     policy_generation: u64,
     policy: PolicyWire,
     audit: Vec<AuditWire>,
-    audit_from: u64,
+    audit_from_jobs: u64,
+    audit_from_others: u64,
     senders: Vec<SenderWire>,
     intents: Vec<IntentWire>,
     snapshot: Option<MarkWire>,
@@ -146,7 +147,8 @@
             policy_generation: it.policy.0.0,
             policy: (&it.policy.1).into(),
             audit: it.audit.iter().map(AuditWire::from).collect(),
-            audit_from: it.audit_from.0,
+            audit_from_jobs: it.audit_from.jobs.0,
+            audit_from_others: it.audit_from.others.0,
             senders: it.senders.iter().map(SenderWire::from).collect(),
             intents: it.intents.iter().map(IntentWire::from).collect(),
             snapshot: it.snapshot.map(MarkWire::from),
@@ -175,7 +177,10 @@
             paused: it.paused.into_iter().map(WorkClass::from).collect(),
             policy: (Generation(it.policy_generation), it.policy.into()),
             audit: it.audit.into_iter().map(AuditEntry::try_from).collect::<Result<_, _>>()?,
-            audit_from: Generation(it.audit_from),
+            audit_from: AuditFrom {
+                jobs: Generation(it.audit_from_jobs),
+                others: Generation(it.audit_from_others),
+            },
             senders: it.senders.into_iter().map(<(AppendId, Offset)>::from).collect(),
             intents: it.intents.into_iter().map(<(u128, Intent)>::from).collect(),
             snapshot: it.snapshot.map(Mark::from),
