query: work out only the cells that a query looks at

A count of tasks by a filter built every cell of 77,000 rows: 65.5 ms at design size, on the thread that decides. Cells go by the column's name, so a test shows that no column of any table is left unfilled.

--- a/daisy-measure/src/ledger/size.rs
+++ b/daisy-measure/src/ledger/size.rs
@@ -47,7 +47,8 @@
 
     pub(crate) fn print_header() {
         println!(
-            "  tasks   jobs  memory MiB  snapshot KiB  parts  encode ms  clone ms  restore ms"
+            "  tasks   jobs  memory MiB  snapshot KiB  parts  encode ms  clone ms  restore ms  \
+             count ms  explain ms"
         );
     }
 
--- a/daisy-query/src/show.rs
+++ b/daisy-query/src/show.rs
@@ -9,24 +9,30 @@
 
 use crate::{Live, Table};
 
-/// Rows one at a time, so that a filter keeps little of a large table.
-type Sink<'a> = &'a mut dyn FnMut(Vec<String>);
+/// A row: the cell of each of its table's columns, worked out when it is asked for.
+type Row<'a> = &'a dyn Fn(&str) -> String;
+
+/// Takes rows one at a time. Most rows of a large table are looked at by a filter in one or two
+/// columns and kept in none.
+type Sink<'a> = &'a mut dyn FnMut(Row<'_>);
 
 /// Answers `show`.
 pub(crate) fn show(state: &State, live: &Live, query: &Show) -> Table {
-    let columns = query.target.columns();
-    let position = |column: &str| columns.iter().position(|it| *it == column).unwrap_or(0);
-    let mut table = Table::new(columns);
-    let mut take = |row: Vec<String>| {
-        let passes = query.filters.iter().all(|it| filter::passes(it, &row[position(it.column)]));
-        if passes {
-            table.rows.push(row);
+    let columns = kept_columns(query);
+    let mut table = Table::new(&columns);
+    let mut matches = 0;
+    let mut take = |row: Row<'_>| {
+        if query.filters.iter().all(|it| filter::passes(it, &row(it.column))) {
+            matches += 1;
+            if !columns.is_empty() {
+                table.rows.push(columns.iter().map(|column| row(column)).collect());
+            }
         }
     };
     rows(state, live, query.target, &mut take);
     match query.count {
-        Some(Count::All) => return count_all(&table),
-        Some(Count::By(column)) => table = count_by(&table, position(column), column),
+        Some(Count::All) => return count_all(matches),
+        Some(Count::By(column)) => table = count_by(&table, column),
         None => {}
     }
     if let Some(OrderBy { column, descending }) = query.order {
@@ -39,6 +45,15 @@
     table
 }
 
+/// The columns that the answer is made of.
+fn kept_columns(query: &Show) -> Vec<&'static str> {
+    match query.count {
+        Some(Count::All) => Vec::new(),
+        Some(Count::By(column)) => vec![column],
+        None => query.target.columns().to_vec(),
+    }
+}
+
 fn rows(state: &State, live: &Live, target: Target, sink: Sink<'_>) {
     match target {
         Target::Tasks => work::tasks(state, live, sink),
@@ -53,13 +68,13 @@
     }
 }
 
-fn count_all(table: &Table) -> Table {
-    Table { columns: vec!["count"], rows: vec![vec![table.rows.len().to_string()]] }
+fn count_all(matches: usize) -> Table {
+    Table { columns: vec!["count"], rows: vec![vec![matches.to_string()]] }
 }
 
-/// Values of a column with the number of their rows, the most frequent first.
-fn count_by(table: &Table, at: usize, column: &'static str) -> Table {
-    let mut values: Vec<&str> = table.rows.iter().map(|row| row[at].as_str()).collect();
+/// Values of the one column of `table` with the number of their rows, the most frequent first.
+fn count_by(table: &Table, column: &'static str) -> Table {
+    let mut values: Vec<&str> = table.rows.iter().map(|row| row[0].as_str()).collect();
     values.sort_unstable();
     let groups = values.chunk_by(|a, b| a == b);
     let mut counts: Vec<(usize, &str)> = groups.map(|group| (group.len(), group[0])).collect();
--- a/daisy-query/src/show/fleet.rs
+++ b/daisy-query/src/show/fleet.rs
@@ -7,35 +7,36 @@
 
 pub(crate) fn workers(state: &State, live: &Live, sink: Sink<'_>) {
     for (&id, vm) in live.vms.iter().filter(|(_, vm)| vm.role == VmRole::Worker) {
-        let reason = live.reasons_of(&Subject::Vm(id)).next_back();
-        let reason = reason.map_or_else(none, |it| it.text.to_string());
-        sink(worker_row(state, live, vm, live.workers.get(&id), reason));
+        let worker = live.workers.get(&id);
+        sink(&|column| worker_cell(state, live, vm, worker, column));
     }
 }
 
-fn worker_row(
+fn worker_cell(
     state: &State,
     live: &Live,
     vm: &Vm,
     worker: Option<&LiveWorker>,
-    reason: String,
-) -> Vec<String> {
+    column: &str,
+) -> String {
     let capacity = worker.map_or(vm.capacity, |it| it.capacity);
     let free = worker.map(|it| it.free);
-    vec![
-        vm.name.to_string(),
-        live.dc(vm.dc),
-        vm.rack.to_string(),
-        worker_state(state, vm, worker).to_owned(),
-        worker.map_or_else(none, |it| it.tasks.to_string()),
-        words::cpu(capacity),
-        free.map_or_else(none, words::cpu),
-        words::memory(capacity),
-        free.map_or_else(none, words::memory),
-        capacity.accelerators.to_string(),
-        free.map_or_else(none, |it| it.accelerators.to_string()),
-        reason,
-    ]
+    let reason = || live.reasons_of(&Subject::Vm(vm.id)).next_back();
+    match column {
+        "vm" => vm.name.to_string(),
+        "dc" => live.dc(vm.dc),
+        "rack" => vm.rack.to_string(),
+        "state" => worker_state(state, vm, worker).to_owned(),
+        "tasks" => worker.map_or_else(none, |it| it.tasks.to_string()),
+        "cpu" => words::cpu(capacity),
+        "cpu-free" => free.map_or_else(none, words::cpu),
+        "memory" => words::memory(capacity),
+        "memory-free" => free.map_or_else(none, words::memory),
+        "accelerators" => capacity.accelerators.to_string(),
+        "accelerators-free" => free.map_or_else(none, |it| it.accelerators.to_string()),
+        "reason" => reason().map_or_else(none, |it| it.text.to_string()),
+        _ => none(),
+    }
 }
 
 /// A worker's state in one word.
@@ -57,25 +58,37 @@
 
 pub(crate) fn vms(state: &State, live: &Live, sink: Sink<'_>) {
     for (&id, vm) in live.vms.iter() {
-        let state = match vm.role {
-            VmRole::Worker => worker_state(state, vm, live.workers.get(&id)).to_owned(),
-            VmRole::Entry => entry_state(state, live, vm),
-        };
-        sink(vec![
-            vm.name.to_string(),
-            id.to_string(),
-            live.dc(vm.dc),
-            vm.rack.to_string(),
-            match vm.role {
-                VmRole::Entry => "entry".to_owned(),
-                VmRole::Worker => "worker".to_owned(),
-            },
-            match vm.status {
-                VmStatus::Live => "live".to_owned(),
-                VmStatus::Leaving => "leaving".to_owned(),
-            },
-            state,
-        ]);
+        sink(&|column| match column {
+            "vm" => vm.name.to_string(),
+            "number" => id.to_string(),
+            "dc" => live.dc(vm.dc),
+            "rack" => vm.rack.to_string(),
+            "role" => role(vm.role).to_owned(),
+            "status" => status(vm.status).to_owned(),
+            "state" => vm_state(state, live, vm),
+            _ => none(),
+        });
+    }
+}
+
+fn role(it: VmRole) -> &'static str {
+    match it {
+        VmRole::Entry => "entry",
+        VmRole::Worker => "worker",
+    }
+}
+
+fn status(it: VmStatus) -> &'static str {
+    match it {
+        VmStatus::Live => "live",
+        VmStatus::Leaving => "leaving",
+    }
+}
+
+fn vm_state(state: &State, live: &Live, vm: &Vm) -> String {
+    match vm.role {
+        VmRole::Worker => worker_state(state, vm, live.workers.get(&vm.id)).to_owned(),
+        VmRole::Entry => entry_state(state, live, vm),
     }
 }
 
@@ -90,12 +103,14 @@
 
 pub(crate) fn holders(state: &State, live: &Live, sink: Sink<'_>) {
     for (&dc, holding) in state.holders.iter() {
-        sink(vec![
-            live.dc(dc),
-            live.vm(holding.holder),
-            holding.epoch.to_string(),
-            if holding.released { "released".to_owned() } else { "held".to_owned() },
-        ]);
+        sink(&|column| match column {
+            "dc" => live.dc(dc),
+            "holder" => live.vm(holding.holder),
+            "epoch" => holding.epoch.to_string(),
+            "state" if holding.released => "released".to_owned(),
+            "state" => "held".to_owned(),
+            _ => none(),
+        });
     }
 }
 
--- a/daisy-query/src/show/work.rs
+++ b/daisy-query/src/show/work.rs
@@ -1,9 +1,11 @@
 //! Rows of declared work: tasks, jobs, teams, policy, changes.
 
-use daisy_ledger::{Job, State, Subject as ChangeSubject, Task, TaskState, Verdict};
-use daisy_model::{JobId, JobKind, Policy, SortedMap, TaskId};
+use daisy_ledger::{
+    AuditEntry, Job, Owner, State, Subject as ChangeSubject, Task, TaskState, Verdict,
+};
+use daisy_model::{JobId, JobKind, Policy, Resources, SortedMap, TaskId, VmId};
 
-use crate::{Live, Subject, show::Sink, table::NONE, words};
+use crate::{Live, LiveTask, Subject, show::Sink, table::NONE, words};
 
 pub(crate) fn is_service(job: &Job) -> bool {
     job.spec.kind == JobKind::Service
@@ -14,7 +16,9 @@
     for (id, job) in state.jobs.iter() {
         for (index, task) in job.tasks.iter().enumerate() {
             let id = TaskId { job: id, index: index as u32 };
-            sink(task_row(state, live, id, job, task, reasons.get(&id)));
+            let running = live.tasks.get(&id);
+            let view = TaskView { id, job, task, running, reason: reasons.get(&id).copied() };
+            sink(&|column| view.cell(state, live, column));
         }
     }
 }
@@ -31,41 +35,58 @@
     reasons.into_iter().map(|(task, at)| (task, &*live.reasons[at].text)).collect()
 }
 
-fn task_row(
-    state: &State,
-    live: &Live,
+/// A task and what is known of it.
+struct TaskView<'a> {
     id: TaskId,
-    job: &Job,
-    task: &Task,
-    reason: Option<&&str>,
-) -> Vec<String> {
-    let spec = &job.spec;
-    let running = live.tasks.get(&id);
-    let dc = match task.state {
-        TaskState::Out(owner) => live.dc(owner.dc),
-        _ => NONE.to_owned(),
-    };
-    let recorded = if task.incarnation > task.ended { task.vm } else { None };
-    let vm = running.map(|it| it.vm).or(recorded);
-    let incarnation = running.map_or(task.incarnation, |it| it.incarnation);
-    let size = if matches!(task.state, TaskState::Out(_)) { task.size } else { spec.size };
-    vec![
-        format!("{}/{}", spec.name, id.index),
-        id.job.to_string(),
-        spec.team.to_string(),
-        words::kind(spec.kind).to_owned(),
-        spec.priority.to_string(),
-        task_state(state, job, task, running.is_some() || recorded.is_some()).to_owned(),
-        dc,
-        vm.map_or_else(none, |vm| live.vm(vm)),
-        incarnation.to_string(),
-        running.map_or_else(none, |it| it.share.to_string()),
-        running.map_or_else(none, |it| words::duration(it.since)),
-        words::cpu(size),
-        words::memory(size),
-        size.accelerators.to_string(),
-        reason.map_or_else(none, |it| (*it).to_owned()),
-    ]
+    job: &'a Job,
+    task: &'a Task,
+    running: Option<&'a LiveTask>,
+    reason: Option<&'a str>,
+}
+
+impl TaskView<'_> {
+    fn cell(&self, state: &State, live: &Live, column: &str) -> String {
+        let spec = &self.job.spec;
+        match column {
+            "task" => format!("{}/{}", spec.name, self.id.index),
+            "job" => self.id.job.to_string(),
+            "team" => spec.team.to_string(),
+            "kind" => words::kind(spec.kind).to_owned(),
+            "priority" => spec.priority.to_string(),
+            "state" => task_state(state, self.job, self.task, self.vm().is_some()).to_owned(),
+            "dc" => self.owner().map_or_else(none, |owner| live.dc(owner.dc)),
+            "vm" => self.vm().map_or_else(none, |vm| live.vm(vm)),
+            "incarnation" => {
+                self.running.map_or(self.task.incarnation, |it| it.incarnation).to_string()
+            }
+            "share" => self.running.map_or_else(none, |it| it.share.to_string()),
+            "since" => self.running.map_or_else(none, |it| words::duration(it.since)),
+            "cpu" => words::cpu(self.size()),
+            "memory" => words::memory(self.size()),
+            "accelerators" => self.size().accelerators.to_string(),
+            "reason" => self.reason.map_or_else(none, str::to_owned),
+            _ => none(),
+        }
+    }
+
+    fn owner(&self) -> Option<Owner> {
+        match self.task.state {
+            TaskState::Out(owner) => Some(owner),
+            _ => None,
+        }
+    }
+
+    /// Where it runs: as a worker reports it, or else as the ledger has it.
+    fn vm(&self) -> Option<VmId> {
+        let open = self.task.incarnation > self.task.ended;
+        let recorded = if open { self.task.vm } else { None };
+        self.running.map(|it| it.vm).or(recorded)
+    }
+
+    /// What it takes or, while nobody has it, would take.
+    fn size(&self) -> Resources {
+        if self.owner().is_some() { self.task.size } else { self.job.spec.size }
+    }
 }
 
 /// A task's state in one word.
@@ -85,29 +106,29 @@
 
 pub(crate) fn jobs(state: &State, wanted: impl Fn(&Job) -> bool, sink: Sink<'_>) {
     for (id, job) in state.jobs.iter().filter(|(_, job)| wanted(job)) {
-        sink(job_row(id, job));
+        sink(&|column| job_cell(id, job, column));
     }
 }
 
-fn job_row(id: JobId, job: &Job) -> Vec<String> {
+fn job_cell(id: JobId, job: &Job, column: &str) -> String {
     let spec = &job.spec;
-    let Tally { pending, out, ended } = tally(job);
-    vec![
-        spec.name.to_string(),
-        id.to_string(),
-        spec.team.to_string(),
-        words::kind(spec.kind).to_owned(),
-        spec.priority.to_string(),
-        job_state(job).to_owned(),
-        spec.tasks.to_string(),
-        pending.to_string(),
-        out.to_string(),
-        ended.to_string(),
-        words::cpu(spec.size),
-        words::memory(spec.size),
-        spec.size.accelerators.to_string(),
-        job.generation.to_string(),
-    ]
+    match column {
+        "job" => spec.name.to_string(),
+        "number" => id.to_string(),
+        "team" => spec.team.to_string(),
+        "kind" => words::kind(spec.kind).to_owned(),
+        "priority" => spec.priority.to_string(),
+        "state" => job_state(job).to_owned(),
+        "tasks" => spec.tasks.to_string(),
+        "pending" => tally(job).pending.to_string(),
+        "out" => tally(job).out.to_string(),
+        "ended" => tally(job).ended.to_string(),
+        "cpu" => words::cpu(spec.size),
+        "memory" => words::memory(spec.size),
+        "accelerators" => spec.size.accelerators.to_string(),
+        "generation" => job.generation.to_string(),
+        _ => none(),
+    }
 }
 
 fn job_state(job: &Job) -> &'static str {
@@ -141,33 +162,45 @@
 
 pub(crate) fn teams(state: &State, sink: Sink<'_>) {
     for (id, team) in state.teams.iter() {
-        let jobs = state.jobs.iter().filter(|(_, job)| job.team == id && job.open > 0).count();
-        sink(vec![
-            team.name.to_string(),
-            words::cpu(team.limit),
-            words::cpu(team.used),
-            words::memory(team.limit),
-            words::memory(team.used),
-            team.limit.accelerators.to_string(),
-            team.used.accelerators.to_string(),
-            jobs.to_string(),
-        ]);
+        let jobs = || state.jobs.iter().filter(|(_, job)| job.team == id && job.open > 0).count();
+        sink(&|column| match column {
+            "team" => team.name.to_string(),
+            "cpu" => words::cpu(team.limit),
+            "cpu-used" => words::cpu(team.used),
+            "memory" => words::memory(team.limit),
+            "memory-used" => words::memory(team.used),
+            "accelerators" => team.limit.accelerators.to_string(),
+            "accelerators-used" => team.used.accelerators.to_string(),
+            "jobs" => jobs().to_string(),
+            _ => none(),
+        });
     }
 }
 
 pub(crate) fn config(state: &State, sink: Sink<'_>) {
     let (generation, policy) = &state.policy;
     for (key, value) in policy_parts(policy) {
-        sink(vec![key.to_owned(), value, generation.to_string()]);
+        sink(&|column| config_cell(key, &value, &generation.to_string(), column));
     }
     for class in &state.paused {
-        sink(vec!["paused".to_owned(), ChangeSubject::Class(*class).to_string(), none()]);
+        let class = ChangeSubject::Class(*class).to_string();
+        sink(&|column| config_cell("paused", &class, NONE, column));
     }
     for vm in &state.drained {
-        sink(vec!["drained".to_owned(), vm.to_string(), none()]);
+        sink(&|column| config_cell("drained", vm.as_str(), NONE, column));
     }
 }
 
+fn config_cell(key: &str, value: &str, generation: &str, column: &str) -> String {
+    let cell = match column {
+        "key" => key,
+        "value" => value,
+        "generation" => generation,
+        _ => NONE,
+    };
+    cell.to_owned()
+}
+
 /// The parts of a policy under the names that `publish` gives them.
 pub(crate) fn policy_parts(policy: &Policy) -> [(&'static str, String); 7] {
     [
@@ -183,20 +216,22 @@
 
 pub(crate) fn changes(state: &State, sink: Sink<'_>) {
     for entry in &state.audit {
-        let change = &entry.change;
-        let (generation, result, cause) = match &entry.verdict {
-            Verdict::Accepted(generation) => (generation.to_string(), "accepted", none()),
-            Verdict::Refused(cause) => (none(), "refused", cause.to_string()),
-        };
-        sink(vec![
-            generation,
-            entry.offset.to_string(),
-            words::time(change.at),
-            change.who.to_string(),
-            ChangeSubject::of(&change.command).to_string(),
-            result.to_owned(),
-            change.text.to_string(),
-            cause,
-        ]);
+        sink(&|column| change_cell(entry, column));
+    }
+}
+
+fn change_cell(entry: &AuditEntry, column: &str) -> String {
+    let change = &entry.change;
+    match (column, &entry.verdict) {
+        ("generation", Verdict::Accepted(generation)) => generation.to_string(),
+        ("result", Verdict::Accepted(_)) => "accepted".to_owned(),
+        ("result", Verdict::Refused(_)) => "refused".to_owned(),
+        ("cause", Verdict::Refused(cause)) => cause.to_string(),
+        ("offset", _) => entry.offset.to_string(),
+        ("time", _) => words::time(change.at),
+        ("who", _) => change.who.to_string(),
+        ("subject", _) => ChangeSubject::of(&change.command).to_string(),
+        ("statement", _) => change.text.to_string(),
+        _ => none(),
     }
 }
--- a/daisy-query/tests/show.rs
+++ b/daisy-query/tests/show.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use daisy_query::{Error, Table, run};
+use daisy_model::{VmId, WallTime};
+use daisy_query::{Error, Reason, Subject, Table, run};
 
-use crate::common::{Shop, one};
+use crate::common::{Shop, one, renders};
 
 fn column(table: &Table, name: &str) -> Vec<String> {
     let at = table.columns.iter().position(|it| *it == name).expect("a column");
@@ -81,7 +82,7 @@
 fn workers_vms_and_holders() {
     let mut shop = Shop::open();
     shop.say("ana", "drain vm worker-13");
-    shop.live.workers.remove(&daisy_model::VmId(11));
+    shop.live.workers.remove(&VmId(11));
     let workers = shop.ask("show workers");
     assert_eq!(column(&workers, "state"), ["not-seen", "ready", "drained"]);
     assert_eq!(column(&workers, "cpu-free"), ["-", "16000m", "16000m"]);
@@ -129,3 +130,22 @@
     let text = shop.ask("show holders").to_string();
     assert_eq!(text, "dc     holder   epoch  state\nbraga  entry-1  4      held\n");
 }
+
+/// A column that no code fills would read `-` in every row and go unnoticed.
+#[test]
+fn every_column_of_every_table_is_filled() {
+    let mut shop = Shop::open();
+    shop.say("rui", "cancel job absent");
+    for subject in [Subject::Task(renders(0)), Subject::Vm(VmId(12))] {
+        let (at, text) = (WallTime(0), "because".into());
+        shop.live.reasons.push(Reason { at, subject, text });
+    }
+    for target in daisy_language::Target::ALL {
+        let table = shop.ask(&format!("show {}", target.word()));
+        assert_eq!(table.columns, target.columns());
+        for name in target.columns() {
+            let cells = column(&table, name);
+            assert!(cells.iter().any(|it| it != "-"), "{name} of\n{table}");
+        }
+    }
+}
