Choose backend servers by shares, reports and deadlines

Each entry VM owns a fixed share of every backend server's slots (a split by rendezvous hashing, the same everywhere without talking) and borrows what answers and heartbeats show to be free. Nothing is queued at a backend server; a request waits at its entry VM for the first slot anywhere, about one typical answer long, in order of priority and then fairly by caller, and is refused at once when its turn cannot come in time. Slow and failing backend servers are put aside and probed, at most half of a service's.

--- a/daisy-entry/src/proxy/body.rs
+++ b/daisy-entry/src/proxy/body.rs
@@ -128,6 +128,7 @@
         }
         match ready!(polled) {
             Some(Ok(frame)) => {
+                self.guard.count(frame.data_ref().map_or(0, Bytes::len));
                 if self.inner.is_end_stream() {
                     self.guard.complete();
                 }
--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -148,16 +148,14 @@
                 None => Some(grant),
             };
             if let Some(Grant::Send(target)) = unheard {
-                let more = self.router.finish(now, target.attempt, CANCELLED, &mut self.rng);
+                let cancelled = Report::without_answer(TryEnd::Cancelled);
+                let more = self.router.finish(now, target.attempt, cancelled, &mut self.rng);
                 grants.extend(more);
             }
         }
     }
 }
 
-/// The report of a try that was not begun.
-const CANCELLED: Report = Report { end: TryEnd::Cancelled, in_flight: None, leaving: false };
-
 impl Waiting<'_> {
     /// The router's decision, which comes before the request's deadline.
     pub(super) async fn decided(mut self) -> Option<Grant> {
@@ -173,7 +171,8 @@
         deciding.waiters.remove(&self.ticket);
         deciding.router.forget(self.ticket);
         if let Ok(Grant::Send(target)) = self.rx.try_recv() {
-            deciding.apply(|router, rng| router.finish(now, target.attempt, CANCELLED, rng), now);
+            let cancelled = Report::without_answer(TryEnd::Cancelled);
+            deciding.apply(|router, rng| router.finish(now, target.attempt, cancelled, rng), now);
         }
     }
 }
--- a/daisy-entry/src/proxy/forward.rs
+++ b/daisy-entry/src/proxy/forward.rs
@@ -129,7 +129,7 @@
                 TryError::NotSent => TryEnd::NotSent,
                 _ => TryEnd::Broken,
             };
-            guard.end(Report { end, in_flight: None, leaving: false });
+            guard.end(Report::without_answer(end));
             return Err(err);
         }
     };
@@ -173,6 +173,7 @@
         end: TryEnd::Answered,
         in_flight: text(headers::IN_FLIGHT).and_then(|text| text.parse().ok()),
         leaving: text(headers::LEAVING) == Some("1"),
+        bytes: 0,
     }
 }
 
--- a/daisy-entry/src/proxy/guard.rs
+++ b/daisy-entry/src/proxy/guard.rs
@@ -40,7 +40,7 @@
 
 impl Drop for TryGuard {
     fn drop(&mut self) {
-        self.end(Report { end: TryEnd::Cancelled, in_flight: None, leaving: false });
+        self.end(Report::without_answer(TryEnd::Cancelled));
     }
 }
 
@@ -65,6 +65,11 @@
         AnswerGuard { guard, lease: Some(lease), report, deadline, timer: None }
     }
 
+    /// Bytes of the body have come.
+    pub(super) fn count(&mut self, bytes: usize) {
+        self.report.bytes += bytes as u64;
+    }
+
     /// The body is whole: the connection may carry another request.
     pub(super) fn complete(&mut self) {
         if let Some(lease) = self.lease.take() {
--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -1,4 +1,25 @@
 //! Measurements of daisyshift's decisions against plain baselines.
 
 #![deny(missing_docs, unsafe_code)]
-fn main() {}
+
+mod choose;
+
+/// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    measure: Measure,
+}
+
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand)]
+enum Measure {
+    Choose(choose::Args),
+}
+
+fn main() {
+    let Args { measure } = argh::from_env();
+    match measure {
+        Measure::Choose(args) => choose::run(&args),
+    }
+}
--- a/daisy-routing/src/call.rs
+++ b/daisy-routing/src/call.rs
@@ -38,10 +38,7 @@
 
 /// Names a request from its offer to its end; never reused within a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket {
-    pub(crate) index: u32,
-    pub(crate) generation: u32,
-}
+pub struct Ticket(pub(crate) u64);
 
 /// Names one try of a request on one backend server; never reused within a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- /dev/null
+++ b/daisy-routing/src/learn.rs
@@ -0,0 +1,160 @@
+//! What the end of a try teaches about its backend server and its service.
+
+use std::time::Duration;
+
+use daisy_model::{Instant, VmId};
+
+use crate::{
+    Grant, Router, TryId, router::ANSWER_BYTES, server::Server, service::ServiceKey, slab::Try,
+    standing::Verdict,
+};
+
+/// Of a service's backend servers, at most one in this many is put aside.
+const ASIDE_ONE_IN: usize = 2;
+
+/// How a try ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TryEnd {
+    /// The whole answer came.
+    Answered,
+    /// The backend server refused it and proved that it did not run.
+    Refused,
+    /// No connection could be had; nothing was sent.
+    NotSent,
+    /// It was sent, and what came back is no whole answer, or none in time.
+    Broken,
+    /// The caller left or another try answered first.
+    Cancelled,
+}
+
+/// What a try taught about its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// How the try ended.
+    pub end: TryEnd,
+    /// Requests in progress there after this one, as its answer said.
+    pub in_flight: Option<u32>,
+    /// Whether its answer said that it is leaving.
+    pub leaving: bool,
+    /// Bytes of its answer.
+    pub bytes: u64,
+}
+
+impl Report {
+    /// The report of a try that ended without an answer.
+    pub fn without_answer(end: TryEnd) -> Report {
+        Report { end, in_flight: None, leaving: false, bytes: 0 }
+    }
+}
+
+impl Router {
+    /// Ends a try; an end that was told before changes nothing.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: TryId,
+        report: Report,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<Grant> {
+        let Some(ended) = self.tries.try_remove(attempt) else { return Vec::new() };
+        if ended.far {
+            self.region.spend(report.bytes.saturating_sub(ANSWER_BYTES));
+        }
+        let latency = now.since(ended.begun);
+        self.learn_service(now, ended.service, report.end, latency);
+        self.learn_server(now, &ended, report, latency);
+        self.dispatch(now, rng)
+    }
+
+    fn learn_service(&mut self, now: Instant, key: ServiceKey, end: TryEnd, latency: Duration) {
+        let share = self.routes.policy.retry_budget;
+        let Some(service) = self.services.get_mut(key) else { return };
+        service.in_flight = service.in_flight.saturating_sub(1);
+        service.drained.add(now);
+        if end == TryEnd::Answered {
+            service.retries.earn(share);
+            service.latencies.add(latency);
+            service.typical.add(latency);
+        }
+    }
+
+    fn learn_server(&mut self, now: Instant, ended: &Try, report: Report, latency: Duration) {
+        let may_aside = self.may_aside(ended.service, ended.vm);
+        let median = self.services.get(ended.service).and_then(|service| service.median);
+        let Some(server) = self.try_server_mut(ended.vm) else { return };
+        server.own = server.own.saturating_sub(1);
+        if let Some(reported) = report.in_flight {
+            server.note_in_flight(reported, now);
+        }
+        if report.leaving {
+            server.said_leaving = Some(now);
+        }
+        let Some(verdict) = judge(server, report.end, latency, median) else { return };
+        let before = server.standing;
+        server.standing = before.after(verdict, may_aside, now);
+        if server.standing.is_aside() && !before.is_aside() {
+            server.speed = Default::default();
+        }
+    }
+
+    /// Whether enough of the service's backend servers would be left without `vm`.
+    fn may_aside(&self, key: ServiceKey, vm: VmId) -> bool {
+        let Some(service) = self.services.get(key) else { return false };
+        let aside = |position: &&u32| {
+            let server = &self.servers[**position as usize];
+            server.vm != vm && server.standing.is_aside()
+        };
+        let count = service.servers.iter().filter(aside).count();
+        (count + 1) * ASIDE_ONE_IN <= service.servers.len()
+    }
+
+    pub(crate) fn try_server_mut(&mut self, vm: VmId) -> Option<&mut Server> {
+        let position = self.servers.binary_search_by_key(&vm, |server| server.vm).ok()?;
+        self.servers.get_mut(position)
+    }
+
+    /// Takes the median speed of each service's backend servers anew.
+    pub(crate) fn refresh_medians(&mut self) {
+        let keys: Vec<ServiceKey> = self.services.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(service) = self.services.get_mut(key) else { continue };
+            let servers = service.servers.iter().map(|&at| &self.servers[at as usize]);
+            let mut logs: Vec<f64> = servers
+                .filter(|server| !server.standing.is_aside())
+                .filter_map(|server| server.speed.try_log(1))
+                .collect();
+            logs.sort_unstable_by(f64::total_cmp);
+            service.median = logs.get(logs.len() / 2).copied();
+        }
+    }
+}
+
+fn judge(
+    server: &mut Server,
+    end: TryEnd,
+    latency: Duration,
+    median: Option<f64>,
+) -> Option<Verdict> {
+    match end {
+        TryEnd::Answered => {
+            server.adapt(false);
+            Some(server.judge(latency, median))
+        }
+        TryEnd::Refused => {
+            server.adapt(true);
+            None
+        }
+        TryEnd::NotSent | TryEnd::Broken => Some(Verdict::Failed),
+        TryEnd::Cancelled => judge_cancelled(server, latency, median),
+    }
+}
+
+/// A try that was cut short took at least so long, which counts only against its server.
+fn judge_cancelled(server: &mut Server, latency: Duration, median: Option<f64>) -> Option<Verdict> {
+    let log = (latency.as_micros().max(1) as f64).ln();
+    if median.is_some_and(|median| log > median) {
+        Some(server.judge(latency, median))
+    } else {
+        None
+    }
+}
--- a/daisy-routing/src/lib.rs
+++ b/daisy-routing/src/lib.rs
@@ -4,16 +4,29 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod budget;
 mod call;
+mod choose;
 mod digest;
 mod key;
+mod learn;
+mod measure;
+mod queue;
+mod retry;
 mod router;
 mod routes;
+mod server;
+mod service;
+pub mod share;
+mod slab;
+mod standing;
+mod update;
 
 pub use crate::{
     call::{Call, CallerId, Grant, Offer, Reason, Refusal, Target, Ticket, TryId, Urgency},
     digest::{digest, weight},
     key::{ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer},
-    router::{Report, Router, TryEnd},
+    learn::{Report, TryEnd},
+    router::Router,
     routes::{Backend, Routes, Service},
 };
--- /dev/null
+++ b/daisy-routing/src/update.rs
@@ -0,0 +1,183 @@
+//! What the router is told from outside: routes, and what peers have in flight.
+
+use daisy_model::{DcId, Instant, SortedMap, VmId};
+
+use crate::{
+    Backend, Grant, Router, Routes,
+    measure::LogMean,
+    server::{Distance, Server},
+    service::{ServiceKey, ServiceState},
+    share,
+    standing::Standing,
+};
+
+impl Router {
+    /// Takes in new routes; older ones than those in force change nothing.
+    pub fn set_routes(
+        &mut self,
+        now: Instant,
+        routes: &Routes,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<Grant> {
+        let first = self.servers.is_empty() && self.names.is_empty();
+        if !first && routes.version <= self.routes.version {
+            return Vec::new();
+        }
+        self.routes = routes.clone();
+        self.set_region_budget(now);
+        self.set_servers(now, first);
+        self.set_services();
+        let live: Vec<VmId> = routes.entries.iter().map(|(_, vm)| *vm).collect();
+        self.peers.retain(|peer, _| live.contains(peer));
+        self.sum_peers();
+        self.refresh_medians();
+        self.dispatch(now, rng)
+    }
+
+    /// Takes in what another entry VM has in flight by backend server.
+    pub fn peer_in_flight(
+        &mut self,
+        now: Instant,
+        peer: VmId,
+        in_flight: &[(VmId, u32)],
+        rng: &mut fastrand::Rng,
+    ) -> Vec<Grant> {
+        self.peers.insert(peer, in_flight.iter().copied().collect());
+        self.sum_peers();
+        self.dispatch(now, rng)
+    }
+
+    /// The part of the region link's budget that is this entry VM's: all of the region share it.
+    fn set_region_budget(&mut self, now: Instant) {
+        let mine = region(&self.routes, self.routes.dc);
+        let sharers =
+            self.routes.entries.iter().filter(|(dc, _)| region(&self.routes, *dc) == mine);
+        let sharers = sharers.count().max(1) as u64;
+        self.region.set_rate(self.routes.policy.region_bytes / sharers, now);
+    }
+
+    /// Servers that were known before keep what was learnt of them.
+    fn set_servers(&mut self, now: Instant, first: bool) {
+        let mut backends: Vec<&Backend> =
+            self.routes.services.iter().flat_map(|(_, service)| &service.backends).collect();
+        backends.sort_by_key(|backend| backend.vm);
+        backends.dedup_by_key(|backend| backend.vm);
+        let servers = backends
+            .into_iter()
+            .map(|backend| {
+                let old = self.servers.binary_search_by_key(&backend.vm, |server| server.vm);
+                let known = old.ok().map(|at| self.servers[at].clone());
+                let server = known.unwrap_or_else(|| new_server(backend, now, first));
+                self.placed(server, backend)
+            })
+            .collect();
+        self.servers = servers;
+        self.count_own();
+    }
+
+    /// `server` as the routes now describe it.
+    fn placed(&self, server: Server, backend: &Backend) -> Server {
+        let entries = |dc: Option<DcId>| -> Vec<VmId> {
+            let of = self.routes.entries.iter().filter(|(at, _)| dc.is_none_or(|dc| dc == *at));
+            of.map(|(_, vm)| *vm).collect()
+        };
+        let count = entries(None).len() as u32;
+        Server {
+            distance: distance(&self.routes, backend.dc),
+            address: backend.address,
+            slots: backend.slots,
+            connections: share::connections(backend.connections, count),
+            share: share::slots(backend.slots, backend.vm, self.me, &entries(Some(backend.dc))),
+            listed_leaving: backend.leaving,
+            ..server
+        }
+    }
+
+    /// Guards against a count that stays too high when a backend server is taken off the routes
+    /// and comes back while its requests are in flight: the tries themselves are counted.
+    fn count_own(&mut self) {
+        self.servers.iter_mut().for_each(|server| server.own = 0);
+        let vms: Vec<VmId> = self.tries.iter().map(|one| one.vm).collect();
+        for vm in vms {
+            if let Some(server) = self.try_server_mut(vm) {
+                server.own += 1;
+            }
+        }
+    }
+
+    fn set_services(&mut self) {
+        let keys: Vec<ServiceKey> = self.services.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(service) = self.services.get_mut(key) {
+                service.known = false;
+                service.servers.clear();
+            }
+        }
+        for (name, route) in self.routes.services.iter() {
+            let services = &mut self.services;
+            let alloc = || services.alloc(ServiceState::new(route.priority));
+            let key = *self.names.get_or_insert_with(name.clone(), alloc);
+            let Some(service) = self.services.get_mut(key) else { continue };
+            let at = |backend: &Backend| {
+                self.servers.binary_search_by_key(&backend.vm, |server| server.vm).ok()
+            };
+            service.known = true;
+            service.priority = route.priority;
+            service.servers = route.backends.iter().filter_map(at).map(|at| at as u32).collect();
+        }
+    }
+
+    fn sum_peers(&mut self) {
+        let mut sums: SortedMap<VmId, u32> = SortedMap::new();
+        for (_, in_flight) in self.peers.iter() {
+            for (vm, count) in in_flight.iter() {
+                *sums.get_or_insert_with(*vm, || 0) += count;
+            }
+        }
+        for server in &mut self.servers {
+            server.peers = sums.get(&server.vm).copied().unwrap_or(0);
+        }
+    }
+}
+
+/// A server that was not known; slow start unless the router itself is new.
+///
+/// Guards against a cold backend server that gets the load of a warm one, which shows as a burst
+/// of late answers after each replacement. A new router starts all of them in full: its callers
+/// cannot wait for a ramp that serves no purpose.
+fn new_server(backend: &Backend, now: Instant, first: bool) -> Server {
+    let standing =
+        if first { Standing::default() } else { Standing::Starting { since: now, failures: 0 } };
+    Server {
+        vm: backend.vm,
+        distance: Distance::Own,
+        address: backend.address,
+        slots: backend.slots,
+        connections: 1,
+        share: 0,
+        listed_leaving: backend.leaving,
+        said_leaving: None,
+        own: 0,
+        others: None,
+        peers: 0,
+        limit: f64::from(backend.slots),
+        speed: LogMean::default(),
+        standing,
+    }
+}
+
+fn distance(routes: &Routes, dc: DcId) -> Distance {
+    if dc == routes.dc {
+        Distance::Own
+    } else if region(routes, dc) == region(routes, routes.dc) {
+        Distance::Near
+    } else {
+        Distance::Far
+    }
+}
+
+/// The region of `dc`; each unlisted data centre counts as a region of its own.
+fn region(routes: &Routes, dc: DcId) -> u32 {
+    let listed = routes.regions.get(usize::from(dc.0)).copied();
+    listed.map_or(u32::from(dc.0) + (1 << 16), u32::from)
+}
--- /dev/null
+++ b/daisy-routing/tests/retry.rs
@@ -0,0 +1,84 @@
+//! Second tries: after a failure, or beside a first one that takes long.
+
+mod fixture;
+
+use std::time::Duration;
+
+use daisy_model::VmId;
+use daisy_routing::{Call, Offer, TryEnd, Urgency};
+use fixture::{answered, backend, call, ended, fill, millis, rng, router, routes, sent, warm};
+
+/// A short fault becomes a long one: every failed request is sent again, and the servers that
+/// would have recovered are kept busy with second tries.
+#[test]
+fn retries_are_a_share_of_recent_successes() {
+    let mut rng = rng();
+    let mut router = router(&routes((100..110).map(backend).collect()));
+    let now = warm(&mut router, millis(0), 500, Duration::from_millis(1), &mut rng);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        let first = sent(router.offer(now, &call(now), &mut rng));
+        router.finish(now, first.attempt, ended(TryEnd::Cancelled), &mut rng);
+        if let Some(second) = router.retry(now, &call(now), &[first.vm], &mut rng) {
+            retries += 1;
+            router.finish(now, second.attempt, ended(TryEnd::Cancelled), &mut rng);
+        }
+    }
+
+    // A reserve of 10 and a tenth of 500.
+    assert_eq!(retries, 60);
+}
+
+#[test]
+fn a_retry_goes_to_another_server() {
+    let mut rng = rng();
+    let mut router = router(&routes(vec![backend(100), backend(101)]));
+    let now = millis(0);
+
+    let second = router.retry(now, &call(now), &[VmId(100)], &mut rng);
+
+    assert_eq!(second.map(|target| target.vm), Some(VmId(101)));
+    assert!(router.retry(now, &call(now), &[VmId(100), VmId(101)], &mut rng).is_none());
+}
+
+/// An overloaded service stays overloaded: what waits there is joined by second tries, and the
+/// slot that is kept free for critical first tries goes to them.
+#[test]
+fn nothing_is_retried_into_an_overload() {
+    let mut rng = rng();
+    let mut router = router(&routes(vec![backend(100)]));
+    let now = warm(&mut router, millis(0), 100, Duration::from_millis(100), &mut rng);
+    let low = Call { urgency: Urgency::Low, ..call(now) };
+    while let Offer::Send(_) = router.offer(now, &low, &mut rng) {}
+
+    let retried = router.retry(now, &call(now), &[], &mut rng);
+
+    assert!(retried.is_none());
+    // The slot was there.
+    sent(router.offer(now, &call(now), &mut rng));
+}
+
+#[test]
+fn only_idempotent_requests_are_hedged() {
+    let mut rng = rng();
+    let mut router = router(&routes(vec![backend(100), backend(101)]));
+    let now = warm(&mut router, millis(0), 100, Duration::from_millis(10), &mut rng);
+    let order = Call { idempotent: false, ..call(now) };
+
+    assert!(router.hedge_after(&call(now)).is_some());
+    assert!(router.hedge_after(&order).is_none());
+    assert!(router.hedge(now, &call(now), &[VmId(100)], &mut rng).is_some());
+    assert!(router.hedge(now, &order, &[VmId(100)], &mut rng).is_none());
+}
+
+#[test]
+fn an_end_told_twice_frees_one_slot() {
+    let mut rng = rng();
+    let mut router = router(&routes(vec![backend(100)]));
+    let targets = fill(&mut router, millis(0), 2, &mut rng);
+
+    router.finish(millis(1), targets[0].attempt, answered(1), &mut rng);
+    router.finish(millis(1), targets[0].attempt, ended(TryEnd::Cancelled), &mut rng);
+
+    assert_eq!(router.in_flight(), [(VmId(100), 1)]);
+}
