Retry and hedge where that is safe, inside the budget

A failed try is repeated on another backend server when the request is idempotent or the try proved that it did not run; an idempotent one gets a second try beside the first when it takes longer than 95 % of recent ones. Both spend from the service's budget. The loser's connection is closed.

The proof of `not-run` must hold for every try: a first one that broke after sending and a second one that could not be sent is outcome-unknown.

--- a/daisy-entry/src/proxy.rs
+++ b/daisy-entry/src/proxy.rs
@@ -31,6 +31,7 @@
 mod pool;
 mod request;
 mod serve;
+mod tries;
 
 pub use self::body::{AnswerBody, BodyError, Streamed};
 
--- a/daisy-entry/src/proxy/answer.rs
+++ b/daisy-entry/src/proxy/answer.rs
@@ -101,6 +101,7 @@
     fn from(err: TryError) -> Failure {
         let status = match err {
             TryError::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            TryError::NotSent | TryError::Refused => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
         };
         let outcome = if err.proves_not_run() { Outcome::NotRun } else { Outcome::Unknown };
--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -1,8 +1,11 @@
 //! What all requests of an entry VM share: the router, its waiters and the connections.
 
-use std::sync::{
-    Mutex,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use daisy_model::{SortedMap, VmId};
@@ -94,6 +97,35 @@
         }
     }
 
+    /// Asks the router for another backend server after a failure.
+    pub(super) fn retry(&self, call: &Call, tried: &[VmId]) -> Option<Target> {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.retry(now, call, tried, rng)
+    }
+
+    /// After how long a request deserves a second try beside its first.
+    pub(super) fn hedge_after(&self, call: &Call) -> Option<Duration> {
+        lock(&self.deciding).router.hedge_after(call)
+    }
+
+    /// Asks the router for a second backend server beside the first.
+    pub(super) fn hedge(&self, call: &Call, tried: &[VmId]) -> Option<Target> {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.hedge(now, call, tried, rng)
+    }
+
+    /// When a caller is to come again.
+    pub(super) fn retry_after(&self, call: &Call) -> Duration {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.retry_after(now, &call.service, rng)
+    }
+
     /// Ends a try.
     pub(super) fn finish(&self, attempt: TryId, report: Report) {
         let now = self.clock.now();
--- a/daisy-entry/src/proxy/forward.rs
+++ b/daisy-entry/src/proxy/forward.rs
@@ -69,6 +69,14 @@
         matches!(self, TryError::NotSent | TryError::Refused)
     }
 
+    /// What is known after two failed tries.
+    ///
+    /// Guards against `not-run` for a request whose first try may have run and whose second could
+    /// not be sent: the proof must hold for every try.
+    pub(super) fn and(self, other: TryError) -> TryError {
+        if self.proves_not_run() { other } else { self }
+    }
+
     /// The word for it in `docs/PROTOCOL.md`.
     pub(super) fn as_str(self) -> &'static str {
         match self {
--- a/daisy-entry/src/proxy/request.rs
+++ b/daisy-entry/src/proxy/request.rs
@@ -4,18 +4,19 @@
 
 use bytes::Bytes;
 use daisy_model::Instant;
-use daisy_routing::{Call, Grant, Reason, Refusal, Target};
+use daisy_routing::{Call, Grant, Target};
 use daisy_wire::headers;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use crate::proxy::{
     answer::{Failure, Outcome},
-    body::{AnswerBody, Outgoing},
+    body::AnswerBody,
     core::{Core, Offered},
-    forward::{Sending, try_once},
+    forward::Sending,
     head::Head,
+    tries::{self, Job, Payload},
 };
 
 /// Bodies up to this many bytes are read whole before a slot is taken, so that a slow sender
@@ -49,18 +50,19 @@
     let (parts, body) = req.into_parts();
     let head = Head::read(&parts, address)?;
     let deadline = arrived + head.patience;
-    let body = read_body(core, body, deadline).await?;
+    let bytes = body.size_hint().lower();
+    let payload = read_body(core, body, deadline).await?;
     let call = Call {
-        service: head.service.clone(),
+        service: head.service,
         urgency: head.urgency,
         caller: head.caller,
         deadline,
         idempotent: head.idempotent,
-        bytes: body.size_hint().lower(),
+        bytes,
     };
-    let sending = Sending::new(parts, id, deadline);
     let target = find_target(core, &call).await?;
-    try_once(core, target, &sending, body).await.map_err(Failure::from)
+    let sending = Sending::new(parts, id, deadline);
+    tries::run(core, Job { call, sending, payload }, target).await
 }
 
 async fn find_target(core: &Core, call: &Call) -> Result<Target, Failure> {
@@ -70,38 +72,30 @@
         Offered::Wait(waiting) => match waiting.decided().await {
             Some(Grant::Send(target)) => Ok(target),
             Some(Grant::Refuse(_, refusal)) => Err(refusal.into()),
-            None => {
-                let retry_after = std::time::Duration::from_secs(1);
-                Err(Refusal { reason: Reason::Draining, retry_after }.into())
-            }
+            None => Err(Failure::later(Outcome::NotRun, "draining", core.retry_after(call))),
         },
     }
 }
 
 /// Reads a short body whole, and leaves a long one to be passed on as it comes.
-async fn read_body(core: &Core, body: Incoming, deadline: Instant) -> Result<Outgoing, Failure> {
+async fn read_body(core: &Core, body: Incoming, deadline: Instant) -> Result<Payload, Failure> {
     let limit = core.options.limits.body_bytes;
     let hint = body.size_hint();
     if hint.lower() > limit {
-        return Err(too_large());
+        return Err(Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Outcome::NotRun, "body-too-large"));
     }
     if hint.exact().is_none_or(|length| length > BUFFERED_BODY) {
-        return Ok(Outgoing::Streamed { inner: body, left: limit, limit });
+        return Ok(Payload::Streamed { inner: body, limit });
     }
     if body.is_end_stream() {
-        return Ok(Outgoing::Buffered(Full::new(Bytes::new())));
+        return Ok(Payload::Buffered(Bytes::new()));
     }
     let at = core.clock.timer_at(deadline);
-    let read = Limited::new(body, BUFFERED_BODY as usize).collect();
-    match tokio::time::timeout_at(at, read).await {
-        Ok(Ok(whole)) => Ok(Outgoing::Buffered(Full::new(whole.to_bytes()))),
+    match tokio::time::timeout_at(at, body.collect()).await {
+        Ok(Ok(whole)) => Ok(Payload::Buffered(whole.to_bytes())),
         Ok(Err(_)) => {
             Err(Failure::new(StatusCode::BAD_REQUEST, Outcome::NotRun, "request-cut-off"))
         }
         Err(_) => Err(Failure::new(StatusCode::REQUEST_TIMEOUT, Outcome::NotRun, "slow-request")),
     }
 }
-
-fn too_large() -> Failure {
-    Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Outcome::NotRun, "body-too-large")
-}
--- /dev/null
+++ b/daisy-entry/src/proxy/tries.rs
@@ -0,0 +1,122 @@
+//! The tries of one request: first, retry, hedge.
+
+use std::{pin::pin, sync::Arc};
+
+use bytes::Bytes;
+use daisy_model::VmId;
+use daisy_routing::{Call, Target};
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::proxy::{
+    answer::Failure,
+    body::{AnswerBody, Outgoing},
+    core::Core,
+    forward::{Sending, TryError, try_once},
+};
+
+/// A request's body before its tries.
+#[derive(Debug)]
+pub(super) enum Payload {
+    /// Read whole; every try sends it.
+    Buffered(Bytes),
+    /// Passed on as it comes; one try only.
+    Streamed {
+        /// The caller's body.
+        inner: Incoming,
+        /// Bytes that it may have.
+        limit: u64,
+    },
+}
+
+/// A request with all that its tries need.
+#[derive(Debug)]
+pub(super) struct Job {
+    /// What the router is asked.
+    pub(super) call: Call,
+    /// What is sent.
+    pub(super) sending: Sending,
+    /// Its body.
+    pub(super) payload: Payload,
+}
+
+/// Tries `job` at `target`, and elsewhere as long as that is safe and the router allows it.
+pub(super) async fn run(
+    core: &Arc<Core>,
+    job: Job,
+    target: Target,
+) -> Result<Response<AnswerBody>, Failure> {
+    let Job { call, sending, payload } = job;
+    let bytes = match payload {
+        Payload::Buffered(bytes) => bytes,
+        Payload::Streamed { inner, limit } => {
+            let body = Outgoing::Streamed { inner, left: limit, limit };
+            let tried = try_once(core, target, &sending, body).await;
+            return tried.map_err(|err| failure(core, &call, err));
+        }
+    };
+    let mut tried = Vec::new();
+    let mut target = target;
+    let mut known: Option<TryError> = None;
+    loop {
+        tried.push(target.vm);
+        let err = match try_hedged(core, &call, &sending, &bytes, target, &mut tried).await {
+            Ok(response) => return Ok(response),
+            Err(err) => known.map_or(err, |known| known.and(err)),
+        };
+        known = Some(err);
+        // Guards against an order that runs twice: what may have run is tried again only if
+        // running it twice does no harm.
+        let safe = call.idempotent || err.proves_not_run();
+        let next = if safe { core.retry(&call, &tried) } else { None };
+        target = next.ok_or_else(|| failure(core, &call, err))?;
+        log::debug!("event=retry id={} reason={} vm={}", sending.id, err.as_str(), target.vm);
+    }
+}
+
+/// One try, and a second beside it when the first takes longer than most; the loser is dropped,
+/// which closes its connection.
+async fn try_hedged(
+    core: &Arc<Core>,
+    call: &Call,
+    sending: &Sending,
+    bytes: &Bytes,
+    target: Target,
+    tried: &mut Vec<VmId>,
+) -> Result<Response<AnswerBody>, TryError> {
+    let send = |target| try_once(core, target, sending, buffered(bytes));
+    let Some(patience) = core.hedge_after(call) else { return send(target).await };
+    let mut first = pin!(send(target));
+    tokio::select! {
+        tried = first.as_mut() => return tried,
+        () = tokio::time::sleep(patience) => {}
+    }
+    let Some(second) = core.hedge(call, tried) else { return first.await };
+    tried.push(second.vm);
+    log::debug!("event=hedge id={} vm={}", sending.id, second.vm);
+    let mut second = pin!(send(second));
+    tokio::select! {
+        tried = first.as_mut() => match tried {
+            Ok(response) => Ok(response),
+            Err(err) => second.await.map_err(|other| err.and(other)),
+        },
+        tried = second.as_mut() => match tried {
+            Ok(response) => Ok(response),
+            Err(err) => first.await.map_err(|other| err.and(other)),
+        },
+    }
+}
+
+fn buffered(bytes: &Bytes) -> Outgoing {
+    Outgoing::Buffered(Full::new(bytes.clone()))
+}
+
+fn failure(core: &Core, call: &Call, err: TryError) -> Failure {
+    let failure = Failure::from(err);
+    if err.proves_not_run() {
+        Failure { retry_after: Some(core.retry_after(call)), ..failure }
+    } else {
+        failure
+    }
+}
--- a/daisy-entry/tests/proxy.rs
+++ b/daisy-entry/tests/proxy.rs
@@ -6,3 +6,5 @@
 mod fixture;
 #[path = "proxy/forward.rs"]
 mod forward;
+#[path = "proxy/tries.rs"]
+mod tries;
--- a/daisy-entry/tests/proxy/drain.rs
+++ b/daisy-entry/tests/proxy/drain.rs
@@ -23,6 +23,7 @@
 
     tokio::join!(entry.proxy.drain(), entry.proxy.drain());
 
+    assert!(entry.proxy.in_flight().is_empty());
     let got = calling.await.unwrap();
     assert_eq!(got.body.as_deref(), Some(&b"whole"[..]));
     entry.served.await.unwrap();
--- a/daisy-routing/src/router.rs
+++ b/daisy-routing/src/router.rs
@@ -110,7 +110,7 @@
         match self.try_refuse(now, ticket) {
             Some(reason) => {
                 self.queue.try_forget(ticket);
-                let wait = self.retry_after(now, key, rng);
+                let wait = self.retry_after_of(now, key, rng);
                 refuse(reason, wait)
             }
             None => Offer::Wait(ticket),
@@ -194,7 +194,7 @@
             match self.try_give_up(now, waiting, *ahead) {
                 Some(reason) => {
                     let waiting = self.queue.remove(index);
-                    let retry_after = self.retry_after(now, key, rng);
+                    let retry_after = self.retry_after_of(now, key, rng);
                     grants.push(Grant::Refuse(waiting.ticket, Refusal { reason, retry_after }));
                 }
                 None => {
@@ -295,7 +295,13 @@
         self.services.get(key).filter(|service| service.known).map(|_| key)
     }
 
-    fn retry_after(&self, now: Instant, key: ServiceKey, rng: &mut fastrand::Rng) -> Duration {
+    /// When a caller of `service` is to come again after a refusal now.
+    pub fn retry_after(&self, now: Instant, service: &Name, rng: &mut fastrand::Rng) -> Duration {
+        let key = self.try_service(service);
+        key.map_or(UNKNOWN_RETRY, |key| self.retry_after_of(now, key, rng))
+    }
+
+    fn retry_after_of(&self, now: Instant, key: ServiceKey, rng: &mut fastrand::Rng) -> Duration {
         self.services.get(key).map_or(UNKNOWN_RETRY, |service| service.retry_after(now, rng))
     }
 }
