--- /dev/null
+++ b/daisy-standin/src/run.rs
@@ -0,0 +1,14 @@
+//! What stand-ins do as processes of their own.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn until_stopped() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod headers;
 pub mod log;
+pub mod peer;
 pub mod platform;
+pub mod snapshot;
 pub mod worker;
 
 /// Why a value from the wire is refused.
