--- a/src/check.rs
+++ b/src/check.rs
@@ -18,7 +18,7 @@
     let findings: Vec<String> = if holds_settings(path) {
         lines(daisy_settings::read(&text).err().unwrap_or_default())
     } else {
-        lines(daisy_language::parse(&text).err().map(|it| it.0).unwrap_or_default())
+        statement_findings(&text)
     };
     for finding in &findings {
         println!("{}:{finding}", path.display());
@@ -34,6 +34,16 @@
     path.extension().is_some_and(|it| it == "yaml" || it == "yml")
 }
 
+fn statement_findings(text: &str) -> Vec<String> {
+    let findings = daisy_language::parse(text).err().map(|it| it.0).unwrap_or_default();
+    findings
+        .into_iter()
+        .map(|it| {
+            format!("{}:{}: found {}, expected {}", it.line, it.column, it.found, it.expected)
+        })
+        .collect()
+}
+
 fn lines<T: Display>(findings: Vec<T>) -> Vec<String> {
     findings.iter().map(T::to_string).collect()
 }
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,100 @@
+//! The command line as a person meets it: output and exit codes.
+
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+fn daisyshift(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_daisyshift")).args(args).output().expect("the binary runs")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// A file of this test's own with `text`.
+fn file(name: &str, text: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("command-line");
+    std::fs::create_dir_all(&dir).expect("a directory for the test's files");
+    let path = dir.join(name);
+    std::fs::write(&path, text).expect("the test's file is written");
+    path
+}
+
+#[test]
+fn the_demo_answers_every_request_and_runs_every_task() {
+    let output = daisyshift(&["demo", "--requests", "300"]);
+
+    let text = stdout(&output);
+    let last = text.lines().last().unwrap_or_default();
+    assert_eq!(
+        last, "requests=300 answered=300 refused=0 lost=0 doubled=0 tasks_done=30",
+        "{text}"
+    );
+    assert!(output.status.success());
+}
+
+#[test]
+fn check_prints_every_finding_of_settings_with_its_place() {
+    let path = file("two-mistakes.yaml", "name: Entry\ncolour: red\n");
+
+    let output = daisyshift(&["check", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("two-mistakes.yaml:1:7: name: found \"Entry\""), "{text}");
+    assert!(text.contains("two-mistakes.yaml:2:1: colour: unknown"), "{text}");
+}
+
+#[test]
+fn check_prints_every_finding_of_statements_with_its_place() {
+    let path = file("two-mistakes.daisy", "drain worker-1;\nshow everything\n");
+
+    let output = daisyshift(&["check", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("two-mistakes.daisy:1:7: "), "{text}");
+    assert!(text.contains("two-mistakes.daisy:2:6: "), "{text}");
+}
+
+#[test]
+fn check_accepts_good_statements() {
+    let path = file("good.daisy", "drain vm worker-1;\nshow tasks\n");
+
+    let output = daisyshift(&["check", path.to_str().expect("UTF-8")]);
+
+    assert!(output.status.success(), "{}", stdout(&output));
+}
+
+#[test]
+fn an_entry_with_bad_settings_says_all_and_does_not_start() {
+    let path = file("bad-entry.yaml", "name: entry-1\nvm: 1\n");
+
+    let output = daisyshift(&["entry", "--settings", path.to_str().expect("UTF-8")]);
+
+    let text = stderr(&output);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("callers: missing") && text.contains("platform: missing"), "{text}");
+}
+
+#[test]
+fn ctl_says_when_no_entry_vm_answers() {
+    let output = daisyshift(&["ctl", "--entry", "127.0.0.1:1", "--token", "t", "show tasks"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr(&output).contains("no connection"), "{}", stderr(&output));
+}
+
+#[test]
+fn unknown_arguments_are_refused() {
+    let output = daisyshift(&["demo", "--speed", "9"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr(&output).contains("--speed"), "{}", stderr(&output));
+}
