--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -2,6 +2,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod choose;
 mod ledger;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
@@ -14,12 +15,15 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand)]
 enum Measure {
+    Choose(choose::Args),
     Ledger(ledger::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     let Args { measure } = argh::from_env();
     match measure {
-        Measure::Ledger(args) => ledger::run(&args),
+        Measure::Choose(args) => choose::run(&args),
+        Measure::Ledger(args) => ledger::run(&args)?,
     }
+    Ok(())
 }
