placement: Weigh workers, make room, keep off bad ones, explain

What the thin holder lacked, decision by decision:

- The choice among up to 12 workers with room: what is left over, what the start is expected to slow down, racks and workers that have a replica already, accelerators left idle, batch work limited already.
- Urgent work that finds no room takes it from the fewest tasks that may be evicted.
The room is booked at once and ordered only when the worker itself no longer reports the victims.
- Sizes are raised to what was seen in use and never lowered: the argument is at `Seen::corrected`.
- A worker that fails three starts in a row is put aside for 10 s, doubling, with one probe start after; at most a quarter of the workers, and not for jobs that fail elsewhere too.
- Leaving and drained VMs: batch goes at once, a service's replicas one at a time and out of the routes first.
To start the new replica before the old one stops was ruled out: they are one task, and no task runs in two places.
- Tasks without room are given back after 15 s, data centres take turns.
- Reasons: the last six of each task and VM, with the nearest miss.
- Batch work is limited by the services' slowdown (AIMD for now; to be measured).

Not claimed here: any of it being better than a plain rule; that is for the measurements. The random schedules now also drain, leave and evict, and hold.

--- /dev/null
+++ b/daisy-placement/src/control.rs
@@ -0,0 +1,159 @@
+//! What late usage reports lead to: learning, limits on batch work, and relief of services.
+
+use std::time::Duration;
+
+use daisy_model::{Instant, Order, TaskId, Usage};
+
+use crate::{
+    holder::Holder,
+    kind::Kind,
+    reason::Reason,
+    throttle::{Rule, Signal},
+    worker::{Ending, Hold, WorkerKey},
+};
+
+/// A report is this late at most; what was started since is not in it.
+const LAG: Duration = Duration::from_secs(10);
+/// Between two tasks made to leave one worker: the effect of the first shows that late.
+const RELIEF_PERIOD: Duration = Duration::from_secs(30);
+/// A changed limit is ordered only if it differs by more than this, in thousandths.
+const SHARE_STEP: u32 = 40;
+
+impl Holder {
+    /// Takes a worker's usage in.
+    pub(crate) fn control(&mut self, now: Instant, key: WorkerKey, usage: &[Usage]) {
+        if usage.is_empty() {
+            return;
+        }
+        self.learn(now, key, usage);
+        let Some(slowdown) = self.worst_service(key, usage) else {
+            self.set_share(now, key, crate::place::FULL_SHARE, 1000);
+            return;
+        };
+        let busy = self.busy(key, usage);
+        let limit = self.policy.throttle_above;
+        let rule = Rule::of(&self.policy.objective);
+        let Some(worker) = self.worker_mut(key) else { return };
+        let share = worker.throttle.step(rule, Signal { slowdown, busy, limit });
+        let is_stuck = worker.throttle.is_stuck();
+        self.set_share(now, key, share, slowdown);
+        if is_stuck {
+            self.relieve(now, key, slowdown);
+        }
+    }
+
+    fn learn(&mut self, now: Instant, key: WorkerKey, usage: &[Usage]) {
+        for it in usage {
+            if let Some(job) = self.jobs.get_mut(&it.task.job) {
+                job.seen.add(it.used);
+            }
+        }
+        let Some(worker) = self.roster.get(key) else { return };
+        // Neighbours that came after what the report speaks of would be blamed for it.
+        let is_settled = |since: Instant| now >= since + LAG;
+        if !worker.held.iter().all(|(_, held)| is_settled(held.since)) {
+            return;
+        }
+        for it in usage {
+            let Some(held) = worker.held.get(&it.task) else { continue };
+            if !held.class.service {
+                continue;
+            }
+            let neighbours = neighbours(&worker.kinds, held.class.kind);
+            self.interference.learn(held.class.kind, &neighbours, it.slowdown);
+        }
+    }
+
+    fn worst_service(&self, key: WorkerKey, usage: &[Usage]) -> Option<u32> {
+        let worker = self.roster.get(key)?;
+        let is_service =
+            |it: &&Usage| worker.held.get(&it.task).is_some_and(|held| held.class.service);
+        usage.iter().filter(is_service).map(|it| it.slowdown).max()
+    }
+
+    /// Processor use of a worker in thousandths of what it holds.
+    fn busy(&self, key: WorkerKey, usage: &[Usage]) -> u32 {
+        let Some(worker) = self.roster.get(key) else { return 0 };
+        let used: u64 = usage.iter().map(|it| u64::from(it.used.cpu_milli)).sum();
+        let whole = u64::from(worker.capacity.cpu_milli.max(1));
+        u32::try_from(used * 1000 / whole).unwrap_or(u32::MAX)
+    }
+
+    /// Orders a limit for all tasks of a worker that may be delayed.
+    fn set_share(&mut self, now: Instant, key: WorkerKey, share: u32, slowdown: u32) {
+        let Some(worker) = self.roster.get_mut(key) else { return };
+        let mut is_changed = false;
+        for (task, held) in worker.held.iter_mut() {
+            let is_running = held.hold == Hold::Running && held.ending == Ending::No;
+            if !held.class.delay || !is_running || !is_step(held.share, share) {
+                continue;
+            }
+            held.share = share;
+            let (task, incarnation) = (*task, held.incarnation);
+            worker.orders.retain(|order| !is_throttle_of(order, task));
+            worker.orders.push(Order::Throttle { task, incarnation, share });
+            is_changed = true;
+        }
+        if is_changed {
+            worker.notes.add(now, Reason::Throttled { share, slowdown });
+            self.roster.touch(key);
+        }
+    }
+
+    /// Makes the neighbour leave that is expected to disturb the services most.
+    fn relieve(&mut self, now: Instant, key: WorkerKey, slowdown: u32) {
+        let Some(worker) = self.roster.get(key) else { return };
+        if worker.relief_at.is_some_and(|at| now < at) {
+            return;
+        }
+        let Some(task) = self.worst_neighbour(key) else { return };
+        let vm = worker.label.clone();
+        self.note(now, task, Reason::Disturbs { vm, slowdown });
+        self.checkpoint(key, task);
+        if let Some(worker) = self.worker_mut(key) {
+            worker.relief_at = Some(now + RELIEF_PERIOD);
+            worker.throttle.relieved();
+        }
+    }
+
+    fn worst_neighbour(&self, key: WorkerKey) -> Option<TaskId> {
+        let worker = self.roster.get(key)?;
+        let services: Vec<Kind> = worker
+            .held
+            .iter()
+            .filter(|(_, held)| held.class.service)
+            .map(|(_, held)| held.class.kind)
+            .collect();
+        let able = worker.held.iter().filter(|(_, held)| {
+            held.class.evict
+                && !held.class.service
+                && held.hold == Hold::Running
+                && held.ending == Ending::No
+        });
+        let harm = |kind: Kind| {
+            services.iter().map(|victim| self.interference.pair(*victim, kind)).sum::<f32>()
+        };
+        let worst = able.max_by(|(_, a), (_, b)| {
+            let by_harm = harm(a.class.kind).total_cmp(&harm(b.class.kind));
+            by_harm.then(a.size.cpu_milli.cmp(&b.size.cpu_milli))
+        });
+        worst.map(|(task, _)| *task)
+    }
+}
+
+/// The kinds beside one task of `own`.
+fn neighbours(kinds: &[(Kind, u32)], own: Kind) -> Vec<(Kind, u32)> {
+    let but_itself = |(kind, count): &(Kind, u32)| {
+        let count = if *kind == own { count.saturating_sub(1) } else { *count };
+        (count > 0).then_some((*kind, count))
+    };
+    kinds.iter().filter_map(but_itself).collect()
+}
+
+fn is_step(old: u32, new: u32) -> bool {
+    old.abs_diff(new) > SHARE_STEP || new == crate::place::FULL_SHARE && old != new
+}
+
+fn is_throttle_of(order: &Order, task: TaskId) -> bool {
+    matches!(order, Order::Throttle { task: it, .. } if *it == task)
+}
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -1,14 +1,17 @@
 //! The decisions of a data centre's holder: what it learns and what it wants done.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, time::Duration};
 
 use daisy_ledger::{Record, State};
 use daisy_model::{
-    Epoch, Instant, JobId, Name, SortedMap, TaskId, Vm, VmId, WorkClass, WorkerCall, WorkerReport,
+    Epoch, Instant, JobId, Name, Policy, Resources, SortedMap, TaskId, Vm, VmId, WorkClass,
+    WorkerCall, WorkerReport,
 };
 
 use crate::{
+    interference::Interference,
     job::JobView,
+    kind::Kinds,
     options::Options,
     place::Turn,
     records::Outbox,
@@ -65,6 +68,9 @@
     },
 }
 
+/// Between looks at what changes slowly: VMs that are leaving or gone, work given back.
+const CHORES: Duration = Duration::from_secs(1);
+
 /// The holder of one data centre's workers.
 ///
 /// It acts once it has seen a [`State`] and a VM list, and never again after a worker or
@@ -92,6 +98,16 @@
     pub(crate) inherited: Vec<TaskId>,
     /// Whether something was learnt about them.
     pub(crate) inherit_due: bool,
+    /// The policy in force.
+    pub(crate) policy: Policy,
+    /// Quota and use of each team, as the ledger last showed them.
+    pub(crate) teams: Vec<(Resources, Resources)>,
+    pub(crate) kinds: Kinds,
+    pub(crate) interference: Interference,
+    /// No search for victims before.
+    pub(crate) evict_at: Option<Instant>,
+    /// Slow chores are due then.
+    chores_at: Instant,
 }
 
 impl Holder {
@@ -114,6 +130,12 @@
             line: Vec::new(),
             inherited: Vec::new(),
             inherit_due: false,
+            policy: Policy::default(),
+            teams: Vec::new(),
+            kinds: Kinds::default(),
+            interference: Interference::default(),
+            evict_at: None,
+            chores_at: Instant(0),
         }
     }
 
@@ -139,7 +161,8 @@
             Event::Report { vm, report } => self.take_report(now, vm, report),
             Event::Silent { vm, sent } => self.take_silence(now, vm, sent),
             Event::Log { reachable } => self.log_reachable = reachable,
-            Event::Tick => self.take_tick(now),
+            Event::Tick if self.is_ready() => self.take_tick(now),
+            Event::Tick => {}
         }
         if self.superseded || !self.is_ready() {
             return;
@@ -156,7 +179,14 @@
     }
 
     fn take_tick(&mut self, now: Instant) {
-        self.settle_gone(now);
+        if now >= self.chores_at {
+            self.chores_at = now + CHORES;
+            self.settle_gone(now);
+            self.probe(now);
+            self.leave(now);
+            self.give_back(now);
+        }
+        self.inherit_due = true;
         self.roster.touch_all();
         self.want(now);
         self.place_due = true;
--- a/daisy-placement/src/index.rs
+++ b/daisy-placement/src/index.rs
@@ -41,6 +41,18 @@
         self.visit(1, 0, self.width, (0, start), size, limit, found);
     }
 
+    /// Whether some slot has room for `size`.
+    pub(crate) fn has(&self, size: Resources) -> bool {
+        let mut found = Vec::new();
+        self.find(size, 0, 1, &mut found);
+        !found.is_empty()
+    }
+
+    /// The most of each part in any slot.
+    pub(crate) fn largest(&self) -> Resources {
+        self.nodes.get(1).copied().unwrap_or(Resources::ZERO)
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn visit(
         &self,
--- a/daisy-placement/src/inherit.rs
+++ b/daisy-placement/src/inherit.rs
@@ -123,14 +123,8 @@
         self.options.lease + self.options.limits.gone_margin
     }
 
-    /// Settles inherited tasks of a worker that has answered and does not have them.
-    pub(crate) fn settle_inherited(&mut self, _now: Instant, _key: WorkerKey) {
-        self.inherit_due = true;
-    }
-
     /// Ends what ran on VMs that are gone for good, and forgets the VMs.
     pub(crate) fn settle_gone(&mut self, now: Instant) {
-        self.inherit_due = true;
         for key in self.roster.keys() {
             let Some(worker) = self.roster.get(key) else { continue };
             if !self.is_gone_for_good(now, worker.standing, worker.called_at) {
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -6,8 +6,9 @@
 use crate::{
     holder::Holder,
     job::JobView,
+    reason::Reason,
     task::{Local, Phase},
-    worker::{Hold, WorkerKey},
+    worker::{Ending, WorkerKey},
 };
 
 impl Holder {
@@ -24,7 +25,10 @@
         }
         self.ledger_seen = true;
         self.paused.clone_from(&state.paused);
-        self.apply_drains(&state.drained);
+        self.policy.clone_from(&state.policy.1);
+        self.teams.clear();
+        self.teams.extend(state.teams.iter().map(|(_, team)| (team.limit, team.used)));
+        self.apply_drains(now, &state.drained);
         self.take_new_jobs(state);
         let ids: Vec<JobId> = self.jobs.iter().map(|(id, _)| *id).collect();
         for id in ids {
@@ -40,7 +44,8 @@
         let known = self.next_job;
         for (id, job) in state.jobs.iter().rev().take_while(|(id, _)| *id >= known) {
             if job.open > 0 {
-                self.jobs.insert(id, JobView::new(id, job, &self.options));
+                let kind = self.kinds.of(&job.spec);
+                self.jobs.insert(id, JobView::new(id, job, kind, &self.options));
             }
         }
         self.next_job = state.jobs.next_id();
@@ -107,6 +112,10 @@
                 self.leave_line(id);
                 self.set_phase(id, Phase::Pending { since: now });
             }
+            Phase::Returned { .. } => {
+                let again = now + self.options.limits.give_back;
+                self.set_phase(id, Phase::Pending { since: again });
+            }
             Phase::Ended { .. } => self.record_end(now, id),
             Phase::Starting { worker } | Phase::Running { worker } => self.stop(worker, id),
         }
@@ -130,6 +139,7 @@
                     local.incarnation = incarnation;
                 }
                 if is_own {
+                    self.note(now, id, Reason::CheckedOut);
                     self.wait(now, id);
                 } else {
                     self.inherit(now, id);
@@ -150,7 +160,8 @@
             Phase::Starting { worker } if is_cancelled => self.cancel_start(now, worker, id),
             Phase::Starting { worker } => self.start_recorded(now, worker, id),
             Phase::Waiting { .. } if is_cancelled => self.end_unstarted(now, id),
-            Phase::Waiting { .. } | Phase::Inherited { .. } => {}
+            Phase::Returned { at } if now >= at + self.options.limits.resend => self.wait(now, id),
+            Phase::Waiting { .. } | Phase::Inherited { .. } | Phase::Returned { .. } => {}
         }
     }
 
@@ -178,7 +189,7 @@
         }
     }
 
-    fn leave_line(&mut self, id: TaskId) {
+    pub(crate) fn leave_line(&mut self, id: TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.waiting.retain(|index| *index != id.index);
         }
@@ -202,10 +213,10 @@
     pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId) {
         let Some(worker) = self.worker_mut(key) else { return };
         let Some(held) = worker.held.get_mut(&task) else { return };
-        if held.ending {
+        if held.ending == Ending::Ordered {
             return;
         }
-        held.ending = true;
+        held.ending = Ending::Ordered;
         let incarnation = held.incarnation;
         worker.orders.push(Order::Stop { task, incarnation });
         self.roster.touch(key);
@@ -214,10 +225,7 @@
     /// Stops a start that is on its way; one that was never sent is taken back.
     fn cancel_start(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
         let Some(worker) = self.worker_mut(key) else { return };
-        let is_unsent = worker
-            .held
-            .get(&task)
-            .is_none_or(|held| matches!(held.hold, Hold::Queued | Hold::Reserved));
+        let is_unsent = worker.held.get(&task).is_none_or(|held| held.hold.is_unsent());
         if !is_unsent {
             self.stop(key, task);
             return;
--- /dev/null
+++ b/daisy-placement/src/interference.rs
@@ -0,0 +1,84 @@
+//! How much one kind of work slows another down, learnt from late reports.
+
+use daisy_model::SortedMap;
+
+use crate::kind::Kind;
+
+/// What a pair of kinds was seen to do.
+#[derive(Debug, Clone, Copy)]
+struct Pair {
+    /// Slowdown that one neighbour adds, in thousandths.
+    added: f32,
+    /// When it was last learnt from, in samples.
+    touched: u32,
+}
+
+/// Slowdowns by pair of kinds, bounded.
+///
+/// A task's slowdown is taken for the sum of what its neighbours add; each sample's error
+/// is shared out among the neighbours present (normalised least mean squares). A sum is
+/// not the truth, but it orders neighbours rightly and needs two numbers a pair.
+#[derive(Debug, Default)]
+pub struct Interference {
+    pairs: SortedMap<(Kind, Kind), Pair>,
+    samples: u32,
+}
+
+impl Interference {
+    /// Pairs remembered; the one not learnt from for longest is forgotten first.
+    const MOST: usize = 4_096;
+    /// Share of each sample's error that is learnt: averages over about ten noisy samples.
+    const RATE: f32 = 0.1;
+    /// No neighbour makes a task faster.
+    const LEAST: f32 = 0.0;
+
+    /// Learns from the slowdown of a task of `victim` beside `neighbours`, counted by kind.
+    ///
+    /// `slowdown` is in thousandths, 1000 being undisturbed.
+    pub fn learn(&mut self, victim: Kind, neighbours: &[(Kind, u32)], slowdown: u32) {
+        let power: f32 = neighbours.iter().map(|(_, count)| (*count * *count) as f32).sum();
+        if power == 0.0 {
+            return;
+        }
+        self.samples = self.samples.saturating_add(1);
+        let seen = slowdown.saturating_sub(1000) as f32;
+        let error = seen - self.added(victim, neighbours) as f32;
+        for (kind, count) in neighbours.iter().filter(|(_, count)| *count > 0) {
+            let step = Interference::RATE * error * *count as f32 / power;
+            self.correct(victim, *kind, step);
+        }
+    }
+
+    /// The slowdown that neighbours are expected to add to a task, in thousandths.
+    pub fn added(&self, victim: Kind, neighbours: &[(Kind, u32)]) -> u32 {
+        let each = neighbours.iter().map(|(kind, count)| self.pair(victim, *kind) * *count as f32);
+        each.sum::<f32>() as u32
+    }
+
+    /// The slowdown that one neighbour is expected to add, in thousandths.
+    pub fn pair(&self, victim: Kind, neighbour: Kind) -> f32 {
+        self.pairs.get(&(victim, neighbour)).map_or(0.0, |pair| pair.added)
+    }
+
+    fn correct(&mut self, victim: Kind, neighbour: Kind, step: f32) {
+        let touched = self.samples;
+        if let Some(pair) = self.pairs.get_mut(&(victim, neighbour)) {
+            pair.added = (pair.added + step).max(Interference::LEAST);
+            pair.touched = touched;
+            return;
+        }
+        if self.pairs.len() >= Interference::MOST {
+            self.forget_oldest();
+        }
+        let added = step.max(Interference::LEAST);
+        self.pairs.insert((victim, neighbour), Pair { added, touched });
+    }
+
+    /// Forgets the older half of the pairs, so that the search is paid once for many.
+    fn forget_oldest(&mut self) {
+        let mut ages: Vec<u32> = self.pairs.iter().map(|(_, pair)| pair.touched).collect();
+        ages.sort_unstable();
+        let middle = ages[ages.len() / 2];
+        self.pairs.retain(|_, pair| pair.touched > middle);
+    }
+}
--- a/daisy-placement/src/job.rs
+++ b/daisy-placement/src/job.rs
@@ -3,9 +3,17 @@
 use std::collections::VecDeque;
 
 use daisy_ledger::Job;
-use daisy_model::{DcId, JobId, JobKind, JobSpec, Name, Priority, Resources};
+use daisy_model::{DcId, Instant, JobId, JobKind, JobSpec, Name, Priority, Resources, TeamId};
 
-use crate::{options::Options, task::Local};
+use crate::{
+    fault::JobFaults,
+    kind::Kind,
+    options::Options,
+    reason::{Noted, Reason, Wait},
+    task::Local,
+    usage::Seen,
+    worker::Class,
+};
 
 /// A job and its tasks, as the holder sees them.
 #[derive(Debug)]
@@ -18,12 +26,18 @@
     pub waiting: VecDeque<u32>,
     /// Seen pending in the last fold.
     pub pending: Vec<u32>,
+    pub team: TeamId,
+    pub kind: Kind,
+    pub faults: JobFaults,
+    pub seen: Seen,
+    /// Why its waiting and pending tasks wait.
+    pub wait: Option<Noted>,
     /// Allowed data centres by preference.
     preferred: Vec<DcId>,
 }
 
 impl JobView {
-    pub(crate) fn new(id: JobId, job: &Job, options: &Options) -> JobView {
+    pub(crate) fn new(id: JobId, job: &Job, kind: Kind, options: &Options) -> JobView {
         JobView {
             id,
             spec: job.spec.clone(),
@@ -31,6 +45,11 @@
             tasks: job.tasks.iter().map(|task| Local::new(*task)).collect(),
             waiting: VecDeque::new(),
             pending: Vec::new(),
+            team: job.team,
+            kind,
+            faults: JobFaults::default(),
+            seen: Seen::default(),
+            wait: None,
             preferred: preferred(&job.spec.data_centres, options),
         }
     }
@@ -45,6 +64,24 @@
         self.spec.size
     }
 
+    /// What a worker's room for one of its tasks is marked with.
+    pub(crate) fn class(&self) -> Class {
+        let JobSpec { priority, tolerance, .. } = self.spec;
+        let service = self.is_service();
+        Class {
+            kind: self.kind,
+            priority,
+            service,
+            delay: tolerance.delay && !service,
+            evict: tolerance.evict,
+        }
+    }
+
+    /// Notes why its tasks wait.
+    pub(crate) fn waits(&mut self, now: Instant, wait: Wait) {
+        self.wait = Some(Noted { at: now, reason: Reason::Waits(wait) });
+    }
+
     pub(crate) fn is_service(&self) -> bool {
         self.spec.kind == JobKind::Service
     }
@@ -68,6 +105,11 @@
         Some(((position + count - first) % count) as u32)
     }
 
+    /// The data centre that the job names first, where its data is taken to be.
+    pub(crate) fn try_first(&self) -> Option<DcId> {
+        if self.spec.data_centres.is_empty() { None } else { self.preferred.first().copied() }
+    }
+
     /// Shifts the turn by job, so that one-task jobs do not all start in one data centre.
     fn offset(&self) -> usize {
         if self.spec.data_centres.is_empty() { self.id.0 as usize } else { 0 }
--- a/daisy-placement/src/place.rs
+++ b/daisy-placement/src/place.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use daisy_ledger::{Placement, Task};
+use daisy_ledger::Placement;
 use daisy_model::{
     Incarnation, Instant, JobId, JobKind, Order, Priority, Resources, TaskId, VmId, WorkClass,
 };
@@ -10,9 +10,9 @@
 use crate::{
     holder::Holder,
     job::JobView,
-    reason::Reason,
+    reason::{Miss, Reason, Wait},
     task::{Local, Phase},
-    worker::{Held, Hold, Worker, WorkerKey},
+    worker::{Ending, Held, Hold, WorkerKey},
 };
 
 /// A share that is not limited, in thousandths.
@@ -27,71 +27,109 @@
         if !std::mem::take(&mut self.place_due) {
             return;
         }
-        let line = self.line.clone();
-        for (_, id) in line {
-            self.place_job(now, id);
+        let line = std::mem::take(&mut self.line);
+        for (_, id) in &line {
+            self.place_job(now, *id);
+        }
+        // Tasks that came back in line meanwhile have put their jobs in a new one.
+        let added = std::mem::replace(&mut self.line, line);
+        for turn in added {
+            if let Err(at) = self.line.binary_search(&turn) {
+                self.line.insert(at, turn);
+            }
         }
         let jobs = &self.jobs;
         self.line.retain(|(_, id)| jobs.get(id).is_some_and(|job| !job.waiting.is_empty()));
     }
 
     fn place_job(&mut self, now: Instant, id: JobId) {
-        loop {
-            let Some(job) = self.jobs.get(&id) else { return };
-            let Some(index) = job.waiting.front().copied() else { return };
-            if self.is_paused(job) {
-                return;
-            }
-            // What is not restartable must be recorded before it starts; see `start`.
-            let is_recorded_first = job
-                .tasks
-                .get(index as usize)
-                .is_some_and(|local| is_recorded_first(local, job.spec.restartable));
-            if is_recorded_first && !self.log_reachable {
-                return;
-            }
-            let Some(key) = self.choose(now, TaskId { job: id, index }) else { return };
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.waiting.pop_front();
+        while let Some(index) = self.try_next(now, id) {
+            let task = TaskId { job: id, index };
+            match self.choose(now, task) {
+                Some(key) => {
+                    self.leave_front(id);
+                    self.start(now, key, task, Hold::Queued);
+                }
+                None if self.try_evict(now, id, index).is_some() => {}
+                None => return self.note_no_room(now, task),
             }
-            self.start(now, key, TaskId { job: id, index });
         }
     }
 
-    /// The best of a few workers with room: the one that is left with the least.
+    /// The next task of a job that may start now.
+    fn try_next(&mut self, now: Instant, id: JobId) -> Option<u32> {
+        let is_paused = self.jobs.get(&id).is_some_and(|job| self.is_paused(job));
+        let log_reachable = self.log_reachable;
+        let job = self.jobs.get_mut(&id)?;
+        let index = job.waiting.front().copied()?;
+        let local = job.tasks.get(index as usize)?;
+        if is_paused {
+            job.waits(now, Wait::Paused);
+            return None;
+        }
+        if is_recorded_first(local, job.spec.restartable) && !log_reachable {
+            job.waits(now, Wait::LogDown);
+            return None;
+        }
+        if job.faults.retry_at.is_some_and(|at| now < at) {
+            return None;
+        }
+        Some(index)
+    }
+
+    fn leave_front(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.waiting.pop_front();
+            job.wait = None;
+        }
+    }
+
+    /// The best of a few workers with room.
     fn choose(&mut self, now: Instant, task: TaskId) -> Option<WorkerKey> {
-        let size = self.local(task)?.ledger.size;
+        let size = self.start_size(task)?;
         let mut found = Vec::new();
         self.roster.find(size, self.options.limits.candidates, &mut found);
         let weighed = found.len();
-        let left = |key: &WorkerKey| self.roster.get(*key).map_or(u64::MAX, |it| left(it, size));
-        let best = found.into_iter().min_by_key(left)?;
+        let racks = self.racks_of(task.job);
+        let job = self.jobs.get(&task.job)?;
+        let best = found.into_iter().min_by_key(|key| self.cost(job, size, &racks, *key))?;
         let vm = self.roster.get(best)?.label.clone();
         self.note(now, task, Reason::Placed { vm, weighed });
         Some(best)
     }
 
-    /// Takes room on a worker and orders the start.
+    /// What a task is started with: as checked out, or more if more was seen in use.
+    pub(crate) fn start_size(&self, task: TaskId) -> Option<Resources> {
+        let job = self.jobs.get(&task.job)?;
+        let declared = job.tasks.get(task.index as usize)?.ledger.size;
+        Some(job.seen.corrected(declared, self.roster.largest()))
+    }
+
+    /// Takes room on a worker and orders the start, or waits with it for room or record.
     ///
-    /// See `is_recorded_first` for what comes before the order.
-    fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
+    /// See `is_recorded_first` for what has to be recorded before the order.
+    pub(crate) fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, hold: Hold) {
+        let Some(size) = self.start_size(task) else { return };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let is_restartable = job.spec.restartable;
+        let (is_restartable, class) = (job.spec.restartable, job.class());
         let Some(local) = job.tasks.get_mut(task.index as usize) else { return };
         let is_recorded_first = is_recorded_first(local, is_restartable);
         local.incarnation = local.next_incarnation();
         local.phase = Phase::Starting { worker: key };
         let incarnation = local.incarnation;
-        let Task { checkpoint, size, .. } = local.ledger;
-        let hold = if is_recorded_first { Hold::Reserved } else { Hold::Queued };
+        let checkpoint = local.ledger.checkpoint;
+        let hold = if is_recorded_first && hold == Hold::Queued { Hold::Reserved } else { hold };
         let Some(worker) = self.roster.get_mut(key) else { return };
-        worker.hold(task, Held { incarnation, size, hold, ending: false, share: FULL_SHARE });
+        let ending = Ending::No;
+        let share = FULL_SHARE;
+        worker.hold(task, Held { incarnation, size, hold, ending, share, since: now, class });
+        worker.faults.note_start();
         let vm = worker.id;
-        if is_recorded_first {
-            self.record_start(now, task, incarnation, vm);
-        } else {
+        if hold == Hold::Queued {
             worker.orders.push(Order::Start { task, incarnation, size, checkpoint });
             self.roster.touch(key);
+        } else if hold == Hold::Reserved {
+            self.record_start(now, task, incarnation, vm);
         }
         self.roster.reindex(key);
     }
@@ -99,19 +137,18 @@
     /// Orders a start that the ledger has just shown, or records it again.
     pub(crate) fn start_recorded(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
         let resend = self.options.limits.resend;
-        let Some(local) = self.local_mut(task) else { return };
+        let Some(local) = self.local(task) else { return };
         let is_lost = local.placed_at.is_some_and(|at| now >= at + resend);
         let incarnation = local.incarnation;
         let checkpoint = local.ledger.checkpoint;
-        let is_shown = local.ledger.incarnation == incarnation;
-        let shown_vm = local.ledger.vm;
+        let shown = (local.ledger.incarnation, local.ledger.vm);
         let Some(worker) = self.roster.get_mut(key) else { return };
         let vm = worker.id;
         let Some(held) = worker.held.get_mut(&task) else { return };
         if held.hold != Hold::Reserved {
             return;
         }
-        if !is_shown || shown_vm != Some(vm) {
+        if shown != (incarnation, Some(vm)) {
             if is_lost {
                 self.record_start(now, task, incarnation, vm);
             }
@@ -132,7 +169,48 @@
 
     pub(crate) fn is_unsent(&self, key: WorkerKey, task: TaskId) -> bool {
         let held = self.roster.get(key).and_then(|worker| worker.held.get(&task));
-        held.is_some_and(|held| matches!(held.hold, Hold::Queued | Hold::Reserved))
+        held.is_some_and(|held| held.hold.is_unsent())
+    }
+
+    /// Says why the first task in line found no room, with the nearest miss.
+    ///
+    /// The search looks at every worker, so it is made at most once a second for a job.
+    fn note_no_room(&mut self, now: Instant, task: TaskId) {
+        const PERIOD_MS: u128 = 1_000;
+        let Some(size) = self.start_size(task) else { return };
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let is_fresh = job.wait.as_ref().is_some_and(|wait| {
+            let is_room = matches!(wait.reason, Reason::Waits(Wait::NoRoom { .. }));
+            is_room && now.since(wait.at).as_millis() < PERIOD_MS
+        });
+        if is_fresh {
+            return;
+        }
+        let wait = Wait::NoRoom { size, miss: self.nearest_miss(size) };
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.waits(now, wait);
+        }
+    }
+
+    /// The open worker that lacks the least for `size`.
+    pub(crate) fn nearest_miss(&self, size: Resources) -> Option<Miss> {
+        let open = self.roster.iter().filter(|(_, worker)| worker.is_open());
+        let misses = open.map(|(_, worker)| {
+            let short = shortage(size, worker.free());
+            (relative(short, worker.capacity), &worker.label, short)
+        });
+        let (_, vm, short) = misses.min_by_key(|(lack, ..)| *lack)?;
+        Some(Miss { vm: vm.clone(), short })
+    }
+
+    /// The worker that would lack the least for `size` if it were empty.
+    pub(crate) fn nearest_whole_miss(&self, size: Resources) -> Option<Miss> {
+        let misses = self.roster.iter().map(|(_, worker)| {
+            let short = shortage(size, worker.capacity);
+            (relative(short, worker.capacity), &worker.label, short)
+        });
+        let (_, vm, short) = misses.min_by_key(|(lack, ..)| *lack)?;
+        Some(Miss { vm: vm.clone(), short })
     }
 
     /// Whether an operator has paused the class of a job.
@@ -144,13 +222,21 @@
     }
 }
 
-/// What is left on a worker after a start, weighted so that accelerators are spent last.
-fn left(worker: &Worker, size: Resources) -> u64 {
-    const ACCELERATOR_WEIGHT: u64 = 1 << 20;
-    let Some(rest) = worker.free().try_sub(size) else { return u64::MAX };
-    u64::from(rest.cpu_milli)
-        + u64::from(rest.memory_mib)
-        + ACCELERATOR_WEIGHT * u64::from(rest.accelerators)
+/// What `room` lacks for `size`.
+fn shortage(size: Resources, room: Resources) -> Resources {
+    Resources {
+        cpu_milli: size.cpu_milli.saturating_sub(room.cpu_milli),
+        memory_mib: size.memory_mib.saturating_sub(room.memory_mib),
+        accelerators: size.accelerators.saturating_sub(room.accelerators),
+    }
+}
+
+/// A shortage in thousandths of what a worker holds, its parts summed.
+fn relative(short: Resources, whole: Resources) -> u64 {
+    let part = |short: u32, whole: u32| u64::from(short) * 1000 / u64::from(whole.max(1));
+    part(short.cpu_milli, whole.cpu_milli)
+        + part(short.memory_mib, whole.memory_mib)
+        + part(short.accelerators, whole.accelerators)
 }
 
 /// Whether a start has to be in the ledger before it is ordered.
--- a/daisy-placement/src/reports.rs
+++ b/daisy-placement/src/reports.rs
@@ -1,5 +1,7 @@
 //! Answers of workers: what runs, what ended, what came of orders.
 
+use std::time::Duration;
+
 use daisy_model::{
     Ended, Exit, Incarnation, Instant, Order, OrderResult, Running, SortedMap, TaskId, VmId,
     WorkerReport,
@@ -8,11 +10,15 @@
 use crate::{
     holder::Holder,
     intake::is_start_of,
+    job::JobView,
     reason::Reason,
     task::Phase,
-    worker::{Held, Hold, WorkerKey},
+    worker::{Class, Ending, Held, Hold, WorkerKey},
 };
 
+/// A task that ends with an error within this time may have failed for its worker's sake.
+const SOON: Duration = Duration::from_secs(10);
+
 impl Holder {
     /// Takes a worker's answer in.
     pub(crate) fn take_report(&mut self, now: Instant, vm: VmId, report: &WorkerReport) {
@@ -43,20 +49,27 @@
             self.hold_running(now, key, running, old.copied());
         }
         for ended in &report.ended {
-            self.take_end(now, key, ended);
+            let old = before.get(&ended.task).filter(|it| it.incarnation == ended.incarnation);
+            self.take_end(now, key, ended, old.map(|old| old.since));
         }
         self.settle_rest(now, key, &before, &results);
-        self.settle_inherited(now, key);
+        self.inherit_due = true;
+        self.control(now, key, &report.usage);
+        self.clear_suspect(now, key);
+        self.promote(now, key);
         self.roster.reindex(key);
         self.roster.touch(key);
         self.place_due = true;
     }
 
     fn hold_running(&mut self, now: Instant, key: WorkerKey, it: &Running, old: Option<Held>) {
+        let class = self.jobs.get(&it.task.job).map_or(Class::UNKNOWN, JobView::class);
         let Some(worker) = self.worker_mut(key) else { return };
         let Running { task, incarnation, size, share } = *it;
-        let ending = old.is_some_and(|old| old.ending);
-        worker.hold(task, Held { incarnation, size, hold: Hold::Running, ending, share });
+        let ending = old.map_or(Ending::No, |old| old.ending);
+        let since = old.map_or(now, |old| old.since);
+        let hold = Hold::Running;
+        worker.hold(task, Held { incarnation, size, hold, ending, share, since, class });
         if self.is_known_there(key, task, incarnation) {
             if let Some(local) = self.local_mut(task) {
                 local.phase = Phase::Running { worker: key };
@@ -92,7 +105,7 @@
         }
     }
 
-    fn take_end(&mut self, now: Instant, key: WorkerKey, ended: &Ended) {
+    fn take_end(&mut self, now: Instant, key: WorkerKey, ended: &Ended, since: Option<Instant>) {
         let Ended { task, incarnation, exit } = *ended;
         let Some(local) = self.local(task) else {
             // The job is over and its end recorded, or we would have it.
@@ -111,10 +124,27 @@
             local.phase = Phase::Ended { worker: Some(key), exit, asked: None };
             local.incarnation = incarnation;
             local.notes.add(now, Reason::Ended { exit });
+            self.judge_end(now, key, ended, since);
         }
         self.record_end(now, task);
     }
 
+    /// Learns from an end: a worker that works or fails, a run time.
+    fn judge_end(&mut self, now: Instant, key: WorkerKey, ended: &Ended, since: Option<Instant>) {
+        let job = ended.task.job;
+        let run = since.map(|since| now.since(since));
+        match ended.exit {
+            Exit::Done => {
+                self.note_success(key, job);
+                if let Some((view, run)) = self.jobs.get_mut(&job).zip(run) {
+                    view.seen.add_run(run);
+                }
+            }
+            Exit::Failed if run.is_none_or(|run| run < SOON) => self.note_failure(now, key, job),
+            _ => {}
+        }
+    }
+
     /// Decides on what was held there and is not reported to run.
     fn settle_rest(
         &mut self,
@@ -129,7 +159,7 @@
                 continue;
             }
             match held.hold {
-                Hold::Queued | Hold::Reserved => worker.hold(*task, *held),
+                Hold::Awaiting | Hold::Queued | Hold::Reserved => worker.hold(*task, *held),
                 Hold::Running => self.vanish(now, key, *task),
                 Hold::Sent | Hold::Maybe => self.settle_start(now, key, *task, held, results),
             }
@@ -179,6 +209,9 @@
     fn note_refused(&mut self, now: Instant, key: WorkerKey, task: TaskId, result: OrderResult) {
         let Some(vm) = self.roster.get(key).map(|worker| worker.label.clone()) else { return };
         self.note(now, task, Reason::StartRefused { vm, result });
+        if result == OrderResult::Failed {
+            self.note_failure(now, key, task.job);
+        }
     }
 
     /// The worker neither runs the task nor has an exit report: its fate is unknown.
@@ -195,6 +228,12 @@
 
     /// A start that took no effect for certain: the incarnation may be used again.
     pub(crate) fn take_back(&mut self, now: Instant, task: TaskId) {
+        self.take_back_number(task);
+        self.wait_again(now, task);
+    }
+
+    /// Gives the number of an incarnation back that was never sent, or had no effect.
+    pub(crate) fn take_back_number(&mut self, task: TaskId) {
         if let Some(local) = self.local_mut(task) {
             // The ledger was told where the incarnation would run: it is spent.
             let is_recorded = local.placed_at.is_some() || local.is_place_recorded();
@@ -202,7 +241,6 @@
                 local.incarnation = Incarnation(local.incarnation.0.saturating_sub(1));
             }
         }
-        self.wait_again(now, task);
     }
 
     /// Puts a task that did not start back in line, or ends it if it was cancelled.
--- a/daisy-placement/src/roster.rs
+++ b/daisy-placement/src/roster.rs
@@ -18,6 +18,8 @@
     vacant: Vec<WorkerKey>,
     by_vm: SortedMap<VmId, WorkerKey>,
     index: FreeIndex,
+    /// What each worker holds in all.
+    whole: FreeIndex,
     rng: fastrand::Rng,
     list_at: Option<Instant>,
     /// Workers that may have to be called.
@@ -31,6 +33,7 @@
             vacant: Vec::new(),
             by_vm: SortedMap::new(),
             index: FreeIndex::default(),
+            whole: FreeIndex::default(),
             rng: fastrand::Rng::with_seed(seed),
             list_at: None,
             touched: Vec::new(),
@@ -87,6 +90,28 @@
             _ => Resources::ZERO,
         };
         self.index.set(key.index(), free);
+        let whole = self.get(key).map_or(Resources::ZERO, |worker| worker.capacity);
+        self.whole.set(key.index(), whole);
+    }
+
+    /// Whether some worker could hold `size` if nothing else ran there.
+    pub(crate) fn can_ever_hold(&self, size: Resources) -> bool {
+        self.whole.has(size)
+    }
+
+    /// Whether some worker that takes new work has room for `size`.
+    pub(crate) fn has_room(&self, size: Resources) -> bool {
+        self.index.has(size)
+    }
+
+    /// The most of each part that any worker holds.
+    pub(crate) fn largest(&self) -> Resources {
+        self.whole.largest()
+    }
+
+    /// A number below `bound`.
+    pub(crate) fn random(&mut self, bound: u32) -> u32 {
+        self.rng.u32(..bound)
     }
 
     /// Up to `limit` workers with room for `size`, from a random place on.
@@ -104,6 +129,7 @@
         let Some(worker) = self.slots.get_mut(key.index()).and_then(Option::take) else { return };
         self.by_vm.remove(&worker.id);
         self.index.set(key.index(), Resources::ZERO);
+        self.whole.set(key.index(), Resources::ZERO);
         self.vacant.push(key);
     }
 
@@ -136,17 +162,21 @@
             if self.roster.try_key(vm.id).is_none() {
                 self.roster.insert(Worker::new(vm, now));
             }
-            self.set_standing(vm);
+            self.set_standing(now, vm);
         }
         listed.sort_unstable();
         self.note_missing(now, &listed);
     }
 
-    fn set_standing(&mut self, vm: &Vm) {
+    fn set_standing(&mut self, now: Instant, vm: &Vm) {
         let closed = vm.status == VmStatus::Leaving || self.drained.contains(&vm.name);
         let Some(key) = self.roster.try_key(vm.id) else { return };
         let Some(worker) = self.roster.get_mut(key) else { return };
-        worker.standing = if closed { Standing::Closed } else { Standing::Live };
+        let standing = if closed { Standing::Closed } else { Standing::Live };
+        if worker.standing == standing && worker.leaving == (vm.status == VmStatus::Leaving) {
+            return;
+        }
+        worker.stand(now, standing);
         worker.leaving = vm.status == VmStatus::Leaving;
         self.roster.reindex(key);
         self.place_due = true;
@@ -167,7 +197,7 @@
     }
 
     /// Applies operators' drains to the workers known.
-    pub(crate) fn apply_drains(&mut self, drained: &[Name]) {
+    pub(crate) fn apply_drains(&mut self, now: Instant, drained: &[Name]) {
         if self.drained == drained {
             return;
         }
@@ -177,7 +207,7 @@
             let is_drained = drained.contains(&worker.name);
             if let Standing::Live | Standing::Closed = worker.standing {
                 let closed = worker.leaving || is_drained;
-                worker.standing = if closed { Standing::Closed } else { Standing::Live };
+                worker.stand(now, if closed { Standing::Closed } else { Standing::Live });
             }
             self.roster.reindex(key);
         }
--- a/daisy-placement/src/task.rs
+++ b/daisy-placement/src/task.rs
@@ -18,6 +18,8 @@
     Inherited { since: Instant },
     /// Checked out and runs nowhere.
     Waiting { since: Instant },
+    /// Given back at `at`, which is not folded yet.
+    Returned { at: Instant },
     /// A start is on its way to a worker.
     Starting { worker: WorkerKey },
     /// A worker reported it running.
--- a/daisy-placement/src/view.rs
+++ b/daisy-placement/src/view.rs
@@ -1,12 +1,14 @@
 //! What a holder knows, as plain data for `show` and `why`.
 
+use std::time::Duration;
+
 use daisy_model::{Incarnation, Instant, JobId, Name, Resources, TaskId, VmId};
 
 use crate::{
     holder::Holder,
     reason::{Noted, Reason},
     task::{Local, Phase},
-    worker::{Standing, Worker},
+    worker::{Ending, Standing, Worker},
 };
 
 /// How a worker stands with its holder.
@@ -75,6 +77,8 @@
     pub incarnation: Incarnation,
     /// Since when it waits or is blocked.
     pub since: Option<Instant>,
+    /// The run time to expect: seen in the job's tasks, or else as declared.
+    pub run_time: Option<Duration>,
 }
 
 /// A running replica of a service.
@@ -113,7 +117,8 @@
                 let Phase::Running { worker } = local.phase else { continue };
                 let Some(worker) = self.roster.get(worker) else { continue };
                 let task = TaskId { job: *id, index: index as u32 };
-                let is_ending = worker.held.get(&task).is_some_and(|held| held.ending);
+                let is_ending =
+                    worker.held.get(&task).is_some_and(|held| held.ending != Ending::No);
                 let leaving = is_ending || worker.leaving;
                 replicas.push(Replica { job: *id, task, vm: worker.id, leaving });
             }
@@ -123,7 +128,17 @@
 
     /// The last decisions about a task, oldest first; empty if this holder has made none.
     pub fn reasons(&self, task: TaskId) -> Vec<Noted> {
-        self.local(task).map(|local| local.notes.to_vec()).unwrap_or_default()
+        let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
+        let Some(local) = job.tasks.get(task.index as usize) else { return Vec::new() };
+        let mut notes = local.notes.to_vec();
+        let is_waiting = matches!(
+            local.phase,
+            Phase::Pending { .. } | Phase::Asked { .. } | Phase::Waiting { .. }
+        );
+        if is_waiting {
+            notes.extend(job.wait.clone());
+        }
+        notes
     }
 
     /// The last decisions about a VM, oldest first; empty if it is none of our workers.
@@ -140,7 +155,10 @@
 
     fn try_task_view(&self, task: TaskId, local: &Local) -> Option<TaskView> {
         let (status, since) = match local.phase {
-            Phase::Elsewhere | Phase::Pending { .. } | Phase::Asked { .. } => return None,
+            Phase::Elsewhere
+            | Phase::Pending { .. }
+            | Phase::Asked { .. }
+            | Phase::Returned { .. } => return None,
             Phase::Waiting { since } => (TaskStatus::Waiting, Some(since)),
             Phase::Inherited { since } => (TaskStatus::Blocked, Some(since)),
             Phase::Starting { .. } => (TaskStatus::Starting, None),
@@ -149,7 +167,9 @@
         };
         let worker = local.try_worker().and_then(|key| self.roster.get(key));
         let vm = worker.map(|worker| worker.id).or(local.try_recorded_vm());
-        Some(TaskView { task, status, vm, incarnation: local.incarnation, since })
+        let job = self.jobs.get(&task.job)?;
+        let run_time = job.seen.try_run_time(job.spec.run_time);
+        Some(TaskView { task, status, vm, incarnation: local.incarnation, since, run_time })
     }
 }
 
@@ -159,6 +179,7 @@
         _ if !worker.heard => WorkerStatus::Unheard,
         _ if !worker.answers => WorkerStatus::Silent,
         Standing::Closed => WorkerStatus::Closed,
+        _ if worker.faults.is_aside() => WorkerStatus::Aside,
         Standing::Live => WorkerStatus::Open,
     };
     let shares = worker.held.iter().map(|(_, held)| held.share);
--- a/daisy-placement/src/worker.rs
+++ b/daisy-placement/src/worker.rs
@@ -1,8 +1,15 @@
 //! What a holder knows of one worker.
 
-use daisy_model::{Incarnation, Instant, Key, Name, Order, Resources, SortedMap, TaskId, Vm, VmId};
+use daisy_model::{
+    Incarnation, Instant, Key, Name, Order, Priority, Resources, SortedMap, TaskId, Vm, VmId,
+};
 
-use crate::reason::{Label, Notes};
+use crate::{
+    fault::Faults,
+    kind::Kind,
+    reason::{Label, Notes, Reason},
+    throttle::Throttle,
+};
 
 /// The slot of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,6 +39,8 @@
 /// How sure it is that a worker holds a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Hold {
+    /// Room is kept for when tasks that were ordered off the worker have gone.
+    Awaiting,
     /// Room is kept until the ledger shows the placement.
     Reserved,
     /// A start waits for the next call.
@@ -50,10 +59,54 @@
     pub incarnation: Incarnation,
     pub size: Resources,
     pub hold: Hold,
-    /// A stop or checkpoint is ordered.
-    pub ending: bool,
+    pub ending: Ending,
     /// The share last ordered or reported, in thousandths.
     pub share: u32,
+    /// When the room was taken.
+    pub since: Instant,
+    pub class: Class,
+}
+
+impl Hold {
+    /// Whether no call has carried the start yet.
+    pub(crate) fn is_unsent(self) -> bool {
+        matches!(self, Hold::Awaiting | Hold::Reserved | Hold::Queued)
+    }
+}
+
+/// Whether a task is on its way off a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It stays.
+    No,
+    /// Requests stop going to it; it is stopped at `until`.
+    Quiet { until: Instant },
+    /// A stop or checkpoint is ordered.
+    Ordered,
+}
+
+/// What the job of a held task allows, kept with the room so that a search for victims
+/// looks at nothing else.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Class {
+    pub kind: Kind,
+    pub priority: Priority,
+    pub service: bool,
+    /// May be limited to a share of its processors.
+    pub delay: bool,
+    /// May be checkpointed.
+    pub evict: bool,
+}
+
+impl Class {
+    /// Of a job that the ledger does not show any more: nothing may be done to it.
+    pub(crate) const UNKNOWN: Class = Class {
+        kind: Kind(0),
+        priority: Priority::Critical,
+        service: false,
+        delay: false,
+        evict: false,
+    };
 }
 
 /// A call that waits for its answer.
@@ -88,6 +141,12 @@
     /// When it is called next, orders or not.
     pub due: Instant,
     pub notes: Notes,
+    pub faults: Faults,
+    pub throttle: Throttle,
+    /// How many tasks of each kind it holds.
+    pub kinds: Vec<(Kind, u32)>,
+    /// Nothing is made to leave for disturbing services before.
+    pub relief_at: Option<Instant>,
 }
 
 impl Worker {
@@ -109,6 +168,10 @@
             called_at: None,
             due: now,
             notes: Notes::default(),
+            faults: Faults::default(),
+            throttle: Throttle::default(),
+            kinds: Vec::new(),
+            relief_at: None,
         }
     }
 
@@ -117,7 +180,17 @@
     /// A worker that has not answered under this epoch may run what we do not know of, and
     /// a start there could take more than it holds.
     pub(crate) fn is_open(&self) -> bool {
-        self.answers && self.standing == Standing::Live
+        self.answers && self.standing == Standing::Live && self.faults.is_open()
+    }
+
+    /// Notes and applies a change of the VM list or of operators' drains.
+    pub(crate) fn stand(&mut self, now: Instant, standing: Standing) {
+        if self.standing == standing {
+            return;
+        }
+        self.standing = standing;
+        let is_live = standing == Standing::Live;
+        self.notes.add(now, if is_live { Reason::Opened } else { Reason::Closed });
     }
 
     /// The room that is left; none if more is taken than the worker holds.
@@ -129,19 +202,44 @@
     pub(crate) fn hold(&mut self, task: TaskId, held: Held) {
         if let Some(old) = self.held.insert(task, held) {
             self.taken = self.taken.try_sub(old.size).unwrap_or(Resources::ZERO);
+            self.uncount(old.class.kind);
         }
         self.taken = saturating_add(self.taken, held.size);
+        self.count(held.class.kind);
     }
 
     /// Forgets what was taken, before a report is taken in.
     pub(crate) fn clear_taken(&mut self) {
         self.taken = Resources::ZERO;
+        self.kinds.clear();
+    }
+
+    /// What is taken, without room that is kept for when others have gone.
+    pub(crate) fn taken_but_awaiting(&self) -> Resources {
+        let held = self.held.iter().filter(|(_, held)| held.hold != Hold::Awaiting);
+        held.map(|(_, held)| held.size).fold(Resources::ZERO, saturating_add)
+    }
+
+    fn count(&mut self, kind: Kind) {
+        match self.kinds.iter_mut().find(|(it, _)| *it == kind) {
+            Some((_, count)) => *count += 1,
+            None => self.kinds.push((kind, 1)),
+        }
+    }
+
+    fn uncount(&mut self, kind: Kind) {
+        let Some(at) = self.kinds.iter().position(|(it, _)| *it == kind) else { return };
+        self.kinds[at].1 -= 1;
+        if self.kinds[at].1 == 0 {
+            self.kinds.swap_remove(at);
+        }
     }
 
     /// Gives a task's room back.
     pub(crate) fn let_go(&mut self, task: TaskId) -> Option<Held> {
         let held = self.held.remove(&task)?;
         self.taken = self.taken.try_sub(held.size).unwrap_or(Resources::ZERO);
+        self.uncount(held.class.kind);
         Some(held)
     }
 }
--- a/daisy-placement/tests/util/chaos.rs
+++ b/daisy-placement/tests/util/chaos.rs
@@ -7,8 +7,8 @@
 
 use daisy_ledger::{AppendId, Batch, Record, State};
 use daisy_model::{
-    Change, Command, DcId, Epoch, Exit, Instant, JobKind, JobSpec, Offset, Resources, SortedMap,
-    TaskId, Vm, VmId, WallTime, WorkerCall, WorkerReport,
+    Change, Command, DcId, Epoch, Exit, Instant, JobKind, JobSpec, Offset, Priority, Resources,
+    SortedMap, TaskId, Vm, VmId, VmStatus, WallTime, WorkerCall, WorkerReport,
 };
 use daisy_placement::{Action, Event, Holder, Options};
 
@@ -104,6 +104,12 @@
     pub fn settle(&mut self) -> Result<(), String> {
         self.calm = true;
         self.workers.iter_mut().for_each(|(_, worker)| worker.broken = false);
+        for vm in &mut self.vms {
+            vm.status = VmStatus::Live;
+        }
+        for vm in self.newest().drained {
+            self.command(Command::Undrain { vm });
+        }
         self.cancel_services();
         self.claim();
         for _ in 0..3_000 {
@@ -147,6 +153,8 @@
             71..=75 => self.toggle_log(),
             76..=80 => self.jump(),
             81..=90 => self.toggle_broken(),
+            91..=95 => self.toggle_drain(),
+            96..=99 => self.leave_vm(),
             _ => {}
         }
     }
@@ -157,6 +165,19 @@
         self.now = self.now + Duration::from_secs(seconds);
     }
 
+    fn toggle_drain(&mut self) {
+        let vm = self.vms[self.rng.usize(..self.vms.len())].name.clone();
+        let is_drained = self.newest().drained.contains(&vm);
+        self.command(if is_drained { Command::Undrain { vm } } else { Command::Drain { vm } });
+    }
+
+    fn leave_vm(&mut self) {
+        let at = self.rng.usize(..self.vms.len());
+        let vm = &mut self.vms[at];
+        let is_live = vm.status == VmStatus::Live;
+        vm.status = if is_live { VmStatus::Leaving } else { VmStatus::Live };
+    }
+
     /// A worker fails every start from now on, or works again.
     fn toggle_broken(&mut self) {
         let at = self.rng.usize(..self.vms.len());
@@ -219,6 +240,7 @@
         let spec = JobSpec {
             kind,
             restartable: self.rng.bool(),
+            priority: Priority::ALL[self.rng.usize(..Priority::ALL.len())],
             ..super::batch(&format!("job-{at}"), tasks, size(cores, 2))
         };
         self.command(Command::Create(spec));
