--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -5,7 +5,10 @@
     Policy, Priority, Resources, SortedMap, TaskId, TeamId, VmId, WorkClass,
 };
 
-use crate::{Jobs, Senders};
+use crate::{
+    Intents, Jobs, Senders,
+    snapshot::{Collector, Mark},
+};
 
 /// A team and its quota.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -123,6 +126,15 @@
     pub verdict: Verdict,
 }
 
+/// The generations up to which changes may be missing from the audit trail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AuditFrom {
+    /// For changes of jobs.
+    pub jobs: Generation,
+    /// For all other changes.
+    pub others: Generation,
+}
+
 /// What the fold took no effect of.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -159,10 +171,16 @@
     pub policy: (Generation, Policy),
     /// The audit trail, oldest first, to a bound.
     pub audit: Vec<AuditEntry>,
-    /// Changes of this generation and older may be missing from the audit trail.
-    pub audit_from: Generation,
+    /// Where the audit trail begins.
+    pub audit_from: AuditFrom,
     /// The last append of each sender.
     pub senders: Senders,
+    /// Announced non-idempotent requests.
+    pub intents: Intents,
+    /// The newest whole snapshot in the log.
+    pub snapshot: Option<Mark>,
+    /// Snapshots of which only the first parts are in the log.
+    pub snapshots: Collector<()>,
     /// What took no effect.
     pub counts: Counts,
 }
