--- a/daisy-placement/tests/util/world.rs
+++ b/daisy-placement/tests/util/world.rs
@@ -26,6 +26,8 @@
     pub cut: Vec<VmId>,
     /// Workers whose next answers are lost after the call took effect.
     pub lost_answers: Vec<VmId>,
+    /// Calls that did not arrive in time, which a test may deliver late.
+    pub late: Vec<(VmId, WorkerCall)>,
     pub log_up: bool,
     pub records: Vec<Record>,
     seq: u64,
@@ -52,6 +54,7 @@
             holder: Holder::new(Options::new(DcId(0), Epoch(0), LEASE, 7)),
             cut: Vec::new(),
             lost_answers: Vec::new(),
+            late: Vec::new(),
             log_up: true,
             records: Vec::new(),
             seq: 0,
@@ -62,6 +65,14 @@
         world
     }
 
+    /// Claims the data centre under options that a test changes.
+    pub fn hold_with(&mut self, change: impl FnOnce(&mut Options)) {
+        let offset = self.append(Record::Claim { dc: DcId(0), holder: VmId(900) });
+        let mut options = Options::new(DcId(0), Epoch(offset + 1), LEASE, 7);
+        change(&mut options);
+        self.holder = Holder::new(options);
+    }
+
     /// Claims the data centre for a new holder; the old one is handed back.
     pub fn replace_holder(&mut self) -> Holder {
         let offset = self.append(Record::Claim { dc: DcId(0), holder: VmId(900) });
@@ -97,6 +108,14 @@
         offset.0
     }
 
+    /// Delivers the calls that were late; their answers reach nobody.
+    pub fn deliver_late(&mut self) {
+        for (vm, call) in std::mem::take(&mut self.late) {
+            let now = self.now;
+            self.workers.get_mut(&vm).expect("the worker exists").call(now, &call);
+        }
+    }
+
     pub fn worker(&mut self, id: u32) -> &mut FakeWorker {
         self.workers.get_mut(&VmId(id)).expect("the worker exists")
     }
@@ -106,6 +125,11 @@
         self.workers.iter().filter(|(_, it)| it.runs(task)).map(|(id, _)| *id).collect()
     }
 
+    /// The last reason known for a task, in words.
+    pub fn why(&self, task: TaskId) -> String {
+        self.holder.reasons(task).last().map(|it| it.reason.to_string()).unwrap_or_default()
+    }
+
     /// The number of tasks that run.
     pub fn running(&self) -> usize {
         self.workers.iter().map(|(_, it)| it.running.len()).sum()
@@ -177,6 +201,7 @@
     /// The answer, or whether the call may have reached the worker.
     fn deliver(&mut self, vm: VmId, call: &WorkerCall) -> Result<WorkerReport, bool> {
         if self.cut.contains(&vm) {
+            self.late.push((vm, call.clone()));
             return Err(true);
         }
         let Some(worker) = self.workers.get_mut(&vm) else { return Err(false) };
