--- a/daisy-ledger/src/change.rs
+++ b/daisy-ledger/src/change.rs
@@ -21,9 +21,9 @@
     /// The most entries of the audit trail; half of them at least are for changes of jobs once
     /// there are so many, and half for all others.
     ///
-    /// With 8,600 jobs and 360 other changes a day (the users' size plan) that is over a day of
-    /// jobs and four weeks of the others.
-    pub const KEPT_AUDIT: usize = 20_000;
+    /// With 8,600 jobs and 360 other changes a day (the users' size plan) that is half a day of
+    /// jobs and two weeks of the others. The trail is the largest part of a snapshot.
+    pub const KEPT_AUDIT: usize = 10_000;
     /// The longest statement, in bytes.
     pub const MAX_TEXT: usize = 4_096;
     /// Entries dropped at one time, so that trimming costs little for each change.
--- a/daisy-ledger/src/jobs.rs
+++ b/daisy-ledger/src/jobs.rs
@@ -24,7 +24,7 @@
     /// 8,600 jobs a day (the users' size plan).
     pub const KEPT_FINISHED: usize = 2_000;
     /// The most tasks that finished jobs keep together.
-    pub const KEPT_FINISHED_TASKS: usize = 50_000;
+    pub const KEPT_FINISHED_TASKS: usize = 25_000;
 
     /// The job with the id `job`; `None` if there is none or it has been compacted away.
     pub fn get(&self, job: JobId) -> Option<&Job> {
