Measure what control costs one entry VM

Ruled out: /proc/PID/io, which does not count sockets; each connection goes through a counting relay instead, HTTP heads included.

--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -1,4 +1,25 @@
 //! Measurements of daisyshift's decisions against plain baselines.
 
 #![deny(missing_docs, unsafe_code)]
-fn main() {}
+
+mod node;
+
+/// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
+#[derive(Debug, argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    measure: Measure,
+}
+
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand)]
+enum Measure {
+    Node(node::Args),
+}
+
+fn main() -> anyhow::Result<()> {
+    let Args { measure } = argh::from_env();
+    match measure {
+        Measure::Node(args) => node::run(&args),
+    }
+}
--- a/daisy-standin/src/worker.rs
+++ b/daisy-standin/src/worker.rs
@@ -140,6 +140,11 @@
         self.shared.set_jobs(jobs);
     }
 
+    /// Tasks that run on it now.
+    pub fn running(&self) -> usize {
+        locked(&self.shared.state).running()
+    }
+
     /// What it saw so far, its backend server included.
     pub fn history(&self) -> History {
         self.shared.recorder.history()
--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The number of tasks that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
     /// Replaces how tasks of particular jobs run.
     pub fn set_jobs(&mut self, jobs: Vec<JobRun>) {
         self.options.jobs = jobs;
