--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -1,8 +1,11 @@
 //! What all requests of an entry VM share: the router, its waiters and the connections.
 
-use std::sync::{
-    Mutex,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use daisy_model::{SortedMap, VmId};
@@ -94,6 +97,35 @@
         }
     }
 
+    /// Asks the router for another backend server after a failure.
+    pub(super) fn retry(&self, call: &Call, tried: &[VmId]) -> Option<Target> {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.retry(now, call, tried, rng)
+    }
+
+    /// After how long a request deserves a second try beside its first.
+    pub(super) fn hedge_after(&self, call: &Call) -> Option<Duration> {
+        lock(&self.deciding).router.hedge_after(call)
+    }
+
+    /// Asks the router for a second backend server beside the first.
+    pub(super) fn hedge(&self, call: &Call, tried: &[VmId]) -> Option<Target> {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.hedge(now, call, tried, rng)
+    }
+
+    /// When a caller is to come again.
+    pub(super) fn retry_after(&self, call: &Call) -> Duration {
+        let now = self.clock.now();
+        let mut deciding = lock(&self.deciding);
+        let Deciding { router, rng, .. } = &mut *deciding;
+        router.retry_after(now, &call.service, rng)
+    }
+
     /// Ends a try.
     pub(super) fn finish(&self, attempt: TryId, report: Report) {
         let now = self.clock.now();
@@ -148,16 +180,14 @@
                 None => Some(grant),
             };
             if let Some(Grant::Send(target)) = unheard {
-                let more = self.router.finish(now, target.attempt, CANCELLED, &mut self.rng);
+                let cancelled = Report::without_answer(TryEnd::Cancelled);
+                let more = self.router.finish(now, target.attempt, cancelled, &mut self.rng);
                 grants.extend(more);
             }
         }
     }
 }
 
-/// The report of a try that was not begun.
-const CANCELLED: Report = Report { end: TryEnd::Cancelled, in_flight: None, leaving: false };
-
 impl Waiting<'_> {
     /// The router's decision, which comes before the request's deadline.
     pub(super) async fn decided(mut self) -> Option<Grant> {
@@ -173,7 +203,8 @@
         deciding.waiters.remove(&self.ticket);
         deciding.router.forget(self.ticket);
         if let Ok(Grant::Send(target)) = self.rx.try_recv() {
-            deciding.apply(|router, rng| router.finish(now, target.attempt, CANCELLED, rng), now);
+            let cancelled = Report::without_answer(TryEnd::Cancelled);
+            deciding.apply(|router, rng| router.finish(now, target.attempt, cancelled, rng), now);
         }
     }
 }
--- a/daisy-ledger/src/lib.rs
+++ b/daisy-ledger/src/lib.rs
@@ -12,6 +12,7 @@
 mod fold;
 mod intents;
 mod jobs;
+mod quota;
 mod record;
 mod refusal;
 mod senders;
@@ -26,6 +27,8 @@
     record::{AppendId, Batch, Placement, Record},
     refusal::Refusal,
     senders::Senders,
-    state::{AuditEntry, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict},
+    state::{
+        AuditEntry, AuditFrom, Counts, Holding, Job, Owner, State, Task, TaskState, Team, Verdict,
+    },
     subject::Subject,
 };
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -19,6 +19,8 @@
     pub limit: Resources,
     /// What its checked-out tasks take together.
     pub used: Resources,
+    /// The part of that which tasks of services take.
+    pub used_by_services: Resources,
 }
 
 /// The holder of a data centre.
@@ -126,6 +128,15 @@
     pub verdict: Verdict,
 }
 
+/// The generations up to which changes may be missing from the audit trail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AuditFrom {
+    /// For changes of jobs.
+    pub jobs: Generation,
+    /// For all other changes.
+    pub others: Generation,
+}
+
 /// What the fold took no effect of.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -162,8 +173,8 @@
     pub policy: (Generation, Policy),
     /// The audit trail, oldest first, to a bound.
     pub audit: Vec<AuditEntry>,
-    /// Changes of this generation and older may be missing from the audit trail.
-    pub audit_from: Generation,
+    /// Where the audit trail begins.
+    pub audit_from: AuditFrom,
     /// The last append of each sender.
     pub senders: Senders,
     /// Announced non-idempotent requests.
--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -2,6 +2,8 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod choose;
+mod ledger;
 mod node;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
@@ -14,12 +16,17 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand)]
 enum Measure {
+    Choose(choose::Args),
+    Ledger(ledger::Args),
     Node(node::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     let Args { measure } = argh::from_env();
     match measure {
-        Measure::Node(args) => node::run(&args),
+        Measure::Choose(args) => choose::run(&args),
+        Measure::Ledger(args) => ledger::run(&args)?,
+        Measure::Node(args) => node::run(&args)?,
     }
+    Ok(())
 }
--- a/daisy-wire/src/snapshot/state.rs
+++ b/daisy-wire/src/snapshot/state.rs
@@ -2,13 +2,13 @@
 
 use bincode::{Decode, Encode};
 use daisy_ledger::{
-    AppendId, AuditEntry, Counts, Holding, Intent, Job, Jobs, Owner, State, Task, TaskState, Team,
-    Verdict,
+    AppendId, AuditEntry, AuditFrom, Counts, Holding, Intent, Job, Jobs, Owner, State, Task,
+    TaskState, Team, Verdict,
     snapshot::{Mark, Part, Partial},
 };
 use daisy_model::{
-    Arena, Change, DcId, Epoch, Generation, Incarnation, JobId, JobSpec, Name, Offset, Resources,
-    TeamId, VmId, WorkClass,
+    Arena, Change, DcId, Epoch, Generation, Incarnation, JobId, JobKind, JobSpec, Name, Offset,
+    Resources, TeamId, VmId, WorkClass,
 };
 
 use crate::{
@@ -31,7 +31,8 @@
     policy_generation: u64,
     policy: PolicyWire,
     audit: Vec<AuditWire>,
-    audit_from: u64,
+    audit_from_jobs: u64,
+    audit_from_others: u64,
     senders: Vec<SenderWire>,
     intents: Vec<IntentWire>,
     snapshot: Option<MarkWire>,
@@ -146,7 +147,8 @@
             policy_generation: it.policy.0.0,
             policy: (&it.policy.1).into(),
             audit: it.audit.iter().map(AuditWire::from).collect(),
-            audit_from: it.audit_from.0,
+            audit_from_jobs: it.audit_from.jobs.0,
+            audit_from_others: it.audit_from.others.0,
             senders: it.senders.iter().map(SenderWire::from).collect(),
             intents: it.intents.iter().map(IntentWire::from).collect(),
             snapshot: it.snapshot.map(MarkWire::from),
@@ -175,7 +177,10 @@
             paused: it.paused.into_iter().map(WorkClass::from).collect(),
             policy: (Generation(it.policy_generation), it.policy.into()),
             audit: it.audit.into_iter().map(AuditEntry::try_from).collect::<Result<_, _>>()?,
-            audit_from: Generation(it.audit_from),
+            audit_from: AuditFrom {
+                jobs: Generation(it.audit_from_jobs),
+                others: Generation(it.audit_from_others),
+            },
             senders: it.senders.into_iter().map(<(AppendId, Offset)>::from).collect(),
             intents: it.intents.into_iter().map(<(u128, Intent)>::from).collect(),
             snapshot: it.snapshot.map(Mark::from),
@@ -193,7 +198,8 @@
     let mut teams = Arena::new();
     for TeamWire(text, limit) in wire {
         let name = name("team", &text)?;
-        teams.alloc(Team { name, limit: limit.into(), used: Resources::ZERO });
+        let (used, used_by_services) = (Resources::ZERO, Resources::ZERO);
+        teams.alloc(Team { name, limit: limit.into(), used, used_by_services });
     }
     Ok(teams)
 }
@@ -204,6 +210,7 @@
     let no_team = || WireError::Field { field: "team", reason: format!("{team_id} is unknown") };
     let overflow = || WireError::Field { field: "size", reason: "sum overflows".to_owned() };
     let team = teams.get_mut(team_id).ok_or_else(no_team)?;
+    let spec = JobSpec::try_from(it.spec)?;
     let tasks: Vec<Task> = it.tasks.into_iter().map(Task::from).collect();
     let mut open = 0;
     for task in &tasks {
@@ -211,12 +218,15 @@
             TaskState::Ended(_) => continue,
             TaskState::Out(_) => {
                 team.used = team.used.try_add(task.size).ok_or_else(overflow)?;
+                if spec.kind == JobKind::Service {
+                    let sum = team.used_by_services.try_add(task.size);
+                    team.used_by_services = sum.ok_or_else(overflow)?;
+                }
             }
             TaskState::Pending => {}
         }
         open += 1;
     }
-    let spec = JobSpec::try_from(it.spec)?;
     let generation = Generation(it.generation);
     let job = Job { spec, team: team_id, cancelled: it.cancelled, tasks, open, generation };
     Ok((JobId(it.id), job))
