--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -4,6 +4,7 @@
 
 mod choose;
 mod ledger;
+mod node;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
 #[derive(Debug, argh::FromArgs)]
@@ -17,6 +18,7 @@
 enum Measure {
     Choose(choose::Args),
     Ledger(ledger::Args),
+    Node(node::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -24,6 +26,7 @@
     match measure {
         Measure::Choose(args) => choose::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
+        Measure::Node(args) => node::run(&args)?,
     }
     Ok(())
 }
