wire: ask for a damaged entry a second time in a cold start

Bytes spoilt on their way to a fresh VM were passed over at once, though the log and all other processes have the entry whole: that VM's state would have differed for ever. Restore now stays at such an entry until it gets the same bytes twice. Without the guard an_entry_spoilt_on_its_way_is_read_again fails (the state differs), with it it passes.

--- a/daisy-wire/src/snapshot/restore.rs
+++ b/daisy-wire/src/snapshot/restore.rs
@@ -29,13 +29,16 @@
     state: Option<State>,
     held: Vec<(Offset, Option<Batch>)>,
     parts: Collector<Vec<u8>>,
+    /// The next entry's bytes, if they did not decode when they were first read.
+    suspect: Option<Vec<u8>>,
 }
 
 impl Restore {
     /// Begins at `first`, the first offset that the log keeps.
     pub fn new(first: Offset) -> Restore {
         let state = (first == Offset(0)).then(State::default);
-        Restore { first, next: first, state, held: Vec::new(), parts: Collector::default() }
+        let (held, parts) = (Vec::new(), Collector::default());
+        Restore { first, next: first, state, held, parts, suspect: None }
     }
 
     /// The offset of the next entry to read.
@@ -45,6 +48,10 @@
 
     /// Takes the next log entry in; entries out of turn are passed over.
     ///
+    /// An entry that does not decode is asked for a second time: [`Restore::next`] stays. Bytes
+    /// spoilt on their way would be passed over here and folded elsewhere, and this state would
+    /// differ from all others for ever; bytes that are equal twice are what the log holds.
+    ///
     /// Fails on an entry or a snapshot of a newer version: this build cannot go on.
     pub fn push(&mut self, offset: Offset, bytes: &[u8]) -> Result<(), WireError> {
         if offset != self.next {
@@ -53,8 +60,13 @@
         let batch = match log::decode(bytes) {
             Ok(batch) => Some(batch),
             Err(error @ WireError::Version { .. }) => return Err(error),
-            Err(_) => None,
+            Err(_) if self.suspect.as_deref() == Some(bytes) => None,
+            Err(_) => {
+                self.suspect = Some(bytes.to_vec());
+                return Ok(());
+            }
         };
+        self.suspect = None;
         self.next = Offset(offset.0 + 1);
         if let Some(state) = &mut self.state {
             fold(state, offset, batch.as_ref());
--- a/daisy-wire/tests/snapshot.rs
+++ b/daisy-wire/tests/snapshot.rs
@@ -116,18 +116,24 @@
     let first = log.entries.len();
     append_snapshot(&mut log, 50, 300);
     let damaged = first + 1;
-    // The fold of the others passes over the same damaged entry.
-    let mut state = State::default();
-    let mut restore = Restore::new(Offset(first as u64));
     append_snapshot(&mut log, 51, 300);
-    for (offset, batch) in log.entries.iter().enumerate() {
-        let mut bytes = log::encode(batch).expect("encodes");
-        if offset == damaged {
+    let read = |offset: Offset| {
+        let mut bytes = log::encode(&log.entries[offset.0 as usize]).expect("encodes");
+        if offset.0 as usize == damaged {
             bytes[12] ^= 1;
         }
-        let offset = Offset(offset as u64);
-        log::fold(&mut state, offset, &bytes).expect("this version");
-        restore.push(offset, &bytes).expect("this version");
+        bytes
+    };
+    // The fold of the others passes over the same damaged entry.
+    let mut state = State::default();
+    while state.next < log.state.next {
+        let next = state.next;
+        log::fold(&mut state, next, &read(next)).expect("this version");
+    }
+    let mut restore = Restore::new(Offset(first as u64));
+    while restore.next() < log.state.next {
+        let next = restore.next();
+        restore.push(next, &read(next)).expect("this version");
     }
     assert_eq!(state.counts.corrupt, 1);
     let restored = restore.finish().expect("the second snapshot");
@@ -136,6 +142,25 @@
     assert_eq!((restored.next, &restored.jobs), (state.next, &state.jobs));
 }
 
+/// An entry is spoilt on its way to a fresh VM, and sound in the log. The VM must not pass over
+/// what all others fold: it asks again and gets the entry.
+#[test]
+fn an_entry_spoilt_on_its_way_is_read_again() {
+    let log = scripted(&[(12, 0, 0); 5]);
+    let mut restore = Restore::new(Offset(0));
+    let mut reads = 0;
+    while restore.next() < log.state.next {
+        let next = restore.next();
+        let mut bytes = log::encode(&log.entries[next.0 as usize]).expect("encodes");
+        reads += 1;
+        if reads % 2 == 0 {
+            bytes[11] ^= 1;
+        }
+        restore.push(next, &bytes).expect("this version");
+    }
+    assert_eq!(restore.finish(), Ok(log.state));
+}
+
 #[test]
 fn damage_to_a_snapshot_is_an_error() {
     let log = scripted(&[(12, 0, 0), (0, 0, 0), (3, 0, 0)]);
