--- a/daisy-measure/src/ledger.rs
+++ b/daisy-measure/src/ledger.rs
@@ -137,7 +137,7 @@
         "measure=ledger starts_s={PEAK_STARTS} appends_s={:.1} bytes_s={:.0} \
          single_appends_s={:.1} single_bytes_s={:.0} changes_bytes_s={change_bytes:.1} \
          core_percent={:.3} grant_p50_ms={} grant_p99_ms={} single_grant_p99_ms={} tasks={} \
-         memory_mib={:.1} snapshot_kib={} snapshot_parts={} encode_ms={:.1} restore_ms={:.1} \
+         memory_mib={:.1} snapshot_kib={} audit_kib={} intents_kib={} snapshot_parts={} encode_ms={:.1} restore_ms={:.1} \
          tail_entries={} clone_ms={:.2} count_ms={:.1} explain_ms={:.1} memory_slope_bytes_a_task={:.0} \
          restore_slope_us_a_task={:.3}",
         batched.appends(),
@@ -151,6 +151,8 @@
         design.tasks,
         design.memory_mib(),
         design.snapshot_bytes / 1024,
+        design.audit_bytes / 1024,
+        design.intents_bytes / 1024,
         design.parts,
         design.encode_ms,
         design.restore_ms,
--- a/daisy-measure/src/ledger/size.rs
+++ b/daisy-measure/src/ledger/size.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use daisy_ledger::{Record, State};
+use daisy_ledger::{Intents, Record, State};
 use daisy_query::Live;
 use daisy_wire::snapshot::{self, Restore};
 
@@ -27,6 +27,10 @@
     pub(crate) jobs: usize,
     pub(crate) memory_bytes: u64,
     pub(crate) snapshot_bytes: usize,
+    /// The part of a snapshot that the audit trail takes.
+    pub(crate) audit_bytes: usize,
+    /// The part of a snapshot that announced requests take.
+    pub(crate) intents_bytes: usize,
     pub(crate) parts: usize,
     pub(crate) encode_ms: f64,
     pub(crate) restore_ms: f64,
@@ -98,6 +102,11 @@
     black_box(state.clone());
     let clone_ms = millis(began);
     let memory_bytes = memory_of(&state)?;
+    let no_audit = State { audit: Vec::new(), ..state.clone() };
+    let no_intents = State { intents: Intents::default(), ..state.clone() };
+    let whole = snapshot::encode(&state)?.len();
+    let audit_bytes = whole - snapshot::encode(&no_audit)?.len();
+    let intents_bytes = whole - snapshot::encode(&no_intents)?.len();
     let count_ms = ask(&state, "show tasks where state = starting and cpu < 1 count")?;
     let explain_ms = ask(&state, "explain pause batch")?;
     Ok(Figures {
@@ -105,6 +114,8 @@
         jobs: state.jobs.len(),
         memory_bytes,
         snapshot_bytes,
+        audit_bytes,
+        intents_bytes,
         parts,
         encode_ms,
         restore_ms,
