membership: candidates that start together claim in turn

Cause: a fleet test of eight entry VMs that start at one time saw five claims at the same instant in each data centre: the turns were counted from the start, and all of the first four turns lay before the end of the settling time. Turns count from its end now, and listed peers that had no time to speak yet take their place in the order.

Before: 10 claims for 2 data centres of 8; after: 2 (a_quiet_start_claims_once). A killed holder is replaced within 3 s with 2, 8 and 16 entry VMs, in explicit time with 10 ms delays.

--- a/daisy-membership/src/holding.rs
+++ b/daisy-membership/src/holding.rs
@@ -55,8 +55,8 @@
 
 impl Tenure {
     /// Nothing known; whatever is heard of counts from `now`.
-    pub fn new(now: Instant) -> Tenure {
-        Tenure { sign: now, ..Tenure::default() }
+    pub fn new(now: Instant, options: &Options) -> Tenure {
+        Tenure { sign: now, claim_after: now + options.settle(), ..Tenure::default() }
     }
 
     /// How long the holder has given no sign of life.
@@ -140,7 +140,7 @@
     pub fn claim_at(&self, options: &Options, rank: u32) -> Instant {
         let silent = self.holding.is_some_and(|it| !it.released && it.holder != options.vm);
         let vacant_from = if silent { self.sign + options.holder_timeout } else { self.sign };
-        (vacant_from + options.stagger() * rank).max(self.claim_after)
+        vacant_from.max(self.claim_after) + options.stagger() * rank
     }
 
     /// A claim goes out.
--- a/daisy-membership/src/membership.rs
+++ b/daisy-membership/src/membership.rs
@@ -3,7 +3,7 @@
 use daisy_model::{DcId, Epoch, Instant, Offset, Vm, VmId};
 
 use crate::{
-    Evidence, Heartbeat, Holding, Options, Peers, Role, Source, Status, holding::Tenure,
+    Evidence, Heartbeat, Holding, Options, Peer, Peers, Role, Source, Status, holding::Tenure,
     readiness::Readiness, source,
 };
 
@@ -93,9 +93,9 @@
     /// An entry VM that starts at `now` and knows nobody.
     pub fn new(now: Instant, options: Options) -> Membership {
         Membership {
+            tenure: Tenure::new(now, &options),
             options,
             peers: Peers::default(),
-            tenure: Tenure::new(now),
             readiness: Readiness::default(),
             far: Vec::new(),
             started: now,
@@ -284,8 +284,10 @@
         if now < self.beat_due {
             return;
         }
-        let holder = self.tenure.own_epoch(&self.options).is_some();
-        let near_period = self.options.near_period(holder, self.peers.near());
+        // A fresh process makes itself known at the full pace.
+        let urgent =
+            self.tenure.own_epoch(&self.options).is_some() || self.status == Status::Starting;
+        let near_period = self.options.near_period(urgent, self.peers.near());
         let far_period = self.options.far_period();
         let speaks = self.speaks(now);
         let far: Vec<VmId> = match speaks {
@@ -338,10 +340,17 @@
     /// The number of live candidates of the data centre before this entry VM.
     fn rank(&self, now: Instant) -> u32 {
         let silent = self.tenure.holding.filter(|it| !it.released).map(|it| it.holder);
-        let before = self
-            .peers
-            .live_near(&self.options, now)
-            .filter(|(vm, peer)| *vm < self.options.vm && !peer.leaving() && Some(*vm) != silent);
+        // A fresh process has not heard everybody yet. Those that are listed count until they
+        // had time to speak, so that processes that start together do not claim together.
+        let fresh = now.since(self.started) < self.options.peer_timeout(self.peers.near());
+        let present = |vm: VmId, peer: &Peer| {
+            let unheard = fresh && peer.listed && peer.heard.is_none();
+            unheard || (self.peers.alive(&self.options, now, vm) && !peer.leaving())
+        };
+        let near = self.peers.iter().filter(|(_, peer)| peer.dc == self.options.dc);
+        let before = near
+            .filter(|(vm, _)| *vm < self.options.vm && Some(*vm) != silent)
+            .filter(|(vm, peer)| present(*vm, peer));
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
@@ -349,8 +358,7 @@
         let able = self.status != Status::Leaving
             && self.readiness.listed
             && self.readiness.log_end.is_some_and(|end| self.next >= end)
-            && self.log_answers(now)
-            && now.since(self.started) >= self.options.settle();
+            && self.log_answers(now);
         if !able || self.tenure.claiming || !self.tenure.vacant(&self.options, now) {
             return;
         }
