--- a/daisy-membership/tests/membership/changeover.rs
+++ b/daisy-membership/tests/membership/changeover.rs
@@ -26,6 +26,22 @@
     assert_eq!(fleet.claims.len(), 2, "{:?}", fleet.claims);
 }
 
+/// A whole data centre is started anew, and connections take longer than the settling time:
+/// nobody has heard anybody when the first turn comes. Without the list's word all would be
+/// first and claim at once.
+#[test]
+fn processes_that_have_not_heard_one_another_claim_in_turn() {
+    let mut fleet = Fleet::new(1, 6, 11);
+    fleet.loss = 1_000;
+    fleet.run(Duration::from_millis(1_050));
+    fleet.loss = 0;
+
+    fleet.until(LIMIT, |it| it.holders(0).len() == 1).expect("a holder");
+    fleet.run(Duration::from_secs(5));
+
+    assert_eq!(fleet.claims.len(), 1, "{:?}", fleet.claims);
+}
+
 /// The holder's VM dies. Its peers hear nothing more, one claims, and work is placed again:
 /// a user sees no start for at most 3 s. The cause is a killed process that releases nothing.
 #[test]
--- a/daisy-membership/tests/membership/pauses.rs
+++ b/daisy-membership/tests/membership/pauses.rs
@@ -42,21 +42,25 @@
 /// silence was its own: a claim then would stop placement for a change-over without need.
 #[test]
 fn a_paused_peer_does_not_claim_when_it_wakes() {
-    let mut fleet = settled(4);
-    let holder = fleet.holders(0)[0];
-    let paused = fleet.lowest_but(holder);
-    let at = fleet.at(paused);
-    // What was sent to it meanwhile is lost, as with a full socket buffer.
-    fleet.cuts = (1..=4).map(|vm| (paused, VmId(vm))).collect();
-    fleet.nodes[at].frozen = true;
-    fleet.run(Duration::from_secs(10));
-    fleet.nodes[at].frozen = false;
-    fleet.cuts.clear();
-
-    fleet.run(Duration::from_secs(10));
-
-    assert_eq!(fleet.holders(0), [holder]);
-    assert_eq!(fleet.claims.len(), 1, "{:?}", fleet.claims);
+    // Wherever in the rhythm of heartbeats the pause begins and ends.
+    for offset in (0..500).step_by(50) {
+        let mut fleet = settled(4);
+        let holder = fleet.holders(0)[0];
+        let paused = fleet.lowest_but(holder);
+        let at = fleet.at(paused);
+        // What is sent to it meanwhile is lost, as with a full socket buffer.
+        fleet.cuts = (1..=4).map(|vm| (paused, VmId(vm))).collect();
+        fleet.run(Duration::from_millis(100));
+        fleet.nodes[at].frozen = true;
+        fleet.run(Duration::from_millis(10_000 + offset));
+        fleet.nodes[at].frozen = false;
+        fleet.cuts.clear();
+
+        fleet.run(Duration::from_secs(10));
+
+        assert_eq!(fleet.holders(0), [holder]);
+        assert_eq!(fleet.claims.len(), 1, "{:?}", fleet.claims);
+    }
 }
 
 /// The link between the holder and one peer is cut, both reach everybody else. The peer hears
