--- /dev/null
+++ b/daisy-entry/src/append_calls.rs
@@ -0,0 +1,61 @@
+//! Carries appends to the log, one try each; the control task decides about further tries.
+
+use bytes::Bytes;
+use daisy_ledger::Batch;
+use daisy_model::Offset;
+use http::StatusCode;
+use tokio::sync::mpsc;
+
+use crate::{
+    clock::Clock,
+    control::{Appended, Input},
+    platform::{Platform, PlatformError},
+};
+
+/// What came of one try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It stands in the log.
+    At(Offset),
+    /// Whether it stands there is open, or the log is out of reach.
+    Unanswered,
+    /// The log takes no more appends for a moment; nothing was appended.
+    Busy,
+    /// The log will never take it.
+    Rejected,
+}
+
+/// Appends `batch` once and tells the control task what came of it.
+pub(crate) fn spawn(platform: Platform, clock: Clock, batch: Batch, control: mpsc::Sender<Input>) {
+    tokio::spawn(async move {
+        let asked = clock.now();
+        let id = batch.id;
+        let outcome = match daisy_wire::log::encode(&batch) {
+            Ok(bytes) => outcome(platform.append(id, Bytes::from(bytes)).await),
+            Err(e) => {
+                log::error!("event=append_rejected seq={} cause=\"{e}\"", id.seq);
+                Outcome::Rejected
+            }
+        };
+        let _ = control.send(Input::Appended(Appended { id, asked, outcome })).await;
+    });
+}
+
+fn outcome(result: Result<Offset, PlatformError>) -> Outcome {
+    match result {
+        Ok(offset) => Outcome::At(offset),
+        Err(PlatformError::Busy) => Outcome::Busy,
+        Err(PlatformError::Status(status)) if is_final(status) => {
+            log::error!("event=append_rejected status={status}");
+            Outcome::Rejected
+        }
+        Err(e) => {
+            log::debug!("event=append_failed cause={e:?}");
+            Outcome::Unanswered
+        }
+    }
+}
+
+fn is_final(status: StatusCode) -> bool {
+    status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::BAD_REQUEST
+}
--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -3,36 +3,45 @@
 //! Inputs come through one channel, decisions go out to the tasks that hold sockets. Nothing
 //! here waits for the network.
 
+mod append;
 mod fold;
 mod holder;
 mod input;
 mod replicas;
+mod restore;
 mod routes;
 mod status;
 mod tell;
 
 use std::{sync::Arc, time::Duration};
 
-use daisy_ledger::{Batch, Outcome, Record, State};
+use daisy_ledger::{Record, State};
 use daisy_membership::{Action, Event, Membership, Role};
 use daisy_model::{DcId, Instant, Name, Offset, SortedMap, Vm, VmId, WallTime};
 use daisy_routing::{KeyAnswer, KeyQuery, Routes};
-use daisy_wire::peer::{Answer, Question};
+use daisy_wire::{
+    peer::{Answer, Question},
+    snapshot::Restore,
+};
 use tokio::{
-    sync::{mpsc, oneshot, watch},
-    time::{MissedTickBehavior, interval},
+    sync::{mpsc, watch},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
-use self::{fold::Suspect, holder::Driver, replicas::Running};
-pub(crate) use self::{input::Input, replicas::Replicas, status::StatusJson};
+use self::{append::Appends, fold::Suspect, holder::Driver, replicas::Running, restore::Snapshots};
+pub(crate) use self::{
+    append::{Appended, Verdict},
+    input::{Input, Page},
+    replicas::Replicas,
+    status::StatusJson,
+};
 use crate::{
     boundary::RequestSide,
     clock::Clock,
     http::Http,
     metrics::Metrics,
-    outbox::Outbox,
     peers::{Links, Tail},
-    platform::Listing,
+    platform::{Listing, Platform},
     reader::{self, Plan},
 };
 
@@ -40,11 +49,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Inputs that wait for the control task before their senders do.
 pub(crate) const QUEUE: usize = 1024;
-/// How long an operator's change may wait unsent before it is refused for sure.
-const CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Who waits for what the fold makes of a record.
-type Waiter = oneshot::Sender<Outcome>;
+/// The longest pause between looks at the queue of appends.
+const MAX_WAKE: Duration = Duration::from_secs(1);
 
 /// Who this process is.
 #[derive(Debug, Clone)]
@@ -66,9 +72,9 @@
 #[derive(Debug)]
 pub(crate) struct Outputs {
     pub http: Http,
+    pub platform: Platform,
     pub links: Links,
     pub tail: Tail,
-    pub batches: mpsc::Sender<Batch>,
     pub plan: watch::Sender<Plan>,
     pub routes: watch::Sender<Arc<Routes>>,
     pub ready: watch::Sender<bool>,
@@ -87,10 +93,13 @@
     state: Arc<State>,
     vms: Arc<[Vm]>,
     vms_version: u64,
-    outbox: Outbox<Waiter>,
+    appends: Appends,
     driver: Driver,
     running: Running,
     replicas: SortedMap<DcId, Arc<Replicas>>,
+    snapshots: Snapshots,
+    /// A cold start that is not at the log's end yet.
+    restore: Option<Restore>,
     /// An entry of the log that did not decode, until it is read again.
     suspect: Option<Suspect>,
     /// The offset of the configuration in force and when it came into force here.
@@ -100,8 +109,6 @@
     resets: SortedMap<VmId, Instant>,
     /// Whether peers are to be told of replicas at the next tick.
     tell_all: bool,
-    log_reachable: bool,
-    flushing: Vec<oneshot::Sender<()>>,
 }
 
 impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
@@ -113,7 +120,7 @@
         requests: R,
         out: Outputs,
     ) -> Control<R> {
-        let outbox = Outbox::new(identity.sender);
+        let appends = Appends::new(identity.sender);
         Control {
             clock,
             identity,
@@ -123,17 +130,17 @@
             state: Arc::default(),
             vms: Arc::from([]),
             vms_version: 0,
-            outbox,
+            appends,
             driver: Driver::default(),
             running: Running::default(),
             replicas: SortedMap::new(),
+            snapshots: Snapshots::new(clock.now()),
+            restore: None,
             suspect: None,
             config: None,
             routes_dirty: true,
             resets: SortedMap::new(),
             tell_all: false,
-            log_reachable: true,
-            flushing: Vec::new(),
         }
     }
 
@@ -148,30 +155,35 @@
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
+                () = sleep(self.until_wake()) => {}
             }
-            self.flush();
+            self.flush(self.clock.now());
         }
     }
 
+    /// Until the queue of appends wants to be looked at.
+    fn until_wake(&self) -> Duration {
+        let wake = self.appends.wake();
+        wake.map_or(MAX_WAKE, |at| at.since(self.clock.now()).min(MAX_WAKE))
+    }
+
     fn take(&mut self, input: Input) {
         let now = self.clock.now();
         match input {
-            Input::Page { asked, end, records, ack } => {
-                let next = self.fold_page(now, asked, end, &records);
+            Input::Page(page, ack) => {
+                let next = self.take_page(now, page);
                 let _ = ack.send(next);
             }
-            Input::Snapshot { next, bytes, ack } => {
-                let next = self.load(now, next, &bytes);
+            Input::Snapshot { bytes, ack } => {
+                let next = self.load(now, &bytes);
                 let _ = ack.send(next);
             }
             Input::Expired { first, ack } => {
-                let next = self.expired(now, first);
+                let next = self.expired(first);
                 let _ = ack.send(next);
             }
             Input::ReadFailed { source } => self.read_failed(now, source),
-            Input::Append { asked, confirmed, failed, done } => {
-                self.append_ended(now, asked, confirmed, failed, done);
-            }
+            Input::Appended(appended) => self.appended(now, appended),
             Input::Vms(listing) => self.list(now, listing),
             Input::Beat { beat, in_flight } => {
                 self.requests.peer_in_flight(beat.vm, in_flight);
@@ -185,26 +197,22 @@
             Input::Encode { reply } => {
                 let _ = reply.send(self.encode());
             }
-            Input::Submit { change, reply } => {
-                let until = Some(now + CHANGE_TIMEOUT);
-                self.outbox.push(Record::Change(*change), until, Some(reply));
-            }
+            Input::Submit { record, reply } => self.submit(record, reply),
             Input::Status { reply } => {
                 let _ = reply.send(self.status(now));
             }
             Input::Stop => self.step(now, Event::Stop),
-            Input::Flushed { reply } => self.flushing.push(reply),
+            Input::Flushed { reply } => self.when_flushed(reply),
         }
     }
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        // Waiters of what was never sent learn it by their dropped sender.
-        self.outbox.expire(now);
         self.step(now, Event::Tick);
         self.drive(now, daisy_placement::Event::Tick);
         self.update_plan(now);
         self.tell_replicas(now);
+        self.write_snapshot(now);
         if self.routes_dirty {
             self.publish_routes(now);
         }
@@ -226,11 +234,10 @@
             Action::Claim => {
                 log::info!("event=claim dc={} vm={}", self.identity.dc, self.identity.vm);
                 self.out.metrics.claims.inc();
-                let record = Record::Claim { dc: self.identity.dc, holder: self.identity.vm };
-                self.outbox.push(record, None, None);
+                self.append_claim();
             }
             Action::Release(epoch) => {
-                self.outbox.push(Record::Release { dc: self.identity.dc, epoch }, None, None);
+                self.append(Record::Release { dc: self.identity.dc, epoch });
             }
             Action::Become(role) => self.become_role(now, role),
             Action::Read(source) => {
@@ -260,37 +267,6 @@
         }
     }
 
-    fn append_ended(
-        &mut self,
-        now: Instant,
-        asked: Instant,
-        confirmed: bool,
-        failed: bool,
-        done: bool,
-    ) {
-        self.out.metrics.append(confirmed);
-        if done {
-            let claim = self.outbox.sent();
-            if claim {
-                self.step(now, Event::ClaimEnded);
-            }
-        }
-        if confirmed {
-            self.step(now, Event::Log { asked, end: None });
-        }
-        if confirmed || failed {
-            self.set_log_reachable(now, confirmed);
-        }
-    }
-
-    fn set_log_reachable(&mut self, now: Instant, reachable: bool) {
-        if self.log_reachable != reachable {
-            self.log_reachable = reachable;
-            log::warn!("event=log_appends reachable={reachable}");
-            self.drive(now, daisy_placement::Event::Log { reachable });
-        }
-    }
-
     fn list(&mut self, now: Instant, listing: Listing) {
         let Listing { version, mut vms } = listing;
         vms.sort_by_key(|vm| vm.id);
@@ -340,21 +316,6 @@
         });
     }
 
-    /// Sends what is to be appended, and tells who waits that all is sent.
-    fn flush(&mut self) {
-        if let Some(batch) = self.outbox.try_next() {
-            // One batch is on its way at a time, so there is always room for it.
-            if self.out.batches.try_send(batch).is_err() {
-                log::error!("event=append_lost cause=\"appender is gone\"");
-            }
-        }
-        if self.outbox.is_idle() {
-            for waiter in self.flushing.drain(..) {
-                let _ = waiter.send(());
-            }
-        }
-    }
-
     fn observe(&self, now: Instant) {
         let options = self.membership.options();
         let alive = self.membership.peers().iter();
@@ -365,7 +326,7 @@
         metrics.generation.set(self.state.generation.0 as i64);
         metrics.holder.set(i64::from(matches!(self.membership.role(), Role::Holder(_))));
         metrics.peers_alive.set(alive as i64);
-        metrics.unsent.set(self.outbox.len() as i64);
+        metrics.unsent.set(self.appends.backlog() as i64);
         metrics.peer_traffic(self.out.links.sent.get(), self.out.links.received.get());
     }
 }
--- a/daisy-entry/src/control/fold.rs
+++ b/daisy-entry/src/control/fold.rs
@@ -9,7 +9,10 @@
 use daisy_routing::{KeyAnswer, KeyQuery};
 use daisy_wire::WireError;
 
-use crate::{boundary::RequestSide, control::Control};
+use crate::{
+    boundary::RequestSide,
+    control::{Control, input::Page},
+};
 
 /// An entry of the log that did not decode when it was first read.
 #[derive(Debug, PartialEq, Eq)]
@@ -25,17 +28,27 @@
 }
 
 impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
-    /// Folds a page and tells the offset to read on from.
-    pub(super) fn fold_page(
-        &mut self,
-        now: Instant,
-        asked: Instant,
-        end: Option<Offset>,
-        records: &[(Offset, Bytes)],
-    ) -> Offset {
+    /// Takes a page in, and tells the offset to read on from.
+    pub(super) fn take_page(&mut self, now: Instant, page: Page) -> Offset {
+        let Page { asked, bounds, records } = page;
+        let end = bounds.map(|(_, end)| end);
+        if let Some((first, _)) = bounds {
+            self.snapshots.kept_from(first);
+        }
+        let next = match self.restore.take() {
+            Some(restore) => self.restore_page(now, restore, end, &records),
+            None => self.fold_page(now, &records),
+        };
+        if end.is_some() {
+            self.step(now, Event::Log { asked, end });
+        }
+        next
+    }
+
+    fn fold_page(&mut self, now: Instant, records: &[(Offset, Bytes)]) -> Offset {
         let before = self.state.next;
         for (offset, bytes) in records {
-            // Others read on while this one may have been answered twice.
+            // The same records may come from a peer and from the log.
             if *offset < self.state.next {
                 continue;
             }
@@ -46,9 +59,6 @@
         if self.state.next != before {
             self.folded(now);
         }
-        if end.is_some() {
-            self.step(now, Event::Log { asked, end });
-        }
         self.state.next
     }
 
@@ -65,6 +75,7 @@
             return Folded::Halt;
         }
         self.out.tail.push(offset, bytes.clone());
+        self.snapshots.folded(now, &self.state, bytes.len());
         if self.state.generation != generation {
             self.config = Some((offset, self.clock.wall()));
         }
@@ -92,13 +103,9 @@
         Folded::On
     }
 
-    /// Tells who waits, and looks for signs of life of the holder.
+    /// Tells who waits for the batch, and looks for signs of life of the holder.
     fn learn(&mut self, now: Instant, batch: &Batch, applied: Applied) {
-        for (position, waiter) in self.outbox.folded(batch.id) {
-            if let Some(outcome) = applied.outcomes.get(position) {
-                let _ = waiter.send(outcome.clone());
-            }
-        }
+        self.own_append_folded(now, batch.id, &applied.outcomes);
         for (record, outcome) in batch.records.iter().zip(&applied.outcomes) {
             if let (Record::Change(change), Outcome::Refused(refusal)) = (record, outcome) {
                 log::info!("event=change_refused who={} cause=\"{refusal}\"", change.who);
@@ -130,23 +137,6 @@
         self.drive(now, daisy_placement::Event::Ledger(&state));
         self.routes_dirty = true;
     }
-
-    /// Takes a peer's state in place of records that nobody has.
-    pub(super) fn load(&mut self, now: Instant, next: Offset, bytes: &[u8]) -> Offset {
-        let _ = (now, next, bytes);
-        self.state.next
-    }
-
-    /// The log begins after the next record: goes on with its first one.
-    pub(super) fn expired(&mut self, now: Instant, first: Offset) -> Offset {
-        let _ = (now, first);
-        self.state.next
-    }
-
-    /// The whole state, for a peer.
-    pub(super) fn encode(&self) -> (Offset, Vec<u8>) {
-        (self.state.next, Vec::new())
-    }
 }
 
 fn epoch_of(record: &Record) -> Option<(DcId, Epoch)> {
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -56,7 +56,7 @@
         holder.step(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Append(record) => self.outbox.push(record, None, None),
+                Action::Append(record) => self.append(record),
                 Action::Call { vm, call } => {
                     let address = self.worker(vm).map(|it| it.control);
                     let (http, control) = (self.out.http.clone(), self.out.control.clone());
--- a/daisy-entry/src/control/input.rs
+++ b/daisy-entry/src/control/input.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use daisy_ledger::Outcome;
+use daisy_ledger::Record;
 use daisy_membership::{Heartbeat, Source};
-use daisy_model::{Change, Epoch, Instant, Offset, VmId, WorkerReport};
+use daisy_model::{Epoch, Instant, Offset, VmId, WorkerReport};
 use daisy_wire::peer::{Answer, Question};
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Replicas, StatusJson},
+    control::{Appended, Replicas, StatusJson, Verdict},
     platform::Listing,
     worker_calls::Silence,
 };
@@ -18,21 +18,10 @@
 /// One event for the control task.
 #[derive(Debug)]
 pub(crate) enum Input {
-    /// Consecutive records of the log.
-    Page {
-        /// When the read was sent.
-        asked: Instant,
-        /// The end of the log, when the log itself answered.
-        end: Option<Offset>,
-        /// Offsets and bytes.
-        records: Vec<(Offset, Bytes)>,
-        /// Told the offset to read on from.
-        ack: oneshot::Sender<Offset>,
-    },
+    /// Consecutive records of the log, and who is told the offset to read on from.
+    Page(Page, oneshot::Sender<Offset>),
     /// The state of a peer, in place of records that it no longer has.
     Snapshot {
-        /// The offset of the next record.
-        next: Offset,
         /// The encoded state.
         bytes: Vec<u8>,
         /// Told the offset to read on from.
@@ -50,17 +39,8 @@
         /// Where it was read.
         source: Source,
     },
-    /// A try of the append on its way has ended.
-    Append {
-        /// When it was sent.
-        asked: Instant,
-        /// Whether the log has it.
-        confirmed: bool,
-        /// Whether the log is out of reach.
-        failed: bool,
-        /// Whether it is not tried again.
-        done: bool,
-    },
+    /// A try to append has ended.
+    Appended(Appended),
     /// A new version of the platform's VM list.
     Vms(Listing),
     /// A peer's heartbeat.
@@ -93,12 +73,12 @@
         /// Told the offset of the next record, and the state.
         reply: oneshot::Sender<(Offset, Vec<u8>)>,
     },
-    /// An operator's change.
+    /// A record whose outcome somebody waits for: an operator's change, or an intent.
     Submit {
-        /// The change.
-        change: Box<Change>,
-        /// Told what the fold made of it.
-        reply: oneshot::Sender<Outcome>,
+        /// The record.
+        record: Record,
+        /// Told what the fold made of it; dropped when that stays open.
+        reply: oneshot::Sender<Verdict>,
     },
     /// A check asks how this entry VM stands.
     Status {
@@ -113,3 +93,14 @@
         reply: oneshot::Sender<()>,
     },
 }
+
+/// What a read gave.
+#[derive(Debug)]
+pub(crate) struct Page {
+    /// When the read was sent.
+    pub asked: Instant,
+    /// The first and the end of the whole log, when the log itself answered.
+    pub bounds: Option<(Offset, Offset)>,
+    /// Offsets and bytes.
+    pub records: Vec<(Offset, Bytes)>,
+}
--- a/daisy-entry/src/control/tell.rs
+++ b/daisy-entry/src/control/tell.rs
@@ -128,7 +128,7 @@
             holder: holding.map(|it| it.holder.0),
             epoch: holding.map(|it| it.epoch.0),
             released: holding.is_some_and(|it| it.released),
-            unsent: self.outbox.len(),
+            unsent: self.appends.backlog(),
             peers: self.peers(now),
         }
     }
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -14,7 +14,6 @@
 };
 
 use crate::{
-    appender,
     boundary::RequestSide,
     callers::{self, Health},
     clock::Clock,
@@ -74,7 +73,6 @@
     let tail = Tail::new();
     let (metrics, registry) = Metrics::registered();
     let (control, inputs) = mpsc::channel(control::QUEUE);
-    let (batches, queue) = mpsc::channel(1);
     let wait = reader::poll_wait(settings.timing.holder_timeout, true);
     let (plan, follow_plan) = watch::channel(Plan { source: Source::Log, wait });
     let (routes, follow_routes) = watch::channel(Arc::new(Routes::default()));
@@ -85,9 +83,9 @@
 
     let outputs = Outputs {
         http,
+        platform: platform.clone(),
         links: links.clone(),
         tail: tail.clone(),
-        batches,
         plan,
         routes,
         ready,
@@ -120,7 +118,6 @@
     tasks.spawn(task.run(inputs));
     tasks.spawn(reader.run());
     tasks.spawn(server.run(peers));
-    tasks.spawn(appender::run(platform.clone(), clock, queue, control.clone()));
     tasks.spawn(vm_list::run(platform, settings.timing.vm_list, control.clone()));
     tasks.spawn(operators::serve(Arc::new(port), operators));
     let serving = tokio::spawn(serve_callers(proxy.clone(), callers, Arc::new(health)));
--- a/daisy-entry/src/lib.rs
+++ b/daisy-entry/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod boundary;
 pub mod proxy;
 
-mod appender;
+mod append_calls;
 mod callers;
 mod clock;
 mod control;
@@ -16,7 +16,6 @@
 mod http;
 mod metrics;
 mod operators;
-mod outbox;
 mod peers;
 mod platform;
 mod process;
--- a/daisy-entry/src/operators/statements.rs
+++ b/daisy-entry/src/operators/statements.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use daisy_language::{Located, Statement};
-use daisy_ledger::Outcome;
+use daisy_ledger::{Outcome, Record};
 use daisy_model::{Change, Command, Condition, Name};
 use http::StatusCode;
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
-    control::Input,
+    control::{Input, Verdict},
     operators::{
         Port,
         answer::{Reply, ResultJson},
@@ -64,15 +64,21 @@
     let at = port.clock.wall();
     let change = Change { who: who.clone(), at, text: source.into(), command, condition };
     let (reply, verdict) = oneshot::channel();
-    port.control.send(Input::Submit { change: Box::new(change), reply }).await.ok()?;
+    let record = Record::Change(change);
+    port.control.send(Input::Submit { record, reply }).await.ok()?;
     let result = match timeout(VERDICT_TIMEOUT, verdict).await {
-        Ok(Ok(Outcome::Accepted(generation))) => ResultJson::Accepted { generation: generation.0 },
-        Ok(Ok(Outcome::Refused(refusal))) => ResultJson::Refused { cause: refusal.to_string() },
-        Ok(Ok(_)) => ResultJson::Unknown { cause: "the ledger gave no verdict".to_owned() },
-        // Its sender is dropped only while the change is unsent.
-        Ok(Err(_)) => {
-            ResultJson::Refused { cause: "the log takes no appends; nothing was sent".to_owned() }
+        Ok(Ok(Verdict::Folded(Outcome::Accepted(generation)))) => {
+            ResultJson::Accepted { generation: generation.0 }
         }
+        Ok(Ok(Verdict::Folded(Outcome::Refused(refusal)))) => {
+            ResultJson::Refused { cause: refusal.to_string() }
+        }
+        Ok(Ok(Verdict::NotSent(cause))) => {
+            ResultJson::Refused { cause: format!("nothing was sent: {cause}") }
+        }
+        Ok(Ok(Verdict::Folded(_)) | Err(_)) => ResultJson::Unknown {
+            cause: "the log has it, its verdict was not seen here".to_owned(),
+        },
         Err(_) => ResultJson::Unknown {
             cause: format!("no verdict of the log in {VERDICT_TIMEOUT:?}; it may still come"),
         },
--- a/daisy-entry/src/platform.rs
+++ b/daisy-entry/src/platform.rs
@@ -42,6 +42,8 @@
 /// Consecutive records.
 #[derive(Debug)]
 pub(crate) struct Page {
+    /// The first record that the log keeps.
+    pub first: Offset,
     /// The offset after the last record of the whole log.
     pub end: Offset,
     /// Offsets and bytes.
@@ -103,7 +105,8 @@
             .iter()
             .map(|it| Ok((Offset(it.offset), Bytes::from(it.bytes()?))))
             .collect::<Result<_, WireError>>()?;
-        Ok(Read::Page(Page { end: Offset(page.next), records }))
+        let (first, end) = (Offset(page.first), Offset(page.next));
+        Ok(Read::Page(Page { first, end, records }))
     }
 
     /// Reads the VM list unless its version is still `since`.
--- a/daisy-entry/src/reader.rs
+++ b/daisy-entry/src/reader.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::Clock,
-    control::Input,
+    control::{Input, Page},
     peers::Links,
     platform::{Platform, PlatformError, Read},
 };
@@ -72,15 +72,16 @@
         let asked = self.clock.now();
         match self.platform.read(*next, wait).await {
             Ok(Read::Page(page)) => {
-                let end = Some(page.end);
-                let records = page.records;
-                self.pass(next, |ack| Input::Page { asked, end, records, ack }).await?;
+                let bounds = Some((page.first, page.end));
+                let page = Page { asked, bounds, records: page.records };
+                self.pass(next, |ack| Input::Page(page, ack)).await?;
                 Ok(true)
             }
             Ok(Read::Expired(first)) => {
                 log::warn!("event=log_expired from={next} first={first}");
                 self.pass(next, |ack| Input::Expired { first, ack }).await?;
-                Ok(true)
+                // A cold start that fails begins anew, and not in a tight loop.
+                Ok(false)
             }
             Err(e) => {
                 log::debug!("event=log_read_failed from={next} cause={e:?}");
@@ -109,10 +110,11 @@
                 Some(Pushed::Records { first, bodies }) => {
                     let offsets = (first.0..).map(Offset);
                     let records = offsets.zip(bodies.into_iter().map(Into::into)).collect();
-                    self.pass(next, |ack| Input::Page { asked, end: None, records, ack }).await?;
+                    let page = Page { asked, bounds: None, records };
+                    self.pass(next, |ack| Input::Page(page, ack)).await?;
                 }
-                Some(Pushed::Snapshot { next: through, bytes }) => {
-                    self.pass(next, |ack| Input::Snapshot { next: through, bytes, ack }).await?;
+                Some(Pushed::Snapshot { bytes, .. }) => {
+                    self.pass(next, |ack| Input::Snapshot { bytes, ack }).await?;
                 }
                 None => {
                     self.send(Input::ReadFailed { source: Source::Peer(vm) }).await?;
