--- a/daisy-entry/src/proxy/forward.rs
+++ b/daisy-entry/src/proxy/forward.rs
@@ -69,6 +69,14 @@
         matches!(self, TryError::NotSent | TryError::Refused)
     }
 
+    /// What is known after two failed tries.
+    ///
+    /// Guards against `not-run` for a request whose first try may have run and whose second could
+    /// not be sent: the proof must hold for every try.
+    pub(super) fn and(self, other: TryError) -> TryError {
+        if self.proves_not_run() { other } else { self }
+    }
+
     /// The word for it in `docs/PROTOCOL.md`.
     pub(super) fn as_str(self) -> &'static str {
         match self {
@@ -129,7 +137,7 @@
                 TryError::NotSent => TryEnd::NotSent,
                 _ => TryEnd::Broken,
             };
-            guard.end(Report { end, in_flight: None, leaving: false });
+            guard.end(Report::without_answer(end));
             return Err(err);
         }
     };
@@ -173,6 +181,7 @@
         end: TryEnd::Answered,
         in_flight: text(headers::IN_FLIGHT).and_then(|text| text.parse().ok()),
         leaving: text(headers::LEAVING) == Some("1"),
+        bytes: 0,
     }
 }
 
