entry: answer show, why and explain, and tell peers which replicas leave

Any entry VM answers operators: it asks all holders what runs on their workers and joins it with its own ledger; a holder that does not answer within 1.5 s is left out. Replicas are taken from the holder's own view, with the flag of those about to stop, so that an evicted or moved service task gets no new request. A new holder keeps what the last one told for workers it has not heard, or routes would go empty at a change-over.

Ruled out: sending every task's state to all entry VMs (26,100 tasks against 2 KB/s).

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -7,6 +7,7 @@
 mod fold;
 mod holder;
 mod input;
+mod look;
 mod replicas;
 mod restore;
 mod routes;
@@ -28,10 +29,11 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use self::{append::Appends, fold::Suspect, holder::Driver, replicas::Running, restore::Snapshots};
+use self::{append::Appends, fold::Suspect, holder::Driver, restore::Snapshots};
 pub(crate) use self::{
     append::{Appended, Verdict},
     input::{Input, Page},
+    look::Sight,
     replicas::Replicas,
     status::StatusJson,
 };
@@ -95,7 +97,6 @@
     vms_version: u64,
     appends: Appends,
     driver: Driver,
-    running: Running,
     replicas: SortedMap<DcId, Arc<Replicas>>,
     snapshots: Snapshots,
     /// A cold start that is not at the log's end yet.
@@ -132,7 +133,6 @@
             vms_version: 0,
             appends,
             driver: Driver::default(),
-            running: Running::default(),
             replicas: SortedMap::new(),
             snapshots: Snapshots::new(clock.now()),
             restore: None,
@@ -192,12 +192,15 @@
             Input::Replicas(replicas) => self.hear_replicas(replicas),
             Input::Worker { epoch, vm, outcome } => self.worker_answered(now, epoch, vm, outcome),
             Input::Question { question, reply } => {
-                let _ = reply.send(self.answer(question));
+                let _ = reply.send(self.answer(now, question));
             }
             Input::Encode { reply } => {
                 let _ = reply.send(self.encode());
             }
             Input::Submit { record, reply } => self.submit(record, reply),
+            Input::Look { reply } => {
+                let _ = reply.send(self.sight(now));
+            }
             Input::Status { reply } => {
                 let _ = reply.send(self.status(now));
             }
@@ -211,6 +214,7 @@
         self.step(now, Event::Tick);
         self.drive(now, daisy_placement::Event::Tick);
         self.update_plan(now);
+        self.publish_replicas();
         self.tell_replicas(now);
         self.write_snapshot(now);
         if self.routes_dirty {
@@ -278,18 +282,19 @@
         self.out.links.set_addresses(others.map(|vm| (vm.id, vm.control)).collect());
         self.step(now, Event::Vms(&vms));
         self.drive(now, daisy_placement::Event::Vms(&vms));
-        if self.running.keep(|vm| vms.binary_search_by_key(&vm, |it| it.id).is_ok()) {
-            self.publish_replicas();
-        }
         self.routes_dirty = true;
     }
 
-    fn answer(&self, question: Question) -> Answer {
+    fn answer(&mut self, now: Instant, question: Question) -> Answer {
         match question {
             Question::Vms if !self.vms.is_empty() => {
                 Answer::Vms { version: self.vms_version, vms: self.vms.to_vec() }
             }
-            _ => Answer::Unable,
+            Question::Live => match self.live(now) {
+                Some(live) => Answer::Live(Box::new(live)),
+                None => Answer::Unable,
+            },
+            Question::Vms | Question::Key(_) => Answer::Unable,
         }
     }
 
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -21,7 +21,7 @@
 
 impl Driver {
     /// The holder, unless there is none or it must not act.
-    fn active(&mut self) -> Option<&mut Holder> {
+    pub(super) fn active(&mut self) -> Option<&mut Holder> {
         self.holder.as_mut().filter(|_| !self.suspended)
     }
 }
@@ -42,7 +42,6 @@
         self.driver.suspended = false;
         if !resumed {
             self.driver.holder = Some(Holder::new(options(&self.identity, epoch)));
-            self.running.adopt(self.replicas.get(&self.identity.dc));
         }
         let (state, vms) = (self.state.clone(), self.vms.clone());
         self.drive(now, Event::Ledger(&state));
@@ -80,9 +79,6 @@
         }
         match &outcome {
             Ok(report) => {
-                if report.accepted && self.running.report(&self.state, vm, report) {
-                    self.publish_replicas();
-                }
                 self.drive(now, Event::Report { vm, report });
             }
             Err(silence) => self.drive(now, Event::Silent { vm, sent: silence.sent }),
--- a/daisy-entry/src/control/input.rs
+++ b/daisy-entry/src/control/input.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Appended, Replicas, StatusJson, Verdict},
+    control::{Appended, Replicas, Sight, StatusJson, Verdict},
     platform::Listing,
     worker_calls::Silence,
 };
@@ -80,6 +80,11 @@
         /// Told what the fold made of it; dropped when that stays open.
         reply: oneshot::Sender<Verdict>,
     },
+    /// An operator looks.
+    Look {
+        /// Told what there is to see.
+        reply: oneshot::Sender<Sight>,
+    },
     /// A check asks how this entry VM stands.
     Status {
         /// Told how it stands.
--- /dev/null
+++ b/daisy-entry/src/control/look.rs
@@ -0,0 +1,105 @@
+//! What operators are shown: the ledger, and what holders know of what runs.
+
+use std::sync::Arc;
+
+use daisy_ledger::State;
+use daisy_model::{Instant, Name, Vm, VmId, WallTime};
+use daisy_placement::{Holder, Noted, TaskStatus, WorkerStatus};
+use daisy_query::{Live, LiveTask, LiveWorker, Reason, Subject, WorkerState};
+use daisy_routing::{KeyAnswer, KeyQuery};
+
+use crate::{boundary::RequestSide, control::Control};
+
+/// What an operator's look is answered from, but for what other holders know.
+#[derive(Debug, Clone)]
+pub(crate) struct Sight {
+    /// The fold of the log.
+    pub state: Arc<State>,
+    /// The platform's VM list.
+    pub vms: Arc<[Vm]>,
+    /// Names of data centres.
+    pub dcs: Vec<Name>,
+    /// What this entry VM knows, if it is a holder.
+    pub own: Live,
+    /// The holders of other data centres, and of the own one if it is another entry VM.
+    pub holders: Vec<VmId>,
+}
+
+impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
+    /// What an operator's look is answered from.
+    pub(super) fn sight(&mut self, now: Instant) -> Sight {
+        let own = self.live(now).unwrap_or_default();
+        let holders = self.state.holders.iter().filter(|(_, it)| !it.released);
+        let holders = holders.map(|(_, it)| it.holder).filter(|vm| *vm != self.identity.vm);
+        Sight {
+            state: Arc::clone(&self.state),
+            vms: Arc::clone(&self.vms),
+            dcs: self.identity.dcs.clone(),
+            own,
+            holders: holders.collect(),
+        }
+    }
+
+    /// What this entry VM knows as a holder; `None` if it is none.
+    pub(super) fn live(&mut self, now: Instant) -> Option<Live> {
+        let wall = self.clock.wall();
+        let holder = self.driver.active()?;
+        Some(live_of(holder, &Times { now, wall }))
+    }
+}
+
+/// The same moment by both clocks.
+struct Times {
+    now: Instant,
+    wall: WallTime,
+}
+
+impl Times {
+    fn wall_of(&self, at: Instant) -> WallTime {
+        let ago = u64::try_from(self.now.since(at).as_millis()).unwrap_or(u64::MAX);
+        WallTime(self.wall.0.saturating_sub(ago))
+    }
+
+    fn reason(&self, subject: &Subject, noted: &Noted) -> Reason {
+        let text = noted.reason.to_string().into();
+        Reason { at: self.wall_of(noted.at), subject: subject.clone(), text }
+    }
+}
+
+fn live_of(holder: &Holder, times: &Times) -> Live {
+    let mut live = Live::default();
+    for task in holder.running() {
+        let notes = holder.reasons(task.task);
+        let subject = Subject::Task(task.task);
+        live.reasons.extend(notes.iter().map(|it| times.reason(&subject, it)));
+        let runs = matches!(task.status, TaskStatus::Running | TaskStatus::Ending);
+        let Some(vm) = task.vm.filter(|_| runs) else { continue };
+        // The last note of a running task is usually that it runs.
+        let since = notes.last().map(|it| times.now.since(it.at)).unwrap_or_default();
+        let known = LiveTask { incarnation: task.incarnation, vm, share: FULL_SHARE, since };
+        live.tasks.insert(task.task, known);
+    }
+    for worker in holder.workers() {
+        let notes = holder.vm_reasons(worker.vm);
+        let subject = Subject::Vm(worker.vm);
+        live.reasons.extend(notes.iter().map(|it| times.reason(&subject, it)));
+        let state = match worker.status {
+            WorkerStatus::Open => WorkerState::Ready,
+            WorkerStatus::Closed | WorkerStatus::Gone => WorkerState::Leaving,
+            WorkerStatus::Aside => WorkerState::PutAside,
+            WorkerStatus::Unheard | WorkerStatus::Silent => WorkerState::Silent,
+        };
+        let known = LiveWorker {
+            capacity: worker.capacity,
+            free: worker.capacity.try_sub(worker.taken).unwrap_or_default(),
+            tasks: u32::try_from(worker.tasks).unwrap_or(u32::MAX),
+            state,
+        };
+        live.workers.insert(worker.vm, known);
+    }
+    live.reasons.sort_by_key(|it| it.at);
+    live
+}
+
+/// A task that is not throttled.
+const FULL_SHARE: u32 = 1_000;
--- a/daisy-entry/src/control/replicas.rs
+++ b/daisy-entry/src/control/replicas.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use daisy_ledger::State;
-use daisy_model::{DcId, Epoch, JobId, JobKind, SortedMap, VmId, WorkerReport};
+use daisy_model::{DcId, Epoch, VmId};
+use daisy_placement::{Holder, WorkerStatus};
+use daisy_wire::peer::Replica;
 
 /// The backend servers of all services of one data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,8 +14,8 @@
     pub epoch: Epoch,
     /// Counts the changes, across epochs.
     pub version: u64,
-    /// Services and the workers that run a task of theirs, sorted.
-    pub pairs: Vec<(JobId, VmId)>,
+    /// The backend servers, sorted.
+    pub all: Vec<Replica>,
 }
 
 impl Replicas {
@@ -33,50 +34,24 @@
     }
 }
 
-/// What a holder learns of its workers.
-#[derive(Debug, Default)]
-pub(crate) struct Running {
-    by_worker: SortedMap<VmId, Vec<JobId>>,
-}
-
-impl Running {
-    /// A new holder goes on from what the last one told: its routes must not go empty
-    /// before the workers have answered.
-    pub fn adopt(&mut self, replicas: Option<&Arc<Replicas>>) {
-        self.by_worker = SortedMap::new();
-        for (job, vm) in replicas.iter().flat_map(|it| it.pairs.iter()) {
-            self.by_worker.get_or_insert_with(*vm, Vec::new).push(*job);
-        }
-    }
-
-    /// Takes a worker's report in; whether anything has changed.
-    pub fn report(&mut self, state: &State, vm: VmId, report: &WorkerReport) -> bool {
-        let is_service =
-            |job: JobId| state.jobs.get(job).is_some_and(|it| it.spec.kind == JobKind::Service);
-        let running = report.running.iter().map(|it| it.task.job);
-        let mut jobs: Vec<JobId> = running.filter(|job| is_service(*job)).collect();
-        jobs.sort_unstable();
-        jobs.dedup();
-        if self.by_worker.get(&vm).map_or(jobs.is_empty(), |known| *known == jobs) {
-            return false;
-        }
-        self.by_worker.insert(vm, jobs);
-        true
-    }
-
-    /// Forgets workers that are not in the platform's list; whether anything has changed.
-    pub fn keep(&mut self, listed: impl Fn(VmId) -> bool) -> bool {
-        let before = self.by_worker.len();
-        self.by_worker.retain(|vm, _| listed(*vm));
-        self.by_worker.len() != before
-    }
-
-    /// Services and the workers that run a task of theirs, sorted.
-    pub fn pairs(&self) -> Vec<(JobId, VmId)> {
-        let by_worker = self.by_worker.iter();
-        let mut pairs: Vec<(JobId, VmId)> =
-            by_worker.flat_map(|(vm, jobs)| jobs.iter().map(|job| (*job, *vm))).collect();
-        pairs.sort_unstable();
-        pairs
-    }
+/// What the holder `holder` knows, with `before` for workers that have not answered it yet.
+///
+/// Guard: a new holder has heard no worker. Its routes would go empty, and every request be
+/// refused, until the workers have answered; what the last holder told stands until then.
+pub(crate) fn of_holder(holder: &Holder, before: Option<&Arc<Replicas>>) -> Vec<Replica> {
+    let workers = holder.workers();
+    let unheard = workers.iter().filter(|it| it.status == WorkerStatus::Unheard);
+    let mut unheard: Vec<VmId> = unheard.map(|it| it.vm).collect();
+    unheard.sort_unstable();
+    let mut all: Vec<Replica> = holder
+        .replicas()
+        .iter()
+        .map(|it| Replica { job: it.job, vm: it.vm, leaving: it.leaving })
+        .collect();
+    let old = before.iter().flat_map(|it| it.all.iter());
+    all.extend(old.filter(|it| unheard.binary_search(&it.vm).is_ok()).copied());
+    all.sort_unstable();
+    // One that stays sorts before one that leaves: the server goes on for the service.
+    all.dedup_by_key(|it| (it.job, it.vm));
+    all
 }
--- a/daisy-entry/src/control/routes.rs
+++ b/daisy-entry/src/control/routes.rs
@@ -6,6 +6,7 @@
 use daisy_membership::{Membership, Status};
 use daisy_model::{DcId, Instant, JobKind, Name, SortedMap, Vm, VmId, VmRole, VmStatus};
 use daisy_routing::{Backend, Routes, Service};
+use daisy_wire::peer::Replica;
 
 use crate::control::Replicas;
 
@@ -20,6 +21,7 @@
     pub dc: DcId,
     pub regions: &'a [u16],
     pub state: &'a State,
+    /// Sorted by number.
     pub vms: &'a [Vm],
     pub membership: &'a Membership,
     pub replicas: &'a SortedMap<DcId, Arc<Replicas>>,
@@ -83,12 +85,12 @@
         };
         services.insert(job.spec.name.clone(), service);
     }
-    for replicas in parts.replicas.iter().map(|(_, it)| it) {
-        for (job, vm) in &replicas.pairs {
-            let Some(name) = parts.state.jobs.get(*job).map(|job| &job.spec.name) else { continue };
-            let Some(service) = services.get_mut(name) else { continue };
-            service.backends.extend(backend(parts, *vm));
-        }
+    for replica in parts.replicas.iter().flat_map(|(_, it)| it.all.iter()) {
+        let Some(name) = parts.state.jobs.get(replica.job).map(|job| &job.spec.name) else {
+            continue;
+        };
+        let Some(service) = services.get_mut(name) else { continue };
+        service.backends.extend(backend(parts, *replica));
     }
     for (_, service) in services.iter_mut() {
         service.backends.sort_by_key(|it| it.vm);
@@ -97,14 +99,16 @@
     services
 }
 
-fn backend(parts: &Parts<'_>, vm: VmId) -> Option<Backend> {
-    let vm = parts.vms.iter().find(|it| it.id == vm)?;
+fn backend(parts: &Parts<'_>, replica: Replica) -> Option<Backend> {
+    let at = parts.vms.binary_search_by_key(&replica.vm, |it| it.id).ok()?;
+    let vm = &parts.vms[at];
+    let leaves = vm.status == VmStatus::Leaving || parts.state.is_drained(&vm.name);
     Some(Backend {
         vm: vm.id,
         dc: vm.dc,
         address: vm.backend?,
         slots: SLOTS,
         connections: CONNECTIONS,
-        leaving: vm.status == VmStatus::Leaving || parts.state.is_drained(&vm.name),
+        leaving: replica.leaving || leaves,
     })
 }
--- a/daisy-entry/src/control/tell.rs
+++ b/daisy-entry/src/control/tell.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     boundary::RequestSide,
-    control::{Control, Replicas, StatusJson, status::PeerJson},
+    control::{Control, Replicas, StatusJson, replicas, status::PeerJson},
     peers::{Command, Told},
 };
 
@@ -58,17 +58,17 @@
         known.filter(|(dc, _)| near || **dc == self.identity.dc).map(|(_, it)| it.clone()).collect()
     }
 
-    /// Tells everybody where services of the own data centre run.
+    /// Tells everybody where services of the own data centre run, if that has changed.
     pub(super) fn publish_replicas(&mut self) {
-        let (Role::Holder(epoch) | Role::Caretaker(epoch)) = self.membership.role() else { return };
-        let dc = self.identity.dc;
-        let pairs = self.running.pairs();
+        let Some(holder) = self.driver.active() else { return };
+        let (dc, epoch) = (self.identity.dc, holder.epoch());
         let known = self.replicas.get(&dc);
-        if known.is_some_and(|it| it.pairs == pairs && it.epoch == epoch) {
+        let all = replicas::of_holder(holder, known);
+        if known.is_some_and(|it| it.all == all && it.epoch == epoch) {
             return;
         }
         let version = known.map_or(1, |it| it.version + 1);
-        self.replicas.insert(dc, Arc::new(Replicas { dc, epoch, version, pairs }));
+        self.replicas.insert(dc, Arc::new(Replicas { dc, epoch, version, all }));
         self.routes_dirty = true;
         self.tell_all = true;
     }
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -111,7 +111,7 @@
         received: links.received.clone(),
     };
     let tokens = Tokens::new(settings.operator_tokens.clone());
-    let port = Port { tokens, clock, control: control.clone(), metrics };
+    let port = Port { tokens, clock, control: control.clone(), links, metrics };
     let health = Health { ready: follow_ready, registry };
 
     let mut tasks = JoinSet::new();
--- a/daisy-entry/src/operators.rs
+++ b/daisy-entry/src/operators.rs
@@ -3,6 +3,7 @@
 //! `docs/PROTOCOL.md` has the requests and their answers.
 
 mod answer;
+mod look;
 mod statements;
 mod token;
 
@@ -20,7 +21,7 @@
 };
 
 pub(crate) use self::{answer::Reply, token::Tokens};
-use crate::{clock::Clock, control::Input, metrics::Metrics};
+use crate::{clock::Clock, control::Input, metrics::Metrics, peers::Links};
 
 /// Bytes of a body of statements.
 const BODY_LIMIT: usize = 64 << 10;
@@ -31,6 +32,7 @@
     pub tokens: Tokens,
     pub clock: Clock,
     pub control: mpsc::Sender<Input>,
+    pub links: Links,
     pub metrics: Metrics,
 }
 
--- a/daisy-entry/src/operators/answer.rs
+++ b/daisy-entry/src/operators/answer.rs
@@ -41,6 +41,13 @@
         /// Why.
         cause: String,
     },
+    /// The answer to a statement that changes nothing.
+    Table {
+        /// The heads of the columns.
+        columns: Vec<String>,
+        /// Cells by row.
+        rows: Vec<Vec<String>>,
+    },
 }
 
 /// One thing that is wrong with the text.
--- /dev/null
+++ b/daisy-entry/src/operators/look.rs
@@ -0,0 +1,54 @@
+//! Answers statements that change nothing.
+
+use std::time::Duration;
+
+use daisy_language::Statement;
+use daisy_query::Live;
+use daisy_wire::peer::{Answer, Question};
+use futures::future::join_all;
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{Input, Sight},
+    operators::{Port, answer::ResultJson},
+};
+
+/// How long another holder may take to tell what it knows.
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Answers from the ledger and from what all holders know; `None` while stopping.
+///
+/// What a holder that does not answer knows is left out, and the answer says so where it
+/// matters: `-` stands for what is not known.
+pub(super) async fn look(port: &Port, statement: &Statement) -> Option<ResultJson> {
+    let (reply, sight) = oneshot::channel();
+    port.control.send(Input::Look { reply }).await.ok()?;
+    let Sight { state, vms, dcs, own, holders } = sight.await.ok()?;
+    let mut live = own;
+    live.dcs = dcs;
+    live.vms = vms.iter().map(|vm| (vm.id, vm.clone())).collect();
+    let asked = holders.iter().map(|vm| port.links.ask(*vm, Question::Live, HOLDER_TIMEOUT));
+    for answer in join_all(asked).await {
+        if let Some(Answer::Live(theirs)) = answer {
+            merge(&mut live, *theirs);
+        }
+    }
+    Some(match daisy_query::run(&state, &live, statement) {
+        Ok(table) => ResultJson::Table {
+            columns: table.columns.into_iter().map(str::to_owned).collect(),
+            rows: table.rows,
+        },
+        Err(e) => ResultJson::Refused { cause: e.to_string() },
+    })
+}
+
+fn merge(live: &mut Live, theirs: Live) {
+    for (task, it) in theirs.tasks.iter() {
+        live.tasks.insert(*task, *it);
+    }
+    for (vm, it) in theirs.workers.iter() {
+        live.workers.insert(*vm, *it);
+    }
+    live.reasons.extend(theirs.reasons);
+    live.reasons.sort_by_key(|it| it.at);
+}
--- a/daisy-entry/src/operators/statements.rs
+++ b/daisy-entry/src/operators/statements.rs
@@ -13,6 +13,7 @@
     operators::{
         Port,
         answer::{Reply, ResultJson},
+        look::look,
     },
 };
 
@@ -36,10 +37,7 @@
             Statement::Change { command, condition } => {
                 change(port, &who, source, command, condition).await
             }
-            _ => {
-                let error = "only changes are answered yet";
-                return Reply::failed(StatusCode::NOT_IMPLEMENTED, error);
-            }
+            other => look(port, &other).await,
         };
         let Some(result) = result else {
             return Reply::failed(StatusCode::SERVICE_UNAVAILABLE, "stopping");
--- a/daisy-entry/src/peers/link.rs
+++ b/daisy-entry/src/peers/link.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use daisy_membership::Heartbeat;
-use daisy_model::{DcId, JobId, Offset, SortedMap, VmId};
+use daisy_model::{DcId, Offset, SortedMap, VmId};
 use daisy_wire::{
     headers,
     peer::{
         Answer, AnswerWire, MAX_FRAME, Notice, NoticeWire, Pushed, PushedWire, Question,
-        QuestionWire, RecordsFrom, ReplicaChange,
+        QuestionWire, RecordsFrom, Replica, ReplicaChange,
     },
 };
 use h2::client::{self, SendRequest};
@@ -258,11 +258,10 @@
 
 /// What has changed from `known` to `replicas`.
 fn change_of(known: Option<&Replicas>, replicas: &Replicas) -> ReplicaChange {
-    let known_pairs: &[(JobId, VmId)] = known.map_or(&[], |it| &it.pairs);
-    let missing_in =
-        |pairs: &[(JobId, VmId)], pair: &(JobId, VmId)| pairs.binary_search(pair).is_err();
-    let added = replicas.pairs.iter().filter(|it| missing_in(known_pairs, it));
-    let removed = known_pairs.iter().filter(|it| missing_in(&replicas.pairs, it));
+    let before: &[Replica] = known.map_or(&[], |it| &it.all);
+    let missing_in = |all: &[Replica], it: &Replica| all.binary_search(it).is_err();
+    let added = replicas.all.iter().filter(|it| missing_in(before, it));
+    let removed = before.iter().filter(|it| missing_in(&replicas.all, it));
     ReplicaChange {
         dc: replicas.dc,
         epoch: replicas.epoch,
--- a/daisy-entry/src/peers/serve.rs
+++ b/daisy-entry/src/peers/serve.rs
@@ -8,13 +8,13 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use daisy_model::{DcId, JobId, Offset, SortedMap, VmId};
+use daisy_model::{DcId, Offset, SortedMap, VmId};
 use daisy_routing::{KeyAnswer, KeyQuery};
 use daisy_wire::{
     headers,
     peer::{
         Answer, AnswerWire, Notice, NoticeWire, Pushed, PushedWire, Question, QuestionWire,
-        RecordsFrom, ReplicaChange,
+        RecordsFrom, Replica, ReplicaChange,
     },
 };
 use h2::{
@@ -290,7 +290,7 @@
 #[derive(Debug, Default)]
 struct Mirror {
     in_flight: SortedMap<VmId, u32>,
-    replicas: SortedMap<DcId, Vec<(JobId, VmId)>>,
+    replicas: SortedMap<DcId, Vec<Replica>>,
 }
 
 impl Mirror {
@@ -308,19 +308,19 @@
     }
 
     fn replicas(&mut self, change: ReplicaChange) -> Arc<Replicas> {
-        let pairs = self.replicas.get_or_insert_with(change.dc, Vec::new);
+        let all = self.replicas.get_or_insert_with(change.dc, Vec::new);
         if change.full {
-            pairs.clear();
+            all.clear();
         }
-        pairs.retain(|pair| change.removed.binary_search(pair).is_err());
-        pairs.extend(change.added);
-        pairs.sort_unstable();
-        pairs.dedup();
+        all.retain(|it| change.removed.binary_search(it).is_err());
+        all.extend(change.added);
+        all.sort_unstable();
+        all.dedup();
         Arc::new(Replicas {
             dc: change.dc,
             epoch: change.epoch,
             version: change.version,
-            pairs: pairs.clone(),
+            all: all.clone(),
         })
     }
 }
--- a/daisy-wire/src/peer.rs
+++ b/daisy-wire/src/peer.rs
@@ -5,6 +5,7 @@
 
 mod frame;
 mod key;
+mod live;
 mod notice;
 mod question;
 mod records;
@@ -12,7 +13,8 @@
 pub use self::{
     frame::{Frames, MAX_FRAME, VERSION, frame},
     key::{KeyAnswerWire, KeyQueryWire},
-    notice::{BeatWire, Notice, NoticeWire, ReplicaChange, ReplicasWire},
+    live::LiveWire,
+    notice::{BeatWire, Notice, NoticeWire, Replica, ReplicaChange, ReplicasWire},
     question::{Answer, AnswerWire, Question, QuestionWire},
     records::{Pushed, PushedWire, RecordsFrom},
 };
--- a/daisy-wire/src/peer/notice.rs
+++ b/daisy-wire/src/peer/notice.rs
@@ -6,6 +6,17 @@
 
 use crate::WireError;
 
+/// A backend server of a service; ordered by service, then VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Replica {
+    /// The service.
+    pub job: JobId,
+    /// The worker that runs a task of it.
+    pub vm: VmId,
+    /// Whether that task is about to stop: it gets nothing new.
+    pub leaving: bool,
+}
+
 /// Where services of a data centre run, or how that has changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaChange {
@@ -17,10 +28,10 @@
     pub version: u64,
     /// Whether `added` is all there is.
     pub full: bool,
-    /// Services and the workers that run a task of theirs, sorted.
-    pub added: Vec<(JobId, VmId)>,
-    /// What runs no longer, sorted.
-    pub removed: Vec<(JobId, VmId)>,
+    /// Backend servers that are new or stand differently, sorted.
+    pub added: Vec<Replica>,
+    /// Backend servers that are gone or stood differently, sorted.
+    pub removed: Vec<Replica>,
 }
 
 /// One message of the stream of notices.
@@ -52,6 +63,9 @@
     evidence: Option<(u64, u32)>,
 }
 
+/// See [`Replica`].
+type ReplicaWire = (u32, u32, bool);
+
 /// See [`ReplicaChange`].
 #[derive(Debug, Encode, Decode)]
 pub struct ReplicasWire {
@@ -59,8 +73,8 @@
     epoch: u64,
     version: u64,
     full: bool,
-    added: Vec<(u32, u32)>,
-    removed: Vec<(u32, u32)>,
+    added: Vec<ReplicaWire>,
+    removed: Vec<ReplicaWire>,
 }
 
 /// See [`Notice`].
@@ -92,8 +106,8 @@
                 epoch: it.epoch.0,
                 version: it.version,
                 full: it.full,
-                added: pairs_to_wire(&it.added),
-                removed: pairs_to_wire(&it.removed),
+                added: replicas_to_wire(&it.added),
+                removed: replicas_to_wire(&it.removed),
             }),
         }
     }
@@ -114,8 +128,8 @@
                 epoch: Epoch(it.epoch),
                 version: it.version,
                 full: it.full,
-                added: pairs_from_wire("added", it.added)?,
-                removed: pairs_from_wire("removed", it.removed)?,
+                added: replicas_from_wire("added", it.added)?,
+                removed: replicas_from_wire("removed", it.removed)?,
             }),
         })
     }
@@ -160,16 +174,17 @@
     })
 }
 
-fn pairs_to_wire(pairs: &[(JobId, VmId)]) -> Vec<(u32, u32)> {
-    pairs.iter().map(|(job, vm)| (job.0, vm.0)).collect()
+fn replicas_to_wire(replicas: &[Replica]) -> Vec<ReplicaWire> {
+    replicas.iter().map(|it| (it.job.0, it.vm.0, it.leaving)).collect()
 }
 
-fn pairs_from_wire(
+fn replicas_from_wire(
     field: &'static str,
-    pairs: Vec<(u32, u32)>,
-) -> Result<Vec<(JobId, VmId)>, WireError> {
-    if !pairs.is_sorted() {
+    replicas: Vec<ReplicaWire>,
+) -> Result<Vec<Replica>, WireError> {
+    if !replicas.is_sorted() {
         return Err(WireError::Field { field, reason: "not sorted".to_owned() });
     }
-    Ok(pairs.into_iter().map(|(job, vm)| (JobId(job), VmId(vm))).collect())
+    let replica = |(job, vm, leaving)| Replica { job: JobId(job), vm: VmId(vm), leaving };
+    Ok(replicas.into_iter().map(replica).collect())
 }
--- a/daisy-wire/src/peer/question.rs
+++ b/daisy-wire/src/peer/question.rs
@@ -2,11 +2,15 @@
 
 use bincode::{Decode, Encode};
 use daisy_model::{DcId, Name, Resources, Vm, VmId, VmRole, VmStatus};
+use daisy_query::Live;
 use daisy_routing::{KeyAnswer, KeyQuery};
 
 use crate::{
     WireError,
-    peer::key::{KeyAnswerWire, KeyQueryWire},
+    peer::{
+        key::{KeyAnswerWire, KeyQueryWire},
+        live::LiveWire,
+    },
 };
 
 /// A question of one entry VM to another.
@@ -16,10 +20,12 @@
     Key(KeyQuery),
     /// The platform's VM list as the peer last had it.
     Vms,
+    /// What the holder of a data centre knows of it.
+    Live,
 }
 
 /// The answer to a [`Question`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum Answer {
     /// The answer to [`Question::Key`].
     Key(KeyAnswer),
@@ -30,6 +36,8 @@
         /// All VMs.
         vms: Vec<Vm>,
     },
+    /// The answer to [`Question::Live`].
+    Live(Box<Live>),
     /// The entry VM asked cannot answer.
     Unable,
 }
@@ -55,6 +63,8 @@
     Key(KeyQueryWire),
     /// See [`Question::Vms`].
     Vms,
+    /// See [`Question::Live`].
+    Live,
 }
 
 /// See [`Answer`].
@@ -69,6 +79,8 @@
         /// All VMs.
         vms: Vec<VmWire>,
     },
+    /// See [`Answer::Live`].
+    Live(LiveWire),
     /// See [`Answer::Unable`].
     Unable,
 }
@@ -78,6 +90,7 @@
         match question {
             Question::Key(query) => QuestionWire::Key(query.into()),
             Question::Vms => QuestionWire::Vms,
+            Question::Live => QuestionWire::Live,
         }
     }
 }
@@ -89,6 +102,7 @@
         Ok(match question {
             QuestionWire::Key(query) => Question::Key(query.try_into()?),
             QuestionWire::Vms => Question::Vms,
+            QuestionWire::Live => Question::Live,
         })
     }
 }
@@ -100,6 +114,7 @@
             Answer::Vms { version, vms } => {
                 AnswerWire::Vms { version, vms: vms.into_iter().map(VmWire::from).collect() }
             }
+            Answer::Live(live) => AnswerWire::Live(LiveWire::from(&*live)),
             Answer::Unable => AnswerWire::Unable,
         }
     }
@@ -115,6 +130,7 @@
                 version,
                 vms: vms.into_iter().map(Vm::try_from).collect::<Result<_, _>>()?,
             },
+            AnswerWire::Live(live) => Answer::Live(Box::new(live.into())),
             AnswerWire::Unable => Answer::Unable,
         })
     }
