entry: a caretaker renews leases, and a suspended holder keeps its calls in order

A holder that cannot show its lease is suspended, and a caretaker renews what runs under its epoch. Answers that come meanwhile were lost for the holder, which then waited for them for ever (each call is owed one answer); on resuming it is told that they are lost, which sends it to ask again rather than to trust what is old.

Ruled out: a new holder object under the old epoch (it would know nothing of starts on their way).

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -19,6 +19,7 @@
 use daisy_ledger::{Record, State};
 use daisy_membership::{Action, Event, Membership, Role};
 use daisy_model::{DcId, Instant, Name, Offset, SortedMap, Vm, VmId, WallTime};
+use daisy_placement::CareEvent;
 use daisy_routing::{KeyAnswer, KeyQuery, Routes};
 use daisy_wire::{
     peer::{Answer, Question},
@@ -190,7 +191,9 @@
                 self.step(now, Event::Heartbeat(beat));
             }
             Input::Replicas(replicas) => self.hear_replicas(replicas),
-            Input::Worker { epoch, vm, outcome } => self.worker_answered(now, epoch, vm, outcome),
+            Input::Worker { by, epoch, vm, outcome } => {
+                self.worker_answered(now, (by, epoch), vm, outcome);
+            }
             Input::Question { question, reply } => {
                 let _ = reply.send(self.answer(now, question));
             }
@@ -213,6 +216,7 @@
         let now = self.clock.now();
         self.step(now, Event::Tick);
         self.drive(now, daisy_placement::Event::Tick);
+        self.care(now, CareEvent::Tick);
         self.update_plan(now);
         self.publish_replicas();
         self.tell_replicas(now);
@@ -282,6 +286,7 @@
         self.out.links.set_addresses(others.map(|vm| (vm.id, vm.control)).collect());
         self.step(now, Event::Vms(&vms));
         self.drive(now, daisy_placement::Event::Vms(&vms));
+        self.care(now, CareEvent::Vms(&vms));
         self.routes_dirty = true;
     }
 
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -1,22 +1,25 @@
-//! Drives the decisions of a holder: its events in, its actions out.
+//! Drives the decisions of a holder or a caretaker: events in, actions out.
 
 use daisy_membership::Role;
 use daisy_model::{Epoch, Instant, Vm, VmId, WorkerReport};
-use daisy_placement::{Action, DataCentre, Event, Holder, Options};
+use daisy_placement::{Action, CareEvent, Caretaker, DataCentre, Event, Holder, Options};
 use daisy_routing::{KeyAnswer, KeyQuery};
 
 use crate::{
     boundary::RequestSide,
     control::{Control, Identity},
-    worker_calls::{self, Silence},
+    worker_calls::{self, By, Silence},
 };
 
-/// The holder, while this entry VM is one.
+/// The holder or caretaker, while this entry VM is one.
 #[derive(Debug, Default)]
 pub(super) struct Driver {
     holder: Option<Holder>,
     /// A holder that cannot show its lease decides nothing until it can again.
     suspended: bool,
+    /// Workers whose answers came while the holder was suspended.
+    unheard: Vec<VmId>,
+    caretaker: Option<(Epoch, Caretaker)>,
 }
 
 impl Driver {
@@ -32,20 +35,36 @@
         log::info!("event=role role={role:?} dc={}", self.identity.dc);
         match role {
             Role::Idle => self.driver = Driver::default(),
-            Role::Caretaker(_) => self.driver.suspended = true,
+            Role::Caretaker(epoch) => self.take_care(now, epoch),
             Role::Holder(epoch) => self.hold(now, epoch),
         }
     }
 
     fn hold(&mut self, now: Instant, epoch: Epoch) {
+        self.driver.caretaker = None;
         let resumed = self.driver.holder.as_ref().is_some_and(|it| it.epoch() == epoch);
-        self.driver.suspended = false;
         if !resumed {
+            self.driver = Driver::default();
             self.driver.holder = Some(Holder::new(options(&self.identity, epoch)));
         }
+        self.driver.suspended = false;
+        let reachable = self.appends.reachable();
+        self.drive(now, Event::Log { reachable });
         let (state, vms) = (self.state.clone(), self.vms.clone());
         self.drive(now, Event::Ledger(&state));
         self.drive(now, Event::Vms(&vms));
+        // What those workers said is old by now: to the holder their answers are lost.
+        for vm in std::mem::take(&mut self.driver.unheard) {
+            self.drive(now, Event::Silent { vm, sent: true });
+        }
+    }
+
+    fn take_care(&mut self, now: Instant, epoch: Epoch) {
+        self.driver.suspended = true;
+        let caretaker = Caretaker::new(options(&self.identity, epoch));
+        self.driver.caretaker = Some((epoch, caretaker));
+        let vms = self.vms.clone();
+        self.care(now, CareEvent::Vms(&vms));
     }
 
     /// Lets the holder decide, if there is one, and carries out what it wants.
@@ -53,35 +72,58 @@
         let Some(holder) = self.driver.active() else { return };
         let mut actions = Vec::new();
         holder.step(now, event, &mut actions);
+        self.carry_out_for(By::Holder, actions);
+    }
+
+    /// Lets the caretaker decide, if there is one, and carries out what it wants.
+    pub(super) fn care(&mut self, now: Instant, event: CareEvent<'_>) {
+        let Some((_, caretaker)) = &mut self.driver.caretaker else { return };
+        let mut actions = Vec::new();
+        caretaker.step(now, event, &mut actions);
+        self.carry_out_for(By::Caretaker, actions);
+    }
+
+    fn carry_out_for(&mut self, by: By, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Append(record) => self.append(record),
                 Action::Call { vm, call } => {
                     let address = self.worker(vm).map(|it| it.control);
                     let (http, control) = (self.out.http.clone(), self.out.control.clone());
-                    worker_calls::spawn(http, vm, address, call, control);
+                    worker_calls::spawn(http, by, vm, address, call, control);
                 }
             }
         }
     }
 
-    /// Takes a worker's answer in, if its epoch is still the own one.
+    /// Takes a worker's answer in, if it is for who decides now.
     pub(super) fn worker_answered(
         &mut self,
         now: Instant,
-        epoch: Epoch,
+        (by, epoch): (By, Epoch),
         vm: VmId,
         outcome: Result<WorkerReport, Silence>,
     ) {
         self.out.metrics.worker_call(outcome.is_ok());
-        if self.driver.holder.as_ref().is_none_or(|it| it.epoch() != epoch) {
-            return;
-        }
-        match &outcome {
-            Ok(report) => {
-                self.drive(now, Event::Report { vm, report });
+        match by {
+            By::Caretaker if self.driver.caretaker.as_ref().is_some_and(|it| it.0 == epoch) => {
+                let event = match outcome {
+                    Ok(report) => CareEvent::Report { vm, epoch: report.epoch },
+                    Err(_) => CareEvent::Silent { vm },
+                };
+                self.care(now, event);
+            }
+            By::Holder if self.driver.holder.as_ref().is_some_and(|it| it.epoch() == epoch) => {
+                if self.driver.suspended {
+                    self.driver.unheard.push(vm);
+                }
+                match &outcome {
+                    Ok(report) => self.drive(now, Event::Report { vm, report }),
+                    Err(silence) => self.drive(now, Event::Silent { vm, sent: silence.sent }),
+                }
             }
-            Err(silence) => self.drive(now, Event::Silent { vm, sent: silence.sent }),
+            // Of a holding that has ended.
+            By::Caretaker | By::Holder => {}
         }
     }
 
--- a/daisy-entry/src/control/input.rs
+++ b/daisy-entry/src/control/input.rs
@@ -12,7 +12,7 @@
 use crate::{
     control::{Appended, Replicas, Sight, StatusJson, Verdict},
     platform::Listing,
-    worker_calls::Silence,
+    worker_calls::{By, Silence},
 };
 
 /// One event for the control task.
@@ -54,6 +54,8 @@
     Replicas(Arc<Replicas>),
     /// A call to a worker has ended.
     Worker {
+        /// Who called.
+        by: By,
         /// The epoch of the call.
         epoch: Epoch,
         /// The worker.
--- a/daisy-entry/src/worker_calls.rs
+++ b/daisy-entry/src/worker_calls.rs
@@ -19,6 +19,7 @@
 /// Calls the worker at `address` and tells the control task what came of it.
 pub(crate) fn spawn(
     http: Http,
+    by: By,
     vm: VmId,
     address: Option<SocketAddr>,
     call: WorkerCall,
@@ -30,10 +31,19 @@
             Some(address) => exchange(&http, address, call).await,
             None => Err(Silence { sent: false }),
         };
-        let _ = control.send(Input::Worker { epoch, vm, outcome }).await;
+        let _ = control.send(Input::Worker { by, epoch, vm, outcome }).await;
     });
 }
 
+/// Who called, so that an answer reaches only who asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum By {
+    /// The holder.
+    Holder,
+    /// The caretaker.
+    Caretaker,
+}
+
 /// A call got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Silence {
