--- a/daisy-entry/tests/control.rs
+++ b/daisy-entry/tests/control.rs
@@ -2,5 +2,11 @@
 
 #[path = "control/cluster.rs"]
 mod cluster;
+#[path = "control/log.rs"]
+mod log;
+#[path = "control/operators.rs"]
+mod operators;
+#[path = "control/peers.rs"]
+mod peers;
 #[path = "control/thin.rs"]
 mod thin;
--- a/daisy-entry/tests/control/cluster.rs
+++ b/daisy-entry/tests/control/cluster.rs
@@ -31,7 +31,12 @@
 
 /// A platform without VMs, whose list does not lag.
 pub async fn cluster() -> Cluster {
-    let options = platform::Options { vm_lag: Duration::ZERO, ..platform::Options::default() };
+    cluster_with(platform::Options::default()).await
+}
+
+/// The same with other options.
+pub async fn cluster_with(options: platform::Options) -> Cluster {
+    let options = platform::Options { vm_lag: Duration::ZERO, ..options };
     let platform = Platform::start(options).await.expect("loopback has free ports");
     Cluster { platform, workers: Vec::new(), client: Client::new() }
 }
@@ -78,6 +83,13 @@
         entry
     }
 
+    /// Starts an entry VM and waits until it takes callers.
+    pub async fn ready_entry(&self, vm: u32, dc: u16) -> Entry {
+        let entry = self.entry(vm, dc).await;
+        self.until(&entry, |it| it["ready"] == true).await;
+        entry
+    }
+
     /// Starts a worker and puts it into the platform's list.
     pub async fn worker(&mut self, vm: u32, dc: u16) {
         let options = worker::Options { name: format!("worker-{vm}"), ..Default::default() };
@@ -109,14 +121,19 @@
         self.platform.change_vm(VmChange::Put(vm)).expect("numbers are used once");
     }
 
-    /// Sends statements to an entry VM.
+    /// Sends statements to an entry VM as its operator.
     pub async fn say(&self, entry: &Entry, text: &str) -> Answer {
+        self.say_as(entry, TOKEN, text.as_bytes()).await
+    }
+
+    /// Sends a body to the operators' port.
+    pub async fn say_as(&self, entry: &Entry, token: &str, body: &[u8]) -> Answer {
         let uri = format!("http://{}/v1/statements", entry.addresses().operators);
         let req = Request::builder()
             .method(Method::POST)
             .uri(uri)
-            .header("authorization", format!("Bearer {TOKEN}"))
-            .body(Full::new(Bytes::copy_from_slice(text.as_bytes())))
+            .header("authorization", format!("Bearer {token}"))
+            .body(Full::new(Bytes::copy_from_slice(body)))
             .expect("valid request");
         self.client.send(req, PATIENCE).await.expect("an answer")
     }
@@ -141,3 +158,8 @@
         panic!("never came about: {status:#}");
     }
 }
+
+/// The JSON of an answer.
+pub fn json(answer: &Answer) -> Value {
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
--- /dev/null
+++ b/daisy-entry/tests/control/operators.rs
@@ -0,0 +1,84 @@
+//! Statements over the operators' port.
+
+use http::StatusCode;
+
+use crate::cluster::{TOKEN, cluster, json};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_a_token_nothing_is_said_or_done() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    let near_miss = [&TOKEN[..15], "X"].concat();
+
+    for token in ["", "0", &near_miss, &[TOKEN, "0"].concat()] {
+        let answer = cluster.say_as(&entry, token, b"pause batch").await;
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "{token}");
+    }
+
+    assert_eq!(cluster.status(&entry).await["generation"], 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_gets_an_error_at_its_place_and_changes_nothing() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+
+    let wrong = cluster.say(&entry, "pause batch;\npause nothing; drain shelf 4").await;
+    let too_long = cluster.say(&entry, &"pause batch;".repeat(10_000)).await;
+    let not_text = cluster.say_as(&entry, TOKEN, &[0xff, 0xfe]).await;
+
+    assert_eq!(wrong.status, StatusCode::BAD_REQUEST);
+    let findings = json(&wrong)["findings"].clone();
+    assert_eq!(findings.as_array().map(Vec::len), Some(2), "{findings:#}");
+    assert_eq!((&findings[0]["line"], &findings[0]["column"]), (&2.into(), &7.into()));
+    assert_eq!(too_long.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(not_text.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(cluster.status(&entry).await["generation"], 0);
+}
+
+/// Two operators read the same generation and send conflicting commands to two entry VMs.
+/// The log's order decides; the loser is told who came first and with what.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_loser_of_a_race_learns_who_won() {
+    let cluster = cluster().await;
+    let first = cluster.ready_entry(1, 0).await;
+    let second = cluster.ready_entry(2, 0).await;
+    let made = cluster.say(&first, "quota team shop cpu 8 memory 8Gi").await;
+    let seen = json(&made)["results"][0]["generation"].as_u64().expect("accepted");
+    let say = |cpu: u32| format!("quota team shop cpu {cpu} memory 8Gi if generation {seen}");
+
+    let won = cluster.say(&first, &say(4)).await;
+    let lost = cluster.say(&second, &say(2)).await;
+
+    assert_eq!(won.status, StatusCode::OK);
+    assert_eq!(lost.status, StatusCode::CONFLICT);
+    let cause = json(&lost)["results"][0]["cause"].to_string();
+    assert!(cause.contains("ana") && cause.contains("cpu 4"), "{cause}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn any_entry_vm_shows_what_runs() {
+    let mut cluster = cluster().await;
+    cluster.worker(101, 0).await;
+    let holder = cluster.ready_entry(1, 0).await;
+    cluster.until(&holder, |it| it["role"] == "holder").await;
+    let other = cluster.ready_entry(2, 0).await;
+    let create = "quota team shop cpu 8 memory 8Gi; \
+        create service shop team shop cpu 1 memory 1Gi";
+    assert_eq!(cluster.say(&other, create).await.status, StatusCode::OK);
+
+    let mut shown = String::new();
+    for _ in 0..200 {
+        let answer = cluster.say(&other, "show tasks; show workers").await;
+        shown = json(&answer)["results"].to_string();
+        if shown.contains("vm-101") && shown.contains("running") {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+
+    assert!(shown.contains("vm-101") && shown.contains("running"), "{shown}");
+    let why = cluster.say(&other, "why task shop/0; explain cancel service shop").await;
+    assert_eq!(why.status, StatusCode::OK);
+    assert!(json(&why)["results"].to_string().contains("placed on vm-101"), "{:?}", why.body);
+}
--- /dev/null
+++ b/daisy-entry/tests/control/peers.rs
@@ -0,0 +1,148 @@
+//! The peers' port: messages that are broken or not for it, and links that are cut.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use daisy_entry::start;
+use daisy_membership::{Heartbeat, Status};
+use daisy_model::{DcId, Offset, VmId};
+use daisy_standin::{
+    Link,
+    link::{LinkFaults, Options, Pair},
+};
+use daisy_wire::{
+    peer::{Notice, NoticeWire, frame},
+    platform::RoleJson,
+};
+use http::{Request, StatusCode};
+use tokio::net::TcpStream;
+
+use crate::cluster::{cluster, settings};
+
+fn beat(vm: u32) -> Vec<u8> {
+    let beat = Heartbeat {
+        vm: VmId(vm),
+        dc: DcId(0),
+        seq: 1,
+        next: Offset(0),
+        generation: 0,
+        status: Status::Ready,
+        reads_log: false,
+        evidence: None,
+    };
+    frame(&NoticeWire::from(&Notice::Beat { beat, full: true, in_flight: Vec::new() }))
+}
+
+/// Sends `body` as entry VM 9 and gives the status of the answer, if one comes before the end.
+async fn send(to: SocketAddr, path: &str, from: Option<&str>, body: &[u8]) -> Option<StatusCode> {
+    let socket = TcpStream::connect(to).await.expect("the port is open");
+    let (requests, connection) = h2::client::handshake(socket).await.expect("speaks h2");
+    tokio::spawn(connection);
+    let mut req = Request::post(format!("http://{to}{path}"));
+    if let Some(from) = from {
+        req = req.header("daisy-from", from);
+    }
+    let mut requests = requests.ready().await.expect("takes a stream");
+    let req = req.body(()).expect("a valid request");
+    let (response, mut stream) = requests.send_request(req, false).expect("sent");
+    stream.send_data(Bytes::copy_from_slice(body), true).expect("sent");
+    let response = tokio::time::timeout(Duration::from_secs(5), response).await;
+    response.expect("an answer or an end").ok().map(|it| it.status())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_messages_are_refused_and_the_process_lives_on() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    let port = entry.addresses().peers;
+    let whole = beat(9);
+    let truncated = &whole[..whole.len() - 2];
+    let mut newer = whole.clone();
+    newer[4..6].copy_from_slice(&u16::MAX.to_le_bytes());
+    let oversized = u32::MAX.to_le_bytes();
+    let mut garbled = whole.clone();
+    garbled[6..].fill(0xff);
+
+    let refused = Some(StatusCode::BAD_REQUEST);
+    for (name, body) in [
+        ("truncated", truncated),
+        ("newer", &newer),
+        ("oversized", &oversized[..]),
+        ("garbled", &garbled),
+        ("of another VM", &beat(8)),
+    ] {
+        assert_eq!(send(port, "/v1/notices", Some("9"), body).await, refused, "{name}");
+    }
+    assert_eq!(send(port, "/v1/notices", None, &whole).await, refused);
+    assert_eq!(send(port, "/v1/notices", Some("me"), &whole).await, refused);
+    assert_eq!(send(port, "/v1/question", Some("9"), &garbled).await, refused);
+    let unknown = send(port, "/v1/else", Some("9"), &whole).await;
+    assert_eq!(unknown, Some(StatusCode::NOT_FOUND));
+
+    send(port, "/v1/notices", Some("9"), &whole).await;
+    cluster.until(&entry, |it| it["peers"][0]["vm"] == 9 && it["peers"][0]["alive"] == true).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_address_that_is_not_allowed_is_cut_off() {
+    let cluster = cluster().await;
+    let mut settings = settings(cluster.platform.address(), 1, 0);
+    settings.allowed_peers = vec![[127, 0, 0, 2].into()];
+    let entry = start(settings).await.expect("starts");
+
+    let socket = TcpStream::connect(entry.addresses().peers).await.expect("the port is open");
+    let served = async {
+        let (requests, connection) = h2::client::handshake(socket).await?;
+        tokio::spawn(connection);
+        let mut requests = requests.ready().await?;
+        let req = Request::post("http://entry/v1/question").body(()).expect("valid");
+        requests.send_request(req, true)?.0.await
+    };
+
+    assert!(served.await.is_err());
+}
+
+/// The link between two entry VMs hangs without a reset, and comes back. Each takes the other
+/// for dead meanwhile, but both reach the log, so there is one holder at all times; afterwards
+/// they hear one another again, though TCP would sit on the old connection for minutes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn peers_find_one_another_after_a_cut() {
+    let cluster = cluster().await;
+    let mut links = Vec::new();
+    let mut entries = Vec::new();
+    for vm in [1, 2] {
+        let entry = start(settings(cluster.platform.address(), vm, 0)).await.expect("starts");
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let options = Options {
+            name: format!("link-{vm}"),
+            control: listen,
+            pairs: vec![Pair { listen, to: entry.addresses().peers }],
+            faults: LinkFaults::default(),
+            history: None,
+        };
+        let link = Link::start(options).await.expect("loopback has free ports");
+        cluster.list(vm, 0, RoleJson::Entry, link.address(), None);
+        links.push(link);
+        entries.push(entry);
+    }
+    for entry in &entries {
+        cluster.until(entry, |it| it["peers"][0]["alive"] == true).await;
+    }
+    for link in &links {
+        link.set_faults(LinkFaults { cut: true, ..LinkFaults::default() });
+    }
+    for entry in &entries {
+        cluster.until(entry, |it| it["peers"][0]["alive"] == false).await;
+    }
+    for link in &links {
+        link.set_faults(LinkFaults::default());
+    }
+
+    for entry in &entries {
+        cluster.until(entry, |it| it["peers"][0]["alive"] == true).await;
+    }
+
+    let roles = [cluster.status(&entries[0]).await, cluster.status(&entries[1]).await];
+    let holders = roles.iter().filter(|it| it["role"] == "holder").count();
+    assert!(holders <= 1, "{roles:#?}");
+}
