--- a/daisy-membership/tests/membership/fleet.rs
+++ b/daisy-membership/tests/membership/fleet.rs
@@ -25,7 +25,6 @@
 /// A claim in the log.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
-    pub at: Instant,
     pub dc: DcId,
     pub vm: VmId,
 }
@@ -222,7 +221,7 @@
                 if self.log_up && self.nodes[at].reaches_log {
                     let epoch = Epoch(self.log.len() as u64 + 1);
                     self.log.push((dc, Holding { holder: vm, epoch, released: false }));
-                    self.claims.push(Claim { at: self.now, dc, vm });
+                    self.claims.push(Claim { dc, vm });
                 }
                 self.event(at, Event::ClaimEnded);
             }
