ledger: say which jobs an entry touched; fold any numbers

A holder looks at the state after every page of the log and had to walk all 26,100 tasks to find the few that changed. Each job now tells the state's next offset of its last change; a property shows that it is set when and only when the job or a task changed. Records with any numbers, drawn small, huge or wild with a fixed seed, neither stop the fold nor make two folds differ.

--- a/daisy-ledger/src/change.rs
+++ b/daisy-ledger/src/change.rs
@@ -151,6 +151,7 @@
             tasks,
             open: spec.tasks,
             generation,
+            touched: self.next,
         });
         Ok(())
     }
@@ -223,6 +224,7 @@
         job.spec.size = size;
         job.spec.tasks = tasks;
         job.generation = generation;
+        self.jobs.touch(id, self.next);
         self.resize(id, before);
         Ok(())
     }
@@ -255,6 +257,7 @@
         job.cancelled = true;
         job.generation = generation;
         let closed = end_pending(job, 0);
+        self.jobs.touch(id, self.next);
         self.jobs.refresh(id);
         self.close(id, closed);
         Ok(())
--- a/daisy-ledger/src/checkout.rs
+++ b/daisy-ledger/src/checkout.rs
@@ -63,6 +63,7 @@
         }
         task.size = size;
         task.state = TaskState::Out(owner);
+        self.jobs.touch(id.job, self.next);
         Some(())
     }
 
@@ -105,6 +106,7 @@
         }
         task.incarnation = placement.incarnation;
         task.vm = Some(placement.vm);
+        self.jobs.touch(placement.task.job, self.next);
         Some(())
     }
 
@@ -141,6 +143,7 @@
 
     /// Accounts for a task that is no longer out and took `size`.
     fn settle(&mut self, id: TaskId, size: Resources) {
+        self.jobs.touch(id.job, self.next);
         let Some(job) = self.jobs.get(id.job) else { return };
         if let Some(team) = self.teams.get_mut(job.team) {
             team.used = team.used.try_sub(size).unwrap_or_default();
--- a/daisy-ledger/src/jobs.rs
+++ b/daisy-ledger/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use daisy_model::{JobId, Name, SortedMap, TaskId};
+use daisy_model::{JobId, Name, Offset, SortedMap, TaskId};
 
 use crate::{Job, Task, TaskState};
 
@@ -110,6 +110,13 @@
         self.entries.get_mut(&job)
     }
 
+    /// Notes that the entry before `next` changed the job or one of its tasks.
+    pub(crate) fn touch(&mut self, job: JobId, next: Offset) {
+        if let Some(job) = self.entries.get_mut(&job) {
+            job.touched = next;
+        }
+    }
+
     /// Builds the queue of `job` anew after a change to many of its tasks.
     pub(crate) fn refresh(&mut self, id: JobId) {
         let from = self.pending.partition_point(|it| it.job < id);
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -106,6 +106,10 @@
     pub open: u32,
     /// The generation of the job's last change.
     pub generation: Generation,
+    /// What [`State::next`] became by the last entry that changed the job or one of its tasks.
+    ///
+    /// Who has seen the state at some `next` can pass over jobs that were touched no later.
+    pub touched: Offset,
 }
 
 /// What came of an operator's change.
--- a/daisy-ledger/tests/checkout.rs
+++ b/daisy-ledger/tests/checkout.rs
@@ -287,6 +287,10 @@
             let record = script::record(&log.state, step, token);
             log.record(record);
             for (id, job) in log.state.jobs.iter() {
+                let unlike = before.get(id).is_none_or(|it| {
+                    *job != daisy_ledger::Job { touched: job.touched, ..it.clone() }
+                });
+                assert_eq!(job.touched == log.state.next, unlike, "touched when it changed");
                 for (index, task) in job.tasks.iter().enumerate() {
                     let id = common::task(id.0, index as u32);
                     check_task(before.task(id), task, &mut resumed);
--- a/daisy-ledger/tests/fold.rs
+++ b/daisy-ledger/tests/fold.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
-use daisy_ledger::{AppendId, Batch, Record, State, Status};
-use daisy_model::{Command, Offset};
+use daisy_ledger::{AppendId, Batch, Placement, Record, State, Status};
+use daisy_model::{
+    Command, DcId, Ended, Epoch, Exit, Incarnation, JobKind, JobSpec, Offset, PolicyChange,
+    Resources, VmId,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use crate::common::{Log, batch_job, change, quota, size};
+use crate::common::{Log, batch_job, change, name, quota, size, task};
 
 fn batch(seq: u64, command: Command) -> Batch {
     let records = vec![Record::Change(change("ana", command))];
@@ -60,3 +64,84 @@
     assert_eq!(state.counts.corrupt, 1);
     assert_eq!(state.teams.len(), 1);
 }
+
+#[derive(Debug, Clone)]
+struct Wild(Record);
+
+/// A number that is small, huge or anything, so that some records hit and some overflow.
+fn number(g: &mut Gen) -> u32 {
+    let any = u32::arbitrary(g);
+    match any % 4 {
+        0 => u32::MAX - any % 3,
+        1 => any,
+        _ => any % 5,
+    }
+}
+
+fn wild_size(g: &mut Gen) -> Resources {
+    Resources { cpu_milli: number(g), memory_mib: number(g), accelerators: number(g) }
+}
+
+fn wild_command(g: &mut Gen) -> Command {
+    let (job, kind) = (name("wild"), JobKind::Batch);
+    // Few enough tasks to be quick, or far too many.
+    let tasks = if bool::arbitrary(g) { number(g) % 50 } else { u32::MAX };
+    match u8::arbitrary(g) % 4 {
+        0 => quota("bakery", wild_size(g)),
+        1 => Command::Create(JobSpec { size: wild_size(g), ..batch_job("wild", tasks) }),
+        2 => {
+            let size = Some(wild_size(g));
+            Command::Change { kind, job, tasks: Some(tasks), priority: None, size }
+        }
+        _ => Command::Publish(PolicyChange { tail: Some(number(g)), ..PolicyChange::default() }),
+    }
+}
+
+impl Arbitrary for Wild {
+    fn arbitrary(g: &mut Gen) -> Wild {
+        let dc = DcId(number(g) as u16);
+        let epoch = Epoch(u64::from(number(g)));
+        let id = task(number(g), number(g));
+        let incarnation = Incarnation(number(g));
+        let vm = VmId(number(g));
+        Wild(match u8::arbitrary(g) % 9 {
+            0 => Record::Claim { dc, holder: vm },
+            1 => Record::Release { dc, epoch },
+            2 => Record::Checkout { dc, epoch, tasks: vec![id; 3] },
+            3 => Record::Return { dc, epoch, tasks: vec![id; 2] },
+            4 => {
+                let placement = Placement { task: id, incarnation, vm };
+                Record::Placed { dc, epoch, placements: vec![placement; 2] }
+            }
+            5 => {
+                let ended = Ended { task: id, incarnation, exit: Exit::Stopped };
+                Record::Ended { dc, epoch, exits: vec![ended; 2] }
+            }
+            6 => Record::Snapshot {
+                through: Offset(u64::MAX),
+                part: number(g),
+                parts: number(g),
+                bytes: Vec::new(),
+            },
+            _ => Record::Change(change("ana", wild_command(g))),
+        })
+    }
+}
+
+/// Sound entries can hold any numbers. Whatever they are, the fold goes on, and goes on alike.
+#[test]
+fn wild_records_never_stop_the_fold() {
+    fn folds(records: Vec<Wild>) -> bool {
+        let mut log = Log::with_team();
+        for Wild(record) in records {
+            log.record(record);
+        }
+        let mut again = State::default();
+        for (offset, batch) in log.entries.iter().enumerate() {
+            again.apply(Offset(offset as u64), batch);
+        }
+        again == log.state
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(200, 53)).tests(500);
+    check.quickcheck(folds as fn(Vec<Wild>) -> bool);
+}
--- a/daisy-wire/src/snapshot/state.rs
+++ b/daisy-wire/src/snapshot/state.rs
@@ -52,6 +52,7 @@
     cancelled: bool,
     tasks: Vec<TaskWire>,
     generation: u64,
+    touched: u64,
 }
 
 #[derive(Debug, Encode, Decode)]
@@ -228,7 +229,15 @@
         open += 1;
     }
     let generation = Generation(it.generation);
-    let job = Job { spec, team: team_id, cancelled: it.cancelled, tasks, open, generation };
+    let job = Job {
+        spec,
+        team: team_id,
+        cancelled: it.cancelled,
+        tasks,
+        open,
+        generation,
+        touched: Offset(it.touched),
+    };
     Ok((JobId(it.id), job))
 }
 
@@ -251,6 +260,7 @@
             cancelled: it.cancelled,
             tasks: it.tasks.iter().map(TaskWire::from).collect(),
             generation: it.generation.0,
+            touched: it.touched.0,
         }
     }
 }
