query: show tasks on a silent worker as blocked, with the cause

A task whose worker does not answer read 'running', and nothing said why it is not started elsewhere. show tasks says blocked and why task gives the cause and what would end it.

--- a/daisy-query/src/live.rs
+++ b/daisy-query/src/live.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Whether a worker does not answer, so that what it may run can start nowhere else.
+    pub(crate) fn is_silent(&self, vm: VmId) -> bool {
+        self.workers.get(&vm).is_some_and(|it| it.state == WorkerState::Silent)
+    }
+
     /// The VM called `name`.
     pub(crate) fn vm_by_name(&self, name: &Name) -> Option<&Vm> {
         self.vms.iter().map(|(_, vm)| vm).find(|vm| vm.name == *name)
--- a/daisy-query/src/show/work.rs
+++ b/daisy-query/src/show/work.rs
@@ -53,7 +53,7 @@
             "team" => spec.team.to_string(),
             "kind" => words::kind(spec.kind).to_owned(),
             "priority" => spec.priority.to_string(),
-            "state" => task_state(state, self.job, self.task, self.vm().is_some()).to_owned(),
+            "state" => self.state(state, live).to_owned(),
             "dc" => self.owner().map_or_else(none, |owner| live.dc(owner.dc)),
             "vm" => self.vm().map_or_else(none, |vm| live.vm(vm)),
             "incarnation" => {
@@ -69,6 +69,19 @@
         }
     }
 
+    /// The task's state in one word.
+    fn state(&self, state: &State, live: &Live) -> &'static str {
+        let spec = &self.job.spec;
+        match (self.task.state, self.vm()) {
+            (TaskState::Pending, _) if state.is_paused(spec.kind, spec.priority) => "paused",
+            (TaskState::Pending, _) => "pending",
+            (TaskState::Out(_), Some(vm)) if live.is_silent(vm) => "blocked",
+            (TaskState::Out(_), Some(_)) => "running",
+            (TaskState::Out(_), None) => "starting",
+            (TaskState::Ended(exit), _) => words::exit(exit),
+        }
+    }
+
     fn owner(&self) -> Option<Owner> {
         match self.task.state {
             TaskState::Out(owner) => Some(owner),
@@ -89,17 +102,6 @@
     }
 }
 
-/// A task's state in one word.
-pub(crate) fn task_state(state: &State, job: &Job, task: &Task, started: bool) -> &'static str {
-    match task.state {
-        TaskState::Pending if state.is_paused(job.spec.kind, job.spec.priority) => "paused",
-        TaskState::Pending => "pending",
-        TaskState::Out(_) if started => "running",
-        TaskState::Out(_) => "starting",
-        TaskState::Ended(exit) => words::exit(exit),
-    }
-}
-
 fn none() -> String {
     NONE.to_owned()
 }
--- a/daisy-query/src/why/task.rs
+++ b/daisy-query/src/why/task.rs
@@ -5,7 +5,7 @@
 use daisy_model::{Command, JobId, Name, TaskId, WorkClass};
 
 use crate::{
-    Error, Live, Subject, Table,
+    Error, Live, LiveTask, Subject, Table,
     show::work::{Tally, tally},
     why::{COLUMNS, say_reasons},
     words,
@@ -144,12 +144,28 @@
 }
 
 fn say_live(table: &mut Table, live: &Live, id: TaskId, task: &Task) {
-    let Some(running) = live.tasks.get(&id) else {
-        if matches!(task.state, TaskState::Out(_)) {
-            table.say("live", "no worker that this process knows reports it");
-        }
+    if !matches!(task.state, TaskState::Out(_)) {
         return;
-    };
+    }
+    let running = live.tasks.get(&id);
+    match running {
+        Some(running) => say_running(table, live, running),
+        None => table.say("live", "no worker that this process knows reports it"),
+    }
+    let recorded = if task.incarnation > task.ended { task.vm } else { None };
+    if let Some(vm) = running.map(|it| it.vm).or(recorded)
+        && live.is_silent(vm)
+    {
+        let vm = live.vm(vm);
+        let words = format!(
+            "blocked: {vm} does not answer, so the task may still run there; it starts nowhere \
+             else until {vm} answers, or is off the platform's list and its lease has run out"
+        );
+        table.say("live", words);
+    }
+}
+
+fn say_running(table: &mut Table, live: &Live, running: &LiveTask) {
     let (vm, incarnation) = (live.vm(running.vm), running.incarnation);
     let since = words::duration(running.since);
     let mut words = format!("incarnation {incarnation} has run on {vm} for {since}");
--- a/daisy-query/tests/why.rs
+++ b/daisy-query/tests/why.rs
@@ -65,6 +65,21 @@
     assert_says(&evicted, &["incarnation 2 will resume checkpoint 77"]);
 }
 
+/// A worker is cut off with a task on it. The operator sees why the task is not started
+/// elsewhere: it may still run there, and would then run in two places.
+#[test]
+fn a_task_on_a_silent_worker_is_blocked() {
+    let mut shop = Shop::open();
+    shop.live.tasks.remove(&renders(0));
+    shop.live.workers.get_mut(&VmId(12)).expect("a worker").state = WorkerState::Silent;
+    let blocked = shop.ask("show tasks where state = blocked");
+    assert_eq!(blocked.rows.len(), 1);
+    assert_says(
+        &shop.ask("why task renders/0"),
+        &["no worker that this process knows reports it", "blocked: worker-12 does not answer"],
+    );
+}
+
 #[test]
 fn a_task_of_unknown_fate_is_not_run_again() {
     let mut shop = Shop::open();
--- a/daisy-wire/src/log.rs
+++ b/daisy-wire/src/log.rs
@@ -7,8 +7,7 @@
 mod record;
 
 use bincode::config::{self, Config};
-use daisy_ledger::{Applied, Batch, State};
-use daisy_model::Offset;
+use daisy_ledger::Batch;
 
 use crate::WireError;
 
@@ -54,17 +53,6 @@
     decode_framed::<BatchWire>(bytes)?.try_into()
 }
 
-/// Folds the log entry of `bytes` at `offset` into `state`, or passes over it if it is damaged.
-///
-/// Fails only on a newer version, and then leaves the state as it was; see [`decode`].
-pub fn fold(state: &mut State, offset: Offset, bytes: &[u8]) -> Result<Applied, WireError> {
-    match decode(bytes) {
-        Ok(batch) => Ok(state.apply(offset, &batch)),
-        Err(error @ WireError::Version { .. }) => Err(error),
-        Err(_) => Ok(Applied { status: state.skip(offset), outcomes: Vec::new() }),
-    }
-}
-
 /// Encodes `value` under a version and a checksum.
 pub(crate) fn encode_framed<T: bincode::Encode>(value: T) -> Result<Vec<u8>, WireError> {
     let body = bincode::encode_to_vec(value, body_config())
