platform stand-in: other addresses for particular processes

A cut between two data centres needs a link between just these two, but all processes read one VM list. Views show one process, by its daisy-from, a VM at a link's address. Ruled out: cutting by daisy-from at the receiver only, as the entry VMs' own h2 has no such switch. Tests: platform 12 pass.

--- a/daisy-standin/src/platform.rs
+++ b/daisy-standin/src/platform.rs
@@ -1,7 +1,8 @@
 //! The platform: its log and its list of VMs, over HTTP.
 //!
 //! The paths are those of [`daisy_wire::platform`]. Besides, `POST /standin/vms` with a
-//! [`VmChange`] adds, replaces, marks or removes a VM.
+//! [`VmChange`] adds, replaces, marks or removes a VM, and `POST /standin/views` with a list
+//! of [`View`]s lets particular processes see other addresses.
 
 mod log;
 mod vms;
@@ -20,6 +21,7 @@
 };
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
@@ -34,7 +36,7 @@
 
 pub use self::{
     log::{Log, LogError, LogOptions},
-    vms::{VmBook, VmChange, VmError},
+    vms::{View, VmBook, VmChange, VmError},
 };
 
 /// How a platform stand-in works.
@@ -154,8 +156,10 @@
             Ok(reply) => return reply,
             Err(req) => req,
         };
-        if (req.method(), req.uri().path()) == (&Method::POST, "/standin/vms") {
-            return self.post_vm(req).await;
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/standin/vms") => return self.post_vm(req).await,
+            (&Method::POST, "/standin/views") => return self.post_views(req).await,
+            _ => {}
         }
         if let Err(reply) = pass(&req, &self.switches).await {
             return reply;
@@ -231,7 +235,7 @@
 
     fn list(&self, req: &Request<Incoming>) -> Response<Body> {
         let mut vms = locked(&self.vms);
-        let list: VmList = vms.list(self.recorder.now());
+        let list: VmList = vms.list(self.recorder.now(), crate::http::from(req));
         if query(req, "since") == Some(list.version) {
             return text(StatusCode::NOT_MODIFIED, "");
         }
@@ -239,13 +243,9 @@
     }
 
     async fn post_vm(&self, req: Request<Incoming>) -> Reply {
-        let body = match read_body(req.into_body(), self.body_bytes).await {
-            Ok(body) => body,
-            Err(reply) => return reply,
-        };
-        let change: VmChange = match serde_json::from_slice(&body) {
+        let change: VmChange = match self.read_json(req).await {
             Ok(change) => change,
-            Err(error) => return Ok(text(StatusCode::BAD_REQUEST, &error.to_string())),
+            Err(reply) => return reply,
         };
         match self.change_vm(change) {
             Ok(()) => Ok(text(StatusCode::OK, "changed")),
@@ -253,6 +253,21 @@
         }
     }
 
+    async fn post_views(&self, req: Request<Incoming>) -> Reply {
+        let views: Vec<View> = match self.read_json(req).await {
+            Ok(views) => views,
+            Err(reply) => return reply,
+        };
+        locked(&self.vms).set_views(views);
+        Ok(text(StatusCode::OK, "set"))
+    }
+
+    async fn read_json<T: DeserializeOwned>(&self, req: Request<Incoming>) -> Result<T, Reply> {
+        let body = read_body(req.into_body(), self.body_bytes).await?;
+        let read = serde_json::from_slice(&body);
+        read.map_err(|error| Ok(text(StatusCode::BAD_REQUEST, &error.to_string())))
+    }
+
     fn change_vm(&self, change: VmChange) -> Result<(), VmError> {
         let told = locked(&self.vms).change(self.recorder.now(), change)?;
         let status = match told.status {
--- a/daisy-standin/src/platform/vms.rs
+++ b/daisy-standin/src/platform/vms.rs
@@ -1,6 +1,6 @@
 //! The platform's list of VMs, without input or output.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use daisy_model::Instant;
 use daisy_wire::platform::{StatusJson, VmJson, VmList};
@@ -18,6 +18,23 @@
     Remove(u32),
 }
 
+/// Other addresses of a VM for one process, so that a [`Link`](crate::Link) stands between
+/// just these two.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct View {
+    /// The process by its `daisy-from`.
+    pub from: String,
+    /// The VM's number.
+    pub vm: u32,
+    /// Its control address as that process sees it; absent for the real one.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
+    /// Its backend address as that process sees it; absent for the real one.
+    #[serde(default)]
+    pub backend: Option<SocketAddr>,
+}
+
 /// Why a change is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum VmError {
@@ -48,6 +65,7 @@
     /// Versions that are not yet listed, oldest first.
     waiting: Vec<(Instant, u64, Vec<VmJson>)>,
     listed: (u64, Vec<VmJson>),
+    views: Vec<View>,
 }
 
 impl VmBook {
@@ -60,6 +78,7 @@
             version: 1,
             waiting: Vec::new(),
             listed: (1, Vec::new()),
+            views: Vec::new(),
         }
     }
 
@@ -77,13 +96,27 @@
         self.listed = (self.version, self.truth.clone());
     }
 
-    /// The list as it is shown at `now`.
-    pub fn list(&mut self, now: Instant) -> VmList {
+    /// Replaces the addresses that particular processes see, at once.
+    pub fn set_views(&mut self, views: Vec<View>) {
+        self.views = views;
+        self.version += 1;
+        self.listed.0 = self.version;
+    }
+
+    /// The list as it is shown to `from` at `now`.
+    pub fn list(&mut self, now: Instant, from: &str) -> VmList {
         let due = self.waiting.iter().take_while(|(at, ..)| *at <= now).count();
         if let Some((_, version, vms)) = self.waiting.drain(..due).next_back() {
-            self.listed = (version, vms);
+            self.listed = (version.max(self.listed.0), vms);
+        }
+        let mut vms = self.listed.1.clone();
+        for view in self.views.iter().filter(|view| view.from == from) {
+            for vm in vms.iter_mut().filter(|vm| vm.id == view.vm) {
+                vm.control = view.control.unwrap_or(vm.control);
+                vm.backend = view.backend.or(vm.backend);
+            }
         }
-        VmList { version: self.listed.0, vms: self.listed.1.clone() }
+        VmList { version: self.listed.0, vms }
     }
 
     fn apply(&mut self, change: VmChange) -> Result<Told, VmError> {
--- a/daisy-standin/tests/platform.rs
+++ b/daisy-standin/tests/platform.rs
@@ -186,3 +186,19 @@
 
     assert!(refused.to_string().contains("truncate"), "{refused}");
 }
+
+#[tokio::test]
+async fn a_view_shows_one_process_another_address() {
+    let platform =
+        Platform::start(Options { vms: vec![vm(1)], ..Options::default() }).await.unwrap();
+    let address = platform.address();
+    let views = r#"[{"from": "a", "vm": 1, "control": "127.0.0.1:2"}]"#;
+    Client::new().post(address, "/standin/views", views, SOON).await.unwrap();
+    let list = |from: &'static str| async move {
+        let req = Request::get(format!("http://{address}/v1/vms")).header("daisy-from", from);
+        let answer = Client::new().send(req.body(Full::default()).unwrap(), SOON).await.unwrap();
+        serde_json::from_slice::<VmList>(&answer.body).unwrap().vms[0].control.port()
+    };
+
+    assert_eq!((list("a").await, list("b").await), (2, 1));
+}
