worker stand-in: overcommitted and unfenced workers

A worker that refuses what it has no room for hides a holder that sums up wrongly, and one that refuses stale epochs hides what fencing is for. Two switches take these guards away: overcommit, so that only the holders' sums stand between a worker and too much work, and unfenced, to show runs without the guard. Tests: 11 of the worker stand-in pass.

--- a/daisy-standin/src/fault.rs
+++ b/daisy-standin/src/fault.rs
@@ -33,6 +33,11 @@
     pub replay: u32,
     /// Worker: every task that it is told to start fails.
     pub fail_everything: bool,
+    /// Worker: starts tasks that it has no room for, so that only its holder's sums stand
+    /// between it and too much work.
+    pub overcommit: bool,
+    /// Worker: accepts stale epochs, to show what fencing is for.
+    pub unfenced: bool,
     /// Backend server: refuses new requests as not run and says in its answers that it leaves.
     pub leaving: bool,
     /// Backend server: refuses these services as not run.
--- a/daisy-standin/src/worker.rs
+++ b/daisy-standin/src/worker.rs
@@ -27,7 +27,7 @@
     run::until_stopped,
 };
 
-pub use self::state::{Interference, JobRun, WorkerOptions, WorkerState};
+pub use self::state::{Flaws, Interference, JobRun, WorkerOptions, WorkerState};
 
 /// How a worker stand-in works.
 #[derive(Debug, Clone)]
@@ -100,7 +100,11 @@
         let presence = backend::Presence::default();
         let shared = Arc::new(Shared {
             recorder: recorder.clone(),
-            switches: Switches::new(&recorder, "worker", &["replay", "fail_everything"]),
+            switches: Switches::new(
+                &recorder,
+                "worker",
+                &["replay", "fail_everything", "overcommit", "unfenced"],
+            ),
             state: Mutex::new(WorkerState::new(options.worker)),
             previous: Mutex::new(None),
             presence: presence.clone(),
@@ -215,9 +219,13 @@
     }
 
     fn carry_out(&self, call: WorkerCall) -> ReportJson {
-        let fails = self.switches.with(|faults| faults.fail_everything);
+        let flaws = self.switches.with(|faults| Flaws {
+            fail_everything: faults.fail_everything,
+            overcommit: faults.overcommit,
+            unfenced: faults.unfenced,
+        });
         let mut state = locked(&self.state);
-        let report = state.call(self.recorder.now(), call, fails);
+        let report = state.call(self.recorder.now(), call, flaws);
         self.publish(&mut state);
         report.into()
     }
--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// What is wrong with a worker at the moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Flaws {
+    /// Every start fails.
+    pub fail_everything: bool,
+    /// Tasks are started whether or not there is room.
+    pub overcommit: bool,
+    /// Stale epochs are accepted.
+    pub unfenced: bool,
+}
+
 #[derive(Debug)]
 struct Task {
     size: Resources,
@@ -124,13 +135,13 @@
         self.options.jobs = jobs;
     }
 
-    /// Carries a call out at `now`; `fails` makes every start fail.
-    pub fn call(&mut self, now: Instant, call: WorkerCall, fails: bool) -> WorkerReport {
+    /// Carries a call out at `now`.
+    pub fn call(&mut self, now: Instant, call: WorkerCall, flaws: Flaws) -> WorkerReport {
         self.tick(now);
-        let accepted = self.accept(call.epoch);
+        let accepted = self.accept(call.epoch) || flaws.unfenced;
         let results = if accepted {
             self.lease_end = now + call.lease;
-            call.orders.into_iter().map(|order| self.order(order, fails)).collect()
+            call.orders.into_iter().map(|order| self.order(order, flaws)).collect()
         } else {
             Vec::new()
         };
@@ -190,10 +201,10 @@
         true
     }
 
-    fn order(&mut self, order: Order, fails: bool) -> OrderResult {
+    fn order(&mut self, order: Order, flaws: Flaws) -> OrderResult {
         match order {
             Order::Start { task, incarnation, size, checkpoint } => {
-                self.start((task, incarnation), size, checkpoint, fails)
+                self.start((task, incarnation), size, checkpoint, flaws)
             }
             Order::Stop { task, incarnation } => self.end((task, incarnation), Exit::Stopped),
             Order::Checkpoint { task, incarnation } => self.checkpoint((task, incarnation)),
@@ -218,15 +229,15 @@
         key: (TaskId, Incarnation),
         size: Resources,
         checkpoint: Option<u64>,
-        fails: bool,
+        flaws: Flaws,
     ) -> OrderResult {
         if self.started.contains_key(&key) {
             return OrderResult::Done;
         }
-        if !self.has_room(size) {
+        if !flaws.overcommit && !self.has_room(size) {
             return OrderResult::NoRoom;
         }
-        if fails {
+        if flaws.fail_everything {
             return OrderResult::Failed;
         }
         self.started.insert(key, ());
--- a/daisy-standin/tests/worker.rs
+++ b/daisy-standin/tests/worker.rs
@@ -6,10 +6,11 @@
 use daisy_model::{
     Epoch, Exit, Incarnation, Instant, JobId, Order, OrderResult, Resources, TaskId, WorkerCall,
 };
-use daisy_standin::worker::{Interference, JobRun, WorkerOptions, WorkerState};
+use daisy_standin::worker::{Flaws, Interference, JobRun, WorkerOptions, WorkerState};
 
 const TASK: TaskId = TaskId { job: JobId(3), index: 0 };
 const OTHER: TaskId = TaskId { job: JobId(4), index: 0 };
+const SOUND: Flaws = Flaws { fail_everything: false, overcommit: false, unfenced: false };
 const FIRST: Incarnation = Incarnation(1);
 const CORE: Resources = Resources { cpu_milli: 1000, memory_mib: 1024, accelerators: 0 };
 
@@ -33,9 +34,9 @@
 #[test]
 fn refuses_a_stale_epoch_and_carries_nothing_out() {
     let mut worker = worker(100);
-    worker.call(at(0), call(5, vec![]), false);
+    worker.call(at(0), call(5, vec![]), SOUND);
 
-    let report = worker.call(at(1), call(4, vec![start(TASK, None)]), false);
+    let report = worker.call(at(1), call(4, vec![start(TASK, None)]), SOUND);
 
     assert!(!report.accepted);
     assert_eq!(report.epoch, Epoch(5));
@@ -45,10 +46,10 @@
 #[test]
 fn starts_an_incarnation_once_ever() {
     let mut worker = worker(100);
-    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), SOUND);
     worker.tick(at(200));
 
-    let again = worker.call(at(201), call(1, vec![start(TASK, None)]), false);
+    let again = worker.call(at(201), call(1, vec![start(TASK, None)]), SOUND);
 
     assert_eq!(again.results, [OrderResult::Done]);
     assert!(again.running.is_empty());
@@ -61,7 +62,7 @@
     let size = Resources { cpu_milli: 64_001, ..CORE };
 
     let order = Order::Start { task: TASK, incarnation: FIRST, size, checkpoint: None };
-    let report = worker.call(at(0), call(1, vec![order]), false);
+    let report = worker.call(at(0), call(1, vec![order]), SOUND);
 
     assert_eq!(report.results, [OrderResult::NoRoom]);
     assert!(report.running.is_empty());
@@ -70,10 +71,10 @@
 #[test]
 fn a_lapsed_lease_ends_tasks_as_of_its_end_and_is_not_revived() {
     let mut worker = worker(60_000);
-    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), SOUND);
 
     // A frozen worker wakes long after the lease's end, at its holder's call.
-    let report = worker.call(at(30_000), call(1, vec![]), false);
+    let report = worker.call(at(30_000), call(1, vec![]), SOUND);
 
     assert!(report.running.is_empty());
     assert_eq!(report.ended[0].exit, Exit::LeaseLapsed);
@@ -85,12 +86,12 @@
 #[test]
 fn keeps_an_exit_report_until_it_is_acknowledged() {
     let mut worker = worker(100);
-    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
-    let first = worker.call(at(150), call(1, vec![]), false);
-    let second = worker.call(at(160), call(2, vec![]), false);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), SOUND);
+    let first = worker.call(at(150), call(1, vec![]), SOUND);
+    let second = worker.call(at(160), call(2, vec![]), SOUND);
 
     let acknowledge = Order::Acknowledge { task: TASK, incarnation: FIRST };
-    let third = worker.call(at(170), call(2, vec![acknowledge]), false);
+    let third = worker.call(at(170), call(2, vec![acknowledge]), SOUND);
 
     assert_eq!(first.ended, second.ended);
     assert_eq!(first.ended[0].exit, Exit::Done);
@@ -100,15 +101,15 @@
 #[test]
 fn a_checkpoint_carries_the_work_done_to_another_worker() {
     let (mut here, mut there) = (worker(1_000), worker(1_000));
-    here.call(at(0), call(1, vec![start(TASK, None)]), false);
+    here.call(at(0), call(1, vec![start(TASK, None)]), SOUND);
     let order = Order::Checkpoint { task: TASK, incarnation: FIRST };
-    let report = here.call(at(800), call(1, vec![order]), false);
+    let report = here.call(at(800), call(1, vec![order]), SOUND);
     let Exit::Checkpointed(token) = report.ended[0].exit else { panic!("{report:?}") };
 
-    there.call(at(0), call(1, vec![start(TASK, Some(token))]), false);
+    there.call(at(0), call(1, vec![start(TASK, Some(token))]), SOUND);
     there.tick(at(150));
-    let early = there.call(at(150), call(1, vec![]), false);
-    let late = there.call(at(250), call(1, vec![]), false);
+    let early = there.call(at(150), call(1, vec![]), SOUND);
+    let late = there.call(at(250), call(1, vec![]), SOUND);
 
     assert_eq!(early.running.len(), 1);
     assert_eq!(late.ended[0].exit, Exit::Done);
@@ -117,12 +118,12 @@
 #[test]
 fn a_throttled_task_takes_longer() {
     let mut worker = worker(100);
-    worker.call(at(0), call(1, vec![start(TASK, None)]), false);
+    worker.call(at(0), call(1, vec![start(TASK, None)]), SOUND);
     let throttle = Order::Throttle { task: TASK, incarnation: FIRST, share: 500 };
-    worker.call(at(0), call(1, vec![throttle]), false);
+    worker.call(at(0), call(1, vec![throttle]), SOUND);
 
-    let early = worker.call(at(150), call(1, vec![]), false);
-    let late = worker.call(at(201), call(1, vec![]), false);
+    let early = worker.call(at(150), call(1, vec![]), SOUND);
+    let late = worker.call(at(201), call(1, vec![]), SOUND);
 
     assert_eq!((early.running.len(), late.running.len()), (1, 0));
 }
@@ -137,11 +138,11 @@
         JobRun { job: 3, run_ms: None, fails: false, service: Some("shop".to_owned()) },
         JobRun { job: 4, run_ms: None, fails: false, service: None },
     ]);
-    worker.call(at(0), call(1, vec![start(TASK, None), start(OTHER, None)]), false);
+    worker.call(at(0), call(1, vec![start(TASK, None), start(OTHER, None)]), SOUND);
     worker.tick(at(200));
 
-    let early = worker.call(at(900), call(1, vec![]), false);
-    let late = worker.call(at(1_300), call(1, vec![]), false);
+    let early = worker.call(at(900), call(1, vec![]), SOUND);
+    let late = worker.call(at(1_300), call(1, vec![]), SOUND);
 
     assert!(early.usage.iter().all(|usage| usage.task != TASK));
     let usage = late.usage.iter().find(|usage| usage.task == TASK).unwrap();
@@ -153,8 +154,36 @@
 fn the_switch_for_bad_workers_makes_every_start_fail() {
     let mut worker = worker(100);
 
-    let report = worker.call(at(0), call(1, vec![start(TASK, None)]), true);
+    let report = worker.call(
+        at(0),
+        call(1, vec![start(TASK, None)]),
+        Flaws { fail_everything: true, ..SOUND },
+    );
 
     assert_eq!(report.results, [OrderResult::Failed]);
     assert!(report.running.is_empty());
 }
+
+#[test]
+fn an_unfenced_worker_accepts_a_stale_epoch() {
+    let mut worker = worker(100);
+    worker.call(at(0), call(5, vec![]), SOUND);
+
+    let flaws = Flaws { unfenced: true, ..SOUND };
+    let report = worker.call(at(1), call(4, vec![start(TASK, None)]), flaws);
+
+    assert!(report.accepted);
+    assert_eq!(report.running.len(), 1);
+}
+
+#[test]
+fn an_overcommitted_worker_starts_what_it_has_no_room_for() {
+    let mut worker = worker(100);
+    let size = Resources { cpu_milli: 64_001, ..CORE };
+    let order = Order::Start { task: TASK, incarnation: FIRST, size, checkpoint: None };
+
+    let flaws = Flaws { overcommit: true, ..SOUND };
+    let report = worker.call(at(0), call(1, vec![order]), flaws);
+
+    assert_eq!(report.running.len(), 1);
+}
