entry: tell the holder that the VM list is unchanged

Cause: a holder settles tasks that its predecessor may have started unseen only by a VM list read a lease and a margin after its claim; an answer 304 was passed on to nobody, so with a quiet list these tasks stayed blocked for ever. Seen by the process test in which a holder is killed in mid-start: 6 of 24 tasks done after 20 s. Ruled out: workers that had not answered (both had shown the new epoch). Now: 24 of 24, the test passes in 14.5 s, of which a lease of 4 s and a margin of 5 s are the wait that the rule asks for.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -186,6 +186,7 @@
             Input::ReadFailed { source } => self.read_failed(now, source),
             Input::Appended(appended) => self.appended(now, appended),
             Input::Vms(listing) => self.list(now, listing),
+            Input::VmsUnchanged => self.confirm_list(now),
             Input::Beat { beat, in_flight } => {
                 self.requests.peer_in_flight(beat.vm, in_flight);
                 self.step(now, Event::Heartbeat(beat));
@@ -290,6 +291,14 @@
         self.routes_dirty = true;
     }
 
+    /// Guard: the holder settles the fate of tasks that its predecessor may have started unseen
+    /// only by a list that is young enough. An unchanged list that nobody confirms never is,
+    /// and such tasks would stay blocked until the list happens to change.
+    fn confirm_list(&mut self, now: Instant) {
+        let vms = Arc::clone(&self.vms);
+        self.drive(now, daisy_placement::Event::Vms(&vms));
+    }
+
     fn answer(&mut self, now: Instant, question: Question) -> Answer {
         match question {
             Question::Vms if !self.vms.is_empty() => {
