entry: an append that the fold shows proves that the log takes appends

Cause: after one append whose answer was lost (but which took effect) the log counted as out of reach for ever: the fold ended the append, nothing was tried again, and only a try's answer said otherwise. Operators' changes were refused, the holder recorded nothing. Seen in the process test with a holder frozen twice while the log loses 30 % of answers: 12 of 30 tasks done after 30 s, the last append 19 s old. Ruled out: the freeze itself (the other entry VM, frozen later, had the same line reachable=false before its freeze).

--- a/daisy-entry/src/control/append.rs
+++ b/daisy-entry/src/control/append.rs
@@ -144,8 +144,13 @@
     }
 
     /// The fold has come to one of the own appends.
+    ///
+    /// Guard: an append whose answer was lost is done once the fold shows it, and is not tried
+    /// again. The log would count as out of reach for ever, as only a try's answer said
+    /// otherwise: operators' changes were refused and the holder recorded nothing any more.
     pub(super) fn own_append_folded(&mut self, now: Instant, id: AppendId, outcomes: &[Outcome]) {
         self.step_queue(now, Event::Folded { id }, Some(outcomes));
+        self.set_log_reachable(now, true);
     }
 
     /// Lets the queue send what is due, and tells who waits for all of it.
