entry: ready for callers only when backend servers are known

Cause: a fresh process was ready as soon as it had the log, and heard by a heartbeat only later where services run; in between it refused all callers as not run.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -8,6 +8,7 @@
 mod holder;
 mod input;
 mod look;
+mod ready;
 mod replicas;
 mod restore;
 mod routes;
@@ -111,6 +112,8 @@
     resets: SortedMap<VmId, Instant>,
     /// Whether peers are to be told of replicas at the next tick.
     tell_all: bool,
+    /// Since when the membership is ready for callers.
+    ready_since: Option<Instant>,
 }
 
 impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
@@ -142,6 +145,7 @@
             routes_dirty: true,
             resets: SortedMap::new(),
             tell_all: false,
+            ready_since: None,
         }
     }
 
@@ -225,6 +229,8 @@
         if self.routes_dirty {
             self.publish_routes(now);
         }
+        // After the routes, so that the first caller finds them.
+        self.show_ready(now);
         self.observe(now);
     }
 
@@ -253,11 +259,7 @@
                 log::info!("event=log_source source={source:?}");
                 self.update_plan(now);
             }
-            Action::Ready(ready) => {
-                log::info!("event=ready value={ready} next={}", self.state.next);
-                self.out.ready.send_replace(ready);
-                self.routes_dirty = true;
-            }
+            Action::Ready(ready) => self.set_ready(now, ready),
         }
     }
 
