--- a/tests/proofs/cluster.rs
+++ b/tests/proofs/cluster.rs
@@ -17,7 +17,11 @@
     platform::{View, VmChange},
 };
 use daisy_wire::platform::{RoleJson, VmJson};
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    task::JoinHandle,
+    time::sleep,
+};
 
 use crate::{
     eventually,
@@ -46,8 +50,13 @@
     pub workers: Vec<(VmJson, Process)>,
     dir: PathBuf,
     watchers: Vec<Watcher>,
+    _turn: SemaphorePermit<'static>,
 }
 
+/// Tests that run at one time, whatever the number of the machine's cores: each starts up to
+/// a dozen processes, and starved ones would miss their heartbeats.
+static TURNS: Semaphore = Semaphore::const_new(4);
+
 /// Asks one entry VM again and again what it has in force.
 #[derive(Debug)]
 struct Watcher {
@@ -58,6 +67,7 @@
 impl Cluster {
     /// Starts everything and waits until all entry VMs are ready.
     pub async fn start(test: &str, shape: Shape) -> Cluster {
+        let turn = TURNS.acquire().await.expect("never closed");
         let at = Addresses::take();
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("proofs-{test}"));
         let _ = fs::remove_dir_all(&dir);
@@ -74,6 +84,7 @@
             workers: Vec::new(),
             dir,
             watchers: Vec::new(),
+            _turn: turn,
         };
         cluster.answers(at.platform(), "/v1/vms").await;
         for vm in vms {
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -16,6 +16,7 @@
 mod one_place;
 mod own_answer;
 mod planned_stop;
+mod resume;
 mod several;
 
 use std::time::{Duration, Instant};
