worker stand-in: calls that come late

A network that holds a dead holder's calls back until after its successor has acted is what fencing is for, and neither a replay nor a freeze brings it about at a chosen time: late_calls gives the next calls no answer and carries them out late_ms later. An unfenced worker no longer tells of newer epochs either, else the reports alone would stop an old holder.

--- a/daisy-standin/src/fault.rs
+++ b/daisy-standin/src/fault.rs
@@ -31,12 +31,15 @@
     pub double_appends: u32,
     /// Worker: before each of the next so many calls, carries out the call before it once more.
     pub replay: u32,
+    /// Worker: the next so many calls get no answer and are carried out `late_ms` later, as
+    /// when the network holds them back.
+    pub late_calls: u32,
     /// Worker: every task that it is told to start fails.
     pub fail_everything: bool,
     /// Worker: starts tasks that it has no room for, so that only its holder's sums stand
     /// between it and too much work.
     pub overcommit: bool,
-    /// Worker: accepts stale epochs, to show what fencing is for.
+    /// Worker: accepts stale epochs and tells of no newer ones, to show what fencing is for.
     pub unfenced: bool,
     /// Backend server: refuses new requests as not run and says in its answers that it leaves.
     pub leaving: bool,
@@ -50,7 +53,8 @@
     pub wrong_id: u32,
     /// Backend server: sends the next so many requests the whole answer of another one.
     pub reorder: u32,
-    /// Backend server: milliseconds by which each answer is held back after the run.
+    /// Worker: milliseconds by which `late_calls` are late. Backend server: milliseconds by
+    /// which each answer is held back after the run.
     pub late_ms: u64,
 }
 
--- a/daisy-standin/src/worker.rs
+++ b/daisy-standin/src/worker.rs
@@ -13,7 +13,7 @@
 };
 
 use daisy_history::{History, Kind};
-use daisy_model::{Resources, WorkerCall};
+use daisy_model::{Instant, Resources, WorkerCall};
 use daisy_wire::worker::{CallJson, ReportJson};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -73,6 +73,8 @@
     state: Mutex<WorkerState>,
     /// The call before, for the replay switch.
     previous: Mutex<Option<WorkerCall>>,
+    /// Calls that are carried out late, and when.
+    late: Mutex<Vec<(Instant, WorkerCall)>>,
     presence: backend::Presence,
 }
 
@@ -86,6 +88,8 @@
     Ok(())
 }
 
+const OWN_SWITCHES: &[&str] =
+    &["replay", "late_calls", "late_ms", "fail_everything", "overcommit", "unfenced"];
 const TICK: Duration = Duration::from_millis(10);
 const CALL_BYTES: usize = 4 << 20;
 
@@ -100,13 +104,10 @@
         let presence = backend::Presence::default();
         let shared = Arc::new(Shared {
             recorder: recorder.clone(),
-            switches: Switches::new(
-                &recorder,
-                "worker",
-                &["replay", "fail_everything", "overcommit", "unfenced"],
-            ),
+            switches: Switches::new(&recorder, "worker", OWN_SWITCHES),
             state: Mutex::new(WorkerState::new(options.worker)),
             previous: Mutex::new(None),
+            late: Mutex::default(),
             presence: presence.clone(),
         });
         let server = Server::bind(options.control, shared.clone()).await?;
@@ -168,6 +169,7 @@
     let mut timer = tokio::time::interval(TICK);
     loop {
         timer.tick().await;
+        shared.carry_out_late();
         shared.settle();
     }
 }
@@ -201,6 +203,9 @@
             Ok(call) => WorkerCall::from(call),
             Err(error) => return Ok(text(StatusCode::BAD_REQUEST, &error.to_string())),
         };
+        if self.holds_back(&call) {
+            return Err(Abort);
+        }
         self.replay_previous(&call);
         let report = self.carry_out(call);
         if self.switches.loses_answer() {
@@ -209,6 +214,23 @@
         Ok(json(StatusCode::OK, &report))
     }
 
+    fn holds_back(&self, call: &WorkerCall) -> bool {
+        let late = self.switches.with(|faults| {
+            count_down(&mut faults.late_calls).then_some(Duration::from_millis(faults.late_ms))
+        });
+        let Some(late) = late else { return false };
+        locked(&self.late).push((self.recorder.now() + late, call.clone()));
+        true
+    }
+
+    fn carry_out_late(&self) {
+        let now = self.recorder.now();
+        let due: Vec<_> = locked(&self.late).extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, call) in due {
+            self.carry_out(call);
+        }
+    }
+
     fn replay_previous(&self, call: &WorkerCall) {
         let previous = locked(&self.previous).replace(call.clone());
         let armed =
--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -74,7 +74,7 @@
     pub fail_everything: bool,
     /// Tasks are started whether or not there is room.
     pub overcommit: bool,
-    /// Stale epochs are accepted.
+    /// Epochs mean nothing: stale ones are accepted, and newer ones are not told of.
     pub unfenced: bool,
 }
 
@@ -146,7 +146,7 @@
             Vec::new()
         };
         WorkerReport {
-            epoch: self.epoch,
+            epoch: if flaws.unfenced { call.epoch } else { self.epoch },
             accepted,
             capacity: self.options.capacity,
             results,
