Prove that fencing stops a dead holder's late calls

One test cuts the holder off from its peers and the log, but not from its workers: both holders call them. Another holds the holder's calls back, kills it, and lets them come after its successor has started the tasks anew.

--- a/tests/proofs/capacity.rs
+++ b/tests/proofs/capacity.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use daisy_history::{capacity, one_place};
+use daisy_history::{Kind, capacity, one_place};
 use daisy_standin::Faults;
+use tokio::time::sleep;
 
 use crate::{assert_none, cluster::Cluster, shape::Shape};
 
@@ -45,7 +46,7 @@
     cluster.accept("create job renders team web tasks 60 cpu 1 memory 256Mi").await;
     cluster.done(1, 5, Duration::from_secs(10)).await;
     cluster.entries[holder].1.freeze();
-    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    sleep(Duration::from_millis(2_500)).await;
     cluster.entries[holder].1.thaw();
     cluster.done(1, 60, Duration::from_secs(20)).await;
 
@@ -53,3 +54,28 @@
     assert_none(capacity::check(&history));
     assert_none(one_place::check(&history));
 }
+
+/// The holder is cut off from its peers and the log, but not from the workers, with most of a
+/// burst checked out and not started. It goes on by what it has; a peer that hears nothing of
+/// it takes over. Both reach the workers: did these obey both, they would run what fits twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_holders_that_reach_the_workers_overfill_none() {
+    let mut cluster = overcommitting("two-holders").await;
+    cluster.create_service(2).await;
+    let holder = cluster.holder(0).await;
+    let link = cluster.link_off_entry(holder).await;
+
+    cluster.accept("create job renders team web tasks 40 cpu 1 memory 256Mi restartable").await;
+    cluster.runs(1, Duration::from_secs(10)).await;
+    cluster.cut_entry(&link, holder).await;
+    sleep(Duration::from_secs(4)).await;
+    cluster.heal_entry(&link, holder).await;
+    cluster.done(1, 40, Duration::from_secs(25)).await;
+
+    let history = cluster.history(Vec::new());
+    assert_none(capacity::check(&history));
+    assert_none(one_place::check(&history));
+    let refused = |kind: &Kind| matches!(kind, Kind::EpochRefused { .. });
+    let refused = history.events().iter().any(|event| refused(&event.kind));
+    assert!(refused, "the old holder never reached a worker after its successor");
+}
--- a/tests/proofs/cluster.rs
+++ b/tests/proofs/cluster.rs
@@ -273,10 +273,37 @@
 
     /// Puts a link between a data centre and all others, and waits until they use it.
     pub async fn link_off(&self, dc: u16) -> Link {
+        self.link(|from, to| (to.dc == dc) != (from.dc == dc)).await
+    }
+
+    /// Puts a link between one entry VM and all others, but not its workers.
+    pub async fn link_off_entry(&self, at: usize) -> Link {
+        let id = self.entries[at].0.id;
+        let is_entry = |vm: &VmJson| matches!(vm.role, RoleJson::Entry);
+        self.link(|from, to| is_entry(to) && (from.id == id) != (to.id == id)).await
+    }
+
+    /// Cuts one entry VM off from the others and from the platform, but not from its workers.
+    pub async fn cut_entry(&self, link: &Link, at: usize) {
+        let (vm, process) = &self.entries[at];
+        process.record(Kind::CutOff);
+        link.set_faults(LinkFaults { cut: true, ..LinkFaults::default() });
+        self.platform_faults(Faults { cut: vec![vm.name.clone()], ..Faults::default() }).await;
+    }
+
+    /// Takes the cut of an entry VM back.
+    pub async fn heal_entry(&self, link: &Link, at: usize) {
+        self.platform_faults(Faults::default()).await;
+        link.set_faults(LinkFaults::default());
+        self.entries[at].1.record(Kind::Healed);
+    }
+
+    /// Puts one link between all pairs of an entry VM and another VM that `between` chooses.
+    async fn link(&self, between: impl Fn(&VmJson, &VmJson) -> bool) -> Link {
         let vms = || self.entries.iter().chain(&self.workers).map(|(vm, _)| vm);
         let (mut pairs, mut views) = (Vec::new(), Vec::new());
         for (from, _) in &self.entries {
-            for vm in vms().filter(|vm| (vm.dc == dc) != (from.dc == dc)) {
+            for vm in vms().filter(|vm| between(from, vm)) {
                 let mut through = |to: SocketAddr| {
                     let listen = self.at.link(u32::try_from(pairs.len()).expect("few pairs"));
                     pairs.push(Pair { listen, to });
--- a/tests/proofs/one_place.rs
+++ b/tests/proofs/one_place.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisy_history::one_place;
+use daisy_history::{Kind, one_place};
 use daisy_standin::Faults;
 use tokio::time::sleep;
 
@@ -69,3 +69,37 @@
 
     assert_none(one_place::check(&cluster.history(Vec::new())));
 }
+
+/// The network holds the holder's calls back; the holder is killed, and its successor waits as
+/// long as any start of it could still take effect, then starts the tasks anew. Only then do
+/// the old calls come. A worker that obeyed them would run tasks that run elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dead_holders_late_calls_start_nothing() {
+    let shape = Shape {
+        run_ms: 4_000,
+        heartbeat_ms: 100,
+        holder_timeout_ms: 500,
+        worker_lease_ms: 1_500,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start("late-calls", shape).await;
+    cluster.create_service(2).await;
+    let holder = cluster.holder(0).await;
+
+    for (vm, _) in &cluster.workers {
+        let faults = Faults { late_calls: 1_000, late_ms: 9_500, ..Faults::default() };
+        cluster.set_faults(cluster.at.control(vm.id), faults).await;
+    }
+    cluster.accept("create job renders team web tasks 4 cpu 1 memory 256Mi restartable").await;
+    sleep(Duration::from_secs(1)).await;
+    cluster.kill_entry(holder);
+    for (vm, _) in &cluster.workers {
+        cluster.set_faults(cluster.at.control(vm.id), Faults::default()).await;
+    }
+    cluster.done(1, 4, Duration::from_secs(20)).await;
+
+    let history = cluster.history(Vec::new());
+    assert_none(one_place::check(&history));
+    let refused = |kind: &Kind| matches!(kind, Kind::EpochRefused { .. });
+    assert!(history.events().iter().any(|event| refused(&event.kind)), "no call came late");
+}
