measure: Placement and interference, driven by explicit time

`placement` and `interference` drive a holder over fake workers whose tasks disturb one another in ways that the holder does not know: by pair of kinds, in waves, with sizes that are wrong and usage that is five seconds late.

- AIMD cut to the floor for every wave, as reports lag a cut by seconds; it now cuts once a lag.
- A limit on all batch work costs work that disturbs nobody.
Only kinds with at least the mean expected harm are limited now, and noisy kinds before they are heard.

The test of a raised size now waits 20 s instead of 12 s: usage is learnt from every 5 s rather than at each report, and three samples are needed, not five.

--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -3,7 +3,10 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod choose;
+mod fleet;
+mod interference;
 mod ledger;
+mod placement;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
 #[derive(Debug, argh::FromArgs)]
@@ -16,14 +19,18 @@
 #[argh(subcommand)]
 enum Measure {
     Choose(choose::Args),
+    Interference(interference::Args),
     Ledger(ledger::Args),
+    Placement(placement::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     let Args { measure } = argh::from_env();
     match measure {
         Measure::Choose(args) => choose::run(&args),
+        Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
+        Measure::Placement(args) => placement::run(&args),
     }
     Ok(())
 }
--- a/daisy-placement/src/control.rs
+++ b/daisy-placement/src/control.rs
@@ -6,14 +6,17 @@
 
 use crate::{
     holder::Holder,
+    interference::Interference,
     kind::Kind,
     reason::Reason,
-    throttle::{Rule, Signal},
-    worker::{Ending, Hold, WorkerKey},
+    throttle::{LEVELS, Rule, Signal, TARGET},
+    worker::{Ending, Hold, Worker, WorkerKey},
 };
 
 /// A report is this late at most; what was started since is not in it.
 const LAG: Duration = Duration::from_secs(10);
+/// Between two looks at a worker's usage to learn from it.
+const LEARN_PERIOD: Duration = Duration::from_secs(5);
 /// Between two tasks made to leave one worker: the effect of the first shows that late.
 const RELIEF_PERIOD: Duration = Duration::from_secs(30);
 /// A changed limit is ordered only if it differs by more than this, in thousandths.
@@ -25,18 +28,25 @@
         if usage.is_empty() {
             return;
         }
-        self.learn(now, key, usage);
+        if let Some(worker) = self.worker_mut(key).filter(|it| now >= it.learn_at) {
+            worker.learn_at = now + LEARN_PERIOD;
+            self.learn(now, key, usage);
+        }
         let Some(slowdown) = self.worst_service(key, usage) else {
-            self.set_share(now, key, crate::place::FULL_SHARE, 1000);
+            self.set_share(now, key, crate::place::FULL_SHARE, 1000, None);
             return;
         };
         let busy = self.busy(key, usage);
         let limit = self.policy.throttle_above;
-        let rule = Rule::of(&self.policy.objective);
+        let of_policy = || Rule::of(&self.policy.objective);
+        let rule = self.options.limits.throttle.unwrap_or_else(of_policy);
         let Some(worker) = self.worker_mut(key) else { return };
-        let share = worker.throttle.step(rule, Signal { slowdown, busy, limit });
-        let is_stuck = worker.throttle.is_stuck();
-        self.set_share(now, key, share, slowdown);
+        let share = worker.throttle.step(now, rule, Signal { slowdown, busy, limit });
+        let is_stuck = worker.throttle.is_stuck(now);
+        let is_crowded = busy > limit;
+        let harm = if is_crowded { None } else { self.mean_harm(key) };
+        let share = harm.map_or(share, |_| share.min(self.foreseen_share(key)));
+        self.set_share(now, key, share, slowdown, harm);
         if is_stuck {
             self.relieve(now, key, slowdown);
         }
@@ -79,12 +89,60 @@
         u32::try_from(used * 1000 / whole).unwrap_or(u32::MAX)
     }
 
-    /// Orders a limit for all tasks of a worker that may be delayed.
-    fn set_share(&mut self, now: Instant, key: WorkerKey, share: u32, slowdown: u32) {
+    /// What a worker's batch tasks are expected to add to its services each, in the mean.
+    ///
+    /// `None` where nothing is known, or all are to be limited alike.
+    fn mean_harm(&self, key: WorkerKey) -> Option<f32> {
+        let worker = self.roster.get(key)?;
+        let services = services_of(worker);
+        let batch = worker.held.iter().filter(|(_, held)| !held.class.service);
+        let harms: Vec<f32> =
+            batch.map(|(_, held)| harm(&self.interference, &services, held.class.kind)).collect();
+        let sum: f32 = harms.iter().sum();
+        let is_known = self.options.limits.throttle_by_harm && sum > 0.0;
+        is_known.then(|| sum / harms.len() as f32)
+    }
+
+    /// The share at which the neighbours are expected to keep the services near the target.
+    ///
+    /// Reports come too late for the first seconds of a wave, and in them the tail is made:
+    /// kinds that are known to be noisy are limited before they are heard. What a neighbour
+    /// adds falls about with the square of its share.
+    fn foreseen_share(&self, key: WorkerKey) -> u32 {
+        let Some(worker) = self.roster.get(key) else { return crate::place::FULL_SHARE };
+        let worst = services_of(worker)
+            .into_iter()
+            .map(|service| self.interference.added(service, &worker.kinds))
+            .max()
+            .unwrap_or(0);
+        let budget = TARGET - 1000;
+        if worst <= budget {
+            return crate::place::FULL_SHARE;
+        }
+        let share = (budget as f32 / worst as f32).sqrt() * 1000.0;
+        (share as u32).max(LEVELS[LEVELS.len() - 1])
+    }
+
+    /// Orders a limit for the tasks of a worker that may be delayed, or of those the ones
+    /// that are expected to do at least `least` harm.
+    ///
+    /// A limit on a neighbour that disturbs nobody costs its work and helps nothing.
+    fn set_share(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        share: u32,
+        slowdown: u32,
+        least: Option<f32>,
+    ) {
+        let interference = &self.interference;
         let Some(worker) = self.roster.get_mut(key) else { return };
+        let services = services_of(worker);
         let mut is_changed = false;
         for (task, held) in worker.held.iter_mut() {
             let is_running = held.hold == Hold::Running && held.ending == Ending::No;
+            let harms = |least| harm(interference, &services, held.class.kind) >= least;
+            let share = if least.is_none_or(harms) { share } else { crate::place::FULL_SHARE };
             if !held.class.delay || !is_running || !is_step(held.share, share) {
                 continue;
             }
@@ -118,21 +176,14 @@
 
     fn worst_neighbour(&self, key: WorkerKey) -> Option<TaskId> {
         let worker = self.roster.get(key)?;
-        let services: Vec<Kind> = worker
-            .held
-            .iter()
-            .filter(|(_, held)| held.class.service)
-            .map(|(_, held)| held.class.kind)
-            .collect();
+        let services = services_of(worker);
         let able = worker.held.iter().filter(|(_, held)| {
             held.class.evict
                 && !held.class.service
                 && held.hold == Hold::Running
                 && held.ending == Ending::No
         });
-        let harm = |kind: Kind| {
-            services.iter().map(|victim| self.interference.pair(*victim, kind)).sum::<f32>()
-        };
+        let harm = |kind: Kind| harm(&self.interference, &services, kind);
         let worst = able.max_by(|(_, a), (_, b)| {
             let by_harm = harm(a.class.kind).total_cmp(&harm(b.class.kind));
             by_harm.then(a.size.cpu_milli.cmp(&b.size.cpu_milli))
@@ -141,6 +192,20 @@
     }
 }
 
+/// The kinds of the services on a worker, each once.
+fn services_of(worker: &Worker) -> Vec<Kind> {
+    let services = worker.held.iter().filter(|(_, held)| held.class.service);
+    let mut kinds: Vec<Kind> = services.map(|(_, held)| held.class.kind).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    kinds
+}
+
+/// What a task of a kind is expected to add to services, in thousandths.
+fn harm(interference: &Interference, services: &[Kind], kind: Kind) -> f32 {
+    services.iter().map(|victim| interference.pair(*victim, kind)).sum()
+}
+
 /// The kinds beside one task of `own`.
 fn neighbours(kinds: &[(Kind, u32)], own: Kind) -> Vec<(Kind, u32)> {
     let but_itself = |(kind, count): &(Kind, u32)| {
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -55,28 +55,33 @@
         let Some(view) = self.jobs.get_mut(&id) else { return };
         if view.spec != job.spec {
             view.change(&job.spec, &self.options);
+            self.roster.unsettle(id);
         }
         view.cancelled = job.cancelled;
         view.pending.clear();
         for task in &job.tasks[view.tasks.len().min(job.tasks.len())..] {
             view.tasks.push(Local::new(*task));
         }
-        let mut is_over = true;
-        for (index, task) in job.tasks.iter().enumerate() {
-            let task_id = TaskId { job: id, index: index as u32 };
-            self.take_task(now, task_id, task);
-            is_over &= matches!(task.state, TaskState::Ended(_)) && self.is_elsewhere(task_id);
+        let dc = self.options.dc;
+        let is_kept = !job.cancelled;
+        let wanted = job.spec.tasks;
+        let moved: Vec<u32> = (0_u32..)
+            .zip(job.tasks.iter().zip(&view.tasks))
+            .filter(|(index, (task, local))| {
+                !(is_kept && *index < wanted && local.is_settled(dc, task))
+            })
+            .map(|(index, _)| index)
+            .collect();
+        for index in moved {
+            self.take_task(now, TaskId { job: id, index }, &job.tasks[index as usize]);
         }
-        if is_over {
+        let Some(view) = self.jobs.get(&id) else { return };
+        if job.open == 0 && view.tasks.iter().all(|local| local.phase == Phase::Elsewhere) {
             self.jobs.remove(&id);
             self.line.retain(|(_, job)| *job != id);
         }
     }
 
-    fn is_elsewhere(&self, task: TaskId) -> bool {
-        self.local(task).is_none_or(|local| local.phase == Phase::Elsewhere)
-    }
-
     fn take_task(&mut self, now: Instant, id: TaskId, task: &Task) {
         let Some(view) = self.jobs.get_mut(&id.job) else { return };
         let Some(local) = view.tasks.get_mut(id.index as usize) else { return };
--- a/daisy-placement/src/interference.rs
+++ b/daisy-placement/src/interference.rs
@@ -27,8 +27,13 @@
 impl Interference {
     /// Pairs remembered; the one not learnt from for longest is forgotten first.
     const MOST: usize = 4_096;
-    /// Share of each sample's error that is learnt: averages over about ten noisy samples.
-    const RATE: f32 = 0.1;
+    /// Share of a sample's error that is learnt where more was seen than expected.
+    ///
+    /// Noise comes in waves, and the tail is made in them: what a kind does at its worst is
+    /// remembered for longer than what it does in between.
+    const RISE: f32 = 0.1;
+    /// The same where less was seen.
+    const FALL: f32 = 0.02;
     /// No neighbour makes a task faster.
     const LEAST: f32 = 0.0;
 
@@ -43,8 +48,9 @@
         self.samples = self.samples.saturating_add(1);
         let seen = slowdown.saturating_sub(1000) as f32;
         let error = seen - self.added(victim, neighbours) as f32;
+        let rate = if error > 0.0 { Interference::RISE } else { Interference::FALL };
         for (kind, count) in neighbours.iter().filter(|(_, count)| *count > 0) {
-            let step = Interference::RATE * error * *count as f32 / power;
+            let step = rate * error * *count as f32 / power;
             self.correct(victim, *kind, step);
         }
     }
--- a/daisy-placement/src/kind.rs
+++ b/daisy-placement/src/kind.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Kinds {
     by_stem: SortedMap<Box<str>, Kind>,
+    services: Vec<Kind>,
 }
 
 impl Kinds {
@@ -20,6 +21,11 @@
     const MOST: usize = 1_000;
     const OTHER: Kind = Kind(0);
 
+    /// Whether a kind is of services; kinds that are not told apart are not.
+    pub(crate) fn is_service(&self, kind: Kind) -> bool {
+        self.services.binary_search(&kind).is_ok()
+    }
+
     /// The kind of a job.
     pub(crate) fn of(&mut self, spec: &JobSpec) -> Kind {
         let stem = spec.name.as_str().trim_end_matches(|c: char| c.is_ascii_digit() || c == '-');
@@ -33,6 +39,9 @@
         }
         let kind = Kind(self.by_stem.len() as u16 + 1);
         self.by_stem.insert(key, kind);
+        if spec.kind == JobKind::Service {
+            self.services.push(kind);
+        }
         kind
     }
 }
--- a/daisy-placement/src/options.rs
+++ b/daisy-placement/src/options.rs
@@ -4,6 +4,8 @@
 
 use daisy_model::{DcId, Epoch, Name};
 
+use crate::throttle::Rule;
+
 /// A data centre and the region that it stands in.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DataCentre {
@@ -60,6 +62,10 @@
     pub reserve: u32,
     /// Candidates weighed for one start.
     pub candidates: usize,
+    /// How batch work beside services is limited; `None` for what the policy's weights say.
+    pub throttle: Option<Rule>,
+    /// Whether only the kinds that disturb services most are limited, or all batch work.
+    pub throttle_by_harm: bool,
     /// Tasks named in one record.
     pub record_tasks: usize,
 }
@@ -77,6 +83,8 @@
             give_back: Duration::from_secs(15),
             reserve: 64,
             candidates: 12,
+            throttle: None,
+            throttle_by_harm: true,
             record_tasks: 512,
         }
     }
--- a/daisy-placement/src/place.rs
+++ b/daisy-placement/src/place.rs
@@ -1,6 +1,6 @@
 //! Placement: which worker a checked-out task starts on.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, time::Duration};
 
 use daisy_ledger::Placement;
 use daisy_model::{
@@ -12,12 +12,16 @@
     job::JobView,
     reason::{Miss, Reason, Wait},
     task::{Local, Phase},
+    throttle::TARGET,
     worker::{Ending, Held, Hold, WorkerKey},
 };
 
 /// A share that is not limited, in thousandths.
 pub(crate) const FULL_SHARE: u32 = 1000;
 
+/// How long work waits for a worker where it disturbs nobody much.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// A place in line: urgent work first, then the older job.
 pub(crate) type Turn = (Reverse<Priority>, JobId);
 
@@ -93,11 +97,27 @@
         let racks = self.racks_of(task.job);
         let job = self.jobs.get(&task.job)?;
         let best = found.into_iter().min_by_key(|key| self.cost(job, size, &racks, *key))?;
+        if self.is_better_later(now, task, best) {
+            return None;
+        }
         let vm = self.roster.get(best)?.label.clone();
         self.note(now, task, Reason::Placed { vm, weighed });
         Some(best)
     }
 
+    /// Whether a task that may be delayed should leave its place to quieter work for now.
+    ///
+    /// On a full cluster room comes free one worker at a time, and there is nothing to
+    /// choose but who takes it: noisy work would gather wherever it happens to come free.
+    fn is_better_later(&self, now: Instant, task: TaskId, key: WorkerKey) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let Some(worker) = self.roster.get(key) else { return false };
+        let Some(local) = job.tasks.get(task.index as usize) else { return false };
+        let Phase::Waiting { since } = local.phase else { return false };
+        let may_wait = job.spec.tolerance.delay && !job.is_service() && now < since + PATIENCE;
+        may_wait && self.expected_worst(job, worker) > TARGET - 1000
+    }
+
     /// What a task is started with: as checked out, or more if more was seen in use.
     pub(crate) fn start_size(&self, task: TaskId) -> Option<Resources> {
         let job = self.jobs.get(&task.job)?;
@@ -122,7 +142,11 @@
         let Some(worker) = self.roster.get_mut(key) else { return };
         let ending = Ending::No;
         let share = FULL_SHARE;
-        worker.hold(task, Held { incarnation, size, hold, ending, share, since: now, class });
+        let settled = false;
+        worker.hold(
+            task,
+            Held { incarnation, size, hold, ending, share, since: now, class, settled },
+        );
         worker.faults.note_start();
         let vm = worker.id;
         if hold == Hold::Queued {
--- a/daisy-placement/src/reports.rs
+++ b/daisy-placement/src/reports.rs
@@ -12,7 +12,7 @@
     intake::is_start_of,
     job::JobView,
     reason::Reason,
-    task::Phase,
+    task::{Local, Phase},
     worker::{Class, Ending, Held, Hold, WorkerKey},
 };
 
@@ -63,13 +63,22 @@
     }
 
     fn hold_running(&mut self, now: Instant, key: WorkerKey, it: &Running, old: Option<Held>) {
+        // Most of a report is what the last one said; a look at each task's job would be
+        // the largest part of a holder's processor time.
+        if let Some(old) = old.filter(|old| old.settled && old.ending == Ending::No) {
+            if let Some(worker) = self.worker_mut(key) {
+                worker.hold(it.task, Held { size: it.size, share: it.share, ..old });
+            }
+            return;
+        }
         let class = self.jobs.get(&it.task.job).map_or(Class::UNKNOWN, JobView::class);
         let Some(worker) = self.worker_mut(key) else { return };
         let Running { task, incarnation, size, share } = *it;
         let ending = old.map_or(Ending::No, |old| old.ending);
         let since = old.map_or(now, |old| old.since);
         let hold = Hold::Running;
-        worker.hold(task, Held { incarnation, size, hold, ending, share, since, class });
+        let settled = false;
+        worker.hold(task, Held { incarnation, size, hold, ending, share, since, class, settled });
         if self.is_known_there(key, task, incarnation) {
             if let Some(local) = self.local_mut(task) {
                 local.phase = Phase::Running { worker: key };
@@ -79,6 +88,8 @@
             self.record_place(now, task);
             if self.is_unwanted(task) {
                 self.stop(key, task);
+            } else {
+                self.settle_held(key, task);
             }
         } else if self.local(task).is_some() || task.job < self.next_job {
             // It runs where the ledger does not have it: a start that came late, or a record
@@ -87,6 +98,14 @@
         }
     }
 
+    /// Marks a task as in the ledger where it is.
+    fn settle_held(&mut self, key: WorkerKey, task: TaskId) {
+        let is_recorded = self.local(task).is_some_and(Local::is_place_recorded);
+        if let Some(held) = self.worker_mut(key).and_then(|it| it.held.get_mut(&task)) {
+            held.settled = is_recorded;
+        }
+    }
+
     fn note_running(&mut self, now: Instant, key: WorkerKey, task: TaskId, was_running: bool) {
         let Some(worker) = self.roster.get(key).filter(|_| !was_running) else { return };
         let vm = worker.label.clone();
--- a/daisy-placement/src/roster.rs
+++ b/daisy-placement/src/roster.rs
@@ -1,6 +1,6 @@
 //! All workers of the data centre.
 
-use daisy_model::{Instant, Key, Name, Resources, SortedMap, Vm, VmId, VmRole, VmStatus};
+use daisy_model::{Instant, JobId, Key, Name, Resources, SortedMap, Vm, VmId, VmRole, VmStatus};
 
 use crate::{
     holder::Holder,
@@ -109,6 +109,15 @@
         self.whole.largest()
     }
 
+    /// Has the next report looked at for each task of a job that was changed.
+    pub(crate) fn unsettle(&mut self, job: JobId) {
+        for worker in self.slots.iter_mut().flatten() {
+            for (task, held) in worker.held.iter_mut() {
+                held.settled &= task.job != job;
+            }
+        }
+    }
+
     /// A number below `bound`.
     pub(crate) fn random(&mut self, bound: u32) -> u32 {
         self.rng.u32(..bound)
--- a/daisy-placement/src/score.rs
+++ b/daisy-placement/src/score.rs
@@ -15,8 +15,8 @@
 const SAME_WORKER: u64 = 8_000;
 /// Of accelerators left idle by a task that wants none, for each.
 const IDLE_ACCELERATOR: u64 = 1_000;
-/// Of one thousandth of slowdown that is expected to be added to services.
-const SLOWDOWN: u64 = 4;
+/// Of what a start is expected to add to the squared slowdowns of services.
+const SLOWDOWN: u64 = 8;
 /// Of one thousandth by which the worker's batch work is limited already.
 const LIMITED: u64 = 2;
 
@@ -39,7 +39,7 @@
         if size.accelerators == 0 {
             cost += IDLE_ACCELERATOR * u64::from(rest.accelerators);
         }
-        cost += SLOWDOWN * self.expected_slowdown(job, worker);
+        cost += SLOWDOWN * self.expected_harm(job, worker);
         if job.is_service() {
             let in_rack = racks.iter().find(|(rack, _)| *rack == worker.rack);
             let on_worker = worker.kinds.iter().find(|(kind, _)| *kind == job.kind);
@@ -51,14 +51,37 @@
         cost
     }
 
-    /// The slowdown in thousandths that the start is expected to add to services there.
-    fn expected_slowdown(&self, job: &JobView, worker: &Worker) -> u64 {
+    /// What the start is expected to do to services, in thousandths of slowdown squared.
+    ///
+    /// The square spreads noisy neighbours: a second one on a worker costs more than the
+    /// first one on the next, since a tail is made where several meet.
+    fn expected_harm(&self, job: &JobView, worker: &Worker) -> u64 {
+        let square = |slowdown: u32| u64::from(slowdown) * u64::from(slowdown) / 1000;
         if job.is_service() {
-            return u64::from(self.interference.added(job.kind, &worker.kinds));
+            return square(self.interference.added(job.kind, &worker.kinds));
         }
-        let services = worker.held.iter().filter(|(_, held)| held.class.service);
-        let added = services.map(|(_, held)| self.interference.pair(held.class.kind, job.kind));
-        added.sum::<f32>() as u64
+        let services = worker.kinds.iter().filter(|(kind, _)| self.kinds.is_service(*kind));
+        let harms = services.map(|(service, count)| {
+            let added = self.interference.pair(*service, job.kind) as u32;
+            if added == 0 {
+                return 0;
+            }
+            let before = self.interference.added(*service, &worker.kinds);
+            u64::from(*count) * (square(before + added) - square(before))
+        });
+        harms.sum()
+    }
+
+    /// The slowdown that the worst service there is expected to have after the start, in
+    /// thousandths above none; zero if the start adds nothing to any.
+    pub(crate) fn expected_worst(&self, job: &JobView, worker: &Worker) -> u32 {
+        let services = worker.kinds.iter().filter(|(kind, _)| self.kinds.is_service(*kind));
+        let worst = services.filter_map(|(service, _)| {
+            let added = self.interference.pair(*service, job.kind) as u32;
+            let before = || self.interference.added(*service, &worker.kinds);
+            (added > 0).then(|| before() + added)
+        });
+        worst.max().unwrap_or(0)
     }
 
     /// How many replicas of a service each rack has.
--- a/daisy-placement/src/task.rs
+++ b/daisy-placement/src/task.rs
@@ -1,7 +1,7 @@
 //! What a holder knows of one task.
 
 use daisy_ledger::{Task, TaskState};
-use daisy_model::{Exit, Incarnation, Instant, VmId};
+use daisy_model::{DcId, Exit, Incarnation, Instant, VmId};
 
 use crate::{reason::Notes, worker::WorkerKey};
 
@@ -67,6 +67,20 @@
         self.ledger.incarnation >= self.incarnation && self.ledger.vm.is_some()
     }
 
+    /// Whether the ledger's newest word on the task, `ledger`, asks for nothing.
+    pub(crate) fn is_settled(&self, dc: DcId, ledger: &Task) -> bool {
+        let is_quiet = match self.phase {
+            Phase::Running { .. } => self.is_place_recorded(),
+            Phase::Elsewhere => match ledger.state {
+                TaskState::Pending => false,
+                TaskState::Out(owner) => owner.dc != dc,
+                TaskState::Ended(_) => true,
+            },
+            _ => false,
+        };
+        is_quiet && self.ledger == *ledger
+    }
+
     /// The worker of the incarnation that the ledger shows as started and not ended.
     pub(crate) fn try_recorded_vm(&self) -> Option<VmId> {
         if self.ledger.incarnation > self.ledger.ended { self.ledger.vm } else { None }
--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -1,6 +1,8 @@
 //! How far batch work on a worker is limited for the sake of the services beside it.
 
-use daisy_model::Objective;
+use std::time::Duration;
+
+use daisy_model::{Instant, Objective};
 
 /// The shares that a worker's batch work may be limited to, in thousandths.
 pub const LEVELS: [u32; 6] = [1000, 750, 500, 350, 200, 100];
@@ -48,24 +50,28 @@
     share: f32,
     /// Slowdown above the target that has not been made good yet.
     debt: f32,
-    /// Reports in a row that were bad at the lowest share.
-    stuck: u32,
+    /// Since when reports have been bad at the lowest share.
+    stuck_since: Option<Instant>,
+    /// No further cut before: what the last one did is not in the reports yet.
+    cut_at: Instant,
 }
 
 impl Default for Throttle {
     fn default() -> Throttle {
-        Throttle { share: 1000.0, debt: 0.0, stuck: 0 }
+        Throttle { share: 1000.0, debt: 0.0, stuck_since: None, cut_at: Instant(0) }
     }
 }
 
 impl Throttle {
     /// Added to the share by each good report, in thousandths.
-    const INCREASE: f32 = 50.0;
-    /// What a bad report leaves of the share.
+    const INCREASE: f32 = 25.0;
+    /// What a cut leaves of the share.
     const DECREASE: f32 = 0.6;
     const LEAST: f32 = 100.0;
-    /// Bad reports in a row at the lowest share before something has to go.
-    const STUCK: u32 = 3;
+    /// From a cut until reports show its effect; reports lag by some seconds.
+    const LAG: Duration = Duration::from_secs(7);
+    /// Bad reports for this long at the lowest share before something has to go.
+    const STUCK: Duration = Duration::from_secs(20);
 
     /// The share in force, in thousandths.
     pub fn share(&self) -> u32 {
@@ -73,35 +79,44 @@
     }
 
     /// Whether limiting alone has not helped: the worst neighbour should leave.
-    pub fn is_stuck(&self) -> bool {
-        self.stuck >= Throttle::STUCK
+    pub fn is_stuck(&self, now: Instant) -> bool {
+        self.stuck_since.is_some_and(|since| now >= since + Throttle::STUCK)
     }
 
     /// Starts to count anew after a neighbour was made to leave.
     pub fn relieved(&mut self) {
-        self.stuck = 0;
+        self.stuck_since = None;
     }
 
     /// Takes a report in and returns the share to set.
-    pub fn step(&mut self, rule: Rule, signal: Signal) -> u32 {
+    pub fn step(&mut self, now: Instant, rule: Rule, signal: Signal) -> u32 {
         let is_bad = signal.slowdown > TARGET;
         self.share = match rule {
             Rule::Off => 1000.0,
             Rule::Static(share) => share as f32,
-            Rule::Aimd => self.aimd(is_bad || signal.busy > signal.limit),
+            Rule::Aimd => self.aimd(now, is_bad || signal.busy > signal.limit),
             Rule::DriftPlusPenalty(v) => self.drift_plus_penalty(v, signal),
         };
-        let is_lowest = self.share <= LEVELS[LEVELS.len() - 1] as f32;
-        self.stuck = if is_bad && is_lowest { self.stuck + 1 } else { 0 };
+        let is_lowest = self.share <= Throttle::LEAST;
+        if !(is_bad && is_lowest) {
+            self.stuck_since = None;
+        } else if self.stuck_since.is_none() {
+            self.stuck_since = Some(now);
+        }
         self.share()
     }
 
-    fn aimd(&self, is_bad: bool) -> f32 {
-        if is_bad {
-            (self.share * Throttle::DECREASE).max(Throttle::LEAST)
-        } else {
-            (self.share + Throttle::INCREASE).min(1000.0)
+    /// Cuts no more often than the lag: reports of the time before a cut would cut again
+    /// and again, down to the floor, for one wave.
+    fn aimd(&mut self, now: Instant, is_bad: bool) -> f32 {
+        if !is_bad {
+            return (self.share + Throttle::INCREASE).min(1000.0);
+        }
+        if now < self.cut_at {
+            return self.share;
         }
+        self.cut_at = now + Throttle::LAG;
+        (self.share * Throttle::DECREASE).max(Throttle::LEAST)
     }
 
     /// The queue is the services' slowdown above the target that was not made good; a
--- a/daisy-placement/src/usage.rs
+++ b/daisy-placement/src/usage.rs
@@ -14,7 +14,7 @@
 }
 
 /// Samples before a declared size is corrected: one report may be of a task's first second.
-const TRUSTED_SAMPLES: u32 = 5;
+const TRUSTED_SAMPLES: u32 = 3;
 const RATE: f32 = 0.1;
 /// Kept above the highest memory seen, in percent: the next task may need a little more.
 const MEMORY_MARGIN: u64 = 10;
--- a/daisy-placement/src/worker.rs
+++ b/daisy-placement/src/worker.rs
@@ -65,6 +65,8 @@
     /// When the room was taken.
     pub since: Instant,
     pub class: Class,
+    /// Reported before, and in the ledger: the next report of it needs no second look.
+    pub settled: bool,
 }
 
 impl Hold {
@@ -147,6 +149,8 @@
     pub kinds: Vec<(Kind, u32)>,
     /// Nothing is made to leave for disturbing services before.
     pub relief_at: Option<Instant>,
+    /// Nothing is learnt from its usage before: reports overlap.
+    pub learn_at: Instant,
 }
 
 impl Worker {
@@ -172,6 +176,7 @@
             throttle: Throttle::default(),
             kinds: Vec::new(),
             relief_at: None,
+            learn_at: now,
         }
     }
 
