placement: Learn from the neighbours that there were, not those that there are

A busy worker gets a new neighbour every few seconds, so the rule to learn only when all had been there for ten seconds learnt next to nothing: the kinds that were made noisy in the measurement came out below 40 thousandths, all others alike.

--- a/daisy-placement/src/control.rs
+++ b/daisy-placement/src/control.rs
@@ -8,15 +8,18 @@
     holder::Holder,
     interference::Interference,
     kind::Kind,
+    place::FULL_SHARE,
     reason::Reason,
     throttle::{LEVELS, Rule, Signal, TARGET},
     worker::{Ending, Hold, Worker, WorkerKey},
 };
 
-/// A report is this late at most; what was started since is not in it.
-const LAG: Duration = Duration::from_secs(10);
+/// How late usage is taken to be reported.
+const LAG: Duration = Duration::from_secs(6);
 /// Between two looks at a worker's usage to learn from it.
 const LEARN_PERIOD: Duration = Duration::from_secs(5);
+/// What a noisy task is expected to add to the services beside it, in thousandths.
+const NOISY: f32 = 40.0;
 /// Between two tasks made to leave one worker: the effect of the first shows that late.
 const RELIEF_PERIOD: Duration = Duration::from_secs(30);
 /// A changed limit is ordered only if it differs by more than this, in thousandths.
@@ -28,12 +31,15 @@
         if usage.is_empty() {
             return;
         }
+        if let Some(worker) = self.worker_mut(key) {
+            worker.remember(now, LAG);
+        }
         if let Some(worker) = self.worker_mut(key).filter(|it| now >= it.learn_at) {
             worker.learn_at = now + LEARN_PERIOD;
             self.learn(now, key, usage);
         }
         let Some(slowdown) = self.worst_service(key, usage) else {
-            self.set_share(now, key, crate::place::FULL_SHARE, 1000, None);
+            self.set_share(now, key, FULL_SHARE, 1000, None);
             return;
         };
         let busy = self.busy(key, usage);
@@ -44,8 +50,12 @@
         let share = worker.throttle.step(now, rule, Signal { slowdown, busy, limit });
         let is_stuck = worker.throttle.is_stuck(now);
         let is_crowded = busy > limit;
-        let harm = if is_crowded { None } else { self.mean_harm(key) };
-        let share = harm.map_or(share, |_| share.min(self.foreseen_share(key)));
+        let harm = if is_crowded { None } else { self.noisy_from(key) };
+        let share = match (harm, rule) {
+            (Some(_), _) => share.min(rule.ceiling()).min(self.foreseen_share(key)),
+            (None, Rule::Static(_)) if self.options.limits.throttle_by_harm => FULL_SHARE,
+            (None, _) => share,
+        };
         self.set_share(now, key, share, slowdown, harm);
         if is_stuck {
             self.relieve(now, key, slowdown);
@@ -59,18 +69,18 @@
             }
         }
         let Some(worker) = self.roster.get(key) else { return };
-        // Neighbours that came after what the report speaks of would be blamed for it.
-        let is_settled = |since: Instant| now >= since + LAG;
-        if !worker.held.iter().all(|(_, held)| is_settled(held.since)) {
+        // The report speaks of the neighbours that there were then: those that came since
+        // would be blamed for it, and those that left since would go free.
+        let Some((at, past)) = worker.past.front() else { return };
+        if now < *at + LAG {
             return;
         }
         for it in usage {
             let Some(held) = worker.held.get(&it.task) else { continue };
-            if !held.class.service {
-                continue;
+            if held.class.service && now >= held.since + LAG {
+                let neighbours = neighbours(past, held.class.kind);
+                self.interference.learn(held.class.kind, &neighbours, it.slowdown);
             }
-            let neighbours = neighbours(&worker.kinds, held.class.kind);
-            self.interference.learn(held.class.kind, &neighbours, it.slowdown);
         }
     }
 
@@ -89,18 +99,16 @@
         u32::try_from(used * 1000 / whole).unwrap_or(u32::MAX)
     }
 
-    /// What a worker's batch tasks are expected to add to its services each, in the mean.
+    /// The expected harm from which a worker's batch tasks are limited.
     ///
-    /// `None` where nothing is known, or all are to be limited alike.
-    fn mean_harm(&self, key: WorkerKey) -> Option<f32> {
+    /// `None` where no neighbour is known for noisy: then all are limited alike.
+    fn noisy_from(&self, key: WorkerKey) -> Option<f32> {
         let worker = self.roster.get(key)?;
         let services = services_of(worker);
-        let batch = worker.held.iter().filter(|(_, held)| !held.class.service);
-        let harms: Vec<f32> =
-            batch.map(|(_, held)| harm(&self.interference, &services, held.class.kind)).collect();
-        let sum: f32 = harms.iter().sum();
-        let is_known = self.options.limits.throttle_by_harm && sum > 0.0;
-        is_known.then(|| sum / harms.len() as f32)
+        let mut batch = worker.held.iter().filter(|(_, held)| !held.class.service);
+        let is_noisy =
+            batch.any(|(_, held)| harm(&self.interference, &services, held.class.kind) >= NOISY);
+        (self.options.limits.throttle_by_harm && is_noisy).then_some(NOISY)
     }
 
     /// The share at which the neighbours are expected to keep the services near the target.
@@ -109,7 +117,7 @@
     /// kinds that are known to be noisy are limited before they are heard. What a neighbour
     /// adds falls about with the square of its share.
     fn foreseen_share(&self, key: WorkerKey) -> u32 {
-        let Some(worker) = self.roster.get(key) else { return crate::place::FULL_SHARE };
+        let Some(worker) = self.roster.get(key) else { return FULL_SHARE };
         let worst = services_of(worker)
             .into_iter()
             .map(|service| self.interference.added(service, &worker.kinds))
@@ -117,7 +125,7 @@
             .unwrap_or(0);
         let budget = TARGET - 1000;
         if worst <= budget {
-            return crate::place::FULL_SHARE;
+            return FULL_SHARE;
         }
         let share = (budget as f32 / worst as f32).sqrt() * 1000.0;
         (share as u32).max(LEVELS[LEVELS.len() - 1])
@@ -142,7 +150,7 @@
         for (task, held) in worker.held.iter_mut() {
             let is_running = held.hold == Hold::Running && held.ending == Ending::No;
             let harms = |least| harm(interference, &services, held.class.kind) >= least;
-            let share = if least.is_none_or(harms) { share } else { crate::place::FULL_SHARE };
+            let share = if least.is_none_or(harms) { share } else { FULL_SHARE };
             if !held.class.delay || !is_running || !is_step(held.share, share) {
                 continue;
             }
@@ -207,16 +215,16 @@
 }
 
 /// The kinds beside one task of `own`.
-fn neighbours(kinds: &[(Kind, u32)], own: Kind) -> Vec<(Kind, u32)> {
-    let but_itself = |(kind, count): &(Kind, u32)| {
-        let count = if *kind == own { count.saturating_sub(1) } else { *count };
-        (count > 0).then_some((*kind, count))
+fn neighbours(weights: &[(Kind, f32)], own: Kind) -> Vec<(Kind, f32)> {
+    let but_itself = |(kind, weight): &(Kind, f32)| {
+        let weight = if *kind == own { (weight - 1.0).max(0.0) } else { *weight };
+        (*kind, weight)
     };
-    kinds.iter().filter_map(but_itself).collect()
+    weights.iter().map(but_itself).collect()
 }
 
 fn is_step(old: u32, new: u32) -> bool {
-    old.abs_diff(new) > SHARE_STEP || new == crate::place::FULL_SHARE && old != new
+    old.abs_diff(new) > SHARE_STEP || new == FULL_SHARE && old != new
 }
 
 fn is_throttle_of(order: &Order, task: TaskId) -> bool {
--- a/daisy-placement/src/interference.rs
+++ b/daisy-placement/src/interference.rs
@@ -34,24 +34,28 @@
     const RISE: f32 = 0.1;
     /// The same where less was seen.
     const FALL: f32 = 0.02;
+    /// Neighbours that are limited to next to nothing teach nothing.
+    const LEAST_POWER: f32 = 0.05;
     /// No neighbour makes a task faster.
     const LEAST: f32 = 0.0;
 
-    /// Learns from the slowdown of a task of `victim` beside `neighbours`, counted by kind.
+    /// Learns from the slowdown of a task of `victim` beside `neighbours`.
     ///
-    /// `slowdown` is in thousandths, 1000 being undisturbed.
-    pub fn learn(&mut self, victim: Kind, neighbours: &[(Kind, u32)], slowdown: u32) {
-        let power: f32 = neighbours.iter().map(|(_, count)| (*count * *count) as f32).sum();
-        if power == 0.0 {
+    /// Neighbours are weighed by kind: 1 for each task that is not limited, less for one
+    /// that is. `slowdown` is in thousandths, 1000 being undisturbed.
+    pub fn learn(&mut self, victim: Kind, neighbours: &[(Kind, f32)], slowdown: u32) {
+        let power: f32 = neighbours.iter().map(|(_, weight)| weight * weight).sum();
+        if power < Interference::LEAST_POWER {
             return;
         }
         self.samples = self.samples.saturating_add(1);
         let seen = slowdown.saturating_sub(1000) as f32;
-        let error = seen - self.added(victim, neighbours) as f32;
+        let expected: f32 =
+            neighbours.iter().map(|(kind, weight)| self.pair(victim, *kind) * weight).sum();
+        let error = seen - expected;
         let rate = if error > 0.0 { Interference::RISE } else { Interference::FALL };
-        for (kind, count) in neighbours.iter().filter(|(_, count)| *count > 0) {
-            let step = rate * error * *count as f32 / power;
-            self.correct(victim, *kind, step);
+        for (kind, weight) in neighbours.iter().filter(|(_, weight)| *weight > 0.0) {
+            self.correct(victim, *kind, rate * error * weight / power);
         }
     }
 
--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -17,8 +17,12 @@
     Off,
     /// Batch work is always limited to one share, in thousandths.
     Static(u32),
-    /// Additive increase, multiplicative decrease.
-    Aimd,
+    /// Additive increase, multiplicative decrease; known noisy work is never above a ceiling,
+    /// in thousandths.
+    Aimd {
+        /// The most that known noisy work gets.
+        noisy: u32,
+    },
     /// The level with the least `V * penalty - Q * service`: drift plus penalty, after
     /// equation (12) of the paper named in `docs/DESIGN.md`. `V` is what a lost thousandth
     /// of batch work weighs against a thousandth of the services' slowdown.
@@ -26,10 +30,18 @@
 }
 
 impl Rule {
+    /// The most that known noisy work may get, in thousandths.
+    pub fn ceiling(self) -> u32 {
+        match self {
+            Rule::Aimd { noisy } => noisy,
+            _ => 1000,
+        }
+    }
+
     /// The rule for the published weights.
     pub fn of(objective: &Objective) -> Rule {
         let _ = objective;
-        Rule::Aimd
+        Rule::Aimd { noisy: 400 }
     }
 }
 
@@ -94,7 +106,7 @@
         self.share = match rule {
             Rule::Off => 1000.0,
             Rule::Static(share) => share as f32,
-            Rule::Aimd => self.aimd(now, is_bad || signal.busy > signal.limit),
+            Rule::Aimd { .. } => self.aimd(now, is_bad || signal.busy > signal.limit),
             Rule::DriftPlusPenalty(v) => self.drift_plus_penalty(v, signal),
         };
         let is_lowest = self.share <= Throttle::LEAST;
--- a/daisy-placement/src/worker.rs
+++ b/daisy-placement/src/worker.rs
@@ -1,5 +1,7 @@
 //! What a holder knows of one worker.
 
+use std::{collections::VecDeque, time::Duration};
+
 use daisy_model::{
     Incarnation, Instant, Key, Name, Order, Priority, Resources, SortedMap, TaskId, Vm, VmId,
 };
@@ -151,6 +153,8 @@
     pub relief_at: Option<Instant>,
     /// Nothing is learnt from its usage before: reports overlap.
     pub learn_at: Instant,
+    /// What it held of each kind at its last reports, weighed by share.
+    pub past: VecDeque<(Instant, Vec<(Kind, f32)>)>,
 }
 
 impl Worker {
@@ -177,6 +181,7 @@
             kinds: Vec::new(),
             relief_at: None,
             learn_at: now,
+            past: VecDeque::new(),
         }
     }
 
@@ -219,6 +224,22 @@
         self.kinds.clear();
     }
 
+    /// Notes what it holds now, and forgets what is older than `lag` but for the newest.
+    pub(crate) fn remember(&mut self, now: Instant, lag: Duration) {
+        let mut weights: Vec<(Kind, f32)> = Vec::with_capacity(self.kinds.len());
+        for (_, held) in self.held.iter().filter(|(_, held)| held.hold == Hold::Running) {
+            let share = held.share as f32 / 1000.0;
+            match weights.iter_mut().find(|(kind, _)| *kind == held.class.kind) {
+                Some((_, weight)) => *weight += share * share,
+                None => weights.push((held.class.kind, share * share)),
+            }
+        }
+        self.past.push_back((now, weights));
+        while self.past.len() > 1 && self.past[1].0 + lag <= now {
+            self.past.pop_front();
+        }
+    }
+
     /// What is taken, without room that is kept for when others have gone.
     pub(crate) fn taken_but_awaiting(&self) -> Resources {
         let held = self.held.iter().filter(|(_, held)| held.hold != Hold::Awaiting);
