--- a/daisy-ledger/src/change.rs
+++ b/daisy-ledger/src/change.rs
@@ -21,9 +21,9 @@
     /// The most entries of the audit trail; half of them at least are for changes of jobs once
     /// there are so many, and half for all others.
     ///
-    /// With 8,600 jobs and 360 other changes a day (the users' size plan) that is over a day of
-    /// jobs and four weeks of the others.
-    pub const KEPT_AUDIT: usize = 20_000;
+    /// With 8,600 jobs and 360 other changes a day (the users' size plan) that is half a day of
+    /// jobs and two weeks of the others. The trail is the largest part of a snapshot.
+    pub const KEPT_AUDIT: usize = 10_000;
     /// The longest statement, in bytes.
     pub const MAX_TEXT: usize = 4_096;
     /// Entries dropped at one time, so that trimming costs little for each change.
@@ -151,6 +151,7 @@
             tasks,
             open: spec.tasks,
             generation,
+            touched: self.next,
         });
         Ok(())
     }
@@ -187,16 +188,6 @@
         }
     }
 
-    /// What the services of `team` take together, `except` one.
-    fn services_of(&self, team: TeamId, except: Option<JobId>) -> Resources {
-        let services = self.jobs.iter().filter(|(id, job)| {
-            let running = !job.cancelled && job.open > 0;
-            running && job.team == team && job.spec.kind == JobKind::Service && Some(*id) != except
-        });
-        let sizes = services.filter_map(|(_, job)| job.spec.size.try_mul(job.spec.tasks));
-        sizes.fold(Resources::ZERO, |sum, size| sum.try_add(size).unwrap_or(sum))
-    }
-
     fn open_job(&self, kind: JobKind, name: &Name) -> Result<(JobId, &Job), Refusal> {
         match self.jobs.by_name(name) {
             None => Err(Refusal::UnknownJob(name.clone())),
@@ -233,6 +224,7 @@
         job.spec.size = size;
         job.spec.tasks = tasks;
         job.generation = generation;
+        self.jobs.touch(id, self.next);
         self.resize(id, before);
         Ok(())
     }
@@ -265,6 +257,7 @@
         job.cancelled = true;
         job.generation = generation;
         let closed = end_pending(job, 0);
+        self.jobs.touch(id, self.next);
         self.jobs.refresh(id);
         self.close(id, closed);
         Ok(())
@@ -280,7 +273,8 @@
         if self.teams.len() >= State::MAX_TEAMS {
             return Err(Refusal::TooMany { what: "teams", max: State::MAX_TEAMS });
         }
-        self.teams.alloc(Team { name: name.clone(), limit, used: Resources::ZERO });
+        let (used, used_by_services) = (Resources::ZERO, Resources::ZERO);
+        self.teams.alloc(Team { name: name.clone(), limit, used, used_by_services });
         Ok(())
     }
 
--- a/daisy-ledger/src/jobs.rs
+++ b/daisy-ledger/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use daisy_model::{JobId, Name, SortedMap, TaskId};
+use daisy_model::{JobId, Name, Offset, SortedMap, TaskId};
 
 use crate::{Job, Task, TaskState};
 
@@ -24,7 +24,7 @@
     /// 8,600 jobs a day (the users' size plan).
     pub const KEPT_FINISHED: usize = 2_000;
     /// The most tasks that finished jobs keep together.
-    pub const KEPT_FINISHED_TASKS: usize = 50_000;
+    pub const KEPT_FINISHED_TASKS: usize = 25_000;
 
     /// The job with the id `job`; `None` if there is none or it has been compacted away.
     pub fn get(&self, job: JobId) -> Option<&Job> {
@@ -110,6 +110,13 @@
         self.entries.get_mut(&job)
     }
 
+    /// Notes that the entry before `next` changed the job or one of its tasks.
+    pub(crate) fn touch(&mut self, job: JobId, next: Offset) {
+        if let Some(job) = self.entries.get_mut(&job) {
+            job.touched = next;
+        }
+    }
+
     /// Builds the queue of `job` anew after a change to many of its tasks.
     pub(crate) fn refresh(&mut self, id: JobId) {
         let from = self.pending.partition_point(|it| it.job < id);
--- a/daisy-ledger/src/state.rs
+++ b/daisy-ledger/src/state.rs
@@ -19,6 +19,8 @@
     pub limit: Resources,
     /// What its checked-out tasks take together.
     pub used: Resources,
+    /// The part of that which tasks of services take.
+    pub used_by_services: Resources,
 }
 
 /// The holder of a data centre.
@@ -104,6 +106,10 @@
     pub open: u32,
     /// The generation of the job's last change.
     pub generation: Generation,
+    /// What [`State::next`] became by the last entry that changed the job or one of its tasks.
+    ///
+    /// Who has seen the state at some `next` can pass over jobs that were touched no later.
+    pub touched: Offset,
 }
 
 /// What came of an operator's change.
--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod interference;
 mod ledger;
+mod node;
 mod placement;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
@@ -22,6 +23,7 @@
     Interference(interference::Args),
     Ledger(ledger::Args),
     Placement(placement::Args),
+    Node(node::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -31,6 +33,7 @@
         Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
         Measure::Placement(args) => placement::run(&args),
+        Measure::Node(args) => node::run(&args)?,
     }
     Ok(())
 }
