--- a/daisy-placement/src/score.rs
+++ b/daisy-placement/src/score.rs
@@ -3,9 +3,11 @@
 use daisy_model::{JobId, Resources};
 
 use crate::{
+    control::NOISY,
     holder::Holder,
     job::JobView,
     task::Phase,
+    throttle::TARGET,
     worker::{Worker, WorkerKey},
 };
 
@@ -15,8 +17,8 @@
 const SAME_WORKER: u64 = 8_000;
 /// Of accelerators left idle by a task that wants none, for each.
 const IDLE_ACCELERATOR: u64 = 1_000;
-/// Of one thousandth of slowdown that is expected to be added to services.
-const SLOWDOWN: u64 = 4;
+/// Of what a start is expected to add to the squared slowdowns of services.
+const SLOWDOWN: u64 = 8;
 /// Of one thousandth by which the worker's batch work is limited already.
 const LIMITED: u64 = 2;
 
@@ -39,7 +41,7 @@
         if size.accelerators == 0 {
             cost += IDLE_ACCELERATOR * u64::from(rest.accelerators);
         }
-        cost += SLOWDOWN * self.expected_slowdown(job, worker);
+        cost += SLOWDOWN * self.expected_harm(job, worker);
         if job.is_service() {
             let in_rack = racks.iter().find(|(rack, _)| *rack == worker.rack);
             let on_worker = worker.kinds.iter().find(|(kind, _)| *kind == job.kind);
@@ -51,14 +53,41 @@
         cost
     }
 
-    /// The slowdown in thousandths that the start is expected to add to services there.
-    fn expected_slowdown(&self, job: &JobView, worker: &Worker) -> u64 {
+    /// What the start is expected to do to services, in thousandths of slowdown squared.
+    ///
+    /// The square spreads noisy neighbours: a second one on a worker costs more than the
+    /// first one on the next, since a tail is made where several meet.
+    fn expected_harm(&self, job: &JobView, worker: &Worker) -> u64 {
+        let square = |slowdown: u32| u64::from(slowdown) * u64::from(slowdown) / 1000;
         if job.is_service() {
-            return u64::from(self.interference.added(job.kind, &worker.kinds));
+            return square(self.interference.added(job.kind, &worker.kinds));
         }
-        let services = worker.held.iter().filter(|(_, held)| held.class.service);
-        let added = services.map(|(_, held)| self.interference.pair(held.class.kind, job.kind));
-        added.sum::<f32>() as u64
+        let services = worker.kinds.iter().filter(|(kind, _)| self.kinds.is_service(*kind));
+        let harms = services.map(|(service, count)| {
+            let added = self.interference.pair(*service, job.kind) as u32;
+            if added == 0 {
+                return 0;
+            }
+            let before = self.interference.added(*service, &worker.kinds);
+            u64::from(*count) * (square(before + added) - square(before))
+        });
+        harms.sum()
+    }
+
+    /// Whether a start is expected to slow a service there beyond the target.
+    ///
+    /// Tasks of one kind are noisy together; those of several kinds seldom are, so they
+    /// may add up to twice as much.
+    pub(crate) fn is_too_much(&self, job: &JobView, worker: &Worker) -> bool {
+        const BUDGET: f32 = (TARGET - 1000) as f32;
+        let same = worker.kinds.iter().find(|(kind, _)| *kind == job.kind);
+        let same = same.map_or(0, |(_, count)| *count) as f32 + 1.0;
+        let mut services = worker.kinds.iter().filter(|(kind, _)| self.kinds.is_service(*kind));
+        services.any(|(service, _)| {
+            let each = self.interference.pair(*service, job.kind);
+            let all = || self.interference.added(*service, &worker.kinds) as f32 + each;
+            each > 0.0 && (each * same > BUDGET || each > NOISY && all() > 2.0 * BUDGET)
+        })
     }
 
     /// How many replicas of a service each rack has.
