--- a/daisy-measure/src/interference.rs
+++ b/daisy-measure/src/interference.rs
@@ -1,13 +1,13 @@
 //! `interference`: what limiting batch work does for services, and what it costs.
 //!
 //! Noisy kinds come in waves, declared sizes are wrong, usage is reported five seconds
-//! late. Every control runs under the same holder, the same seeds and the same load, which
-//! always has batch work waiting, so that its throughput shows.
+//! late. Every control runs under the same holder, the same seeds and the same load: four fifths
+//! of the room is offered to batch work, or, with `--saturate`, more than there is.
 
 use std::time::Duration;
 
 use daisy_model::Resources;
-use daisy_placement::{Control, Rule};
+use daisy_placement::{Ceiling, Control, Rule};
 
 use crate::fleet::{BATCHES, Drive, Fleet, Nature, SERVICES};
 
@@ -24,6 +24,9 @@
     /// workers (default 65, those of Beaulac's quotation service)
     #[argh(option, default = "65")]
     workers: usize,
+    /// keep batch work waiting at all times
+    #[argh(switch)]
+    saturate: bool,
 }
 
 const CAPACITY: Resources = Resources { cpu_milli: 64_000, memory_mib: 250_000, accelerators: 0 };
@@ -32,29 +35,37 @@
 const SERVICE_SIZE: Resources = Resources { cpu_milli: 4_000, memory_mib: 8_000, accelerators: 0 };
 const REPLICAS_PER_WORKER: u32 = 5;
 const BATCH_SIZE: Resources = Resources { cpu_milli: 3_000, memory_mib: 6_000, accelerators: 0 };
-/// Seconds of work of a batch task.
+/// Seconds of work of a batch task, in the mean.
 const WORK: f32 = 120.0;
+const JOB_TASKS: u32 = 40;
+/// Batch tasks that a worker has room for beside its services.
+const SLOTS: f32 = 14.0;
+/// Batch work offered, as a share of that room.
+const OFFERED: f32 = 0.8;
 
 /// The controls compared: alike for all batch work, or by harm and under a ceiling.
-const CONTROLS: [(&str, Control); 10] = [
+const CONTROLS: [(&str, Control); 13] = [
     ("off", alike(Rule::Off)),
     ("static500", alike(Rule::Static(500))),
     ("static250", alike(Rule::Static(250))),
     ("aimd", alike(Rule::Aimd)),
     ("dpp_v1", alike(Rule::DriftPlusPenalty(1.0))),
-    ("static250h", by_harm(Rule::Static(250), 1000)),
-    ("aimd_h", by_harm(Rule::Aimd, 1000)),
-    ("aimd_h200", by_harm(Rule::Aimd, 200)),
-    ("dpp_v1h", by_harm(Rule::DriftPlusPenalty(1.0), 1000)),
-    ("dpp_v1h200", by_harm(Rule::DriftPlusPenalty(1.0), 200)),
+    ("static250h", by_harm(Rule::Static(250), Ceiling::Fixed(1000))),
+    ("aimd_h", by_harm(Rule::Aimd, Ceiling::Fixed(1000))),
+    ("aimd_h200", by_harm(Rule::Aimd, Ceiling::Fixed(200))),
+    ("aimd_b1", by_harm(Rule::Aimd, Ceiling::Backlog(1.0))),
+    ("aimd_b5", by_harm(Rule::Aimd, Ceiling::Backlog(5.0))),
+    ("aimd_b20", by_harm(Rule::Aimd, Ceiling::Backlog(20.0))),
+    ("dpp_v1h", by_harm(Rule::DriftPlusPenalty(1.0), Ceiling::Fixed(1000))),
+    ("off_b1", by_harm(Rule::Off, Ceiling::Backlog(1.0))),
 ];
 
 const fn alike(rule: Rule) -> Control {
-    Control { rule, by_harm: false, noisy: 1000 }
+    Control { rule, by_harm: false, ceiling: Ceiling::Fixed(1000) }
 }
 
-const fn by_harm(rule: Rule, noisy: u32) -> Control {
-    Control { rule, by_harm: true, noisy }
+const fn by_harm(rule: Rule, ceiling: Ceiling) -> Control {
+    Control { rule, by_harm: true, ceiling }
 }
 
 /// The users' orders of measures as weights: tail, throughput, evictions.
@@ -67,6 +78,7 @@
     slow_p50: f64,
     work_per_second: f64,
     evictions_per_hour: f64,
+    waiting: f64,
 }
 
 /// Runs the measurement.
@@ -77,11 +89,12 @@
     let mut line = format!("measure=interference seconds={} seeds={}", args.seconds, args.seeds);
     for (name, it) in &outcomes {
         let text = format!(
-            "{name}_slow_p99={:.0} {name}_slow_p50={:.0} {name}_work={:.3} {name}_evictions_per_hour={:.0}",
+            "{name}_slow_p99={:.0} {name}_slow_p50={:.0} {name}_work={:.3} {name}_evictions_per_hour={:.0} {name}_waiting={:.0}",
             it.slow_p99,
             it.slow_p50,
             it.work_per_second / free,
             it.evictions_per_hour,
+            it.waiting,
         );
         println!("{text}");
         line.push_str(&format!(" {text}"));
@@ -114,6 +127,7 @@
         sum.slow_p50 += it.slow_p50 / args.seeds as f64;
         sum.work_per_second += it.work_per_second / args.seeds as f64;
         sum.evictions_per_hour += it.evictions_per_hour / args.seeds as f64;
+        sum.waiting += it.waiting / args.seeds as f64;
     }
     sum
 }
@@ -128,16 +142,22 @@
         drive.declare(&format!("s{kind}x"), replicas, SERVICE_SIZE, nature);
     }
     let mut second = 0;
+    let mut due = 0.0;
+    let mut jobs = 0;
+    let mut waiting = 0.0;
     while second < WARM_UP.as_secs() + args.seconds {
         if second == WARM_UP.as_secs() {
             drive.fleet.reset_counts();
+            waiting = 0.0;
         }
-        // Enough batch work always waits, of all kinds in turn.
-        if drive.state.jobs.pending().len() < 200 {
+        while args.saturate && drive.state.jobs.pending().len() < 200 || due <= second as f32 {
+            due += JOB_TASKS as f32 * WORK / (args.workers as f32 * SLOTS * OFFERED);
             let kind = rng.usize(..BATCHES);
             let nature = Nature { service: false, kind, work: WORK * (0.5 + rng.f32()) };
-            drive.declare(&format!("b{kind}x-{second}"), 40, BATCH_SIZE, nature);
+            jobs += 1;
+            drive.declare(&format!("b{kind}x-{jobs}"), JOB_TASKS, BATCH_SIZE, nature);
         }
+        waiting += drive.state.jobs.pending().len() as f64;
         drive.run(Duration::from_secs(1));
         second += 1;
     }
@@ -148,5 +168,6 @@
         slow_p50: drive.fleet.slowdowns.value_at_quantile(0.5) as f64,
         work_per_second: drive.fleet.work_done / args.seconds as f64,
         evictions_per_hour: drive.fleet.evictions as f64 / hours / args.workers as f64,
+        waiting: waiting / args.seconds as f64,
     }
 }
--- a/daisy-measure/src/placement.rs
+++ b/daisy-measure/src/placement.rs
@@ -1,8 +1,9 @@
 //! `placement`: processor time per start and what the choice of worker does to services.
 //!
 //! The same seeded load is placed by a [`Holder`](daisy_placement::Holder), by first fit and
-//! at random. The holder's time is that of all its work (reports, folds, renewals, usage,
-//! placement); the time of the plain rules is that of their choice alone.
+//! at random. The holder's share of a core is that of all its work: reports, folds,
+//! renewals, usage, placement. Its time per start is what 62 starts a second add to the same
+//! cluster without any; that of the plain rules is their choice alone.
 
 use std::{
     collections::VecDeque,
@@ -38,6 +39,9 @@
 /// The load of one run.
 #[derive(Debug, Clone, Copy)]
 struct Load {
+    name: &'static str,
+    /// Whether tasks start and end.
+    moves: bool,
     workers: usize,
     service_tasks: u32,
     batch_tasks: u32,
@@ -59,7 +63,8 @@
 
     fn batch(&self, kind: usize, rng: &mut fastrand::Rng) -> Nature {
         let mean = self.batch_tasks as f32 / STARTS_PER_SECOND as f32;
-        Nature { service: false, kind, work: mean * (0.2 + 1.6 * rng.f32()) }
+        let work = if self.moves { mean * (0.2 + 1.6 * rng.f32()) } else { f32::INFINITY };
+        Nature { service: false, kind, work }
     }
 }
 
@@ -90,11 +95,11 @@
         }
     }
 
-    fn print(&self, rule: &str, workers: usize) -> String {
+    fn print(&self, rule: &str, load: &str) -> String {
+        let at = format!("{rule}_{load}");
         let line = format!(
-            "{rule}{workers}_us_per_start={:.1} {rule}{workers}_core_percent={:.3} \
-             {rule}{workers}_starts={} {rule}{workers}_waiting={} {rule}{workers}_evicted={} \
-             {rule}{workers}_busy_p99={} {rule}{workers}_slow_p99={} {rule}{workers}_slow_mean={:.0}",
+            "{at}_us_per_start={:.1} {at}_core_percent={:.3} {at}_starts={} {at}_waiting={} \
+             {at}_evicted={} {at}_busy_p99={} {at}_slow_p99={} {at}_slow_mean={:.0}",
             self.per_start.as_secs_f64() * 1e6,
             self.core_share * 100.0,
             self.starts,
@@ -112,23 +117,39 @@
 /// Runs the measurement.
 pub fn run(args: &Args) {
     let mut lines = Vec::new();
-    for workers in [130, 790] {
-        let share = workers as u32;
-        let load = Load {
-            workers,
-            service_tasks: SERVICE_TASKS * share / 790,
-            batch_tasks: BATCH_TASKS * share / 790,
-            seconds: args.seconds,
-            seed: args.seed,
-        };
-        // Run times follow from the running tasks, so that 62 start and end each second.
-        lines.push(holder(&load).print("holder", workers));
-        lines.push(plain(&load, Rule::FirstFit).print("first_fit", workers));
-        lines.push(plain(&load, Rule::Random).print("random", workers));
+    for load in loads(args) {
+        let upkeep = holder(&Load { moves: false, ..load });
+        let mut moving = holder(&load);
+        let added = (moving.core_share - upkeep.core_share).max(0.0) * load.seconds as f64;
+        moving.per_start = Duration::from_secs_f64(added / moving.starts.max(1) as f64);
+        println!("holder_{}_upkeep_core_percent={:.3}", load.name, upkeep.core_share * 100.0);
+        lines.push(moving.print("holder", load.name));
+        lines.push(plain(&load, Rule::FirstFit).print("first_fit", load.name));
+        lines.push(plain(&load, Rule::Random).print("random", load.name));
     }
     println!("measure=placement seconds={} seed={} {}", args.seconds, args.seed, lines.join(" "));
 }
 
+/// One data centre with its part of the plan's tasks, one with all of them, and the whole
+/// plan under one holder; 62 starts a second in each.
+fn loads(args: &Args) -> [Load; 3] {
+    let part = |tasks: u32| tasks * 130 / 790;
+    let load = |name, workers, service_tasks, batch_tasks| Load {
+        name,
+        moves: true,
+        workers,
+        service_tasks,
+        batch_tasks,
+        seconds: args.seconds,
+        seed: args.seed,
+    };
+    [
+        load("130", 130, part(SERVICE_TASKS), part(BATCH_TASKS)),
+        load("130_dense", 130, SERVICE_TASKS, BATCH_TASKS),
+        load("790", 790, SERVICE_TASKS, BATCH_TASKS),
+    ]
+}
+
 /// The tasks declared at the start: services, then batch work with a part of its run left.
 fn first_jobs(load: &Load, rng: &mut fastrand::Rng) -> Vec<(String, u32, Resources, Nature)> {
     const SERVICE_REPLICAS: u32 = 10;
@@ -142,7 +163,9 @@
     for at in 0..load.batch_tasks / JOB_TASKS {
         let kind = at as usize % BATCHES;
         let mut nature = load.batch(kind, rng);
-        nature.work *= rng.f32();
+        if load.moves {
+            nature.work *= rng.f32();
+        }
         jobs.push((format!("b{kind}x-{at}"), JOB_TASKS, load.size(rng), nature));
     }
     // Declared in one order, services would have workers of their own by accident.
@@ -169,14 +192,24 @@
             drive.fleet.reset_counts();
             drive.spent = Spent::default();
         }
-        let (text, tasks, size, nature) = next_job(load, second, &mut rng);
-        drive.declare(&text, tasks, size, nature);
+        if load.moves {
+            let (text, tasks, size, nature) = next_job(load, second, &mut rng);
+            drive.declare(&text, tasks, size, nature);
+        }
         drive.run(Duration::from_secs(1));
     }
     assert_eq!(drive.fleet.no_room, 0, "a worker was given more than it holds");
     let waiting = drive.state.jobs.pending().len();
     let Spent { list, fold, report, tick } = drive.spent;
-    println!("list={list:?} fold={fold:?} report={report:?} tick={tick:?}");
+    println!(
+        "load={} moves={} list_ms={} fold_ms={} report_ms={} tick_ms={}",
+        load.name,
+        load.moves,
+        list.as_millis(),
+        fold.as_millis(),
+        report.as_millis(),
+        tick.as_millis()
+    );
     Outcome::of(&drive.fleet, drive.spent.sum(), load.seconds, waiting)
 }
 
--- a/daisy-placement/src/control.rs
+++ b/daisy-placement/src/control.rs
@@ -46,23 +46,34 @@
         let limit = self.policy.throttle_above;
         let of_policy = || Control::of(&self.policy.objective);
         let control = self.options.limits.control.unwrap_or_else(of_policy);
+        let backlog = self.backlog;
         let Some(worker) = self.worker_mut(key) else { return };
         let share = worker.throttle.step(now, control.rule, Signal { slowdown, busy, limit });
         let is_stuck = worker.throttle.is_stuck(now);
         let is_crowded = busy > limit;
-        let noisy = if is_crowded || !control.by_harm { None } else { self.noisy_from(key) };
-        let share = match (noisy, control.rule) {
-            (Some(_), _) => share.min(control.noisy).min(self.foreseen_share(key)),
+        let by_harm = control.by_harm && !is_crowded;
+        let noisy = if by_harm { self.noisy_kinds(key) } else { None };
+        let share = match (&noisy, control.rule) {
+            (Some(_), _) => share.min(control.ceiling.share(backlog)).min(self.foreseen_share(key)),
             // A fixed share is meant for noisy kinds, and there are none.
             (None, Rule::Static(_)) if control.by_harm && !is_crowded => FULL_SHARE,
             (None, _) => share,
         };
-        self.set_share(now, key, share, slowdown, noisy);
+        self.set_share(now, key, share, slowdown, noisy.as_deref());
         if is_stuck {
             self.relieve(now, key, slowdown);
         }
     }
 
+    /// Counts the batch tasks that wait, for each worker that takes work.
+    pub(crate) fn count_backlog(&mut self) {
+        let batch = self.jobs.iter().filter(|(_, job)| !job.is_service() && !job.cancelled);
+        let waiting: usize = batch.map(|(_, job)| job.waiting.len() + job.pending.len()).sum();
+        let here = self.options.data_centres.len().max(1);
+        let open = self.roster.iter().filter(|(_, worker)| worker.is_open()).count();
+        self.backlog = waiting as f32 / (here * open.max(1)) as f32;
+    }
+
     fn learn(&mut self, now: Instant, key: WorkerKey, usage: &[Usage]) {
         for it in usage {
             if let Some(job) = self.jobs.get_mut(&it.task.job) {
@@ -100,16 +111,16 @@
         u32::try_from(used * 1000 / whole).unwrap_or(u32::MAX)
     }
 
-    /// The expected harm from which a worker's batch tasks are limited.
+    /// The batch kinds on a worker that are known for noisy beside its services.
     ///
-    /// `None` where no neighbour is known for noisy: then all are limited alike.
-    fn noisy_from(&self, key: WorkerKey) -> Option<f32> {
+    /// `None` where there are none: then all are limited alike.
+    fn noisy_kinds(&self, key: WorkerKey) -> Option<Vec<Kind>> {
         let worker = self.roster.get(key)?;
         let services = services_of(worker);
-        let mut batch = worker.held.iter().filter(|(_, held)| !held.class.service);
-        let is_noisy =
-            batch.any(|(_, held)| harm(&self.interference, &services, held.class.kind) >= NOISY);
-        is_noisy.then_some(NOISY)
+        let batch = worker.kinds.iter().filter(|(kind, _)| !self.kinds.is_service(*kind));
+        let is_noisy = |kind: &Kind| harm(&self.interference, &services, *kind) >= NOISY;
+        let noisy: Vec<Kind> = batch.map(|(kind, _)| *kind).filter(is_noisy).collect();
+        (!noisy.is_empty()).then_some(noisy)
     }
 
     /// The share at which the neighbours are expected to keep the services near the target.
@@ -132,8 +143,8 @@
         (share as u32).max(LEVELS[LEVELS.len() - 1])
     }
 
-    /// Orders a limit for the tasks of a worker that may be delayed, or of those the ones
-    /// that are expected to do at least `least` harm.
+    /// Orders a limit for the tasks of a worker that may be delayed, or for those of them
+    /// that are of the kinds `only`.
     ///
     /// A limit on a neighbour that disturbs nobody costs its work and helps nothing.
     fn set_share(
@@ -142,16 +153,14 @@
         key: WorkerKey,
         share: u32,
         slowdown: u32,
-        least: Option<f32>,
+        only: Option<&[Kind]>,
     ) {
-        let interference = &self.interference;
         let Some(worker) = self.roster.get_mut(key) else { return };
-        let services = services_of(worker);
         let mut is_changed = false;
         for (task, held) in worker.held.iter_mut() {
             let is_running = held.hold == Hold::Running && held.ending == Ending::No;
-            let harms = |least| harm(interference, &services, held.class.kind) >= least;
-            let share = if least.is_none_or(harms) { share } else { FULL_SHARE };
+            let is_meant = only.is_none_or(|only| only.contains(&held.class.kind));
+            let share = if is_meant { share } else { FULL_SHARE };
             if !held.class.delay || !is_running || !is_step(held.share, share) {
                 continue;
             }
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -106,6 +106,8 @@
     pub(crate) interference: Interference,
     /// No search for victims before.
     pub(crate) evict_at: Option<Instant>,
+    /// Batch tasks that wait, for each worker.
+    pub(crate) backlog: f32,
     /// Slow chores are due then.
     chores_at: Instant,
 }
@@ -135,6 +137,7 @@
             kinds: Kinds::default(),
             interference: Interference::default(),
             evict_at: None,
+            backlog: 0.0,
             chores_at: Instant(0),
         }
     }
@@ -185,6 +188,7 @@
             self.probe(now);
             self.leave(now);
             self.give_back(now);
+            self.count_backlog();
         }
         self.inherit_due = true;
         self.roster.touch_all();
@@ -197,7 +201,9 @@
     }
 
     pub(crate) fn local_mut(&mut self, task: TaskId) -> Option<&mut Local> {
-        self.jobs.get_mut(&task.job)?.tasks.get_mut(task.index as usize)
+        let job = self.jobs.get_mut(&task.job)?;
+        job.quiet = false;
+        job.tasks.get_mut(task.index as usize)
     }
 
     /// Whether a task is of a cancelled job, or of those that a change took away.
@@ -212,6 +218,7 @@
     /// Puts a checked-out task that runs nowhere back in line.
     pub(crate) fn wait(&mut self, now: Instant, task: TaskId) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.quiet = false;
         let Some(local) = job.tasks.get_mut(task.index as usize) else { return };
         local.phase = Phase::Waiting { since: now };
         local.placed_at = None;
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -53,29 +53,28 @@
 
     fn take_job(&mut self, now: Instant, id: JobId, job: &Job) {
         let Some(view) = self.jobs.get_mut(&id) else { return };
-        if view.spec != job.spec {
+        // Most jobs are as they were at the last fold; a look at each of their tasks would
+        // be the largest part of a holder's processor time.
+        if view.quiet && view.generation == job.generation && view.last == job.tasks {
+            return;
+        }
+        if view.generation != job.generation {
             view.change(&job.spec, &self.options);
+            view.generation = job.generation;
             self.roster.unsettle(id);
         }
         view.cancelled = job.cancelled;
         view.pending.clear();
+        view.last.clone_from(&job.tasks);
         for task in &job.tasks[view.tasks.len().min(job.tasks.len())..] {
             view.tasks.push(Local::new(*task));
         }
-        let dc = self.options.dc;
-        let is_kept = !job.cancelled;
-        let wanted = job.spec.tasks;
-        let moved: Vec<u32> = (0_u32..)
-            .zip(job.tasks.iter().zip(&view.tasks))
-            .filter(|(index, (task, local))| {
-                !(is_kept && *index < wanted && local.is_settled(dc, task))
-            })
-            .map(|(index, _)| index)
-            .collect();
-        for index in moved {
+        for index in view.restless(self.options.dc, job) {
             self.take_task(now, TaskId { job: id, index }, &job.tasks[index as usize]);
         }
-        let Some(view) = self.jobs.get(&id) else { return };
+        let dc = self.options.dc;
+        let Some(view) = self.jobs.get_mut(&id) else { return };
+        view.quiet = view.restless(dc, job).is_empty();
         if job.open == 0 && view.tasks.iter().all(|local| local.phase == Phase::Elsewhere) {
             self.jobs.remove(&id);
             self.line.retain(|(_, job)| *job != id);
--- a/daisy-placement/src/job.rs
+++ b/daisy-placement/src/job.rs
@@ -2,8 +2,10 @@
 
 use std::collections::VecDeque;
 
-use daisy_ledger::Job;
-use daisy_model::{DcId, Instant, JobId, JobKind, JobSpec, Name, Priority, Resources, TeamId};
+use daisy_ledger::{Job, Task};
+use daisy_model::{
+    DcId, Generation, Instant, JobId, JobKind, JobSpec, Name, Priority, Resources, TeamId,
+};
 
 use crate::{
     fault::JobFaults,
@@ -22,6 +24,12 @@
     pub spec: JobSpec,
     pub cancelled: bool,
     pub tasks: Vec<Local>,
+    /// The ledger's tasks as last looked at.
+    pub last: Vec<Task>,
+    /// The ledger's last change of the job.
+    pub generation: Generation,
+    /// Whether nothing is to be done while the ledger's tasks stay as they are.
+    pub quiet: bool,
     /// Checked out and runs nowhere, in the order of their turn.
     pub waiting: VecDeque<u32>,
     /// Seen pending in the last fold.
@@ -29,6 +37,8 @@
     pub team: TeamId,
     pub kind: Kind,
     pub faults: JobFaults,
+    /// Its waiting tasks are not looked at before.
+    pub look_at: Instant,
     pub seen: Seen,
     /// Why its waiting and pending tasks wait.
     pub wait: Option<Noted>,
@@ -43,11 +53,15 @@
             spec: job.spec.clone(),
             cancelled: job.cancelled,
             tasks: job.tasks.iter().map(|task| Local::new(*task)).collect(),
+            last: Vec::new(),
+            generation: job.generation,
+            quiet: false,
             waiting: VecDeque::new(),
             pending: Vec::new(),
             team: job.team,
             kind,
             faults: JobFaults::default(),
+            look_at: Instant(0),
             seen: Seen::default(),
             wait: None,
             preferred: preferred(&job.spec.data_centres, options),
@@ -60,6 +74,18 @@
         self.preferred = preferred(&spec.data_centres, options);
     }
 
+    /// The tasks that the ledger's newest word asks to be looked at.
+    pub(crate) fn restless(&self, dc: DcId, job: &Job) -> Vec<u32> {
+        let tasks = (0_u32..).zip(job.tasks.iter().zip(&self.tasks));
+        let is_restless = |index: u32, ledger: &Task, local: &Local| {
+            job.cancelled || index >= job.spec.tasks || !local.is_settled(dc, ledger)
+        };
+        tasks
+            .filter(|(index, (ledger, local))| is_restless(*index, ledger, local))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     pub(crate) fn size(&self) -> Resources {
         self.spec.size
     }
--- a/daisy-placement/src/lib.rs
+++ b/daisy-placement/src/lib.rs
@@ -39,6 +39,6 @@
     kind::Kind,
     options::{DataCentre, Limits, Options},
     reason::{Label, Miss, Noted, Reason, Wait},
-    throttle::{Control, LEVELS, Rule, Signal, TARGET, Throttle},
+    throttle::{Ceiling, Control, LEVELS, Rule, Signal, TARGET, Throttle},
     view::{Replica, TaskStatus, TaskView, WorkerStatus, WorkerView},
 };
--- a/daisy-placement/src/place.rs
+++ b/daisy-placement/src/place.rs
@@ -21,6 +21,9 @@
 /// How long work waits for a worker where it disturbs nobody much.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Between two looks at work that was put off.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
 /// A place in line: urgent work first, then the older job.
 pub(crate) type Turn = (Reverse<Priority>, JobId);
 
@@ -54,6 +57,7 @@
                     self.start(now, key, task, Hold::Queued);
                 }
                 None if self.try_evict(now, id, index).is_some() => {}
+                None if self.jobs.get(&id).is_some_and(|job| now < job.look_at) => return,
                 None => return self.note_no_room(now, task),
             }
         }
@@ -74,7 +78,7 @@
             job.waits(now, Wait::LogDown);
             return None;
         }
-        if job.faults.retry_at.is_some_and(|at| now < at) {
+        if job.faults.retry_at.is_some_and(|at| now < at) || now < job.look_at {
             return None;
         }
         Some(index)
@@ -97,6 +101,7 @@
         let job = self.jobs.get(&task.job)?;
         let best = found.into_iter().min_by_key(|key| self.cost(job, size, &racks, *key))?;
         if self.is_better_later(now, task, best) {
+            self.put_off(now, task.job);
             return None;
         }
         let vm = self.roster.get(best)?.label.clone();
@@ -117,6 +122,13 @@
         may_wait && self.is_too_much(job, worker)
     }
 
+    /// Looks at a job again after a moment, not at each report that brings a little room.
+    fn put_off(&mut self, now: Instant, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.look_at = now + LOOK_PERIOD;
+        }
+    }
+
     /// What a task is started with: as checked out, or more if more was seen in use.
     pub(crate) fn start_size(&self, task: TaskId) -> Option<Resources> {
         let job = self.jobs.get(&task.job)?;
@@ -130,6 +142,7 @@
     pub(crate) fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, hold: Hold) {
         let Some(size) = self.start_size(task) else { return };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.quiet = false;
         let (is_restartable, class) = (job.spec.restartable, job.class());
         let Some(local) = job.tasks.get_mut(task.index as usize) else { return };
         let is_recorded_first = is_recorded_first(local, is_restartable);
--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -32,22 +32,54 @@
     pub rule: Rule,
     /// Whether only the kinds that are known for noisy are limited, where there are any.
     pub by_harm: bool,
-    /// The most that such kinds get at any time, in thousandths.
-    pub noisy: u32,
+    /// The most that such kinds get at any time.
+    pub ceiling: Ceiling,
+}
+
+/// The most that kinds known for noisy get, however quiet the last report.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ceiling {
+    /// One share, in thousandths.
+    Fixed(u32),
+    /// The share that keeps the backlog of batch work in bounds, at the least harm to
+    /// services; a greater `V` bears a longer backlog.
+    Backlog(f32),
+}
+
+impl Ceiling {
+    /// The share in thousandths when `backlog` batch tasks wait for each worker.
+    ///
+    /// The level with the least `V * harm - backlog * work`: a neighbour's harm falls with the
+    /// square of its share, its work with the share. This is the rule (12) of M. Yang et al.,
+    /// "Adaptive Configuration of Cloud Video Transcoding", which keeps a queue stable at
+    /// the least penalty; the queue here is the batch work that waits.
+    pub fn share(self, backlog: f32) -> u32 {
+        let v = match self {
+            Ceiling::Fixed(share) => return share,
+            Ceiling::Backlog(v) => v,
+        };
+        let cost = |level: &u32| {
+            let share = *level as f32 / 1000.0;
+            v * share * share - backlog * share
+        };
+        let levels = LEVELS.iter().filter(|level| **level >= Ceiling::LEAST);
+        levels.min_by(|a, b| cost(a).total_cmp(&cost(b))).copied().unwrap_or(1000)
+    }
+
+    /// Less helps services little more and work much less.
+    const LEAST: u32 = 200;
 }
 
 impl Control {
     /// The control for the published weights.
-    ///
-    /// `daisy-measure interference` measures both: with noisy kinds at 200 the services'
-    /// 99th percentile is far lower and two fifths of the batch work are lost, on a cluster
-    /// where batch work always waits. That pays unless throughput weighs nearly as much as
-    /// the tail; in neither user's order it does.
     pub fn of(objective: &Objective) -> Control {
-        let is_tail_first = 3 * u64::from(objective.throughput) < 2 * u64::from(objective.tail);
-        let noisy = if is_tail_first { 200 } else { 1000 };
-        Control { rule: Rule::Aimd, by_harm: true, noisy }
+        let v = objective.tail as f32 / objective.throughput.max(1) as f32;
+        let ceiling = Ceiling::Backlog(v * Control::BACKLOG_SCALE);
+        Control { rule: Rule::Aimd, by_harm: true, ceiling }
     }
+
+    /// Turns the ratio of tail to throughput into waiting tasks a worker.
+    const BACKLOG_SCALE: f32 = 0.2;
 }
 
 /// What a worker reported, some seconds late.
