Have workers tell changes, and news by themselves

Cause: the holder polled each worker every 2 s and each report listed all that runs there: 464 KB/s at 130 workers of 33 tasks, against 2 KB/s allowed.

Ruled out: a longer poll alone (ends of tasks would be noticed late); a watch that carries the report (two reports of one worker could cross, and the holder would have to tell them apart). What decides still reads whole reports: a mirror at the edge makes them.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -194,6 +194,7 @@
             Input::Worker { by, epoch, vm, outcome } => {
                 self.worker_answered(now, (by, epoch), vm, outcome);
             }
+            Input::News { epoch, vm, news } => self.worker_news(now, epoch, vm, news),
             Input::Question { question, reply } => {
                 let _ = reply.send(self.answer(now, question));
             }
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -1,14 +1,15 @@
 //! Drives the decisions of a holder or a caretaker: events in, actions out.
 
 use daisy_membership::Role;
-use daisy_model::{Epoch, Instant, Vm, VmId, WorkerReport};
+use daisy_model::{Epoch, Instant, SortedMap, Vm, VmId, WorkerReport};
 use daisy_placement::{Action, CareEvent, Caretaker, DataCentre, Event, Holder, Options};
 use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_wire::mirror::Mirror;
 
 use crate::{
     boundary::RequestSide,
     control::{Control, Identity},
-    worker_calls::{self, By, Silence},
+    worker_calls::{self, Answered, By, Line, News, Silence},
 };
 
 /// The holder or caretaker, while this entry VM is one.
@@ -20,6 +21,10 @@
     /// Workers whose answers came while the holder was suspended.
     unheard: Vec<VmId>,
     caretaker: Option<(Epoch, Caretaker)>,
+    /// What each worker has told, so that it tells changes only.
+    mirrors: SortedMap<VmId, Mirror>,
+    /// Workers whose news are waited for; one wait a worker.
+    watched: SortedMap<VmId, ()>,
 }
 
 impl Driver {
@@ -88,9 +93,8 @@
             match action {
                 Action::Append(record) => self.append(record),
                 Action::Call { vm, call } => {
-                    let address = self.worker(vm).map(|it| it.control);
-                    let (http, control) = (self.out.http.clone(), self.out.control.clone());
-                    worker_calls::spawn(http, by, vm, address, call, control);
+                    let seen = self.driver.mirrors.get(&vm).and_then(Mirror::seen);
+                    worker_calls::spawn(self.line(vm), by, call, seen);
                 }
             }
         }
@@ -102,9 +106,10 @@
         now: Instant,
         (by, epoch): (By, Epoch),
         vm: VmId,
-        outcome: Result<WorkerReport, Silence>,
+        outcome: Result<Answered, Silence>,
     ) {
         self.out.metrics.worker_call(outcome.is_ok());
+        let outcome = outcome.and_then(|answered| self.complete(vm, answered));
         match by {
             By::Caretaker if self.driver.caretaker.as_ref().is_some_and(|it| it.0 == epoch) => {
                 let event = match outcome {
@@ -118,7 +123,10 @@
                     self.driver.unheard.push(vm);
                 }
                 match &outcome {
-                    Ok(report) => self.drive(now, Event::Report { vm, report }),
+                    Ok(report) => {
+                        self.drive(now, Event::Report { vm, report });
+                        self.watch(vm, epoch);
+                    }
                     Err(silence) => self.drive(now, Event::Silent { vm, sent: silence.sent }),
                 }
             }
@@ -127,6 +135,44 @@
         }
     }
 
+    /// Makes a worker's whole report of what it has told before and what it tells now.
+    fn complete(&mut self, vm: VmId, answered: Answered) -> Result<WorkerReport, Silence> {
+        let mirror = self.driver.mirrors.get_or_insert_with(vm, Mirror::new);
+        mirror.take(&answered.orders, answered.report).ok_or(Silence { sent: true })
+    }
+
+    /// Waits for a worker's news, unless somebody does already.
+    fn watch(&mut self, vm: VmId, epoch: Epoch) {
+        let Some(seen) = self.driver.mirrors.get(&vm).and_then(Mirror::seen) else { return };
+        if !self.driver.watched.contains_key(&vm) {
+            self.driver.watched.insert(vm, ());
+            worker_calls::watch(self.line(vm), epoch, seen);
+        }
+    }
+
+    /// Has a worker called that has news; one that did not answer is asked again only after
+    /// its next report.
+    pub(super) fn worker_news(&mut self, now: Instant, epoch: Epoch, vm: VmId, news: News) {
+        if self.driver.holder.as_ref().is_none_or(|it| it.epoch() != epoch) {
+            return;
+        }
+        self.driver.watched.remove(&vm);
+        match news {
+            News::Some => self.drive(now, Event::News { vm }),
+            News::None => self.watch(vm, epoch),
+            News::Unreachable => {}
+        }
+    }
+
+    fn line(&self, vm: VmId) -> Line {
+        Line {
+            http: self.out.http.clone(),
+            vm,
+            address: self.worker(vm).map(|it| it.control),
+            control: self.out.control.clone(),
+        }
+    }
+
     fn worker(&self, vm: VmId) -> Option<&Vm> {
         self.vms.binary_search_by_key(&vm, |it| it.id).ok().map(|at| &self.vms[at])
     }
@@ -134,6 +180,8 @@
 
 fn options(identity: &Identity, epoch: Epoch) -> Options {
     let mut options = Options::new(identity.dc, epoch, identity.worker_lease, identity.sender);
+    // A worker's news come by themselves; calls on time only renew the lease.
+    options.limits.poll = identity.worker_lease;
     let regions = identity.dcs.iter().zip(&identity.regions);
     options.data_centres =
         regions.map(|(name, region)| DataCentre { name: name.clone(), region: *region }).collect();
--- a/daisy-entry/src/control/input.rs
+++ b/daisy-entry/src/control/input.rs
@@ -5,14 +5,14 @@
 use bytes::Bytes;
 use daisy_ledger::Record;
 use daisy_membership::{Heartbeat, Source};
-use daisy_model::{Epoch, Instant, Offset, VmId, WorkerReport};
+use daisy_model::{Epoch, Instant, Offset, VmId};
 use daisy_wire::peer::{Answer, Question};
 use tokio::sync::oneshot;
 
 use crate::{
     control::{Appended, Replicas, Sight, StatusJson, Verdict},
     platform::Listing,
-    worker_calls::{By, Silence},
+    worker_calls::{Answered, By, News, Silence},
 };
 
 /// One event for the control task.
@@ -61,7 +61,16 @@
         /// The worker.
         vm: VmId,
         /// Its answer.
-        outcome: Result<WorkerReport, Silence>,
+        outcome: Result<Answered, Silence>,
+    },
+    /// A wait for a worker's news has ended.
+    News {
+        /// The epoch that waited.
+        epoch: Epoch,
+        /// The worker.
+        vm: VmId,
+        /// How.
+        news: News,
     },
     /// A peer asks.
     Question {
--- a/daisy-entry/src/worker_calls.rs
+++ b/daisy-entry/src/worker_calls.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use daisy_model::{VmId, WorkerCall, WorkerReport};
-use daisy_wire::worker::{CallJson, ReportJson};
-use http::Method;
+use daisy_model::{Epoch, Order, VmId, WorkerCall};
+use daisy_wire::worker::{CallJson, ReportJson, SeenJson};
+use http::{Method, StatusCode};
 use http_body_util::Full;
 use tokio::sync::mpsc;
 
@@ -16,25 +16,63 @@
 /// Bytes of an answer that are read at most.
 const ANSWER_LIMIT: usize = 4 << 20;
 
-/// Calls the worker at `address` and tells the control task what came of it.
-pub(crate) fn spawn(
-    http: Http,
-    by: By,
-    vm: VmId,
-    address: Option<SocketAddr>,
-    call: WorkerCall,
-    control: mpsc::Sender<Input>,
-) {
+/// How long a worker holds a request for news: long, for each costs a message.
+const NEWS_WAIT: Duration = Duration::from_secs(25);
+/// Bytes of an answer about news.
+const NEWS_LIMIT: usize = 1 << 10;
+
+/// Where a worker is and how to reach it.
+#[derive(Debug, Clone)]
+pub(crate) struct Line {
+    pub http: Http,
+    pub vm: VmId,
+    /// `None` if no VM list has it.
+    pub address: Option<SocketAddr>,
+    /// Told what came of it.
+    pub control: mpsc::Sender<Input>,
+}
+
+/// Calls a worker, telling it what was `seen` of its reports.
+pub(crate) fn spawn(line: Line, by: By, call: WorkerCall, seen: Option<SeenJson>) {
     tokio::spawn(async move {
-        let epoch = call.epoch;
-        let outcome = match address {
-            Some(address) => exchange(&http, address, call).await,
+        let (epoch, vm) = (call.epoch, line.vm);
+        let outcome = match line.address {
+            Some(address) => exchange(&line.http, address, call, seen).await,
             None => Err(Silence { sent: false }),
         };
-        let _ = control.send(Input::Worker { by, epoch, vm, outcome }).await;
+        let _ = line.control.send(Input::Worker { by, epoch, vm, outcome }).await;
+    });
+}
+
+/// Waits until a worker has something to report that was not `seen`.
+pub(crate) fn watch(line: Line, epoch: Epoch, seen: SeenJson) {
+    tokio::spawn(async move {
+        let news = match line.address {
+            Some(address) => wait_for_news(&line.http, address, seen).await,
+            None => News::Unreachable,
+        };
+        let _ = line.control.send(Input::News { epoch, vm: line.vm, news }).await;
     });
 }
 
+/// How a wait for news ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum News {
+    /// There is something to report.
+    Some,
+    /// Nothing happened in all that time.
+    None,
+    /// The worker did not answer.
+    Unreachable,
+}
+
+/// A worker's answer, and the orders that it answers.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub orders: Vec<Order>,
+    pub report: ReportJson,
+}
+
 /// Who called, so that an answer reaches only who asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum By {
@@ -55,8 +93,11 @@
     http: &Http,
     address: SocketAddr,
     call: WorkerCall,
-) -> Result<WorkerReport, Silence> {
-    let body = serde_json::to_vec(&CallJson::from(call)).map_err(|_| Silence { sent: false })?;
+    seen: Option<SeenJson>,
+) -> Result<Answered, Silence> {
+    let orders = call.orders.clone();
+    let call = CallJson { seen, ..CallJson::from(call) };
+    let body = serde_json::to_vec(&call).map_err(|_| Silence { sent: false })?;
     let req = http
         .request(Method::POST, address, "/v1/worker")
         .body(Full::new(Bytes::from(body)))
@@ -66,7 +107,20 @@
     if !reply.status.is_success() {
         return Err(Silence { sent: true });
     }
-    let report: ReportJson =
-        serde_json::from_slice(&reply.body).map_err(|_| Silence { sent: true })?;
-    Ok(report.into())
+    let report = serde_json::from_slice(&reply.body).map_err(|_| Silence { sent: true })?;
+    Ok(Answered { orders, report })
+}
+
+async fn wait_for_news(http: &Http, address: SocketAddr, seen: SeenJson) -> News {
+    let SeenJson { boot, version } = seen;
+    let wait = NEWS_WAIT.as_millis();
+    let target = format!("/v1/worker/news?boot={boot}&version={version}&wait_ms={wait}");
+    let req = http.request(Method::GET, address, &target).body(Full::new(Bytes::new()));
+    let Ok(req) = req else { return News::Unreachable };
+    let reply = http.call(req, NEWS_WAIT + CALL_TIMEOUT, NEWS_LIMIT).await;
+    match reply.map(|reply| reply.status) {
+        Ok(StatusCode::NO_CONTENT) => News::Some,
+        Ok(StatusCode::NOT_MODIFIED) => News::None,
+        _ => News::Unreachable,
+    }
 }
--- a/daisy-measure/src/node.rs
+++ b/daisy-measure/src/node.rs
@@ -38,7 +38,8 @@
 }
 
 const DEFAULT_WORKERS: [u32; 3] = [10, 65, 130];
-const SETTLE: Duration = Duration::from_secs(3);
+/// The first use of every task is told within a usage lag and a renewal of the lease.
+const SETTLE: Duration = Duration::from_secs(15);
 
 /// What one entry VM used over a time.
 #[derive(Debug)]
--- a/daisy-placement/src/calls.rs
+++ b/daisy-placement/src/calls.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// Calls a worker that has something to report without waiting for its turn.
+    pub(crate) fn take_news(&mut self, now: Instant, vm: VmId) {
+        let Some(key) = self.roster.try_key(vm) else { return };
+        let Some(worker) = self.roster.get_mut(key) else { return };
+        worker.due = now;
+        self.roster.touch(key);
+    }
+
     /// Takes in that a call got no answer.
     pub(crate) fn take_silence(&mut self, now: Instant, vm: VmId, sent: bool) {
         let Some(key) = self.roster.try_key(vm) else { return };
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -36,6 +36,11 @@
         /// Its answer.
         report: &'a WorkerReport,
     },
+    /// A worker has something to report, such as a task that ended: it is called at once.
+    News {
+        /// The worker.
+        vm: VmId,
+    },
     /// The outstanding call got no answer.
     Silent {
         /// The worker.
@@ -159,6 +164,7 @@
             Event::Ledger(state) => self.take_ledger(now, state),
             Event::Vms(vms) => self.take_vms(now, vms),
             Event::Report { vm, report } => self.take_report(now, vm, report),
+            Event::News { vm } => self.take_news(now, vm),
             Event::Silent { vm, sent } => self.take_silence(now, vm, sent),
             Event::Log { reachable } => self.log_reachable = reachable,
             Event::Tick if self.is_ready() => self.take_tick(now),
--- a/daisy-standin/src/worker.rs
+++ b/daisy-standin/src/worker.rs
@@ -1,8 +1,9 @@
 //! A worker: its control address, and the backend server of the services on it.
 //!
-//! `POST /v1/worker` is that of [`daisy_wire::worker`]. Besides, `POST /standin/jobs` with a
+//! `POST /v1/worker` and `GET /v1/worker/news` are those of [`daisy_wire::worker`]. Besides, `POST /standin/jobs` with a
 //! list of [`JobRun`]s says how long the tasks of which jobs run.
 
+mod journal;
 mod state;
 
 use std::{
@@ -14,10 +15,13 @@
 
 use daisy_history::{History, Kind};
 use daisy_model::{Resources, WorkerCall};
-use daisy_wire::worker::{CallJson, ReportJson};
+use daisy_wire::worker::{CallJson, ReportJson, SeenJson};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use tokio::task::JoinHandle;
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 use crate::{
     Backend, FaultError, Faults, Recorder, backend,
@@ -88,6 +92,9 @@
 
 const TICK: Duration = Duration::from_millis(10);
 const CALL_BYTES: usize = 4 << 20;
+/// The longest wait for news.
+const NEWS_WAIT: Duration = Duration::from_secs(60);
+const NEWS_POLL: Duration = Duration::from_millis(20);
 
 impl Worker {
     /// Listens and works until [`Worker::stop`].
@@ -98,10 +105,12 @@
         let capacity = state::size_of(options.worker.capacity);
         recorder.record(Kind::WorkerBegan { capacity });
         let presence = backend::Presence::default();
+        let mut state = WorkerState::new(options.worker);
+        state.set_boot(fastrand::u64(..));
         let shared = Arc::new(Shared {
             recorder: recorder.clone(),
             switches: Switches::new(&recorder, "worker", &["replay", "fail_everything"]),
-            state: Mutex::new(WorkerState::new(options.worker)),
+            state: Mutex::new(state),
             previous: Mutex::new(None),
             presence: presence.clone(),
         });
@@ -160,6 +169,23 @@
     }
 }
 
+/// What a request for news asks.
+struct News {
+    seen: SeenJson,
+    wait: Duration,
+}
+
+impl News {
+    fn try_parse(query: &str) -> Option<News> {
+        let number = |name: &str| -> Option<u64> {
+            let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+            fields.find(|(key, _)| *key == name)?.1.parse().ok()
+        };
+        let seen = SeenJson { boot: number("boot")?, version: number("version")? };
+        Some(News { seen, wait: Duration::from_millis(number("wait_ms")?) })
+    }
+}
+
 async fn tick(shared: Arc<Shared>) {
     let mut timer = tokio::time::interval(TICK);
     loop {
@@ -182,6 +208,12 @@
                 }
                 self.call(req).await
             }
+            (&Method::GET, "/v1/worker/news") => {
+                if let Err(reply) = pass(&req, &self.switches).await {
+                    return reply;
+                }
+                self.wait_for_news(req.uri().query().unwrap_or_default()).await
+            }
             (_, path) => Ok(text(StatusCode::NOT_FOUND, &format!("no {path} here"))),
         }
     }
@@ -194,11 +226,12 @@
             Err(reply) => return reply,
         };
         let call = match serde_json::from_slice::<CallJson>(&body) {
-            Ok(call) => WorkerCall::from(call),
+            Ok(call) => call,
             Err(error) => return Ok(text(StatusCode::BAD_REQUEST, &error.to_string())),
         };
+        let (seen, call) = (call.seen, WorkerCall::from(call));
         self.replay_previous(&call);
-        let report = self.carry_out(call);
+        let report = self.carry_out(seen, call);
         if self.switches.loses_answer() {
             return Err(Abort);
         }
@@ -210,16 +243,32 @@
         let armed =
             previous.is_some() && self.switches.with(|faults| count_down(&mut faults.replay));
         if let Some(previous) = previous.filter(|_| armed) {
-            self.carry_out(previous);
+            self.carry_out(None, previous);
         }
     }
 
-    fn carry_out(&self, call: WorkerCall) -> ReportJson {
+    fn carry_out(&self, seen: Option<SeenJson>, call: WorkerCall) -> ReportJson {
         let fails = self.switches.with(|faults| faults.fail_everything);
         let mut state = locked(&self.state);
         let report = state.call(self.recorder.now(), call, fails);
         self.publish(&mut state);
-        report.into()
+        state.since(seen, report)
+    }
+
+    /// Answers once a task has ended since the version asked about, or after a while.
+    async fn wait_for_news(&self, query: &str) -> Reply {
+        let Some(News { seen, wait }) = News::try_parse(query) else {
+            return Ok(text(StatusCode::BAD_REQUEST, "expected boot=B&version=V&wait_ms=M"));
+        };
+        let deadline = Instant::now() + wait.min(NEWS_WAIT);
+        while Instant::now() < deadline {
+            let news = locked(&self.state).news();
+            if news.boot != seen.boot || news.version > seen.version {
+                return Ok(text(StatusCode::NO_CONTENT, ""));
+            }
+            sleep(NEWS_POLL).await;
+        }
+        Ok(text(StatusCode::NOT_MODIFIED, ""))
     }
 
     /// Lets time pass.
--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -7,8 +7,10 @@
     Ended, Epoch, Exit, Incarnation, Instant, JobId, Order, OrderResult, Resources, Running,
     SortedMap, TaskId, Usage, WorkerCall, WorkerReport,
 };
+use daisy_wire::worker::{ReportJson, SeenJson};
 use serde::{Deserialize, Serialize};
 
+use super::journal::Journal;
 use crate::backend::Served;
 
 /// How tasks of one job run on a worker.
@@ -89,6 +91,7 @@
     checkpoints: u32,
     worked_until: Instant,
     samples: VecDeque<(Instant, Vec<Usage>)>,
+    journal: Journal,
     events: Vec<(Instant, Kind)>,
     now: Instant,
 }
@@ -109,6 +112,7 @@
             checkpoints: 0,
             worked_until: Instant(0),
             samples: VecDeque::new(),
+            journal: Journal::new(),
             events: Vec::new(),
             now: Instant(0),
         }
@@ -119,6 +123,21 @@
         self.running.len()
     }
 
+    /// Makes a whole report one of the changes since `seen`, if they are known.
+    pub fn since(&mut self, seen: Option<SeenJson>, report: WorkerReport) -> ReportJson {
+        self.journal.reduce(seen, report)
+    }
+
+    /// Numbers reports as those of the agent's start `boot`.
+    pub fn set_boot(&mut self, boot: u64) {
+        self.journal.set_boot(boot);
+    }
+
+    /// Where the journal stood when a task ended last.
+    pub fn news(&self) -> SeenJson {
+        self.journal.news()
+    }
+
     /// Replaces how tasks of particular jobs run.
     pub fn set_jobs(&mut self, jobs: Vec<JobRun>) {
         self.options.jobs = jobs;
@@ -199,8 +218,9 @@
             Order::Checkpoint { task, incarnation } => self.checkpoint((task, incarnation)),
             Order::Throttle { task, incarnation, share } => {
                 match self.running.get_mut(&(task, incarnation)) {
-                    Some(task) => {
-                        task.share = share.min(WHOLE);
+                    Some(running) => {
+                        running.share = share.min(WHOLE);
+                        self.journal.changed((task, incarnation));
                         OrderResult::Done
                     }
                     None => OrderResult::Unknown,
@@ -208,6 +228,7 @@
             }
             Order::Acknowledge { task, incarnation } => {
                 self.ended.retain(|it| (it.task, it.incarnation) != (task, incarnation));
+                self.journal.forgot((task, incarnation));
                 OrderResult::Done
             }
         }
@@ -232,6 +253,7 @@
         self.started.insert(key, ());
         let done = checkpoint.map_or(0, work_of_checkpoint);
         self.running.insert(key, Task { size, share: WHOLE, done });
+        self.journal.changed(key);
         let (run, size, epoch) = (run_of(key), size_of(size), self.epoch.0);
         self.note(Kind::TaskStarted { run, epoch, size, checkpoint });
         OrderResult::Done
@@ -257,6 +279,7 @@
             return if was_here { OrderResult::Done } else { OrderResult::Unknown };
         }
         self.ended.push(Ended { task: key.0, incarnation: key.1, exit });
+        self.journal.ended(key);
         if let Some(end) = end_of(exit) {
             self.note(Kind::TaskEnded { run: run_of(key), end });
         }
@@ -343,6 +366,8 @@
         while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= lag) {
             self.samples.pop_front();
         }
+        let told = self.usage(now);
+        self.journal.note_usage(&told);
     }
 
     fn usage(&self, now: Instant) -> Vec<Usage> {
--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod headers;
 pub mod log;
+pub mod mirror;
 pub mod peer;
 pub mod platform;
 pub mod snapshot;
--- a/daisy-wire/src/worker.rs
+++ b/daisy-wire/src/worker.rs
@@ -1,4 +1,10 @@
-//! JSON of a worker: `POST /v1/worker` with a [`CallJson`], answered by a [`ReportJson`].
+//! JSON of a worker.
+//!
+//! - `POST /v1/worker` with a [`CallJson`]: a [`ReportJson`]. A call that tells what its
+//!   sender has [`SeenJson`] is answered with the changes since, if the worker still knows
+//!   them, and else with everything.
+//! - `GET /v1/worker/news?boot=B&version=V&wait_ms=M`: 204 as soon as a task has ended since
+//!   that version, 304 if none has within `M` ms. It renews no lease and changes nothing.
 
 use std::time::Duration;
 
@@ -127,6 +133,15 @@
     }
 }
 
+/// How far a worker's reports have been taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenJson {
+    /// Drawn by the worker's agent when it starts: versions of two starts do not compare.
+    pub boot: u64,
+    /// Grows with each change of what the worker has to report.
+    pub version: u64,
+}
+
 /// A holder's call; see [`WorkerCall`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CallJson {
@@ -134,8 +149,11 @@
     pub epoch: u64,
     /// The lease in milliseconds.
     pub lease_ms: u64,
+    /// What the sender has seen; absent for nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seen: Option<SeenJson>,
     /// Orders in turn.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<OrderJson>,
 }
 
@@ -144,6 +162,7 @@
         CallJson {
             epoch: call.epoch.0,
             lease_ms: u64::try_from(call.lease.as_millis()).unwrap_or(u64::MAX),
+            seen: None,
             orders: call.orders.into_iter().map(OrderJson::from).collect(),
         }
     }
@@ -259,19 +278,27 @@
     pub epoch: u64,
     /// Whether the call was accepted.
     pub accepted: bool,
-    /// What the worker holds.
-    pub capacity: ResourcesJson,
+    /// What this report brings its reader up to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub now: Option<SeenJson>,
+    /// The version that the report holds the changes since; absent if it holds everything.
+    /// A task that no longer runs is then among `ended`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub since: Option<u64>,
+    /// What the worker holds; absent from a report of changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<ResourcesJson>,
     /// Results in the call's order.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub results: Vec<ResultJson>,
-    /// All that runs.
-    #[serde(default)]
+    /// What runs, or has changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<RunningJson>,
-    /// Exit reports not acknowledged.
-    #[serde(default)]
+    /// Exit reports not acknowledged, or new.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<EndedJson>,
-    /// Measured use.
-    #[serde(default)]
+    /// Measured use, or what has changed of it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub usage: Vec<UsageJson>,
 }
 
@@ -280,7 +307,9 @@
         ReportJson {
             epoch: report.epoch.0,
             accepted: report.accepted,
-            capacity: report.capacity.into(),
+            now: None,
+            since: None,
+            capacity: Some(report.capacity.into()),
             results: report.results.into_iter().map(result_to_json).collect(),
             running: report.running.into_iter().map(running_to_json).collect(),
             ended: report.ended.into_iter().map(ended_to_json).collect(),
@@ -294,7 +323,7 @@
         WorkerReport {
             epoch: Epoch(report.epoch),
             accepted: report.accepted,
-            capacity: report.capacity.into(),
+            capacity: report.capacity.unwrap_or_default().into(),
             results: report.results.into_iter().map(result_from_json).collect(),
             running: report.running.into_iter().map(running_from_json).collect(),
             ended: report.ended.into_iter().map(ended_from_json).collect(),
