--- a/daisy-placement/src/options.rs
+++ b/daisy-placement/src/options.rs
@@ -4,6 +4,8 @@
 
 use daisy_model::{DcId, Epoch, Name};
 
+use crate::throttle::Control;
+
 /// A data centre and the region that it stands in.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DataCentre {
@@ -60,6 +62,8 @@
     pub reserve: u32,
     /// Candidates weighed for one start.
     pub candidates: usize,
+    /// How batch work beside services is limited; `None` for what the policy's weights say.
+    pub control: Option<Control>,
     /// Tasks named in one record.
     pub record_tasks: usize,
 }
@@ -77,6 +81,7 @@
             give_back: Duration::from_secs(15),
             reserve: 64,
             candidates: 12,
+            control: None,
             record_tasks: 512,
         }
     }
