Keep keys at a home that says when it does not know its past

A key's home in each data centre (rendezvous hashing over the live entry VMs) grants it to one claim and keeps state and answer for the retry window. A repeated attempt also needs the word of every other data centre's home, which fences: a first attempt that comes late does not run there.

A home vouches for its past only while nobody else can have granted its keys: no freeze, no entry VM of the data centre lost or silent while listed, all who were there before have handed over. Otherwise repeats are unknown, and first attempts need the other data centres' word too.

Random schedules (kills, freezes, cuts, joins, planned stops, lost and slow messages, late first attempts) found what reasoning had not, in this order: - a finish that overtakes the next claim of the same name released it: each wish after a finish has a new name; - a conditional claim that did not run left a fence and so seemed vouched for: nothing is left of it; - a fence that stood before is no word for a first attempt: its repeat may have run in the same data centre; - an entry VM that died before it handed over to a new one dropped out of what the new one waits for; - keys handed to a home that only the sender knew of: handed by rank, and to everybody in a planned stop, and kept by the sender; - no other data centre at all counted as everybody's word.

A late first attempt comes through an entry VM that was there when it was sent: callers close an attempt's connection before they repeat. With that written into the schedule, cold starts may grant at once.

The peers' wire types gain two answers and one field.

--- a/daisy-routing/src/key.rs
+++ b/daisy-routing/src/key.rs
@@ -79,7 +79,8 @@
         key: KeyId,
         /// A digest of the request's method and path, so that a key is not used for another.
         shape: u64,
-        /// Names the wish; a lost answer is asked for again under the same name.
+        /// Names the wish; a lost answer is asked for again under the same name, and a wish after
+        /// [`KeyQuery::Finish`] has another: the finish may arrive after it.
         claim: ClaimId,
         /// Whether the caller says that it sent the request before.
         repeated: bool,
@@ -111,6 +112,8 @@
         last: bool,
         /// Whether the old home knew all that happened to these keys in the retry window.
         complete: bool,
+        /// Whether the old home missed nothing but the time before its own start.
+        fresh: bool,
         /// Whether the old home stops.
         leaving: bool,
     },
@@ -123,6 +126,8 @@
     Granted,
     /// Not known here, and now fenced.
     Fenced,
+    /// Not run here, and fenced before: some repeated attempt has asked.
+    FencedBefore,
     /// Another claim runs.
     Running,
     /// It ran, and this is its answer.
@@ -139,4 +144,7 @@
     Settling,
     /// The order was carried out.
     Taken,
+    /// The claim may run if the other data centres' homes do not know the key either: this one
+    /// does not vouch for its past.
+    Conditional,
 }
--- /dev/null
+++ b/daisy-routing/src/keys/view.rs
@@ -0,0 +1,144 @@
+//! Who is there, and so who is a key's home.
+
+use std::{cmp::Reverse, time::Duration};
+
+use daisy_model::{DcId, Instant, SortedMap, VmId};
+
+use crate::{KeyId, Routes, digest, weight};
+
+/// How long a listed entry VM that was never live may take to begin. Shorter than the time for
+/// which it grants nothing by itself, with room for the lag of the VM list.
+const UNMET_GRACE: Duration = Duration::from_secs(2);
+
+/// The entry VMs as this one sees them.
+#[derive(Debug, Default)]
+pub(super) struct View {
+    dc: DcId,
+    live: Vec<(DcId, VmId)>,
+    listed: Vec<(DcId, VmId)>,
+    /// Those that have handed their keys over and stop.
+    left: Vec<VmId>,
+    /// Whether the platform's VM list was read: before that nobody else seems to be there.
+    informed: bool,
+    /// Peers at the last update.
+    seen: Vec<VmId>,
+    /// Listed entry VMs of the own data centre that were never live, with their first listing.
+    unmet: SortedMap<VmId, Instant>,
+    /// Data centres, with the time since which they show no entry VM.
+    empty_since: SortedMap<DcId, Option<Instant>>,
+}
+
+impl View {
+    /// Takes in `routes`; returns the entry VMs of the own data centre that are newly there.
+    pub(super) fn update(&mut self, now: Instant, me: VmId, routes: &Routes) -> Vec<VmId> {
+        self.dc = routes.dc;
+        self.live = routes.entries.clone();
+        self.listed = routes.listed.clone();
+        let (live, listed) = (&self.live, &self.listed);
+        self.left.retain(|vm| live.iter().chain(listed).any(|(_, known)| known == vm));
+        // Backend servers come from the VM list.
+        self.informed |= routes.services.iter().any(|(_, service)| !service.backends.is_empty());
+        self.note_unmet(now);
+        self.note_empty(now, routes);
+        let peers = self.peers(me);
+        let before = std::mem::replace(&mut self.seen, peers.clone());
+        peers.into_iter().filter(|peer| !before.contains(peer)).collect()
+    }
+
+    fn note_unmet(&mut self, now: Instant) {
+        let (live, listed) = (&self.live, &self.listed);
+        let is_in = |vms: &[(DcId, VmId)], vm: VmId| vms.iter().any(|(_, other)| *other == vm);
+        self.unmet.retain(|vm, _| is_in(listed, *vm) && !is_in(live, *vm));
+        for (_, vm) in listed.iter().filter(|(dc, vm)| *dc == self.dc && !is_in(live, *vm)) {
+            let met = self.seen.contains(vm);
+            let since = if met { now - UNMET_GRACE } else { now };
+            self.unmet.get_or_insert_with(*vm, || since);
+        }
+    }
+
+    fn note_empty(&mut self, now: Instant, routes: &Routes) {
+        let by_region = (0..routes.regions.len()).map(|dc| DcId(dc as u16));
+        let seen = self.live.iter().chain(&self.listed).map(|(dc, _)| *dc);
+        let dcs: Vec<DcId> = by_region.chain(seen).collect();
+        for dc in dcs {
+            let shown = self.live.iter().chain(&self.listed).any(|(other, _)| *other == dc);
+            let since = self.empty_since.get_or_insert_with(dc, || None);
+            *since = if shown { None } else { since.or(Some(now)) };
+        }
+    }
+
+    /// The own data centre.
+    pub(super) fn dc(&self) -> DcId {
+        self.dc
+    }
+
+    /// Live entry VMs of the own data centre but `me`, and not those that have left.
+    pub(super) fn peers(&self, me: VmId) -> Vec<VmId> {
+        self.members(self.dc).filter(|vm| *vm != me).collect()
+    }
+
+    /// Entry VMs of the own data centre that the platform lists, answering or not, but `me`.
+    pub(super) fn listed(&self, me: VmId) -> Vec<VmId> {
+        let own = self.listed.iter().chain(&self.live).filter(|(dc, _)| *dc == self.dc);
+        let mut vms: Vec<VmId> = own.map(|(_, vm)| *vm).filter(|vm| *vm != me).collect();
+        vms.sort_unstable();
+        vms.dedup();
+        vms
+    }
+
+    /// Whether a listed entry VM of the own data centre does not answer, though it did before or
+    /// has had the time to begin.
+    pub(super) fn missing(&self, now: Instant, me: VmId) -> bool {
+        let late = |(vm, since): (&VmId, &Instant)| {
+            *vm != me && !self.left.contains(vm) && now.since(*since) >= UNMET_GRACE
+        };
+        self.unmet.iter().any(late)
+    }
+
+    /// Whether the VM list was read.
+    pub(super) fn is_informed(&self) -> bool {
+        self.informed
+    }
+
+    /// Whether `vm` is listed or live.
+    pub(super) fn knows(&self, vm: VmId) -> bool {
+        self.live.iter().chain(&self.listed).any(|(_, other)| *other == vm)
+    }
+
+    /// Notes whether `vm` has handed its keys over and stops.
+    pub(super) fn set_left(&mut self, vm: VmId, left: bool) {
+        self.left.retain(|other| *other != vm);
+        if left {
+            self.left.push(vm);
+        }
+    }
+
+    /// The home of `key` in the own data centre.
+    pub(super) fn home(&self, key: &KeyId) -> Option<VmId> {
+        let item = digest(key.key.as_bytes());
+        self.members(self.dc).max_by_key(|vm| (weight(item, vm.0), *vm))
+    }
+
+    /// The likeliest homes of `key` in `dc`, the likeliest first.
+    pub(super) fn homes(&self, dc: DcId, key: &KeyId) -> Vec<VmId> {
+        let item = digest(key.key.as_bytes());
+        let mut members: Vec<VmId> = self.members(dc).collect();
+        members.sort_by_key(|vm| Reverse((weight(item, vm.0), *vm)));
+        members
+    }
+
+    /// Other data centres with entry VMs now or within `window`.
+    ///
+    /// Guards against a data centre whose entry VMs are all gone: what ran there is not known to
+    /// anybody, and asking nobody must not count as everybody's word.
+    pub(super) fn others(&self, now: Instant, window: Duration) -> Vec<DcId> {
+        let recent = |since: &Option<Instant>| since.is_none_or(|at| now.since(at) < window);
+        let others = self.empty_since.iter().filter(|(dc, since)| **dc != self.dc && recent(since));
+        others.map(|(dc, _)| *dc).collect()
+    }
+
+    fn members(&self, dc: DcId) -> impl Iterator<Item = VmId> + '_ {
+        let of = self.live.iter().filter(move |(other, _)| *other == dc);
+        of.map(|(_, vm)| *vm).filter(|vm| !self.left.contains(vm))
+    }
+}
--- a/daisy-routing/src/lib.rs
+++ b/daisy-routing/src/lib.rs
@@ -4,11 +4,13 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod attempt;
 mod budget;
 mod call;
 mod choose;
 mod digest;
 mod key;
+mod keys;
 mod learn;
 mod measure;
 mod queue;
@@ -23,9 +25,11 @@
 mod update;
 
 pub use crate::{
+    attempt::{KeyStep, KeyStop, after_home, after_others},
     call::{Call, CallerId, Grant, Offer, Reason, Refusal, Target, Ticket, TryId, Urgency},
     digest::{digest, weight},
     key::{ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer},
+    keys::{KeyLimits, KeyTable},
     learn::{Report, TryEnd},
     router::Router,
     routes::{Backend, Routes, Service},
--- /dev/null
+++ b/daisy-routing/tests/keys/home.rs
@@ -0,0 +1,232 @@
+//! One failure at a time.
+
+use std::time::Duration;
+
+use daisy_model::{DcId, VmId};
+use daisy_routing::{ClaimId, KeyAnswer, KeyQuery};
+
+use crate::world::{Ended, World, key};
+
+const A: DcId = DcId(0);
+const B: DcId = DcId(1);
+
+fn in_dc(world: &World, dc: DcId) -> VmId {
+    world.nodes.iter().find(|node| node.dc == dc && node.alive).unwrap().vm
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn a_first_attempt_runs_and_repeats_do_not() {
+    let mut world = World::new(1, 3);
+    let at = in_dc(&world, A);
+
+    let first = world.call(at, key(1), false);
+    world.pass(seconds(1));
+    for node in 0..world.nodes.len() {
+        world.call(world.nodes[node].vm, key(1), true);
+    }
+    world.pass(seconds(5));
+
+    assert_eq!(world.ended[first], Ended::Ran);
+    assert_eq!(world.runs_of(&key(1)), 1);
+}
+
+#[test]
+fn a_repeat_whose_first_attempt_never_arrived_runs_in_another_data_centre() {
+    let mut world = World::new(2, 3);
+
+    let repeat = world.call(in_dc(&world, B), key(1), true);
+    world.pass(seconds(2));
+
+    assert_eq!(world.ended[repeat], Ended::Ran);
+}
+
+/// An order runs twice: the first attempt was held up in the network while the buyer's repeat,
+/// sent to another data centre, ran there. Then the first one arrives.
+#[test]
+fn a_delayed_first_attempt_does_not_run_after_its_repeat() {
+    let mut world = World::new(3, 3);
+    world.call(in_dc(&world, B), key(1), true);
+    world.pass(seconds(2));
+
+    world.call(in_dc(&world, A), key(1), false);
+    world.pass(seconds(4));
+
+    assert_eq!(world.runs_of(&key(1)), 1);
+}
+
+/// An order runs twice: its home granted it and was killed, and the new home, which has never
+/// heard of it, grants the repeat.
+#[test]
+fn a_repeat_after_its_home_was_killed_does_not_run() {
+    let mut world = World::new(4, 3);
+    let home = world.home(A, &key(1));
+    let at = world.nodes.iter().find(|node| node.dc == A && node.vm != home).unwrap().vm;
+    world.call(at, key(1), false);
+    world.pass(seconds(1));
+
+    world.kill(home);
+    for _ in 0..10 {
+        world.call(at, key(1), true);
+        world.call(in_dc(&world, B), key(1), true);
+        world.pass(seconds(1));
+    }
+
+    assert_eq!(world.runs_of(&key(1)), 1);
+}
+
+/// An order runs twice: its home was frozen, another took over and granted it, and the old home
+/// wakes, has not heard of the order and grants the repeat.
+#[test]
+fn a_home_that_was_frozen_does_not_vouch_for_its_past() {
+    let mut world = World::new(5, 3);
+    let home = world.home(A, &key(1));
+    let at = world.nodes.iter().find(|node| node.dc == A && node.vm != home).unwrap().vm;
+    world.node(home).frozen = true;
+    world.pass(seconds(4));
+    let first = world.call(at, key(1), false);
+    world.pass(seconds(2));
+
+    world.node(home).frozen = false;
+    world.call(home, key(1), true);
+    world.pass(seconds(4));
+
+    assert_eq!(world.ended[first], Ended::Ran);
+    assert_eq!(world.runs_of(&key(1)), 1);
+}
+
+/// An order runs twice: its data centre is cut off after it ran there, and the buyer's repeat goes
+/// to another one.
+#[test]
+fn a_repeat_does_not_run_while_a_data_centre_is_cut_off() {
+    let mut world = World::new(6, 3);
+    world.call(in_dc(&world, A), key(1), false);
+    world.pass(seconds(1));
+    let (a, rest): (Vec<_>, Vec<_>) = world.nodes.iter().partition(|node| node.dc == A);
+    world.cuts = a.iter().flat_map(|a| rest.iter().map(move |other| (a.vm, other.vm))).collect();
+
+    let soon = world.call(in_dc(&world, B), key(1), true);
+    world.pass(seconds(4));
+    let later = world.call(in_dc(&world, B), key(1), true);
+    world.pass(seconds(4));
+
+    assert_eq!([&world.ended[soon], &world.ended[later]], [&Ended::Stopped, &Ended::Stopped]);
+    assert_eq!(world.runs_of(&key(1)), 1);
+}
+
+/// An order runs twice: an entry VM is cut off from another of its data centre, and each takes
+/// itself for the home.
+#[test]
+fn two_halves_of_a_data_centre_do_not_both_run_an_order() {
+    for number in 0..20 {
+        let mut world = World::new(7, 2);
+        let a: Vec<VmId> = world.nodes.iter().filter(|n| n.dc == A).map(|n| n.vm).collect();
+        world.cuts = vec![(a[0], a[1])];
+        world.pass(seconds(30));
+
+        world.call(a[0], key(number), false);
+        world.pass(seconds(1));
+        world.call(a[1], key(number), true);
+        world.call(in_dc(&world, B), key(number), true);
+        world.pass(seconds(4));
+
+        assert_eq!(world.runs_of(&key(number)), 1);
+    }
+}
+
+/// Each morning after the nightly replacement of entry VMs, repeats are told that nobody knows.
+#[test]
+fn a_planned_stop_hands_keys_over_so_that_repeats_get_their_answer() {
+    let mut replayed = 0;
+    for number in 0..20 {
+        let mut world = World::new(8 + u64::from(number), 3);
+        let home = world.home(A, &key(number));
+        let at = world.nodes.iter().find(|node| node.dc == A && node.vm != home).unwrap().vm;
+        world.call(at, key(number), false);
+        world.pass(seconds(1));
+
+        world.leave(home);
+        world.pass(seconds(1));
+        world.kill(home);
+        world.pass(seconds(3));
+        let repeat = world.call(at, key(number), true);
+        let unseen = world.call(at, key(1_000 + number), true);
+        world.pass(seconds(3));
+
+        replayed += u32::from(world.ended[repeat] == Ended::Replayed);
+        assert_eq!(world.runs_of(&key(number)), 1);
+        assert_eq!(world.ended[unseen], Ended::Ran, "still vouches");
+    }
+    // The others ended unknown to begin with.
+    assert!(replayed >= 5, "{replayed}");
+}
+
+#[test]
+fn a_new_entry_vm_gets_the_keys_that_are_now_its_own_and_vouches() {
+    let mut world = World::new(9, 3);
+    let new = world.join(A);
+    world.pass(seconds(6));
+    let own = (0..100).map(key).find(|key| world.home(A, key) == new).unwrap();
+
+    let unseen = world.call(new, own, true);
+    world.pass(seconds(2));
+
+    assert_eq!(world.ended[unseen], Ended::Ran);
+}
+
+/// An order runs twice: its home stops, hands its keys over and then grants one more, of which
+/// the new home never hears.
+#[test]
+fn an_entry_vm_that_handed_over_grants_nothing_more() {
+    let mut world = World::new(10, 3);
+    let home = world.home(A, &key(1));
+    let now = world.now;
+    let claim = |claim, repeated| KeyQuery::Claim {
+        key: key(1),
+        shape: 0,
+        claim: ClaimId(claim),
+        repeated,
+        hold: seconds(1),
+    };
+    let table = &mut world.node(home).table;
+
+    table.leave(now);
+
+    assert_eq!(table.handle(now, home, claim(1, false)), KeyAnswer::NotHome);
+    assert_eq!(table.handle(now, home, claim(2, true)), KeyAnswer::NotHome);
+}
+
+/// An order runs twice: the memory of keys is full, an old one is forgotten, and its repeat runs.
+#[test]
+fn a_full_home_refuses_new_keys_and_forgets_none() {
+    let mut world = World::new(11, 1);
+    let at = in_dc(&world, A);
+    for number in 0..1_000 {
+        world.call(at, key(number), false);
+    }
+    world.pass(seconds(1));
+
+    let beyond = world.call(at, key(1_000), false);
+    let old = world.call(at, key(0), true);
+    world.pass(seconds(4));
+
+    assert_eq!(world.ended[beyond], Ended::Stopped);
+    assert_ne!(world.ended[old], Ended::Ran);
+}
+
+#[test]
+fn a_key_used_for_another_request_is_told_apart() {
+    let mut world = World::new(12, 1);
+    let at = in_dc(&world, A);
+    world.call(at, key(1), false);
+    world.pass(seconds(1));
+    let now = world.now;
+    let other = KeyQuery::Fence { key: key(1), shape: 1 };
+
+    let answer = world.node(at).table.handle(now, at, other);
+
+    assert_eq!(answer, KeyAnswer::Mismatch);
+}
--- a/daisy-wire/src/peer/key.rs
+++ b/daisy-wire/src/peer/key.rs
@@ -101,6 +101,8 @@
         last: bool,
         /// Whether nothing is missing.
         complete: bool,
+        /// Whether the sender missed nothing but the time before its start.
+        fresh: bool,
         /// Whether the sender stops.
         leaving: bool,
     },
@@ -129,6 +131,10 @@
     Settling,
     /// See [`KeyAnswer::Taken`].
     Taken,
+    /// See [`KeyAnswer::Conditional`].
+    Conditional,
+    /// See [`KeyAnswer::FencedBefore`].
+    FencedBefore,
 }
 
 impl From<KeyId> for KeyIdWire {
@@ -254,10 +260,11 @@
             KeyQuery::Finish { key, claim, end } => {
                 KeyQueryWire::Finish { key: key.into(), claim: claim.0, end: end.into() }
             }
-            KeyQuery::Handover { keys, last, complete, leaving } => KeyQueryWire::Handover {
+            KeyQuery::Handover { keys, last, complete, fresh, leaving } => KeyQueryWire::Handover {
                 keys: keys.into_iter().map(HandedKeyWire::from).collect(),
                 last,
                 complete,
+                fresh,
                 leaving,
             },
         }
@@ -280,10 +287,11 @@
             KeyQueryWire::Finish { key, claim, end } => {
                 KeyQuery::Finish { key: key.try_into()?, claim: ClaimId(claim), end: end.into() }
             }
-            KeyQueryWire::Handover { keys, last, complete, leaving } => KeyQuery::Handover {
+            KeyQueryWire::Handover { keys, last, complete, fresh, leaving } => KeyQuery::Handover {
                 keys: keys.into_iter().map(HandedKey::try_from).collect::<Result<_, _>>()?,
                 last,
                 complete,
+                fresh,
                 leaving,
             },
         })
@@ -303,6 +311,8 @@
             KeyAnswer::NotHome => KeyAnswerWire::NotHome,
             KeyAnswer::Settling => KeyAnswerWire::Settling,
             KeyAnswer::Taken => KeyAnswerWire::Taken,
+            KeyAnswer::Conditional => KeyAnswerWire::Conditional,
+            KeyAnswer::FencedBefore => KeyAnswerWire::FencedBefore,
         }
     }
 }
@@ -320,6 +330,8 @@
             KeyAnswerWire::NotHome => KeyAnswer::NotHome,
             KeyAnswerWire::Settling => KeyAnswer::Settling,
             KeyAnswerWire::Taken => KeyAnswer::Taken,
+            KeyAnswerWire::Conditional => KeyAnswer::Conditional,
+            KeyAnswerWire::FencedBefore => KeyAnswer::FencedBefore,
         }
     }
 }
