Run keyed requests at most once over the wire

A keyed request is claimed at its key's home before it is offered to a backend server, runs to its end also when its caller leaves, and its answer (up to 64 KiB) is kept for repeats. The end of a claim is told to whoever the home then is. In a planned stop the keys go to the others after the last connection, one message after another. `daisy-at-most-once: log` asks for an intent in the platform's log instead of the other data centres' word; PeerKeys gains `intend`, which says unavailable unless implemented.

Nothing is proven of an earlier attempt by a repeat's malformed head, and nothing is sent after the deadline, which is how a frozen entry VM wakes.

Not shown by a test: the pool's own bound of connections (the router's limit is reached first) and the deadline of a frozen process.

--- a/daisy-entry/src/boundary.rs
+++ b/daisy-entry/src/boundary.rs
@@ -23,6 +23,26 @@
         query: Query,
         timeout: Duration,
     ) -> impl Future<Output = Option<Answer>> + Send;
+
+    /// Notes in the platform's log that the request with the digest `key` is about to run.
+    ///
+    /// Of several for one key the first in the log wins, whoever appended it.
+    fn intend(&self, key: u128, timeout: Duration) -> impl Future<Output = Intent> + Send {
+        let _ = (key, timeout);
+        async { Intent::Unavailable }
+    }
+}
+
+/// What came of a [`PeerKeys::intend`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Intent {
+    /// The first for its key: the request may run.
+    Won,
+    /// Another was first: the request may have run.
+    Lost,
+    /// The log did not answer in time, or this entry VM keeps no intents; the intent may yet be
+    /// in the log.
+    Unavailable,
 }
 
 /// What the control side asks of the request side.
--- a/daisy-entry/src/proxy.rs
+++ b/daisy-entry/src/proxy.rs
@@ -12,13 +12,18 @@
 };
 
 use daisy_model::{DcId, VmId};
-use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_routing::{KeyAnswer, KeyQuery, Routes};
 use daisy_settings::{Limits, Settings};
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     boundary::{PeerKeys, RequestSide, RoutesWatch},
-    proxy::{core::Core, serve::Stage},
+    proxy::{
+        core::{Core, MAX_KEYED},
+        pool::lock,
+        request::Requests,
+        serve::Stage,
+    },
 };
 
 mod answer;
@@ -28,9 +33,11 @@
 mod forward;
 mod guard;
 mod head;
+mod keyed;
 mod pool;
 mod request;
 mod serve;
+mod stored;
 mod tries;
 
 pub use self::body::{AnswerBody, BodyError, Streamed};
@@ -38,6 +45,9 @@
 /// Between looks at the queue for requests that can no longer finish in time.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Between looks at who is there, for the homes of keys.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// What a [`Proxy`] needs of the settings.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -107,7 +117,11 @@
     pub async fn serve(&self, listener: TcpListener, own: viz::Router) -> io::Result<()> {
         log::info!("event=serving callers={}", listener.local_addr()?);
         let own = Arc::new(viz::Tree::from(own));
-        let served = serve::serve(Arc::clone(&self.core), listener, own, self.stage.subscribe());
+        let requests = Requests { core: Arc::clone(&self.core), peers: self.peers.clone() };
+        let served = async {
+            serve::serve(requests, listener, own, self.stage.subscribe()).await;
+            self.leave().await;
+        };
         tokio::select! {
             () = served => {}
             () = self.follow() => {}
@@ -116,22 +130,41 @@
         Ok(())
     }
 
-    /// Takes in routes as they change and lets time pass for the queue; never returns.
+    /// Ends keyed requests whose callers have left, and hands the keys over.
+    async fn leave(&self) {
+        let _ = self.core.keyed.acquire_many(MAX_KEYED).await;
+        let messages = lock(&self.core.keys).leave(self.core.clock.now());
+        keyed::hand_over(&self.core, &self.peers, messages).await;
+    }
+
+    /// Takes in routes as they change and lets time pass for queue and keys; never returns.
     async fn follow(&self) {
         let mut routes = self.routes.clone();
         let mut ticks = tokio::time::interval(TICK);
+        let mut looks = tokio::time::interval(LOOK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         routes.mark_changed();
         loop {
             tokio::select! {
                 Ok(()) = routes.changed() => {
                     let routes = Arc::clone(&routes.borrow_and_update());
                     self.core.set_routes(&routes);
+                    self.look_for_homes(&routes);
                 }
+                _ = looks.tick() => self.look_for_homes(&self.routes.borrow()),
                 _ = ticks.tick() => self.core.tick(),
             }
         }
     }
+
+    fn look_for_homes(&self, routes: &Routes) {
+        let messages = self.core.set_homes(routes);
+        if !messages.is_empty() {
+            let Proxy { core, peers, .. } = self.clone();
+            tokio::spawn(async move { keyed::hand_over(&core, &peers, messages).await });
+        }
+    }
 }
 
 impl<K: PeerKeys<KeyQuery, KeyAnswer>> RequestSide<KeyQuery, KeyAnswer> for Proxy<K> {
@@ -143,8 +176,8 @@
         self.core.peer_in_flight(peer, &in_flight);
     }
 
-    async fn answer(&self, _from: VmId, _query: KeyQuery) -> KeyAnswer {
-        KeyAnswer::NotHome
+    async fn answer(&self, from: VmId, query: KeyQuery) -> KeyAnswer {
+        self.core.answer_key(from, query)
     }
 
     fn drain(&self) -> impl Future<Output = ()> + Send {
--- a/daisy-entry/src/proxy/answer.rs
+++ b/daisy-entry/src/proxy/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisy_routing::{Reason, Refusal};
+use daisy_routing::{KeyStop, Reason, Refusal};
 use daisy_wire::headers;
 use http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER};
 
@@ -15,6 +15,8 @@
     NotRun,
     /// It may have run.
     Unknown,
+    /// It ran in an earlier attempt, and its answer is not to be had any more.
+    Answered,
 }
 
 impl Outcome {
@@ -22,10 +24,13 @@
         match self {
             Outcome::NotRun => "not-run",
             Outcome::Unknown => "outcome-unknown",
+            Outcome::Answered => ANSWERED,
         }
     }
 }
 
+/// When to come again about a key whose home cannot say yet.
+const KEY_RETRY: Duration = Duration::from_secs(1);
 /// The outcome of an answer that a backend server gave.
 pub(super) const ANSWERED: &str = "answered";
 
@@ -54,6 +59,28 @@
         Failure { retry_after: Some(retry_after), ..Failure::new(status, outcome, reason) }
     }
 
+    /// Why a keyed request does not run in this attempt.
+    pub(super) fn from_key(stop: KeyStop, not_run: bool) -> Failure {
+        let outcome = if not_run { Outcome::NotRun } else { Outcome::Unknown };
+        let (status, reason) = match stop {
+            KeyStop::Unknown => (StatusCode::CONFLICT, "key-unknown"),
+            KeyStop::Running => (StatusCode::CONFLICT, "key-in-progress"),
+            KeyStop::Mismatch => (StatusCode::UNPROCESSABLE_ENTITY, "key-reused"),
+            KeyStop::Full => (StatusCode::SERVICE_UNAVAILABLE, "keys-full"),
+            KeyStop::Settling => (StatusCode::SERVICE_UNAVAILABLE, "key-home-settling"),
+            KeyStop::Unreachable => (StatusCode::SERVICE_UNAVAILABLE, "key-home-unreachable"),
+        };
+        let final_word = matches!(stop, KeyStop::Unknown | KeyStop::Mismatch);
+        let retry_after = (!final_word).then_some(KEY_RETRY);
+        Failure { retry_after, ..Failure::new(status, outcome, reason) }
+    }
+
+    /// The same failure of a repeated attempt, of which it proves nothing: an earlier one may have
+    /// run.
+    pub(super) fn of_repeat(self) -> Failure {
+        Failure { outcome: Outcome::Unknown, ..self }
+    }
+
     /// The answer as it goes to the caller.
     pub(super) fn into_response(self) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::fixed(format!("{}\n", self.reason)));
@@ -101,7 +128,9 @@
     fn from(err: TryError) -> Failure {
         let status = match err {
             TryError::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            TryError::NotSent | TryError::Refused => StatusCode::SERVICE_UNAVAILABLE,
+            TryError::NotSent | TryError::NoConnection | TryError::Refused => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             _ => StatusCode::BAD_GATEWAY,
         };
         let outcome = if err.proves_not_run() { Outcome::NotRun } else { Outcome::Unknown };
--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -10,9 +10,10 @@
 
 use daisy_model::{SortedMap, VmId};
 use daisy_routing::{
-    Call, Grant, Offer, Refusal, Report, Router, Routes, Target, Ticket, TryEnd, TryId,
+    Call, Grant, KeyAnswer, KeyId, KeyLimits, KeyQuery, KeyTable, Offer, Refusal, Report, Router,
+    Routes, Target, Ticket, TryEnd, TryId,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::proxy::{
     Options,
@@ -20,6 +21,12 @@
     pool::{Pool, lock},
 };
 
+/// Bytes of answers kept for repeated attempts: a quarter of what control may take of memory.
+const STORED_BYTES: usize = 64 << 20;
+
+/// Keyed requests in progress at one time; each holds at most its short body.
+pub(super) const MAX_KEYED: u32 = 8_192;
+
 /// Shared by all requests; free of the type that asks peers.
 #[derive(Debug)]
 pub(super) struct Core {
@@ -27,6 +34,9 @@
     pub(super) clock: Clock,
     pub(super) pool: Pool,
     pub(super) draining: AtomicBool,
+    pub(super) keys: Mutex<KeyTable>,
+    /// A permit for each keyed request in progress, which may outlive its caller's connection.
+    pub(super) keyed: Arc<Semaphore>,
     deciding: Mutex<Deciding>,
 }
 
@@ -62,9 +72,14 @@
             rng: fastrand::Rng::with_seed(options.seed),
             waiters: SortedMap::new(),
         };
+        let clock = Clock::new();
+        let limits = KeyLimits { keys: options.limits.keys as usize, bytes: STORED_BYTES };
+        let keys = KeyTable::new(options.vm, limits, clock.now());
         Core {
             options,
-            clock: Clock::new(),
+            clock,
+            keys: Mutex::new(keys),
+            keyed: Arc::new(Semaphore::new(MAX_KEYED as usize)),
             pool: Pool::default(),
             draining: AtomicBool::new(false),
             deciding: Mutex::new(deciding),
@@ -132,6 +147,29 @@
         lock(&self.deciding).apply(|router, rng| router.finish(now, attempt, report, rng), now);
     }
 
+    /// Takes in who is there; returns the keys that have to be handed over.
+    pub(super) fn set_homes(&self, routes: &Routes) -> Vec<(VmId, KeyQuery)> {
+        lock(&self.keys).set_routes(self.clock.now(), routes)
+    }
+
+    /// The home of `key` in the own data centre.
+    pub(super) fn home(&self, key: &KeyId) -> Option<VmId> {
+        let keys = lock(&self.keys);
+        keys.homes(keys.dc(), key).first().copied()
+    }
+
+    /// The homes of `key` in all other data centres; `None` where none shows.
+    pub(super) fn other_homes(&self, key: &KeyId) -> Vec<Option<VmId>> {
+        let keys = lock(&self.keys);
+        let others = keys.others(self.clock.now());
+        others.into_iter().map(|dc| keys.homes(dc, key).first().copied()).collect()
+    }
+
+    /// Answers a question about a key.
+    pub(super) fn answer_key(&self, from: VmId, query: KeyQuery) -> KeyAnswer {
+        lock(&self.keys).handle(self.clock.now(), from, query)
+    }
+
     /// Takes in new routes and closes connections to backend servers that are gone.
     pub(super) fn set_routes(&self, routes: &Routes) {
         let now = self.clock.now();
@@ -143,6 +181,7 @@
     /// Lets time pass for the queue.
     pub(super) fn tick(&self) {
         let now = self.clock.now();
+        lock(&self.keys).observe(now);
         lock(&self.deciding).apply(|router, rng| router.tick(now, rng), now);
     }
 
--- a/daisy-entry/src/proxy/forward.rs
+++ b/daisy-entry/src/proxy/forward.rs
@@ -20,6 +20,7 @@
     body::{AnswerBody, Outgoing, Streamed},
     core::Core,
     guard::{AnswerGuard, TryGuard},
+    pool::{Lease, PoolError},
 };
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -51,6 +52,8 @@
 pub(super) enum TryError {
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent, as all connections that this entry VM may have are open.
+    NoConnection,
     /// The backend server refused it and says that it did not run.
     Refused,
     /// It was sent, and the connection broke before an answer's head came.
@@ -66,7 +69,7 @@
 impl TryError {
     /// Whether it is proven that the request did not run in this try.
     pub(super) fn proves_not_run(self) -> bool {
-        matches!(self, TryError::NotSent | TryError::Refused)
+        matches!(self, TryError::NotSent | TryError::NoConnection | TryError::Refused)
     }
 
     /// What is known after two failed tries.
@@ -81,6 +84,7 @@
     pub(super) fn as_str(self) -> &'static str {
         match self {
             TryError::NotSent => "connect",
+            TryError::NoConnection => "no-connection",
             TryError::Refused => "backend-refused",
             TryError::Broken => "connection-lost",
             TryError::WrongId => "wrong-request-id",
@@ -135,6 +139,7 @@
         Err(err) => {
             let end = match err {
                 TryError::NotSent => TryEnd::NotSent,
+                TryError::NoConnection => TryEnd::Refused,
                 _ => TryEnd::Broken,
             };
             guard.end(Report::without_answer(end));
@@ -155,13 +160,23 @@
     target: &Target,
     sending: &Sending,
     body: Outgoing,
-) -> Result<(crate::proxy::pool::Lease, Response<Incoming>), TryError> {
+) -> Result<(Lease, Response<Incoming>), TryError> {
     let leased = core.pool.lease(target.address, target.connections).await;
     let mut lease = leased.map_err(|err| {
         log::debug!("event=no_connection vm={} error={err:?}", target.vm);
-        TryError::NotSent
+        match err {
+            PoolError::Full { .. } => TryError::NoConnection,
+            PoolError::Connect(_) | PoolError::Handshake(_) => TryError::NotSent,
+        }
     })?;
-    let req = sending.request(body, target, core.clock.now());
+    let now = core.clock.now();
+    // Guards against a frozen entry VM that wakes and sends what nobody waits for any more: by
+    // then a repeated attempt may have run elsewhere. Timers fire too late for it, as what is
+    // ready is polled first.
+    if now >= sending.deadline {
+        return Err(TryError::NotSent);
+    }
+    let req = sending.request(body, target, now);
     match lease.tx.try_send_request(req).await {
         Ok(response) => Ok((lease, response)),
         Err(err) => Err(sent_or_not(err, target)),
@@ -226,11 +241,7 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    // A caller may not have daisyshift's own headers taken out by naming them here.
-    for name in named.iter().filter(|name| !name.as_str().starts_with("daisy-")) {
-        map.remove(name);
-    }
-    for name in &HOP_BY_HOP {
+    for name in named.iter().chain(&HOP_BY_HOP) {
         map.remove(name);
     }
     map.remove(KEEP_ALIVE);
--- a/daisy-entry/src/proxy/head.rs
+++ b/daisy-entry/src/proxy/head.rs
@@ -81,6 +81,13 @@
     }
 }
 
+/// Whether a request may be a repeated attempt of a keyed one, also if its head is malformed.
+pub(super) fn may_repeat(parts: &Parts) -> bool {
+    let map = &parts.headers;
+    let first = map.get_all(headers::ATTEMPT).iter().all(|value| value == "1");
+    map.contains_key(headers::IDEMPOTENCY_KEY) && !first
+}
+
 fn one<'a>(map: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, HeadError> {
     let mut values = map.get_all(name).iter();
     let Some(value) = values.next() else { return Ok(None) };
--- /dev/null
+++ b/daisy-entry/src/proxy/keyed.rs
@@ -0,0 +1,232 @@
+//! Requests with a key: claimed at the key's home before they run, their answers kept there.
+
+use std::{sync::Arc, time::Duration};
+
+use daisy_model::{Instant, VmId};
+use daisy_routing::{
+    ClaimEnd, ClaimId, KeyAnswer, KeyId, KeyQuery, KeyStep, KeyStop, StoredAnswer, after_home,
+    after_others, digest,
+};
+use futures::future::join_all;
+
+use crate::{
+    boundary::{Intent, PeerKeys},
+    proxy::{answer::Failure, core::Core, head::Key},
+};
+
+/// How long a home is given to answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pauses between questions while another attempt runs; doubled from the first to the last.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+const LAST_PAUSE: Duration = Duration::from_millis(200);
+/// How long a home that cannot be had is waited for before the caller is told to come again.
+const HOME_PATIENCE: Duration = Duration::from_secs(1);
+/// How much longer than its deadline a request may count as running, for the way to the home.
+const HOLD_MARGIN: Duration = Duration::from_secs(2);
+/// How often the end of a claim is told to a home that does not take it.
+const FINISH_TRIES: u32 = 5;
+/// Between those.
+const FINISH_PAUSE: Duration = Duration::from_millis(100);
+/// How long the platform's log is given to take an intent.
+const INTENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a claim came to.
+#[derive(Debug)]
+pub(super) enum Claimed {
+    /// The request runs, under this name.
+    Run(ClaimId),
+    /// An earlier attempt ran, with this answer.
+    Replay(StoredAnswer),
+}
+
+/// One keyed attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Keyed<K> {
+    pub(super) core: Arc<Core>,
+    pub(super) peers: K,
+    pub(super) id: KeyId,
+    pub(super) shape: u64,
+    pub(super) key: Key,
+    pub(super) deadline: Instant,
+}
+
+impl<K: PeerKeys<KeyQuery, KeyAnswer>> Keyed<K> {
+    /// Claims the key: at its home, and for a repeated attempt in every data centre.
+    pub(super) async fn claim(&self) -> Result<Claimed, Failure> {
+        let begun = self.core.clock.now();
+        let mut pause = FIRST_PAUSE;
+        let mut claim = ClaimId(self.core.draw());
+        loop {
+            let mut step = self.ask_home(claim).await;
+            let granted = matches!(step, KeyStep::Run | KeyStep::AskOthers);
+            if granted && self.key.logged {
+                step = self.intend().await;
+            } else if step == KeyStep::AskOthers {
+                step = self.ask_others().await;
+            }
+            let stop = match step {
+                KeyStep::Run => return Ok(Claimed::Run(claim)),
+                KeyStep::Replay(answer) => {
+                    if granted {
+                        self.finish(claim, ClaimEnd::Answered(answer.clone())).await;
+                    }
+                    return Ok(Claimed::Replay(answer));
+                }
+                KeyStep::AskOthers => KeyStop::Unknown,
+                KeyStep::Stop(stop) | KeyStep::Wait(stop) if granted => {
+                    self.finish(claim, ClaimEnd::NotRun).await;
+                    // A finish may overtake the next claim of the same name and release it.
+                    claim = ClaimId(self.core.draw());
+                    stop
+                }
+                KeyStep::Stop(stop) | KeyStep::Wait(stop) => stop,
+            };
+            if !self.may_wait(stop, begun, pause) {
+                if stop == KeyStop::Unreachable {
+                    self.finish(claim, ClaimEnd::NotRun).await;
+                }
+                return Err(self.stopped(stop));
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LAST_PAUSE);
+        }
+    }
+
+    /// Tells the home how a claim ended; a home that is not there is looked for for a while, and
+    /// after that lets the claim expire as unknown.
+    pub(super) async fn finish(&self, claim: ClaimId, end: ClaimEnd) {
+        for _ in 0..FINISH_TRIES {
+            let query = KeyQuery::Finish { key: self.id.clone(), claim, end: end.clone() };
+            if let Some(home) = self.core.home(&self.id)
+                && self.ask(home, query).await == Some(KeyAnswer::Taken)
+            {
+                return;
+            }
+            tokio::time::sleep(FINISH_PAUSE).await;
+        }
+        log::warn!("event=claim_end_untold key_digest={:016x}", digest(self.id.key.as_bytes()));
+    }
+
+    async fn ask_home(&self, claim: ClaimId) -> KeyStep {
+        let left = self.deadline.since(self.core.clock.now());
+        let repeated = self.key.repeated && !self.key.logged;
+        let query = KeyQuery::Claim {
+            key: self.id.clone(),
+            shape: self.shape,
+            claim,
+            repeated,
+            hold: left + HOLD_MARGIN,
+        };
+        let Some(home) = self.core.home(&self.id) else {
+            return KeyStep::Wait(KeyStop::Unreachable);
+        };
+        after_home(self.ask(home, query).await, repeated)
+    }
+
+    async fn ask_others(&self) -> KeyStep {
+        let homes = self.core.other_homes(&self.id);
+        let answers = join_all(homes.into_iter().map(async |home| {
+            let query = KeyQuery::Fence { key: self.id.clone(), shape: self.shape };
+            self.ask(home?, query).await
+        }));
+        after_others(answers.await, self.key.repeated)
+    }
+
+    /// Notes the request in the platform's log; the first intent for a key wins.
+    async fn intend(&self) -> KeyStep {
+        let left = self.deadline.since(self.core.clock.now());
+        let intent = self.peers.intend(intent_key(&self.id), left.min(INTENT_TIMEOUT)).await;
+        match intent {
+            Intent::Won => KeyStep::Run,
+            Intent::Lost => KeyStep::Stop(KeyStop::Unknown),
+            Intent::Unavailable => KeyStep::Stop(KeyStop::Unreachable),
+        }
+    }
+
+    async fn ask(&self, to: VmId, query: KeyQuery) -> Option<KeyAnswer> {
+        ask(&self.core, &self.peers, to, query).await
+    }
+
+    /// Whether asking again may help before the caller's patience or the home's ends.
+    fn may_wait(&self, stop: KeyStop, begun: Instant, pause: Duration) -> bool {
+        let next = self.core.clock.now() + pause;
+        let end = match stop {
+            KeyStop::Running => self.deadline,
+            KeyStop::Settling | KeyStop::Unreachable if !self.key.logged => {
+                self.deadline.min(begun + HOME_PATIENCE)
+            }
+            _ => return false,
+        };
+        next < end
+    }
+
+    fn stopped(&self, stop: KeyStop) -> Failure {
+        Failure::from_key(stop, stop.proves_not_run(self.key.repeated))
+    }
+}
+
+/// Asks `to`, which may be this entry VM.
+pub(super) async fn ask<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    core: &Core,
+    peers: &K,
+    to: VmId,
+    query: KeyQuery,
+) -> Option<KeyAnswer> {
+    if to == core.options.vm {
+        Some(core.answer_key(to, query))
+    } else {
+        peers.ask(to, query, ASK_TIMEOUT).await
+    }
+}
+
+/// Hands keys over: to each peer one message after another, to all peers at one time.
+pub(super) async fn hand_over<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    core: &Core,
+    peers: &K,
+    messages: Vec<(VmId, KeyQuery)>,
+) {
+    let mut by_peer: Vec<(VmId, Vec<KeyQuery>)> = Vec::new();
+    for (peer, query) in messages {
+        match by_peer.iter_mut().find(|(other, _)| *other == peer) {
+            Some((_, queries)) => queries.push(query),
+            None => by_peer.push((peer, vec![query])),
+        }
+    }
+    join_all(by_peer.into_iter().map(async |(peer, queries)| {
+        let taken = hand_over_to(core, peers, peer, queries).await;
+        log::info!("event=keys_handed_over peer={peer} taken={taken}");
+    }))
+    .await;
+}
+
+/// Guards against a last message that arrives without those before it: the peer would vouch for
+/// keys that it does not have. The next is sent only when the one before was taken.
+async fn hand_over_to<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    core: &Core,
+    peers: &K,
+    peer: VmId,
+    queries: Vec<KeyQuery>,
+) -> bool {
+    for query in queries {
+        let mut taken = false;
+        for _ in 0..FINISH_TRIES {
+            taken = ask(core, peers, peer, query.clone()).await == Some(KeyAnswer::Taken);
+            if taken {
+                break;
+            }
+            tokio::time::sleep(FINISH_PAUSE).await;
+        }
+        if !taken {
+            return false;
+        }
+    }
+    true
+}
+
+/// A digest of service and key for the log, of 128 bits so that two keys do not meet.
+fn intent_key(id: &KeyId) -> u128 {
+    let text = format!("{}\n{}", id.service, id.key);
+    let high = digest(text.as_bytes());
+    let low = digest(format!("{high:016x}\n{text}").as_bytes());
+    u128::from(high) << 64 | u128::from(low)
+}
--- a/daisy-entry/src/proxy/request.rs
+++ b/daisy-entry/src/proxy/request.rs
@@ -4,65 +4,156 @@
 
 use bytes::Bytes;
 use daisy_model::Instant;
-use daisy_routing::{Call, Grant, Target};
+use daisy_routing::{Call, ClaimEnd, Grant, KeyAnswer, KeyId, KeyQuery, Target, digest};
 use daisy_wire::headers;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, request::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-use crate::proxy::{
-    answer::{Failure, Outcome},
-    body::AnswerBody,
-    core::{Core, Offered},
-    forward::Sending,
-    head::Head,
-    tries::{self, Job, Payload},
+use crate::{
+    boundary::PeerKeys,
+    proxy::{
+        answer::{Failure, Outcome},
+        body::AnswerBody,
+        core::{Core, Offered},
+        forward::Sending,
+        head::{self, Head, Key},
+        keyed::{Claimed, Keyed},
+        stored,
+        tries::{self, Job, Payload},
+    },
 };
 
 /// Bodies up to this many bytes are read whole before a slot is taken, so that a slow sender
 /// holds no slot and the request can be sent again.
 const BUFFERED_BODY: u64 = 64 << 10;
 
-/// Answers `req`; every path through here ends in exactly one answer.
-pub(super) async fn answer(
-    core: &Arc<Core>,
-    req: Request<Incoming>,
-    address: IpAddr,
-) -> Response<AnswerBody> {
-    let id = core.draw();
-    let mut response = match run(core, req, address, id).await {
-        Ok(response) => response,
-        Err(failure) => failure.into_response(),
-    };
-    if let Ok(value) = HeaderValue::from_str(&format!("{id:016x}")) {
-        response.headers_mut().insert(headers::REQUEST_ID, value);
+/// Answers requests; clones share what they need.
+#[derive(Debug, Clone)]
+pub(super) struct Requests<K> {
+    pub(super) core: Arc<Core>,
+    pub(super) peers: K,
+}
+
+impl<K: PeerKeys<KeyQuery, KeyAnswer>> Requests<K> {
+    /// Answers `req`; every path through here ends in exactly one answer.
+    pub(super) async fn answer(
+        &self,
+        req: Request<Incoming>,
+        address: IpAddr,
+    ) -> Response<AnswerBody> {
+        let id = self.core.draw();
+        let (parts, body) = req.into_parts();
+        let repeats = head::may_repeat(&parts);
+        let mut response = match self.run(parts, body, address, id).await {
+            Ok(response) => response,
+            Err(Refused::Early(failure)) if repeats => failure.of_repeat().into_response(),
+            Err(Refused::Early(failure) | Refused::Final(failure)) => failure.into_response(),
+        };
+        if let Ok(value) = HeaderValue::from_str(&format!("{id:016x}")) {
+            response.headers_mut().insert(headers::REQUEST_ID, value);
+        }
+        response
+    }
+
+    async fn run(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        address: IpAddr,
+        id: u64,
+    ) -> Result<Response<AnswerBody>, Refused> {
+        let core = &self.core;
+        let arrived = core.clock.now();
+        let head = Head::read(&parts, address).map_err(|err| Refused::Early(err.into()))?;
+        let deadline = arrived + head.patience;
+        let bytes = body.size_hint().lower();
+        let payload = read_body(core, body, deadline).await.map_err(Refused::Early)?;
+        let call = Call {
+            service: head.service,
+            urgency: head.urgency,
+            caller: head.caller,
+            deadline,
+            idempotent: head.idempotent,
+            bytes,
+        };
+        let shape = shape(&parts);
+        let job = Job { call, sending: Sending::new(parts, id, deadline), payload };
+        match head.key {
+            None => run_job(core, job).await.map_err(Refused::Final),
+            Some(key) => self.run_keyed(job, key, shape).await.map_err(Refused::Final),
+        }
+    }
+
+    /// Runs a keyed request to its end also when its caller has left, so that a repeated attempt
+    /// finds its answer.
+    async fn run_keyed(
+        &self,
+        job: Job,
+        key: Key,
+        shape: u64,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let id = KeyId { service: job.call.service.clone(), key: key.key.clone() };
+        let deadline = job.call.deadline;
+        let Requests { core, peers } = self.clone();
+        let keyed = Keyed { core, peers, id, shape, key, deadline };
+        let running = self.core.keyed.clone().acquire_owned().await;
+        let task = tokio::spawn(async move {
+            let answer = run_claimed(keyed, job).await;
+            drop(running);
+            answer
+        });
+        task.await.unwrap_or_else(|_| {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            Err(Failure::new(status, Outcome::Unknown, "internal"))
+        })
     }
-    response
 }
 
-async fn run(
-    core: &Arc<Core>,
-    req: Request<Incoming>,
-    address: IpAddr,
-    id: u64,
+/// A failure, and whether it came before anything was found out about earlier attempts.
+#[derive(Debug)]
+enum Refused {
+    Early(Failure),
+    Final(Failure),
+}
+
+async fn run_claimed<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    keyed: Keyed<K>,
+    job: Job,
 ) -> Result<Response<AnswerBody>, Failure> {
-    let arrived = core.clock.now();
-    let (parts, body) = req.into_parts();
-    let head = Head::read(&parts, address)?;
-    let deadline = arrived + head.patience;
-    let bytes = body.size_hint().lower();
-    let payload = read_body(core, body, deadline).await?;
-    let call = Call {
-        service: head.service,
-        urgency: head.urgency,
-        caller: head.caller,
-        deadline,
-        idempotent: head.idempotent,
-        bytes,
+    let claim = match keyed.claim().await? {
+        Claimed::Run(claim) => claim,
+        Claimed::Replay(answer) => return stored::replay(answer),
+    };
+    let result = match run_job(&keyed.core, job).await {
+        Ok(response) => stored::keep(response).await.map_err(|err| {
+            log::debug!("event=answer_cut_off error={err:?}");
+            Failure::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, "answer-cut-off")
+        }),
+        Err(failure) => Err(failure),
     };
-    let target = find_target(core, &call).await?;
-    let sending = Sending::new(parts, id, deadline);
-    tries::run(core, Job { call, sending, payload }, target).await
+    match result {
+        Ok((response, stored)) => {
+            keyed.finish(claim, ClaimEnd::Answered(stored)).await;
+            Ok(response)
+        }
+        Err(failure) => {
+            let not_run = failure.outcome == Outcome::NotRun;
+            let end = if not_run { ClaimEnd::NotRun } else { ClaimEnd::Unknown };
+            keyed.finish(claim, end).await;
+            Err(failure)
+        }
+    }
+}
+
+async fn run_job(core: &Arc<Core>, job: Job) -> Result<Response<AnswerBody>, Failure> {
+    let target = find_target(core, &job.call).await?;
+    tries::run(core, job, target).await
+}
+
+/// A digest of what a key stands for: the same key for another request is an error.
+fn shape(parts: &Parts) -> u64 {
+    digest(format!("{} {}", parts.method, parts.uri).as_bytes())
 }
 
 async fn find_target(core: &Core, call: &Call) -> Result<Target, Failure> {
--- a/daisy-entry/src/proxy/serve.rs
+++ b/daisy-entry/src/proxy/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
+use daisy_routing::{KeyAnswer, KeyQuery};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -11,7 +12,10 @@
 };
 use viz::{Responder, Tree};
 
-use crate::proxy::{body::AnswerBody, core::Core, request};
+use crate::{
+    boundary::PeerKeys,
+    proxy::{body::AnswerBody, request::Requests},
+};
 
 /// Pause after a failed accept, so that a lack of file descriptors does not burn a processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -32,13 +36,13 @@
 }
 
 /// Serves callers until the stop has come to [`Stage::Closed`] and every connection is done.
-pub(super) async fn serve(
-    core: Arc<Core>,
+pub(super) async fn serve<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    requests: Requests<K>,
     listener: TcpListener,
     own: Arc<Tree>,
     mut stage: watch::Receiver<Stage>,
 ) {
-    let limit = core.options.limits.connections as usize;
+    let limit = requests.core.options.limits.connections as usize;
     let permits = Arc::new(Semaphore::new(limit));
     loop {
         let accepted = tokio::select! {
@@ -58,7 +62,7 @@
             continue;
         };
         let conn = serve_connection(
-            Arc::clone(&core),
+            requests.clone(),
             stream,
             address.ip(),
             Arc::clone(&own),
@@ -79,8 +83,8 @@
     let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
 }
 
-async fn serve_connection(
-    core: Arc<Core>,
+async fn serve_connection<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    requests: Requests<K>,
     stream: TcpStream,
     address: IpAddr,
     own: Arc<Tree>,
@@ -89,14 +93,14 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("event=caller_connection address={address} error={err:?}");
     }
-    let limits = &core.options.limits;
+    let limits = &requests.core.options.limits;
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_header_size(limits.header_bytes as usize)
         .half_close(false);
-    let service = service_fn(|req| respond(&core, &own, req, address));
+    let service = service_fn(|req| respond(&requests, &own, req, address));
     let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
@@ -110,8 +114,8 @@
     }
 }
 
-async fn respond(
-    core: &Arc<Core>,
+async fn respond<K: PeerKeys<KeyQuery, KeyAnswer>>(
+    requests: &Requests<K>,
     own: &Arc<Tree>,
     req: Request<Incoming>,
     address: IpAddr,
@@ -121,9 +125,9 @@
         let responder = Responder::new(Arc::clone(own), Some(address));
         hyper::service::Service::call(&responder, req).await?.map(AnswerBody::Own)
     } else {
-        request::answer(core, req, address).await
+        requests.answer(req, address).await
     };
-    if core.is_draining() {
+    if requests.core.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- /dev/null
+++ b/daisy-entry/src/proxy/stored.rs
@@ -0,0 +1,72 @@
+//! Answers as a key's home keeps them.
+
+use bytes::Bytes;
+use daisy_routing::StoredAnswer;
+use daisy_wire::headers;
+use http::{
+    HeaderName, HeaderValue, Response, StatusCode,
+    header::{CONTENT_LENGTH, DATE},
+    response::Parts,
+};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+use crate::proxy::{
+    answer::{ANSWERED, Failure, Outcome},
+    body::{AnswerBody, BodyError},
+};
+
+/// The longest body that is kept, in bytes.
+const MAX_BODY: u64 = 64 << 10;
+
+/// Reads an answer whole where it is short enough to be kept; a longer one is passed on as it
+/// comes, and only the fact that it came is kept.
+pub(super) async fn keep(
+    response: Response<AnswerBody>,
+) -> Result<(Response<AnswerBody>, StoredAnswer), BodyError> {
+    let (parts, body) = response.into_parts();
+    let short = body.size_hint().exact().is_some_and(|length| length <= MAX_BODY);
+    if !short {
+        let stored = store(&parts, None);
+        return Ok((Response::from_parts(parts, body), stored));
+    }
+    let bytes = body.collect().await?.to_bytes();
+    let stored = store(&parts, Some(&bytes));
+    Ok((Response::from_parts(parts, AnswerBody::fixed(bytes)), stored))
+}
+
+/// The answer of an earlier attempt, marked as such.
+pub(super) fn replay(stored: StoredAnswer) -> Result<Response<AnswerBody>, Failure> {
+    let Some(body) = stored.body else {
+        return Err(Failure::new(StatusCode::CONFLICT, Outcome::Answered, "answer-not-kept"));
+    };
+    let mut response = Response::new(AnswerBody::fixed(Bytes::from(body)));
+    if let Ok(status) = StatusCode::from_u16(stored.status) {
+        *response.status_mut() = status;
+    }
+    let map = response.headers_mut();
+    for (name, value) in stored.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            map.append(name, value);
+        }
+    }
+    map.insert(headers::OUTCOME, HeaderValue::from_static(ANSWERED));
+    map.insert(headers::REPLAYED, HeaderValue::from_static("1"));
+    Ok(response)
+}
+
+/// What is kept: all but what belongs to the first attempt's own exchange.
+fn store(parts: &Parts, body: Option<&[u8]>) -> StoredAnswer {
+    let own = |name: &HeaderName| {
+        *name == CONTENT_LENGTH || *name == DATE || name.as_str() == headers::REQUEST_ID
+    };
+    let kept = parts.headers.iter().filter(|(name, _)| !own(name));
+    StoredAnswer {
+        status: parts.status.as_u16(),
+        headers: kept
+            .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
+            .collect(),
+        body: body.map(Into::into),
+    }
+}
--- a/daisy-entry/tests/proxy/fixture.rs
+++ b/daisy-entry/tests/proxy/fixture.rs
@@ -3,14 +3,14 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 
 use daisy_entry::{
-    boundary::{PeerKeys, RoutesWatch},
+    boundary::{Intent, PeerKeys, RequestSide, RoutesWatch},
     proxy::{Options, Proxy},
 };
 use daisy_model::{DcId, JobId, Name, Priority, SortedMap, VmId};
@@ -32,10 +32,67 @@
     }
 }
 
+/// The entry VMs that reach each other.
+type Proxies = Vec<(VmId, Proxy<Peers>)>;
+
+/// Entry VMs that reach each other, and a log of intents.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    me: VmId,
+    proxies: Arc<Mutex<Proxies>>,
+    intents: Arc<Mutex<Vec<u128>>>,
+    pub log_down: Arc<AtomicBool>,
+}
+
+impl PeerKeys<KeyQuery, KeyAnswer> for Peers {
+    async fn ask(&self, peer: VmId, query: KeyQuery, _: Duration) -> Option<KeyAnswer> {
+        let proxies = self.proxies.lock().unwrap().clone();
+        let (_, proxy) = proxies.into_iter().find(|(vm, _)| *vm == peer)?;
+        Some(proxy.answer(self.me, query).await)
+    }
+
+    async fn intend(&self, key: u128, _: Duration) -> Intent {
+        if self.log_down.load(Ordering::SeqCst) {
+            return Intent::Unavailable;
+        }
+        let mut intents = self.intents.lock().unwrap();
+        if intents.contains(&key) {
+            return Intent::Lost;
+        }
+        intents.push(key);
+        Intent::Won
+    }
+}
+
+impl Peers {
+    /// The log without the entry VMs.
+    pub fn without_proxies(self) -> Peers {
+        Peers { proxies: Arc::default(), ..self }
+    }
+
+    fn of(&self, me: VmId) -> Peers {
+        Peers { me, ..self.clone() }
+    }
+}
+
+/// Two entry VMs of one data centre that have just started, in front of `backends`.
+pub async fn pair(peers: &Peers, backends: &[SocketAddr]) -> [Entry<Peers>; 2] {
+    let entries = vec![(DcId(0), VmId(1)), (DcId(0), VmId(2))];
+    let routes = Routes { entries: entries.clone(), listed: entries, ..routes_to(backends) };
+    let first = serve(options(), routes.clone(), peers.of(VmId(1))).await;
+    let other = Options { vm: VmId(2), seed: 8, ..options() };
+    let second = serve(other, routes, peers.of(VmId(2))).await;
+    let mut proxies = peers.proxies.lock().unwrap();
+    proxies.push((VmId(1), first.proxy.clone()));
+    proxies.push((VmId(2), second.proxy.clone()));
+    drop(proxies);
+    [first, second]
+}
+
 /// A proxy that serves callers at `address`.
-pub struct Entry {
+pub struct Entry<K = NoPeers> {
     pub address: SocketAddr,
-    pub proxy: Proxy<NoPeers>,
+    pub proxy: Proxy<K>,
     pub routes: watch::Sender<Arc<Routes>>,
     pub served: tokio::task::JoinHandle<()>,
 }
@@ -82,9 +139,16 @@
 }
 
 pub async fn entry_with(options: Options, backends: &[SocketAddr]) -> Entry {
-    let (routes, watched) = watch::channel(Arc::new(routes_to(backends)));
+    serve(options, routes_to(backends), NoPeers).await
+}
+
+async fn serve<K>(options: Options, routes: Routes, peers: K) -> Entry<K>
+where
+    K: PeerKeys<KeyQuery, KeyAnswer>,
+{
+    let (routes, watched) = watch::channel(Arc::new(routes));
     let watched: RoutesWatch = watched;
-    let proxy = Proxy::new(options, watched, NoPeers);
+    let proxy = Proxy::new(options, watched, peers);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let serving = proxy.clone();
@@ -134,9 +198,14 @@
 pub struct Fake {
     pub address: SocketAddr,
     pub requests: Arc<AtomicU32>,
+    pub connections: Arc<AtomicU32>,
 }
 
 impl Fake {
+    pub fn connections(&self) -> u32 {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     pub fn requests(&self) -> u32 {
         self.requests.load(Ordering::SeqCst)
     }
@@ -147,14 +216,16 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let requests = Arc::new(AtomicU32::new(0));
-    let count = Arc::clone(&requests);
+    let connections = Arc::new(AtomicU32::new(0));
+    let (count, connected) = (Arc::clone(&requests), Arc::clone(&connections));
     let act = Arc::new(act);
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            connected.fetch_add(1, Ordering::SeqCst);
             tokio::spawn(play(stream, Arc::clone(&act), Arc::clone(&count)));
         }
     });
-    Fake { address, requests }
+    Fake { address, requests, connections }
 }
 
 async fn play(mut stream: TcpStream, act: Arc<impl Fn(u32, &Seen) -> Act>, count: Arc<AtomicU32>) {
--- a/daisy-entry/tests/proxy/forward.rs
+++ b/daisy-entry/tests/proxy/forward.rs
@@ -114,3 +114,46 @@
 
     assert_eq!((got.outcome(), got.reason()), ("not-run", "connect"));
 }
+
+/// A caller gets the first half of a price list and takes it for the whole.
+/// The answer has neither a length nor chunks, so that its end looks like a broken connection.
+#[tokio::test]
+async fn an_answer_whose_end_cannot_be_told_is_an_error() {
+    let backend = fake(|_, seen| {
+        let id = seen.header("daisy-request-id").unwrap();
+        let answer = format!("HTTP/1.1 200 OK\r\ndaisy-request-id: {id}\r\n\r\nhalf a price");
+        Act::WriteAndClose(answer.into_bytes())
+    })
+    .await;
+    let entry = entry(&[backend.address]).await;
+
+    let got = call(entry.address, &head("POST", ""), "").await;
+
+    assert_eq!((got.status, got.reason()), (502, "unframed-answer"));
+}
+
+#[tokio::test]
+async fn an_overloaded_backends_word_alone_is_no_proof() {
+    let backend =
+        fake(|_, seen| Act::Write(seen.answer("503 Service Unavailable", "", "busy"))).await;
+    let entry = entry(&[backend.address]).await;
+
+    let got = call(entry.address, &head("POST", ""), "order").await;
+
+    assert_eq!((got.status, got.outcome(), backend.requests()), (503, "answered", 1));
+}
+
+/// A backend server refuses connections, those of other entry VMs too.
+/// One entry VM has opened more than its part of them.
+#[tokio::test]
+async fn no_more_connections_are_opened_than_are_this_entry_vms() {
+    let wait = std::time::Duration::from_millis(100);
+    let backend = fake(move |_, seen| Act::Later(wait, seen.answer("200 OK", "", ""))).await;
+    let entry = entry(&[backend.address]).await;
+
+    let calls = (0..40).map(|_| call(entry.address, "GET / HTTP/1.1\r\ndaisy-service: quote", ""));
+    futures::future::join_all(calls).await;
+
+    // Eight slots; connections that stay idle are used again.
+    assert!(backend.connections() <= 8, "{}", backend.connections());
+}
