query: show a task's job by its name

Cause: `show tasks where job = renders`, which README and LANGUAGE.md give, found nothing: the column held the job's number, while `show jobs` has the name there.

Ruled out: the pages' being wrong; operators name jobs everywhere else.

Conclusion: `job` is the name, `number` the number, as in `show jobs`. The test asked `job = 1`; it now asks by name and by number and holds both to the rows that it held before.

--- a/daisy-language/src/column.rs
+++ b/daisy-language/src/column.rs
@@ -75,6 +75,7 @@
             Target::Tasks => &[
                 "task",
                 "job",
+                "number",
                 "team",
                 "kind",
                 "priority",
--- a/daisy-query/src/show/work.rs
+++ b/daisy-query/src/show/work.rs
@@ -49,7 +49,8 @@
         let spec = &self.job.spec;
         match column {
             "task" => format!("{}/{}", spec.name, self.id.index),
-            "job" => self.id.job.to_string(),
+            "job" => spec.name.to_string(),
+            "number" => self.id.job.to_string(),
             "team" => spec.team.to_string(),
             "kind" => words::kind(spec.kind).to_owned(),
             "priority" => spec.priority.to_string(),
--- a/daisy-query/tests/show.rs
+++ b/daisy-query/tests/show.rs
@@ -16,10 +16,12 @@
 fn tasks_with_what_runs() {
     let shop = Shop::open();
 
-    let table = shop.ask("show tasks where job = 1");
+    let table = shop.ask("show tasks where job = renders");
+    let numbered = shop.ask("show tasks where number = 1");
     let named = shop.ask("show tasks where task like 'renders/%'");
 
     assert_eq!(table, named);
+    assert_eq!(table, numbered);
     assert_eq!(column(&table, "task"), ["renders/0", "renders/1", "renders/2"]);
     assert_eq!(column(&table, "state"), ["running", "pending", "pending"]);
     assert_eq!(column(&table, "vm"), ["worker-12", "-", "-"]);
