--- a/daisy-entry/src/control/ready.rs
+++ b/daisy-entry/src/control/ready.rs
@@ -26,9 +26,10 @@
     /// later where services run, refuses all callers in between; in a rolling restart they
     /// see refusals at each step.
     pub(super) fn show_ready(&mut self, now: Instant) {
-        let ready = self
-            .ready_since
-            .is_some_and(|since| self.knows_backends() || now.since(since) >= REPLICAS_WAIT);
+        let shown = *self.out.ready.borrow();
+        let ready = self.ready_since.is_some_and(|since| {
+            shown || self.knows_backends() || now.since(since) >= REPLICAS_WAIT
+        });
         let next = self.state.next;
         self.out.ready.send_if_modified(|shown| {
             let changed = *shown != ready;
