load: attempts that were proven not to have run do not count as repeats

A careful caller sent daisy-attempt 2 after an answer not-run. The header now counts the attempts that may have run. This makes the callers rely on every not-run, so the at-most-once checker sees a false one as a second run.

--- a/daisy-standin/src/load/caller.rs
+++ b/daisy-standin/src/load/caller.rs
@@ -77,9 +77,10 @@
         let mut sum = Sum::default();
         let mut last_entry = None;
         for attempt in 1..=self.options.attempts.max(1) {
+            let repeats = 1 + sum.may_have_run;
             let Some(entry) = self.next_entry(&call, last_entry).await else { break };
             last_entry = Some(entry);
-            let ended = self.attempt(&call, attempt, entry).await;
+            let ended = self.attempt(&call, attempt, repeats, entry).await;
             sum.add(&ended);
             let may_go_on = ended.outcome != Outcome::Answered && self.may_retry(&call, &sum);
             if !may_go_on {
@@ -120,14 +121,14 @@
         self.options.deadline.saturating_sub(call.due.elapsed())
     }
 
-    async fn attempt(&self, call: &Call, attempt: u32, entry: SocketAddr) -> Attempt {
+    async fn attempt(&self, call: &Call, attempt: u32, repeats: u32, entry: SocketAddr) -> Attempt {
         self.recorder.record(Kind::CallSent {
             call: call.number,
             attempt,
             key: call.key.clone(),
             entry: entry.to_string(),
         });
-        let req = self.request(call, attempt, entry);
+        let req = self.request(call, repeats, entry);
         let answered = self.client.send(req, self.left(call) + GRACE).await;
         let ended = match answered {
             Ok(answer) => self.judge(call, &answer),
@@ -144,7 +145,9 @@
         ended
     }
 
-    fn request(&self, call: &Call, attempt: u32, entry: SocketAddr) -> Request<Full<Bytes>> {
+    /// `repeats` counts this attempt and those before it that may have run: one that was said
+    /// not to have run, or could not be sent, leaves nothing behind that a repetition could double.
+    fn request(&self, call: &Call, repeats: u32, entry: SocketAddr) -> Request<Full<Bytes>> {
         let mut path = format!("/?size={}", self.options.answer_bytes);
         if let Some(ms) = self.options.service_ms {
             path += &format!("&ms={ms}");
@@ -158,7 +161,7 @@
         put(&mut req, headers::DEADLINE_MS, &left_ms);
         if let Some(key) = &call.key {
             put(&mut req, headers::IDEMPOTENCY_KEY, key);
-            put(&mut req, headers::ATTEMPT, &attempt.to_string());
+            put(&mut req, headers::ATTEMPT, &repeats.to_string());
         }
         if let Some(priority) = &self.options.priority {
             put(&mut req, headers::PRIORITY, priority);
@@ -193,7 +196,7 @@
     attempts: u32,
     answered: bool,
     own: bool,
-    unknown: bool,
+    may_have_run: u32,
 }
 
 impl Sum {
@@ -201,11 +204,12 @@
         self.attempts += 1;
         self.answered |= ended.outcome == Outcome::Answered;
         self.own |= ended.own;
-        self.unknown |= matches!(ended.outcome, Outcome::Unknown | Outcome::Broken);
+        let may_have_run = matches!(ended.outcome, Outcome::Unknown | Outcome::Broken);
+        self.may_have_run += u32::from(may_have_run);
     }
 
     fn outcome(&self) -> Outcome {
-        match (self.answered, self.unknown, self.attempts) {
+        match (self.answered, self.may_have_run > 0, self.attempts) {
             (true, ..) => Outcome::Answered,
             (_, true, _) => Outcome::Unknown,
             (_, _, 0) => Outcome::Unreachable,
