--- a/tests/proofs/cluster.rs
+++ b/tests/proofs/cluster.rs
@@ -32,9 +32,12 @@
 
 const STARTS: Duration = Duration::from_secs(15);
 const STATUS_POLL: Duration = Duration::from_millis(100);
+/// How tasks of particular jobs run; written before any worker reads it.
+const JOBS: &str = "jobs.json";
 const SOON: Duration = Duration::from_secs(2);
 /// Several reads of the VM list, and connections made anew.
 const VIEWS_SEEN: Duration = Duration::from_millis(1_000);
+const KEYS_SETTLED: Duration = Duration::from_millis(6_000);
 /// What the number of a VM's replacement has more.
 const ROLLED: u32 = 50;
 
@@ -72,6 +75,8 @@
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("proofs-{test}"));
         let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).expect("a directory for the test");
+        let jobs = serde_json::to_vec(&shape.jobs).expect("JSON");
+        fs::write(dir.join(JOBS), jobs).expect("the jobs' file");
         let vms = shape.vms(at);
         let platform = start_platform(&dir, &shape, &vms, at);
         let mut cluster = Cluster {
@@ -136,6 +141,14 @@
         .await;
     }
 
+    /// Waits until the keys' homes vouch for their past: a process that has just started knows
+    /// of no keys before it, and vouches only after the retry window, here 3 s, or after the
+    /// 5 s in which others may hand their keys over.
+    pub async fn keys_settled(&self) {
+        self.accept("publish policy retry-window=3s").await;
+        sleep(KEYS_SETTLED).await;
+    }
+
     /// Makes a change through any entry VM, and fails unless it is accepted in the end.
     pub async fn accept(&self, statement: &str) -> u64 {
         eventually(statement, STARTS, async || {
@@ -378,8 +391,7 @@
     }
 
     fn start_worker(&mut self, vm: VmJson) {
-        let jobs = self.dir.join("jobs.json");
-        fs::write(&jobs, serde_json::to_vec(&self.shape.jobs).expect("JSON")).expect("a file");
+        let jobs = self.dir.join(JOBS);
         let history = self.dir.join(format!("{}.jsonl", vm.name));
         let args = [
             ("--name", vm.name.clone()),
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -9,6 +9,7 @@
 mod process;
 mod shape;
 
+mod at_most_once;
 mod capacity;
 mod configuration;
 mod leaving;
--- a/tests/proofs/planned_stop.rs
+++ b/tests/proofs/planned_stop.rs
@@ -36,6 +36,7 @@
 async fn a_planned_stop_under_load_cuts_off_nothing() {
     let mut cluster = Cluster::start("stop", Shape::default()).await;
     cluster.create_service(2).await;
+    cluster.keys_settled().await;
 
     let options =
         Options { service_ms: Some(300), keyed_per_mille: 300, ..patient(&cluster, 50, 10.0) };
@@ -54,6 +55,7 @@
 async fn a_rolling_restart_cuts_off_nothing() {
     let mut cluster = Cluster::start("rolling", Shape::default()).await;
     cluster.create_service(2).await;
+    cluster.keys_settled().await;
 
     let options = Options { service_ms: Some(50), ..patient(&cluster, 400, 40.0) };
     let load = Load::start(options).await.expect("callers");
@@ -70,6 +72,7 @@
     let shape = Shape { dcs: vec![("porto", "north", 3, 2)], ..Shape::default() };
     let mut cluster = Cluster::start("stops", shape).await;
     cluster.create_service(2).await;
+    cluster.keys_settled().await;
     let holder = cluster.holder(0).await;
 
     let options = Options { service_ms: Some(200), ..patient(&cluster, 60, 15.0) };
--- a/tests/proofs/several.rs
+++ b/tests/proofs/several.rs
@@ -40,6 +40,7 @@
     let shape = Shape { dcs: vec![("porto", "north", 3, 2)], ..Shape::default() };
     let mut cluster = Cluster::start("frozen-twice", shape).await;
     cluster.create_service(2).await;
+    cluster.keys_settled().await;
     let faults = Faults { lose_per_mille: 300, seed: 21, ..Faults::default() };
     cluster.platform_faults(faults).await;
 
@@ -68,6 +69,7 @@
     let mut cluster = Cluster::start("cut-holder", Shape { dcs, ..Shape::default() }).await;
     let link = cluster.link_off(1).await;
     cluster.create_service(4).await;
+    cluster.keys_settled().await;
 
     let load = Load::start(orders(&cluster, 500)).await.expect("callers");
     let callers = load.recorder();
@@ -90,6 +92,7 @@
 async fn a_rolling_restart_during_configuration_changes() {
     let mut cluster = Cluster::start("rolling-config", Shape::default()).await;
     cluster.create_service(2).await;
+    cluster.keys_settled().await;
 
     let load = Load::start(orders(&cluster, 600)).await.expect("callers");
     let callers = load.recorder();
