Show why a job waits, and the share of a throttled task

Cause: `why task` of a job that fits on no worker said only that nobody had checked it out: the holder knew the nearest miss, and the entry VM told the reasons of checked-out tasks alone. `show tasks` gave every task the full share.

Ruled out: checking such a task out to say so, which would take it from data centres where it fits.

Conclusion: the holder gives the reasons of waiting jobs, and `show tasks` and `why` show them; a test holds the nearest miss.

--- a/daisy-entry/src/control/look.rs
+++ b/daisy-entry/src/control/look.rs
@@ -76,7 +76,7 @@
         let Some(vm) = task.vm.filter(|_| runs) else { continue };
         // The last note of a running task is usually that it runs.
         let since = notes.last().map(|it| times.now.since(it.at)).unwrap_or_default();
-        let known = LiveTask { incarnation: task.incarnation, vm, share: FULL_SHARE, since };
+        let known = LiveTask { incarnation: task.incarnation, vm, share: task.share, since };
         live.tasks.insert(task.task, known);
     }
     for worker in holder.workers() {
@@ -97,9 +97,9 @@
         };
         live.workers.insert(worker.vm, known);
     }
+    for (job, noted) in holder.waiting_jobs() {
+        live.reasons.push(times.reason(&Subject::Job(job), &noted));
+    }
     live.reasons.sort_by_key(|it| it.at);
     live
 }
-
-/// A task that is not throttled.
-const FULL_SHARE: u32 = 1_000;
--- a/daisy-placement/src/view.rs
+++ b/daisy-placement/src/view.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     holder::Holder,
+    place::FULL_SHARE,
     reason::{Noted, Reason},
     task::{Local, Phase},
     worker::{Ending, Standing, Worker},
@@ -77,6 +78,8 @@
     pub incarnation: Incarnation,
     /// Since when it waits or is blocked.
     pub since: Option<Instant>,
+    /// Its share of its processors, in thousandths.
+    pub share: u32,
     /// The run time to expect: seen in the job's tasks, or else as declared.
     pub run_time: Option<Duration>,
 }
@@ -141,6 +144,13 @@
         notes
     }
 
+    /// Why jobs have tasks that nobody has checked out: paused, over their quota, not this
+    /// data centre's turn, or fitting nowhere, with the nearest miss.
+    pub fn waiting_jobs(&self) -> Vec<(JobId, Noted)> {
+        let jobs = self.jobs.iter().filter(|(_, job)| !job.pending.is_empty());
+        jobs.filter_map(|(id, job)| Some((*id, job.wait.clone()?))).collect()
+    }
+
     /// The last decisions about a VM, oldest first; empty if it is none of our workers.
     pub fn vm_reasons(&self, vm: VmId) -> Vec<Noted> {
         let worker = self.roster.try_key(vm).and_then(|key| self.roster.get(key));
@@ -166,10 +176,13 @@
             Phase::Ended { .. } => (TaskStatus::Ending, None),
         };
         let worker = local.try_worker().and_then(|key| self.roster.get(key));
+        let held = worker.and_then(|worker| worker.held.get(&task));
+        let share = held.map_or(FULL_SHARE, |held| held.share);
         let vm = worker.map(|worker| worker.id).or(local.try_recorded_vm());
         let job = self.jobs.get(&task.job)?;
         let run_time = job.seen.try_run_time(job.spec.run_time);
-        Some(TaskView { task, status, vm, incarnation: local.incarnation, since, run_time })
+        let incarnation = local.incarnation;
+        Some(TaskView { task, status, vm, incarnation, since, share, run_time })
     }
 }
 
@@ -191,6 +204,6 @@
         capacity: worker.capacity,
         taken: worker.taken,
         tasks: worker.held.len(),
-        share: shares.min().unwrap_or(crate::place::FULL_SHARE),
+        share: shares.min().unwrap_or(FULL_SHARE),
     }
 }
--- a/daisy-placement/tests/want.rs
+++ b/daisy-placement/tests/want.rs
@@ -77,3 +77,18 @@
     assert!(returned);
     assert_eq!(out_here(&world, 0, 3), 1);
 }
+
+/// A job needs more of a worker than any worker holds, and its team's quota has room.
+/// Its operators must be told at once why it does not start, or they wait for ever.
+#[test]
+fn a_job_that_fits_nowhere_is_said_so_with_the_nearest_miss() {
+    let mut world = World::new(2, size(16, 64));
+    world.create(batch("wide", 1, size(20, 1)));
+
+    world.run(Duration::from_secs(1));
+
+    let waiting = world.holder.waiting_jobs();
+    let texts: Vec<String> = waiting.iter().map(|(_, it)| it.reason.to_string()).collect();
+    assert_eq!(texts.len(), 1);
+    assert!(texts[0].contains("short of 4000m of processor"), "{texts:?}");
+}
--- a/daisy-query/src/show/work.rs
+++ b/daisy-query/src/show/work.rs
@@ -14,10 +14,14 @@
 pub(crate) fn tasks(state: &State, live: &Live, sink: Sink<'_>) {
     let reasons = newest_reasons(live);
     for (id, job) in state.jobs.iter() {
+        let of_job = live.reasons_of(&Subject::Job(id)).next_back().map(|it| &*it.text);
         for (index, task) in job.tasks.iter().enumerate() {
             let id = TaskId { job: id, index: index as u32 };
             let running = live.tasks.get(&id);
-            let view = TaskView { id, job, task, running, reason: reasons.get(&id).copied() };
+            // Nobody has a pending task; what its job waits for is then what it waits for.
+            let of_job = of_job.filter(|_| task.state == TaskState::Pending);
+            let reason = of_job.or(reasons.get(&id).copied());
+            let view = TaskView { id, job, task, running, reason };
             sink(&|column| view.cell(state, live, column));
         }
     }
