membership: pass records on in a tree, and leave a parent that is stuck

At the design size holders record some 62 starts a second; a reader that passes all of it to seven peers sends each byte seven times, against a bound of 2 KB/s. Below the reader the entry VMs of a data centre now stand in a tree of two children each, ordered by number.

A parent that hangs while its heartbeats go on would keep everybody below it behind; whoever is behind a live peer for 2 s goes to another source. On a scratch copy, without that guard a_stuck_parent_is_left fails, and with every peer at the reader nobody_passes_records_on_to_more_than_two does.

Ruled out: a chain (least bytes, but seven steps, and a break in it shows late).

--- a/daisy-membership/src/membership.rs
+++ b/daisy-membership/src/membership.rs
@@ -3,8 +3,10 @@
 use daisy_model::{DcId, Epoch, Instant, Offset, Vm, VmId};
 
 use crate::{
-    Evidence, Heartbeat, Holding, Options, Peer, Peers, Role, Source, Status, holding::Tenure,
-    readiness::Readiness, source,
+    Evidence, Heartbeat, Holding, Options, Peer, Peers, Role, Source, Status,
+    holding::Tenure,
+    readiness::Readiness,
+    source::{Reading, View},
 };
 
 /// What an entry VM learns.
@@ -84,8 +86,7 @@
     generation: u64,
     status: Status,
     log_answered: Option<Instant>,
-    avoided: Option<(VmId, Instant)>,
-    source: Source,
+    reading: Reading,
     role: Role,
 }
 
@@ -106,8 +107,7 @@
             generation: 0,
             status: Status::Starting,
             log_answered: None,
-            avoided: None,
-            source: Source::Log,
+            reading: Reading::new(),
             role: Role::Idle,
         }
     }
@@ -129,7 +129,7 @@
 
     /// Where records are read from.
     pub fn source(&self) -> Source {
-        self.source
+        self.reading.source()
     }
 
     /// Whether this entry VM takes callers.
@@ -180,7 +180,7 @@
             next: self.next,
             generation: self.generation,
             status: self.status,
-            reads_log: self.source == Source::Log && self.log_answers(now),
+            reads_log: self.source() == Source::Log && self.log_answers(now),
             evidence,
         }
     }
@@ -214,9 +214,7 @@
                 self.tenure.claiming = false;
                 self.tenure.claim_after = now + self.options.heartbeat;
             }
-            Event::SourceFailed(vm) => {
-                self.avoided = Some((vm, now + self.options.log_timeout() * 2));
-            }
+            Event::SourceFailed(vm) => self.reading.avoid(now, &self.options, vm),
             Event::Tick => {}
             Event::Stop => self.stop(now, actions),
         }
@@ -398,18 +396,15 @@
 
     fn choose_source(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let live = self.tenure.holding.filter(|it| !it.released).map(|it| it.holder);
-        let view = source::View {
+        let view = View {
             options: &self.options,
             peers: &self.peers,
             holder: live,
             holder_silent: self.tenure.silent_for(now) >= self.options.holder_timeout / 2,
             next: self.next,
             log_answers: self.log_answers(now),
-            avoided: self.avoided,
         };
-        let source = source::choose(now, &view);
-        if source != self.source {
-            self.source = source;
+        if let Some(source) = self.reading.try_change(now, &view) {
             actions.push(Action::Read(source));
         }
     }
--- a/daisy-membership/tests/membership/fleet.rs
+++ b/daisy-membership/tests/membership/fleet.rs
@@ -16,6 +16,8 @@
     pub alive: bool,
     pub frozen: bool,
     pub reaches_log: bool,
+    /// Sends heartbeats, but reads nothing more.
+    pub stuck: bool,
     pub next: Offset,
     pub ready: bool,
     /// What came while it was frozen, and what is still on its way.
@@ -99,6 +101,7 @@
             alive: true,
             frozen: false,
             reaches_log: true,
+            stuck: false,
             next: Offset(0),
             ready: false,
             inbox: Vec::new(),
@@ -120,6 +123,12 @@
         all.filter(|it| *it != vm).min().expect("another entry VM")
     }
 
+    /// Appends a record that concerns no data centre of the fleet.
+    pub fn append(&mut self) {
+        let holding = Holding { holder: VmId(0), epoch: Epoch(1), released: false };
+        self.log.push((DcId(u16::MAX), holding));
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -158,7 +167,9 @@
                 self.event(at, Event::Heartbeat(beat));
             }
             self.event(at, Event::Tick);
-            self.read(at);
+            if !self.nodes[at].stuck {
+                self.read(at);
+            }
         }
     }
 
--- a/daisy-membership/tests/membership/source.rs
+++ b/daisy-membership/tests/membership/source.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use daisy_membership::Source;
+use daisy_model::VmId;
 
 use crate::fleet::{Fleet, Node};
 
@@ -62,3 +63,45 @@
     assert!(took <= Duration::from_secs(3), "{took:?}");
     assert_eq!(readers(&fleet), 1);
 }
+
+#[test]
+fn nobody_passes_records_on_to_more_than_two() {
+    let mut fleet = Fleet::new(1, 16, 3);
+    fleet.until(LIMIT, |it| it.all_ready() && it.holders(0).len() == 1).expect("a quiet start");
+    fleet.run(Duration::from_secs(5));
+
+    let mut parents: Vec<VmId> = Vec::new();
+    for node in &fleet.nodes {
+        if let Source::Peer(vm) = node.membership.source() {
+            parents.push(vm);
+        }
+    }
+
+    assert_eq!(parents.len(), 15);
+    for vm in &parents {
+        assert!(parents.iter().filter(|it| *it == vm).count() <= 2, "{parents:?}");
+    }
+}
+
+/// An entry VM in the middle hangs in its reading, but its heartbeats go on. Those below it see
+/// peers ahead of them, and must not wait for it: a change is in force everywhere within 5 s.
+#[test]
+fn a_stuck_parent_is_left() {
+    let mut fleet = settled();
+    let parent = fleet.nodes.iter().find_map(|it| match it.membership.source() {
+        Source::Peer(vm) if !reads(&fleet.nodes[fleet.at(vm)]) => Some(vm),
+        _ => None,
+    });
+    let stuck = fleet.at(parent.expect("a parent below the reader"));
+    fleet.nodes[stuck].stuck = true;
+    fleet.append();
+
+    let wanted = fleet.nodes[0].next.0 + 1;
+    let everywhere = |it: &Fleet| {
+        let mut others = it.nodes.iter().enumerate().filter(|(at, _)| *at != stuck);
+        others.all(|(_, node)| node.next.0 >= wanted)
+    };
+    let took = fleet.until(LIMIT, everywhere).expect("in force");
+
+    assert!(took <= Duration::from_secs(5), "{took:?}");
+}
