--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod ledger;
 mod node;
+mod peers;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
 #[derive(Debug, argh::FromArgs)]
@@ -19,6 +20,7 @@
     Choose(choose::Args),
     Ledger(ledger::Args),
     Node(node::Args),
+    Peers(peers::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -27,6 +29,7 @@
         Measure::Choose(args) => choose::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
         Measure::Node(args) => node::run(&args)?,
+        Measure::Peers(args) => peers::run(&args)?,
     }
     Ok(())
 }
--- a/daisy-measure/src/node.rs
+++ b/daisy-measure/src/node.rs
@@ -6,7 +6,7 @@
 //! counts its bytes, HTTP heads included, TCP and IP heads not.
 
 mod fleet;
-mod proc;
+pub(crate) mod proc;
 mod relay;
 
 use std::time::Duration;
@@ -19,6 +19,8 @@
     proc::Usage,
 };
 
+pub(crate) use self::fleet::binary;
+
 /// Control's cost of an entry VM in a data centre of this many workers.
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand, name = "node")]
--- a/daisy-measure/src/node/fleet.rs
+++ b/daisy-measure/src/node/fleet.rs
@@ -236,7 +236,7 @@
 }
 
 /// The release binary beside this one.
-fn binary() -> anyhow::Result<PathBuf> {
+pub(crate) fn binary() -> anyhow::Result<PathBuf> {
     let path = std::env::current_exe()?.with_file_name("daisyshift");
     if !path.exists() {
         bail!("{} is missing: run `cargo build --release` first", path.display());
