--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -3,9 +3,12 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod choose;
+mod fleet;
+mod interference;
 mod ledger;
 mod node;
 mod peers;
+mod placement;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
 #[derive(Debug, argh::FromArgs)]
@@ -18,7 +21,9 @@
 #[argh(subcommand)]
 enum Measure {
     Choose(choose::Args),
+    Interference(interference::Args),
     Ledger(ledger::Args),
+    Placement(placement::Args),
     Node(node::Args),
     Peers(peers::Args),
 }
@@ -27,7 +32,9 @@
     let Args { measure } = argh::from_env();
     match measure {
         Measure::Choose(args) => choose::run(&args),
+        Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
+        Measure::Placement(args) => placement::run(&args),
         Measure::Node(args) => node::run(&args)?,
         Measure::Peers(args) => peers::run(&args)?,
     }
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -53,30 +53,34 @@
 
     fn take_job(&mut self, now: Instant, id: JobId, job: &Job) {
         let Some(view) = self.jobs.get_mut(&id) else { return };
-        if view.spec != job.spec {
+        // Most jobs are as they were at the last fold; a look at each of their tasks would
+        // be the largest part of a holder's processor time.
+        if view.quiet && view.generation == job.generation && view.last == job.tasks {
+            return;
+        }
+        if view.generation != job.generation {
             view.change(&job.spec, &self.options);
+            view.generation = job.generation;
+            self.roster.unsettle(id);
         }
         view.cancelled = job.cancelled;
         view.pending.clear();
+        view.last.clone_from(&job.tasks);
         for task in &job.tasks[view.tasks.len().min(job.tasks.len())..] {
             view.tasks.push(Local::new(*task));
         }
-        let mut is_over = true;
-        for (index, task) in job.tasks.iter().enumerate() {
-            let task_id = TaskId { job: id, index: index as u32 };
-            self.take_task(now, task_id, task);
-            is_over &= matches!(task.state, TaskState::Ended(_)) && self.is_elsewhere(task_id);
+        for index in view.restless(self.options.dc, job) {
+            self.take_task(now, TaskId { job: id, index }, &job.tasks[index as usize]);
         }
-        if is_over {
+        let dc = self.options.dc;
+        let Some(view) = self.jobs.get_mut(&id) else { return };
+        view.quiet = view.restless(dc, job).is_empty();
+        if job.open == 0 && view.tasks.iter().all(|local| local.phase == Phase::Elsewhere) {
             self.jobs.remove(&id);
             self.line.retain(|(_, job)| *job != id);
         }
     }
 
-    fn is_elsewhere(&self, task: TaskId) -> bool {
-        self.local(task).is_none_or(|local| local.phase == Phase::Elsewhere)
-    }
-
     fn take_task(&mut self, now: Instant, id: TaskId, task: &Task) {
         let Some(view) = self.jobs.get_mut(&id.job) else { return };
         let Some(local) = view.tasks.get_mut(id.index as usize) else { return };
--- a/daisy-placement/src/place.rs
+++ b/daisy-placement/src/place.rs
@@ -1,6 +1,6 @@
 //! Placement: which worker a checked-out task starts on.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, time::Duration};
 
 use daisy_ledger::Placement;
 use daisy_model::{
@@ -18,6 +18,12 @@
 /// A share that is not limited, in thousandths.
 pub(crate) const FULL_SHARE: u32 = 1000;
 
+/// How long work waits for a worker where it disturbs nobody much.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Between two looks at work that was put off.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
 /// A place in line: urgent work first, then the older job.
 pub(crate) type Turn = (Reverse<Priority>, JobId);
 
@@ -51,6 +57,7 @@
                     self.start(now, key, task, Hold::Queued);
                 }
                 None if self.try_evict(now, id, index).is_some() => {}
+                None if self.jobs.get(&id).is_some_and(|job| now < job.look_at) => return,
                 None => return self.note_no_room(now, task),
             }
         }
@@ -71,7 +78,7 @@
             job.waits(now, Wait::LogDown);
             return None;
         }
-        if job.faults.retry_at.is_some_and(|at| now < at) {
+        if job.faults.retry_at.is_some_and(|at| now < at) || now < job.look_at {
             return None;
         }
         Some(index)
@@ -93,11 +100,35 @@
         let racks = self.racks_of(task.job);
         let job = self.jobs.get(&task.job)?;
         let best = found.into_iter().min_by_key(|key| self.cost(job, size, &racks, *key))?;
+        if self.is_better_later(now, task, best) {
+            self.put_off(now, task.job);
+            return None;
+        }
         let vm = self.roster.get(best)?.label.clone();
         self.note(now, task, Reason::Placed { vm, weighed });
         Some(best)
     }
 
+    /// Whether a task that may be delayed should leave its place to quieter work for now.
+    ///
+    /// On a full cluster room comes free one worker at a time, and there is nothing to
+    /// choose but who takes it: noisy work would gather wherever it happens to come free.
+    fn is_better_later(&self, now: Instant, task: TaskId, key: WorkerKey) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let Some(worker) = self.roster.get(key) else { return false };
+        let Some(local) = job.tasks.get(task.index as usize) else { return false };
+        let Phase::Waiting { since } = local.phase else { return false };
+        let may_wait = job.spec.tolerance.delay && !job.is_service() && now < since + PATIENCE;
+        may_wait && self.is_too_much(job, worker)
+    }
+
+    /// Looks at a job again after a moment, not at each report that brings a little room.
+    fn put_off(&mut self, now: Instant, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.look_at = now + LOOK_PERIOD;
+        }
+    }
+
     /// What a task is started with: as checked out, or more if more was seen in use.
     pub(crate) fn start_size(&self, task: TaskId) -> Option<Resources> {
         let job = self.jobs.get(&task.job)?;
@@ -111,6 +142,7 @@
     pub(crate) fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, hold: Hold) {
         let Some(size) = self.start_size(task) else { return };
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.quiet = false;
         let (is_restartable, class) = (job.spec.restartable, job.class());
         let Some(local) = job.tasks.get_mut(task.index as usize) else { return };
         let is_recorded_first = is_recorded_first(local, is_restartable);
@@ -122,7 +154,11 @@
         let Some(worker) = self.roster.get_mut(key) else { return };
         let ending = Ending::No;
         let share = FULL_SHARE;
-        worker.hold(task, Held { incarnation, size, hold, ending, share, since: now, class });
+        let settled = false;
+        worker.hold(
+            task,
+            Held { incarnation, size, hold, ending, share, since: now, class, settled },
+        );
         worker.faults.note_start();
         let vm = worker.id;
         if hold == Hold::Queued {
