entry: carry intents to the log for the stronger at-most-once form

An intent is a record like any other; the fold tells whether it was the first for its key. No verdict in time means unavailable, since the intent may yet stand in the log.

--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -79,7 +79,8 @@
     let (ready, follow_ready) = watch::channel(false);
     let sender = fastrand::u64(..);
     let options = proxy::Options::new(&settings, sender);
-    let proxy = Proxy::new(options, follow_routes, Keys { links: links.clone() });
+    let keys = Keys { own: settings.vm, links: links.clone(), control: control.clone() };
+    let proxy = Proxy::new(options, follow_routes, keys);
 
     let outputs = Outputs {
         http,
--- a/daisy-entry/src/peers/links.rs
+++ b/daisy-entry/src/peers/links.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use daisy_ledger::{Outcome, Record};
 use daisy_model::{Offset, SortedMap, VmId};
 use daisy_routing::{KeyAnswer, KeyQuery};
 use daisy_wire::peer::{Answer, Question};
@@ -15,7 +16,8 @@
 };
 
 use crate::{
-    boundary::PeerKeys,
+    boundary::{Intent, PeerKeys},
+    control::{Input, Verdict},
     peers::{
         Command, Traffic,
         link::{Link, Records},
@@ -102,10 +104,12 @@
     }
 }
 
-/// Asks peers about idempotency keys, for the request side.
+/// Asks peers about idempotency keys, and the log about intents, for the request side.
 #[derive(Debug, Clone)]
 pub struct Keys {
+    pub(crate) own: VmId,
     pub(crate) links: Links,
+    pub(crate) control: mpsc::Sender<Input>,
 }
 
 impl PeerKeys<KeyQuery, KeyAnswer> for Keys {
@@ -115,4 +119,18 @@
             _ => None,
         }
     }
+
+    async fn intend(&self, key: u128, limit: Duration) -> Intent {
+        let (reply, verdict) = oneshot::channel();
+        let record = Record::Intent { key, entry: self.own };
+        if self.control.send(Input::Submit { record, reply }).await.is_err() {
+            return Intent::Unavailable;
+        }
+        match timeout(limit, verdict).await {
+            Ok(Ok(Verdict::Folded(Outcome::Announced))) => Intent::Won,
+            Ok(Ok(Verdict::Folded(Outcome::AnnouncedBefore(_)))) => Intent::Lost,
+            // Without the fold's verdict it may yet come to stand in the log.
+            _ => Intent::Unavailable,
+        }
+    }
 }
