measure: Count high slowdowns, and measure the change-over

The histograms resized themselves on `record` but not on `saturating_record`: a value above 2,047 was counted as 2. Found because a change-over of 2.1 s was printed as 2 ms and first fit had a mean slowdown below none. The bounds are now given.

--- a/daisy-measure/src/fleet.rs
+++ b/daisy-measure/src/fleet.rs
@@ -8,7 +8,7 @@
 mod worker;
 
 pub use self::{
-    drive::{Drive, Spent},
+    drive::{Drive, Spent, create, entry_vm, quota, vm},
     truth::{BATCHES, SERVICES, Truth},
     worker::{Fleet, Nature},
 };
--- a/daisy-measure/src/fleet/drive.rs
+++ b/daisy-measure/src/fleet/drive.rs
@@ -64,8 +64,7 @@
             seq: 0,
             appended: Vec::new(),
         };
-        let limit = Resources { cpu_milli: u32::MAX, memory_mib: u32::MAX, accelerators: u32::MAX };
-        drive.command(Command::Quota { team: name("team"), limit });
+        drive.append(quota());
         let offset = drive.append(Record::Claim { dc: DcId(0), holder: VmId(9_000) });
         let mut options = Options::new(DcId(0), Epoch(offset + 1), LEASE, 1);
         change(&mut options);
@@ -77,21 +76,10 @@
     pub fn declare(&mut self, text: &str, tasks: u32, size: Resources, nature: Nature) -> JobId {
         let job = self.state.jobs.next_id();
         self.fleet.declare(job, nature);
-        self.command(Command::Create(spec(text, tasks, size, nature)));
+        self.append(create(text, tasks, size, nature));
         job
     }
 
-    fn command(&mut self, command: Command) {
-        let change = Change {
-            who: name("ana"),
-            at: WallTime(0),
-            text: "measured".into(),
-            command,
-            condition: None,
-        };
-        self.append(Record::Change(change));
-    }
-
     fn append(&mut self, record: Record) -> u64 {
         let offset = self.state.next;
         self.seq += 1;
@@ -149,7 +137,28 @@
     }
 }
 
-pub fn name(text: &str) -> Name {
+/// An operator's statement that gives the one team a quota without an end.
+pub fn quota() -> Record {
+    let limit = Resources { cpu_milli: u32::MAX, memory_mib: u32::MAX, accelerators: u32::MAX };
+    change(Command::Quota { team: name("team"), limit })
+}
+
+/// An operator's statement that creates a job of a nature.
+pub fn create(text: &str, tasks: u32, size: Resources, nature: Nature) -> Record {
+    change(Command::Create(spec(text, tasks, size, nature)))
+}
+
+fn change(command: Command) -> Record {
+    Record::Change(Change {
+        who: name("ana"),
+        at: WallTime(0),
+        text: "measured".into(),
+        command,
+        condition: None,
+    })
+}
+
+fn name(text: &str) -> Name {
     Name::new(text).expect("names of the measurements are valid")
 }
 
@@ -170,7 +179,8 @@
     }
 }
 
-fn vm(at: usize, capacity: Resources) -> Vm {
+/// A worker.
+pub fn vm(at: usize, capacity: Resources) -> Vm {
     let addr = ([127, 0, 0, 1], 1).into();
     Vm {
         id: VmId(at as u32),
@@ -184,3 +194,8 @@
         capacity,
     }
 }
+
+/// An entry VM.
+pub fn entry_vm(id: VmId) -> Vm {
+    Vm { id, name: name(&format!("e-{id}")), role: VmRole::Entry, ..vm(0, Resources::ZERO) }
+}
--- a/daisy-measure/src/fleet/worker.rs
+++ b/daisy-measure/src/fleet/worker.rs
@@ -15,6 +15,9 @@
 /// Between two samples of usage, in microseconds.
 const SAMPLE_MICROS: u64 = 2_000_000;
 
+/// The highest value counted; what is above counts as this.
+const HIGHEST: u64 = 1_000_000;
+
 /// What a job's tasks are in truth.
 #[derive(Debug, Clone, Copy)]
 pub struct Nature {
@@ -86,8 +89,8 @@
             natures: SortedMap::new(),
             rng: fastrand::Rng::with_seed(seed),
             epoch: Epoch(0),
-            slowdowns: Histogram::new(3).expect("three digits are allowed"),
-            busy: Histogram::new(3).expect("three digits are allowed"),
+            slowdowns: Histogram::new_with_bounds(1, HIGHEST, 3).expect("the bounds are in order"),
+            busy: Histogram::new_with_bounds(1, HIGHEST, 3).expect("the bounds are in order"),
             work_done: 0.0,
             finished: 0,
             evictions: 0,
--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -2,6 +2,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod changeover;
 mod choose;
 mod fleet;
 mod interference;
@@ -19,6 +20,7 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand)]
 enum Measure {
+    Changeover(changeover::Args),
     Choose(choose::Args),
     Interference(interference::Args),
     Ledger(ledger::Args),
@@ -29,6 +31,7 @@
 fn main() -> anyhow::Result<()> {
     let Args { measure } = argh::from_env();
     match measure {
+        Measure::Changeover(args) => changeover::run(&args),
         Measure::Choose(args) => choose::run(&args),
         Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
