placement: Let what was learnt of noise fade, and keep past reasons

A kind that was limited for its noise shows nothing new of itself: at a share of 200 its weight in a sample is 0.04. What was learnt now halves in 300 s, longer than a wave and the quiet after it.

Ruled out: to lift limits from time to time to listen (each time a tail).

Further: evictions for the sake of services wait the longer the more evictions weigh in the policy (14 s, and 300 s times their ratio to the tail); reasons of tasks whose jobs are over are kept for 16,384 tasks; a job that names only data centres that do not exist is taken by none, not by all.

--- a/daisy-placement/src/control.rs
+++ b/daisy-placement/src/control.rs
@@ -47,9 +47,10 @@
         let of_policy = || Control::of(&self.policy.objective);
         let control = self.options.limits.control.unwrap_or_else(of_policy);
         let backlog = self.backlog;
+        let patience = Control::patience(&self.policy.objective);
         let Some(worker) = self.worker_mut(key) else { return };
         let share = worker.throttle.step(now, control.rule, Signal { slowdown, busy, limit });
-        let is_stuck = worker.throttle.is_stuck(now);
+        let is_stuck = worker.throttle.is_stuck(now, patience);
         let is_crowded = busy > limit;
         let by_harm = control.by_harm && !is_crowded;
         let noisy = if by_harm { self.noisy_kinds(key) } else { None };
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -1,6 +1,6 @@
 //! The decisions of a data centre's holder: what it learns and what it wants done.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 use daisy_ledger::{Record, State};
 use daisy_model::{
@@ -14,6 +14,7 @@
     kind::Kinds,
     options::Options,
     place::Turn,
+    reason::Notes,
     records::Outbox,
     roster::Roster,
     task::{Local, Phase},
@@ -90,6 +91,8 @@
     pub(crate) roster: Roster,
     /// Jobs with tasks that have not ended.
     pub(crate) jobs: SortedMap<JobId, JobView>,
+    /// Reasons of tasks whose jobs are over, the oldest first.
+    pub(crate) past: VecDeque<(TaskId, Notes)>,
     /// Jobs below this number have been taken in.
     pub(crate) next_job: JobId,
     pub(crate) paused: Vec<WorkClass>,
@@ -129,6 +132,7 @@
             started: None,
             roster,
             jobs: SortedMap::new(),
+            past: VecDeque::new(),
             next_job: JobId(0),
             paused: Vec::new(),
             drained: Vec::new(),
@@ -195,6 +199,7 @@
             self.leave(now);
             self.give_back(now);
             self.count_backlog();
+            self.interference.fade(CHORES);
         }
         self.inherit_due = true;
         self.roster.touch_all();
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -11,6 +11,10 @@
     worker::{Ending, WorkerKey},
 };
 
+/// Tasks of jobs that are over whose reasons are kept: some minutes' worth at 62 ends a
+/// second (the users' size plan).
+const PAST_TASKS: usize = 16_384;
+
 impl Holder {
     /// Takes a newer fold in.
     pub(crate) fn take_ledger(&mut self, now: Instant, state: &State) {
@@ -76,11 +80,21 @@
         let Some(view) = self.jobs.get_mut(&id) else { return };
         view.quiet = view.restless(dc, job).is_empty();
         if job.open == 0 && view.tasks.iter().all(|local| local.phase == Phase::Elsewhere) {
-            self.jobs.remove(&id);
+            self.bury(id);
             self.line.retain(|(_, job)| *job != id);
         }
     }
 
+    /// Forgets a job that is over, and keeps what was said of its tasks for a while.
+    fn bury(&mut self, id: JobId) {
+        let Some(view) = self.jobs.remove(&id) else { return };
+        for (index, local) in (0_u32..).zip(view.tasks) {
+            self.past.push_back((TaskId { job: id, index }, local.notes));
+        }
+        let surplus = self.past.len().saturating_sub(PAST_TASKS);
+        self.past.drain(..surplus);
+    }
+
     fn take_task(&mut self, now: Instant, id: TaskId, task: &Task) {
         let Some(view) = self.jobs.get_mut(&id.job) else { return };
         let Some(local) = view.tasks.get_mut(id.index as usize) else { return };
--- a/daisy-placement/src/interference.rs
+++ b/daisy-placement/src/interference.rs
@@ -1,5 +1,7 @@
 //! How much one kind of work slows another down, learnt from late reports.
 
+use std::time::Duration;
+
 use daisy_model::SortedMap;
 
 use crate::kind::Kind;
@@ -26,7 +28,7 @@
 
 impl Interference {
     /// Pairs remembered; the one not learnt from for longest is forgotten first.
-    const MOST: usize = 4_096;
+    pub const MOST: usize = 4_096;
     /// Share of a sample's error that is learnt where more was seen than expected.
     ///
     /// Noise comes in waves, and the tail is made in them: what a kind does at its worst is
@@ -39,6 +41,16 @@
     /// No neighbour makes a task faster.
     const LEAST: f32 = 0.0;
 
+    /// The number of pairs known.
+    pub fn len(&self) -> usize {
+        self.pairs.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.pairs.is_empty()
+    }
+
     /// Learns from the slowdown of a task of `victim` beside `neighbours`.
     ///
     /// Neighbours are weighed by kind: 1 for each task that is not limited, less for one
@@ -59,6 +71,21 @@
         }
     }
 
+    /// Forgets a little of everything, for `passed` since the last time.
+    ///
+    /// Work that is limited for what was learnt of it shows nothing new of itself: without
+    /// this, a kind that was blamed wrongly once would be limited for ever.
+    pub fn fade(&mut self, passed: Duration) {
+        let rest = 0.5_f32.powf(passed.as_secs_f32() / Interference::HALF_LIFE);
+        for (_, pair) in self.pairs.iter_mut() {
+            pair.added *= rest;
+        }
+    }
+
+    /// Seconds after which half of what was learnt is forgotten: longer than a wave of noise
+    /// and the quiet after it.
+    const HALF_LIFE: f32 = 300.0;
+
     /// The slowdown that neighbours are expected to add to a task, in thousandths.
     pub fn added(&self, victim: Kind, neighbours: &[(Kind, u32)]) -> u32 {
         let each = neighbours.iter().map(|(kind, count)| self.pair(victim, *kind) * *count as f32);
--- a/daisy-placement/src/job.rs
+++ b/daisy-placement/src/job.rs
@@ -42,8 +42,8 @@
     pub seen: Seen,
     /// Why its waiting and pending tasks wait.
     pub wait: Option<Noted>,
-    /// Allowed data centres by preference.
-    preferred: Vec<DcId>,
+    /// Allowed data centres by preference; `None` if there is only one to run in.
+    preferred: Option<Vec<DcId>>,
 }
 
 impl JobView {
@@ -121,11 +121,9 @@
     /// A service's replicas take their data centres in turn, so that one lost data centre
     /// takes only its share of them; so does batch work without a declared preference.
     pub(crate) fn try_rank(&self, index: u32, dc: DcId) -> Option<u32> {
-        let count = self.preferred.len();
-        if count == 0 {
-            return Some(0);
-        }
-        let position = self.preferred.iter().position(|it| *it == dc)?;
+        let Some(preferred) = &self.preferred else { return Some(0) };
+        let count = preferred.len();
+        let position = preferred.iter().position(|it| *it == dc)?;
         let in_turn = self.is_service() || self.spec.data_centres.is_empty();
         let first = if in_turn { (index as usize + self.offset()) % count } else { 0 };
         Some(((position + count - first) % count) as u32)
@@ -133,7 +131,8 @@
 
     /// The data centre that the job names first, where its data is taken to be.
     pub(crate) fn try_first(&self) -> Option<DcId> {
-        if self.spec.data_centres.is_empty() { None } else { self.preferred.first().copied() }
+        let preferred = self.preferred.as_ref().filter(|_| !self.spec.data_centres.is_empty())?;
+        preferred.first().copied()
     }
 
     /// Shifts the turn by job, so that one-task jobs do not all start in one data centre.
@@ -142,11 +141,14 @@
     }
 }
 
-fn preferred(names: &[Name], options: &Options) -> Vec<DcId> {
+fn preferred(names: &[Name], options: &Options) -> Option<Vec<DcId>> {
     let all = &options.data_centres;
+    if all.is_empty() {
+        return None;
+    }
     if names.is_empty() {
-        return (0..all.len()).map(|at| DcId(at as u16)).collect();
+        return Some((0..all.len()).map(|at| DcId(at as u16)).collect());
     }
     let position = |name: &Name| all.iter().position(|dc| dc.name == *name);
-    names.iter().filter_map(position).map(|at| DcId(at as u16)).collect()
+    Some(names.iter().filter_map(position).map(|at| DcId(at as u16)).collect())
 }
--- a/daisy-placement/src/lib.rs
+++ b/daisy-placement/src/lib.rs
@@ -1,7 +1,14 @@
 //! Who runs where: fit, eviction, interference, quotas, leases.
 //!
 //! [`Holder`] decides for one data centre under one epoch. It never sees a socket or a
-//! clock: events and the present time come in, actions go out.
+//! clock: events and the present time come in, actions go out. [`Caretaker`] keeps leases
+//! up, and no more, while a data centre has no holder that can act.
+//!
+//! A holder first calls each worker with nothing but its epoch and reads what runs there.
+//! It checks pending tasks out through the log, starts them on the best of a few workers
+//! with room, and records where they run and how they end; an exit report is acknowledged
+//! only after the ledger shows it. What may have taken effect counts as if it had, until
+//! the worker says otherwise.
 
 #![deny(missing_docs, unsafe_code)]
 
--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -78,6 +78,17 @@
         Control { rule: Rule::Aimd, by_harm: true, ceiling }
     }
 
+    /// How long services are borne to be slow, with batch work limited as far as it goes,
+    /// before a neighbour is evicted: longer the more evictions weigh.
+    pub fn patience(objective: &Objective) -> Duration {
+        let ratio = objective.evictions as f32 / objective.tail.max(1) as f32;
+        Control::LEAST_PATIENCE + Duration::from_secs_f32(Control::PATIENCE * ratio.min(1.0))
+    }
+
+    /// Twice the lag of reports.
+    const LEAST_PATIENCE: Duration = Duration::from_secs(14);
+    /// Seconds that are added where evictions weigh as much as the tail.
+    const PATIENCE: f32 = 300.0;
     /// Turns the ratio of tail to throughput into waiting tasks a worker.
     const BACKLOG_SCALE: f32 = 0.2;
 }
@@ -119,17 +130,15 @@
     const LEAST: f32 = 200.0;
     /// From a cut until reports show its effect; reports lag by some seconds.
     const LAG: Duration = Duration::from_secs(7);
-    /// Bad reports for this long at the lowest share before something has to go.
-    const STUCK: Duration = Duration::from_secs(20);
 
     /// The share in force, in thousandths.
     pub fn share(&self) -> u32 {
         self.share as u32
     }
 
-    /// Whether limiting alone has not helped: the worst neighbour should leave.
-    pub fn is_stuck(&self, now: Instant) -> bool {
-        self.stuck_since.is_some_and(|since| now >= since + Throttle::STUCK)
+    /// Whether limiting alone has not helped for `patience`: the worst neighbour should leave.
+    pub fn is_stuck(&self, now: Instant, patience: Duration) -> bool {
+        self.stuck_since.is_some_and(|since| now >= since + patience)
     }
 
     /// Starts to count anew after a neighbour was made to leave.
--- a/daisy-placement/src/view.rs
+++ b/daisy-placement/src/view.rs
@@ -128,7 +128,7 @@
 
     /// The last decisions about a task, oldest first; empty if this holder has made none.
     pub fn reasons(&self, task: TaskId) -> Vec<Noted> {
-        let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
+        let Some(job) = self.jobs.get(&task.job) else { return self.past_reasons(task) };
         let Some(local) = job.tasks.get(task.index as usize) else { return Vec::new() };
         let mut notes = local.notes.to_vec();
         let is_waiting = matches!(
@@ -141,6 +141,11 @@
         notes
     }
 
+    fn past_reasons(&self, task: TaskId) -> Vec<Noted> {
+        let past = self.past.iter().rev().find(|(it, _)| *it == task);
+        past.map(|(_, notes)| notes.to_vec()).unwrap_or_default()
+    }
+
     /// The last decisions about a VM, oldest first; empty if it is none of our workers.
     pub fn vm_reasons(&self, vm: VmId) -> Vec<Noted> {
         let worker = self.roster.try_key(vm).and_then(|key| self.roster.get(key));
--- a/daisy-placement/tests/want.rs
+++ b/daisy-placement/tests/want.rs
@@ -59,10 +59,12 @@
     let mut world = World::new(2, size(16, 64));
     world.hold_with(three_data_centres);
     world.create(JobSpec { data_centres: vec![name("porto")], ..batch("lists", 1, size(1, 1)) });
+    world.create(JobSpec { data_centres: vec![name("faro")], ..batch("renders", 1, size(1, 1)) });
 
     world.run(Duration::from_secs(60));
 
     assert_eq!(out_here(&world, 0, 1), 0);
+    assert_eq!(out_here(&world, 1, 1), 0, "no data centre has that name");
 }
 
 #[test]
