entry: ask peers for the VM list when the platform does not answer

An entry VM that alone is cut off from the platform kept an old list: backend servers long gone, peers unknown. It asks a peer drawn at random, with the version that it has; the answer is empty unless the peer knows more. The holder's and the caretaker's settling of lost tasks rests on the age of a read, so a peer's list is not passed to them, and neither is the list at hand when a suspended holder resumes.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -189,7 +189,13 @@
             }
             Input::ReadFailed { source } => self.read_failed(now, source),
             Input::Appended(appended) => self.appended(now, appended),
-            Input::Vms(listing) => self.list(now, listing),
+            Input::Vms(listing) => {
+                self.list(now, listing);
+                self.confirm_list(now);
+            }
+            // A peer's answer may cross a newer one of the platform.
+            Input::PeerVms(listing) if listing.version <= self.vms_version => {}
+            Input::PeerVms(listing) => self.list(now, listing),
             Input::VmsUnchanged => self.confirm_list(now),
             Input::Beat { beat, in_flight } => {
                 self.requests.peer_in_flight(beat.vm, in_flight);
@@ -289,29 +295,29 @@
         let others = others.filter(|vm| vm.id != self.identity.vm);
         self.out.links.set_addresses(others.map(|vm| (vm.id, vm.control)).collect());
         self.step(now, Event::Vms(&vms));
-        self.drive(now, daisy_placement::Event::Vms(&vms));
-        self.care(now, CareEvent::Vms(&vms));
         self.routes_dirty = true;
     }
 
     /// Guard: the holder settles the fate of tasks that its predecessor may have started unseen
     /// only by a list that is young enough. An unchanged list that nobody confirms never is,
-    /// and such tasks would stay blocked until the list happens to change.
+    /// and such tasks would stay blocked until the list happens to change. A peer's list, which
+    /// it may have read long ago, settles nothing.
     fn confirm_list(&mut self, now: Instant) {
         let vms = Arc::clone(&self.vms);
         self.drive(now, daisy_placement::Event::Vms(&vms));
+        self.care(now, CareEvent::Vms(&vms));
     }
 
     fn answer(&mut self, now: Instant, question: Question) -> Answer {
         match question {
-            Question::Vms if !self.vms.is_empty() => {
+            Question::Vms { known } if !self.vms.is_empty() && known < Some(self.vms_version) => {
                 Answer::Vms { version: self.vms_version, vms: self.vms.to_vec() }
             }
             Question::Live => match self.live(now) {
                 Some(live) => Answer::Live(Box::new(live)),
                 None => Answer::Unable,
             },
-            Question::Vms | Question::Key(_) => Answer::Unable,
+            Question::Vms { .. } | Question::Key(_) => Answer::Unable,
         }
     }
 
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -57,7 +57,10 @@
         self.drive(now, Event::Log { reachable });
         let (state, vms) = (self.state.clone(), self.vms.clone());
         self.drive(now, Event::Ledger(&state));
-        self.drive(now, Event::Vms(&vms));
+        if !resumed {
+            // One that goes on waits for the next read: the list at hand may be old by now.
+            self.drive(now, Event::Vms(&vms));
+        }
         // What those workers said is old by now: to the holder their answers are lost.
         for vm in std::mem::take(&mut self.driver.unheard) {
             self.drive(now, Event::Silent { vm, sent: true });
--- a/daisy-entry/src/control/input.rs
+++ b/daisy-entry/src/control/input.rs
@@ -43,6 +43,8 @@
     Appended(Appended),
     /// A new version of the platform's VM list.
     Vms(Listing),
+    /// A newer version of it as a peer has it.
+    PeerVms(Listing),
     /// The platform's VM list is still the version passed on last.
     VmsUnchanged,
     /// A peer's heartbeat.
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -111,14 +111,14 @@
         traffic: links.traffic.clone(),
     };
     let tokens = Tokens::new(settings.operator_tokens.clone());
-    let port = Port { tokens, clock, control: control.clone(), links, metrics };
+    let port = Port { tokens, clock, control: control.clone(), links: links.clone(), metrics };
     let health = Health { ready: follow_ready, registry };
 
     let mut tasks = JoinSet::new();
     tasks.spawn(task.run(inputs));
     tasks.spawn(reader.run());
     tasks.spawn(server.run(peers));
-    tasks.spawn(vm_list::run(platform, settings.timing.vm_list, control.clone()));
+    tasks.spawn(vm_list::run(platform, links, settings.timing.vm_list, control.clone()));
     tasks.spawn(operators::serve(Arc::new(port), operators));
     let serving = tokio::spawn(serve_callers(proxy.clone(), callers, Arc::new(health)));
     log::info!("event=started vm={} callers={}", settings.vm, addresses.callers);
--- a/daisy-entry/src/peers/links.rs
+++ b/daisy-entry/src/peers/links.rs
@@ -63,6 +63,14 @@
         shared.addresses = addresses;
     }
 
+    /// Some peer, drawn at random.
+    pub fn any_peer(&self) -> Option<VmId> {
+        let shared = self.lock();
+        let count = shared.addresses.len();
+        let at = fastrand::usize(..count.max(1));
+        shared.addresses.iter().nth(at).map(|(vm, _)| *vm)
+    }
+
     /// Hands a command to the link of `peer`; `false` if it is dropped.
     pub fn send(&self, peer: VmId, command: Command) -> bool {
         self.link(peer).is_some_and(|commands| commands.try_send(command).is_ok())
--- a/daisy-entry/src/vm_list.rs
+++ b/daisy-entry/src/vm_list.rs
@@ -1,38 +1,66 @@
-//! Reads the platform's VM list.
+//! Reads the platform's VM list; cut off from the platform, asks peers for it.
 
 use std::time::Duration;
 
+use daisy_wire::peer::{Answer, Question};
 use tokio::{sync::mpsc, time::sleep};
 
-use crate::{control::Input, platform::Platform};
+use crate::{
+    control::Input,
+    peers::Links,
+    platform::{Listing, Platform},
+};
 
 /// The longest pause between reads while the platform does not answer.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
+/// How long a peer may take to answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the list every `period`, and passes each new version on, or that there is none.
-pub(crate) async fn run(platform: Platform, period: Duration, control: mpsc::Sender<Input>) {
+pub(crate) async fn run(
+    platform: Platform,
+    links: Links,
+    period: Duration,
+    control: mpsc::Sender<Input>,
+) {
     let mut version = None;
     let mut pause = period;
     loop {
-        match platform.vms(version).await {
-            Ok(Some(listing)) => {
-                version = Some(listing.version);
+        let input = match platform.vms(version).await {
+            Ok(listing) => {
                 pause = period;
-                if control.send(Input::Vms(listing)).await.is_err() {
-                    return;
-                }
-            }
-            Ok(None) => {
-                pause = period;
-                if control.send(Input::VmsUnchanged).await.is_err() {
-                    return;
-                }
+                Some(listing.map_or(Input::VmsUnchanged, Input::Vms))
             }
             Err(e) => {
                 log::debug!("event=vm_list_failed cause={e:?}");
                 pause = (pause * 2).min(MAX_PAUSE.max(period));
+                from_peer(&links, version).await.map(Input::PeerVms)
             }
+        };
+        if let Some(Input::Vms(listing) | Input::PeerVms(listing)) = &input {
+            version = Some(listing.version);
+        }
+        if let Some(input) = input
+            && control.send(input).await.is_err()
+        {
+            return;
         }
         sleep(pause).await;
     }
 }
+
+/// A newer list than `known` from some peer.
+///
+/// Guard: an entry VM that alone is cut off from the platform would send requests to backend
+/// servers that are long gone, and know no new peer. Which peer has news is not known, so
+/// another one is asked each time.
+async fn from_peer(links: &Links, known: Option<u64>) -> Option<Listing> {
+    let peer = links.any_peer()?;
+    match links.ask(peer, Question::Vms { known }, PEER_TIMEOUT).await? {
+        Answer::Vms { version, vms } => {
+            log::info!("event=vm_list_from_peer peer={peer} version={version}");
+            Some(Listing { version, vms })
+        }
+        _ => None,
+    }
+}
--- a/daisy-wire/src/peer/question.rs
+++ b/daisy-wire/src/peer/question.rs
@@ -18,8 +18,11 @@
 pub enum Question {
     /// The key protocol of `daisy-routing`.
     Key(KeyQuery),
-    /// The platform's VM list as the peer last had it.
-    Vms,
+    /// The platform's VM list, if the peer has a newer one.
+    Vms {
+        /// The version that the asker has.
+        known: Option<u64>,
+    },
     /// What the holder of a data centre knows of it.
     Live,
 }
@@ -62,7 +65,10 @@
     /// See [`Question::Key`].
     Key(KeyQueryWire),
     /// See [`Question::Vms`].
-    Vms,
+    Vms {
+        /// The version that the asker has.
+        known: Option<u64>,
+    },
     /// See [`Question::Live`].
     Live,
 }
@@ -89,7 +95,7 @@
     fn from(question: Question) -> QuestionWire {
         match question {
             Question::Key(query) => QuestionWire::Key(query.into()),
-            Question::Vms => QuestionWire::Vms,
+            Question::Vms { known } => QuestionWire::Vms { known },
             Question::Live => QuestionWire::Live,
         }
     }
@@ -101,7 +107,7 @@
     fn try_from(question: QuestionWire) -> Result<Question, WireError> {
         Ok(match question {
             QuestionWire::Key(query) => Question::Key(query.try_into()?),
-            QuestionWire::Vms => Question::Vms,
+            QuestionWire::Vms { known } => Question::Vms { known },
             QuestionWire::Live => Question::Live,
         })
     }
