entry: test spoilt log entries and replicas of an older epoch

A fake platform spoils the first read of an entry: the change must be in force after the second. An entry that is spoilt in the log itself is passed over. A late message of an older epoch takes no backend server away.

--- a/daisy-entry/tests/control.rs
+++ b/daisy-entry/tests/control.rs
@@ -8,5 +8,7 @@
 mod operators;
 #[path = "control/peers.rs"]
 mod peers;
+#[path = "control/spoilt.rs"]
+mod spoilt;
 #[path = "control/thin.rs"]
 mod thin;
--- a/daisy-entry/tests/control/peers.rs
+++ b/daisy-entry/tests/control/peers.rs
@@ -5,16 +5,17 @@
 use bytes::Bytes;
 use daisy_entry::start;
 use daisy_membership::{Heartbeat, Status};
-use daisy_model::{DcId, Offset, VmId};
+use daisy_model::{DcId, Epoch, JobId, Offset, VmId};
 use daisy_standin::{
-    Link,
+    Backend, Link, backend,
     link::{LinkFaults, Options, Pair},
 };
 use daisy_wire::{
-    peer::{Notice, NoticeWire, frame},
+    peer::{Notice, NoticeWire, Replica, ReplicaChange, frame},
     platform::RoleJson,
 };
 use http::{Request, StatusCode};
+use http_body_util::Full;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::cluster::{PATIENCE, cluster, settings};
@@ -168,3 +169,44 @@
     assert!(second.is_ok(), "no second connection");
     reading.abort();
 }
+
+fn replicas(epoch: u64, version: u64, added: &[u32]) -> Vec<u8> {
+    let replica = |vm: &u32| Replica { job: JobId(0), vm: VmId(*vm), leaving: false };
+    let change = ReplicaChange {
+        dc: DcId(1),
+        epoch: Epoch(epoch),
+        version,
+        full: true,
+        added: added.iter().map(replica).collect(),
+        removed: Vec::new(),
+    };
+    frame(&NoticeWire::from(&Notice::Replicas(change)))
+}
+
+/// A holder is paused, another one has placed the service anew, and the old one's message comes
+/// late, on another path. Taken for news, it would take the service's backend servers away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_of_an_older_epoch_change_nothing() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    let backend = Backend::start(backend::Options::default()).await.expect("free ports");
+    cluster.list(101, 1, RoleJson::Worker, backend.address(), Some(backend.address()));
+    let create = "quota team shop cpu 8 memory 8Gi; create service shop team shop cpu 1 memory 1Gi";
+    assert_eq!(cluster.say(&entry, create).await.status, StatusCode::OK);
+    let port = entry.addresses().peers;
+    let answers = async || {
+        let uri = format!("http://{}/", entry.addresses().callers);
+        let req = Request::get(uri).header("daisy-service", "shop").body(Full::default());
+        let answer = cluster.client.send(req.expect("valid"), PATIENCE).await.expect("an answer");
+        answer.status == StatusCode::OK
+    };
+
+    send(port, "/v1/notices", Some("9"), &replicas(5, 2, &[101])).await;
+    while !answers().await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    send(port, "/v1/notices", Some("8"), &replicas(4, 9, &[])).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    assert!(answers().await, "the older epoch took the backend server away");
+}
