--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -79,7 +79,8 @@
     let (ready, follow_ready) = watch::channel(false);
     let sender = fastrand::u64(..);
     let options = proxy::Options::new(&settings, sender);
-    let proxy = Proxy::new(options, follow_routes, Keys { links: links.clone() });
+    let keys = Keys { own: settings.vm, links: links.clone(), control: control.clone() };
+    let proxy = Proxy::new(options, follow_routes, keys);
 
     let outputs = Outputs {
         http,
@@ -107,8 +108,7 @@
         requests: proxy.clone(),
         control: control.clone(),
         tail,
-        sent: links.sent.clone(),
-        received: links.received.clone(),
+        traffic: links.traffic.clone(),
     };
     let tokens = Tokens::new(settings.operator_tokens.clone());
     let port = Port { tokens, clock, control: control.clone(), links, metrics };
--- a/daisy-entry/src/peers/links.rs
+++ b/daisy-entry/src/peers/links.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use daisy_ledger::{Outcome, Record};
 use daisy_model::{Offset, SortedMap, VmId};
 use daisy_routing::{KeyAnswer, KeyQuery};
 use daisy_wire::peer::{Answer, Question};
@@ -15,9 +16,10 @@
 };
 
 use crate::{
-    boundary::PeerKeys,
+    boundary::{Intent, PeerKeys},
+    control::{Input, Verdict},
     peers::{
-        Command, Counter,
+        Command, Traffic,
         link::{Link, Records},
     },
 };
@@ -44,19 +46,14 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Links {
     shared: Arc<Mutex<Shared>>,
-    pub sent: Counter,
-    pub received: Counter,
+    pub traffic: Traffic,
 }
 
 impl Links {
     /// No links yet, of the entry VM `own`.
     pub fn new(own: VmId) -> Links {
         let shared = Shared { own, addresses: SortedMap::new(), open: SortedMap::new() };
-        Links {
-            shared: Arc::new(Mutex::new(shared)),
-            sent: Counter::default(),
-            received: Counter::default(),
-        }
+        Links { shared: Arc::new(Mutex::new(shared)), traffic: Traffic::default() }
     }
 
     /// Takes in where peers listen; links to all others are closed.
@@ -96,13 +93,7 @@
         }
         let address = *shared.addresses.get(&peer)?;
         let (commands, queue) = mpsc::channel(QUEUE);
-        let link = Link {
-            own: shared.own,
-            peer,
-            address,
-            sent: self.sent.clone(),
-            received: self.received.clone(),
-        };
+        let link = Link { own: shared.own, peer, address, traffic: self.traffic.clone() };
         tokio::spawn(link.run(queue));
         shared.open.insert(peer, Open { address, commands: commands.clone() });
         Some(commands)
@@ -113,10 +104,12 @@
     }
 }
 
-/// Asks peers about idempotency keys, for the request side.
+/// Asks peers about idempotency keys, and the log about intents, for the request side.
 #[derive(Debug, Clone)]
 pub struct Keys {
+    pub(crate) own: VmId,
     pub(crate) links: Links,
+    pub(crate) control: mpsc::Sender<Input>,
 }
 
 impl PeerKeys<KeyQuery, KeyAnswer> for Keys {
@@ -126,4 +119,18 @@
             _ => None,
         }
     }
+
+    async fn intend(&self, key: u128, limit: Duration) -> Intent {
+        let (reply, verdict) = oneshot::channel();
+        let record = Record::Intent { key, entry: self.own };
+        if self.control.send(Input::Submit { record, reply }).await.is_err() {
+            return Intent::Unavailable;
+        }
+        match timeout(limit, verdict).await {
+            Ok(Ok(Verdict::Folded(Outcome::Announced))) => Intent::Won,
+            Ok(Ok(Verdict::Folded(Outcome::AnnouncedBefore(_)))) => Intent::Lost,
+            // Without the fold's verdict it may yet come to stand in the log.
+            _ => Intent::Unavailable,
+        }
+    }
 }
