--- a/daisy-entry/tests/control/peers.rs
+++ b/daisy-entry/tests/control/peers.rs
@@ -5,19 +5,20 @@
 use bytes::Bytes;
 use daisy_entry::start;
 use daisy_membership::{Heartbeat, Status};
-use daisy_model::{DcId, Offset, VmId};
+use daisy_model::{DcId, Epoch, JobId, Offset, VmId};
 use daisy_standin::{
-    Link,
+    Backend, Link, backend,
     link::{LinkFaults, Options, Pair},
 };
 use daisy_wire::{
-    peer::{Notice, NoticeWire, frame},
+    peer::{Notice, NoticeWire, Replica, ReplicaChange, frame},
     platform::RoleJson,
 };
 use http::{Request, StatusCode};
-use tokio::net::TcpStream;
+use http_body_util::Full;
+use tokio::net::{TcpListener, TcpStream};
 
-use crate::cluster::{cluster, settings};
+use crate::cluster::{PATIENCE, cluster, settings};
 
 fn beat(vm: u32) -> Vec<u8> {
     let beat = Heartbeat {
@@ -146,3 +147,66 @@
     let holders = roles.iter().filter(|it| it["role"] == "holder").count();
     assert!(holders <= 1, "{roles:#?}");
 }
+
+/// A peer's VM is lost in the middle of a connection and comes back, or the link does. TCP alone
+/// would send into the old connection for minutes. The peer here takes a connection and never
+/// says a word; the entry VM must come with another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_to_a_silent_peer_is_made_anew() {
+    let cluster = cluster().await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    cluster.list(9, 0, RoleJson::Entry, silent.local_addr().expect("bound"), None);
+    let _entry = cluster.ready_entry(1, 0).await;
+    let accept = async {
+        let (socket, _) = silent.accept().await.expect("a connection");
+        h2::server::handshake(socket).await.expect("speaks h2")
+    };
+
+    let mut first = accept.await;
+    let reading = tokio::spawn(async move { while first.accept().await.is_some() {} });
+    let second = tokio::time::timeout(PATIENCE, silent.accept()).await;
+
+    assert!(second.is_ok(), "no second connection");
+    reading.abort();
+}
+
+fn replicas(epoch: u64, version: u64, added: &[u32]) -> Vec<u8> {
+    let replica = |vm: &u32| Replica { job: JobId(0), vm: VmId(*vm), leaving: false };
+    let change = ReplicaChange {
+        dc: DcId(1),
+        epoch: Epoch(epoch),
+        version,
+        full: true,
+        added: added.iter().map(replica).collect(),
+        removed: Vec::new(),
+    };
+    frame(&NoticeWire::from(&Notice::Replicas(change)))
+}
+
+/// A holder is paused, another one has placed the service anew, and the old one's message comes
+/// late, on another path. Taken for news, it would take the service's backend servers away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_of_an_older_epoch_change_nothing() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    let backend = Backend::start(backend::Options::default()).await.expect("free ports");
+    cluster.list(101, 1, RoleJson::Worker, backend.address(), Some(backend.address()));
+    let create = "quota team shop cpu 8 memory 8Gi; create service shop team shop cpu 1 memory 1Gi";
+    assert_eq!(cluster.say(&entry, create).await.status, StatusCode::OK);
+    let port = entry.addresses().peers;
+    let answers = async || {
+        let uri = format!("http://{}/", entry.addresses().callers);
+        let req = Request::get(uri).header("daisy-service", "shop").body(Full::default());
+        let answer = cluster.client.send(req.expect("valid"), PATIENCE).await.expect("an answer");
+        answer.status == StatusCode::OK
+    };
+
+    send(port, "/v1/notices", Some("9"), &replicas(5, 2, &[101])).await;
+    while !answers().await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    send(port, "/v1/notices", Some("8"), &replicas(4, 9, &[])).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    assert!(answers().await, "the older epoch took the backend server away");
+}
--- a/daisy-placement/src/view.rs
+++ b/daisy-placement/src/view.rs
@@ -131,7 +131,7 @@
 
     /// The last decisions about a task, oldest first; empty if this holder has made none.
     pub fn reasons(&self, task: TaskId) -> Vec<Noted> {
-        let Some(job) = self.jobs.get(&task.job) else { return Vec::new() };
+        let Some(job) = self.jobs.get(&task.job) else { return self.past_reasons(task) };
         let Some(local) = job.tasks.get(task.index as usize) else { return Vec::new() };
         let mut notes = local.notes.to_vec();
         let is_waiting = matches!(
@@ -144,6 +144,11 @@
         notes
     }
 
+    fn past_reasons(&self, task: TaskId) -> Vec<Noted> {
+        let past = self.past.iter().rev().find(|(it, _)| *it == task);
+        past.map(|(_, notes)| notes.to_vec()).unwrap_or_default()
+    }
+
     /// Why jobs have tasks that nobody has checked out: paused, over their quota, not this
     /// data centre's turn, or fitting nowhere, with the nearest miss.
     pub fn waiting_jobs(&self) -> Vec<(JobId, Noted)> {
