routing: take in keys that are handed over before the first VM list

Cause: peers may hear of a fresh entry VM and hand their keys over before it has read the VM list itself; it forgot that, waited for them again, and as a home refused orders for 5 s as settling. Ruled out: the handover (taken=true before the new one was ready).

--- a/daisy-routing/src/keys/past.rs
+++ b/daisy-routing/src/keys/past.rs
@@ -42,6 +42,8 @@
     joined: Option<Instant>,
     /// Those that were there before and have not handed over yet.
     awaiting: Vec<VmId>,
+    /// Those that handed over before the first view came.
+    early: Vec<VmId>,
     /// Whether one of those vouched for the time before this process.
     vouched: bool,
     /// Whether all of those were as new as this process.
@@ -62,6 +64,7 @@
             observed: now,
             joined: None,
             awaiting: Vec::new(),
+            early: Vec::new(),
             vouched: false,
             all_fresh: true,
             members: Vec::new(),
@@ -83,7 +86,10 @@
         let members = view.peers(me);
         if self.joined.is_none() && view.is_informed() {
             self.joined = Some(now);
+            // Guards against a home that waits for what it has: peers may learn of a new process,
+            // and hand over to it, before it has read the VM list itself.
             self.awaiting = view.listed(me);
+            self.awaiting.retain(|vm| !self.early.contains(vm));
         }
         let lost = |vm: &&VmId| !members.contains(vm) && !self.left.contains(vm);
         let any_lost = self.members.iter().any(|vm| lost(&vm));
@@ -108,6 +114,9 @@
     pub(super) fn handed_over(&mut self, now: Instant, from: VmId, word: Word) {
         let Word { complete, fresh, leaving } = word;
         self.awaiting.retain(|vm| *vm != from);
+        if self.joined.is_none() {
+            self.early.push(from);
+        }
         self.vouched |= complete;
         self.all_fresh &= fresh;
         self.left.retain(|vm| *vm != from);
