placement: Spread while there is room, pack when something finds none

Packed workers are crowded and noisy next to empty ones. But even workers leave no whole one for a large task, which then waits for ever, so work is packed for 60 s after something found no room. Both halves are needed: with spreading only, and with packing only, the test of a large task among small ones fails.

--- a/daisy-measure/src/placement.rs
+++ b/daisy-measure/src/placement.rs
@@ -4,6 +4,9 @@
 //! at random. The holder's share of a core is that of all its work: reports, folds,
 //! renewals, usage, placement. Its time per start is what 62 starts a second add to the same
 //! cluster without any; that of the plain rules is their choice alone.
+//!
+//! `holder_unlimited` places in the same way and never limits batch work, so that what
+//! placement does alone shows; its time per start is that of all its work.
 
 use std::{
     collections::VecDeque,
@@ -11,6 +14,7 @@
 };
 
 use daisy_model::{Incarnation, Instant, JobId, Resources, TaskId};
+use daisy_placement::{Ceiling, Control, Rule};
 
 use crate::fleet::{BATCHES, Drive, Fleet, Nature, SERVICES, Spent};
 
@@ -124,8 +128,10 @@
         moving.per_start = Duration::from_secs_f64(added / moving.starts.max(1) as f64);
         println!("holder_{}_upkeep_core_percent={:.3}", load.name, upkeep.core_share * 100.0);
         lines.push(moving.print("holder", load.name));
-        lines.push(plain(&load, Rule::FirstFit).print("first_fit", load.name));
-        lines.push(plain(&load, Rule::Random).print("random", load.name));
+        let off = Control { rule: Rule::Off, by_harm: false, ceiling: Ceiling::Fixed(1000) };
+        lines.push(holder_under(&load, Some(off)).print("holder_unlimited", load.name));
+        lines.push(plain(&load, Plain::FirstFit).print("first_fit", load.name));
+        lines.push(plain(&load, Plain::Random).print("random", load.name));
     }
     println!("measure=placement seconds={} seed={} {}", args.seconds, args.seed, lines.join(" "));
 }
@@ -181,9 +187,14 @@
 }
 
 fn holder(load: &Load) -> Outcome {
+    holder_under(load, None)
+}
+
+/// The holder under a control that limits batch work, that of the policy if `None`.
+fn holder_under(load: &Load, control: Option<Control>) -> Outcome {
     let mut rng = fastrand::Rng::with_seed(load.seed);
     let fleet = Fleet::new(load.workers, CAPACITY, load.seed);
-    let mut drive = Drive::new(fleet, CAPACITY, |_| {});
+    let mut drive = Drive::new(fleet, CAPACITY, |options| options.limits.control = control);
     for (text, tasks, size, nature) in first_jobs(load, &mut rng) {
         drive.declare(&text, tasks, size, nature);
     }
@@ -215,12 +226,12 @@
 
 /// A plain rule.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Rule {
+enum Plain {
     FirstFit,
     Random,
 }
 
-fn plain(load: &Load, rule: Rule) -> Outcome {
+fn plain(load: &Load, rule: Plain) -> Outcome {
     const TICK: Duration = Duration::from_millis(100);
     let mut rng = fastrand::Rng::with_seed(load.seed);
     let mut choice = fastrand::Rng::with_seed(load.seed);
@@ -259,7 +270,7 @@
 
 /// Places from the front of the line until something finds no room; returns the time taken.
 fn place_plain(
-    rule: Rule,
+    rule: Plain,
     fleet: &mut Fleet,
     mut free: Vec<Resources>,
     waiting: &mut VecDeque<(TaskId, Resources)>,
@@ -269,8 +280,8 @@
     while let Some((task, size)) = waiting.front().copied() {
         let started = Clock::now();
         let chosen = match rule {
-            Rule::FirstFit => free.iter().position(|free| size.fits(*free)),
-            Rule::Random => random_fit(&free, size, rng),
+            Plain::FirstFit => free.iter().position(|free| size.fits(*free)),
+            Plain::Random => random_fit(&free, size, rng),
         };
         spent += started.elapsed();
         let Some(at) = chosen else { break };
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -77,6 +77,9 @@
 /// Between looks at what changes slowly: VMs that are leaving or gone, work given back.
 const CHORES: Duration = Duration::from_secs(1);
 
+/// New work is packed for this long after something found no room.
+const PACK_FOR: Duration = Duration::from_secs(60);
+
 /// The holder of one data centre's workers.
 ///
 /// It acts once it has seen a [`State`] and a VM list, and never again after a worker or
@@ -114,6 +117,9 @@
     pub(crate) interference: Interference,
     /// No search for victims before.
     pub(crate) evict_at: Option<Instant>,
+    /// Whether new work is packed rather than spread: something has lately found no room.
+    pub(crate) packs: bool,
+    pub(crate) no_room_at: Option<Instant>,
     /// Batch tasks that wait, for each worker.
     pub(crate) backlog: f32,
     /// Slow chores are due then.
@@ -146,6 +152,8 @@
             kinds: Kinds::default(),
             interference: Interference::default(),
             evict_at: None,
+            packs: false,
+            no_room_at: None,
             backlog: 0.0,
             chores_at: Instant(0),
         }
@@ -199,6 +207,7 @@
             self.leave(now);
             self.give_back(now);
             self.count_backlog();
+            self.packs = self.no_room_at.is_some_and(|at| now < at + PACK_FOR);
             self.interference.fade(CHORES);
         }
         self.inherit_due = true;
--- a/daisy-placement/src/place.rs
+++ b/daisy-placement/src/place.rs
@@ -213,6 +213,7 @@
     /// The search looks at every worker, so it is made at most once a second for a job.
     fn note_no_room(&mut self, now: Instant, task: TaskId) {
         const PERIOD_MS: u128 = 1_000;
+        self.no_room_at = Some(now);
         let Some(size) = self.start_size(task) else { return };
         let Some(job) = self.jobs.get(&task.job) else { return };
         let is_fresh = job.wait.as_ref().is_some_and(|wait| {
--- a/daisy-placement/src/score.rs
+++ b/daisy-placement/src/score.rs
@@ -11,6 +11,8 @@
     worker::{Worker, WorkerKey},
 };
 
+/// What is left of an empty worker, in the measure of `left_over`.
+const WHOLE: u64 = 1_000;
 /// Of a rack that already has a replica of the service, for each replica.
 const SAME_RACK: u64 = 2_000;
 /// Of a worker that already has a replica of the service.
@@ -25,9 +27,10 @@
 impl Holder {
     /// The cost of starting a task of `job` on a worker; the least is best.
     ///
-    /// Fit counts as the share of the worker that would be left, so that whole workers stay
-    /// free for large tasks; what disturbs services, or loses two replicas with one rack,
-    /// costs more than any fit.
+    /// Work is spread over the emptiest workers, where it disturbs and is disturbed least,
+    /// as long as everything finds room; when something does not, new work is packed, so
+    /// that whole workers come free for large tasks. What disturbs services, or loses two
+    /// replicas with one rack, costs more than either.
     pub(crate) fn cost(
         &self,
         job: &JobView,
@@ -37,7 +40,8 @@
     ) -> u64 {
         let Some(worker) = self.roster.get(key) else { return u64::MAX };
         let Some(rest) = worker.free().try_sub(size) else { return u64::MAX };
-        let mut cost = left_over(rest, worker.capacity);
+        let left = left_over(rest, worker.capacity);
+        let mut cost = if self.packs { left } else { WHOLE - left };
         if size.accelerators == 0 {
             cost += IDLE_ACCELERATOR * u64::from(rest.accelerators);
         }
--- a/daisy-placement/tests/place.rs
+++ b/daisy-placement/tests/place.rs
@@ -154,3 +154,33 @@
     assert_eq!(sizes[0].cpu_milli, 1_000);
     assert_eq!(sizes[0].memory_mib, 3 * 1_024 * 110 / 100);
 }
+
+/// Small tasks come and go on every worker, and a large one finds room on none.
+/// Its owner would wait for as long as small tasks are spread evenly.
+#[test]
+fn small_work_is_packed_when_a_large_task_waits() {
+    let mut world = World::new(3, size(8, 32));
+    world.create(batch("lists-0", 6, size(1, 1)));
+    world.run(Duration::from_secs(3));
+    let spread: Vec<usize> = (1..=3).map(|id| world.worker(id).running.len()).collect();
+    world.create(batch("renders", 1, size(8, 4)));
+    world.run(Duration::from_secs(2));
+
+    for round in 1..=12 {
+        let oldest = (0..3).map(|id| 1 + (round + id) % 3).find_map(|id| {
+            let worker = world.worker(id);
+            worker
+                .running
+                .iter()
+                .map(|it| it.task)
+                .find(|it| it.job.0 != 1)
+                .map(|task| worker.finish(task, daisy_model::Exit::Done))
+        });
+        assert!(oldest.is_some());
+        world.create(batch(&format!("lists-{round}"), 1, size(1, 1)));
+        world.run(Duration::from_secs(4));
+    }
+
+    assert_eq!(spread, [2, 2, 2]);
+    assert_eq!(world.places(task(1, 0)).len(), 1);
+}
--- a/daisy-placement/tests/util/chaos.rs
+++ b/daisy-placement/tests/util/chaos.rs
@@ -24,6 +24,8 @@
     seq: u64,
     /// Cannot reach the log.
     cut: bool,
+    /// Paused: it sees and does nothing until it wakes up.
+    frozen: bool,
     /// How many VM lists back it reads.
     lag: usize,
 }
@@ -152,6 +154,7 @@
             36..=70 => self.finish_some(),
             71..=75 => self.toggle_log(),
             76..=80 => self.jump(),
+            100..=110 => self.toggle_frozen(),
             81..=90 => self.toggle_broken(),
             91..=95 => self.toggle_drain(),
             96..=99 => self.leave_vm(),
@@ -189,6 +192,11 @@
         }
     }
 
+    fn toggle_frozen(&mut self) {
+        let at = self.rng.usize(..self.processes.len());
+        self.processes[at].frozen = !self.processes[at].frozen;
+    }
+
     fn toggle_log(&mut self) {
         let at = self.rng.usize(..self.processes.len());
         self.processes[at].cut = !self.processes[at].cut;
@@ -197,7 +205,7 @@
     /// A new process claims the data centre; the old ones go on, or most of them die.
     fn claim(&mut self) {
         if self.calm {
-            self.processes.iter_mut().for_each(|it| it.cut = false);
+            self.processes.iter_mut().for_each(|it| (it.cut, it.frozen) = (false, false));
         }
         let offset = self.push(Record::Claim { dc: DcId(0), holder: VmId(900) });
         let options = Options::new(DcId(0), Epoch(offset + 1), LEASE, self.rng.u64(..));
@@ -214,6 +222,7 @@
             sender: offset + 10,
             seq: 0,
             cut: false,
+            frozen: false,
             lag: self.rng.usize(0..LISTS),
         });
     }
@@ -296,6 +305,9 @@
 
     fn tick(&mut self) {
         for at in 0..self.processes.len() {
+            if self.processes[at].frozen {
+                continue;
+            }
             let mut actions = Vec::new();
             let reachable = !self.processes[at].cut;
             if reachable {
@@ -344,7 +356,7 @@
         for at in 0..self.processes.len() {
             let is_slow = !self.calm && self.rng.bool();
             let it = &mut self.processes[at];
-            if it.cut || is_slow {
+            if it.cut || it.frozen || is_slow {
                 continue;
             }
             while let Some(batch) = it.appends.pop_front() {
@@ -362,6 +374,9 @@
         }
         let at = self.rng.usize(..self.flying.len());
         let InFlight { process, message } = self.flying.swap_remove(at);
+        if self.processes[process].frozen && matches!(message, Message::Report { .. }) {
+            return self.flying.push(InFlight { process, message });
+        }
         match message {
             Message::Call { vm, call, is_copy } => self.deliver_call(process, vm, call, is_copy),
             Message::Report { vm, report } => self.deliver_report(process, vm, &report),
