--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -79,7 +79,8 @@
     let (ready, follow_ready) = watch::channel(false);
     let sender = fastrand::u64(..);
     let options = proxy::Options::new(&settings, sender);
-    let proxy = Proxy::new(options, follow_routes, Keys { links: links.clone() });
+    let keys = Keys { own: settings.vm, links: links.clone(), control: control.clone() };
+    let proxy = Proxy::new(options, follow_routes, keys);
 
     let outputs = Outputs {
         http,
@@ -107,18 +108,17 @@
         requests: proxy.clone(),
         control: control.clone(),
         tail,
-        sent: links.sent.clone(),
-        received: links.received.clone(),
+        traffic: links.traffic.clone(),
     };
     let tokens = Tokens::new(settings.operator_tokens.clone());
-    let port = Port { tokens, clock, control: control.clone(), links, metrics };
+    let port = Port { tokens, clock, control: control.clone(), links: links.clone(), metrics };
     let health = Health { ready: follow_ready, registry };
 
     let mut tasks = JoinSet::new();
     tasks.spawn(task.run(inputs));
     tasks.spawn(reader.run());
     tasks.spawn(server.run(peers));
-    tasks.spawn(vm_list::run(platform, settings.timing.vm_list, control.clone()));
+    tasks.spawn(vm_list::run(platform, links, settings.timing.vm_list, control.clone()));
     tasks.spawn(operators::serve(Arc::new(port), operators));
     let serving = tokio::spawn(serve_callers(proxy.clone(), callers, Arc::new(health)));
     log::info!("event=started vm={} callers={}", settings.vm, addresses.callers);
--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -8,6 +8,7 @@
 mod interference;
 mod ledger;
 mod node;
+mod peers;
 mod placement;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
@@ -26,6 +27,7 @@
     Ledger(ledger::Args),
     Placement(placement::Args),
     Node(node::Args),
+    Peers(peers::Args),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -37,6 +39,7 @@
         Measure::Ledger(args) => ledger::run(&args)?,
         Measure::Placement(args) => placement::run(&args),
         Measure::Node(args) => node::run(&args)?,
+        Measure::Peers(args) => peers::run(&args)?,
     }
     Ok(())
 }
