placement: Lift limits by time, not by reports

Workers now report by themselves when something changed, and are called once in ten seconds otherwise: a limit that rose by a step a report would have risen at any pace. It rises by 12.5 thousandths a second, as before at a report every two seconds; a test reports once and eight times in eight seconds and finds the same share. The measurement of interference gets `V` of 3 and 12 in place of 20.

--- a/daisy-measure/src/interference.rs
+++ b/daisy-measure/src/interference.rs
@@ -44,7 +44,7 @@
 const OFFERED: f32 = 0.8;
 
 /// The controls compared: alike for all batch work, or by harm and under a ceiling.
-const CONTROLS: [(&str, Control); 13] = [
+const CONTROLS: [(&str, Control); 14] = [
     ("off", alike(Rule::Off)),
     ("static500", alike(Rule::Static(500))),
     ("static250", alike(Rule::Static(250))),
@@ -54,8 +54,9 @@
     ("aimd_h", by_harm(Rule::Aimd, Ceiling::Fixed(1000))),
     ("aimd_h200", by_harm(Rule::Aimd, Ceiling::Fixed(200))),
     ("aimd_b1", by_harm(Rule::Aimd, Ceiling::Backlog(1.0))),
+    ("aimd_b3", by_harm(Rule::Aimd, Ceiling::Backlog(3.0))),
     ("aimd_b5", by_harm(Rule::Aimd, Ceiling::Backlog(5.0))),
-    ("aimd_b20", by_harm(Rule::Aimd, Ceiling::Backlog(20.0))),
+    ("aimd_b12", by_harm(Rule::Aimd, Ceiling::Backlog(12.0))),
     ("dpp_v1h", by_harm(Rule::DriftPlusPenalty(1.0), Ceiling::Fixed(1000))),
     ("off_b1", by_harm(Rule::Off, Ceiling::Backlog(1.0))),
 ];
--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -114,17 +114,21 @@
     stuck_since: Option<Instant>,
     /// No further cut before: what the last one did is not in the reports yet.
     cut_at: Instant,
+    /// When the last report came.
+    stepped: Option<Instant>,
 }
 
 impl Default for Throttle {
     fn default() -> Throttle {
-        Throttle { share: 1000.0, debt: 0.0, stuck_since: None, cut_at: Instant(0) }
+        Throttle { share: 1000.0, debt: 0.0, stuck_since: None, cut_at: Instant(0), stepped: None }
     }
 }
 
 impl Throttle {
-    /// Added to the share by each good report, in thousandths.
-    const INCREASE: f32 = 25.0;
+    /// Added to the share for each second of good reports, in thousandths.
+    const INCREASE: f32 = 12.5;
+    /// The most seconds that one good report counts for.
+    const MOST_SECONDS: f32 = 10.0;
     /// What a cut leaves of the share.
     const DECREASE: f32 = 0.6;
     const LEAST: f32 = 200.0;
@@ -149,10 +153,11 @@
     /// Takes a report in and returns the share to set.
     pub fn step(&mut self, now: Instant, rule: Rule, signal: Signal) -> u32 {
         let is_bad = signal.slowdown > TARGET;
+        let passed = self.stepped.replace(now).map_or(0.0, |at| now.since(at).as_secs_f32());
         self.share = match rule {
             Rule::Off => 1000.0,
             Rule::Static(share) => share as f32,
-            Rule::Aimd => self.aimd(now, is_bad || signal.busy > signal.limit),
+            Rule::Aimd => self.aimd(now, passed, is_bad || signal.busy > signal.limit),
             Rule::DriftPlusPenalty(v) => self.drift_plus_penalty(v, signal),
         };
         let is_lowest = self.share <= Throttle::LEAST;
@@ -164,11 +169,14 @@
         self.share()
     }
 
+    /// Rises with time, not with reports, which come at any pace.
+    ///
     /// Cuts no more often than the lag: reports of the time before a cut would cut again
     /// and again, down to the floor, for one wave.
-    fn aimd(&mut self, now: Instant, is_bad: bool) -> f32 {
+    fn aimd(&mut self, now: Instant, passed: f32, is_bad: bool) -> f32 {
         if !is_bad {
-            return (self.share + Throttle::INCREASE).min(1000.0);
+            let seconds = passed.min(Throttle::MOST_SECONDS);
+            return (self.share + Throttle::INCREASE * seconds).min(1000.0);
         }
         if now < self.cut_at {
             return self.share;
--- a/daisy-placement/tests/control.rs
+++ b/daisy-placement/tests/control.rs
@@ -68,6 +68,23 @@
     assert_eq!(shares, [600, 600, 600, 600]);
 }
 
+/// A worker that reports often must not get its limit lifted sooner than one that does not.
+#[test]
+fn a_limit_rises_with_time_and_not_with_reports() {
+    let bad = Signal { slowdown: 2_000, busy: 500, limit: 800 };
+    let good = Signal { slowdown: 1_000, ..bad };
+    let share_after = |reports: u64| {
+        let mut throttle = Throttle::default();
+        throttle.step(Instant::from_millis(10_000), Rule::Aimd, bad);
+        for at in 1..=reports {
+            throttle.step(Instant::from_millis(10_000 + at * 8_000 / reports), Rule::Aimd, good);
+        }
+        throttle.share()
+    };
+
+    assert_eq!((share_after(1), share_after(8)), (700, 700));
+}
+
 #[test]
 fn a_longer_backlog_raises_the_ceiling_of_noisy_work() {
     let beaulac = Control::of(&Objective { tail: 800, throughput: 150, evictions: 50 });
