entry: count every live entry VM in the routes, and tell when that changes

Of two entry VMs of a data centre one stayed without the other in its routes, as routes were only built anew when the log, the VM list or replicas changed; a peer that came to life later was missing for good, so that its keys were taken for lost. And one that stops was taken off before it had handed over.

Routes now hold entry VMs that are alive, also while they start or stop, and are built anew when that changes.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -226,7 +226,7 @@
         self.publish_replicas();
         self.tell_replicas(now);
         self.write_snapshot(now);
-        if self.routes_dirty {
+        if self.routes_dirty || self.entries_changed(now) {
             self.publish_routes(now);
         }
         // After the routes, so that the first caller finds them.
@@ -314,6 +314,12 @@
         }
     }
 
+    /// Whether an entry VM has come to life or fallen silent since routes were published.
+    fn entries_changed(&self, now: Instant) -> bool {
+        let entries = routes::entries(now, self.identity.dc, &self.membership);
+        entries != self.out.routes.borrow().entries
+    }
+
     fn publish_routes(&mut self, now: Instant) {
         self.routes_dirty = false;
         let version = self.out.routes.borrow().version + 1;
--- a/daisy-entry/src/control/routes.rs
+++ b/daisy-entry/src/control/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use daisy_ledger::State;
-use daisy_membership::{Membership, Status};
+use daisy_membership::Membership;
 use daisy_model::{DcId, Instant, JobKind, Name, SortedMap, Vm, VmId, VmRole, VmStatus};
 use daisy_routing::{Backend, Routes, Service};
 use daisy_wire::peer::Replica;
@@ -33,28 +33,25 @@
         version,
         dc: parts.dc,
         regions: parts.regions.to_vec(),
-        entries: entries(parts),
+        entries: entries(parts.now, parts.dc, parts.membership),
         listed: listed(parts),
         services: services(parts),
         policy: parts.state.policy.1.clone(),
     }
 }
 
-/// Entry VMs that serve as far as this one knows, itself included.
+/// Entry VMs that are alive as far as this one knows, itself included.
 ///
-/// Those of other data centres are not all heard of: the list's word is taken.
-fn entries(parts: &Parts<'_>) -> Vec<(DcId, VmId)> {
-    let options = parts.membership.options();
-    let peers = parts.membership.peers();
-    let serves = |(vm, peer): &(VmId, &daisy_membership::Peer)| {
-        if peer.dc != parts.dc {
-            return peer.listed;
-        }
-        let ready = peer.last.is_some_and(|last| last.status == Status::Ready);
-        ready && peers.alive(options, parts.now, *vm)
+/// Also those that start or stop: they have connections to backend servers, and keys. Those of
+/// other data centres are not all heard of: the list's word is taken.
+pub(crate) fn entries(now: Instant, dc: DcId, membership: &Membership) -> Vec<(DcId, VmId)> {
+    let options = membership.options();
+    let peers = membership.peers();
+    let counts = |(vm, peer): &(VmId, &daisy_membership::Peer)| {
+        if peer.dc == dc { peers.alive(options, now, *vm) } else { peer.listed }
     };
     let mut entries: Vec<(DcId, VmId)> =
-        peers.iter().filter(serves).map(|(vm, peer)| (peer.dc, vm)).collect();
+        peers.iter().filter(counts).map(|(vm, peer)| (peer.dc, vm)).collect();
     entries.push((options.dc, options.vm));
     entries.sort_unstable();
     entries
