Let a fresh entry VM stop without a break in its peers' past

The stopping one did not vouch for the whole retry window, being younger, and its peer took that for a gap; but what it missed was before its start.

Callers do not count attempts that are known not to have run; the stand-in caller now does as docs/PROTOCOL.md says.

--- a/daisy-routing/src/keys/past.rs
+++ b/daisy-routing/src/keys/past.rs
@@ -113,7 +113,8 @@
         self.left.retain(|vm| *vm != from);
         if leaving {
             self.left.push(from);
-            if !complete {
+            // What a fresh one missed was before its start, and so not its to grant.
+            if !complete && !fresh {
                 self.break_at(now);
             }
         }
--- a/daisy-routing/tests/keys/world.rs
+++ b/daisy-routing/tests/keys/world.rs
@@ -31,12 +31,18 @@
     listed: Vec<(DcId, VmId)>,
 }
 
+/// The attempt that waits for an answer, and which of its questions it answers.
+struct Waiter {
+    attempt: usize,
+    question: usize,
+    claim: ClaimId,
+}
+
 struct Message {
     from: VmId,
     to: VmId,
     query: KeyQuery,
-    /// The attempt that waits for the answer, and which of its questions this is.
-    waiter: Option<(usize, usize)>,
+    waiter: Option<Waiter>,
     sent: Instant,
 }
 
@@ -251,7 +257,7 @@
         }
     }
 
-    fn send(&mut self, from: VmId, to: VmId, query: KeyQuery, waiter: Option<(usize, usize)>) {
+    fn send(&mut self, from: VmId, to: VmId, query: KeyQuery, waiter: Option<Waiter>) {
         self.net.push(Message { from, to, query, waiter, sent: self.now });
     }
 
@@ -288,13 +294,18 @@
         if from != to && self.rng.u8(..100) < self.loss {
             return;
         }
-        if let Some((id, question)) = waiter {
-            self.answered(id, question, answer);
+        if let Some(waiter) = waiter {
+            self.answered(waiter, answer);
         }
     }
 
-    fn answered(&mut self, id: usize, question: usize, answer: KeyAnswer) {
+    fn answered(&mut self, waiter: Waiter, answer: KeyAnswer) {
+        let Waiter { attempt: id, question, claim } = waiter;
         let attempt = &mut self.attempts[id];
+        // An answer to a wish that was given up reaches nobody.
+        if attempt.claim != claim {
+            return;
+        }
         let current = match attempt.phase {
             Phase::Home => question == 0,
             Phase::Others => question > 0 && question <= attempt.expected,
@@ -386,13 +397,13 @@
         let node = self.node(at);
         let dc = node.dc;
         if let Some(home) = node.table.homes(dc, &key).first().copied() {
-            self.send(at, home, query, Some((id, 0)));
+            self.send(at, home, query, Some(Waiter { attempt: id, question: 0, claim }));
         }
     }
 
     fn ask_others(&mut self, id: usize) {
         let now = self.now;
-        let Attempt { at, ref key, .. } = self.attempts[id];
+        let Attempt { at, ref key, claim, .. } = self.attempts[id];
         let key = key.clone();
         let table = &self.node(at).table;
         let homes: Vec<Option<VmId>> = table
@@ -411,7 +422,12 @@
         for (question, home) in homes.into_iter().enumerate() {
             let query = KeyQuery::Fence { key: key.clone(), shape: 0 };
             if let Some(home) = home {
-                self.send(at, home, query, Some((id, question + 1)));
+                self.send(
+                    at,
+                    home,
+                    query,
+                    Some(Waiter { attempt: id, question: question + 1, claim }),
+                );
             }
         }
     }
--- a/daisy-standin/src/load/caller.rs
+++ b/daisy-standin/src/load/caller.rs
@@ -79,7 +79,9 @@
         for attempt in 1..=self.options.attempts.max(1) {
             let Some(entry) = self.next_entry(&call, last_entry).await else { break };
             last_entry = Some(entry);
-            let ended = self.attempt(&call, attempt, entry).await;
+            // Attempts that are known not to have run do not count (docs/PROTOCOL.md).
+            let said = if sum.unknown { attempt } else { 1 };
+            let ended = self.attempt(&call, attempt, said, entry).await;
             sum.add(&ended);
             let may_go_on = ended.outcome != Outcome::Answered && self.may_retry(&call, &sum);
             if !may_go_on {
@@ -120,14 +122,14 @@
         self.options.deadline.saturating_sub(call.due.elapsed())
     }
 
-    async fn attempt(&self, call: &Call, attempt: u32, entry: SocketAddr) -> Attempt {
+    async fn attempt(&self, call: &Call, attempt: u32, said: u32, entry: SocketAddr) -> Attempt {
         self.recorder.record(Kind::CallSent {
             call: call.number,
             attempt,
             key: call.key.clone(),
             entry: entry.to_string(),
         });
-        let req = self.request(call, attempt, entry);
+        let req = self.request(call, said, entry);
         let answered = self.client.send(req, self.left(call) + GRACE).await;
         let ended = match answered {
             Ok(answer) => self.judge(call, &answer),
