Count a handover that comes before the VM list was read

Each start of an entry VM made it answer not-run to keyed requests for five seconds (20 and 57 of 600 refused in the rolling restart): its peers had seen it first and handed over, and it then waited for that handover. Those that have handed over are now remembered. The process tests pass, the rolling restart answers 600 of 600; the test fails without the change.

--- a/daisy-routing/src/keys/past.rs
+++ b/daisy-routing/src/keys/past.rs
@@ -42,6 +42,8 @@
     joined: Option<Instant>,
     /// Those that were there before and have not handed over yet.
     awaiting: Vec<VmId>,
+    /// Those that have handed over.
+    handed: Vec<VmId>,
     /// Whether one of those vouched for the time before this process.
     vouched: bool,
     /// Whether all of those were as new as this process.
@@ -62,6 +64,7 @@
             observed: now,
             joined: None,
             awaiting: Vec::new(),
+            handed: Vec::new(),
             vouched: false,
             all_fresh: true,
             members: Vec::new(),
@@ -83,12 +86,15 @@
         let members = view.peers(me);
         if self.joined.is_none() && view.is_informed() {
             self.joined = Some(now);
+            // Those that saw this one first may have handed over before it read the list itself.
             self.awaiting = view.listed(me);
+            self.awaiting.retain(|vm| !self.handed.contains(vm));
         }
         let lost = |vm: &&VmId| !members.contains(vm) && !self.left.contains(vm);
         let any_lost = self.members.iter().any(|vm| lost(&vm));
         let missing = view.missing(now, me);
         let listed = view.listed(me);
+        self.handed.retain(|vm| listed.contains(vm));
         let any_silent = self.awaiting.iter().any(|vm| !listed.contains(vm));
         self.awaiting.retain(|vm| listed.contains(vm));
         // Guards against a partition within the data centre: the other side may have made another
@@ -108,6 +114,7 @@
     pub(super) fn handed_over(&mut self, now: Instant, from: VmId, word: Word) {
         let Word { complete, fresh, leaving } = word;
         self.awaiting.retain(|vm| *vm != from);
+        self.handed.push(from);
         self.vouched |= complete;
         self.all_fresh &= fresh;
         self.left.retain(|vm| *vm != from);
--- a/daisy-routing/tests/keys/home.rs
+++ b/daisy-routing/tests/keys/home.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use daisy_model::{DcId, VmId};
-use daisy_routing::{ClaimId, KeyAnswer, KeyQuery};
+use daisy_model::{DcId, Instant, VmId};
+use daisy_routing::{ClaimId, KeyAnswer, KeyLimits, KeyQuery, KeyTable};
 
-use crate::world::{Ended, World, key};
+use crate::world::{Ended, World, key, routes};
 
 const A: DcId = DcId(0);
 const B: DcId = DcId(1);
@@ -230,3 +230,33 @@
 
     assert_eq!(answer, KeyAnswer::Mismatch);
 }
+
+/// Buyers are told to come again for five seconds after each entry VM starts.
+/// Its peers saw it first and handed their keys over before it had read the VM list.
+#[test]
+fn a_handover_before_the_vm_list_was_read_counts() {
+    let limits = KeyLimits { keys: 10, bytes: 0 };
+    let mut table = KeyTable::new(VmId(1), limits, Instant::default());
+    let handover = KeyQuery::Handover {
+        keys: Vec::new(),
+        last: true,
+        complete: false,
+        fresh: true,
+        leaving: false,
+    };
+    table.handle(Instant::from_millis(100), VmId(2), handover);
+    let now = Instant::from_millis(200);
+    let entries = vec![(A, VmId(1)), (A, VmId(2))];
+    table.set_routes(now, &routes(A, entries.clone(), entries));
+
+    let own = (0..20).map(key).find(|key| table.homes(A, key)[0] == VmId(1)).unwrap();
+    let first = KeyQuery::Claim {
+        key: own,
+        shape: 0,
+        claim: ClaimId(1),
+        repeated: false,
+        hold: seconds(1),
+    };
+
+    assert_eq!(table.handle(now, VmId(1), first), KeyAnswer::Granted);
+}
--- a/daisy-routing/tests/keys/world.rs
+++ b/daisy-routing/tests/keys/world.rs
@@ -433,7 +433,7 @@
     }
 }
 
-fn routes(dc: DcId, entries: Vec<(DcId, VmId)>, listed: Vec<(DcId, VmId)>) -> Routes {
+pub fn routes(dc: DcId, entries: Vec<(DcId, VmId)>, listed: Vec<(DcId, VmId)>) -> Routes {
     let backend = Backend {
         vm: VmId(9_000),
         dc,
