--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -2,11 +2,13 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod changeover;
 mod choose;
 mod fleet;
 mod interference;
 mod ledger;
 mod node;
+mod peers;
 mod placement;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
@@ -19,21 +21,25 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand)]
 enum Measure {
+    Changeover(changeover::Args),
     Choose(choose::Args),
     Interference(interference::Args),
     Ledger(ledger::Args),
     Placement(placement::Args),
     Node(node::Args),
+    Peers(peers::Args),
 }
 
 fn main() -> anyhow::Result<()> {
     let Args { measure } = argh::from_env();
     match measure {
+        Measure::Changeover(args) => changeover::run(&args),
         Measure::Choose(args) => choose::run(&args),
         Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
         Measure::Placement(args) => placement::run(&args),
         Measure::Node(args) => node::run(&args)?,
+        Measure::Peers(args) => peers::run(&args)?,
     }
     Ok(())
 }
--- a/daisy-placement/tests/want.rs
+++ b/daisy-placement/tests/want.rs
@@ -59,10 +59,12 @@
     let mut world = World::new(2, size(16, 64));
     world.hold_with(three_data_centres);
     world.create(JobSpec { data_centres: vec![name("porto")], ..batch("lists", 1, size(1, 1)) });
+    world.create(JobSpec { data_centres: vec![name("faro")], ..batch("renders", 1, size(1, 1)) });
 
     world.run(Duration::from_secs(60));
 
     assert_eq!(out_here(&world, 0, 1), 0);
+    assert_eq!(out_here(&world, 1, 1), 0, "no data centre has that name");
 }
 
 #[test]
@@ -77,3 +79,18 @@
     assert!(returned);
     assert_eq!(out_here(&world, 0, 3), 1);
 }
+
+/// A job needs more of a worker than any worker holds, and its team's quota has room.
+/// Its operators must be told at once why it does not start, or they wait for ever.
+#[test]
+fn a_job_that_fits_nowhere_is_said_so_with_the_nearest_miss() {
+    let mut world = World::new(2, size(16, 64));
+    world.create(batch("wide", 1, size(20, 1)));
+
+    world.run(Duration::from_secs(1));
+
+    let waiting = world.holder.waiting_jobs();
+    let texts: Vec<String> = waiting.iter().map(|(_, it)| it.reason.to_string()).collect();
+    assert_eq!(texts.len(), 1);
+    assert!(texts[0].contains("short of 4000m of processor"), "{texts:?}");
+}
