--- a/daisy-placement/src/throttle.rs
+++ b/daisy-placement/src/throttle.rs
@@ -89,8 +89,9 @@
     const LEAST_PATIENCE: Duration = Duration::from_secs(14);
     /// Seconds that are added where evictions weigh as much as the tail.
     const PATIENCE: f32 = 300.0;
-    /// Turns the ratio of tail to throughput into waiting tasks a worker.
-    const BACKLOG_SCALE: f32 = 0.2;
+    /// Turns the ratio of tail to throughput into waiting tasks a worker: `V` of about 3 for
+    /// Beaulac and 12 for Confeitaria, by `daisy-measure interference`.
+    const BACKLOG_SCALE: f32 = 0.5;
 }
 
 /// What a worker reported, some seconds late.
