placement: Tidy the search of free room and imports

The search took eight arguments under an allowed lint; they are one value now. Types named by their path in the middle of the code are imported.

--- a/daisy-measure/src/changeover.rs
+++ b/daisy-measure/src/changeover.rs
@@ -237,7 +237,6 @@
     }
 
     fn tick_entry(&mut self, at: usize) {
-        use daisy_membership::Event;
         let holding = self.state.holders.get(&DcId(0)).map(|it| Holding {
             holder: it.holder,
             epoch: it.epoch,
@@ -248,10 +247,10 @@
         let asked = self.now - LOG_DELAY;
         let vms = self.vms.clone();
         for event in [
-            Event::Vms(&vms),
-            Event::Folded { next, generation, holding },
-            Event::Log { asked, end: Some(next) },
-            Event::Tick,
+            daisy_membership::Event::Vms(&vms),
+            daisy_membership::Event::Folded { next, generation, holding },
+            daisy_membership::Event::Log { asked, end: Some(next) },
+            daisy_membership::Event::Tick,
         ] {
             self.step_membership(at, event);
         }
@@ -265,20 +264,19 @@
     }
 
     fn step_membership(&mut self, at: usize, event: daisy_membership::Event<'_>) {
-        use daisy_membership::Action;
         let mut actions = Vec::new();
         self.entries[at].membership.step(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Beat(to) => self.beat(at, to),
-                Action::Claim => {
+                daisy_membership::Action::Beat(to) => self.beat(at, to),
+                daisy_membership::Action::Claim => {
                     let holder = VmId(FIRST_ENTRY + at as u32);
                     let record = Record::Claim { dc: DcId(0), holder };
                     self.append(at, record);
                 }
-                Action::Become(Role::Holder(epoch)) => self.take_over(at, epoch),
-                Action::Become(_) => self.entries[at].holder = None,
-                Action::Release(_) | Action::Read(_) | Action::Ready(_) => {}
+                daisy_membership::Action::Become(Role::Holder(epoch)) => self.take_over(at, epoch),
+                daisy_membership::Action::Become(_) => self.entries[at].holder = None,
+                _ => {}
             }
         }
     }
--- a/daisy-placement/src/fault.rs
+++ b/daisy-placement/src/fault.rs
@@ -7,7 +7,7 @@
 use crate::{
     holder::Holder,
     reason::{Reason, Wait},
-    worker::WorkerKey,
+    worker::{Hold, WorkerKey},
 };
 
 /// Failures in a row after which a worker is put aside.
@@ -116,9 +116,10 @@
     /// Clears a suspect worker that has run something for a while.
     pub(crate) fn clear_suspect(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.roster.get(key).filter(|it| it.faults.is_suspect()) else { return };
-        let old = worker.held.iter().find(|(_, held)| {
-            held.hold == crate::worker::Hold::Running && now >= held.since + WORKS_AFTER
-        });
+        let old = worker
+            .held
+            .iter()
+            .find(|(_, held)| held.hold == Hold::Running && now >= held.since + WORKS_AFTER);
         // While it fails other work, what ran before proves nothing: only a probe clears.
         let is_probe = worker.faults.probing;
         if let Some((task, held)) = old
--- a/daisy-placement/src/index.rs
+++ b/daisy-placement/src/index.rs
@@ -1,5 +1,7 @@
 //! Free room of all workers, searched without looking at each.
 
+use std::ops::Range;
+
 use daisy_model::Resources;
 
 /// A binary tree over worker slots; each node holds the part-wise most of its leaves.
@@ -37,8 +39,10 @@
             return;
         }
         let start = start % self.width;
-        self.visit(1, 0, self.width, (start, self.width), size, limit, found);
-        self.visit(1, 0, self.width, (0, start), size, limit, found);
+        for range in [start..self.width, 0..start] {
+            let mut search = Search { size, range, limit, found };
+            self.visit(1, 0, self.width, &mut search);
+        }
     }
 
     /// Whether some slot has room for `size`.
@@ -53,28 +57,20 @@
         self.nodes.get(1).copied().unwrap_or(Resources::ZERO)
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn visit(
-        &self,
-        node: usize,
-        first: usize,
-        span: usize,
-        range: (usize, usize),
-        size: Resources,
-        limit: usize,
-        found: &mut Vec<usize>,
-    ) {
-        let outside = first >= range.1 || first + span <= range.0;
-        if outside || found.len() >= limit || !size.fits(self.nodes[node]) {
+    /// Searches the subtree at `node`, whose leaves are `span` slots from `first` on.
+    fn visit(&self, node: usize, first: usize, span: usize, search: &mut Search<'_>) {
+        let is_outside = first >= search.range.end || first + span <= search.range.start;
+        let is_full = search.found.len() >= search.limit;
+        if is_outside || is_full || !search.size.fits(self.nodes[node]) {
             return;
         }
         if span == 1 {
-            found.push(first);
+            search.found.push(first);
             return;
         }
         let half = span / 2;
-        self.visit(2 * node, first, half, range, size, limit, found);
-        self.visit(2 * node + 1, first + half, half, range, size, limit, found);
+        self.visit(2 * node, first, half, search);
+        self.visit(2 * node + 1, first + half, half, search);
     }
 
     fn grow(&mut self, slots: usize) {
@@ -91,6 +87,15 @@
     }
 }
 
+/// What is searched for, where, and what was found.
+#[derive(Debug)]
+struct Search<'a> {
+    size: Resources,
+    range: Range<usize>,
+    limit: usize,
+    found: &'a mut Vec<usize>,
+}
+
 fn most(a: Resources, b: Resources) -> Resources {
     Resources {
         cpu_milli: a.cpu_milli.max(b.cpu_milli),
--- a/daisy-placement/src/inherit.rs
+++ b/daisy-placement/src/inherit.rs
@@ -3,6 +3,8 @@
 //! What a dead holder started without having recorded it may run on any worker; it is
 //! started again only when it can run on none.
 
+use std::time::Duration;
+
 use daisy_model::{Exit, Incarnation, Instant, TaskId, VmId};
 
 use crate::{
@@ -119,7 +121,7 @@
         now >= renewed + self.gone_wait()
     }
 
-    fn gone_wait(&self) -> std::time::Duration {
+    fn gone_wait(&self) -> Duration {
         self.options.lease + self.options.limits.gone_margin
     }
 
--- a/daisy-placement/src/want.rs
+++ b/daisy-placement/src/want.rs
@@ -2,12 +2,13 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use daisy_model::{Instant, JobId, Priority, Resources, TaskId};
+use daisy_model::{DcId, Instant, JobId, Priority, Resources, TaskId};
 
 use crate::{
     holder::Holder,
     job::JobView,
     reason::{Reason, Wait},
+    roster::Roster,
     task::Phase,
     worker::saturating_add,
 };
@@ -175,9 +176,8 @@
     }
 
     fn is_other_region(&self, job: &JobView) -> bool {
-        let region = |dc: daisy_model::DcId| {
-            self.options.data_centres.get(usize::from(dc.0)).map(|dc| dc.region)
-        };
+        let region =
+            |dc: DcId| self.options.data_centres.get(usize::from(dc.0)).map(|dc| dc.region);
         job.try_first().is_some_and(|first| region(first) != region(self.options.dc))
     }
 
@@ -210,7 +210,7 @@
     }
 }
 
-impl crate::roster::Roster {
+impl Roster {
     /// The free room of all workers that take new work.
     fn total_free(&self) -> Resources {
         self.iter()
