Say at once that a new job fits nowhere; one JSON for operators

Cause: a job larger than every worker was accepted without a word; its operator had to ask why later. The operators' JSON stood twice, in the entry VM and in `daisyshift ctl`.

Ruled out: refusing the job (a larger worker may come), and asking the holders (the platform's VM list has every worker's capacity).

Conclusion: an accepted `create` bears a note with the nearest miss; a test asks for it. The JSON's types live in daisy-wire and serve both sides.

--- a/daisy-entry/src/operators/look.rs
+++ b/daisy-entry/src/operators/look.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use daisy_language::Statement;
+use daisy_model::{JobSpec, Vm};
 use daisy_query::Live;
-use daisy_wire::peer::{Answer, Question};
+use daisy_wire::{
+    operator::ResultJson,
+    peer::{Answer, Question},
+};
 use futures::future::join_all;
 use tokio::sync::oneshot;
 
 use crate::{
     control::{Input, Sight},
-    operators::{Port, answer::ResultJson},
+    operators::Port,
 };
 
 /// How long another holder may take to tell what it knows.
@@ -42,6 +46,20 @@
     })
 }
 
+/// What an operator should know at once of a job that was just created.
+///
+/// A task that no listed worker holds would otherwise wait for ever without a word.
+pub(super) async fn notes(port: &Port, spec: &JobSpec) -> Option<Vec<String>> {
+    let (reply, sight) = oneshot::channel();
+    port.control.send(Input::Look { reply }).await.ok()?;
+    let Sight { vms, dcs, .. } = sight.await.ok()?;
+    let is_allowed = |vm: &&Vm| {
+        let name = dcs.get(usize::from(vm.dc.0));
+        spec.data_centres.is_empty() || name.is_some_and(|it| spec.data_centres.contains(it))
+    };
+    Some(daisy_query::try_misfit(vms.iter().filter(is_allowed), spec.size).into_iter().collect())
+}
+
 fn merge(live: &mut Live, theirs: Live) {
     for (task, it) in theirs.tasks.iter() {
         live.tasks.insert(*task, *it);
--- a/daisy-entry/src/operators/statements.rs
+++ b/daisy-entry/src/operators/statements.rs
@@ -5,6 +5,7 @@
 use daisy_language::{Located, Statement};
 use daisy_ledger::{Outcome, Record};
 use daisy_model::{Change, Command, Condition, Name};
+use daisy_wire::operator::ResultJson;
 use http::StatusCode;
 use tokio::{sync::oneshot, time::timeout};
 
@@ -12,8 +13,8 @@
     control::{Input, Verdict},
     operators::{
         Port,
-        answer::{Reply, ResultJson},
-        look::look,
+        answer::Reply,
+        look::{look, notes},
     },
 };
 
@@ -42,7 +43,7 @@
         let Some(result) = result else {
             return Reply::failed(StatusCode::SERVICE_UNAVAILABLE, "stopping");
         };
-        let go_on = !matches!(result, ResultJson::Refused { .. } | ResultJson::Unknown { .. });
+        let go_on = result.is_good();
         results.push(result);
         if !go_on {
             break;
@@ -59,6 +60,10 @@
     command: Command,
     condition: Option<Condition>,
 ) -> Option<ResultJson> {
+    let created = match &command {
+        Command::Create(spec) => Some(spec.clone()),
+        _ => None,
+    };
     let at = port.clock.wall();
     let change = Change { who: who.clone(), at, text: source.into(), command, condition };
     let (reply, verdict) = oneshot::channel();
@@ -66,7 +71,11 @@
     port.control.send(Input::Submit { record, reply }).await.ok()?;
     let result = match timeout(VERDICT_TIMEOUT, verdict).await {
         Ok(Ok(Verdict::Folded(Outcome::Accepted(generation)))) => {
-            ResultJson::Accepted { generation: generation.0 }
+            let notes = match created {
+                Some(spec) => notes(port, &spec).await?,
+                None => Vec::new(),
+            };
+            ResultJson::Accepted { generation: generation.0, notes }
         }
         Ok(Ok(Verdict::Folded(Outcome::Refused(refusal)))) => {
             ResultJson::Refused { cause: refusal.to_string() }
--- a/daisy-entry/tests/control/operators.rs
+++ b/daisy-entry/tests/control/operators.rs
@@ -82,3 +82,21 @@
     assert_eq!(why.status, StatusCode::OK);
     assert!(json(&why)["results"].to_string().contains("placed on vm-101"), "{:?}", why.body);
 }
+
+/// A job is declared larger than any worker. It is accepted, for a larger worker may come, but
+/// its operators learn at once that nothing there holds it, and by how much.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_fits_nowhere_is_said_so_at_once() {
+    let mut cluster = cluster().await;
+    cluster.worker(11, 0).await;
+    let entry = cluster.ready_entry(1, 0).await;
+    cluster.say(&entry, "quota team shop cpu 500 memory 500Gi").await;
+
+    let wide = cluster.say(&entry, "create job wide team shop cpu 400 memory 1Gi").await;
+    let small = cluster.say(&entry, "create job small team shop cpu 1 memory 1Gi").await;
+
+    let note = json(&wide)["results"][0]["notes"][0].to_string();
+    assert_eq!(wide.status, StatusCode::OK);
+    assert!(note.contains("fits on none of 1") && note.contains("lacks cpu"), "{note}");
+    assert!(json(&small)["results"][0].get("notes").is_none());
+}
--- a/daisy-query/src/explain.rs
+++ b/daisy-query/src/explain.rs
@@ -6,6 +6,7 @@
 use daisy_ledger::{AppendId, Batch, Outcome, Record, State};
 use daisy_model::{Change, Command, Condition, Name, WallTime};
 
+pub use self::room::try_misfit;
 use crate::{Live, Table, words};
 
 /// Columns of the answer: what is affected, and how.
--- a/daisy-query/src/explain/room.rs
+++ b/daisy-query/src/explain/room.rs
@@ -1,6 +1,6 @@
 //! Where tasks of a size fit.
 
-use daisy_model::Resources;
+use daisy_model::{Resources, Vm, VmRole};
 
 use crate::{Live, LiveWorker, Table, WorkerState};
 
@@ -14,9 +14,8 @@
     let known = workers().count();
     let ever = workers().filter(|(_, it)| size.fits(it.capacity)).count();
     if ever == 0 {
-        let nearest = workers().min_by_key(|(_, it)| missing(size, it.capacity));
-        let words = nearest.map_or_else(String::new, |(&vm, it)| nearest_miss(live, vm, it, size));
-        table.say("room", format!("a task fits on none of {known} known workers; {words}"));
+        let rooms = workers().map(|(&vm, it)| (live.vm(vm), it.capacity));
+        table.say("room", misfit(known, rooms, size));
         return;
     }
     let ready = |it: &LiveWorker| it.state == WorkerState::Ready;
@@ -24,13 +23,36 @@
     table.say("room", format!("a task fits on {ever} of {known} known workers, on {now} now"));
 }
 
-fn nearest_miss(live: &Live, vm: daisy_model::VmId, it: &LiveWorker, size: Resources) -> String {
+/// Says that a task of `size` fits on no worker of `vms`, whatever else runs there, with the
+/// nearest miss; `None` if it fits on one, or if there is no worker.
+pub fn try_misfit<'a>(
+    vms: impl Iterator<Item = &'a Vm> + Clone,
+    size: Resources,
+) -> Option<String> {
+    let workers = vms.filter(|vm| vm.role == VmRole::Worker);
+    let count = workers.clone().count();
+    let fits = workers.clone().any(|vm| size.fits(vm.capacity));
+    let rooms = workers.map(|vm| (vm.name.to_string(), vm.capacity));
+    (count > 0 && !fits).then(|| misfit(count, rooms, size))
+}
+
+fn misfit(
+    count: usize,
+    rooms: impl Iterator<Item = (String, Resources)>,
+    size: Resources,
+) -> String {
+    let nearest = rooms.min_by_key(|(_, room)| missing(size, *room));
+    let miss = nearest.map_or_else(String::new, |(name, room)| nearest_miss(&name, room, size));
+    format!("a task fits on none of {count} known workers; {miss}")
+}
+
+fn nearest_miss(name: &str, room: Resources, size: Resources) -> String {
     let lacks = Resources {
-        cpu_milli: size.cpu_milli.saturating_sub(it.capacity.cpu_milli),
-        memory_mib: size.memory_mib.saturating_sub(it.capacity.memory_mib),
-        accelerators: size.accelerators.saturating_sub(it.capacity.accelerators),
+        cpu_milli: size.cpu_milli.saturating_sub(room.cpu_milli),
+        memory_mib: size.memory_mib.saturating_sub(room.memory_mib),
+        accelerators: size.accelerators.saturating_sub(room.accelerators),
     };
-    format!("the nearest, {}, lacks {lacks}", live.vm(vm))
+    format!("the nearest, {name}, lacks {lacks}")
 }
 
 /// How much of `size` is missing from `room`, in thousandths of the size, summed over its parts.
--- a/daisy-query/src/lib.rs
+++ b/daisy-query/src/lib.rs
@@ -14,6 +14,7 @@
 mod words;
 
 pub use crate::{
+    explain::try_misfit,
     live::{Live, LiveTask, LiveWorker, Reason, Subject, WorkerState},
     run::{Error, run},
     table::Table,
--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod headers;
 pub mod log;
 pub mod mirror;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod snapshot;
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -5,9 +5,9 @@
 use anyhow::Context;
 use bytes::Bytes;
 use daisy_standin::client::Client;
+use daisy_wire::operator::{AnswerJson, FindingJson, ResultJson};
 use http::{Method, Request, header};
 use http_body_util::Full;
-use serde::Deserialize;
 
 use crate::{args, runtime};
 
@@ -15,61 +15,6 @@
 const TIMEOUT: Duration = Duration::from_secs(15);
 const TOKEN: &str = "DAISYSHIFT_TOKEN";
 
-/// The answer to a body of statements; `docs/PROTOCOL.md` has its meaning.
-#[derive(Debug, Default, Deserialize)]
-pub struct Answer {
-    /// One for each statement that was run.
-    #[serde(default)]
-    pub results: Vec<StatementResult>,
-    /// All that is wrong with the text.
-    #[serde(default)]
-    pub findings: Vec<FindingJson>,
-    /// Why nothing was run, or the rest was not.
-    pub error: Option<String>,
-}
-
-/// What came of one statement.
-#[derive(Debug, Deserialize)]
-#[serde(tag = "kind", rename_all = "lowercase")]
-pub enum StatementResult {
-    /// A change is in force.
-    Accepted {
-        /// From this generation on.
-        generation: u64,
-    },
-    /// A change had no effect.
-    Refused {
-        /// Why.
-        cause: String,
-    },
-    /// Whether a change took effect is not known.
-    Unknown {
-        /// Why.
-        cause: String,
-    },
-    /// A table.
-    Table {
-        /// The heads of the columns.
-        columns: Vec<String>,
-        /// Cells by row.
-        rows: Vec<Vec<String>>,
-    },
-    /// An explanation.
-    Text {
-        /// Its lines.
-        lines: Vec<String>,
-    },
-}
-
-/// One thing that is wrong with the text.
-#[derive(Debug, Deserialize)]
-pub struct FindingJson {
-    line: u32,
-    column: u32,
-    found: String,
-    expected: String,
-}
-
 /// Sends the statements and prints the answer; an exit code of 1 says that one was not
 /// accepted.
 ///
@@ -117,21 +62,11 @@
 /// # Errors
 ///
 /// If it is not the JSON of an answer.
-pub fn parse(body: &[u8]) -> anyhow::Result<Answer> {
+pub fn parse(body: &[u8]) -> anyhow::Result<AnswerJson> {
     let text = || format!("not an entry VM's answer: {}", String::from_utf8_lossy(body));
     serde_json::from_slice(body).with_context(text)
 }
 
-impl Answer {
-    /// Whether every statement was accepted or answered.
-    pub fn is_good(&self) -> bool {
-        let refused = |it: &StatementResult| {
-            matches!(it, StatementResult::Refused { .. } | StatementResult::Unknown { .. })
-        };
-        self.findings.is_empty() && self.error.is_none() && !self.results.iter().any(refused)
-    }
-}
-
 fn read_statements(argument: &str) -> anyhow::Result<String> {
     if argument != "-" {
         return Ok(argument.to_owned());
@@ -141,20 +76,20 @@
     Ok(text)
 }
 
-fn print(answer: &Answer) {
+fn print(answer: &AnswerJson) {
     for finding in &answer.findings {
-        let FindingJson { line, column, found, expected } = finding;
+        let FindingJson { line, column, found, expected, .. } = finding;
         println!("line {line}, column {column}: found {found}, expected {expected}");
     }
     for result in &answer.results {
         match result {
-            StatementResult::Accepted { generation } => {
-                println!("accepted generation={generation}")
+            ResultJson::Accepted { generation, notes } => {
+                println!("accepted generation={generation}");
+                notes.iter().for_each(|note| println!("note: {note}"));
             }
-            StatementResult::Refused { cause } => println!("refused: {cause}"),
-            StatementResult::Unknown { cause } => println!("unknown: {cause}"),
-            StatementResult::Text { lines } => lines.iter().for_each(|line| println!("{line}")),
-            StatementResult::Table { columns, rows } => print_table(columns, rows),
+            ResultJson::Refused { cause } => println!("refused: {cause}"),
+            ResultJson::Unknown { cause } => println!("unknown: {cause}"),
+            ResultJson::Table { columns, rows } => print_table(columns, rows),
         }
     }
     if let Some(error) = &answer.error {
