--- a/daisy-membership/src/lib.rs
+++ b/daisy-membership/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod audience;
 mod heartbeat;
 mod holding;
 mod membership;
--- a/daisy-membership/src/membership.rs
+++ b/daisy-membership/src/membership.rs
@@ -73,21 +73,21 @@
 /// The decisions of one entry VM about its peers.
 #[derive(Debug)]
 pub struct Membership {
-    options: Options,
-    peers: Peers,
-    tenure: Tenure,
-    readiness: Readiness,
-    far: Vec<(DcId, VmId)>,
-    started: Instant,
-    stepped: Instant,
-    seq: u32,
-    beat_due: Instant,
-    next: Offset,
-    generation: u64,
-    status: Status,
-    log_answered: Option<Instant>,
-    reading: Reading,
-    role: Role,
+    pub(crate) options: Options,
+    pub(crate) peers: Peers,
+    pub(crate) tenure: Tenure,
+    pub(crate) readiness: Readiness,
+    pub(crate) far: Vec<(DcId, VmId)>,
+    pub(crate) started: Instant,
+    pub(crate) stepped: Instant,
+    pub(crate) seq: u32,
+    pub(crate) beat_due: Instant,
+    pub(crate) next: Offset,
+    pub(crate) generation: u64,
+    pub(crate) status: Status,
+    pub(crate) log_answered: Option<Instant>,
+    pub(crate) reading: Reading,
+    pub(crate) role: Role,
 }
 
 impl Membership {
@@ -147,25 +147,6 @@
         self.log_answered.is_some_and(|at| now.since(at) < self.options.log_timeout())
     }
 
-    /// Whether this entry VM speaks for its data centre to others: the holder, or the lowest
-    /// live entry VM while there is none.
-    pub fn speaks(&self, now: Instant) -> bool {
-        let own = self.options.vm;
-        match self.tenure.holding {
-            Some(it) if it.holder == own => true,
-            Some(it) if !it.released && self.peers.alive(&self.options, now, it.holder) => false,
-            _ => self.rank(now) == 0,
-        }
-    }
-
-    /// The entry VM that speaks for another data centre.
-    pub fn far_speaker(&self, dc: DcId) -> Option<VmId> {
-        let known = self.far.iter().find(|(it, _)| *it == dc).map(|(_, vm)| *vm);
-        let listed =
-            || self.peers.iter().find(|(_, peer)| peer.dc == dc && peer.listed).map(|(vm, _)| vm);
-        known.filter(|vm| self.peers.get(*vm).is_some_and(|peer| peer.listed)).or_else(listed)
-    }
-
     /// The heartbeat to send now.
     pub fn heartbeat(&self, now: Instant) -> Heartbeat {
         let own = self.tenure.own_epoch(&self.options);
@@ -278,65 +259,8 @@
         }
     }
 
-    fn beat(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now < self.beat_due {
-            return;
-        }
-        // A fresh process makes itself known at the full pace.
-        let urgent =
-            self.tenure.own_epoch(&self.options).is_some() || self.status == Status::Starting;
-        let near_period = self.options.near_period(urgent, self.peers.near());
-        let far_period = self.options.far_period();
-        let speaks = self.speaks(now);
-        let far: Vec<VmId> = match speaks {
-            true => self.far_targets(),
-            false => Vec::new(),
-        };
-        self.seq = self.seq.wrapping_add(1);
-        self.beat_due = now + self.options.heartbeat;
-        // A tick may come a little early or late; half a period of slack keeps the pace.
-        let slack = self.options.heartbeat / 2;
-        let mut told = false;
-        for (vm, peer) in self.peers.iter_mut() {
-            let period = match peer.dc == self.options.dc {
-                true => near_period,
-                false => far_period,
-            };
-            let wanted = match peer.dc == self.options.dc {
-                true => peer.listed || peer.heard.is_some(),
-                false => far.contains(&vm),
-            };
-            let due = peer.told.is_none_or(|at| now.since(at) + slack >= period);
-            if wanted && due {
-                peer.told = Some(now);
-                told = true;
-                actions.push(Action::Beat(vm));
-            }
-        }
-        if told {
-            self.tenure.sent(now, self.seq);
-        }
-    }
-
-    /// Everybody that hears from this entry VM: the peers of its data centre, and the speakers
-    /// of others while it speaks for its own.
-    pub fn audience(&self) -> Vec<VmId> {
-        let near = self.peers.iter().filter(|(_, peer)| peer.dc == self.options.dc);
-        let mut audience: Vec<VmId> = near.map(|(vm, _)| vm).collect();
-        audience.extend(self.far_targets());
-        audience
-    }
-
-    fn far_targets(&self) -> Vec<VmId> {
-        let mut dcs: Vec<DcId> = self.peers.iter().map(|(_, peer)| peer.dc).collect();
-        dcs.sort_unstable();
-        dcs.dedup();
-        dcs.retain(|dc| *dc != self.options.dc);
-        dcs.into_iter().filter_map(|dc| self.far_speaker(dc)).collect()
-    }
-
     /// The number of live candidates of the data centre before this entry VM.
-    fn rank(&self, now: Instant) -> u32 {
+    pub(crate) fn rank(&self, now: Instant) -> u32 {
         let silent = self.tenure.holding.filter(|it| !it.released).map(|it| it.holder);
         // A fresh process has not heard everybody yet. Those that are listed count until they
         // had time to speak, so that processes that start together do not claim together.
