--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    boundary::RequestSide,
+    boundary::{RequestSide, RoutesWatch},
     callers::{self, Health},
     clock::Clock,
     control::{self, Control, Identity, Input, Outputs},
@@ -58,73 +58,150 @@
 ///
 /// If one of the addresses in `settings` cannot be taken.
 pub async fn start(settings: Settings) -> anyhow::Result<Entry> {
-    let callers = listen(settings.callers).await?;
-    let peers = listen(settings.peers).await?;
-    let operators = listen(settings.operators).await?;
-    let addresses = Addresses {
-        callers: callers.local_addr()?,
-        peers: peers.local_addr()?,
-        operators: operators.local_addr()?,
-    };
-    let clock = Clock::start();
-    let http = Http::new(settings.name.as_str());
-    let platform = Platform { http: http.clone(), address: settings.platform };
-    let links = Links::new(settings.vm);
-    let tail = Tail::new();
-    let (metrics, registry) = Metrics::registered();
+    let ports = Ports::open(&settings).await?;
+    let addresses = ports.addresses()?;
     let (control, inputs) = mpsc::channel(control::QUEUE);
-    let wait = reader::poll_wait(settings.timing.holder_timeout, true);
-    let (plan, follow_plan) = watch::channel(Plan { source: Source::Log, wait });
     let (routes, follow_routes) = watch::channel(Arc::new(Routes::default()));
+    let parts = Parts::new(settings, control.clone());
+    let proxy = parts.proxy(follow_routes);
+    let (metrics, registry) = Metrics::registered();
+    let (plan, follow_plan) = watch::channel(parts.first_plan());
     let (ready, follow_ready) = watch::channel(false);
-    let sender = fastrand::u64(..);
-    let options = proxy::Options::new(&settings, sender);
-    let keys = Keys { own: settings.vm, links: links.clone(), control: control.clone() };
-    let proxy = Proxy::new(options, follow_routes, keys);
-
-    let outputs = Outputs {
-        http,
-        platform: platform.clone(),
-        links: links.clone(),
-        tail: tail.clone(),
-        plan,
-        routes,
-        ready,
-        control: control.clone(),
-        metrics: metrics.clone(),
-    };
-    let membership = Membership::new(clock.now(), membership_options(&settings));
-    let identity = identity(&settings, sender);
-    let task = Control::new(clock, identity, membership, proxy.clone(), outputs);
-    let reader = Reader {
-        platform: platform.clone(),
-        links: links.clone(),
-        clock,
-        plan: follow_plan,
-        control: control.clone(),
-    };
-    let server = Server {
-        allowed: Allowed::new(settings.allowed_peers.clone()),
-        requests: proxy.clone(),
-        control: control.clone(),
-        tail,
-        traffic: links.traffic.clone(),
-    };
-    let tokens = Tokens::new(settings.operator_tokens.clone());
-    let port = Port { tokens, clock, control: control.clone(), links: links.clone(), metrics };
-    let health = Health { ready: follow_ready, registry };
+    let outputs = parts.outputs(plan, routes, ready, metrics.clone());
+    let health = Arc::new(Health { ready: follow_ready, registry });
 
     let mut tasks = JoinSet::new();
-    tasks.spawn(task.run(inputs));
-    tasks.spawn(reader.run());
-    tasks.spawn(server.run(peers));
-    tasks.spawn(vm_list::run(platform, links, settings.timing.vm_list, control.clone()));
-    tasks.spawn(operators::serve(Arc::new(port), operators));
-    let serving = tokio::spawn(serve_callers(proxy.clone(), callers, Arc::new(health)));
-    log::info!("event=started vm={} callers={}", settings.vm, addresses.callers);
+    tasks.spawn(parts.control_task(&proxy, outputs).run(inputs));
+    tasks.spawn(parts.reader(follow_plan).run());
+    tasks.spawn(parts.server(&proxy).run(ports.peers));
+    tasks.spawn(operators::serve(Arc::new(parts.operators(metrics)), ports.operators));
+    let period = parts.settings.timing.vm_list;
+    tasks.spawn(vm_list::run(parts.platform, parts.links, period, control.clone()));
+    let serving = tokio::spawn(serve_callers(proxy.clone(), ports.callers, health));
+    log::info!("event=started vm={} callers={}", parts.settings.vm, addresses.callers);
     Ok(Entry { addresses, control, proxy, serving, tasks })
 }
 
+/// The listeners of a process.
+struct Ports {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+impl Ports {
+    async fn open(settings: &Settings) -> anyhow::Result<Ports> {
+        Ok(Ports {
+            callers: listen(settings.callers).await?,
+            peers: listen(settings.peers).await?,
+            operators: listen(settings.operators).await?,
+        })
+    }
+
+    fn addresses(&self) -> anyhow::Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operators: self.operators.local_addr()?,
+        })
+    }
+}
+
+/// What the tasks of a process share.
+struct Parts {
+    settings: Settings,
+    clock: Clock,
+    /// Names this process's appends, and seeds what is drawn at random.
+    sender: u64,
+    platform: Platform,
+    links: Links,
+    tail: Tail,
+    control: mpsc::Sender<Input>,
+}
+
+impl Parts {
+    fn new(settings: Settings, control: mpsc::Sender<Input>) -> Parts {
+        let http = Http::new(settings.name.as_str());
+        Parts {
+            clock: Clock::start(),
+            sender: fastrand::u64(..),
+            platform: Platform { http, address: settings.platform },
+            links: Links::new(settings.vm),
+            tail: Tail::new(),
+            settings,
+            control,
+        }
+    }
+
+    fn first_plan(&self) -> Plan {
+        let wait = reader::poll_wait(self.settings.timing.holder_timeout, true);
+        Plan { source: Source::Log, wait }
+    }
+
+    fn proxy(&self, routes: RoutesWatch) -> Proxy<Keys> {
+        let own = self.settings.vm;
+        let keys = Keys { own, links: self.links.clone(), control: self.control.clone() };
+        Proxy::new(proxy::Options::new(&self.settings, self.sender), routes, keys)
+    }
+
+    fn outputs(
+        &self,
+        plan: watch::Sender<Plan>,
+        routes: watch::Sender<Arc<Routes>>,
+        ready: watch::Sender<bool>,
+        metrics: Metrics,
+    ) -> Outputs {
+        Outputs {
+            http: self.platform.http.clone(),
+            platform: self.platform.clone(),
+            links: self.links.clone(),
+            tail: self.tail.clone(),
+            plan,
+            routes,
+            ready,
+            control: self.control.clone(),
+            metrics,
+        }
+    }
+
+    fn control_task(&self, proxy: &Proxy<Keys>, outputs: Outputs) -> Control<Proxy<Keys>> {
+        let options = membership_options(&self.settings);
+        let membership = Membership::new(self.clock.now(), options);
+        let identity = identity(&self.settings, self.sender);
+        Control::new(self.clock, identity, membership, proxy.clone(), outputs)
+    }
+
+    fn reader(&self, plan: watch::Receiver<Plan>) -> Reader {
+        Reader {
+            platform: self.platform.clone(),
+            links: self.links.clone(),
+            clock: self.clock,
+            plan,
+            control: self.control.clone(),
+        }
+    }
+
+    fn server(&self, proxy: &Proxy<Keys>) -> Server<Proxy<Keys>> {
+        Server {
+            allowed: Allowed::new(self.settings.allowed_peers.clone()),
+            requests: proxy.clone(),
+            control: self.control.clone(),
+            tail: self.tail.clone(),
+            traffic: self.links.traffic.clone(),
+        }
+    }
+
+    fn operators(&self, metrics: Metrics) -> Port {
+        Port {
+            tokens: Tokens::new(self.settings.operator_tokens.clone()),
+            clock: self.clock,
+            control: self.control.clone(),
+            links: self.links.clone(),
+            metrics,
+        }
+    }
+}
+
 impl Entry {
     /// Where the process listens.
     pub fn addresses(&self) -> Addresses {
--- a/daisy-entry/tests/control/cluster.rs
+++ b/daisy-entry/tests/control/cluster.rs
@@ -10,7 +10,7 @@
     Platform, Worker,
     client::{Answer, Client},
     platform::{self, VmChange},
-    worker,
+    worker::{self, WorkerOptions},
 };
 use daisy_wire::platform::{ResourcesJson, RoleJson, StatusJson, VmJson};
 use http::{Method, Request};
@@ -92,7 +92,10 @@
 
     /// Starts a worker and puts it into the platform's list.
     pub async fn worker(&mut self, vm: u32, dc: u16) {
-        let options = worker::Options { name: format!("worker-{vm}"), ..Default::default() };
+        // Tasks run until they are stopped, as those of a service do.
+        let tasks = WorkerOptions { run_time: None, ..WorkerOptions::default() };
+        let name = format!("worker-{vm}");
+        let options = worker::Options { name, worker: tasks, ..worker::Options::default() };
         let worker = Worker::start(options).await.expect("loopback has free ports");
         self.list(vm, dc, RoleJson::Worker, worker.address(), worker.backend_address());
         self.workers.push(worker);
--- a/daisy-entry/tests/control/peers.rs
+++ b/daisy-entry/tests/control/peers.rs
@@ -163,7 +163,13 @@
     };
 
     let mut first = accept.await;
-    let reading = tokio::spawn(async move { while first.accept().await.is_some() {} });
+    // A stream that is dropped would be reset, and tell its sender at once.
+    let reading = tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Some(stream) = first.accept().await {
+            held.push(stream);
+        }
+    });
     let second = tokio::time::timeout(PATIENCE, silent.accept()).await;
 
     assert!(second.is_ok(), "no second connection");
--- a/daisy-entry/tests/control/thin.rs
+++ b/daisy-entry/tests/control/thin.rs
@@ -72,9 +72,13 @@
     let noted = ask(&cluster, &entry, &order("order-1")).await;
     let down = Faults { down: true, ..Faults::default() };
     cluster.platform.set_faults(down).expect("a known switch");
-    let unnoted = ask(&cluster, &entry, &order("order-2")).await;
+    let in_time_out = ask(&cluster, &entry, &order("order-2")).await;
+    // From here on the log is known to be out of reach, and the answer comes at once.
+    let refused = ask(&cluster, &entry, &order("order-3")).await;
 
     assert_eq!(noted.status, StatusCode::OK, "{:?}", noted.body);
     assert_eq!(noted.headers["daisy-outcome"], "answered");
-    assert_ne!(unnoted.headers["daisy-outcome"], "answered", "{:?}", unnoted.body);
+    for unnoted in [in_time_out, refused] {
+        assert_ne!(unnoted.headers["daisy-outcome"], "answered", "{:?}", unnoted.body);
+    }
 }
--- a/daisy-measure/src/peers.rs
+++ b/daisy-measure/src/peers.rs
@@ -2,6 +2,7 @@
 //!
 //! The entry VMs are processes of the release binary, the platform is a stand-in in this one.
 //! Bytes are counted at the entry VMs' sockets, HTTP/2 frames included, TCP and IP heads not.
+//! Last, one more change is made, and timed until it is in force at every entry VM.
 //! Processor time is all that the process uses: nothing but control runs in it.
 
 mod fleet;
@@ -51,7 +52,8 @@
         fleet.change(args.changes, Duration::from_secs(args.seconds)).await?;
         let after = fleet.samples().await?;
         let costs = costs(&before, &after, began.elapsed());
-        let text = summary(&costs);
+        let in_force = fleet.time_until_in_force().await?;
+        let text = format!("{} in_force_ms={}", summary(&costs), in_force.as_millis());
         println!("entries={} dcs={} {text}", plan.entries, plan.dcs);
         for field in text.split(' ') {
             line.push_str(&format!(" n{}_{field}", plan.entries));
--- a/daisy-measure/src/peers/fleet.rs
+++ b/daisy-measure/src/peers/fleet.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::{Context, bail};
@@ -145,6 +145,31 @@
         Ok(())
     }
 
+    /// Makes one more change, and tells how long it takes until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// If that takes too long.
+    pub async fn time_until_in_force(&self) -> anyhow::Result<Duration> {
+        let began = SystemTime::now().duration_since(UNIX_EPOCH)?;
+        self.say("pause priority low").await?;
+        let last = self.entries.last().context("no entry VM")?;
+        let wanted = self.status(last).await?["generation"].as_u64();
+        let deadline = Instant::now() + START_TIMEOUT;
+        let mut latest = Duration::ZERO;
+        for entry in &self.entries {
+            let mut status = self.status(entry).await?;
+            while status["generation"].as_u64() < wanted {
+                anyhow::ensure!(Instant::now() < deadline, "not in force: {status}");
+                sleep(POLL).await;
+                status = self.status(entry).await?;
+            }
+            let since = status["config_since_ms"].as_u64().unwrap_or_default();
+            latest = latest.max(Duration::from_millis(since).saturating_sub(began));
+        }
+        Ok(latest)
+    }
+
     /// Ends the processes and the platform.
     pub async fn stop(mut self) {
         self.entries.clear();
@@ -165,10 +190,14 @@
         Ok(())
     }
 
+    async fn status(&self, entry: &Entry) -> anyhow::Result<Value> {
+        let answer = self.client.get(entry.operators, "/v1/status", CALL_TIMEOUT).await?;
+        Ok(serde_json::from_slice(&answer.body)?)
+    }
+
     async fn is_ready(&self, entry: &Entry) -> bool {
-        let answer = self.client.get(entry.operators, "/v1/status", CALL_TIMEOUT).await;
-        let status = answer.ok().and_then(|it| serde_json::from_slice::<Value>(&it.body).ok());
-        status.is_some_and(|it| it["ready"] == true && it["holder"].is_u64())
+        let status = self.status(entry).await;
+        status.is_ok_and(|it| it["ready"] == true && it["holder"].is_u64())
     }
 
     fn start_entry(&mut self, plan: &Plan, at: u32) -> anyhow::Result<()> {
