tests: requests that outlast the balancer's wait in a planned stop

Requests of 300 ms were all done within the 500 ms for which a stopping entry VM goes on for the balancer's sake, so that the test passed also when connections were then closed at once (tried). They take 1.2 s now; without the graceful end 2 of 24 are cut off, with it none.

--- a/tests/proofs/planned_stop.rs
+++ b/tests/proofs/planned_stop.rs
@@ -29,9 +29,9 @@
     assert_eq!(report.answered, report.requests, "{report}");
 }
 
-/// An entry VM gets SIGTERM while requests that take 300 ms are in flight through it. A process
-/// that closed its connections would cut these off; one that closed its port at once would
-/// refuse callers whom the balancer still sends.
+/// An entry VM gets SIGTERM while requests that take 1.2 s, longer than it waits for the balancer,
+/// are in flight through it. A process that closed its connections would cut these off; one that
+/// closed its port at once would refuse callers whom the balancer still sends.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planned_stop_under_load_cuts_off_nothing() {
     let mut cluster = Cluster::start("stop", Shape::default()).await;
@@ -39,7 +39,7 @@
     cluster.keys_settled().await;
 
     let options =
-        Options { service_ms: Some(300), keyed_per_mille: 300, ..patient(&cluster, 50, 10.0) };
+        Options { service_ms: Some(1_200), keyed_per_mille: 300, ..patient(&cluster, 24, 4.0) };
     let load = Load::start(options).await.expect("callers");
     sleep(Duration::from_secs(1)).await;
     cluster.terminate_entry(0);
