Do not put servers aside for a fault that all of them share

The new measurement of retries never recovered: 29 s after a burst in which half of all tries failed, over 1 % were still refused, with a budget and without. Two causes: in such a burst every server soon has three failures in a row, so that half the capacity was put aside; and afterwards the speed of a server was judged by so few answers that exponential service times alone took 0.1 % of answers for a slow server. Ruled out: admission (the same without refusals) and slow start (5 s at most).

While over a fifth of a service's tries fail, twelve failures in a row are needed; speed is judged after 40 answers with a slower mean.

--- a/daisy-measure/src/main.rs
+++ b/daisy-measure/src/main.rs
@@ -10,6 +10,8 @@
 mod node;
 mod peers;
 mod placement;
+mod proxy;
+mod retries;
 
 /// Measures one of daisyshift's decisions; the last line holds all variants as key=value.
 #[derive(Debug, argh::FromArgs)]
@@ -26,6 +28,8 @@
     Interference(interference::Args),
     Ledger(ledger::Args),
     Placement(placement::Args),
+    Proxy(proxy::Args),
+    Retries(retries::Args),
     Node(node::Args),
     Peers(peers::Args),
 }
@@ -38,6 +42,8 @@
         Measure::Interference(args) => interference::run(&args),
         Measure::Ledger(args) => ledger::run(&args)?,
         Measure::Placement(args) => placement::run(&args),
+        Measure::Proxy(args) => proxy::run(&args)?,
+        Measure::Retries(args) => retries::run(&args),
         Measure::Node(args) => node::run(&args)?,
         Measure::Peers(args) => peers::run(&args)?,
     }
--- a/daisy-routing/src/learn.rs
+++ b/daisy-routing/src/learn.rs
@@ -5,8 +5,12 @@
 use daisy_model::{Instant, VmId};
 
 use crate::{
-    Grant, Router, TryId, router::ANSWER_BYTES, server::Server, service::ServiceKey, slab::Try,
-    standing::Verdict,
+    Grant, Router, TryId,
+    router::ANSWER_BYTES,
+    server::Server,
+    service::ServiceKey,
+    slab::Try,
+    standing::{Company, Verdict},
 };
 
 /// Of a service's backend servers, at most one in this many is put aside.
@@ -71,6 +75,7 @@
         let Some(service) = self.services.get_mut(key) else { return };
         service.in_flight = service.in_flight.saturating_sub(1);
         service.drained.add(now);
+        service.failing.add(matches!(end, TryEnd::NotSent | TryEnd::Broken));
         if end == TryEnd::Answered {
             service.retries.earn(share);
             service.latencies.add(latency);
@@ -79,8 +84,10 @@
     }
 
     fn learn_server(&mut self, now: Instant, ended: &Try, report: Report, latency: Duration) {
-        let may_aside = self.may_aside(ended.service, ended.vm);
-        let median = self.services.get(ended.service).and_then(|service| service.median);
+        let Some(service) = self.services.get(ended.service) else { return };
+        let median = service.median;
+        let failing = service.failing.value();
+        let company = Company { may_spare: self.may_spare(ended.service, ended.vm), failing };
         let Some(server) = self.try_server_mut(ended.vm) else { return };
         server.own = server.own.saturating_sub(1);
         if let Some(reported) = report.in_flight {
@@ -91,14 +98,14 @@
         }
         let Some(verdict) = judge(server, report.end, latency, median) else { return };
         let before = server.standing;
-        server.standing = before.after(verdict, may_aside, now);
+        server.standing = before.after(verdict, company, now);
         if server.standing.is_aside() && !before.is_aside() {
             server.speed = Default::default();
         }
     }
 
     /// Whether enough of the service's backend servers would be left without `vm`.
-    fn may_aside(&self, key: ServiceKey, vm: VmId) -> bool {
+    fn may_spare(&self, key: ServiceKey, vm: VmId) -> bool {
         let Some(service) = self.services.get(key) else { return false };
         let aside = |position: &&u32| {
             let server = &self.servers[**position as usize];
--- a/daisy-routing/src/server.rs
+++ b/daisy-routing/src/server.rs
@@ -12,7 +12,7 @@
 /// Age beyond which an answer's report of requests in progress counts less than peers' reports.
 const REPORT_AGE: Duration = Duration::from_millis(600);
 /// Answers after which a backend server's speed is judged.
-const SPEED_SAMPLES: u32 = 12;
+const SPEED_SAMPLES: u32 = 40;
 /// How many times slower than the median puts a backend server aside.
 const SLOW_FACTOR: f64 = 2.5;
 /// How long a backend server's own word that it is leaving counts without being repeated.
--- a/daisy-routing/src/service.rs
+++ b/daisy-routing/src/service.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     budget::RetryBudget,
-    measure::{LogMean, Quantiles, Rate},
+    measure::{LogMean, Quantiles, Rate, Share},
 };
 
 /// How long an answer is thought to take before any has come.
@@ -56,6 +56,8 @@
     /// Tries that ended and freed their slot.
     pub(crate) drained: Rate,
     pub(crate) in_flight: u32,
+    /// Tries that failed, whichever backend server they were at.
+    pub(crate) failing: Share,
     /// The median speed of its backend servers, as a logarithm of microseconds.
     pub(crate) median: Option<f64>,
 }
@@ -73,6 +75,7 @@
             offered: Rate::default(),
             drained: Rate::default(),
             in_flight: 0,
+            failing: Share::default(),
             median: None,
         }
     }
