entry: bound what a paused peer can hold up, and log roles in words

A link waited without bound for a free stream of a peer that answers nothing, and its heartbeats with it; a question's stream lived as long as the connection. Both are bounded now. Not proven by a test of its own: the streams of one connection (256) would have to be used up against a paused process.

Roles, sources and results of statements are words in the log, not debug output; causes are quoted.

--- a/daisy-entry/src/append_calls.rs
+++ b/daisy-entry/src/append_calls.rs
@@ -50,7 +50,7 @@
             Outcome::Rejected
         }
         Err(e) => {
-            log::debug!("event=append_failed cause={e:?}");
+            log::debug!("event=append_failed cause=\"{e}\"");
             Outcome::Unanswered
         }
     }
--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -259,11 +259,12 @@
                 self.append_claim();
             }
             Action::Release(epoch) => {
+                log::info!("event=release dc={} epoch={epoch}", self.identity.dc);
                 self.append(Record::Release { dc: self.identity.dc, epoch });
             }
             Action::Become(role) => self.become_role(now, role),
             Action::Read(source) => {
-                log::info!("event=log_source source={source:?}");
+                log::info!("event=log_source source={source}");
                 self.update_plan(now);
             }
             Action::Ready(ready) => self.set_ready(now, ready),
--- a/daisy-entry/src/control/holder.rs
+++ b/daisy-entry/src/control/holder.rs
@@ -37,7 +37,13 @@
 impl<R: RequestSide<KeyQuery, KeyAnswer>> Control<R> {
     /// Takes up what the membership has decided this entry VM to do.
     pub(super) fn become_role(&mut self, now: Instant, role: Role) {
-        log::info!("event=role role={role:?} dc={}", self.identity.dc);
+        let (name, epoch) = match role {
+            Role::Idle => ("idle", None),
+            Role::Holder(epoch) => ("holder", Some(epoch)),
+            Role::Caretaker(epoch) => ("caretaker", Some(epoch)),
+        };
+        let epoch = epoch.map_or("none".to_owned(), |it| it.to_string());
+        log::info!("event=role dc={} role={name} epoch={epoch}", self.identity.dc);
         match role {
             Role::Idle => self.driver = Driver::default(),
             Role::Caretaker(epoch) => self.take_care(now, epoch),
--- a/daisy-entry/src/control/tell.rs
+++ b/daisy-entry/src/control/tell.rs
@@ -116,10 +116,7 @@
                 Role::Holder(_) => "holder",
                 Role::Caretaker(_) => "caretaker",
             },
-            source: match self.membership.source() {
-                daisy_membership::Source::Log => "log".to_owned(),
-                daisy_membership::Source::Peer(vm) => vm.to_string(),
-            },
+            source: self.membership.source().to_string(),
             log_answers: self.membership.log_answers(now),
             next: self.state.next.0,
             generation: self.state.generation.0,
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -237,7 +237,7 @@
 
 async fn serve_callers(proxy: Proxy<Keys>, listener: TcpListener, health: Arc<Health>) {
     if let Err(e) = proxy.serve(listener, callers::router(health)).await {
-        log::error!("event=callers_port_failed cause={e:?}");
+        log::error!("event=callers_port_failed cause=\"{e}\"");
     }
 }
 
--- a/daisy-entry/src/operators.rs
+++ b/daisy-entry/src/operators.rs
@@ -43,7 +43,7 @@
         .get("/v1/status", get_status)
         .with(State::new(port));
     if let Err(e) = viz::serve(listener, router).await {
-        log::error!("event=operators_port_failed cause={e:?}");
+        log::error!("event=operators_port_failed cause=\"{e}\"");
     }
 }
 
--- a/daisy-entry/src/operators/answer.rs
+++ b/daisy-entry/src/operators/answer.rs
@@ -50,6 +50,18 @@
     },
 }
 
+impl ResultJson {
+    /// The kind as one word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            ResultJson::Accepted { .. } => "accepted",
+            ResultJson::Refused { .. } => "refused",
+            ResultJson::Unknown { .. } => "unknown",
+            ResultJson::Table { .. } => "table",
+        }
+    }
+}
+
 /// One thing that is wrong with the text.
 #[derive(Debug, Serialize)]
 pub(crate) struct FindingJson {
--- a/daisy-entry/src/operators/statements.rs
+++ b/daisy-entry/src/operators/statements.rs
@@ -81,6 +81,6 @@
             cause: format!("no verdict of the log in {VERDICT_TIMEOUT:?}; it may still come"),
         },
     };
-    log::info!("event=statement who={who} text={source:?} result={result:?}");
+    log::info!("event=statement who={who} text={source:?} result={}", result.word());
     Some(result)
 }
--- a/daisy-entry/src/peers/link.rs
+++ b/daisy-entry/src/peers/link.rs
@@ -32,6 +32,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a notice may take to be handed over; a peer that is paused takes none.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the stream of a question is kept; who asked has usually given up before.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Before another connection is tried; doubled up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// The longest pause between tries.
@@ -75,7 +77,7 @@
             Ok(Some(pushed)) => Some(pushed.into()),
             Ok(None) => None,
             Err(e) => {
-                log::debug!("event=records_stream_broken cause={e:?}");
+                log::debug!("event=records_stream_broken cause=\"{e}\"");
                 None
             }
         }
@@ -124,7 +126,7 @@
             // a dropped reply tells its receiver that there is no answer.
             let Some(it) = connection.as_mut() else { continue };
             if let Err(e) = self.carry_out(it, command).await {
-                log::debug!("event=peer_link_broken peer={} cause={e:?}", self.peer);
+                log::debug!("event=peer_link_broken peer={} cause=\"{e}\"", self.peer);
                 connection = None;
             }
         }
@@ -137,7 +139,7 @@
                 Some(connection)
             }
             Ok(Err(e)) => {
-                log::debug!("event=peer_connect_failed peer={} cause={e:?}", self.peer);
+                log::debug!("event=peer_connect_failed peer={} cause=\"{e}\"", self.peer);
                 None
             }
             Err(_) => {
@@ -156,7 +158,7 @@
         let (requests, driver) = builder.handshake::<_, Bytes>(self.traffic.count(socket)).await?;
         tokio::spawn(async move {
             if let Err(e) = driver.await {
-                log::debug!("event=peer_connection_ended cause={e:?}");
+                log::debug!("event=peer_connection_ended cause=\"{e}\"");
             }
         });
         let mut requests = requests.ready().await?;
@@ -181,14 +183,14 @@
         match command {
             Command::Tell(told) => Ok(timeout(NOTICE_TIMEOUT, it.tell(told)).await??),
             Command::Ask(question, reply) => {
-                let mut requests = it.requests.clone().ready().await?;
+                let mut requests = it.ready().await?;
                 let (response, stream) = requests.send_request(self.request(QUESTION)?, false)?;
                 let sender = Sender::new(stream);
                 tokio::spawn(ask(sender, response, question, reply));
                 Ok(())
             }
             Command::Records(from, reply) => {
-                let mut requests = it.requests.clone().ready().await?;
+                let mut requests = it.ready().await?;
                 let (response, stream) = requests.send_request(self.request(RECORDS)?, false)?;
                 let sender = Sender::new(stream);
                 tokio::spawn(follow(sender, response, from, reply));
@@ -200,6 +202,14 @@
 }
 
 impl Connection {
+    /// A handle that takes a new stream.
+    ///
+    /// Guard: a peer that is paused answers nothing, and its streams run out. Without a bound
+    /// the link would wait for one, and heartbeats behind it with it.
+    async fn ready(&self) -> anyhow::Result<SendRequest<Bytes>> {
+        Ok(timeout(NOTICE_TIMEOUT, self.requests.clone().ready()).await??)
+    }
+
     async fn tell(&mut self, told: Told) -> Result<(), StreamError> {
         for replicas in &told.replicas {
             let known = self.replicas.get(&replicas.dc);
@@ -232,11 +242,15 @@
         let mut receiver = Receiver::new(response.await?.into_body(), MAX_FRAME);
         Ok::<_, StreamError>(Answer::try_from(receiver.only::<AnswerWire>().await?)?)
     };
-    let answer = exchange.await;
-    if let Err(e) = &answer {
-        log::debug!("event=question_failed cause={e:?}");
-    }
-    let _ = reply.send(answer.ok());
+    let answer = match timeout(ANSWER_TIMEOUT, exchange).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(e)) => {
+            log::debug!("event=question_failed cause=\"{e}\"");
+            None
+        }
+        Err(_) => None,
+    };
+    let _ = reply.send(answer);
 }
 
 async fn follow(
@@ -249,8 +263,8 @@
         sender.send(&RecordsFrom { offset: from.0 }, true).await?;
         Ok::<_, StreamError>(Receiver::new(response.await?.into_body(), MAX_FRAME))
     };
-    let records = exchange.await.ok().map(|receiver| Records { receiver });
-    let _ = reply.send(records);
+    let records = timeout(ANSWER_TIMEOUT, exchange).await.ok().and_then(Result::ok);
+    let _ = reply.send(records.map(|receiver| Records { receiver }));
 }
 
 /// What has changed from `known` to `replicas`.
--- a/daisy-entry/src/peers/serve.rs
+++ b/daisy-entry/src/peers/serve.rs
@@ -88,7 +88,7 @@
             let (socket, address) = match listener.accept().await {
                 Ok(accepted) => accepted,
                 Err(e) => {
-                    log::warn!("event=peer_accept_failed cause={e:?}");
+                    log::warn!("event=peer_accept_failed cause=\"{e}\"");
                     tokio::time::sleep(Duration::from_millis(100)).await;
                     continue;
                 }
@@ -104,7 +104,7 @@
             let server = self.clone();
             tokio::spawn(async move {
                 if let Err(e) = server.connection(socket).await {
-                    log::debug!("event=peer_connection_broken address={address} cause={e:#}");
+                    log::debug!("event=peer_connection_broken address={address} cause=\"{e:#}\"");
                 }
                 drop(place);
             });
--- a/daisy-entry/src/reader.rs
+++ b/daisy-entry/src/reader.rs
@@ -84,7 +84,7 @@
                 Ok(false)
             }
             Err(e) => {
-                log::debug!("event=log_read_failed from={next} cause={e:?}");
+                log::debug!("event=log_read_failed from={next} cause=\"{e}\"");
                 // A cap on appends says nothing against reads.
                 if !matches!(e, PlatformError::Busy) {
                     self.send(Input::ReadFailed { source: Source::Log }).await?;
--- a/daisy-entry/src/vm_list.rs
+++ b/daisy-entry/src/vm_list.rs
@@ -32,7 +32,7 @@
                 Some(listing.map_or(Input::VmsUnchanged, Input::Vms))
             }
             Err(e) => {
-                log::debug!("event=vm_list_failed cause={e:?}");
+                log::debug!("event=vm_list_failed cause=\"{e}\"");
                 pause = (pause * 2).min(MAX_PAUSE.max(period));
                 from_peer(&links, version).await.map(Input::PeerVms)
             }
--- a/daisy-membership/src/source.rs
+++ b/daisy-membership/src/source.rs
@@ -3,6 +3,8 @@
 //! One entry VM of a data centre reads the log across the region link and passes the records
 //! on, because every byte across that link is paid for.
 
+use std::fmt;
+
 use daisy_model::{Instant, Offset, VmId};
 
 use crate::{Heartbeat, Options, Peers};
@@ -16,6 +18,15 @@
     Peer(VmId),
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Log => f.write_str("log"),
+            Source::Peer(vm) => vm.fmt(f),
+        }
+    }
+}
+
 /// What bears on the choice.
 #[derive(Debug)]
 pub(crate) struct View<'a> {
