--- a/tests/proofs/cluster.rs
+++ b/tests/proofs/cluster.rs
@@ -17,7 +17,11 @@
     platform::{View, VmChange},
 };
 use daisy_wire::platform::{RoleJson, VmJson};
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    task::JoinHandle,
+    time::sleep,
+};
 
 use crate::{
     eventually,
@@ -28,9 +32,14 @@
 
 const STARTS: Duration = Duration::from_secs(15);
 const STATUS_POLL: Duration = Duration::from_millis(100);
+/// How tasks of particular jobs run; written before any worker reads it.
+const JOBS: &str = "jobs.json";
 const SOON: Duration = Duration::from_secs(2);
 /// Several reads of the VM list, and connections made anew.
 const VIEWS_SEEN: Duration = Duration::from_millis(1_000);
+const KEYS_SETTLED: Duration = Duration::from_millis(6_000);
+/// Two reads of the VM list.
+const LIST_READ: Duration = Duration::from_millis(400);
 /// What the number of a VM's replacement has more.
 const ROLLED: u32 = 50;
 
@@ -46,8 +55,13 @@
     pub workers: Vec<(VmJson, Process)>,
     dir: PathBuf,
     watchers: Vec<Watcher>,
+    _turn: SemaphorePermit<'static>,
 }
 
+/// Tests that run at one time, whatever the number of the machine's cores: each starts up to
+/// a dozen processes, and starved ones would miss their heartbeats.
+static TURNS: Semaphore = Semaphore::const_new(4);
+
 /// Asks one entry VM again and again what it has in force.
 #[derive(Debug)]
 struct Watcher {
@@ -58,10 +72,13 @@
 impl Cluster {
     /// Starts everything and waits until all entry VMs are ready.
     pub async fn start(test: &str, shape: Shape) -> Cluster {
+        let turn = TURNS.acquire().await.expect("never closed");
         let at = Addresses::take();
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("proofs-{test}"));
         let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).expect("a directory for the test");
+        let jobs = serde_json::to_vec(&shape.jobs).expect("JSON");
+        fs::write(dir.join(JOBS), jobs).expect("the jobs' file");
         let vms = shape.vms(at);
         let platform = start_platform(&dir, &shape, &vms, at);
         let mut cluster = Cluster {
@@ -74,6 +91,7 @@
             workers: Vec::new(),
             dir,
             watchers: Vec::new(),
+            _turn: turn,
         };
         cluster.answers(at.platform(), "/v1/vms").await;
         for vm in vms {
@@ -125,6 +143,14 @@
         .await;
     }
 
+    /// Waits until the keys' homes vouch for their past: a process that has just started knows
+    /// of no keys before it, and vouches only after the retry window, here 3 s, or after the
+    /// 5 s in which others may hand their keys over.
+    pub async fn keys_settled(&self) {
+        self.accept("publish policy retry-window=3s").await;
+        sleep(KEYS_SETTLED).await;
+    }
+
     /// Makes a change through any entry VM, and fails unless it is accepted in the end.
     pub async fn accept(&self, statement: &str) -> u64 {
         eventually(statement, STARTS, async || {
@@ -257,15 +283,45 @@
             let status = self.entries[at].1.ended(within).await;
             assert!(status.success(), "{status}");
             self.change_vm(&VmChange::Remove(self.entries[at].0.id)).await;
+            // A VM that starts while the list still names one that is gone waits in vain for its
+            // keys, and vouches for none until a retry window later.
+            sleep(Duration::from_millis(self.shape.vm_lag_ms) + LIST_READ).await;
         }
     }
 
     /// Puts a link between a data centre and all others, and waits until they use it.
     pub async fn link_off(&self, dc: u16) -> Link {
+        self.link(|from, to| (to.dc == dc) != (from.dc == dc)).await
+    }
+
+    /// Puts a link between one entry VM and all others, but not its workers.
+    pub async fn link_off_entry(&self, at: usize) -> Link {
+        let id = self.entries[at].0.id;
+        let is_entry = |vm: &VmJson| matches!(vm.role, RoleJson::Entry);
+        self.link(|from, to| is_entry(to) && (from.id == id) != (to.id == id)).await
+    }
+
+    /// Cuts one entry VM off from the others and from the platform, but not from its workers.
+    pub async fn cut_entry(&self, link: &Link, at: usize) {
+        let (vm, process) = &self.entries[at];
+        process.record(Kind::CutOff);
+        link.set_faults(LinkFaults { cut: true, ..LinkFaults::default() });
+        self.platform_faults(Faults { cut: vec![vm.name.clone()], ..Faults::default() }).await;
+    }
+
+    /// Takes the cut of an entry VM back.
+    pub async fn heal_entry(&self, link: &Link, at: usize) {
+        self.platform_faults(Faults::default()).await;
+        link.set_faults(LinkFaults::default());
+        self.entries[at].1.record(Kind::Healed);
+    }
+
+    /// Puts one link between all pairs of an entry VM and another VM that `between` chooses.
+    async fn link(&self, between: impl Fn(&VmJson, &VmJson) -> bool) -> Link {
         let vms = || self.entries.iter().chain(&self.workers).map(|(vm, _)| vm);
         let (mut pairs, mut views) = (Vec::new(), Vec::new());
         for (from, _) in &self.entries {
-            for vm in vms().filter(|vm| (vm.dc == dc) != (from.dc == dc)) {
+            for vm in vms().filter(|vm| between(from, vm)) {
                 let mut through = |to: SocketAddr| {
                     let listen = self.at.link(u32::try_from(pairs.len()).expect("few pairs"));
                     pairs.push(Pair { listen, to });
@@ -340,8 +396,7 @@
     }
 
     fn start_worker(&mut self, vm: VmJson) {
-        let jobs = self.dir.join("jobs.json");
-        fs::write(&jobs, serde_json::to_vec(&self.shape.jobs).expect("JSON")).expect("a file");
+        let jobs = self.dir.join(JOBS);
         let history = self.dir.join(format!("{}.jsonl", vm.name));
         let args = [
             ("--name", vm.name.clone()),
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -9,6 +9,7 @@
 mod process;
 mod shape;
 
+mod at_most_once;
 mod capacity;
 mod configuration;
 mod leaving;
@@ -16,6 +17,7 @@
 mod one_place;
 mod own_answer;
 mod planned_stop;
+mod resume;
 mod several;
 
 use std::time::{Duration, Instant};
