--- a/daisy-entry/src/operators/statements.rs
+++ b/daisy-entry/src/operators/statements.rs
@@ -13,7 +13,7 @@
     control::{Input, Verdict},
     operators::{
         Port,
-        answer::Reply,
+        answer::{Reply, word},
         look::{look, notes},
     },
 };
@@ -90,6 +90,6 @@
             cause: format!("no verdict of the log in {VERDICT_TIMEOUT:?}; it may still come"),
         },
     };
-    log::info!("event=statement who={who} text={source:?} result={result:?}");
+    log::info!("event=statement who={who} text={source:?} result={}", word(&result));
     Some(result)
 }
