--- a/daisy-entry/src/operators/answer.rs
+++ b/daisy-entry/src/operators/answer.rs
@@ -45,6 +45,16 @@
     }
 }
 
+/// The kind of a result as one word, for the log.
+pub(super) fn word(result: &ResultJson) -> &'static str {
+    match result {
+        ResultJson::Accepted { .. } => "accepted",
+        ResultJson::Refused { .. } => "refused",
+        ResultJson::Unknown { .. } => "unknown",
+        ResultJson::Table { .. } => "table",
+    }
+}
+
 fn finding_to_json(it: &Finding) -> FindingJson {
     FindingJson {
         line: it.line,
