--- a/daisy-entry/tests/control.rs
+++ b/daisy-entry/tests/control.rs
@@ -4,6 +4,8 @@
 mod cluster;
 #[path = "control/log.rs"]
 mod log;
+#[path = "control/metrics.rs"]
+mod metrics;
 #[path = "control/operators.rs"]
 mod operators;
 #[path = "control/peers.rs"]
