entry: a slow head on the operators' port is cut off after 5 s

Whoever sent half a head held a connection for ever. Without the timeout, on a scratch copy, a_slow_head_is_cut_off fails.

--- a/daisy-entry/src/operators.rs
+++ b/daisy-entry/src/operators.rs
@@ -7,16 +7,20 @@
 mod statements;
 mod token;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
+use hyper_util::{
+    rt::{TokioExecutor, TokioTimer},
+    server::conn::auto::Builder,
+};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
 };
 use viz::{
-    Body, IntoResponse, Request, Response, Result, Router,
+    Body, IntoResponse, Request, Response, Result, Router, Server,
     types::{State, StateError},
 };
 
@@ -26,6 +30,9 @@
 /// Bytes of a body of statements.
 const BODY_LIMIT: usize = 64 << 10;
 
+/// How long a request's head may take; who sends it byte by byte holds a connection no longer.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// What the port needs to answer.
 #[derive(Debug)]
 pub(crate) struct Port {
@@ -42,7 +49,9 @@
         .post("/v1/statements", post_statements)
         .get("/v1/status", get_status)
         .with(State::new(port));
-    if let Err(e) = viz::serve(listener, router).await {
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    if let Err(e) = Server::with_builder(listener, router, builder).await {
         log::error!("event=operators_port_failed cause=\"{e}\"");
     }
 }
--- a/daisy-entry/tests/control/operators.rs
+++ b/daisy-entry/tests/control/operators.rs
@@ -1,8 +1,12 @@
 //! Statements over the operators' port.
 
 use http::StatusCode;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
-use crate::cluster::{TOKEN, cluster, json};
+use crate::cluster::{PATIENCE, TOKEN, cluster, json};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_a_token_nothing_is_said_or_done() {
@@ -100,3 +104,18 @@
     assert!(note.contains("fits on none of 1") && note.contains("lacks cpu"), "{note}");
     assert!(json(&small)["results"][0].get("notes").is_none());
 }
+
+/// Somebody opens connections to the operators' port and sends half a head on each. They must
+/// not stay open for ever, or the port runs out of them in the very hour it is needed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_head_is_cut_off() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    let mut socket = TcpStream::connect(entry.addresses().operators).await.expect("open");
+    socket.write_all(b"POST /v1/statements HTTP/1.1\r\nauthor").await.expect("sent");
+
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(PATIENCE, socket.read_to_end(&mut rest)).await;
+
+    assert!(ended.is_ok(), "the connection stays open");
+}
