--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -5,6 +5,7 @@
 //! histories to the checkers of `daisy-history`.
 
 mod cluster;
+mod cuts;
 mod operators;
 mod process;
 mod shape;
