--- a/daisy-routing/tests/keys/schedule.rs
+++ b/daisy-routing/tests/keys/schedule.rs
@@ -7,6 +7,19 @@
 
 use crate::world::{STEP, World, key};
 
+/// Worlds that found a fault, with the entry VMs of a data centre; they stay.
+const FOUND: [(u64, u32); 10] = [
+    (16, 3),
+    (27, 3),
+    (227, 1),
+    (133, 2),
+    (819, 2),
+    (19, 1),
+    (1230, 3),
+    (1594, 1),
+    (3161, 3),
+    (11343, 3),
+];
 /// Worlds of each size.
 const WORLDS: u64 = 40;
 /// Steps of one world: 60 s.
@@ -167,12 +180,11 @@
 #[test]
 fn no_schedule_runs_a_key_twice() {
     let mut ran = 0;
-    for seed in 0..WORLDS {
-        for per_dc in [1, 2, 3] {
-            let (most, some) = play(seed, per_dc);
-            assert!(most <= 1, "seed {seed}, {per_dc} a data centre: a key ran {most} times");
-            ran += some;
-        }
+    let worlds = (0..WORLDS).flat_map(|seed| [(seed, 1), (seed, 2), (seed, 3)]);
+    for (seed, per_dc) in worlds.chain(FOUND) {
+        let (most, some) = play(seed, per_dc);
+        assert!(most <= 1, "seed {seed}, {per_dc} a data centre: a key ran {most} times");
+        ran += some;
     }
     // The schedules must leave enough running to say anything.
     assert!(ran > 2_000, "{ran}");
