entry: append less often, and set the log's retention

Ruled out: 250 ms (1.6 KB/s, but a checkout then waits up to 270 ms).

Before (`daisy-measure ledger`, 50 ms): 61.6 appends/s, 2155 bytes/s, grant p99 70 ms. After (`--interval-ms 150`): 36.9 appends/s, 1786 bytes/s, grant p99 170 ms of the 3.5 s of an urgent start.

--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -70,6 +70,8 @@
     pub sender: u64,
     pub worker_lease: Duration,
     pub holder_timeout: Duration,
+    /// The shortest retention of the log that is counted on.
+    pub log_retention: Duration,
 }
 
 /// The ways out of the control task.
--- a/daisy-entry/src/control/append.rs
+++ b/daisy-entry/src/control/append.rs
@@ -19,9 +19,11 @@
 
 /// The least time between two appends of one process.
 ///
-/// Only holders append often: six of them come to 120 appends a second, and the platform takes
-/// a few hundred.
-const INTERVAL: Duration = Duration::from_millis(50);
+/// Only holders append often: six of them come to 40 appends a second, and the platform takes a
+/// few hundred. At 50 ms the log itself was 2.2 KB a second at the peak of 62 starts a second
+/// (`daisy-measure ledger`), more than a node may spend on all of control. A first append after
+/// a pause does not wait.
+const INTERVAL: Duration = Duration::from_millis(150);
 
 /// What became of a record that somebody waits for.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/daisy-entry/src/control/restore.rs
+++ b/daisy-entry/src/control/restore.rs
@@ -1,6 +1,6 @@
 //! From what the log or a peer still has to the state, and snapshots for those that come later.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use daisy_ledger::{
@@ -14,10 +14,6 @@
 
 use crate::{boundary::RequestSide, control::Control};
 
-/// The shortest retention of the log that is counted on; the platform does not tell its own.
-///
-/// Where the log shows that it drops records sooner, snapshots come sooner as well.
-const RETENTION: std::time::Duration = std::time::Duration::from_secs(3_600);
 /// Bytes of one part of a snapshot: half of the longest append.
 const PART_BYTES: usize = 512 << 10;
 /// The share of the log's records, in thirds, that may lie before a snapshot that still counts.
@@ -58,8 +54,11 @@
         self.first = first;
     }
 
-    /// Whether the `rank`-th writer should write one now.
-    fn due(&self, now: Instant, state: &State, rank: u32) -> bool {
+    /// Whether the `rank`-th writer should write one now, if the log keeps records that long.
+    ///
+    /// The platform does not tell its retention. Where the log shows that it drops records
+    /// sooner than the settings say, snapshots come sooner as well.
+    fn due(&self, now: Instant, state: &State, rank: u32, retention: Duration) -> bool {
         if self.written.is_some_and(|it| self.through.is_none_or(|through| through < it)) {
             // The own one is on its way.
             return false;
@@ -67,7 +66,7 @@
         let from = self.through.unwrap_or_default();
         let entries = state.next.0.saturating_sub(from.0);
         let since = Since { entries, bytes: self.bytes, age: now.since(self.seen) };
-        let options = snapshot::Options::for_retention(RETENTION);
+        let options = snapshot::Options::for_retention(retention);
         // The log drops records: a third of what it keeps may pass before the next snapshot.
         let kept = state.next.0.saturating_sub(self.first.0);
         let expiring = self.first > Offset(0) && entries * 3 >= kept * (3 - KEPT_THIRDS);
@@ -150,7 +149,7 @@
             return;
         }
         let rank = u32::from(self.identity.dc.0);
-        if !self.snapshots.due(now, &self.state, rank) {
+        if !self.snapshots.due(now, &self.state, rank, self.identity.log_retention) {
             return;
         }
         match daisy_wire::snapshot::write(&self.state, PART_BYTES) {
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -264,5 +264,6 @@
         sender,
         worker_lease: settings.timing.worker_lease,
         holder_timeout: settings.timing.holder_timeout,
+        log_retention: settings.timing.log_retention,
     }
 }
--- a/daisy-measure/src/ledger.rs
+++ b/daisy-measure/src/ledger.rs
@@ -32,7 +32,7 @@
     /// simulated seconds at the peak rate
     #[argh(option, default = "300")]
     seconds: u64,
-    /// least milliseconds between two appends of one process; entry VMs take 50
+    /// least milliseconds between two appends of one process; entry VMs take 150
     #[argh(option, default = "50")]
     interval_ms: u64,
 }
--- a/daisy-settings/src/read.rs
+++ b/daisy-settings/src/read.rs
@@ -28,8 +28,14 @@
     "timing",
 ];
 const KNOWN_LIMITS: &[&str] = &["body_bytes", "header_bytes", "connections", "header_ms", "keys"];
-const KNOWN_TIMING: &[&str] =
-    &["heartbeat_ms", "holder_timeout_ms", "worker_lease_ms", "balancer_ms", "vm_list_ms"];
+const KNOWN_TIMING: &[&str] = &[
+    "heartbeat_ms",
+    "holder_timeout_ms",
+    "worker_lease_ms",
+    "balancer_ms",
+    "vm_list_ms",
+    "log_retention_ms",
+];
 const ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
 const NAME: &str = "a name of a-z, 0-9 and '-'";
 
@@ -187,6 +193,7 @@
     item.millis("worker_lease_ms", &mut timing.worker_lease, findings);
     item.millis("balancer_ms", &mut timing.balancer, findings);
     item.millis("vm_list_ms", &mut timing.vm_list, findings);
+    item.millis("log_retention_ms", &mut timing.log_retention, findings);
     item.finish(KNOWN_TIMING, findings);
     check_timing(&timing, place, findings);
     timing
--- a/daisy-settings/src/settings.rs
+++ b/daisy-settings/src/settings.rs
@@ -117,6 +117,8 @@
     pub balancer: Duration,
     /// Between reads of the VM list.
     pub vm_list: Duration,
+    /// How long the platform's log is sure to keep a record; snapshots come well before.
+    pub log_retention: Duration,
 }
 
 impl Default for Timing {
@@ -127,6 +129,7 @@
             worker_lease: Duration::from_secs(30),
             balancer: Duration::from_secs(2),
             vm_list: Duration::from_secs(1),
+            log_retention: Duration::from_secs(6 * 3_600),
         }
     }
 }
