proxy: count requests by service and outcome, with their latency

Cause: an operator could see the control side's metrics only; refusals and latencies of services had to be asked of callers.

--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -64,7 +64,8 @@
     let (routes, follow_routes) = watch::channel(Arc::new(Routes::default()));
     let parts = Parts::new(settings, control.clone());
     let proxy = parts.proxy(follow_routes);
-    let (metrics, registry) = Metrics::registered();
+    let (metrics, mut registry) = Metrics::registered();
+    proxy.register_metrics(&mut registry);
     let (plan, follow_plan) = watch::channel(parts.first_plan());
     let (ready, follow_ready) = watch::channel(false);
     let outputs = parts.outputs(plan, routes, ready, metrics.clone());
--- a/daisy-entry/src/proxy.rs
+++ b/daisy-entry/src/proxy.rs
@@ -14,6 +14,7 @@
 use daisy_model::{DcId, VmId};
 use daisy_routing::{KeyAnswer, KeyQuery, Routes};
 use daisy_settings::{Limits, Settings};
+use prometheus_client::registry::Registry;
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
@@ -34,6 +35,7 @@
 mod guard;
 mod head;
 mod keyed;
+mod metrics;
 mod pool;
 mod request;
 mod serve;
@@ -110,6 +112,11 @@
         &self.peers
     }
 
+    /// Adds the metrics of requests to `registry`.
+    pub fn register_metrics(&self, registry: &mut Registry) {
+        self.core.metrics.register(registry);
+    }
+
     /// Whether a planned stop has begun: `/readyz` says no from then on.
     pub fn is_draining(&self) -> bool {
         self.core.is_draining()
--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -18,6 +18,7 @@
 use crate::proxy::{
     Options,
     clock::Clock,
+    metrics::RequestMetrics,
     pool::{Pool, lock},
 };
 
@@ -37,6 +38,7 @@
     pub(super) keys: Mutex<KeyTable>,
     /// A permit for each keyed request in progress, which may outlive its caller's connection.
     pub(super) keyed: Arc<Semaphore>,
+    pub(super) metrics: RequestMetrics,
     /// Told when a request begins to wait.
     pub(super) queued: Notify,
     deciding: Mutex<Deciding>,
@@ -84,6 +86,7 @@
             keyed: Arc::new(Semaphore::new(MAX_KEYED as usize)),
             pool: Pool::default(),
             draining: AtomicBool::new(false),
+            metrics: RequestMetrics::new(),
             queued: Notify::new(),
             deciding: Mutex::new(deciding),
         }
--- a/daisy-entry/src/proxy/request.rs
+++ b/daisy-entry/src/proxy/request.rs
@@ -43,6 +43,8 @@
         address: IpAddr,
     ) -> Response<AnswerBody> {
         let id = self.core.draw();
+        let arrived = self.core.clock.now();
+        let service = req.headers().get(headers::SERVICE).cloned();
         let (parts, body) = req.into_parts();
         let repeats = head::may_repeat(&parts);
         let mut response = match self.run(parts, body, address, id).await {
@@ -53,6 +55,8 @@
         if let Ok(value) = HeaderValue::from_str(&format!("{id:016x}")) {
             response.headers_mut().insert(headers::REQUEST_ID, value);
         }
+        let took = self.core.clock.now().since(arrived);
+        self.core.metrics.answered(service.as_ref(), &response, took);
         response
     }
 
--- a/daisy-entry/tests/control/cluster.rs
+++ b/daisy-entry/tests/control/cluster.rs
@@ -12,7 +12,10 @@
     platform::{self, VmChange},
     worker::{self, WorkerOptions},
 };
-use daisy_wire::platform::{ResourcesJson, RoleJson, StatusJson, VmJson};
+use daisy_wire::{
+    headers,
+    platform::{ResourcesJson, RoleJson, StatusJson, VmJson},
+};
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::Value;
@@ -141,6 +144,16 @@
         self.client.send(req, PATIENCE).await.expect("an answer")
     }
 
+    /// Sends a request to a service as a caller.
+    pub async fn ask(&self, entry: &Entry, service: &str) -> Answer {
+        let req = Request::builder()
+            .uri(format!("http://{}/", entry.addresses().callers))
+            .header(headers::SERVICE, service)
+            .body(Full::new(Bytes::new()))
+            .expect("valid request");
+        self.client.send(req, PATIENCE).await.expect("an answer")
+    }
+
     /// The status of an entry VM.
     pub async fn status(&self, entry: &Entry) -> Value {
         let address = entry.addresses().operators;
--- a/daisy-entry/tests/control/metrics.rs
+++ b/daisy-entry/tests/control/metrics.rs
@@ -32,6 +32,7 @@
     cluster.worker(11, 0).await;
     let entry = cluster.ready_entry(1, 0).await;
     cluster.say(&entry, "pause batch").await;
+    cluster.ask(&entry, "stock").await;
 
     // A metric by result shows once there is a result: the first call to the worker is awaited.
     let mut names = BTreeSet::new();
