worker stand-in: a stopped incarnation never starts; usage in its own file

Cause: placement rests on a worker not starting, after a stop, an incarnation that it had not started before; the stand-in did start such a late copy.

Ruled out: changing the holder, which stops a doubtful start before it starts the task elsewhere, for that reason.

Conclusion: a test sends the stop first and the start after it.

--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -1,5 +1,7 @@
 //! What runs on a worker, without input or output.
 
+mod usage;
+
 use std::{collections::VecDeque, time::Duration};
 
 use daisy_history::{End, Kind, Run, Size};
@@ -108,7 +110,6 @@
 }
 
 const WHOLE: u32 = 1000;
-const SAMPLE: Duration = Duration::from_millis(100);
 
 impl WorkerState {
     /// A worker that runs nothing.
@@ -225,7 +226,7 @@
             Order::Start { task, incarnation, size, checkpoint } => {
                 self.start((task, incarnation), size, checkpoint, flaws)
             }
-            Order::Stop { task, incarnation } => self.end((task, incarnation), Exit::Stopped),
+            Order::Stop { task, incarnation } => self.stop((task, incarnation)),
             Order::Checkpoint { task, incarnation } => self.checkpoint((task, incarnation)),
             Order::Throttle { task, incarnation, share } => {
                 match self.running.get_mut(&(task, incarnation)) {
@@ -275,6 +276,14 @@
         used.is_some_and(|used| used.fits(self.options.capacity))
     }
 
+    /// Ends an incarnation; one that never started does not start any more, so that a late
+    /// copy of its start runs nothing.
+    fn stop(&mut self, key: (TaskId, Incarnation)) -> OrderResult {
+        let result = self.end(key, Exit::Stopped);
+        self.started.insert(key, ());
+        result
+    }
+
     fn checkpoint(&mut self, key: (TaskId, Incarnation)) -> OrderResult {
         let Some(done) = self.running.get(&key).map(|task| task.done) else {
             return self.end(key, Exit::Stopped);
@@ -339,52 +348,6 @@
             None => (self.options.run_time, Exit::Done),
         }
     }
-
-    fn slowdown(&self, victim: (TaskId, Incarnation)) -> u32 {
-        let others = self.running.iter().filter(|(key, _)| **key != victim);
-        let added = others.map(|(key, task)| {
-            let per_core = self.per_core(victim.0.job, key.0.job);
-            let used = u64::from(task.size.cpu_milli) * u64::from(task.share) / u64::from(WHOLE);
-            (u64::from(per_core) * used / 1000) as u32
-        });
-        added.fold(WHOLE, u32::saturating_add)
-    }
-
-    fn per_core(&self, victim: JobId, aggressor: JobId) -> u32 {
-        let pairs = self.options.interference.iter();
-        let pair = pairs.filter(|it| (it.victim, it.aggressor) == (victim.0, aggressor.0));
-        pair.map(|it| it.per_core).sum()
-    }
-
-    fn slowdown_of_job(&self, job: JobId) -> Option<u32> {
-        let mut of_job = self.running.iter().filter(|(key, _)| key.0.job == job);
-        of_job.next().map(|(key, _)| self.slowdown(*key))
-    }
-
-    fn sample(&mut self, now: Instant) {
-        let fresh = self.samples.back().is_some_and(|(at, _)| now.since(*at) < SAMPLE);
-        if fresh {
-            return;
-        }
-        let usage = self.running.iter().map(|(key, task)| {
-            let cpu = u64::from(task.size.cpu_milli) * u64::from(task.share) / u64::from(WHOLE);
-            let used = Resources { cpu_milli: cpu as u32, ..task.size };
-            Usage { task: key.0, used, slowdown: self.slowdown(*key) }
-        });
-        let usage = usage.collect();
-        self.samples.push_back((now, usage));
-        let lag = self.options.usage_lag;
-        while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= lag) {
-            self.samples.pop_front();
-        }
-        let told = self.usage(now);
-        self.journal.note_usage(&told);
-    }
-
-    fn usage(&self, now: Instant) -> Vec<Usage> {
-        let old = self.samples.front().filter(|(at, _)| now.since(*at) >= self.options.usage_lag);
-        old.map(|(_, usage)| usage.clone()).unwrap_or_default()
-    }
 }
 
 /// A token that no other checkpoint has, and that carries the work done in milliseconds.
--- /dev/null
+++ b/daisy-standin/src/worker/state/usage.rs
@@ -0,0 +1,57 @@
+//! What tasks use, how they slow one another down, and what of it is known when.
+
+use std::time::Duration;
+
+use daisy_model::{Incarnation, Instant, JobId, Resources, TaskId, Usage};
+
+use super::{WHOLE, WorkerState};
+
+const SAMPLE: Duration = Duration::from_millis(100);
+
+impl WorkerState {
+    pub(super) fn slowdown(&self, victim: (TaskId, Incarnation)) -> u32 {
+        let others = self.running.iter().filter(|(key, _)| **key != victim);
+        let added = others.map(|(key, task)| {
+            let per_core = self.per_core(victim.0.job, key.0.job);
+            let used = u64::from(task.size.cpu_milli) * u64::from(task.share) / u64::from(WHOLE);
+            (u64::from(per_core) * used / 1000) as u32
+        });
+        added.fold(WHOLE, u32::saturating_add)
+    }
+
+    fn per_core(&self, victim: JobId, aggressor: JobId) -> u32 {
+        let pairs = self.options.interference.iter();
+        let pair = pairs.filter(|it| (it.victim, it.aggressor) == (victim.0, aggressor.0));
+        pair.map(|it| it.per_core).sum()
+    }
+
+    pub(super) fn slowdown_of_job(&self, job: JobId) -> Option<u32> {
+        let mut of_job = self.running.iter().filter(|(key, _)| key.0.job == job);
+        of_job.next().map(|(key, _)| self.slowdown(*key))
+    }
+
+    pub(super) fn sample(&mut self, now: Instant) {
+        let fresh = self.samples.back().is_some_and(|(at, _)| now.since(*at) < SAMPLE);
+        if fresh {
+            return;
+        }
+        let usage = self.running.iter().map(|(key, task)| {
+            let cpu = u64::from(task.size.cpu_milli) * u64::from(task.share) / u64::from(WHOLE);
+            let used = Resources { cpu_milli: cpu as u32, ..task.size };
+            Usage { task: key.0, used, slowdown: self.slowdown(*key) }
+        });
+        let usage = usage.collect();
+        self.samples.push_back((now, usage));
+        let lag = self.options.usage_lag;
+        while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= lag) {
+            self.samples.pop_front();
+        }
+        let told = self.usage(now);
+        self.journal.note_usage(&told);
+    }
+
+    pub(super) fn usage(&self, now: Instant) -> Vec<Usage> {
+        let old = self.samples.front().filter(|(at, _)| now.since(*at) >= self.options.usage_lag);
+        old.map(|(_, usage)| usage.clone()).unwrap_or_default()
+    }
+}
--- a/daisy-standin/tests/worker.rs
+++ b/daisy-standin/tests/worker.rs
@@ -56,6 +56,19 @@
     assert_eq!(again.ended.len(), 1);
 }
 
+/// A holder stops a start whose fate it does not know, then a late copy of the start arrives.
+/// Were it carried out, the task would run here and where the holder starts it next.
+#[test]
+fn a_stopped_incarnation_that_never_started_never_starts() {
+    let mut worker = worker(1000);
+    let stop = Order::Stop { task: TASK, incarnation: FIRST };
+    worker.call(at(0), call(1, vec![stop]), SOUND);
+
+    let report = worker.call(at(1), call(1, vec![start(TASK, None)]), SOUND);
+
+    assert!(report.running.is_empty() && report.ended.is_empty());
+}
+
 #[test]
 fn refuses_what_it_has_no_room_for() {
     let mut worker = worker(100);
