placement: one way to order a task's end

Cause: stop and checkpoint stood twice but for their order.

Ruled out: nothing else; the guard against a second order is now in one place.

--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -229,14 +229,24 @@
 
     /// Orders a task to be stopped where it is.
     pub(crate) fn stop(&mut self, key: WorkerKey, task: TaskId) {
+        self.order_end(key, task, |incarnation| Order::Stop { task, incarnation });
+    }
+
+    /// Gives the order that ends a task, once.
+    pub(crate) fn order_end(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        order: impl FnOnce(Incarnation) -> Order,
+    ) {
         let Some(worker) = self.worker_mut(key) else { return };
         let Some(held) = worker.held.get_mut(&task) else { return };
         if held.ending == Ending::Ordered {
             return;
         }
         held.ending = Ending::Ordered;
-        let incarnation = held.incarnation;
-        worker.orders.push(Order::Stop { task, incarnation });
+        let order = order(held.incarnation);
+        worker.orders.push(order);
         self.roster.touch(key);
     }
 
--- a/daisy-placement/src/leave.rs
+++ b/daisy-placement/src/leave.rs
@@ -90,14 +90,6 @@
 
     /// Orders a task to be checkpointed and stopped; it is resumed once that is recorded.
     pub(crate) fn checkpoint(&mut self, key: WorkerKey, task: TaskId) {
-        let Some(worker) = self.worker_mut(key) else { return };
-        let Some(held) = worker.held.get_mut(&task) else { return };
-        if held.ending == Ending::Ordered {
-            return;
-        }
-        held.ending = Ending::Ordered;
-        let incarnation = held.incarnation;
-        worker.orders.push(Order::Checkpoint { task, incarnation });
-        self.roster.touch(key);
+        self.order_end(key, task, |incarnation| Order::Checkpoint { task, incarnation });
     }
 }
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,56 @@
+//! Pages against the code: what they name must be there.
+
+use std::{fs, path::Path};
+
+fn read(path: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(path);
+    fs::read_to_string(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
+}
+
+/// Texts between backticks.
+fn quoted(page: &str) -> Vec<&str> {
+    page.split('`').skip(1).step_by(2).collect()
+}
+
+#[test]
+fn every_proof_that_the_page_names_is_a_test() {
+    let page = read("docs/PROOFS.md");
+    let named = quoted(&page).into_iter().filter_map(|text| text.split_once("::"));
+    let mut count = 0;
+
+    for (module, test) in named {
+        let source = read(&format!("tests/proofs/{module}.rs"));
+        assert!(source.contains(&format!("fn {test}()")), "{module}::{test}");
+        count += 1;
+    }
+
+    assert!(count > 0, "the page names no test");
+}
+
+#[test]
+fn every_proof_is_on_the_page() {
+    let page = read("docs/PROOFS.md");
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/proofs");
+
+    for entry in fs::read_dir(dir).expect("the proofs") {
+        let source = fs::read_to_string(entry.expect("an entry").path()).expect("a source");
+        for (at, _) in source.match_indices("#[tokio::test") {
+            let (_, rest) = source[at..].split_once("async fn ").expect("a test's function");
+            let (name, _) = rest.split_once('(').expect("a test's name");
+            assert!(page.contains(name), "{name}");
+        }
+    }
+}
+
+#[test]
+fn every_measurement_that_the_pages_run_is_there() {
+    let main = read("daisy-measure/src/main.rs");
+    for path in ["docs/CAPACITY.md", "docs/DESIGN.md"] {
+        let page = read(path);
+        for text in quoted(&page) {
+            let Some((_, name)) = text.split_once("daisy-measure -- ") else { continue };
+            let name = name.split(' ').next().unwrap_or_default();
+            assert!(main.contains(&format!("mod {name};")), "{path}: {name}");
+        }
+    }
+}
