--- a/daisy-entry/src/worker_calls.rs
+++ b/daisy-entry/src/worker_calls.rs
@@ -17,7 +17,7 @@
 const ANSWER_LIMIT: usize = 4 << 20;
 
 /// How long a worker holds a request for news: long, for each costs a message.
-const NEWS_WAIT: Duration = Duration::from_secs(25);
+const NEWS_WAIT: Duration = Duration::from_secs(55);
 /// Bytes of an answer about news.
 const NEWS_LIMIT: usize = 1 << 10;
 
--- a/daisy-placement/src/calls.rs
+++ b/daisy-placement/src/calls.rs
@@ -8,9 +8,14 @@
     worker::{Hold, Outstanding, Standing, Worker, WorkerKey},
 };
 
-/// A worker is called this many times in a lease at least, so that two lost calls in a row
-/// stop nobody's service.
-const CALLS_PER_LEASE: u32 = 3;
+/// A worker is called this many times in a lease at least.
+///
+/// A lost call is known within seconds and said again after [`Limits::retry`], so the other half
+/// of the lease holds several more tries and a change-over of holders; each renewal costs an
+/// exchange of about 480 bytes, which is most of what a holder spends (`docs/CAPACITY.md`).
+///
+/// [`Limits::retry`]: crate::Limits::retry
+const CALLS_PER_LEASE: u32 = 2;
 
 impl Holder {
     /// Calls every worker that has orders or is due.
--- a/daisy-placement/src/options.rs
+++ b/daisy-placement/src/options.rs
@@ -42,7 +42,7 @@
 /// Periods and bounds of a holder.
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// A worker is called at least this often; at most a third of the lease is used.
+    /// A worker is called at least this often; at most half of the lease is used.
     pub poll: Duration,
     /// Before a worker that did not answer is called again.
     pub retry: Duration,
