Refuse batch work that may be refused and finds no room

Cause: operators could declare that work may be refused, and nothing acted on it.

Ruled out: counting from a task's checkout (data centres pass a task on that finds no room, and the count would begin anew), and refusing tasks that ran before (they have work to lose). The time counts from when the holder saw the job or its last change, paused classes are left out, and a task is refused by the data centre that has it.

Conclusion: a task that never ran and found no room for 10 minutes ends as `refused`; a test fills a worker, waits, and holds that work which may not be refused goes on waiting.

--- a/daisy-ledger/src/exit.rs
+++ b/daisy-ledger/src/exit.rs
@@ -34,6 +34,7 @@
         // Nothing runs any more, but a part of the work was done: only a service, which has
         // no end to reach, or work declared restartable may start afresh.
         Exit::Stopped | Exit::LeaseLapsed => service || job.spec.restartable,
+        Exit::Refused => false,
         // The work may have been done whole: never run again what is not declared so.
         Exit::Unknown => job.spec.restartable,
     }
--- a/daisy-model/src/exit.rs
+++ b/daisy-model/src/exit.rs
@@ -13,6 +13,8 @@
     Stopped,
     /// The worker ended the task because its lease lapsed.
     LeaseLapsed,
+    /// It never ran: it found no room for long, and its job may be refused. Said by the holder.
+    Refused,
     /// The worker is gone for good, and whether the task did its work is unknown.
     Unknown,
 }
--- a/daisy-placement/src/holder.rs
+++ b/daisy-placement/src/holder.rs
@@ -205,6 +205,7 @@
             self.settle_gone(now);
             self.probe(now);
             self.leave(now);
+            self.refuse_late(now);
             self.give_back(now);
             self.count_backlog();
             self.packs = self.no_room_at.is_some_and(|at| now < at + PACK_FOR);
--- a/daisy-placement/src/intake.rs
+++ b/daisy-placement/src/intake.rs
@@ -33,7 +33,7 @@
         self.teams.clear();
         self.teams.extend(state.teams.iter().map(|(_, team)| (team.limit, team.used)));
         self.apply_drains(now, &state.drained);
-        self.take_new_jobs(state);
+        self.take_new_jobs(now, state);
         let ids: Vec<JobId> = self.jobs.iter().map(|(id, _)| *id).collect();
         for id in ids {
             match state.jobs.get(id) {
@@ -44,12 +44,12 @@
         self.want(now);
     }
 
-    fn take_new_jobs(&mut self, state: &State) {
+    fn take_new_jobs(&mut self, now: Instant, state: &State) {
         let known = self.next_job;
         for (id, job) in state.jobs.iter().rev().take_while(|(id, _)| *id >= known) {
             if job.open > 0 {
                 let kind = self.kinds.of(&job.spec);
-                self.jobs.insert(id, JobView::new(id, job, kind, &self.options));
+                self.jobs.insert(id, JobView::new(now, id, job, kind, &self.options));
             }
         }
         self.next_job = state.jobs.next_id();
@@ -63,7 +63,7 @@
             return;
         }
         if view.generation != job.generation {
-            view.change(&job.spec, &self.options);
+            view.change(now, &job.spec, &self.options);
             view.generation = job.generation;
             self.roster.unsettle(id);
         }
@@ -266,10 +266,15 @@
 
     /// Records the end of a cancelled task that we have and that runs nowhere.
     pub(crate) fn end_unstarted(&mut self, now: Instant, task: TaskId) {
+        self.end_unstarted_as(now, task, Exit::Stopped);
+    }
+
+    /// Records how a task ends that we have and that runs nowhere.
+    pub(crate) fn end_unstarted_as(&mut self, now: Instant, task: TaskId, exit: Exit) {
         self.leave_line(task);
         let Some(local) = self.local_mut(task) else { return };
         local.incarnation = local.next_incarnation();
-        local.phase = Phase::Ended { worker: None, exit: Exit::Stopped, asked: None };
+        local.phase = Phase::Ended { worker: None, exit, asked: None };
         self.record_end(now, task);
     }
 }
--- a/daisy-placement/src/job.rs
+++ b/daisy-placement/src/job.rs
@@ -40,6 +40,8 @@
     /// Its waiting tasks are not looked at before.
     pub look_at: Instant,
     pub seen: Seen,
+    /// When this holder saw it first, or as it was last changed.
+    pub known_since: Instant,
     /// Why its waiting and pending tasks wait.
     pub wait: Option<Noted>,
     /// Allowed data centres by preference; `None` if there is only one to run in.
@@ -47,7 +49,13 @@
 }
 
 impl JobView {
-    pub(crate) fn new(id: JobId, job: &Job, kind: Kind, options: &Options) -> JobView {
+    pub(crate) fn new(
+        now: Instant,
+        id: JobId,
+        job: &Job,
+        kind: Kind,
+        options: &Options,
+    ) -> JobView {
         JobView {
             id,
             spec: job.spec.clone(),
@@ -63,13 +71,15 @@
             faults: JobFaults::default(),
             look_at: Instant(0),
             seen: Seen::default(),
+            known_since: now,
             wait: None,
             preferred: preferred(&job.spec.data_centres, options),
         }
     }
 
     /// Takes an operator's change in.
-    pub(crate) fn change(&mut self, spec: &JobSpec, options: &Options) {
+    pub(crate) fn change(&mut self, now: Instant, spec: &JobSpec, options: &Options) {
+        self.known_since = now;
         self.spec = spec.clone();
         self.preferred = preferred(&spec.data_centres, options);
     }
--- a/daisy-placement/src/options.rs
+++ b/daisy-placement/src/options.rs
@@ -58,6 +58,8 @@
     pub urgent_fallback: Duration,
     /// Before a checked-out task that found no room is given back.
     pub give_back: Duration,
+    /// Before batch tasks that never found room are refused for good, if their job may be.
+    pub refuse: Duration,
     /// Checked-out tasks without a place kept for an outage of the log.
     pub reserve: u32,
     /// Candidates weighed for one start.
@@ -79,6 +81,7 @@
             fallback: Duration::from_secs(5),
             urgent_fallback: Duration::from_secs(1),
             give_back: Duration::from_secs(15),
+            refuse: Duration::from_secs(600),
             reserve: 64,
             candidates: 12,
             control: None,
--- a/daisy-placement/src/reason.rs
+++ b/daisy-placement/src/reason.rs
@@ -267,6 +267,7 @@
             Exit::Checkpointed(_) => "checkpointed, to be resumed",
             Exit::Stopped => "stopped",
             Exit::LeaseLapsed => "its worker's lease lapsed",
+            Exit::Refused => "refused, for want of room",
             Exit::Unknown => "unknown, its worker is gone or lost it",
         })
     }
--- a/daisy-placement/src/want.rs
+++ b/daisy-placement/src/want.rs
@@ -2,14 +2,14 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use daisy_model::{DcId, Instant, JobId, Priority, Resources, TaskId};
+use daisy_model::{DcId, Exit, Incarnation, Instant, JobId, Priority, Resources, TaskId};
 
 use crate::{
     holder::Holder,
     job::JobView,
     reason::{Reason, Wait},
     roster::Roster,
-    task::Phase,
+    task::{Local, Phase},
     worker::saturating_add,
 };
 
@@ -181,19 +181,39 @@
         job.try_first().is_some_and(|first| region(first) != region(self.options.dc))
     }
 
-    /// Gives tasks back that found no room for a while, so that others may take them.
-    pub(crate) fn give_back(&mut self, now: Instant) {
-        if self.options.data_centres.len() < 2 || !self.log_reachable {
-            return;
+    /// Ends tasks for good that found no room for long, if operators allow it.
+    ///
+    /// Data centres pass a task on that finds no room, so the time counts from when its job was
+    /// seen, and each data centre first looks for room as long as before it gives a task back.
+    pub(crate) fn refuse_late(&mut self, now: Instant) {
+        let (refuse, look) = (self.options.limits.refuse, self.options.limits.give_back / 2);
+        let is_late = |job: &JobView| {
+            let allowed = job.spec.tolerance.refuse && !job.is_service();
+            allowed && now >= job.known_since + refuse && !self.is_paused(job)
+        };
+        for task in self.unstarted(now, look, is_late) {
+            let never_ran = |local: &Local| local.ledger.incarnation == Incarnation(0);
+            if self.local(task).is_some_and(never_ran) {
+                self.end_unstarted_as(now, task, Exit::Refused);
+            }
         }
-        let late = self.options.limits.give_back;
+    }
+
+    /// Checked-out tasks of some jobs that wait for room since `late` or longer.
+    ///
+    /// What may have started is left out: it has to be settled first.
+    fn unstarted(
+        &self,
+        now: Instant,
+        late: Duration,
+        wanted: impl Fn(&JobView) -> bool,
+    ) -> Vec<TaskId> {
         let mut tasks = Vec::new();
         for (_, id) in &self.line {
-            let Some(job) = self.jobs.get(id) else { continue };
+            let Some(job) = self.jobs.get(id).filter(|job| wanted(job)) else { continue };
             for index in &job.waiting {
                 let Some(local) = job.tasks.get(*index as usize) else { continue };
                 let Phase::Waiting { since } = local.phase else { continue };
-                // What may have started stays: another data centre would start it anew.
                 let never_started = local.next_incarnation() == local.ledger.next_incarnation()
                     && local.placed_at.is_none();
                 if never_started && now >= since + late {
@@ -201,7 +221,16 @@
                 }
             }
         }
-        for task in tasks {
+        tasks
+    }
+
+    /// Gives tasks back that found no room for a while, so that others may take them.
+    pub(crate) fn give_back(&mut self, now: Instant) {
+        if self.options.data_centres.len() < 2 || !self.log_reachable {
+            return;
+        }
+        let late = self.options.limits.give_back;
+        for task in self.unstarted(now, late, |_| true) {
             self.leave_line(task);
             self.set_phase(task, Phase::Returned { at: now });
             self.note(now, task, Reason::Returned);
--- a/daisy-placement/tests/want.rs
+++ b/daisy-placement/tests/want.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use daisy_ledger::{Record, TaskState};
-use daisy_model::{DcId, JobSpec};
+use daisy_model::{DcId, Exit, JobSpec, Tolerance};
 use daisy_placement::{DataCentre, Options};
 use util::{World, batch, name, service, size, task};
 
@@ -94,3 +94,26 @@
     assert_eq!(texts.len(), 1);
     assert!(texts[0].contains("short of 4000m of processor"), "{texts:?}");
 }
+
+/// A job that may be refused finds no room for ten minutes, since other work fills the workers.
+/// Its operators said that they would rather hear a no than wait; a job beside it goes on waiting.
+#[test]
+fn work_that_may_be_refused_is_refused_when_it_finds_no_room_for_long() {
+    let mut world = World::new(1, size(4, 16));
+    world.create(batch("full", 1, size(4, 1)));
+    world.run(Duration::from_secs(1));
+    let spec = batch("refusable", 2, size(2, 1));
+    let tolerance = Tolerance { refuse: true, ..spec.tolerance };
+    world.create(JobSpec { tolerance, ..spec });
+    world.create(batch("patient", 1, size(2, 1)));
+
+    world.run(Duration::from_secs(590));
+    let before = world.state.task(task(1, 0)).unwrap().state;
+    world.run(Duration::from_secs(30));
+
+    let state = |job, index| world.state.task(task(job, index)).unwrap().state;
+    assert!(matches!(before, TaskState::Out(_) | TaskState::Pending), "{before:?}");
+    assert_eq!(state(1, 0), TaskState::Ended(Exit::Refused));
+    assert_eq!(state(1, 1), TaskState::Ended(Exit::Refused));
+    assert!(!matches!(state(2, 0), TaskState::Ended(_)));
+}
--- a/daisy-query/src/words.rs
+++ b/daisy-query/src/words.rs
@@ -28,6 +28,7 @@
         Exit::Stopped => "stopped",
         Exit::LeaseLapsed => "lease-lapsed",
         Exit::Unknown => "unknown",
+        Exit::Refused => "refused",
     }
 }
 
@@ -39,6 +40,9 @@
         Exit::Checkpointed(_) => "it was checkpointed and stopped, and its job is over",
         Exit::Stopped => "it was stopped without a checkpoint",
         Exit::LeaseLapsed => "its worker ended it because the lease lapsed",
+        Exit::Refused => {
+            "it found no room for long and was refused, as its job allows; it never ran"
+        }
         Exit::Unknown => "its worker is gone, and whether it did its work is unknown",
     }
 }
--- a/daisy-standin/src/worker/state.rs
+++ b/daisy-standin/src/worker/state.rs
@@ -384,6 +384,6 @@
         Exit::Checkpointed(token) => Some(End::Checkpointed(token)),
         Exit::Stopped => Some(End::Stopped),
         Exit::LeaseLapsed => Some(End::LeaseLapsed),
-        Exit::Unknown => None,
+        Exit::Refused | Exit::Unknown => None,
     }
 }
--- a/daisy-wire/src/log/record.rs
+++ b/daisy-wire/src/log/record.rs
@@ -15,6 +15,7 @@
     Stopped,
     LeaseLapsed,
     Unknown,
+    Refused,
 }
 
 impl From<Exit> for ExitWire {
@@ -26,6 +27,7 @@
             Exit::Stopped => ExitWire::Stopped,
             Exit::LeaseLapsed => ExitWire::LeaseLapsed,
             Exit::Unknown => ExitWire::Unknown,
+            Exit::Refused => ExitWire::Refused,
         }
     }
 }
@@ -39,6 +41,7 @@
             ExitWire::Stopped => Exit::Stopped,
             ExitWire::LeaseLapsed => Exit::LeaseLapsed,
             ExitWire::Unknown => Exit::Unknown,
+            ExitWire::Refused => Exit::Refused,
         }
     }
 }
--- a/daisy-wire/src/worker.rs
+++ b/daisy-wire/src/worker.rs
@@ -208,6 +208,8 @@
     LeaseLapsed,
     /// Not known.
     Unknown,
+    /// Never ran; no worker says so of itself.
+    Refused,
 }
 
 impl From<Exit> for ExitJson {
@@ -219,6 +221,7 @@
             Exit::Stopped => ExitJson::Stopped,
             Exit::LeaseLapsed => ExitJson::LeaseLapsed,
             Exit::Unknown => ExitJson::Unknown,
+            Exit::Refused => ExitJson::Refused,
         }
     }
 }
@@ -232,6 +235,7 @@
             ExitJson::Stopped => Exit::Stopped,
             ExitJson::LeaseLapsed => Exit::LeaseLapsed,
             ExitJson::Unknown => Exit::Unknown,
+            ExitJson::Refused => Exit::Refused,
         }
     }
 }
