measure: leave no processes behind when a run ends early

Cause: a `node` run that failed part of the way left an entry VM running, since only its regular end killed the processes.

Ruled out: a handler for signals; a dropped entry VM now ends its process, on every way out.

Conclusion: clippy and format pass; no test covers the measurement tool.

--- a/daisy-measure/src/node/fleet.rs
+++ b/daisy-measure/src/node/fleet.rs
@@ -55,6 +55,14 @@
     platform: Arc<Counter>,
 }
 
+impl Drop for Entry {
+    /// A measurement that ends early must not leave its processes behind.
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// The running data centre.
 pub struct Fleet {
     platform: Platform,
@@ -161,11 +169,8 @@
     }
 
     /// Ends the processes and stops the stand-ins.
-    pub async fn stop(mut self) {
-        for entry in &mut self.entries {
-            let _ = entry.child.kill();
-            let _ = entry.child.wait();
-        }
+    pub async fn stop(self) {
+        drop(self.entries);
         for worker in self.workers {
             worker.stop().await;
         }
