--- a/daisy-entry/src/control.rs
+++ b/daisy-entry/src/control.rs
@@ -17,6 +17,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use daisy_http::Http;
 use daisy_ledger::{Record, State};
 use daisy_membership::{Action, Event, Membership, Role};
 use daisy_model::{DcId, Instant, Name, Offset, SortedMap, Vm, VmId, WallTime};
@@ -42,7 +43,6 @@
 use crate::{
     boundary::RequestSide,
     clock::Clock,
-    http::Http,
     metrics::Metrics,
     peers::{Links, Tail},
     platform::{Listing, Platform},
--- a/daisy-entry/src/entry.rs
+++ b/daisy-entry/src/entry.rs
@@ -3,9 +3,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
+use daisy_http::Http;
 use daisy_membership::{Membership, Options, Source};
 use daisy_routing::Routes;
 use daisy_settings::Settings;
+use daisy_wire::headers;
+use http::{HeaderName, HeaderValue};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
@@ -18,7 +21,6 @@
     callers::{self, Health},
     clock::Clock,
     control::{self, Control, Identity, Input, Outputs},
-    http::Http,
     metrics::Metrics,
     operators::{self, Port, Tokens},
     peers::{Allowed, Keys, Links, Server, Tail},
@@ -122,7 +124,9 @@
 
 impl Parts {
     fn new(settings: Settings, control: mpsc::Sender<Input>) -> Parts {
-        let http = Http::new(settings.name.as_str());
+        let from = HeaderValue::from_str(settings.name.as_str());
+        let from = from.unwrap_or(HeaderValue::from_static("entry"));
+        let http = Http::new(Some((HeaderName::from_static(headers::FROM), from)));
         Parts {
             clock: Clock::start(),
             sender: fastrand::u64(..),
--- a/daisy-entry/src/lib.rs
+++ b/daisy-entry/src/lib.rs
@@ -13,7 +13,6 @@
 mod clock;
 mod control;
 mod entry;
-mod http;
 mod metrics;
 mod operators;
 mod peers;
--- a/daisy-entry/src/platform.rs
+++ b/daisy-entry/src/platform.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use daisy_http::{Http, HttpError, Reply};
 use daisy_ledger::AppendId;
 use daisy_model::{Offset, Vm};
 use daisy_wire::{
@@ -13,8 +14,6 @@
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 
-use crate::http::{Http, HttpError, Reply};
-
 /// How long a call may take beyond the time that the platform is asked to wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of an answer that are read at most.
--- a/daisy-entry/src/worker_calls.rs
+++ b/daisy-entry/src/worker_calls.rs
@@ -3,13 +3,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use daisy_http::Http;
 use daisy_model::{Epoch, Order, VmId, WorkerCall};
 use daisy_wire::worker::{CallJson, ReportJson, SeenJson};
 use http::{Method, StatusCode};
 use http_body_util::Full;
 use tokio::sync::mpsc;
 
-use crate::{control::Input, http::Http};
+use crate::control::Input;
 
 /// How long a worker may take to answer: far below its lease, far above a region's delay.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/daisy-entry/src/http.rs
+++ b/daisy-http/src/client.rs
@@ -1,10 +1,9 @@
-//! A small HTTP client: one request, one whole answer, bounded in time and size.
+//! The client and its answers.
 
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use daisy_wire::headers;
-use http::{HeaderValue, Method, Request, StatusCode, Uri, request};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode, Uri, request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -16,16 +15,24 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long sent bytes may stay unacknowledged before a connection counts as dead.
+///
+/// A partition sends no reset: without this bound, a pooled connection across it would be taken
+/// for good until the kernel gave up after many minutes.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct Reply {
+pub struct Reply {
+    /// The answer's status.
     pub status: StatusCode,
+    /// The whole body.
     pub body: Bytes,
 }
 
 /// Why there is no whole answer.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum HttpError {
+pub enum HttpError {
     /// No connection came about: the request cannot have had an effect.
     #[error("not connected: {0}")]
     Connect(String),
@@ -44,19 +51,20 @@
     }
 }
 
-/// Calls the platform and workers.
+/// A client with a pool of connections, for calls that carry small bodies.
 #[derive(Debug, Clone)]
-pub(crate) struct Http {
+pub struct Http {
     client: Client<HttpConnector, Full<Bytes>>,
-    from: HeaderValue,
+    header: Option<(HeaderName, HeaderValue)>,
 }
 
 impl Http {
-    /// A client that gives its name as `from`.
-    pub fn new(from: &str) -> Http {
+    /// A client whose requests carry `header`, if one is given.
+    pub fn new(header: Option<(HeaderName, HeaderValue)>) -> Http {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
@@ -64,8 +72,7 @@
             // it is idempotent.
             .retry_canceled_requests(false)
             .build(connector);
-        let from = HeaderValue::from_str(from).unwrap_or(HeaderValue::from_static("entry"));
-        Http { client, from }
+        Http { client, header }
     }
 
     /// A request to `target`, such as `/v1/log`, at `address`.
@@ -76,7 +83,11 @@
             .path_and_query(target)
             .build()
             .unwrap_or_default();
-        Request::builder().method(method).uri(uri).header(headers::FROM, &self.from)
+        let req = Request::builder().method(method).uri(uri);
+        match &self.header {
+            Some((name, value)) => req.header(name, value),
+            None => req,
+        }
     }
 
     /// Sends `req` and reads its answer of at most `limit` bytes within `timeout`.
--- /dev/null
+++ b/daisy-node/src/callers.rs
@@ -0,0 +1,156 @@
+//! The port that callers connect to.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use daisy_platform::DEADLINE_HEADER;
+use daisy_workflow::Queues;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::Instant,
+};
+
+use crate::{
+    metrics::Metrics,
+    submit::{Answer, Submissions},
+};
+
+/// How long a request's head may take to come.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a request may take where neither its caller nor its queue sets a bound.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Serves callers until `stop` says so; then finishes the requests that have come.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    submissions: Submissions,
+    metrics: Metrics,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            it = listener.accept() => it,
+            _ = stop.wait_for(|it| *it) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let watcher = graceful.watcher();
+                let submissions = submissions.clone();
+                let metrics = metrics.clone();
+                tokio::spawn(async move {
+                    connection(stream, submissions, metrics, watcher).await;
+                });
+            }
+            Err(e) => {
+                // Out of descriptors, mostly: others end soon.
+                log::warn!("event=accept_failed cause=\"{e}\"");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn connection(
+    stream: TcpStream,
+    submissions: Submissions,
+    metrics: Metrics,
+    watcher: hyper_util::server::graceful::Watcher,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay_refused cause=\"{e}\"");
+    }
+    let service = service_fn(move |req| {
+        let submissions = submissions.clone();
+        let metrics = metrics.clone();
+        async move { Ok::<_, Infallible>(respond(req, submissions, metrics).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = watcher.watch(serving).await {
+        log::debug!("event=caller_lost cause=\"{e}\"");
+    }
+}
+
+async fn respond(
+    req: Request<Incoming>,
+    submissions: Submissions,
+    metrics: Metrics,
+) -> Response<Full<Bytes>> {
+    let began = Instant::now();
+    let method = req.method().clone();
+    let answer = answer(req, &submissions, began).await;
+    metrics.request(&method, answer.status, began.elapsed());
+    let mut res = Response::new(Full::new(Bytes::from(answer.body)));
+    *res.status_mut() = answer.status;
+    let headers = res.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = answer.retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(after.as_secs()));
+    }
+    if submissions.shared.lock().stopping {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    res
+}
+
+async fn answer(req: Request<Incoming>, submissions: &Submissions, began: Instant) -> Answer {
+    let (parts, body) = req.into_parts();
+    let Some(queues) = submissions.shared.lock().queues.clone() else {
+        return Answer::later("no configuration was read yet");
+    };
+    let path = parts.uri.path();
+    let Some(queue) = queues.route(host(&parts.headers, parts.uri.host()), path) else {
+        return Answer::error(StatusCode::NOT_FOUND, "no such queue");
+    };
+    let body = match collect(body, &queues).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    let deadline = began + patience(&parts.headers, queue.timeout_ms);
+    let rest = &path[queue.path_prefix.len()..];
+    submissions.answer(&parts.method, queue, rest, &body, deadline).await
+}
+
+async fn collect(body: Incoming, queues: &Arc<Queues>) -> Result<Bytes, Answer> {
+    match Limited::new(body, queues.body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => {
+            Err(Answer::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
+        }
+        Err(e) => Err(Answer::error(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
+
+/// The host that a request names, without a port.
+fn host<'a>(headers: &'a HeaderMap, from_uri: Option<&'a str>) -> &'a str {
+    let named = headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = named.or(from_uri).unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+/// How long the caller waits for its answer.
+fn patience(headers: &HeaderMap, timeout_ms: u64) -> Duration {
+    let said = headers.get(DEADLINE_HEADER).and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+    let of_queue = (timeout_ms > 0).then_some(timeout_ms);
+    let shortest = said.into_iter().chain(of_queue).min();
+    shortest.map_or(REQUEST_TIMEOUT, Duration::from_millis)
+}
+
+/// Takes an address.
+pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    use anyhow::Context;
+    TcpListener::bind(address).await.with_context(|| format!("listening on {address}"))
+}
--- /dev/null
+++ b/daisy-node/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Counters and latencies, as text for a collector.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use http::{Method, StatusCode};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of the latency histogram, in seconds: from an answer out of memory to the longest
+/// time that callers wait.
+const LATENCY_BUCKETS: [f64; 9] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5, 1.0, 3.0];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    method: &'static str,
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+/// The metrics of a process.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    requests: Family<RequestLabels, Counter>,
+    latency: Histogram,
+    starts: Family<Outcome, Counter>,
+    ends: Family<Outcome, Counter>,
+    lost_runs: Counter,
+    ownership: Family<Outcome, Counter>,
+    /// Jobs that this process, as the owner, has not ended.
+    pub backlog: Gauge,
+    /// Workers that this process, as the owner, can give work to.
+    pub usable_workers: Gauge,
+}
+
+impl Metrics {
+    /// All metrics, registered.
+    pub fn new() -> Metrics {
+        let metrics = Metrics {
+            registry: Arc::default(),
+            requests: Family::default(),
+            latency: Histogram::new(LATENCY_BUCKETS),
+            starts: Family::default(),
+            ends: Family::default(),
+            lost_runs: Counter::default(),
+            ownership: Family::default(),
+            backlog: Gauge::default(),
+            usable_workers: Gauge::default(),
+        };
+        let mut registry = Registry::with_prefix("daisyshift");
+        registry.register("requests", "Callers' requests", metrics.requests.clone());
+        let help = "Time from a request's head to its answer";
+        registry.register("request_seconds", help, metrics.latency.clone());
+        registry.register("starts", "Orders to start a task", metrics.starts.clone());
+        registry.register("ends", "Runs that workers list as ended", metrics.ends.clone());
+        let help = "Runs given up without word from their worker";
+        registry.register("lost_runs", help, metrics.lost_runs.clone());
+        registry.register("ownership", "Changes of the owner", metrics.ownership.clone());
+        registry.register("backlog", "Jobs not ended", metrics.backlog.clone());
+        let help = "Workers that take new tasks";
+        registry.register("usable_workers", help, metrics.usable_workers.clone());
+        *metrics.registry.lock().unwrap_or_else(PoisonError::into_inner) = registry;
+        metrics
+    }
+
+    /// Counts a caller's request.
+    pub fn request(&self, method: &Method, status: StatusCode, took: Duration) {
+        let method = match *method {
+            Method::POST => "post",
+            Method::GET => "get",
+            Method::DELETE => "delete",
+            _ => "other",
+        };
+        self.requests.get_or_create(&RequestLabels { method, status: status.as_u16() }).inc();
+        self.latency.observe(took.as_secs_f64());
+    }
+
+    /// Counts an order to start a task.
+    pub fn start(&self, outcome: &'static str) {
+        self.starts.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// Counts a run that ended.
+    pub fn end(&self, outcome: &'static str) {
+        self.ends.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// Counts a run that was given up.
+    pub fn lost(&self) {
+        self.lost_runs.inc();
+    }
+
+    /// Counts a change of the owner that this process had a part in.
+    pub fn owner(&self, outcome: &'static str) {
+        self.ownership.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(e) = encode(&mut text, &registry) {
+            log::warn!("event=metrics_failed cause=\"{e}\"");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/daisy-node/src/node.rs
@@ -0,0 +1,152 @@
+//! An entry VM's process from its start to its planned stop.
+
+use std::{path::Path, time::Duration};
+
+use anyhow::Context;
+use daisy_http::Http;
+use daisy_platform::{NodeSettings, Store, Topic, queues, settings};
+use daisy_workflow::decode;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    append::Appender, callers, clock, elect::Elect, follow::Tail, metrics::Metrics, readiness,
+    shared::Shared, submit::Submissions,
+};
+
+/// In a planned stop, between not ready and the end of new connections: the balancer asks every
+/// second and takes a VM out after two misses.
+const LEAVE_BALANCER: Duration = Duration::from_millis(2_600);
+/// Left of the time that a planned stop may take when open requests are given up.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// How long a read of the configuration or of jobs waits for a record.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Between reads of jobs, so that records come in bunches: each call is paid for.
+const JOBS_PAUSE: Duration = Duration::from_millis(60);
+/// The same, at the owner, where it delays what starts.
+const JOBS_PAUSE_OWNER: Duration = Duration::from_millis(4);
+
+/// Runs an entry VM by the settings file at `path`, until SIGTERM and its planned stop.
+///
+/// # Errors
+///
+/// If the settings cannot be used or an address cannot be taken.
+pub async fn run(path: &Path) -> anyhow::Result<()> {
+    let settings = read_settings(path)?;
+    let shared = Shared::default();
+    let metrics = Metrics::new();
+    let store = Store::new(Http::new(None), settings.store);
+    let (stopping, stop) = watch::channel(false);
+    let process = fastrand::u64(1..);
+
+    let callers_port = callers::listen(settings.callers).await?;
+    let readiness_port = callers::listen(settings.readiness).await?;
+    let submissions =
+        Submissions { shared: shared.clone(), appender: Appender::start(store.clone()) };
+    tokio::spawn(readiness::serve(readiness_port, shared.clone(), metrics.clone()));
+    tokio::spawn(follow_configuration(store.clone(), shared.clone()));
+    tokio::spawn(follow_jobs(store.clone(), shared.clone()));
+    let serving =
+        tokio::spawn(callers::serve(callers_port, submissions, metrics.clone(), stop.clone()));
+    let (yielding, yields) = watch::channel(false);
+    let elect = Elect {
+        settings: settings.clone(),
+        store,
+        shared: shared.clone(),
+        metrics,
+        process,
+        stop: yields,
+    };
+    let electing = tokio::spawn(elect.run());
+    log::info!("event=started vm={} process={process:016x}", settings.vm);
+
+    wait_for_stop(path).await?;
+    log::info!("event=stopping vm={}", settings.vm);
+    shared.lock().stopping = true;
+    // Ownership goes first, while this VM still serves: another takes over meanwhile.
+    yielding.send_replace(true);
+    sleep(LEAVE_BALANCER).await;
+    stopping.send_replace(true);
+    let left = settings.grace.saturating_sub(LEAVE_BALANCER + STOP_MARGIN);
+    if timeout(left, serving).await.is_err() {
+        log::warn!("event=stop_cut_short cause=\"requests were open at the end of the grace\"");
+    }
+    electing.abort();
+    log::info!("event=stopped vm={}", settings.vm);
+    Ok(())
+}
+
+fn read_settings(path: &Path) -> anyhow::Result<NodeSettings> {
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    Ok(settings(&text)?)
+}
+
+/// Waits for SIGTERM. At SIGHUP the settings file is read and checked; addresses and the store
+/// stay as they were at the start.
+async fn wait_for_stop(path: &Path) -> anyhow::Result<()> {
+    let mut term = signal(SignalKind::terminate()).context("waiting for SIGTERM")?;
+    let mut hup: Signal = signal(SignalKind::hangup()).context("waiting for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = hup.recv() => match read_settings(path) {
+                Ok(_) => log::info!("event=reloaded outcome=checked"),
+                Err(e) => log::warn!("event=reloaded outcome=refused cause=\"{e:#}\""),
+            },
+        }
+    }
+}
+
+async fn follow_configuration(store: Store, shared: Shared) {
+    let mut tail = Tail::new(store, Topic::Operators);
+    loop {
+        let Some(read) = tail.try_read(WAIT).await else { continue };
+        for it in read.records {
+            match queues(&it.key, &it.value) {
+                Some(Ok(queues)) => shared.lock().configure(queues),
+                Some(Err(why)) => {
+                    log::warn!(
+                        "event=configuration_unreadable offset={} cause=\"{why}\"",
+                        it.offset
+                    );
+                }
+                None => {}
+            }
+        }
+        if shared.lock().queues.is_none() {
+            sleep(JOBS_PAUSE).await;
+        }
+    }
+}
+
+async fn follow_jobs(store: Store, shared: Shared) {
+    let mut tail = Tail::new(store, Topic::Jobs);
+    loop {
+        let Some(read) = tail.try_read(WAIT).await else { continue };
+        let mut records = Vec::with_capacity(read.records.len());
+        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
+            match decode(&it.key, &it.value) {
+                Ok(record) => records.push(record),
+                Err(e) => log::warn!(
+                    "event=record_unreadable topic=jobs offset={} cause=\"{e}\"",
+                    it.offset
+                ),
+            }
+        }
+        let is_owner = {
+            let mut known = shared.lock();
+            for record in records {
+                known.job_record(record);
+            }
+            if read.at_end {
+                known.jobs_read_at = Some(clock::now());
+            }
+            known.owner.is_some()
+        };
+        sleep(if is_owner { JOBS_PAUSE_OWNER } else { JOBS_PAUSE }).await;
+    }
+}
--- /dev/null
+++ b/daisy-node/src/submit.rs
@@ -0,0 +1,181 @@
+//! What a caller's request comes to.
+
+use std::time::Duration;
+
+use daisy_platform::{StoreError, pending_body, state_body, submission};
+use daisy_workflow::{JobId, Queue, Record, encode};
+use http::{Method, StatusCode};
+use tokio::time::{Instant, sleep};
+
+use crate::{append::Appender, clock, shared::Shared};
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub status: StatusCode,
+    pub body: Vec<u8>,
+    /// When to come back, where the request had no effect.
+    pub retry_after: Option<Duration>,
+}
+
+impl Answer {
+    pub fn new(status: StatusCode, body: Vec<u8>) -> Answer {
+        Answer { status, body, retry_after: None }
+    }
+
+    pub fn error(status: StatusCode, why: &str) -> Answer {
+        let body = format!("{{\"error\":{}}}", quoted(why));
+        Answer::new(status, body.into_bytes())
+    }
+
+    /// The request had no effect; the caller may come back.
+    pub fn later(why: &str) -> Answer {
+        let after = Some(Duration::from_secs(1));
+        Answer { retry_after: after, ..Answer::error(StatusCode::SERVICE_UNAVAILABLE, why) }
+    }
+}
+
+/// A JSON string.
+fn quoted(text: &str) -> String {
+    let escaped = text.chars().flat_map(char::escape_default).filter(|it| it.is_ascii());
+    format!("\"{}\"", escaped.collect::<String>().replace("\\'", "'").replace("\\u{", "u{"))
+}
+
+/// Answers requests about jobs.
+#[derive(Debug, Clone)]
+pub(crate) struct Submissions {
+    pub shared: Shared,
+    pub appender: Appender,
+}
+
+impl Submissions {
+    /// Answers a request to `queue` whose path ends with `rest`, until `deadline`.
+    pub async fn answer(
+        &self,
+        method: &Method,
+        queue: &Queue,
+        rest: &str,
+        body: &[u8],
+        deadline: Instant,
+    ) -> Answer {
+        if rest.is_empty() && method == Method::GET {
+            let pending = self.shared.lock().ledger.pending(&queue.terms.queue);
+            return Answer::new(StatusCode::OK, pending_body(pending));
+        }
+        let Ok(id) = rest.parse::<JobId>() else {
+            return Answer::error(StatusCode::NOT_FOUND, "no job has such an id");
+        };
+        match *method {
+            Method::POST => self.submit(id, queue, body, deadline).await,
+            Method::GET => self.state(id).await,
+            Method::DELETE => self.cancel(id, deadline).await,
+            _ => Answer::error(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
+        }
+    }
+
+    async fn submit(&self, id: JobId, queue: &Queue, body: &[u8], deadline: Instant) -> Answer {
+        if self.shared.lock().ledger.job(id).is_some() {
+            log::info!("event=submitted id={id} outcome=known");
+            return Answer::new(StatusCode::OK, b"{}".to_vec());
+        }
+        let spec = match submission(body, queue.terms.clone(), clock::wall_ms()) {
+            Ok(spec) => spec,
+            Err(why) => {
+                log::info!("event=submitted id={id} outcome=malformed cause={why:?}");
+                return Answer::error(StatusCode::BAD_REQUEST, &why);
+            }
+        };
+        let record = Record::Submitted(id, spec);
+        self.write(id, "submitted", record, deadline).await
+    }
+
+    async fn cancel(&self, id: JobId, deadline: Instant) -> Answer {
+        match self.find(id).await {
+            Found::Yes => {}
+            Found::No => return Answer::error(StatusCode::GONE, "no such job"),
+            Found::Unsure => return Answer::later("the state of jobs is not known at present"),
+        }
+        self.write(id, "cancelled", Record::Cancelled(id), deadline).await
+    }
+
+    async fn state(&self, id: JobId) -> Answer {
+        match self.find(id).await {
+            Found::Yes => {
+                let state = self.shared.lock().ledger.job(id).map(|it| it.state());
+                let Some(state) = state else {
+                    return Answer::error(StatusCode::GONE, "no such job");
+                };
+                Answer::new(StatusCode::OK, state_body(state))
+            }
+            Found::No => Answer::error(StatusCode::GONE, "no such job"),
+            Found::Unsure => Answer::later("the state of jobs is not known at present"),
+        }
+    }
+
+    /// Whether a job exists. One that another VM has just accepted may not have been read yet, so
+    /// an unknown one is looked for twice.
+    async fn find(&self, id: JobId) -> Found {
+        /// A little longer than the pause between reads of the log.
+        const AGAIN: Duration = Duration::from_millis(200);
+        if self.shared.lock().ledger.job(id).is_some() {
+            return Found::Yes;
+        }
+        sleep(AGAIN).await;
+        let known = self.shared.lock();
+        match known.ledger.job(id) {
+            Some(_) => Found::Yes,
+            None if known.is_fresh() => Found::No,
+            None => Found::Unsure,
+        }
+    }
+
+    /// Writes a record and answers by what came of it. Records repeat without a second effect.
+    async fn write(&self, id: JobId, what: &str, record: Record, deadline: Instant) -> Answer {
+        /// Left for the answer's way to the caller.
+        const ANSWER_MARGIN: Duration = Duration::from_millis(60);
+        /// Between tries whose effect is unknown.
+        const PAUSE: Duration = Duration::from_millis(50);
+        let deadline = deadline - ANSWER_MARGIN;
+        let (key, value) = encode(&record);
+        let mut tries = 0;
+        let mut unknown = false;
+        loop {
+            tries += 1;
+            let append = self.appender.append(key.clone(), value.clone());
+            let outcome = match tokio::time::timeout_at(deadline, append).await {
+                Ok(outcome) => outcome,
+                Err(_) => Err(StoreError::Unknown("the caller's deadline".to_owned())),
+            };
+            match outcome {
+                Ok(()) => {
+                    self.shared.lock().job_record(record);
+                    log::info!("event={what} id={id} outcome=stored tries={tries}");
+                    return Answer::new(StatusCode::OK, b"{}".to_vec());
+                }
+                Err(e) if !unknown && matches!(e, StoreError::NotDone(_)) => {
+                    log::warn!("event={what} id={id} outcome=rejected tries={tries} cause=\"{e}\"");
+                    return Answer::later("the platform's store takes nothing at present");
+                }
+                Err(e) => {
+                    unknown = true;
+                    if Instant::now() + PAUSE >= deadline {
+                        log::warn!(
+                            "event={what} id={id} outcome=unknown tries={tries} cause=\"{e}\""
+                        );
+                        let status = StatusCode::GATEWAY_TIMEOUT;
+                        return Answer::error(status, "it is not known whether it was stored");
+                    }
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// Whether a job exists.
+enum Found {
+    Yes,
+    No,
+    /// The log was not read for a while.
+    Unsure,
+}
--- /dev/null
+++ b/daisy-workflow/src/ledger.rs
@@ -0,0 +1,166 @@
+//! The fold of all records: what every entry VM knows.
+
+use std::sync::Arc;
+
+use daisy_model::SortedMap;
+
+use crate::{Claim, JobId, JobSpec, Phase, Progress, Record};
+
+/// A job as the records tell it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// As submitted.
+    pub spec: Arc<JobSpec>,
+    /// As the owner last recorded it.
+    pub progress: Progress,
+    /// Whether a caller cancelled it.
+    pub cancelled: bool,
+}
+
+/// The state of a job that callers are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobState {
+    /// No task was started.
+    Queued,
+    /// A task was started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// Given up after too many failures.
+    Failed,
+    /// Cancelled by a caller.
+    Cancelled,
+}
+
+impl Job {
+    /// The state that callers are told. An end that was recorded stands, also against a
+    /// cancellation that came later.
+    pub fn state(&self) -> JobState {
+        match self.progress.phase {
+            Phase::Completed => JobState::Completed,
+            Phase::Failed => JobState::Failed,
+            Phase::Active if self.cancelled => JobState::Cancelled,
+            Phase::Active if self.progress.begun => JobState::Running,
+            Phase::Active => JobState::Queued,
+        }
+    }
+}
+
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fold {
+    /// A job that was not known.
+    Submitted(JobId),
+    /// A job was cancelled that was not.
+    Cancelled(JobId),
+    /// A job's progress.
+    Progress(JobId),
+    /// Somebody claimed the workers, or showed that it lives.
+    Claim,
+    /// Nothing, as for a record that repeats another.
+    Nothing,
+}
+
+/// All jobs, and who owns the workers.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    jobs: SortedMap<JobId, Job>,
+    /// Cancellations and progress of jobs whose submission was not read yet: the topics are read
+    /// independently of each other.
+    early_cancels: Vec<JobId>,
+    early_progress: SortedMap<JobId, Progress>,
+    owner: Option<Claim>,
+    previous_owner: Option<Claim>,
+}
+
+impl Ledger {
+    /// Takes one record in. Taking a record twice changes nothing.
+    pub fn fold(&mut self, record: Record) -> Fold {
+        match record {
+            Record::Submitted(id, spec) => self.submitted(id, spec),
+            Record::Cancelled(id) => self.cancelled(id),
+            Record::Progress(id, progress) => self.progress(id, progress),
+            Record::Claim(claim) => self.claim(claim),
+        }
+    }
+
+    fn submitted(&mut self, id: JobId, spec: JobSpec) -> Fold {
+        if self.jobs.contains_key(&id) {
+            return Fold::Nothing;
+        }
+        let early = self.early_progress.remove(&id).filter(|it| it.fits(&spec));
+        let progress = early.unwrap_or_else(|| Progress::new(&spec));
+        let cancelled = self.early_cancels.contains(&id);
+        self.early_cancels.retain(|it| *it != id);
+        self.jobs.insert(id, Job { spec: Arc::new(spec), progress, cancelled });
+        Fold::Submitted(id)
+    }
+
+    fn cancelled(&mut self, id: JobId) -> Fold {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            if !self.early_cancels.contains(&id) {
+                self.early_cancels.push(id);
+            }
+            return Fold::Nothing;
+        };
+        if std::mem::replace(&mut job.cancelled, true) {
+            return Fold::Nothing;
+        }
+        Fold::Cancelled(id)
+    }
+
+    fn progress(&mut self, id: JobId, progress: Progress) -> Fold {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.early_progress.insert(id, progress);
+            return Fold::Nothing;
+        };
+        if !progress.fits(&job.spec) {
+            return Fold::Nothing;
+        }
+        job.progress = progress;
+        Fold::Progress(id)
+    }
+
+    fn claim(&mut self, claim: Claim) -> Fold {
+        if self.owner.as_ref().is_some_and(|it| it.epoch < claim.epoch) {
+            self.previous_owner = self.owner.take();
+        }
+        self.owner = Some(claim);
+        Fold::Claim
+    }
+
+    /// Forgets a job.
+    pub fn remove(&mut self, id: JobId) {
+        self.jobs.remove(&id);
+    }
+
+    /// The job of this id.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    pub(crate) fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(&id)
+    }
+
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobId, &Job)> {
+        self.jobs.iter().map(|(id, job)| (*id, job))
+    }
+
+    /// The newest claim.
+    pub fn owner(&self) -> Option<&Claim> {
+        self.owner.as_ref()
+    }
+
+    /// The last claim of the owner before the newest one.
+    pub fn previous_owner(&self) -> Option<&Claim> {
+        self.previous_owner.as_ref()
+    }
+
+    /// Jobs of a queue of which no task was started and that were not cancelled.
+    pub fn pending(&self, queue: &str) -> usize {
+        let of_queue = self.jobs.iter().filter(|(_, it)| &*it.spec.terms.queue == queue);
+        of_queue.filter(|(_, it)| it.state() == JobState::Queued).count()
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/lib.rs
@@ -0,0 +1,34 @@
+//! Jobs made of dependent steps: what they are, what is recorded of them, and who runs what.
+//!
+//! A caller submits a job: steps of tasks, some of which wait for others. Submissions and
+//! cancellations are immutable records that any entry VM may write; progress is written by one
+//! entry VM at a time, the [`Owner`], under an epoch. Every entry VM folds the same records into
+//! a [`Ledger`], which answers callers and from which the next owner starts.
+//!
+//! Nothing here reads a clock, a socket or a file: the present time is an argument, and what is
+//! to be done comes back as [`Action`]s.
+
+#![deny(missing_docs, unsafe_code)]
+
+mod election;
+mod id;
+mod ledger;
+mod owner;
+mod progress;
+mod queue;
+mod record;
+mod spec;
+
+pub use crate::{
+    election::{Election, Verdict},
+    id::{JobId, ParseIdError, TaskId, WorkerId},
+    ledger::{Fold, Job, JobState, Ledger},
+    owner::{
+        Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner, Refusal,
+        Running, Settings, Start, Worker, WorkerKey,
+    },
+    progress::{Copy, Phase, Progress, TaskState},
+    queue::{Queue, Queues, Service},
+    record::{Claim, OWNER_KEY, Record, RecordError, decode, encode},
+    spec::{JobSpec, SpecError, StepSpec, Terms},
+};
--- /dev/null
+++ b/daisy-workflow/src/owner.rs
@@ -0,0 +1,337 @@
+//! The owner of the workers: decides what starts where, under one epoch.
+//!
+//! A start is recorded in the log before its order is sent, so that the next owner knows every
+//! worker that a task may be on. An end is acknowledged to its worker only when its record is in
+//! the log. Workers refuse orders of a lower epoch than they have seen; an owner starts nothing
+//! on a worker that has not answered under its own.
+
+mod ends;
+mod hold;
+mod message;
+mod orders;
+mod pace;
+mod place;
+mod plan;
+mod watch;
+mod worker;
+
+use std::{sync::Arc, time::Duration};
+
+use daisy_model::{Arena, Instant, SortedMap};
+
+use self::worker::{Assignment, Sent, Stop};
+pub use self::{
+    message::{
+        Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
+        Running, Start,
+    },
+    worker::{Worker, WorkerKey},
+};
+use crate::{Fold, JobId, Ledger, Phase, Queues, Record, TaskId, WorkerId};
+
+/// How long an owner whose writes the log does not take goes on renewing leases.
+///
+/// An outage of the platform must not end the work that runs; but a worker that only the old
+/// owner reaches keeps its tasks from starting elsewhere for as long. Outages of the contract
+/// last up to 9 s.
+pub const RENEW_ALONE_MAX: Duration = Duration::from_secs(10);
+
+/// Figures of the platform that an owner goes by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// How long a worker's tasks go on without a renewal.
+    pub lease: Duration,
+    /// The longest lease that a worker grants.
+    pub lease_max: Duration,
+    /// How long a stop takes at most.
+    pub stop_timeout: Duration,
+    /// How long a worker takes to follow an order to pace.
+    pub pace_delay: Duration,
+    /// How early a task may start before its time.
+    pub early: Duration,
+}
+
+/// What the owner keeps of a job besides its record.
+#[derive(Debug, Clone)]
+pub(crate) struct JobView {
+    /// When the job was accepted, on this process's clock.
+    pub since: Instant,
+    /// When it should be completed.
+    pub objective: Instant,
+    /// Estimated time from each step's start to the job's end, in milliseconds.
+    pub tails_ms: Vec<u64>,
+}
+
+/// The owner.
+#[derive(Debug)]
+pub struct Owner {
+    settings: Settings,
+    ledger: Ledger,
+    queues: Arc<Queues>,
+    workers: Arena<WorkerKey, Worker>,
+    by_id: SortedMap<WorkerId, WorkerKey>,
+    /// Jobs that are not ended.
+    active: SortedMap<JobId, JobView>,
+    /// Jobs whose records are to be written.
+    dirty: Vec<JobId>,
+    /// Starts that wait for their record.
+    recording: Vec<(WorkerKey, TaskId, u32)>,
+    in_flight: Option<InFlight>,
+    /// Copies recorded by an earlier owner on workers that the list does not name.
+    orphans: Vec<Orphan>,
+    /// When every lease that an earlier owner may have granted has surely run out.
+    inherited_until: Instant,
+    /// When this owner began, and the wall clock then, in milliseconds since 1970.
+    /// When the log last took a batch.
+    appended_at: Instant,
+    began_at: Instant,
+    began_wall_ms: u64,
+    plan_due: bool,
+    actions: Vec<Action>,
+}
+
+/// A recorded run on a worker that is not known.
+#[derive(Debug, Clone)]
+struct Orphan {
+    worker: WorkerId,
+    task: TaskId,
+    run: u32,
+}
+
+/// A batch that is being appended.
+#[derive(Debug)]
+struct InFlight {
+    starts: Vec<(WorkerKey, TaskId, u32)>,
+    /// Ends that its records cover: worker, incarnation, number.
+    cursors: Vec<(WorkerKey, u64, u64)>,
+}
+
+impl Owner {
+    /// An owner that begins with what `ledger` says; `wall_ms` is the present time since 1970.
+    ///
+    /// `predecessor_gone` says that the owner before has surely ended, so that it renews nothing.
+    pub fn new(
+        now: Instant,
+        wall_ms: u64,
+        settings: Settings,
+        ledger: Ledger,
+        queues: Arc<Queues>,
+        predecessor_gone: bool,
+    ) -> Owner {
+        let alone = if predecessor_gone { Duration::ZERO } else { RENEW_ALONE_MAX };
+        let inherited_until = now + alone + settings.lease + settings.lease / 20;
+        let mut owner = Owner {
+            settings,
+            ledger,
+            queues,
+            workers: Arena::new(),
+            by_id: SortedMap::new(),
+            active: SortedMap::new(),
+            dirty: Vec::new(),
+            recording: Vec::new(),
+            in_flight: None,
+            orphans: Vec::new(),
+            inherited_until,
+            appended_at: now,
+            began_at: now,
+            began_wall_ms: wall_ms,
+            plan_due: true,
+            actions: Vec::new(),
+        };
+        owner.inherit(now);
+        owner
+    }
+
+    /// Takes over what an earlier owner recorded.
+    fn inherit(&mut self, now: Instant) {
+        let jobs: Vec<JobId> = self
+            .ledger
+            .jobs()
+            .filter(|(_, it)| it.progress.phase == Phase::Active)
+            .map(|(id, _)| id)
+            .collect();
+        for id in jobs {
+            self.open(now, id);
+            let Some(job) = self.ledger.job(id) else { continue };
+            for (k, steps) in job.progress.occurrences.iter().enumerate() {
+                for (s, tasks) in steps.iter().enumerate() {
+                    for (i, state) in tasks.iter().enumerate() {
+                        let task = TaskId {
+                            job: id,
+                            occurrence: k as u32,
+                            step: s as u16,
+                            index: i as u32,
+                        };
+                        for copy in &state.copies {
+                            let worker = copy.worker.clone();
+                            self.orphans.push(Orphan { worker, task, run: copy.run });
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes an event in.
+    pub fn step(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Record(record) => self.record(now, record),
+            Event::Workers(listed) => self.listed(now, &listed),
+            Event::Queues(queues) => {
+                if queues.version >= self.queues.version {
+                    self.queues = queues;
+                    self.plan_due = true;
+                }
+            }
+            Event::Held(worker, answer) => self.held(now, worker, answer),
+            Event::Fenced(_) => self.actions.push(Action::StepDown),
+            Event::Started(worker, task, run, reply) => {
+                self.started(now, worker, task, run, reply);
+            }
+            Event::Stopped(worker, task, run, reply) => {
+                self.stopped(now, worker, task, run, reply);
+            }
+            Event::Paced(worker, task, run, percent, reply) => {
+                self.paced(worker, task, run, percent, reply);
+            }
+            Event::Appended => self.appended(now),
+            Event::Tick => self.watch(now),
+        }
+    }
+
+    /// Decides what starts now, and gives all that is to be done.
+    pub fn act(&mut self, now: Instant) -> Vec<Action> {
+        if std::mem::take(&mut self.plan_due) {
+            self.plan(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether there are records to be appended.
+    pub fn has_batch(&self) -> bool {
+        self.in_flight.is_none() && !(self.dirty.is_empty() && self.recording.is_empty())
+    }
+
+    /// Records to be appended next, unless a batch is under way or there are none.
+    pub fn try_batch(&mut self) -> Option<Batch> {
+        if !self.has_batch() {
+            return None;
+        }
+        self.dirty.sort_unstable();
+        self.dirty.dedup();
+        let ledger = &self.ledger;
+        let record = |id: JobId| ledger.job(id).map(|it| Record::Progress(id, it.progress.clone()));
+        let records = self.dirty.drain(..).filter_map(record).collect();
+        let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
+        let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
+        self.in_flight = Some(InFlight { starts: std::mem::take(&mut self.recording), cursors });
+        Some(Batch { records })
+    }
+
+    /// A worker of this owner.
+    pub fn worker(&self, key: WorkerKey) -> Option<&Worker> {
+        self.workers.get(key)
+    }
+
+    /// Jobs that are not ended.
+    pub fn backlog(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Workers, and those of them that take new tasks now.
+    pub fn fleet(&self, now: Instant) -> (usize, usize) {
+        let listed = self.workers.iter().filter(|(_, it)| it.listed);
+        let usable = self.workers.iter().filter(|(_, it)| self.usable(now, it));
+        (listed.count(), usable.count())
+    }
+
+    fn record(&mut self, now: Instant, record: Record) {
+        match self.ledger.fold(record) {
+            Fold::Submitted(id) => self.open(now, id),
+            Fold::Cancelled(id) => self.cancel(now, id),
+            Fold::Progress(_) | Fold::Claim | Fold::Nothing => {}
+        }
+        self.plan_due = true;
+    }
+
+    fn open(&mut self, now: Instant, id: JobId) {
+        let Some(job) = self.ledger.job(id) else { return };
+        let spec = &job.spec;
+        // The accepting VM's clock may be off, so it only dates jobs that are older than this
+        // owner, and never into the future.
+        let age_ms = self.began_wall_ms.saturating_sub(spec.accepted_ms).min(120_000);
+        let since = match now == self.began_at {
+            true => now - Duration::from_millis(age_ms),
+            false => now,
+        };
+        let chain = spec.chain_ms() * u64::from(spec.terms.slack_permille) / 1_000;
+        let objective = chain + u64::from(spec.terms.target_latency_ms);
+        let view = JobView {
+            since,
+            objective: since + Duration::from_millis(objective),
+            tails_ms: spec.tails_ms(),
+        };
+        let cancelled = job.cancelled;
+        self.active.insert(id, view);
+        if cancelled {
+            self.cancel(now, id);
+        }
+    }
+
+    fn cancel(&mut self, now: Instant, id: JobId) {
+        let mut left = false;
+        for at in 0..self.workers.len() {
+            let Some(worker) = self.workers.get_mut(WorkerKey(at as u32)) else { continue };
+            for it in worker.tasks.iter_mut().filter(|it| it.task.job == id) {
+                left = true;
+                if it.stop == Stop::No && it.sent != Sent::Recording {
+                    it.stop = Stop::Due(now);
+                }
+            }
+        }
+        if !left {
+            self.active.remove(&id);
+        }
+        self.send_stops(now);
+    }
+
+    /// The state of a task, to change; the job is written anew.
+    fn task_mut(&mut self, task: TaskId) -> Option<&mut crate::TaskState> {
+        let job = self.ledger.job_mut(task.job)?;
+        let steps = job.progress.occurrences.get_mut(task.occurrence as usize)?;
+        let state = steps.get_mut(usize::from(task.step))?.get_mut(task.index as usize)?;
+        self.dirty.push(task.job);
+        Some(state)
+    }
+
+    fn note_worker(&mut self, key: WorkerKey, is: &'static str, why: &'static str) {
+        if let Some(worker) = self.workers.get(key) {
+            let worker = worker.id.clone();
+            self.actions.push(Action::Note(Note::Worker { worker, is, why }));
+        }
+    }
+}
+
+/// An assignment that begins now.
+fn assignment(now: Instant, task: TaskId, run: u32, step: &crate::StepSpec) -> Assignment {
+    Assignment {
+        task,
+        run,
+        counted: step.counted(),
+        best_effort_cpu: if step.best_effort { step.need.cpu_milli } else { 0 },
+        image: step.image.clone(),
+        target_ms: step.target_ms,
+        sent: Sent::Recording,
+        maybe_late: false,
+        tries: 0,
+        stop: Stop::No,
+        absent: 0,
+        checkpoint: String::new(),
+        percent: 0,
+        moved_at: now,
+        began_at: now,
+        load: 0,
+        pace: 100,
+        pace_in_flight: false,
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/ends.rs
@@ -0,0 +1,138 @@
+//! Ends of runs, and what follows for their jobs.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    Owner,
+    message::{Action, Ended, Note, Outcome},
+    worker::{Sent, Stop, WorkerKey},
+};
+use crate::{JobId, Phase, TaskId};
+
+/// Runs in a row that fail on a worker, none of whose tasks failed elsewhere, after which it gets
+/// no more work for a while.
+const FAILURES_MAX: u32 = 2;
+/// How long such a worker gets no work.
+const SHUN_FAILING: Duration = Duration::from_secs(4);
+
+impl Owner {
+    pub(super) fn ended(&mut self, now: Instant, key: WorkerKey, it: Ended) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.cursor_seen = worker.cursor_seen.max(it.number);
+        let id = worker.id.clone();
+        worker.remove(it.task, it.run);
+        self.plan_due = true;
+        let Ended { task, run, outcome, .. } = it;
+        if outcome != Outcome::Done {
+            self.actions.push(Action::Note(Note::RunEnded { task, run, worker: id, outcome }));
+        }
+        let failed_elsewhere = self.failed_before(task);
+        let Some(state) = self.task_mut(task) else { return };
+        let known = state.copies.iter().any(|it| it.run == run);
+        state.copies.retain(|it| it.run != run);
+        if !it.checkpoint.is_empty() {
+            state.checkpoint.clone_from(&it.checkpoint);
+        }
+        match outcome {
+            Outcome::Done => self.done(now, key, task),
+            Outcome::Failed if known => self.failed(now, key, task, run, failed_elsewhere),
+            _ => {}
+        }
+        self.close_if_over(task.job);
+    }
+
+    fn done(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.failures = 0;
+        }
+        let Some(job) = self.ledger.job_mut(task.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
+        let steps = &mut job.progress.occurrences[task.occurrence as usize];
+        let tasks = &mut steps[usize::from(task.step)];
+        match step.gang {
+            true => tasks.iter_mut().for_each(|it| it.done = true),
+            false => tasks[task.index as usize].done = true,
+        }
+        let over = job.progress.occurrences.iter().flatten().flatten().all(|it| it.done);
+        if over && job.progress.phase == Phase::Active {
+            self.end_job(now, task.job, Phase::Completed);
+        }
+        self.stop_copies(now, |it| it == task);
+    }
+
+    fn failed(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, elsewhere: bool) {
+        let Some(job) = self.ledger.job_mut(task.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
+        let steps = &mut job.progress.occurrences[task.occurrence as usize];
+        let tasks = &mut steps[usize::from(task.step)];
+        // The members of a gang share their runs, so one failure of a run counts for all.
+        match step.gang {
+            true => tasks.iter_mut().filter(|it| it.runs == run).for_each(|it| it.failures += 1),
+            false => tasks[task.index as usize].failures += 1,
+        }
+        let failures = tasks[task.index as usize].failures;
+        let attempts = job.spec.terms.max_attempts.max(1);
+        if failures >= attempts && !step.long_running && job.progress.phase == Phase::Active {
+            self.end_job(now, task.job, Phase::Failed);
+        }
+        if !elsewhere {
+            self.blame(now, key);
+        }
+    }
+
+    /// Whether tasks of the same step have failed before: then the work is more likely to be at
+    /// fault than the worker.
+    fn failed_before(&self, task: TaskId) -> bool {
+        let Some(job) = self.ledger.job(task.job) else { return true };
+        let steps = job.progress.occurrences.get(task.occurrence as usize);
+        let tasks = steps.and_then(|it| it.get(usize::from(task.step)));
+        tasks.is_none_or(|it| it.iter().any(|it| it.failures > 0))
+    }
+
+    fn blame(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.failures += 1;
+        if worker.failures >= FAILURES_MAX && worker.shunned_until <= now {
+            worker.shunned_until = now + SHUN_FAILING;
+            self.note_worker(key, "shunned", "its runs fail one after the other");
+        }
+    }
+
+    fn end_job(&mut self, now: Instant, id: JobId, phase: Phase) {
+        let Some(job) = self.ledger.job_mut(id) else { return };
+        job.progress.phase = phase;
+        self.dirty.push(id);
+        let since = self.active.get(&id).map_or(now, |it| it.since);
+        let how = if phase == Phase::Completed { "completed" } else { "failed" };
+        let age = now.since(since);
+        self.actions.push(Action::Note(Note::JobEnded { job: id, how, age }));
+        self.stop_copies(now, |it| it.job == id);
+    }
+
+    /// Stops all runs of the tasks that `which` names.
+    pub(super) fn stop_copies(&mut self, now: Instant, which: impl Fn(TaskId) -> bool) {
+        for at in 0..self.workers.len() {
+            let Some(worker) = self.workers.get_mut(WorkerKey(at as u32)) else { continue };
+            for it in worker.tasks.iter_mut().filter(|it| which(it.task)) {
+                if it.stop == Stop::No && it.sent != Sent::Recording {
+                    it.stop = Stop::Due(now);
+                }
+            }
+        }
+        self.send_stops(now);
+    }
+
+    /// Forgets a job that is over once none of its runs can be anywhere.
+    pub(super) fn close_if_over(&mut self, id: JobId) {
+        let Some(job) = self.ledger.job(id) else { return };
+        if job.progress.phase == Phase::Active && !job.cancelled {
+            return;
+        }
+        let left = self.workers.iter().any(|(_, it)| it.tasks.iter().any(|it| it.task.job == id));
+        if !left {
+            self.active.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/hold.rs
@@ -0,0 +1,323 @@
+//! Renewals: what a worker's lists say, and which workers there are.
+
+use std::time::Duration;
+
+use daisy_model::{Instant, SortedMap};
+
+use super::{
+    Owner,
+    message::{Action, HoldAnswer, Listed, Note, Running},
+    worker::{Sent, Stop, Worker, WorkerKey},
+};
+use crate::{TaskId, WorkerId};
+
+impl Owner {
+    /// Takes the platform's list in.
+    pub(super) fn listed(&mut self, now: Instant, listed: &[Listed]) {
+        let named: SortedMap<WorkerId, ()> = listed.iter().map(|it| (it.id.clone(), ())).collect();
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(at as u32);
+            let Some(worker) = self.workers.get_mut(key) else { continue };
+            if worker.listed && !named.contains_key(&worker.id) {
+                worker.listed = false;
+                self.note_worker(key, "unlisted", "the platform's list no longer names it");
+            }
+        }
+        for it in listed {
+            match self.by_id.get(&it.id).copied() {
+                Some(key) => self.relisted(now, key, it),
+                None => self.newly_listed(now, it),
+            }
+        }
+        self.plan_due = true;
+        self.renew_due(now);
+    }
+
+    fn newly_listed(&mut self, now: Instant, listed: &Listed) {
+        let key = self.workers.alloc(Worker::new(now, listed));
+        self.by_id.insert(listed.id.clone(), key);
+        let (here, elsewhere) =
+            std::mem::take(&mut self.orphans).into_iter().partition(|it| it.worker == listed.id);
+        self.orphans = elsewhere;
+        let here: Vec<super::Orphan> = here;
+        for orphan in here {
+            self.adopt(now, key, orphan.task, orphan.run, Sent::Inherited);
+        }
+    }
+
+    /// Counts a run that is, or may be, on a worker though this owner did not start it.
+    fn adopt(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, sent: Sent) {
+        let Some(job) = self.ledger.job(task.job) else { return };
+        let ended = job.cancelled || job.state() != crate::JobState::Running;
+        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
+        let mut it = super::assignment(now, task, run, step);
+        it.sent = sent;
+        if ended {
+            it.stop = Stop::Due(now);
+        }
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.add(it);
+        }
+    }
+
+    fn relisted(&mut self, now: Instant, key: WorkerKey, listed: &Listed) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        // The list lags: an incarnation that began before the one that answered is history.
+        if listed.born_ms < worker.born_ms {
+            return;
+        }
+        let reborn = listed.born_ms > worker.born_ms;
+        let was_listed = std::mem::replace(&mut worker.listed, true);
+        worker.address = listed.address;
+        worker.service = listed.service.clone();
+        worker.capacity = listed.capacity;
+        if worker.labels != listed.labels {
+            worker.labels = listed.labels.clone();
+        }
+        let was_ready = std::mem::replace(&mut worker.ready, listed.ready);
+        worker.leaves_at = match listed.ready {
+            true => None,
+            false => {
+                let left = Duration::from_millis(listed.leaves_ms.unwrap_or_default());
+                Some(now + left)
+            }
+        };
+        if !was_listed {
+            worker.hold_failures = 0;
+            self.note_worker(key, "listed", "the platform's list names it again");
+        }
+        if reborn {
+            self.reborn(now, key, listed.born_ms, "the list names a later start");
+        }
+        if was_ready && !listed.ready {
+            self.note_worker(key, "draining", "its entry says so");
+        }
+    }
+
+    /// Another incarnation answers under the same id: nothing of before runs there.
+    fn reborn(&mut self, now: Instant, key: WorkerKey, born_ms: u64, why: &'static str) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.born_ms = born_ms;
+        worker.clock = None;
+        worker.deadline_ms = 0;
+        worker.fenced = false;
+        worker.cursor_seen = 0;
+        worker.cursor_durable = 0;
+        worker.failures = 0;
+        worker.hold_failures = 0;
+        let mut lost = Vec::new();
+        for it in &mut worker.tasks {
+            match it.sent {
+                Sent::There(_) | Sent::Inherited => lost.push((it.task, it.run)),
+                // An order that is still under way may reach the new incarnation, which knows no
+                // epoch and no run: only a stop that it has answered shuts the run out.
+                Sent::InFlight | Sent::Unanswered(_) => it.stop = Stop::Due(now),
+                Sent::Recording => {}
+            }
+        }
+        for (task, run) in lost {
+            self.lose(now, key, task, run, "its worker started anew");
+        }
+        self.note_worker(key, "reborn", why);
+        self.send_stops(now);
+    }
+
+    /// Gives a run up that is surely not running any more.
+    pub(super) fn lose(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskId,
+        run: u32,
+        why: &'static str,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let id = worker.id.clone();
+        let Some(it) = worker.remove(task, run) else { return };
+        self.drop_copy(now, task, run, &it.checkpoint);
+        self.actions.push(Action::Note(Note::RunLost { task, run, worker: id, why }));
+    }
+
+    /// Takes a copy out of a task's record.
+    pub(super) fn drop_copy(&mut self, _now: Instant, task: TaskId, run: u32, checkpoint: &str) {
+        self.plan_due = true;
+        if let Some(state) = self.task_mut(task) {
+            state.copies.retain(|it| it.run != run);
+            if !checkpoint.is_empty() {
+                checkpoint.clone_into(&mut state.checkpoint);
+            }
+        }
+        self.close_if_over(task.job);
+    }
+
+    /// Takes the answer to a renewal in.
+    pub(super) fn held(&mut self, now: Instant, key: WorkerKey, answer: Option<HoldAnswer>) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.holding = false;
+        let Some(answer) = answer else {
+            worker.hold_failures += 1;
+            if worker.hold_failures == 1 {
+                self.note_worker(key, "silent", "a renewal got no answer");
+            }
+            return;
+        };
+        if answer.born_ms < worker.born_ms {
+            return;
+        }
+        if answer.born_ms > worker.born_ms {
+            self.reborn(now, key, answer.born_ms, "its answer names a later start");
+        }
+        self.greeted(now, key, &answer);
+        let seen = self.workers.get(key).map_or(0, |it| it.cursor_seen);
+        for it in answer.ended.into_iter().filter(|it| it.number > seen) {
+            self.ended(now, key, it);
+        }
+        self.running(now, key, &answer.running);
+        self.pace(now, key);
+        self.send_stops(now);
+        self.renew(now, key);
+    }
+
+    fn greeted(&mut self, now: Instant, key: WorkerKey, answer: &HoldAnswer) {
+        let lease = self.settings.lease;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.hold_failures > 0 {
+            worker.hold_failures = 0;
+            self.plan_due = true;
+            self.actions.push(Action::Note(Note::Worker {
+                worker: worker.id.clone(),
+                is: "reached",
+                why: "a renewal was answered again",
+            }));
+        }
+        worker.clock = Some((answer.clock_ms, now));
+        worker.held_at = now;
+        if !worker.fenced {
+            worker.fenced = true;
+            self.plan_due = true;
+            // An earlier owner may have granted a whole lease just before.
+            let inherited = answer.clock_ms + lease.as_millis() as u64;
+            worker.deadline_ms = worker.deadline_ms.max(inherited);
+        }
+    }
+
+    /// Compares what runs on a worker with what should.
+    fn running(&mut self, now: Instant, key: WorkerKey, running: &[Running]) {
+        let mut unknown = Vec::new();
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        for it in running {
+            match worker.find(it.task, it.run) {
+                Some(known) => {
+                    if it.percent > known.percent {
+                        known.moved_at = now;
+                    }
+                    known.percent = it.percent;
+                    known.load = it.load;
+                    known.absent = 0;
+                    if !it.checkpoint.is_empty() && known.checkpoint != it.checkpoint {
+                        known.checkpoint = it.checkpoint.clone();
+                    }
+                    if !matches!(known.sent, Sent::There(_)) {
+                        known.sent = Sent::There(now);
+                    }
+                }
+                None => unknown.push((it.task, it.run)),
+            }
+        }
+        let gone = absent(worker, running);
+        for (task, run) in unknown {
+            // Such a run was given up, or its job is over. It takes room until it has ended.
+            self.adopt(now, key, task, run, Sent::There(now));
+            if let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) {
+                it.stop = Stop::Due(now);
+            }
+        }
+        for (task, run) in gone {
+            self.lose(now, key, task, run, "its worker does not list it");
+        }
+    }
+
+    /// Renews a worker's lease if that is due.
+    pub(super) fn renew(&mut self, now: Instant, key: WorkerKey) {
+        let lease = self.settings.lease;
+        let alone = now.since(self.appended_at) > super::RENEW_ALONE_MAX;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.holding || !hold_due(now, worker) {
+            return;
+        }
+        // While a worker is silent, nothing is granted: else its leases would never run out.
+        let grant = worker.fenced && worker.hold_failures == 0 && !alone;
+        let deadline_ms = if grant { worker.lease_end(now, lease) } else { None };
+        worker.holding = true;
+        worker.hold_sent_at = now;
+        let cursor = worker.cursor_durable;
+        let wait = hold_wait(worker);
+        self.actions.push(Action::Hold { worker: key, deadline_ms, cursor, wait });
+    }
+
+    pub(super) fn renew_due(&mut self, now: Instant) {
+        for at in 0..self.workers.len() {
+            self.renew(now, WorkerKey(at as u32));
+        }
+    }
+}
+
+/// Runs that should be on a worker and that its lists show to be gone.
+fn absent(worker: &mut Worker, running: &[Running]) -> Vec<(TaskId, u32)> {
+    /// Renewals in a row after which a run that was there counts as gone.
+    const ABSENT_MAX: u8 = 2;
+    let sent_at = worker.hold_sent_at;
+    let mut gone = Vec::new();
+    for it in &mut worker.tasks {
+        if running.iter().any(|r| r.task == it.task && r.run == it.run) {
+            continue;
+        }
+        match (it.stop, it.sent) {
+            (Stop::Done(at), _) if at <= sent_at => gone.push((it.task, it.run)),
+            // Its starter's orders are refused from now on, so it cannot come later.
+            (_, Sent::Inherited) => gone.push((it.task, it.run)),
+            (Stop::No, Sent::There(at)) if at <= sent_at => {
+                it.absent += 1;
+                if it.absent >= ABSENT_MAX {
+                    it.stop = Stop::Due(sent_at);
+                }
+            }
+            _ => {}
+        }
+    }
+    gone
+}
+
+fn hold_due(now: Instant, worker: &Worker) -> bool {
+    /// Ends whose records the log has not taken yet would be listed again at once.
+    const UNRECORDED_PAUSE: Duration = Duration::from_millis(300);
+    /// Between calls to a worker that does not answer; doubled from here up to the longest.
+    const SILENT_PAUSE: Duration = Duration::from_millis(100);
+    const SILENT_PAUSE_MAX: Duration = Duration::from_millis(800);
+    if !worker.listed && worker.tasks.is_empty() {
+        return false;
+    }
+    let since = now.since(worker.hold_sent_at);
+    if worker.hold_failures > 0 {
+        let pause = SILENT_PAUSE * 2u32.pow(worker.hold_failures.min(4));
+        return since >= pause.min(SILENT_PAUSE_MAX);
+    }
+    worker.cursor_seen == worker.cursor_durable || since >= UNRECORDED_PAUSE
+}
+
+/// How long a worker may wait for an end before it answers: it bounds how old the picture of the
+/// worker gets, and how late its silence shows. Each renewal is paid for.
+fn hold_wait(worker: &Worker) -> Duration {
+    const IDLE: Duration = Duration::from_millis(1_500);
+    const AT_WORK: Duration = Duration::from_millis(800);
+    const SERVING: Duration = Duration::from_millis(500);
+    if !worker.fenced || worker.hold_failures > 0 || worker.cursor_seen > worker.cursor_durable {
+        return Duration::ZERO;
+    }
+    let beside = worker.serving() > 0 && worker.best_effort_cpu() > 0;
+    match (worker.tasks.is_empty(), beside) {
+        (true, _) => IDLE,
+        (false, true) => SERVING,
+        (false, false) => AT_WORK,
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/message.rs
@@ -0,0 +1,245 @@
+//! What an owner is told, and what it wants done.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use daisy_model::Resources;
+
+use crate::{JobId, Queues, Record, TaskId, WorkerId, owner::WorkerKey};
+
+/// A worker in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Its id.
+    pub id: WorkerId,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Whether it takes new tasks; `false` while it drains.
+    pub ready: bool,
+    /// What it holds.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// When this incarnation started, in milliseconds since 1970 of its own clock.
+    pub born_ms: u64,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// The least time until it leaves, in milliseconds, while it drains.
+    pub leaves_ms: Option<u64>,
+}
+
+/// A run that a worker lists as running.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Running {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: u32,
+    /// The newest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// How much of the work is done; of a task that lasts, 100 when it is at work.
+    pub percent: u8,
+    /// Of a serving task its tail latency in milliseconds, of another the processor time in use.
+    pub load: u32,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It did all its work.
+    Done,
+    /// It failed, by its own or its worker's fault.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// The worker's lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited too long for the others of its gang.
+    Alone,
+}
+
+/// A run that a worker lists as ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Numbers the ends of a worker's incarnation, from 1.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The newest checkpoint; empty for none.
+    pub checkpoint: String,
+}
+
+/// A worker's answer to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HoldAnswer {
+    /// The worker's clock in milliseconds.
+    pub clock_ms: u64,
+    /// Which incarnation answers.
+    pub born_ms: u64,
+    /// All that runs there.
+    pub running: Vec<Running>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// Why a worker did not do what it was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It has seen a higher epoch.
+    Fenced,
+    /// The run is not above one that was stopped or ended there.
+    Old,
+    /// The lease had run out when the order arrived.
+    Late,
+    /// It does not fit.
+    Room,
+    /// The ticket is missing or has expired.
+    Ticket,
+    /// The worker is unhealthy and did nothing.
+    Unhealthy,
+    /// Another incarnation answered.
+    OtherInstance,
+    /// The worker does not understand the order.
+    Malformed,
+}
+
+/// The answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It was done, or had been.
+    Done {
+        /// The worker's clock in milliseconds.
+        clock_ms: u64,
+    },
+    /// It was not done.
+    Refused(Refusal),
+    /// Nothing was sent.
+    NotSent,
+    /// No answer came: it may be done, also later.
+    Unknown,
+}
+
+/// An order to start a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: u32,
+    /// Handed to the task.
+    pub text: Arc<str>,
+    /// The lease's end on the worker's clock, in milliseconds.
+    pub deadline_ms: u64,
+    /// Where to resume; empty for the beginning.
+    pub checkpoint: String,
+}
+
+/// What an owner is told.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A record of a submission or a cancellation.
+    Record(Record),
+    /// The platform's whole list of workers.
+    Workers(Vec<Listed>),
+    /// A version of the configuration.
+    Queues(Arc<Queues>),
+    /// The answer to [`Action::Hold`]; `None` if none came.
+    Held(WorkerKey, Option<HoldAnswer>),
+    /// A worker refused a renewal because of a higher epoch.
+    Fenced(WorkerKey),
+    /// The answer to [`Action::Start`].
+    Started(WorkerKey, TaskId, u32, OrderReply),
+    /// The answer to [`Action::Stop`].
+    Stopped(WorkerKey, TaskId, u32, OrderReply),
+    /// The answer to [`Action::Pace`].
+    Paced(WorkerKey, TaskId, u32, u8, OrderReply),
+    /// The last [`Batch`] is in the log.
+    Appended,
+    /// Time went by.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Renew a worker's lease, acknowledge ends, and read its lists.
+    Hold {
+        /// The worker.
+        worker: WorkerKey,
+        /// The lease's end on the worker's clock, in milliseconds; `None` to read only.
+        deadline_ms: Option<u64>,
+        /// Ends up to this number are forgotten.
+        cursor: u64,
+        /// How long the worker waits for an end before it answers.
+        wait: Duration,
+    },
+    /// Start a task.
+    Start(WorkerKey, Start),
+    /// Stop a run.
+    Stop(WorkerKey, TaskId, u32),
+    /// Let a run work at this share of its processor time, in percent.
+    Pace(WorkerKey, TaskId, u32, u8),
+    /// Somebody else owns the workers now.
+    StepDown,
+    /// Say something in the log of events.
+    Note(Note),
+}
+
+/// A decision worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// A job ended for good.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// `completed` or `failed`.
+        how: &'static str,
+        /// Time since the owner first saw it.
+        age: Duration,
+    },
+    /// A run ended other than as done.
+    RunEnded {
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        run: u32,
+        /// Where.
+        worker: WorkerId,
+        /// How.
+        outcome: Outcome,
+    },
+    /// A run is given up without word from its worker.
+    RunLost {
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        run: u32,
+        /// Where.
+        worker: WorkerId,
+        /// Why it cannot be running any more.
+        why: &'static str,
+    },
+    /// What is believed of a worker changed.
+    Worker {
+        /// The worker.
+        worker: WorkerId,
+        /// The new belief.
+        is: &'static str,
+        /// What decided it.
+        why: &'static str,
+    },
+}
+
+/// Records to be appended together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// The records.
+    pub records: Vec<Record>,
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/orders.rs
@@ -0,0 +1,220 @@
+//! Orders to workers: starts and stops, and the answers to them.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    InFlight, Owner,
+    message::{Action, OrderReply, Refusal, Start},
+    worker::{Sent, Stop, WorkerKey},
+};
+use crate::{JobState, TaskId};
+
+/// Before an unanswered start is sent again: it is idempotent, and a worker that lost one order
+/// mostly takes the next.
+const RESEND_START: Duration = Duration::from_millis(100);
+/// Before an unanswered stop is sent again.
+const RESEND_STOP: Duration = Duration::from_millis(200);
+/// How long a worker gets no new work after an order went unanswered.
+const SHUN_SILENT: Duration = Duration::from_millis(700);
+/// How long a worker gets no new work after it refused some.
+const SHUN_REFUSING: Duration = Duration::from_millis(500);
+/// The same, where it says that it is unhealthy.
+const SHUN_UNHEALTHY: Duration = Duration::from_secs(2);
+
+impl Owner {
+    /// The batch under way is in the log: its starts may go out, its ends are acknowledged.
+    pub(super) fn appended(&mut self, now: Instant) {
+        self.appended_at = now;
+        let Some(InFlight { starts, cursors }) = self.in_flight.take() else { return };
+        for (key, born_ms, number) in cursors {
+            if let Some(worker) = self.workers.get_mut(key)
+                && worker.born_ms == born_ms
+            {
+                worker.cursor_durable = worker.cursor_durable.max(number);
+            }
+            self.renew(now, key);
+        }
+        for (key, task, run) in starts {
+            self.start(now, key, task, run);
+        }
+    }
+
+    fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
+        let lease = self.settings.lease;
+        let wanted = self.is_wanted(task);
+        let Some(job) = self.ledger.job(task.job) else { return };
+        let text = job.spec.text.clone();
+        let steps = &job.progress.occurrences;
+        let state = &steps[task.occurrence as usize][usize::from(task.step)][task.index as usize];
+        let checkpoint = state.checkpoint.clone();
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let lease_end = if wanted { worker.lease_end(now, lease) } else { None };
+        let Some(it) = worker.find(task, run) else { return };
+        let Some(deadline_ms) = lease_end else {
+            // Not wanted any more, or its worker has just started anew: nothing was sent.
+            self.unassign(now, key, task, run);
+            return;
+        };
+        it.sent = Sent::InFlight;
+        it.tries += 1;
+        it.began_at = now;
+        it.moved_at = now;
+        it.checkpoint.clone_from(&checkpoint);
+        let start = Start { task, run, text, deadline_ms, checkpoint };
+        self.actions.push(Action::Start(key, start));
+    }
+
+    /// Whether a task is still to be run.
+    fn is_wanted(&self, task: TaskId) -> bool {
+        let Some(job) = self.ledger.job(task.job) else { return false };
+        let active = matches!(job.state(), JobState::Queued | JobState::Running);
+        let steps = job.progress.occurrences.get(task.occurrence as usize);
+        let tasks = steps.and_then(|it| it.get(usize::from(task.step)));
+        active && tasks.and_then(|it| it.get(task.index as usize)).is_some_and(|it| !it.done)
+    }
+
+    /// Takes a start back that has surely had no effect and never will.
+    fn unassign(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.remove(task, run);
+        }
+        self.drop_copy(now, task, run, "");
+    }
+
+    pub(super) fn started(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskId,
+        run: u32,
+        reply: OrderReply,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if let OrderReply::Done { clock_ms } = reply
+            && worker.fenced
+        {
+            worker.clock = Some((clock_ms, now));
+        }
+        let Some(it) = worker.find(task, run) else { return };
+        match reply {
+            OrderReply::Done { .. } => it.sent = Sent::There(now),
+            OrderReply::Unknown => {
+                it.maybe_late = true;
+                it.sent = Sent::Unanswered(now + RESEND_START * it.tries.min(8));
+                self.shun(now, key, SHUN_SILENT);
+            }
+            OrderReply::NotSent if it.maybe_late => {
+                it.sent = Sent::Unanswered(now + RESEND_START * it.tries.min(8));
+                self.shun(now, key, SHUN_SILENT);
+            }
+            OrderReply::NotSent => {
+                self.shun(now, key, SHUN_SILENT);
+                self.unassign(now, key, task, run);
+            }
+            OrderReply::Refused(Refusal::Fenced) => self.actions.push(Action::StepDown),
+            // An earlier sending was carried out and has ended by now: the list will say how.
+            OrderReply::Refused(Refusal::Old) if it.maybe_late => it.sent = Sent::There(now),
+            OrderReply::Refused(why) => self.refused(now, key, task, run, why),
+        }
+    }
+
+    fn refused(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, why: Refusal) {
+        let pause = match why {
+            Refusal::Unhealthy => SHUN_UNHEALTHY,
+            _ => SHUN_REFUSING,
+        };
+        self.shun(now, key, pause);
+        self.note_worker(key, "shunned", refusal_words(why));
+        let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
+        // An earlier sending may still be carried out: a stop that is answered shuts it out.
+        match it.maybe_late {
+            true => {
+                it.sent = Sent::Unanswered(now + RESEND_START);
+                it.stop = Stop::Due(now);
+                self.send_stops(now);
+            }
+            false => self.unassign(now, key, task, run),
+        }
+    }
+
+    pub(super) fn shun(&mut self, now: Instant, key: WorkerKey, pause: Duration) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.shunned_until = worker.shunned_until.max(now + pause);
+        }
+    }
+
+    /// Sends all stops that are due.
+    pub(super) fn send_stops(&mut self, now: Instant) {
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(at as u32);
+            let Some(worker) = self.workers.get_mut(key) else { continue };
+            for it in &mut worker.tasks {
+                if let Stop::Due(at) = it.stop
+                    && at <= now
+                {
+                    it.stop = Stop::InFlight;
+                    self.actions.push(Action::Stop(key, it.task, it.run));
+                }
+            }
+        }
+    }
+
+    pub(super) fn stopped(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskId,
+        run: u32,
+        reply: OrderReply,
+    ) {
+        let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
+        it.stop = match reply {
+            OrderReply::Done { .. } => Stop::Done(now),
+            OrderReply::Refused(Refusal::Old | Refusal::Late) => Stop::Done(now),
+            OrderReply::Refused(Refusal::Fenced) => {
+                self.actions.push(Action::StepDown);
+                return;
+            }
+            OrderReply::Refused(_) | OrderReply::NotSent | OrderReply::Unknown => {
+                Stop::Due(now + RESEND_STOP)
+            }
+        };
+    }
+
+    /// Sends unanswered starts again.
+    pub(super) fn resend_starts(&mut self, now: Instant) {
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(at as u32);
+            let Some(worker) = self.workers.get(key) else { continue };
+            let due = |sent: Sent| matches!(sent, Sent::Unanswered(at) if at <= now);
+            let due: Vec<_> = worker
+                .tasks
+                .iter()
+                .filter(|it| it.stop == Stop::No && due(it.sent))
+                .map(|it| (it.task, it.run))
+                .collect();
+            // While a worker is silent nothing is granted, so that its leases run out.
+            if worker.hold_failures > 0 || worker.clock.is_none() {
+                continue;
+            }
+            for (task, run) in due {
+                self.start(now, key, task, run);
+            }
+        }
+    }
+}
+
+fn refusal_words(why: Refusal) -> &'static str {
+    match why {
+        Refusal::Fenced => "it has seen a higher epoch",
+        Refusal::Old => "it has ended a later run of a task",
+        Refusal::Late => "a start came after its lease",
+        Refusal::Room => "a start did not fit",
+        Refusal::Ticket => "a start had no valid ticket",
+        Refusal::Unhealthy => "it says that it is unhealthy",
+        Refusal::OtherInstance => "another incarnation answered",
+        Refusal::Malformed => "it does not understand a start",
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/plan.rs
@@ -0,0 +1,213 @@
+//! What starts next.
+
+use std::{sync::Arc, time::Duration};
+
+use daisy_model::{Instant, Resources};
+
+use super::{Owner, worker::WorkerKey};
+use crate::{Copy, JobId, JobSpec, JobState, StepSpec, TaskId, TaskState};
+
+/// Workers tried at most for a step at one time beyond its first task without room: none, so
+/// that a backlog costs one search a step.
+const COPIES_MAX: usize = 2;
+
+/// A step whose turn has come.
+#[derive(Debug, Clone, Copy)]
+struct Ready {
+    job: JobId,
+    occurrence: u32,
+    step: u16,
+}
+
+impl Owner {
+    /// Starts what can be started, the most urgent first.
+    pub(super) fn plan(&mut self, now: Instant) {
+        for id in self.by_urgency(now) {
+            for ready in self.ready_steps(now, id) {
+                self.place_step(now, ready);
+            }
+        }
+    }
+
+    /// Jobs that are not ended: first those that can still be in time, by priority and by the
+    /// time that is left beside the work that is left.
+    fn by_urgency(&self, now: Instant) -> Vec<JobId> {
+        let mut jobs: Vec<_> = self
+            .active
+            .iter()
+            .filter_map(|(id, view)| {
+                let job = self.ledger.job(*id)?;
+                let open = matches!(job.state(), JobState::Queued | JobState::Running);
+                if !open {
+                    return None;
+                }
+                let chain = view.tails_ms.iter().copied().max().unwrap_or_default();
+                let latest = view.objective.0.saturating_sub(chain * 1_000);
+                let late = now > view.objective;
+                Some(((late, job.spec.terms.priority, latest), *id))
+            })
+            .collect();
+        jobs.sort_unstable();
+        jobs.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Steps of a job with waiting tasks whose dependencies are done.
+    fn ready_steps(&self, now: Instant, id: JobId) -> Vec<Ready> {
+        let Some(job) = self.ledger.job(id) else { return Vec::new() };
+        let spec = &job.spec;
+        let mut ready = Vec::new();
+        for (k, steps) in job.progress.occurrences.iter().enumerate() {
+            if !self.is_due(now, spec, k as u32) {
+                break;
+            }
+            for (s, tasks) in steps.iter().enumerate() {
+                let done = |it: &u16| steps[usize::from(*it)].iter().all(|it| it.done);
+                let waiting = tasks.iter().any(|it| self.wants_copy(&spec.steps[s], it));
+                if waiting && spec.steps[s].depends_on.iter().all(done) {
+                    ready.push(Ready { job: id, occurrence: k as u32, step: s as u16 });
+                }
+            }
+        }
+        ready
+    }
+
+    /// Whether an occurrence's time has come.
+    fn is_due(&self, now: Instant, spec: &JobSpec, k: u32) -> bool {
+        if !spec.timed {
+            return true;
+        }
+        // The wall clock was read once: it may jump, the process's own clock does not.
+        let passed = now.since(self.began_at).as_millis() as u64;
+        self.began_wall_ms + passed >= spec.due_ms(k)
+    }
+
+    /// Whether another copy of a task is to be started: there is none, or the only one is on a
+    /// worker that does not answer and the step allows copies.
+    fn wants_copy(&self, step: &StepSpec, state: &TaskState) -> bool {
+        if state.done {
+            return false;
+        }
+        if state.copies.is_empty() {
+            return true;
+        }
+        step.speculative
+            && !step.gang
+            && state.copies.len() < COPIES_MAX
+            && state.copies.iter().all(|it| self.is_silent(it))
+    }
+
+    fn is_silent(&self, copy: &Copy) -> bool {
+        let worker = self.by_id.get(&copy.worker).and_then(|key| self.workers.get(*key));
+        worker.is_none_or(|it| it.hold_failures > 0 || !it.listed)
+    }
+
+    fn place_step(&mut self, now: Instant, ready: Ready) {
+        let Some(job) = self.ledger.job(ready.job) else { return };
+        let spec = job.spec.clone();
+        let step = &spec.steps[usize::from(ready.step)];
+        let tasks = &job.progress.occurrences[ready.occurrence as usize][usize::from(ready.step)];
+        let waiting: Vec<u32> = (0u32..)
+            .zip(tasks)
+            .filter(|(_, it)| self.wants_copy(step, it))
+            .map(|(index, _)| index)
+            .collect();
+        if step.gang {
+            if waiting.len() == tasks.len() {
+                self.place_gang(now, ready, &spec, step);
+            }
+            return;
+        }
+        let service = self.service(&spec);
+        for index in waiting {
+            let task = task_id(ready, index);
+            let Some(key) = self.try_place(now, &service, step, task, None, &[]) else { break };
+            let run = self.next_run(task);
+            self.assign(now, key, task, run, step);
+        }
+    }
+
+    /// Starts all members of a gang, or none.
+    fn place_gang(&mut self, now: Instant, ready: Ready, spec: &JobSpec, step: &StepSpec) {
+        let service = self.service(spec);
+        let found = match step.same_rack {
+            true => self
+                .racks(&service)
+                .into_iter()
+                .find_map(|rack| self.try_place_all(now, &service, step, ready, Some(&rack)))
+                .or_else(|| self.try_place_all(now, &service, step, ready, None)),
+            false => self.try_place_all(now, &service, step, ready, None),
+        };
+        let Some(keys) = found else { return };
+        let members = 0..step.count;
+        let run = members.clone().map(|it| self.next_run(task_id(ready, it))).max().unwrap_or(1);
+        for (index, key) in members.zip(keys) {
+            self.assign(now, key, task_id(ready, index), run, step);
+        }
+    }
+
+    fn try_place_all(
+        &self,
+        now: Instant,
+        service: &str,
+        step: &StepSpec,
+        ready: Ready,
+        rack: Option<&str>,
+    ) -> Option<Vec<WorkerKey>> {
+        let mut taken: Vec<(WorkerKey, Resources)> = Vec::new();
+        for index in 0..step.count {
+            let task = task_id(ready, index);
+            let key = self.try_place(now, service, step, task, rack, &taken)?;
+            taken.push((key, step.counted()));
+        }
+        Some(taken.into_iter().map(|(key, _)| key).collect())
+    }
+
+    fn racks(&self, service: &str) -> Vec<Arc<str>> {
+        let of_service = self.workers.iter().filter(|(_, it)| &*it.service == service);
+        let mut racks: Vec<_> = of_service.flat_map(|(_, it)| it.labels.iter().cloned()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        racks
+    }
+
+    /// The service that runs a job's tasks: as its queue says now, or last said.
+    fn service(&self, spec: &JobSpec) -> Arc<str> {
+        let queue = self.queues.queue(&spec.terms.queue);
+        queue.map_or_else(|| spec.terms.service.clone(), |it| it.terms.service.clone())
+    }
+
+    fn next_run(&self, task: TaskId) -> u32 {
+        let job = self.ledger.job(task.job);
+        let steps = job.and_then(|it| it.progress.occurrences.get(task.occurrence as usize));
+        let tasks = steps.and_then(|it| it.get(usize::from(task.step)));
+        tasks.and_then(|it| it.get(task.index as usize)).map_or(1, |it| it.runs + 1)
+    }
+
+    /// Gives a task to a worker; the order goes out when its record is in the log.
+    fn assign(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, step: &StepSpec) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.add(super::assignment(now, task, run, step));
+        let id = worker.id.clone();
+        let Some(state) = self.task_mut(task) else { return };
+        state.runs = run;
+        state.copies.push(Copy { run, worker: id });
+        if let Some(job) = self.ledger.job_mut(task.job) {
+            job.progress.begun = true;
+        }
+        self.recording.push((key, task, run));
+    }
+
+    /// How long until the next occurrence of any job is due.
+    pub fn next_due(&self, now: Instant) -> Option<Duration> {
+        let passed = now.since(self.began_at).as_millis() as u64;
+        let wall = self.began_wall_ms + passed;
+        let timed = self.active.iter().filter_map(|(id, _)| self.ledger.job(*id));
+        let timed = timed.filter(|it| it.spec.timed);
+        let next = timed.flat_map(|it| (0..it.spec.occurrences).map(|k| it.spec.due_ms(k)));
+        next.filter(|it| *it > wall).min().map(|it| Duration::from_millis(it - wall))
+    }
+}
+
+fn task_id(ready: Ready, index: u32) -> TaskId {
+    TaskId { job: ready.job, occurrence: ready.occurrence, step: ready.step, index }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/watch.rs
@@ -0,0 +1,128 @@
+//! What time alone brings about.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    Owner,
+    worker::{Sent, Stop, Worker, WorkerKey},
+};
+use crate::TaskId;
+
+/// A run whose share of work done has not risen for this long stands still.
+///
+/// The shortest tasks take some 0.2 s and the picture of a worker is up to 0.8 s old, so two
+/// pictures in a row must show the same.
+const STUCK_AFTER: Duration = Duration::from_millis(1_800);
+/// How long a worker on which a run stood still gets no work.
+const SHUN_STUCK: Duration = Duration::from_secs(4);
+/// A worker that drains is left by tasks that would not end this long before it goes.
+const LEAVE_MARGIN: Duration = Duration::from_millis(700);
+
+impl Owner {
+    /// Looks after all that is due.
+    pub(super) fn watch(&mut self, now: Instant) {
+        self.renew_due(now);
+        self.resend_starts(now);
+        for at in 0..self.workers.len() {
+            let key = WorkerKey(at as u32);
+            self.give_up_silent(now, key);
+            self.stop_stuck(now, key);
+            self.leave_draining(now, key);
+        }
+        self.give_up_orphans(now);
+        self.send_stops(now);
+        self.plan_due = true;
+    }
+
+    /// All runs on a worker are over once its last lease has surely run out.
+    fn give_up_silent(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else { return };
+        if worker.tasks.is_empty() || (worker.hold_failures == 0 && worker.listed) {
+            return;
+        }
+        let over = match worker.clock {
+            Some(_) => worker.lease_over(now),
+            None => now >= self.inherited_until,
+        };
+        if !over {
+            return;
+        }
+        let lost: Vec<(TaskId, u32)> = worker
+            .tasks
+            .iter()
+            .filter(|it| it.sent != Sent::Recording)
+            .map(|it| (it.task, it.run))
+            .collect();
+        for (task, run) in lost {
+            self.lose(now, key, task, run, "its worker is silent and its lease has run out");
+        }
+    }
+
+    fn give_up_orphans(&mut self, now: Instant) {
+        if now < self.inherited_until || self.orphans.is_empty() {
+            return;
+        }
+        for it in std::mem::take(&mut self.orphans) {
+            self.drop_copy(now, it.task, it.run, "");
+        }
+    }
+
+    /// Stops runs that make no progress, so that they start elsewhere.
+    fn stop_stuck(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.hold_failures > 0 || !worker.fenced {
+            return;
+        }
+        // Best-effort tasks stand still where the others leave them nothing.
+        let busy = worker.free().cpu_milli < worker.capacity.cpu_milli / 8;
+        let mut found = false;
+        for it in &mut worker.tasks {
+            let starved = it.best_effort_cpu > 0 && (busy || it.pace < 50);
+            let at_work = it.target_ms > 0 && it.percent >= 100;
+            let still = now.since(it.moved_at) > STUCK_AFTER;
+            let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
+            if there && still && !starved && !at_work && it.percent < 100 {
+                it.stop = Stop::Due(now);
+                found = true;
+            }
+        }
+        if found {
+            self.shun(now, key, SHUN_STUCK);
+            self.note_worker(key, "shunned", "a run on it stands still");
+        }
+    }
+
+    /// Moves tasks off a worker that will leave before they end.
+    fn leave_draining(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(leaves_at) = worker.leaves_at else { return };
+        for it in &mut worker.tasks {
+            let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
+            if there && !ends_before(now, leaves_at, it.percent, now.since(it.began_at)) {
+                it.stop = Stop::Due(now);
+            }
+        }
+    }
+
+    /// Whether a worker takes new tasks now.
+    pub(super) fn usable(&self, now: Instant, worker: &Worker) -> bool {
+        worker.listed
+            && worker.ready
+            && worker.fenced
+            && worker.hold_failures == 0
+            && worker.clock.is_some()
+            && worker.shunned_until <= now
+    }
+}
+
+/// Whether a run that did `percent` of its work in `age` ends well before `leaves_at`.
+fn ends_before(now: Instant, leaves_at: Instant, percent: u8, age: Duration) -> bool {
+    let left = leaves_at.since(now).saturating_sub(LEAVE_MARGIN);
+    match percent {
+        // Too early to tell, or a task that lasts.
+        0 | 100.. => false,
+        percent => age * u32::from(100 - percent) / u32::from(percent) < left,
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/owner/worker.rs
@@ -0,0 +1,213 @@
+//! A worker as its owner sees it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use daisy_model::{Instant, Key, Resources};
+
+use crate::{Listed, TaskId, WorkerId};
+
+/// A worker's clock may run this much slower than the owner's, in thousandths: the platform's
+/// contract allows 2 %.
+const CLOCK_SLOW_PERMILLE: u64 = 20;
+/// Added before a lease counts as over, for the time that the worker takes to end its tasks.
+const EXPIRY_MARGIN_MS: u64 = 150;
+
+/// A worker in an owner's arena.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerKey(pub u32);
+
+impl Key for WorkerKey {
+    fn from_index(index: usize) -> WorkerKey {
+        WorkerKey(index as u32)
+    }
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// How far an order to start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// Its record is not in the log yet.
+    Recording,
+    /// On its way.
+    InFlight,
+    /// No answer came; it may be carried out late, and is sent again at this time.
+    Unanswered(Instant),
+    /// The worker has said at this time that it is there.
+    There(Instant),
+    /// An earlier owner recorded it; whether it is there is not known yet.
+    Inherited,
+}
+
+/// How far an order to stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// Not asked for.
+    No,
+    /// To be sent at this time, and sent again until it is answered.
+    Due(Instant),
+    /// On its way.
+    InFlight,
+    /// Done at this time: the end is to come in the worker's list.
+    Done(Instant),
+}
+
+/// A run that may be on a worker, with the room that it takes.
+#[derive(Debug, Clone)]
+pub(crate) struct Assignment {
+    pub task: TaskId,
+    pub run: u32,
+    /// What counts against the capacity.
+    pub counted: Resources,
+    /// Processor time that a best-effort task can use, in thousandths of a core.
+    pub best_effort_cpu: u32,
+    pub image: Option<Arc<str>>,
+    /// Tail latency of a serving task that must not be exceeded; 0 for a task that serves nobody.
+    pub target_ms: u32,
+    pub sent: Sent,
+    /// Whether an order to start it went unanswered: it may be carried out late.
+    pub maybe_late: bool,
+    pub tries: u32,
+    pub stop: Stop,
+    /// Renewals in a row, sent after the start was answered, that list the run nowhere.
+    pub absent: u8,
+    pub checkpoint: String,
+    pub percent: u8,
+    /// When `percent` last rose.
+    pub moved_at: Instant,
+    pub began_at: Instant,
+    pub load: u32,
+    /// The share that was last ordered, in percent.
+    pub pace: u8,
+    pub pace_in_flight: bool,
+}
+
+/// A worker of the owner.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Its id.
+    pub id: WorkerId,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    pub(crate) service: Arc<str>,
+    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) capacity: Resources,
+    pub(crate) used: Resources,
+    pub(crate) born_ms: u64,
+    /// Whether the platform's list names it.
+    pub(crate) listed: bool,
+    pub(crate) ready: bool,
+    /// When it was first seen to drain, and the least time that was left then.
+    pub(crate) leaves_at: Option<Instant>,
+    pub(crate) cold_until: Instant,
+    pub(crate) tasks: Vec<Assignment>,
+    /// The worker's clock in milliseconds, and when it was read.
+    pub(crate) clock: Option<(u64, Instant)>,
+    /// The latest end of a lease that was ever sent, answered or not, on the worker's clock.
+    pub(crate) deadline_ms: u64,
+    /// Whether it has answered under this owner's epoch: from then on it refuses older orders.
+    pub(crate) fenced: bool,
+    pub(crate) holding: bool,
+    pub(crate) held_at: Instant,
+    pub(crate) hold_sent_at: Instant,
+    pub(crate) hold_failures: u32,
+    /// The highest end that was taken in, and the highest whose record is in the log.
+    pub(crate) cursor_seen: u64,
+    pub(crate) cursor_durable: u64,
+    pub(crate) failures: u32,
+    pub(crate) shunned_until: Instant,
+    /// The share that best-effort tasks here are held to, in percent, and since when.
+    pub(crate) pace: u8,
+    pub(crate) paced_at: Instant,
+}
+
+impl Worker {
+    pub(crate) fn new(now: Instant, listed: &Listed) -> Worker {
+        Worker {
+            id: listed.id.clone(),
+            address: listed.address,
+            service: listed.service.clone(),
+            labels: listed.labels.clone(),
+            capacity: listed.capacity,
+            used: Resources::ZERO,
+            born_ms: listed.born_ms,
+            listed: true,
+            ready: listed.ready,
+            leaves_at: None,
+            cold_until: now + Duration::from_millis(listed.cold_ms),
+            tasks: Vec::new(),
+            clock: None,
+            deadline_ms: 0,
+            fenced: false,
+            holding: false,
+            held_at: Instant::default(),
+            hold_sent_at: Instant::default(),
+            hold_failures: 0,
+            cursor_seen: 0,
+            cursor_durable: 0,
+            failures: 0,
+            shunned_until: Instant::default(),
+            pace: 100,
+            paced_at: Instant::default(),
+        }
+    }
+
+    /// The least that the worker's clock can show now, in milliseconds.
+    fn clock_at_least(&self, now: Instant) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let passed = now.since(at).as_millis() as u64;
+        Some(clock + passed - passed * CLOCK_SLOW_PERMILLE / 1_000)
+    }
+
+    /// The end of a lease that begins now, on the worker's clock.
+    pub(crate) fn lease_end(&mut self, now: Instant, lease: Duration) -> Option<u64> {
+        let end = self.clock_at_least(now)? + lease.as_millis() as u64;
+        self.deadline_ms = self.deadline_ms.max(end);
+        Some(self.deadline_ms)
+    }
+
+    /// Whether every lease that was ever sent has surely run out on the worker's own clock.
+    pub(crate) fn lease_over(&self, now: Instant) -> bool {
+        self.clock_at_least(now).is_some_and(|it| it > self.deadline_ms + EXPIRY_MARGIN_MS)
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        self.capacity.try_sub(self.used).unwrap_or(Resources::ZERO)
+    }
+
+    pub(crate) fn find(&mut self, task: TaskId, run: u32) -> Option<&mut Assignment> {
+        self.tasks.iter_mut().find(|it| it.task == task && it.run == run)
+    }
+
+    pub(crate) fn add(&mut self, it: Assignment) {
+        self.used = self.used.try_add(it.counted).unwrap_or(self.capacity);
+        self.tasks.push(it);
+    }
+
+    pub(crate) fn remove(&mut self, task: TaskId, run: u32) -> Option<Assignment> {
+        let at = self.tasks.iter().position(|it| it.task == task && it.run == run)?;
+        let it = self.tasks.swap_remove(at);
+        // Summed anew: with a capacity that shrank, a difference could go below zero.
+        self.used = Resources::ZERO;
+        for it in &self.tasks {
+            self.used = self.used.try_add(it.counted).unwrap_or(self.capacity);
+        }
+        Some(it)
+    }
+
+    /// The rack among the labels: the label with a dash, as in `r1-3`.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|it| &**it == label)
+    }
+
+    /// Processor time that best-effort tasks here could use, in thousandths of a core.
+    pub(crate) fn best_effort_cpu(&self) -> u32 {
+        self.tasks.iter().map(|it| it.best_effort_cpu).sum()
+    }
+
+    pub(crate) fn serving(&self) -> usize {
+        self.tasks.iter().filter(|it| it.target_ms > 0).count()
+    }
+}
--- /dev/null
+++ b/daisy-workflow/src/record.rs
@@ -0,0 +1,340 @@
+//! Records of the platform's log: bincode behind one byte of version.
+
+use bincode::{Decode, Encode, config};
+use daisy_model::Resources;
+
+use crate::{Copy, JobId, JobSpec, Phase, Progress, StepSpec, TaskState, Terms};
+
+/// The version that this build writes, and the newest that it reads.
+const VERSION: u8 = 1;
+/// The key of the newest [`Claim`].
+pub const OWNER_KEY: &str = "owner";
+
+/// Who owns the workers, from this record's offset on.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Claim {
+    /// The claiming VM's name.
+    pub vm: String,
+    /// Drawn at random at each start of a process.
+    pub process: u64,
+    /// The fencing token: higher than all before.
+    pub epoch: u64,
+    /// The owner gives its workers up: anybody may claim at once.
+    pub released: bool,
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Record {
+    /// A caller submitted a job.
+    Submitted(JobId, JobSpec),
+    /// A caller cancelled a job.
+    Cancelled(JobId),
+    /// The owner's newest state of a job.
+    Progress(JobId, Progress),
+    /// An owner's claim or sign of life.
+    Claim(Claim),
+}
+
+/// Why a record says nothing that can be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// The key has no known form.
+    #[error("key {0:?} is not known")]
+    Key(String),
+    /// The record comes from a newer build.
+    #[error("version {0} is newer than {VERSION}")]
+    Version(u8),
+    /// The bytes do not decode.
+    #[error("malformed: {0}")]
+    Malformed(String),
+}
+
+/// The key and the value of a record.
+pub fn encode(record: &Record) -> (String, Vec<u8>) {
+    match record {
+        Record::Submitted(id, spec) => (format!("job-{id}"), framed(JobWire::from(spec))),
+        Record::Cancelled(id) => (format!("cancel-{id}"), framed(())),
+        Record::Progress(id, progress) => {
+            (format!("progress-{id}"), framed(ProgressWire::from(progress)))
+        }
+        Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
+    }
+}
+
+/// What the record under `key` says.
+///
+/// # Errors
+///
+/// If the key or the bytes are not of this build's making.
+pub fn decode(key: &str, value: &[u8]) -> Result<Record, RecordError> {
+    if key == OWNER_KEY {
+        return unframed(value).map(Record::Claim);
+    }
+    let unknown = || RecordError::Key(key.chars().take(40).collect());
+    let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
+    let id: JobId = id.parse().map_err(|_| unknown())?;
+    match kind {
+        "job" => {
+            let wire: JobWire = unframed(value)?;
+            let spec = JobSpec::from(wire).checked();
+            let spec = spec.map_err(|e| RecordError::Malformed(e.to_string()))?;
+            Ok(Record::Submitted(id, spec))
+        }
+        "cancel" => unframed(value).map(|()| Record::Cancelled(id)),
+        "progress" => {
+            let wire: ProgressWire = unframed(value)?;
+            Ok(Record::Progress(id, wire.try_into()?))
+        }
+        _ => Err(unknown()),
+    }
+}
+
+fn framed<T: Encode>(value: T) -> Vec<u8> {
+    let mut buf = vec![VERSION];
+    // Encoding into memory fails for no type that is used here.
+    buf.extend(bincode::encode_to_vec(value, config::standard()).unwrap_or_default());
+    buf
+}
+
+fn unframed<T: Decode<()>>(bytes: &[u8]) -> Result<T, RecordError> {
+    let (version, body) =
+        bytes.split_first().ok_or_else(|| RecordError::Malformed("empty".to_owned()))?;
+    if *version > VERSION {
+        return Err(RecordError::Version(*version));
+    }
+    // The limit keeps a corrupt length from allocating memory.
+    let cfg = config::standard().with_limit::<{ 4 << 20 }>();
+    let (value, len) =
+        bincode::decode_from_slice(body, cfg).map_err(|e| RecordError::Malformed(e.to_string()))?;
+    match len == body.len() {
+        true => Ok(value),
+        false => Err(RecordError::Malformed("trailing bytes".to_owned())),
+    }
+}
+
+#[derive(Debug, Encode, Decode)]
+struct JobWire {
+    queue: String,
+    service: String,
+    priority: i32,
+    max_attempts: u32,
+    slack_permille: u32,
+    target_latency_ms: u32,
+    text: String,
+    accepted_ms: u64,
+    first_due_ms: u64,
+    interval_ms: u64,
+    occurrences: u32,
+    timed: bool,
+    steps: Vec<StepWire>,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct StepWire {
+    count: u32,
+    cpu_milli: u32,
+    memory_mib: u32,
+    accelerators: u32,
+    estimate_ms: u32,
+    depends_on: Vec<u16>,
+    checkpoints: bool,
+    gang: bool,
+    same_rack: bool,
+    required_label: Option<String>,
+    data_rack: Option<String>,
+    max_per_worker: u32,
+    speculative: bool,
+    long_running: bool,
+    image: Option<String>,
+    target_ms: u32,
+    best_effort: bool,
+    max_unavailable: Option<u32>,
+}
+
+impl From<&JobSpec> for JobWire {
+    fn from(spec: &JobSpec) -> JobWire {
+        let terms = &spec.terms;
+        JobWire {
+            queue: terms.queue.to_string(),
+            service: terms.service.to_string(),
+            priority: terms.priority,
+            max_attempts: terms.max_attempts,
+            slack_permille: terms.slack_permille,
+            target_latency_ms: terms.target_latency_ms,
+            text: spec.text.to_string(),
+            accepted_ms: spec.accepted_ms,
+            first_due_ms: spec.first_due_ms,
+            interval_ms: spec.interval_ms,
+            occurrences: spec.occurrences,
+            timed: spec.timed,
+            steps: spec.steps.iter().map(StepWire::from).collect(),
+        }
+    }
+}
+
+impl From<JobWire> for JobSpec {
+    fn from(wire: JobWire) -> JobSpec {
+        JobSpec {
+            terms: Terms {
+                queue: wire.queue.into(),
+                service: wire.service.into(),
+                priority: wire.priority,
+                max_attempts: wire.max_attempts,
+                slack_permille: wire.slack_permille,
+                target_latency_ms: wire.target_latency_ms,
+            },
+            text: wire.text.into(),
+            accepted_ms: wire.accepted_ms,
+            first_due_ms: wire.first_due_ms,
+            interval_ms: wire.interval_ms,
+            occurrences: wire.occurrences,
+            timed: wire.timed,
+            steps: wire.steps.into_iter().map(StepSpec::from).collect(),
+        }
+    }
+}
+
+impl From<&StepSpec> for StepWire {
+    fn from(step: &StepSpec) -> StepWire {
+        let text = |it: &Option<std::sync::Arc<str>>| it.as_ref().map(ToString::to_string);
+        StepWire {
+            count: step.count,
+            cpu_milli: step.need.cpu_milli,
+            memory_mib: step.need.memory_mib,
+            accelerators: step.need.accelerators,
+            estimate_ms: step.estimate_ms,
+            depends_on: step.depends_on.clone(),
+            checkpoints: step.checkpoints,
+            gang: step.gang,
+            same_rack: step.same_rack,
+            required_label: text(&step.required_label),
+            data_rack: text(&step.data_rack),
+            max_per_worker: step.max_per_worker,
+            speculative: step.speculative,
+            long_running: step.long_running,
+            image: text(&step.image),
+            target_ms: step.target_ms,
+            best_effort: step.best_effort,
+            max_unavailable: step.max_unavailable,
+        }
+    }
+}
+
+impl From<StepWire> for StepSpec {
+    fn from(wire: StepWire) -> StepSpec {
+        StepSpec {
+            count: wire.count,
+            need: Resources {
+                cpu_milli: wire.cpu_milli,
+                memory_mib: wire.memory_mib,
+                accelerators: wire.accelerators,
+            },
+            estimate_ms: wire.estimate_ms,
+            depends_on: wire.depends_on,
+            checkpoints: wire.checkpoints,
+            gang: wire.gang,
+            same_rack: wire.same_rack,
+            required_label: wire.required_label.map(Into::into),
+            data_rack: wire.data_rack.map(Into::into),
+            max_per_worker: wire.max_per_worker,
+            speculative: wire.speculative,
+            long_running: wire.long_running,
+            image: wire.image.map(Into::into),
+            target_ms: wire.target_ms,
+            best_effort: wire.best_effort,
+            max_unavailable: wire.max_unavailable,
+        }
+    }
+}
+
+#[derive(Debug, Encode, Decode)]
+struct ProgressWire {
+    phase: u8,
+    begun: bool,
+    /// Names of workers, so that each copy needs a number only.
+    workers: Vec<String>,
+    occurrences: Vec<Vec<Vec<TaskWire>>>,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct TaskWire {
+    done: bool,
+    runs: u32,
+    failures: u32,
+    checkpoint: String,
+    copies: Vec<CopyWire>,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct CopyWire {
+    run: u32,
+    worker: u16,
+}
+
+impl From<&Progress> for ProgressWire {
+    fn from(progress: &Progress) -> ProgressWire {
+        let mut workers: Vec<String> = Vec::new();
+        let mut number = |name: &str| match workers.iter().position(|it| it == name) {
+            Some(at) => at as u16,
+            None => {
+                workers.push(name.to_owned());
+                (workers.len() - 1) as u16
+            }
+        };
+        let mut task = |it: &TaskState| TaskWire {
+            done: it.done,
+            runs: it.runs,
+            failures: it.failures,
+            checkpoint: it.checkpoint.clone(),
+            copies: it
+                .copies
+                .iter()
+                .map(|copy| CopyWire { run: copy.run, worker: number(&copy.worker.0) })
+                .collect(),
+        };
+        // An ended job's tasks are never looked at again.
+        let occurrences = match progress.phase {
+            Phase::Active => progress
+                .occurrences
+                .iter()
+                .map(|steps| steps.iter().map(|it| it.iter().map(&mut task).collect()).collect())
+                .collect(),
+            Phase::Completed | Phase::Failed => Vec::new(),
+        };
+        let phase = match progress.phase {
+            Phase::Active => 0,
+            Phase::Completed => 1,
+            Phase::Failed => 2,
+        };
+        ProgressWire { phase, begun: progress.begun, workers, occurrences }
+    }
+}
+
+impl TryFrom<ProgressWire> for Progress {
+    type Error = RecordError;
+
+    fn try_from(wire: ProgressWire) -> Result<Progress, RecordError> {
+        let phase = match wire.phase {
+            0 => Phase::Active,
+            1 => Phase::Completed,
+            2 => Phase::Failed,
+            other => return Err(RecordError::Malformed(format!("phase {other}"))),
+        };
+        let workers: Vec<crate::WorkerId> =
+            wire.workers.iter().map(|it| it.as_str().into()).collect();
+        let copy = |it: CopyWire| match workers.get(usize::from(it.worker)) {
+            Some(worker) => Ok(Copy { run: it.run, worker: worker.clone() }),
+            None => Err(RecordError::Malformed(format!("worker {}", it.worker))),
+        };
+        let task = |it: TaskWire| {
+            let copies = it.copies.into_iter().map(copy).collect::<Result<_, _>>()?;
+            let TaskWire { done, runs, failures, checkpoint, .. } = it;
+            Ok(TaskState { done, runs, failures, checkpoint, copies })
+        };
+        let step = |it: Vec<TaskWire>| it.into_iter().map(task).collect::<Result<_, _>>();
+        let steps = |it: Vec<Vec<TaskWire>>| it.into_iter().map(step).collect::<Result<_, _>>();
+        let occurrences = wire.occurrences.into_iter().map(steps).collect::<Result<_, _>>()?;
+        Ok(Progress { phase, begun: wire.begun, occurrences })
+    }
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -30,6 +30,8 @@
     Entry(Entry),
     /// `load`
     Load(Load),
+    /// `node`
+    Node(Node),
     /// `standin`
     Standin(Standin),
 }
@@ -81,3 +83,15 @@
     #[argh(option)]
     pub settings: PathBuf,
 }
+
+/// Run an entry VM's process on a platform that keeps all state, until SIGTERM.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "node")]
+pub struct Node {
+    /// the platform's settings file; DAISYSHIFT_CONFIG in the environment if not given
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// events of this level and above go to standard output (default info)
+    #[argh(option, default = "daisy_settings::LogLevel::Info")]
+    pub log_level: daisy_settings::LogLevel,
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod entry;
 mod logging;
+mod node;
 mod standin;
 
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Entry(options) => entry::run(&options),
         Command::Load(options) => standin::run_load(options),
+        Command::Node(options) => node::run(&options),
         Command::Standin(options) => standin::run(options),
     };
     match outcome {
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,27 @@
+//! `daisyshift node`: an entry VM's process on a platform that keeps all state.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::Context;
+use tokio::runtime::Builder;
+
+use crate::{args, logging};
+
+/// Runs the process until SIGTERM and its planned stop.
+///
+/// # Errors
+///
+/// If the settings cannot be read or used, or an address cannot be taken.
+pub fn run(options: &args::Node) -> anyhow::Result<ExitCode> {
+    let path = match &options.settings {
+        Some(path) => path.clone(),
+        None => std::env::var_os(daisy_platform::SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .with_context(|| format!("{} is not set", daisy_platform::SETTINGS_VARIABLE))?,
+    };
+    logging::start(options.log_level)?;
+    // A VM of the platform has a quarter of one core: more threads would only take turns.
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.context("starting the runtime")?.block_on(daisy_node::run(&path))?;
+    Ok(ExitCode::SUCCESS)
+}
