workflow: learn which images disturb which, and place and pace by it

Now the weights of pairs are fitted to reports by least squares, best-effort tasks are placed where nobody suffers, only those that press are held back, and starved ones start anew elsewhere.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -7,6 +7,7 @@
 
 mod ends;
 mod hold;
+mod interference;
 mod message;
 mod orders;
 mod pace;
@@ -19,7 +20,10 @@
 
 use daisy_model::{Arena, Instant, SortedMap};
 
-use self::worker::{Assignment, Sent, Stop};
+use self::{
+    interference::Interference,
+    worker::{Assignment, Sent, Stop},
+};
 pub use self::{
     message::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
@@ -77,6 +81,7 @@
     /// Starts that wait for their record.
     recording: Vec<(WorkerKey, TaskId, u32)>,
     in_flight: Option<InFlight>,
+    interference: Interference,
     /// Copies recorded by an earlier owner on workers that the list does not name.
     orphans: Vec<Orphan>,
     /// When every lease that an earlier owner may have granted has surely run out.
@@ -130,6 +135,7 @@
             dirty: Vec::new(),
             recording: Vec::new(),
             in_flight: None,
+            interference: Interference::default(),
             orphans: Vec::new(),
             inherited_until,
             appended_at: now,
@@ -333,5 +339,8 @@
         load: 0,
         pace: 100,
         pace_in_flight: false,
+        paced_at: Instant::default(),
+        slowed_at: now,
+        own_tail: 0.4,
     }
 }
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -4,7 +4,9 @@
 
 use super::{
     Owner,
-    worker::{Worker, WorkerKey},
+    interference::Interference,
+    pace::{TAIL_LIMIT, full_press, full_share},
+    worker::{Assignment, Worker, WorkerKey},
 };
 use crate::{StepSpec, TaskId};
 
@@ -13,7 +15,10 @@
 const COST_FAILED_HERE: i64 = 100_000;
 const COST_RECENT_FAILURE: i64 = 20_000;
 const COST_FAR_FROM_DATA: i64 = 10_000;
-const COST_BESIDE_SERVING: i64 = 4_000;
+const COST_TAIL_OVER: i64 = 4_000;
+const COST_OTHER_IMAGE: i64 = 300;
+/// For each thousandth of a worker's processors that best-effort tasks would lack.
+const COST_SLOWED: i64 = 4;
 const COST_COLD: i64 = 3_000;
 
 impl Owner {
@@ -35,7 +40,9 @@
                 && fits(step, it, *key, taken)
                 && !crowded(step, it, *key, task, taken)
         });
-        candidates.min_by_key(|(key, it)| (cost(now, step, it, task), *key)).map(|(key, _)| key)
+        candidates
+            .min_by_key(|(key, it)| (cost(now, &self.interference, step, it, task), *key))
+            .map(|(key, _)| key)
     }
 }
 
@@ -74,7 +81,13 @@
 }
 
 /// Lower is better.
-fn cost(now: Instant, step: &StepSpec, worker: &Worker, task: TaskId) -> i64 {
+fn cost(
+    now: Instant,
+    learnt: &Interference,
+    step: &StepSpec,
+    worker: &Worker,
+    task: TaskId,
+) -> i64 {
     let permille = |cpu: u32| i64::from(cpu) * 1_000 / i64::from(worker.capacity.cpu_milli.max(1));
     let used = permille(worker.used.cpu_milli);
     let mut cost = 0;
@@ -91,17 +104,49 @@
         cost += COST_COLD;
     }
     if step.best_effort {
-        // Where the others leave most, and where nobody's tail suffers.
-        cost += used + permille(worker.best_effort_cpu());
-        if worker.serving() > 0 {
-            cost += COST_BESIDE_SERVING;
+        // Where nobody's tail suffers, and then where the others leave most.
+        let over = (tail_with(learnt, worker, step) - TAIL_LIMIT).max(0.0);
+        cost += (over.min(4.0) * COST_TAIL_OVER as f64) as i64;
+        let needed = worker.best_effort_cpu() + step.need.cpu_milli;
+        let left = idle_cpu(worker);
+        if needed > left {
+            cost += permille(needed - left) * COST_SLOWED;
         }
-        return cost;
+        return cost + permille(worker.best_effort_cpu());
     }
     if step.target_ms > 0 {
-        // Serving tasks are packed together, away from best-effort tasks, so that these find
-        // workers without any.
-        return cost + 1_000 - used + permille(worker.best_effort_cpu());
+        // Serving tasks of one image are packed together: the fewer images a worker serves, the
+        // more kinds of best-effort tasks go well beside them.
+        let other = |it: &&Assignment| it.target_ms > 0 && it.image != step.image;
+        let others = worker.tasks.iter().filter(other).count() as i64;
+        let image = step.image.as_deref().unwrap_or_default();
+        let press = full_press(learnt, worker, image).min(4.0);
+        cost += others * COST_OTHER_IMAGE + (press * COST_TAIL_OVER as f64) as i64;
+        return cost + 1_000 - used;
     }
     cost + used
 }
+
+/// The highest tail of the worker's serving tasks, in targets, with one more task of `step` beside
+/// them and all best-effort tasks at full pace.
+pub(super) fn tail_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
+    let other = step.image.as_deref().unwrap_or_default();
+    let share = full_share(worker, step.need.cpu_milli);
+    let serving = worker.tasks.iter().filter(|it| it.target_ms > 0);
+    let tails = serving.map(|it| {
+        let image = it.image.as_deref().unwrap_or_default();
+        it.own_tail + full_press(learnt, worker, image) + learnt.weight(image, other) * share
+    });
+    tails.fold(0.0, f64::max)
+}
+
+/// Processor time that is left for best-effort tasks, in thousandths of a core.
+fn idle_cpu(worker: &Worker) -> u32 {
+    /// Serving tasks use about half of what they reserve.
+    const SERVING_USE_PERCENT: u32 = 55;
+    let used = |it: &Assignment| match it.target_ms {
+        0 => it.counted.cpu_milli,
+        _ => it.counted.cpu_milli / 100 * SERVING_USE_PERCENT,
+    };
+    worker.capacity.cpu_milli.saturating_sub(worker.tasks.iter().map(used).sum())
+}
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -82,6 +82,11 @@
     /// The share that was last ordered, in percent.
     pub pace: u8,
     pub pace_in_flight: bool,
+    /// When the share was last ordered, and when it was last made small.
+    pub paced_at: Instant,
+    pub slowed_at: Instant,
+    /// Of a serving task, the running mean of its tail without best-effort tasks, in targets.
+    pub own_tail: f64,
 }
 
 /// A worker of the owner.
@@ -118,9 +123,6 @@
     pub(crate) cursor_durable: u64,
     pub(crate) failures: u32,
     pub(crate) shunned_until: Instant,
-    /// The share that best-effort tasks here are held to, in percent, and since when.
-    pub(crate) pace: u8,
-    pub(crate) paced_at: Instant,
 }
 
 impl Worker {
@@ -149,8 +151,6 @@
             cursor_durable: 0,
             failures: 0,
             shunned_until: Instant::default(),
-            pace: 100,
-            paced_at: Instant::default(),
         }
     }
 
