--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -318,6 +318,10 @@
     }
 }
 
+/// Headroom that a serving task counts with until its first report: that of a task at its mean
+/// load, as seen.
+const NEW_HEADROOM: f64 = 2.7;
+
 /// An assignment that begins now.
 fn assignment(now: Instant, task: TaskId, run: u32, step: &crate::StepSpec) -> Assignment {
     Assignment {
@@ -341,6 +345,7 @@
         pace_in_flight: false,
         paced_at: Instant::default(),
         slowed_at: now,
-        own_tail: 0.4,
+        mean_headroom: None,
+        own_headroom: NEW_HEADROOM,
     }
 }
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -1,9 +1,11 @@
 //! How much best-effort tasks of one image slow serving tasks of another, learnt from what
 //! workers report.
 //!
-//! The tail latency of a serving task, as a share of its target, is taken as a base plus, for
-//! each image of best-effort tasks beside it, a weight times the share of the worker's processors
-//! that they use. The weights are fitted to the reports by least squares, none below zero.
+//! A serving task is a queue: its tail latency grows as 1 / (1 - load - disturbance). So its
+//! *headroom*, the target divided by the tail, falls in proportion to the processor time that
+//! best-effort tasks use beside it. For each pair of images the factor is fitted to reports by
+//! least squares, none below zero. A serving task's own load swings over many seconds; it is taken
+//! out by comparing each report with the running means of the same worker's reports before.
 
 use std::sync::Arc;
 
@@ -12,14 +14,13 @@
 /// Reports older than this count for half: the amounts change within seconds, and a worker
 /// reports about twice a second.
 const HALF_LIFE_S: f64 = 10.0;
-/// The weight that a pair begins with: a task on a tenth of a worker then costs 0.4 of a target,
-/// so that unknown images are tried one or two to a worker.
+/// The factor that a pair begins with: a task on a tenth of a worker then takes 0.4 of headroom,
+/// so that unknown images are tried one or two to a worker. Pairs that disturb each other were
+/// seen at 8 to 16, the others at 0 to 1.
 const PRIOR_WEIGHT: f64 = 4.0;
-/// How firmly it is held to, in squared shares of a worker: some five reports of a task on a
-/// tenth of a worker outweigh it.
-const PRIOR_STRENGTH: f64 = 0.05;
-/// Reports above this many targets count as this many: far out, tails say little.
-const TAIL_MAX: f64 = 4.0;
+/// How firmly it is held to, in squared shares of a worker: some five reports of a start or an
+/// end of a task on a twentieth of a worker outweigh it.
+const PRIOR_STRENGTH: f64 = 0.01;
 /// Passes of the fit; the next report goes on from where the last fit ended.
 const PASSES: usize = 4;
 
@@ -31,8 +32,8 @@
     serving: SortedMap<Arc<str>, Fit>,
 }
 
-/// Weighted sums of one serving image's reports, and the weights fitted to them. Position 0 is the
-/// base, the others are images of best-effort tasks.
+/// Weighted sums of one serving image's reports, and the weights fitted to them. Positions are
+/// images of best-effort tasks.
 #[derive(Debug, Clone)]
 struct Fit {
     products: Vec<Vec<f64>>,
@@ -47,8 +48,7 @@
     }
 
     fn grow(&mut self, len: usize) {
-        let old = self.weights.len();
-        if old >= len {
+        if self.weights.len() >= len {
             return;
         }
         for row in &mut self.products {
@@ -57,9 +57,6 @@
         self.products.resize(len, vec![0.0; len]);
         self.answers.resize(len, 0.0);
         self.weights.resize(len, PRIOR_WEIGHT);
-        if old == 0 {
-            self.weights[0] = 0.3;
-        }
     }
 
     fn forget(&mut self, now: Instant) {
@@ -82,42 +79,35 @@
     fn solve(&mut self) {
         for _ in 0..PASSES {
             for i in 0..self.weights.len() {
-                let prior = if i == 0 { 0.0 } else { PRIOR_STRENGTH };
                 let row = &self.products[i];
                 let others: f64 = row.iter().zip(&self.weights).map(|(a, w)| a * w).sum();
                 let rest = self.answers[i] - others + row[i] * self.weights[i];
-                let scale = row[i] + prior;
-                if scale > 0.0 {
-                    self.weights[i] = ((rest + prior * PRIOR_WEIGHT) / scale).max(0.0);
-                }
+                let scale = row[i] + PRIOR_STRENGTH;
+                self.weights[i] = ((rest + PRIOR_STRENGTH * PRIOR_WEIGHT) / scale).max(0.0);
             }
         }
     }
 }
 
 impl Interference {
-    /// Takes a report in: a serving task of `image` had `tail` targets of latency while
-    /// best-effort tasks used these shares of its worker's processors.
-    pub fn learn(&mut self, now: Instant, image: &Arc<str>, tail: f64, beside: &[(Arc<str>, f64)]) {
-        let mut x = vec![(0, 1.0)];
-        for (other, share) in beside {
-            let next = self.images.len() + 1;
-            let at = *self.images.get_or_insert_with(other.clone(), || next);
-            match x.iter_mut().find(|(i, _)| *i == at) {
-                Some((_, sum)) => *sum += share,
-                None => x.push((at, *share)),
-            }
+    /// Takes a report in: a serving task of `image` had `loss` less headroom than in the mean of
+    /// the reports before, while best-effort tasks of these images used so much more of its
+    /// worker's processors.
+    pub fn learn(&mut self, now: Instant, image: &Arc<str>, loss: f64, more: &[(Arc<str>, f64)]) {
+        let mut x = Vec::with_capacity(more.len());
+        for (other, share) in more {
+            let next = self.images.len();
+            x.push((*self.images.get_or_insert_with(other.clone(), || next), *share));
         }
-        let len = self.images.len() + 1;
         let fit = self.serving.get_or_insert_with(image.clone(), || Fit::new(now));
-        fit.grow(len);
+        fit.grow(self.images.len());
         fit.forget(now);
-        fit.add(&x, tail.min(TAIL_MAX));
+        fit.add(&x, loss);
         fit.solve();
     }
 
-    /// The targets of latency that a best-effort task of image `other`, using all of a worker's
-    /// processors, would add to a serving task of `image`.
+    /// The headroom that a best-effort task of image `other`, using all of a worker's processors,
+    /// would take from a serving task of `image`.
     pub fn weight(&self, image: &str, other: &str) -> f64 {
         let fit = self.find(image);
         let at = self.images.iter().find(|(it, _)| &***it == other).map(|(_, at)| *at);
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -12,10 +12,16 @@
 };
 use crate::TaskId;
 
-/// Share of its target that a serving task's tail is held to. The reports are rough.
-pub(super) const TAIL_LIMIT: f64 = 0.75;
-/// Tails at and above the target halve all best-effort tasks beside, whatever was learnt.
-const TAIL_OVER: f64 = 1.0;
+/// Headroom (target divided by tail latency) that a serving task is to keep: its tail then stays
+/// below seven tenths of the target, as reports are rough and half a second old.
+pub(super) const HEADROOM_MIN: f64 = 1.4;
+/// Headroom below which the target is missed: all best-effort tasks beside are halved, whatever
+/// was learnt.
+const HEADROOM_OVER: f64 = 1.0;
+/// Headroom above which more says nothing: tails are whole milliseconds.
+const HEADROOM_MAX: f64 = 6.0;
+/// Workers report figures of the last half second; what comes sooner repeats them.
+const REPORT_EVERY: Duration = Duration::from_millis(400);
 /// The smallest change of a share that is ordered, in percent.
 const STEP: u8 = 10;
 /// How long after its last change a task gets more again.
@@ -25,8 +31,9 @@
 const STARVED_AFTER: Duration = Duration::from_millis(1_000);
 /// Work done, in percent, that a task without checkpoints may lose by starting anew.
 const LOSS_MAX: u8 = 25;
-/// Weight of the newest report in the running mean of a serving task's tail of its own.
-const SMOOTHING: f64 = 0.3;
+/// Weight of the newest report in running means, so that they follow a load that swings over some
+/// ten seconds.
+const SMOOTHING: f64 = 0.4;
 
 /// Whether a run can be paced at present.
 fn is_there(it: &Assignment) -> bool {
@@ -40,7 +47,8 @@
     f64::from(cpu_milli) * TYPICAL_USE / f64::from(worker.capacity.cpu_milli.max(1))
 }
 
-/// What best-effort tasks at full pace add to the tail of a serving task of `image`, in targets.
+/// The headroom that all best-effort tasks of a worker at full pace take from a serving task of
+/// `image`.
 pub(super) fn full_press(learnt: &Interference, worker: &Worker, image: &str) -> f64 {
     let each = worker.tasks.iter().filter(|it| it.best_effort_cpu > 0).map(|it| {
         let other = it.image.as_deref().unwrap_or_default();
@@ -53,47 +61,27 @@
     /// Learns from a worker's report and chooses the shares of its best-effort tasks.
     pub(super) fn pace(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let best_effort = worker.tasks.iter().any(|it| it.best_effort_cpu > 0);
-        let serving = worker.tasks.iter().any(|it| it.target_ms > 0);
-        if !serving {
-            if best_effort {
-                order(now, worker, key, |_| 100, &mut self.actions);
-            }
+        if !worker.tasks.iter().any(|it| it.target_ms > 0) {
+            order(now, worker, key, |_| 100, &mut self.actions);
             return;
         }
-        let capacity = f64::from(worker.capacity.cpu_milli.max(1));
-        let beside: Vec<(Arc<str>, f64)> = worker
-            .tasks
-            .iter()
-            .filter(|it| it.best_effort_cpu > 0 && is_there(it))
-            .filter_map(|it| Some((it.image.clone()?, f64::from(it.load) / capacity)))
-            .collect();
+        if now.since(worker.reported_at) >= REPORT_EVERY {
+            worker.reported_at = now;
+            learn(now, &mut self.interference, worker);
+        }
+        let learnt = &self.interference;
         let mut caps: Vec<(usize, f64)> = Vec::new();
         let mut over = false;
-        for at in 0..worker.tasks.len() {
-            let it = &worker.tasks[at];
-            if it.target_ms == 0 || it.percent < 100 {
-                continue;
-            }
-            let image = it.image.clone().unwrap_or_else(|| "".into());
-            let tail = f64::from(it.load) / f64::from(it.target_ms);
-            if tail > 0.0 {
-                self.interference.learn(now, &image, tail, &beside);
-            }
-            let learnt = &self.interference;
-            let pressed: f64 =
-                beside.iter().map(|(other, share)| learnt.weight(&image, other) * share).sum();
-            let own = (tail - pressed).max(tail * 0.2);
-            let it = &mut worker.tasks[at];
-            it.own_tail = it.own_tail * (1.0 - SMOOTHING) + own * SMOOTHING;
-            over |= tail >= TAIL_OVER;
-            let room = (TAIL_LIMIT - it.own_tail.max(own)).max(0.0);
-            let full = full_press(learnt, worker, &image);
+        for (at, it) in worker.tasks.iter().enumerate() {
+            let Some(headroom) = headroom(it) else { continue };
+            over |= headroom < HEADROOM_OVER;
+            let room = (it.own_headroom - HEADROOM_MIN).max(0.0);
+            let full = full_press(learnt, worker, it.image.as_deref().unwrap_or_default());
             if full > room {
                 caps.push((at, room / full));
             }
         }
-        let shares = shares(&self.interference, worker, &caps, over);
+        let shares = shares(learnt, worker, &caps, over);
         order(now, worker, key, |at| shares[at], &mut self.actions);
         self.move_starved(now, key);
     }
@@ -118,7 +106,7 @@
         let service = worker.service.clone();
         let Some(to) = self.try_place(now, &service, step, task, None, &[]) else { return };
         let better = self.workers.get(to).is_some_and(|it| {
-            to != key && super::place::tail_with(&self.interference, it, step) <= TAIL_LIMIT
+            to != key && super::place::headroom_with(&self.interference, it, step) >= HEADROOM_MIN
         });
         if better && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) {
             it.stop = Stop::Due(now);
@@ -146,11 +134,76 @@
     }
 }
 
+/// The target of a serving task at work, divided by its tail latency.
+fn headroom(it: &Assignment) -> Option<f64> {
+    if it.target_ms == 0 || it.percent < 100 || it.load == 0 {
+        return None;
+    }
+    Some((f64::from(it.target_ms) / f64::from(it.load)).min(HEADROOM_MAX))
+}
+
+/// Takes a worker's report in.
+fn learn(now: Instant, learnt: &mut Interference, worker: &mut Worker) {
+    let capacity = f64::from(worker.capacity.cpu_milli.max(1));
+    let mut used: Vec<(Arc<str>, f64)> = Vec::new();
+    for it in worker.tasks.iter().filter(|it| it.best_effort_cpu > 0 && is_there(it)) {
+        let Some(image) = &it.image else { continue };
+        let share = f64::from(it.load) / capacity;
+        match used.iter_mut().find(|(other, _)| other == image) {
+            Some((_, sum)) => *sum += share,
+            None => used.push((image.clone(), share)),
+        }
+    }
+    let more = more_used(&mut worker.mean_used, &used);
+    for it in &mut worker.tasks {
+        let Some(headroom) = headroom(it) else { continue };
+        let Some(image) = &it.image else { continue };
+        let pressed: f64 =
+            used.iter().map(|(other, share)| learnt.weight(image, other) * share).sum();
+        let own = headroom + pressed;
+        match it.mean_headroom {
+            Some(mean) => {
+                learnt.learn(now, image, mean - headroom, &more);
+                it.mean_headroom = Some(mean + (headroom - mean) * SMOOTHING);
+                let smooth = it.own_headroom + (own - it.own_headroom) * SMOOTHING;
+                it.own_headroom = smooth.min(own);
+            }
+            None => {
+                it.mean_headroom = Some(headroom);
+                it.own_headroom = own;
+            }
+        }
+    }
+}
+
+/// How much more of a worker's processors each image uses than in the running means, which then
+/// follow.
+fn more_used(
+    means: &mut Vec<(Arc<str>, f64)>,
+    used: &[(Arc<str>, f64)],
+) -> Vec<(Arc<str>, f64)> {
+    /// Means below this are forgotten.
+    const NOTHING: f64 = 1e-4;
+    for (image, _) in used {
+        if !means.iter().any(|(it, _)| it == image) {
+            means.push((image.clone(), 0.0));
+        }
+    }
+    let mut more = Vec::with_capacity(means.len());
+    for (image, mean) in means.iter_mut() {
+        let share = used.iter().find(|(it, _)| it == image).map_or(0.0, |(_, share)| *share);
+        more.push((image.clone(), share - *mean));
+        *mean += (share - *mean) * SMOOTHING;
+    }
+    means.retain(|(_, mean)| *mean > NOTHING);
+    more
+}
+
 /// For each task of a worker, the share that it is to work at, in percent. `caps` holds the
-/// serving tasks that are pressed too hard, each with the part of the pressure that it can bear.
+/// serving tasks that are pressed too hard, each with the part of the disturbance that it can bear.
 fn shares(learnt: &Interference, worker: &Worker, caps: &[(usize, f64)], over: bool) -> Vec<u8> {
-    /// Pressure, in targets, below which a task is not worth holding back.
-    const PRESS_MIN: f64 = 0.02;
+    /// Headroom taken below which a task is not worth holding back.
+    const PRESS_MIN: f64 = 0.05;
     let share = |it: &Assignment| {
         if it.best_effort_cpu == 0 {
             return 100;
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -5,7 +5,7 @@
 use super::{
     Owner,
     interference::Interference,
-    pace::{TAIL_LIMIT, full_press, full_share},
+    pace::{HEADROOM_MIN, full_press, full_share},
     worker::{Assignment, Worker, WorkerKey},
 };
 use crate::{StepSpec, TaskId};
@@ -15,7 +15,7 @@
 const COST_FAILED_HERE: i64 = 100_000;
 const COST_RECENT_FAILURE: i64 = 20_000;
 const COST_FAR_FROM_DATA: i64 = 10_000;
-const COST_TAIL_OVER: i64 = 4_000;
+const COST_HEADROOM: i64 = 4_000;
 const COST_OTHER_IMAGE: i64 = 300;
 /// For each thousandth of a worker's processors that best-effort tasks would lack.
 const COST_SLOWED: i64 = 4;
@@ -105,8 +105,8 @@
     }
     if step.best_effort {
         // Where nobody's tail suffers, and then where the others leave most.
-        let over = (tail_with(learnt, worker, step) - TAIL_LIMIT).max(0.0);
-        cost += (over.min(4.0) * COST_TAIL_OVER as f64) as i64;
+        let lacking = (HEADROOM_MIN - headroom_with(learnt, worker, step)).max(0.0);
+        cost += (lacking.min(4.0) * COST_HEADROOM as f64) as i64;
         let needed = worker.best_effort_cpu() + step.need.cpu_milli;
         let left = idle_cpu(worker);
         if needed > left {
@@ -121,23 +121,23 @@
         let others = worker.tasks.iter().filter(other).count() as i64;
         let image = step.image.as_deref().unwrap_or_default();
         let press = full_press(learnt, worker, image).min(4.0);
-        cost += others * COST_OTHER_IMAGE + (press * COST_TAIL_OVER as f64) as i64;
+        cost += others * COST_OTHER_IMAGE + (press * COST_HEADROOM as f64) as i64;
         return cost + 1_000 - used;
     }
     cost + used
 }
 
-/// The highest tail of the worker's serving tasks, in targets, with one more task of `step` beside
-/// them and all best-effort tasks at full pace.
-pub(super) fn tail_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
+/// The least headroom of the worker's serving tasks, with one more task of `step` beside them and
+/// all best-effort tasks at full pace.
+pub(super) fn headroom_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
     let other = step.image.as_deref().unwrap_or_default();
     let share = full_share(worker, step.need.cpu_milli);
     let serving = worker.tasks.iter().filter(|it| it.target_ms > 0);
-    let tails = serving.map(|it| {
+    let headrooms = serving.map(|it| {
         let image = it.image.as_deref().unwrap_or_default();
-        it.own_tail + full_press(learnt, worker, image) + learnt.weight(image, other) * share
+        it.own_headroom - full_press(learnt, worker, image) - learnt.weight(image, other) * share
     });
-    tails.fold(0.0, f64::max)
+    headrooms.fold(f64::INFINITY, f64::min)
 }
 
 /// Processor time that is left for best-effort tasks, in thousandths of a core.
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -85,8 +85,10 @@
     /// When the share was last ordered, and when it was last made small.
     pub paced_at: Instant,
     pub slowed_at: Instant,
-    /// Of a serving task, the running mean of its tail without best-effort tasks, in targets.
-    pub own_tail: f64,
+    /// Of a serving task, the running mean of its headroom, and what it would be without
+    /// best-effort tasks beside it.
+    pub mean_headroom: Option<f64>,
+    pub own_headroom: f64,
 }
 
 /// A worker of the owner.
@@ -123,6 +125,9 @@
     pub(crate) cursor_durable: u64,
     pub(crate) failures: u32,
     pub(crate) shunned_until: Instant,
+    /// When its figures were last taken in, and the running means of what images use.
+    pub(crate) reported_at: Instant,
+    pub(crate) mean_used: Vec<(Arc<str>, f64)>,
 }
 
 impl Worker {
@@ -151,6 +156,8 @@
             cursor_durable: 0,
             failures: 0,
             shunned_until: Instant::default(),
+            reported_at: Instant::default(),
+            mean_used: Vec::new(),
         }
     }
 
