--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -346,6 +346,7 @@
         paced_at: Instant::default(),
         slowed_at: now,
         mean_headroom: None,
+        over_since: None,
         own_headroom: NEW_HEADROOM,
     }
 }
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -14,13 +14,13 @@
 /// Reports older than this count for half: the amounts change within seconds, and a worker
 /// reports about twice a second.
 const HALF_LIFE_S: f64 = 10.0;
-/// The factor that a pair begins with: a task on a tenth of a worker then takes 0.4 of headroom,
-/// so that unknown images are tried one or two to a worker. Pairs that disturb each other were
-/// seen at 8 to 16, the others at 0 to 1.
-const PRIOR_WEIGHT: f64 = 4.0;
+/// The factor that a pair begins with: a task on a tenth of a worker then takes 0.25 of headroom,
+/// so that unknown images are tried a few to a worker. Pairs that disturb each other were seen at
+/// 5 to 9, the others, about three of four, below 1.
+const PRIOR_WEIGHT: f64 = 2.5;
 /// How firmly it is held to, in squared shares of a worker: some five reports of a start or an
 /// end of a task on a twentieth of a worker outweigh it.
-const PRIOR_STRENGTH: f64 = 0.01;
+const PRIOR_STRENGTH: f64 = 0.006;
 /// Passes of the fit; the next report goes on from where the last fit ended.
 const PASSES: usize = 4;
 
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -99,7 +99,12 @@
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
-            OrderReply::Done { .. } => it.sent = Sent::There(now),
+            OrderReply::Done { .. } => {
+                it.sent = Sent::There(now);
+                if it.best_effort_cpu > 0 {
+                    self.pace(now, key);
+                }
+            }
             OrderReply::Unknown => {
                 it.maybe_late = true;
                 it.sent = Sent::Unanswered(now + RESEND_START * it.tries.min(8));
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -13,11 +13,22 @@
 use crate::TaskId;
 
 /// Headroom (target divided by tail latency) that a serving task is to keep: its tail then stays
-/// below seven tenths of the target, as reports are rough and half a second old.
-pub(super) const HEADROOM_MIN: f64 = 1.4;
-/// Headroom below which the target is missed: all best-effort tasks beside are halved, whatever
-/// was learnt.
-const HEADROOM_OVER: f64 = 1.0;
+/// below two thirds of the target, as reports are rough and half a second old.
+pub(super) const HEADROOM_MIN: f64 = 1.5;
+/// Headroom below which every best-effort task beside counts, also one that hardly disturbs: many
+/// such together can make the difference.
+const HEADROOM_TIGHT: f64 = 1.25;
+/// How long a target may be missed before all best-effort tasks beside are halted, whatever was
+/// learnt of them.
+const OVER_MAX: Duration = Duration::from_millis(1_200);
+/// Headroom taken by one of them below which it is left alone even then.
+const PRESS_MIN_TIGHT: f64 = 0.01;
+/// Headroom taken below which a best-effort task is not worth holding back: a task on a tenth of
+/// a worker takes 0.6 to 0.8 where its image disturbs, and up to 0.1 where it does not.
+pub(super) const PRESS_MIN: f64 = 0.12;
+/// Headroom below which a report says less of a serving task's own load: its queue is full, and
+/// empties over a second.
+const HEADROOM_FULL: f64 = 0.6;
 /// Headroom above which more says nothing: tails are whole milliseconds.
 const HEADROOM_MAX: f64 = 6.0;
 /// Workers report figures of the last half second; what comes sooner repeats them.
@@ -29,6 +40,8 @@
 /// A task that was held to less than this, in percent, for this long, starts anew elsewhere.
 const STARVED_BELOW: u8 = 40;
 const STARVED_AFTER: Duration = Duration::from_millis(1_000);
+/// The share at which it must be able to work there.
+const MOVE_PACE_MIN: f64 = 0.9;
 /// Work done, in percent, that a task without checkpoints may lose by starting anew.
 const LOSS_MAX: u8 = 25;
 /// Weight of the newest report in running means, so that they follow a load that swings over some
@@ -70,18 +83,20 @@
             learn(now, &mut self.interference, worker);
         }
         let learnt = &self.interference;
-        let mut caps: Vec<(usize, f64)> = Vec::new();
-        let mut over = false;
-        for (at, it) in worker.tasks.iter().enumerate() {
+        let mut caps: Vec<Cap> = Vec::new();
+        let mut halt = false;
+        for (serving, it) in worker.tasks.iter().enumerate() {
             let Some(headroom) = headroom(it) else { continue };
-            over |= headroom < HEADROOM_OVER;
+            halt |= it.over_since.is_some_and(|at| now.since(at) >= OVER_MAX);
             let room = (it.own_headroom - HEADROOM_MIN).max(0.0);
             let full = full_press(learnt, worker, it.image.as_deref().unwrap_or_default());
             if full > room {
-                caps.push((at, room / full));
+                let tight = headroom < HEADROOM_TIGHT;
+                let press_min = if tight { PRESS_MIN_TIGHT } else { PRESS_MIN };
+                caps.push(Cap { serving, bearable: room / full, press_min });
             }
         }
-        let shares = shares(learnt, worker, &caps, over);
+        let shares = shares(learnt, worker, &caps, halt);
         order(now, worker, key, |at| shares[at], &mut self.actions);
         self.move_starved(now, key);
     }
@@ -104,11 +119,10 @@
             return;
         }
         let service = worker.service.clone();
-        let Some(to) = self.try_place(now, &service, step, task, None, &[]) else { return };
-        let better = self.workers.get(to).is_some_and(|it| {
-            to != key && super::place::headroom_with(&self.interference, it, step) >= HEADROOM_MIN
-        });
-        if better && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) {
+        let to = self.try_place(now, &service, step, task, None, &[], MOVE_PACE_MIN);
+        if to.is_some_and(|to| to != key)
+            && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run))
+        {
             it.stop = Stop::Due(now);
         }
     }
@@ -134,6 +148,16 @@
     }
 }
 
+/// A serving task that is pressed too hard.
+struct Cap {
+    /// Its position among the worker's tasks.
+    serving: usize,
+    /// The part of the disturbance that it can bear.
+    bearable: f64,
+    /// Headroom taken from which a best-effort task is held back.
+    press_min: f64,
+}
+
 /// The target of a serving task at work, divided by its tail latency.
 fn headroom(it: &Assignment) -> Option<f64> {
     if it.target_ms == 0 || it.percent < 100 || it.load == 0 {
@@ -157,6 +181,10 @@
     let more = more_used(&mut worker.mean_used, &used);
     for it in &mut worker.tasks {
         let Some(headroom) = headroom(it) else { continue };
+        it.over_since = match headroom < 1.0 {
+            true => it.over_since.or(Some(now)),
+            false => None,
+        };
         let Some(image) = &it.image else { continue };
         let pressed: f64 =
             used.iter().map(|(other, share)| learnt.weight(image, other) * share).sum();
@@ -165,8 +193,10 @@
             Some(mean) => {
                 learnt.learn(now, image, mean - headroom, &more);
                 it.mean_headroom = Some(mean + (headroom - mean) * SMOOTHING);
-                let smooth = it.own_headroom + (own - it.own_headroom) * SMOOTHING;
-                it.own_headroom = smooth.min(own);
+                it.own_headroom = match headroom >= HEADROOM_FULL {
+                    true => (it.own_headroom + (own - it.own_headroom) * SMOOTHING).min(own),
+                    false => it.own_headroom.min(own.max(HEADROOM_MIN)),
+                };
             }
             None => {
                 it.mean_headroom = Some(headroom);
@@ -178,10 +208,7 @@
 
 /// How much more of a worker's processors each image uses than in the running means, which then
 /// follow.
-fn more_used(
-    means: &mut Vec<(Arc<str>, f64)>,
-    used: &[(Arc<str>, f64)],
-) -> Vec<(Arc<str>, f64)> {
+fn more_used(means: &mut Vec<(Arc<str>, f64)>, used: &[(Arc<str>, f64)]) -> Vec<(Arc<str>, f64)> {
     /// Means below this are forgotten.
     const NOTHING: f64 = 1e-4;
     for (image, _) in used {
@@ -199,29 +226,24 @@
     more
 }
 
-/// For each task of a worker, the share that it is to work at, in percent. `caps` holds the
-/// serving tasks that are pressed too hard, each with the part of the disturbance that it can bear.
-fn shares(learnt: &Interference, worker: &Worker, caps: &[(usize, f64)], over: bool) -> Vec<u8> {
-    /// Headroom taken below which a task is not worth holding back.
-    const PRESS_MIN: f64 = 0.05;
+/// For each task of a worker, the share that it is to work at, in percent. `caps` are the
+/// serving tasks that are pressed too hard.
+fn shares(learnt: &Interference, worker: &Worker, caps: &[Cap], halt: bool) -> Vec<u8> {
     let share = |it: &Assignment| {
         if it.best_effort_cpu == 0 {
             return 100;
         }
         let other = it.image.as_deref().unwrap_or_default();
         let mut share = 1.0f64;
-        for (at, bearable) in caps {
-            let image = worker.tasks[*at].image.as_deref().unwrap_or_default();
+        for cap in caps {
+            let image = worker.tasks[cap.serving].image.as_deref().unwrap_or_default();
             let press = learnt.weight(image, other) * full_share(worker, it.best_effort_cpu);
-            if press >= PRESS_MIN {
-                share = share.min(*bearable);
+            if press >= cap.press_min {
+                share = share.min(cap.bearable);
             }
         }
-        let mut percent = (share * 100.0) as u8;
-        if over {
-            percent = percent.min(it.pace / 2);
-        }
-        if percent < STEP { 0 } else { percent }
+        let percent = (share * 100.0) as u8;
+        if halt || percent < STEP { 0 } else { percent }
     };
     worker.tasks.iter().map(share).collect()
 }
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -5,7 +5,7 @@
 use super::{
     Owner,
     interference::Interference,
-    pace::{HEADROOM_MIN, full_press, full_share},
+    pace::{HEADROOM_MIN, PRESS_MIN, full_press, full_share},
     worker::{Assignment, Worker, WorkerKey},
 };
 use crate::{StepSpec, TaskId};
@@ -13,16 +13,18 @@
 /// Costs of a placement, in thousandths of a worker's processors: what a worker would have to be
 /// emptier by to be chosen all the same. The order of their sizes is what matters.
 const COST_FAILED_HERE: i64 = 100_000;
-const COST_RECENT_FAILURE: i64 = 20_000;
+const COST_RECENT_FAILURE: i64 = 1_500;
 const COST_FAR_FROM_DATA: i64 = 10_000;
 const COST_HEADROOM: i64 = 4_000;
+const COST_PACED: i64 = 8_000;
 const COST_OTHER_IMAGE: i64 = 300;
 /// For each thousandth of a worker's processors that best-effort tasks would lack.
 const COST_SLOWED: i64 = 4;
 const COST_COLD: i64 = 3_000;
 
 impl Owner {
-    /// The worker on which a task of `step` is best started, if any has room.
+    /// The worker on which a task of `step` is best started, if any has room and lets a
+    /// best-effort task work at `pace_min` of its processor time or more.
     pub(super) fn try_place(
         &self,
         now: Instant,
@@ -31,6 +33,7 @@
         task: TaskId,
         rack: Option<&str>,
         taken: &[(WorkerKey, Resources)],
+        pace_min: f64,
     ) -> Option<WorkerKey> {
         let candidates = self.workers.iter().filter(|(key, it)| {
             &*it.service == service
@@ -38,6 +41,7 @@
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
                 && fits(step, it, *key, taken)
+                && (!step.best_effort || pace_with(&self.interference, it, step) >= pace_min)
                 && !crowded(step, it, *key, task, taken)
         });
         candidates
@@ -105,8 +109,7 @@
     }
     if step.best_effort {
         // Where nobody's tail suffers, and then where the others leave most.
-        let lacking = (HEADROOM_MIN - headroom_with(learnt, worker, step)).max(0.0);
-        cost += (lacking.min(4.0) * COST_HEADROOM as f64) as i64;
+        cost += ((1.0 - pace_with(learnt, worker, step)) * COST_PACED as f64) as i64;
         let needed = worker.best_effort_cpu() + step.need.cpu_milli;
         let left = idle_cpu(worker);
         if needed > left {
@@ -127,17 +130,23 @@
     cost + used
 }
 
-/// The least headroom of the worker's serving tasks, with one more task of `step` beside them and
-/// all best-effort tasks at full pace.
-pub(super) fn headroom_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
+/// The share of its processor time at which one more best-effort task of `step` could work on a
+/// worker without taking too much headroom from a serving task, 0 to 1.
+pub(super) fn pace_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
     let other = step.image.as_deref().unwrap_or_default();
     let share = full_share(worker, step.need.cpu_milli);
-    let serving = worker.tasks.iter().filter(|it| it.target_ms > 0);
-    let headrooms = serving.map(|it| {
+    let mut pace = 1.0f64;
+    for it in worker.tasks.iter().filter(|it| it.target_ms > 0) {
         let image = it.image.as_deref().unwrap_or_default();
-        it.own_headroom - full_press(learnt, worker, image) - learnt.weight(image, other) * share
-    });
-    headrooms.fold(f64::INFINITY, f64::min)
+        let more = learnt.weight(image, other) * share;
+        if more < PRESS_MIN {
+            continue;
+        }
+        let full = full_press(learnt, worker, image) + more;
+        let room = (it.own_headroom - HEADROOM_MIN).max(0.0);
+        pace = pace.min(room / full);
+    }
+    pace
 }
 
 /// Processor time that is left for best-effort tasks, in thousandths of a core.
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -118,14 +118,29 @@
             return;
         }
         let service = self.service(&spec);
+        let pace_min = self.pace_min(now, ready);
         for index in waiting {
             let task = task_id(ready, index);
-            let Some(key) = self.try_place(now, &service, step, task, None, &[]) else { break };
+            let Some(key) = self.try_place(now, &service, step, task, None, &[], pace_min) else {
+                break;
+            };
             let run = self.next_run(task);
             self.assign(now, key, task, run, step);
         }
     }
 
+    /// The share of its processor time at which a best-effort task must be able to work to be
+    /// started at all: a job that has time left waits for a better place.
+    fn pace_min(&self, now: Instant, ready: Ready) -> f64 {
+        /// Where a task would work at less, it would soon be moved again.
+        const PACE_MIN: f64 = 0.6;
+        const PACE_MIN_URGENT: f64 = 0.2;
+        let Some(view) = self.active.get(&ready.job) else { return PACE_MIN_URGENT };
+        let tail = view.tails_ms.get(usize::from(ready.step)).copied().unwrap_or_default();
+        let urgent = now + Duration::from_millis(tail + tail / 4) > view.objective;
+        if urgent { PACE_MIN_URGENT } else { PACE_MIN }
+    }
+
     /// Starts all members of a gang, or none.
     fn place_gang(&mut self, now: Instant, ready: Ready, spec: &JobSpec, step: &StepSpec) {
         let service = self.service(spec);
@@ -156,7 +171,7 @@
         let mut taken: Vec<(WorkerKey, Resources)> = Vec::new();
         for index in 0..step.count {
             let task = task_id(ready, index);
-            let key = self.try_place(now, service, step, task, rack, &taken)?;
+            let key = self.try_place(now, service, step, task, rack, &taken, 0.0)?;
             taken.push((key, step.counted()));
         }
         Some(taken.into_iter().map(|(key, _)| key).collect())
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -88,6 +88,8 @@
     /// Of a serving task, the running mean of its headroom, and what it would be without
     /// best-effort tasks beside it.
     pub mean_headroom: Option<f64>,
+    /// Of a serving task, since when it misses its target.
+    pub over_since: Option<Instant>,
     pub own_headroom: f64,
 }
 
