workflow: tasks that last go first and keep a worker free; node: say at once that the log is silent

Ruled out: a task given up too late (its worker's lease was over at once or 5 s after the crash). Now such jobs go first, and a worker is kept for a task that finds no room. A submission whose append goes unanswered is answered 504 after a second silence, and while the log is silent new ones are rejected at once; before, each waited for its deadline.

--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -85,6 +85,10 @@
                 return Answer::error(StatusCode::BAD_REQUEST, &why);
             }
         };
+        if self.appender.is_cut_off() {
+            log::warn!("event=submitted id={id} outcome=rejected cause=\"the log is silent\"");
+            return Answer::later("the platform's store does not answer");
+        }
         let record = Record::Submitted(id, spec);
         self.write(id, "submitted", record, deadline).await
     }
@@ -158,7 +162,10 @@
                 }
                 Err(e) => {
                     unknown = true;
-                    if Instant::now() + PAUSE >= deadline {
+                    // Where the log stays silent, another VM may reach it: the caller is told at
+                    // once that the outcome is unknown, and asks there with the same id.
+                    let silent = tries > 1 && self.appender.is_cut_off();
+                    if silent || Instant::now() + PAUSE >= deadline {
                         log::warn!(
                             "event={what} id={id} outcome=unknown tries={tries} cause=\"{e}\""
                         );
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -8,6 +8,7 @@
     Owner,
     interference::Interference,
     message::{Action, OrderReply, Refusal},
+    place::Place,
     worker::{Assignment, Sent, Stop, Worker, WorkerKey},
 };
 use crate::TaskId;
@@ -119,7 +120,8 @@
             return;
         }
         let service = worker.service.clone();
-        let to = self.try_place(now, &service, step, task, None, &[], MOVE_PACE_MIN);
+        let options = Place { rack: None, taken: &[], pace_min: MOVE_PACE_MIN, kept: &[] };
+        let to = self.try_place(now, &service, step, task, options);
         if to.is_some_and(|to| to != key)
             && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run))
         {
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -22,24 +22,36 @@
 const COST_SLOWED: i64 = 4;
 const COST_COLD: i64 = 3_000;
 
+/// What binds a placement besides the step itself.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Place<'a> {
+    /// The rack that the worker must be on.
+    pub rack: Option<&'a str>,
+    /// Placements of the same gang that are not made yet.
+    pub taken: &'a [(WorkerKey, Resources)],
+    /// The share of its processor time at which a best-effort task must be able to work.
+    pub pace_min: f64,
+    /// Workers that are kept for more urgent tasks.
+    pub kept: &'a [WorkerKey],
+}
+
 impl Owner {
-    /// The worker on which a task of `step` is best started, if any has room and lets a
-    /// best-effort task work at `pace_min` of its processor time or more.
+    /// The worker on which a task of `step` is best started, if any has room.
     pub(super) fn try_place(
         &self,
         now: Instant,
         service: &str,
         step: &StepSpec,
         task: TaskId,
-        rack: Option<&str>,
-        taken: &[(WorkerKey, Resources)],
-        pace_min: f64,
+        options: Place<'_>,
     ) -> Option<WorkerKey> {
+        let Place { rack, taken, pace_min, kept } = options;
         let candidates = self.workers.iter().filter(|(key, it)| {
             &*it.service == service
                 && self.usable(now, it)
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
+                && (step.best_effort || !kept.contains(key))
                 && fits(step, it, *key, taken)
                 && (!step.best_effort || pace_with(&self.interference, it, step) >= pace_min)
                 && !crowded(step, it, *key, task, taken)
@@ -84,6 +96,11 @@
     here + more >= step.max_per_worker as usize
 }
 
+/// Whether the worker already has as many tasks of the step of `task` as may be on one.
+pub(super) fn is_crowded(step: &StepSpec, worker: &Worker, task: TaskId) -> bool {
+    crowded(step, worker, WorkerKey(u32::MAX), task, &[])
+}
+
 /// Lower is better.
 fn cost(
     now: Instant,
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -4,13 +4,16 @@
 
 use daisy_model::{Instant, Resources};
 
-use super::{Owner, worker::WorkerKey};
+use super::{Owner, place::Place, worker::WorkerKey};
 use crate::{Copy, JobId, JobSpec, JobState, StepSpec, TaskId, TaskState};
 
 /// Workers tried at most for a step at one time beyond its first task without room: none, so
 /// that a backlog costs one search a step.
 const COPIES_MAX: usize = 2;
 
+/// A job with less time left than this beside its work may keep a worker free.
+const KEEP_SLACK: Duration = Duration::from_millis(1_000);
+
 /// A step whose turn has come.
 #[derive(Debug, Clone, Copy)]
 struct Ready {
@@ -22,15 +25,49 @@
 impl Owner {
     /// Starts what can be started, the most urgent first.
     pub(super) fn plan(&mut self, now: Instant) {
+        let mut kept = Vec::new();
         for id in self.by_urgency(now) {
             for ready in self.ready_steps(now, id) {
-                self.place_step(now, ready);
+                self.place_step(now, ready, &mut kept);
             }
         }
     }
 
-    /// Jobs that are not ended: first those that can still be in time, by priority and by the
-    /// time that is left beside the work that is left.
+    /// A worker that is kept for a task without room, so that what ends there leaves it enough in
+    /// time: else smaller tasks take each gap as it comes, and a large one never starts.
+    fn try_keep(
+        &self,
+        now: Instant,
+        ready: Ready,
+        step: &StepSpec,
+        kept: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        /// Workers kept at one time at most, in shares of all.
+        const KEPT_SHARE: usize = 8;
+        let view = self.active.get(&ready.job)?;
+        let tail = view.tails_ms.get(usize::from(ready.step)).copied().unwrap_or_default();
+        let pressed = now + Duration::from_millis(tail) + KEEP_SLACK > view.objective;
+        if step.best_effort || kept.len() >= self.workers.len() / KEPT_SHARE + 1 {
+            return None;
+        }
+        if !step.long_running && (!pressed || now > view.objective) {
+            return None;
+        }
+        let service = self.ledger.job(ready.job).map(|it| self.service(&it.spec))?;
+        let candidates = self.workers.iter().filter(|(key, it)| {
+            it.service == service
+                && self.usable(now, it)
+                && !kept.contains(key)
+                && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
+                && step.counted().fits(it.capacity)
+                && !super::place::is_crowded(step, it, task_id(ready, 0))
+        });
+        candidates.max_by_key(|(key, it)| (it.free().cpu_milli, *key)).map(|(key, _)| key)
+    }
+
+    /// Jobs that are not ended: first those whose tasks are to run all the time, as each moment
+    /// without them counts; then those that can still be in time, by priority and by the time
+    /// that is left beside the work that is left.
     fn by_urgency(&self, now: Instant) -> Vec<JobId> {
         let mut jobs: Vec<_> = self
             .active
@@ -43,8 +80,9 @@
                 }
                 let chain = view.tails_ms.iter().copied().max().unwrap_or_default();
                 let latest = view.objective.0.saturating_sub(chain * 1_000);
-                let late = now > view.objective;
-                Some(((late, job.spec.terms.priority, latest), *id))
+                let lasts = job.spec.steps.iter().any(|it| it.long_running);
+                let late = now > view.objective && !lasts;
+                Some(((late, !lasts, job.spec.terms.priority, latest), *id))
             })
             .collect();
         jobs.sort_unstable();
@@ -101,7 +139,7 @@
         worker.is_none_or(|it| it.hold_failures > 0 || !it.listed)
     }
 
-    fn place_step(&mut self, now: Instant, ready: Ready) {
+    fn place_step(&mut self, now: Instant, ready: Ready, kept: &mut Vec<WorkerKey>) {
         let Some(job) = self.ledger.job(ready.job) else { return };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
@@ -121,7 +159,9 @@
         let pace_min = self.pace_min(now, ready);
         for index in waiting {
             let task = task_id(ready, index);
-            let Some(key) = self.try_place(now, &service, step, task, None, &[], pace_min) else {
+            let options = Place { rack: None, taken: &[], pace_min, kept };
+            let Some(key) = self.try_place(now, &service, step, task, options) else {
+                kept.extend(self.try_keep(now, ready, step, kept));
                 break;
             };
             let run = self.next_run(task);
@@ -171,7 +211,8 @@
         let mut taken: Vec<(WorkerKey, Resources)> = Vec::new();
         for index in 0..step.count {
             let task = task_id(ready, index);
-            let key = self.try_place(now, service, step, task, rack, &taken, 0.0)?;
+            let options = Place { rack, taken: &taken, pace_min: 0.0, kept: &[] };
+            let key = self.try_place(now, service, step, task, options)?;
             taken.push((key, step.counted()));
         }
         Some(taken.into_iter().map(|(key, _)| key).collect())
