workflow: keep what was learnt across owners; jobs that can't be in time go after those that can

Ruled out on the second site's heaviest mix: room (free in sum is 2 of 80 cores there: it binds). What was learnt is a record every 2 s; jobs are ordered by whether they can still be in time.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -88,6 +88,7 @@
             appended_at: now,
             seq: 1,
             next,
+            reported_at: now,
         };
         let why = running.serve(rx, appended).await;
         list.abort();
@@ -126,6 +127,7 @@
     /// The number of the next append in this epoch.
     seq: u64,
     next: u64,
+    reported_at: Instant,
 }
 
 impl Running {
@@ -159,6 +161,7 @@
                 _ = gap.tick(), if waits => {}
                 () = stopped(&mut stop) => return self.release(appended).await,
             }
+            self.report();
             if self.act() {
                 return "a worker has seen a higher epoch";
             }
@@ -177,12 +180,37 @@
                 other => self.call(other),
             }
         }
-        let metrics = &self.ownership.metrics;
-        metrics.backlog.set(self.owner.backlog() as i64);
-        metrics.usable_workers.set(self.owner.fleet(now).1 as i64);
         step_down
     }
 
+    /// Logs, once a second, what there is to do and to do it with.
+    fn report(&mut self) {
+        const EVERY: Duration = Duration::from_secs(1);
+        let now = clock::now();
+        if now.since(self.reported_at) < EVERY {
+            return;
+        }
+        self.reported_at = now;
+        let it = self.owner.summary(now);
+        log::info!(
+            "event=owner_state epoch={} jobs={} waiting={} waiting_lasting={} \
+             waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={}",
+            self.ownership.epoch,
+            it.jobs,
+            it.waiting,
+            it.waiting_lasting,
+            it.waiting_best_effort,
+            it.runs,
+            it.workers,
+            it.usable,
+            it.silent,
+            it.free_cpu
+        );
+        let metrics = &self.ownership.metrics;
+        metrics.backlog.set(it.jobs as i64);
+        metrics.usable_workers.set(it.usable as i64);
+    }
+
     /// Makes a call to a worker in a task of its own.
     fn call(&self, action: Action) {
         let key = match &action {
@@ -254,7 +282,7 @@
         if self.appending || since < APPEND_GAP {
             return;
         }
-        let batch = match self.owner.try_batch() {
+        let batch = match self.owner.try_batch(now) {
             Some(batch) => batch,
             None if since >= HEARTBEAT => {
                 Batch { records: vec![Record::Claim(self.ownership.claim.clone())] }
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::SortedMap;
 
-use crate::{Claim, JobId, JobSpec, Phase, Progress, Record};
+use crate::{Claim, Disturbance, JobId, JobSpec, Phase, Progress, Record};
 
 /// A job as the records tell it.
 #[derive(Debug, Clone)]
@@ -71,6 +71,7 @@
     early_progress: SortedMap<JobId, Progress>,
     owner: Option<Claim>,
     previous_owner: Option<Claim>,
+    learnt: Vec<Disturbance>,
 }
 
 impl Ledger {
@@ -81,6 +82,10 @@
             Record::Cancelled(id) => self.cancelled(id),
             Record::Progress(id, progress) => self.progress(id, progress),
             Record::Claim(claim) => self.claim(claim),
+            Record::Learnt(pairs) => {
+                self.learnt = pairs;
+                Fold::Nothing
+            }
         }
     }
 
@@ -153,6 +158,11 @@
         self.owner.as_ref()
     }
 
+    /// What the owners have learnt of images that disturb each other.
+    pub fn learnt(&self) -> &[Disturbance] {
+        &self.learnt
+    }
+
     /// The last claim of the owner before the newest one.
     pub fn previous_owner(&self) -> Option<&Claim> {
         self.previous_owner.as_ref()
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -25,10 +25,10 @@
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner, Refusal,
-        Running, Settings, Start, Worker, WorkerKey,
+        Running, Settings, Start, Summary, Worker, WorkerKey,
     },
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
-    record::{Claim, OWNER_KEY, Record, RecordError, decode, encode},
+    record::{Claim, Disturbance, OWNER_KEY, Record, RecordError, decode, encode},
     spec::{JobSpec, SpecError, StepSpec, Terms},
 };
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod place;
 mod plan;
+mod summary;
 mod watch;
 mod worker;
 
@@ -29,6 +30,7 @@
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
         Running, Start,
     },
+    summary::Summary,
     worker::{Worker, WorkerKey},
 };
 use crate::{Fold, JobId, Ledger, Phase, Queues, Record, TaskId, WorkerId};
@@ -82,6 +84,8 @@
     recording: Vec<(WorkerKey, TaskId, u32)>,
     in_flight: Option<InFlight>,
     interference: Interference,
+    /// When what was learnt was last recorded.
+    learnt_at: Instant,
     /// Copies recorded by an earlier owner on workers that the list does not name.
     orphans: Vec<Orphan>,
     /// When every lease that an earlier owner may have granted has surely run out.
@@ -125,6 +129,7 @@
     ) -> Owner {
         let alone = if predecessor_gone { Duration::ZERO } else { RENEW_ALONE_MAX };
         let inherited_until = now + alone + settings.lease + settings.lease / 20;
+        let interference = Interference::inherit(now, ledger.learnt());
         let mut owner = Owner {
             settings,
             ledger,
@@ -135,7 +140,8 @@
             dirty: Vec::new(),
             recording: Vec::new(),
             in_flight: None,
-            interference: Interference::default(),
+            interference,
+            learnt_at: now,
             orphans: Vec::new(),
             inherited_until,
             appended_at: now,
@@ -219,7 +225,7 @@
     }
 
     /// Records to be appended next, unless a batch is under way or there are none.
-    pub fn try_batch(&mut self) -> Option<Batch> {
+    pub fn try_batch(&mut self, now: Instant) -> Option<Batch> {
         if !self.has_batch() {
             return None;
         }
@@ -227,7 +233,11 @@
         self.dirty.dedup();
         let ledger = &self.ledger;
         let record = |id: JobId| ledger.job(id).map(|it| Record::Progress(id, it.progress.clone()));
-        let records = self.dirty.drain(..).filter_map(record).collect();
+        let mut records: Vec<Record> = self.dirty.drain(..).filter_map(record).collect();
+        if now.since(self.learnt_at) >= LEARNT_EVERY {
+            self.learnt_at = now;
+            records.push(Record::Learnt(self.interference.pairs()));
+        }
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
         self.in_flight = Some(InFlight { starts: std::mem::take(&mut self.recording), cursors });
@@ -239,18 +249,6 @@
         self.workers.get(key)
     }
 
-    /// Jobs that are not ended.
-    pub fn backlog(&self) -> usize {
-        self.active.len()
-    }
-
-    /// Workers, and those of them that take new tasks now.
-    pub fn fleet(&self, now: Instant) -> (usize, usize) {
-        let listed = self.workers.iter().filter(|(_, it)| it.listed);
-        let usable = self.workers.iter().filter(|(_, it)| self.usable(now, it));
-        (listed.count(), usable.count())
-    }
-
     fn record(&mut self, now: Instant, record: Record) {
         match self.ledger.fold(record) {
             Fold::Submitted(id) => self.open(now, id),
@@ -318,6 +316,9 @@
     }
 }
 
+/// Between records of what was learnt, so that a new owner need not begin anew: about 1 KB each.
+const LEARNT_EVERY: Duration = Duration::from_secs(2);
+
 /// Headroom that a serving task counts with until its first report: that of a task at its mean
 /// load, as seen.
 const NEW_HEADROOM: f64 = 2.7;
@@ -341,7 +342,7 @@
         moved_at: now,
         began_at: now,
         load: 0,
-        pace: 100,
+        pace: Some(100),
         pace_in_flight: false,
         paced_at: Instant::default(),
         slowed_at: now,
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -52,6 +52,7 @@
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
         let mut it = super::assignment(now, task, run, step);
         it.sent = sent;
+        it.pace = None;
         if ended {
             it.stop = Stop::Due(now);
         }
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -11,6 +11,8 @@
 
 use daisy_model::{Instant, SortedMap};
 
+use crate::Disturbance;
+
 /// Reports older than this count for half: the amounts change within seconds, and a worker
 /// reports about twice a second.
 const HALF_LIFE_S: f64 = 10.0;
@@ -21,6 +23,8 @@
 /// How firmly it is held to, in squared shares of a worker: some five reports of a start or an
 /// end of a task on a twentieth of a worker outweigh it.
 const PRIOR_STRENGTH: f64 = 0.006;
+/// The same for what an earlier owner had learnt.
+const INHERITED_STRENGTH: f64 = 0.03;
 /// Passes of the fit; the next report goes on from where the last fit ended.
 const PASSES: usize = 4;
 
@@ -39,12 +43,20 @@
     products: Vec<Vec<f64>>,
     answers: Vec<f64>,
     weights: Vec<f64>,
+    /// What each weight is drawn to, and how firmly.
+    priors: Vec<(f64, f64)>,
     at: Instant,
 }
 
 impl Fit {
     fn new(now: Instant) -> Fit {
-        Fit { products: Vec::new(), answers: Vec::new(), weights: Vec::new(), at: now }
+        Fit {
+            products: Vec::new(),
+            answers: Vec::new(),
+            weights: Vec::new(),
+            priors: Vec::new(),
+            at: now,
+        }
     }
 
     fn grow(&mut self, len: usize) {
@@ -57,6 +69,7 @@
         self.products.resize(len, vec![0.0; len]);
         self.answers.resize(len, 0.0);
         self.weights.resize(len, PRIOR_WEIGHT);
+        self.priors.resize(len, (PRIOR_WEIGHT, PRIOR_STRENGTH));
     }
 
     fn forget(&mut self, now: Instant) {
@@ -82,22 +95,59 @@
                 let row = &self.products[i];
                 let others: f64 = row.iter().zip(&self.weights).map(|(a, w)| a * w).sum();
                 let rest = self.answers[i] - others + row[i] * self.weights[i];
-                let scale = row[i] + PRIOR_STRENGTH;
-                self.weights[i] = ((rest + PRIOR_STRENGTH * PRIOR_WEIGHT) / scale).max(0.0);
+                let (prior, strength) = self.priors[i];
+                self.weights[i] = ((rest + strength * prior) / (row[i] + strength)).max(0.0);
             }
         }
     }
 }
 
 impl Interference {
+    /// What an earlier owner had learnt, to go on from.
+    pub fn inherit(now: Instant, pairs: &[Disturbance]) -> Interference {
+        let mut learnt = Interference::default();
+        for pair in pairs {
+            let at = learnt.number(&pair.best_effort);
+            let len = learnt.images.len();
+            let fit = learnt.serving.get_or_insert_with(pair.serving.clone(), || Fit::new(now));
+            fit.grow(len);
+            let weight = f64::from(pair.permille) / 1_000.0;
+            fit.weights[at] = weight;
+            fit.priors[at] = (weight, INHERITED_STRENGTH);
+        }
+        learnt
+    }
+
+    /// All that was learnt.
+    pub fn pairs(&self) -> Vec<Disturbance> {
+        let mut pairs = Vec::new();
+        for (serving, fit) in self.serving.iter() {
+            for (best_effort, at) in self.images.iter() {
+                if let Some(weight) = fit.weights.get(*at) {
+                    pairs.push(Disturbance {
+                        serving: serving.clone(),
+                        best_effort: best_effort.clone(),
+                        permille: (weight * 1_000.0) as u32,
+                    });
+                }
+            }
+        }
+        pairs
+    }
+
+    /// The number of an image of best-effort tasks.
+    fn number(&mut self, image: &Arc<str>) -> usize {
+        let next = self.images.len();
+        *self.images.get_or_insert_with(image.clone(), || next)
+    }
+
     /// Takes a report in: a serving task of `image` had `loss` less headroom than in the mean of
     /// the reports before, while best-effort tasks of these images used so much more of its
     /// worker's processors.
     pub fn learn(&mut self, now: Instant, image: &Arc<str>, loss: f64, more: &[(Arc<str>, f64)]) {
         let mut x = Vec::with_capacity(more.len());
         for (other, share) in more {
-            let next = self.images.len();
-            x.push((*self.images.get_or_insert_with(other.clone(), || next), *share));
+            x.push((self.number(other), *share));
         }
         let fit = self.serving.get_or_insert_with(image.clone(), || Fit::new(now));
         fit.grow(self.images.len());
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -108,7 +108,7 @@
         let starved = |it: &Assignment| {
             it.best_effort_cpu > 0
                 && is_there(it)
-                && it.pace < STARVED_BELOW
+                && it.pace.is_some_and(|it| it < STARVED_BELOW)
                 && now.since(it.slowed_at) > STARVED_AFTER
         };
         let Some(it) = worker.tasks.iter().find(|it| starved(it)) else { return };
@@ -145,7 +145,7 @@
         it.pace_in_flight = false;
         // Anything but a plain yes is ordered again after the next renewal.
         if let OrderReply::Done { .. } = reply {
-            it.pace = percent;
+            it.pace = Some(percent);
         }
     }
 }
@@ -193,7 +193,12 @@
         let own = headroom + pressed;
         match it.mean_headroom {
             Some(mean) => {
-                learnt.learn(now, image, mean - headroom, &more);
+                let expected: f64 =
+                    more.iter().map(|(other, share)| learnt.weight(image, other) * share).sum();
+                // A full queue shows only that there was at least so much loss.
+                if headroom >= HEADROOM_FULL || mean - headroom > expected {
+                    learnt.learn(now, image, mean - headroom, &more);
+                }
                 it.mean_headroom = Some(mean + (headroom - mean) * SMOOTHING);
                 it.own_headroom = match headroom >= HEADROOM_FULL {
                     true => (it.own_headroom + (own - it.own_headroom) * SMOOTHING).min(own),
@@ -263,10 +268,16 @@
             continue;
         }
         let wanted = share(at);
-        let lower = wanted + STEP <= it.pace || (wanted == 0 && it.pace > 0);
-        let raise = wanted >= it.pace + STEP || (wanted == 100 && it.pace < 100);
-        if lower || (raise && now.since(it.paced_at) >= RAISE_AFTER) {
-            if wanted < STARVED_BELOW && it.pace >= STARVED_BELOW {
+        let due = match it.pace {
+            None => true,
+            Some(pace) if wanted < pace => wanted + STEP <= pace || wanted == 0,
+            Some(pace) => {
+                let more = wanted >= pace + STEP || (wanted == 100 && pace < 100);
+                more && now.since(it.paced_at) >= RAISE_AFTER
+            }
+        };
+        if due {
+            if wanted < STARVED_BELOW && it.pace.is_none_or(|it| it >= STARVED_BELOW) {
                 it.slowed_at = now;
             }
             it.pace_in_flight = true;
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::{Instant, Resources};
 
-use super::{Owner, place::Place, worker::WorkerKey};
+use super::{JobView, Owner, place::Place, worker::WorkerKey};
 use crate::{Copy, JobId, JobSpec, JobState, StepSpec, TaskId, TaskState};
 
 /// Workers tried at most for a step at one time beyond its first task without room: none, so
@@ -14,12 +14,43 @@
 /// A job with less time left than this beside its work may keep a worker free.
 const KEEP_SLACK: Duration = Duration::from_millis(1_000);
 
+/// What a job can still come to; the first goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// Its tasks are to run all the time: each moment without them counts.
+    Lasts,
+    /// It can be in time.
+    InTime,
+    /// It will be late, and is still of use then.
+    Late,
+    /// It is of little use to anybody, but was accepted.
+    TooLate,
+}
+
+/// The standing of a job with `chain_ms` of work before it. A job that cannot be in time any more
+/// does not hold up those that can: in an overload, the earliest deadline first would make all of
+/// them late by a little.
+fn standing(now: Instant, view: &JobView, chain_ms: u64) -> Standing {
+    /// Estimates are off by up to a half; a job counts as late only where even half of its
+    /// estimated work would be too much.
+    const LEAST_WORK_PERCENT: u64 = 50;
+    /// Results are of use up to three times the objective, as the operators' contract has it.
+    const OF_USE: u32 = 3;
+    let allowed = view.objective.since(view.since);
+    let least = Duration::from_millis(chain_ms * LEAST_WORK_PERCENT / 100);
+    match now + least {
+        it if it <= view.objective => Standing::InTime,
+        it if it <= view.since + allowed * OF_USE => Standing::Late,
+        _ => Standing::TooLate,
+    }
+}
+
 /// A step whose turn has come.
 #[derive(Debug, Clone, Copy)]
-struct Ready {
-    job: JobId,
-    occurrence: u32,
-    step: u16,
+pub(super) struct Ready {
+    pub job: JobId,
+    pub occurrence: u32,
+    pub step: u16,
 }
 
 impl Owner {
@@ -78,19 +109,29 @@
                 if !open {
                     return None;
                 }
-                let chain = view.tails_ms.iter().copied().max().unwrap_or_default();
+                let chain = self.chain_left(*id, view);
                 let latest = view.objective.0.saturating_sub(chain * 1_000);
                 let lasts = job.spec.steps.iter().any(|it| it.long_running);
-                let late = now > view.objective && !lasts;
-                Some(((late, !lasts, job.spec.terms.priority, latest), *id))
+                let standing = if lasts { Standing::Lasts } else { standing(now, view, chain) };
+                Some(((standing, job.spec.terms.priority, latest), *id))
             })
             .collect();
         jobs.sort_unstable();
         jobs.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// The estimated length of the longest chain of steps that are not done, in milliseconds, over
+    /// the first occurrence that is not.
+    fn chain_left(&self, id: JobId, view: &JobView) -> u64 {
+        let Some(job) = self.ledger.job(id) else { return 0 };
+        let open = |steps: &&Vec<Vec<TaskState>>| steps.iter().flatten().any(|it| !it.done);
+        let Some(steps) = job.progress.occurrences.iter().find(open) else { return 0 };
+        let left = steps.iter().zip(&view.tails_ms).filter(|(it, _)| it.iter().any(|it| !it.done));
+        left.map(|(_, tail)| *tail).max().unwrap_or_default()
+    }
+
     /// Steps of a job with waiting tasks whose dependencies are done.
-    fn ready_steps(&self, now: Instant, id: JobId) -> Vec<Ready> {
+    pub(super) fn ready_steps(&self, now: Instant, id: JobId) -> Vec<Ready> {
         let Some(job) = self.ledger.job(id) else { return Vec::new() };
         let spec = &job.spec;
         let mut ready = Vec::new();
@@ -178,7 +219,7 @@
         let Some(view) = self.active.get(&ready.job) else { return PACE_MIN_URGENT };
         let tail = view.tails_ms.get(usize::from(ready.step)).copied().unwrap_or_default();
         let urgent = now + Duration::from_millis(tail + tail / 4) > view.objective;
-        if urgent { PACE_MIN_URGENT } else { PACE_MIN }
+        if urgent && now < view.objective { PACE_MIN_URGENT } else { PACE_MIN }
     }
 
     /// Starts all members of a gang, or none.
--- /dev/null
+++ b/daisy-workflow/src/owner/summary.rs
@@ -0,0 +1,64 @@
+//! What an owner has before it, in a few figures.
+
+use daisy_model::Instant;
+
+use super::Owner;
+use crate::JobState;
+
+/// Figures of one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Summary {
+    /// Jobs that are not ended.
+    pub jobs: usize,
+    /// Tasks whose turn has come and that are nowhere: those that are to last, those that use what
+    /// others leave, and all others.
+    pub waiting_lasting: usize,
+    /// See [`waiting_lasting`](Summary::waiting_lasting).
+    pub waiting_best_effort: usize,
+    /// See [`waiting_lasting`](Summary::waiting_lasting).
+    pub waiting: usize,
+    /// Runs that may be on a worker.
+    pub runs: usize,
+    /// Workers that the platform's list names.
+    pub workers: usize,
+    /// Workers that take new tasks.
+    pub usable: usize,
+    /// Workers that do not answer and may still run something.
+    pub silent: usize,
+    /// Processor time that is free on usable workers, in thousandths of a core.
+    pub free_cpu: u64,
+}
+
+impl Owner {
+    /// The figures of this moment.
+    pub fn summary(&self, now: Instant) -> Summary {
+        let mut sum = Summary { jobs: self.active.len(), ..Summary::default() };
+        for (_, worker) in self.workers.iter() {
+            sum.runs += worker.tasks.len();
+            sum.workers += usize::from(worker.listed);
+            sum.silent += usize::from(worker.hold_failures > 0 && !worker.tasks.is_empty());
+            if self.usable(now, worker) {
+                sum.usable += 1;
+                sum.free_cpu += u64::from(worker.free().cpu_milli);
+            }
+        }
+        for (id, _) in self.active.iter() {
+            let Some(job) = self.ledger.job(*id) else { continue };
+            if !matches!(job.state(), JobState::Queued | JobState::Running) {
+                continue;
+            }
+            for ready in self.ready_steps(now, *id) {
+                let step = &job.spec.steps[usize::from(ready.step)];
+                let steps = &job.progress.occurrences[ready.occurrence as usize];
+                let count = steps[usize::from(ready.step)].iter().filter(|it| it.is_waiting());
+                let sum = match (step.long_running, step.best_effort) {
+                    (true, _) => &mut sum.waiting_lasting,
+                    (false, true) => &mut sum.waiting_best_effort,
+                    (false, false) => &mut sum.waiting,
+                };
+                *sum += count.count();
+            }
+        }
+        sum
+    }
+}
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -79,7 +79,7 @@
         let busy = worker.free().cpu_milli < worker.capacity.cpu_milli / 8;
         let mut found = false;
         for it in &mut worker.tasks {
-            let starved = it.best_effort_cpu > 0 && (busy || it.pace < 50);
+            let starved = it.best_effort_cpu > 0 && (busy || it.pace.is_none_or(|it| it < 50));
             let at_work = it.target_ms > 0 && it.percent >= 100;
             let still = now.since(it.moved_at) > STUCK_AFTER;
             let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -79,8 +79,8 @@
     pub moved_at: Instant,
     pub began_at: Instant,
     pub load: u32,
-    /// The share that was last ordered, in percent.
-    pub pace: u8,
+    /// The share that was last ordered, in percent; `None` for a run that an earlier owner paced.
+    pub pace: Option<u8>,
     pub pace_in_flight: bool,
     /// When the share was last ordered, and when it was last made small.
     pub paced_at: Instant,
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -1,5 +1,7 @@
 //! Records of the platform's log: bincode behind one byte of version.
 
+use std::sync::Arc;
+
 use bincode::{Decode, Encode, config};
 use daisy_model::Resources;
 
@@ -9,6 +11,8 @@
 const VERSION: u8 = 1;
 /// The key of the newest [`Claim`].
 pub const OWNER_KEY: &str = "owner";
+/// The key of what the owner has learnt.
+const LEARNT_KEY: &str = "learnt";
 
 /// Who owns the workers, from this record's offset on.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -34,6 +38,20 @@
     Progress(JobId, Progress),
     /// An owner's claim or sign of life.
     Claim(Claim),
+    /// What the owner has learnt of images that disturb each other.
+    Learnt(Vec<Disturbance>),
+}
+
+/// How much best-effort tasks of one image take from serving tasks of another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Disturbance {
+    /// The image of the serving tasks.
+    pub serving: Arc<str>,
+    /// The image of the best-effort tasks.
+    pub best_effort: Arc<str>,
+    /// Thousandths of the headroom (target by tail latency) that are lost if best-effort tasks
+    /// use all of a worker's processors.
+    pub permille: u32,
 }
 
 /// Why a record says nothing that can be used.
@@ -59,6 +77,7 @@
             (format!("progress-{id}"), framed(ProgressWire::from(progress)))
         }
         Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
+        Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
     }
 }
 
@@ -71,6 +90,9 @@
     if key == OWNER_KEY {
         return unframed(value).map(Record::Claim);
     }
+    if key == LEARNT_KEY {
+        return unframed::<LearntWire>(value).map(|it| Record::Learnt(it.into()));
+    }
     let unknown = || RecordError::Key(key.chars().take(40).collect());
     let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
     let id: JobId = id.parse().map_err(|_| unknown())?;
@@ -113,6 +135,31 @@
     }
 }
 
+#[derive(Debug, Encode, Decode)]
+struct LearntWire {
+    /// Serving image, best-effort image, thousandths.
+    pairs: Vec<(String, String, u32)>,
+}
+
+impl From<&[Disturbance]> for LearntWire {
+    fn from(pairs: &[Disturbance]) -> LearntWire {
+        let wire =
+            |it: &Disturbance| (it.serving.to_string(), it.best_effort.to_string(), it.permille);
+        LearntWire { pairs: pairs.iter().map(wire).collect() }
+    }
+}
+
+impl From<LearntWire> for Vec<Disturbance> {
+    fn from(wire: LearntWire) -> Vec<Disturbance> {
+        let pair = |(serving, best_effort, permille): (String, String, u32)| Disturbance {
+            serving: serving.into(),
+            best_effort: best_effort.into(),
+            permille,
+        };
+        wire.pairs.into_iter().map(pair).collect()
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 struct JobWire {
     queue: String,
@@ -197,7 +244,7 @@
 
 impl From<&StepSpec> for StepWire {
     fn from(step: &StepSpec) -> StepWire {
-        let text = |it: &Option<std::sync::Arc<str>>| it.as_ref().map(ToString::to_string);
+        let text = |it: &Option<Arc<str>>| it.as_ref().map(ToString::to_string);
         StepWire {
             count: step.count,
             cpu_milli: step.need.cpu_milli,
