workflow: tests of the owner against fake workers, and late orders shut out of new incarnations

The next incarnation now gets a stop for each such order of the last 13 s. What no call can shut out (an old owner's order carried out at the very start of an incarnation) is said in the fake.

--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisy_model::{Instant, SortedMap};
+use daisy_model::{Instant, Resources, SortedMap};
 
 use super::{
     Owner,
@@ -109,13 +109,15 @@
         let mut lost = Vec::new();
         for it in &mut worker.tasks {
             match it.sent {
-                Sent::There(_) | Sent::Inherited => lost.push((it.task, it.run)),
+                Sent::Recording => {}
                 // An order that is still under way may reach the new incarnation, which knows no
                 // epoch and no run: only a stop that it has answered shuts the run out.
                 Sent::InFlight | Sent::Unanswered(_) => it.stop = Stop::Due(now),
-                Sent::Recording => {}
+                Sent::There(_) | Sent::Inherited if it.maybe_late => it.stop = Stop::Due(now),
+                Sent::There(_) | Sent::Inherited => lost.push((it.task, it.run)),
             }
         }
+        self.shut_out_late(now, key);
         for (task, run) in lost {
             self.lose(now, key, task, run, "its worker started anew");
         }
@@ -123,6 +125,25 @@
         self.send_stops(now);
     }
 
+    /// Orders that once went unanswered and have ended since may yet reach a new incarnation as
+    /// well: each is shut out there by a stop.
+    fn shut_out_late(&mut self, now: Instant, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        for (task, run, until) in std::mem::take(&mut worker.late_orders) {
+            if until < now || worker.find(task, run).is_some() {
+                continue;
+            }
+            let Some(job) = self.ledger.job(task.job) else { continue };
+            let Some(step) = job.spec.steps.get(usize::from(task.step)) else { continue };
+            let mut it = super::assignment(now, task, run, step);
+            it.counted = Resources::ZERO;
+            it.sent = Sent::Unanswered(now);
+            it.maybe_late = true;
+            it.stop = Stop::Due(now);
+            worker.add(it);
+        }
+    }
+
     /// Gives a run up that is surely not running any more.
     pub(super) fn lose(
         &mut self,
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -16,6 +16,9 @@
 const RESEND_START: Duration = Duration::from_millis(100);
 /// Before an unanswered stop is sent again.
 const RESEND_STOP: Duration = Duration::from_millis(200);
+/// How long after it was sent an order may still be carried out: the platform's contract names
+/// 12 s.
+const LATE_MAX: Duration = Duration::from_secs(13);
 /// How long a worker gets no new work after an order went unanswered.
 const SHUN_SILENT: Duration = Duration::from_millis(700);
 /// How long a worker gets no new work after it refused some.
@@ -108,6 +111,8 @@
             OrderReply::Unknown => {
                 it.maybe_late = true;
                 it.sent = Sent::Unanswered(now + RESEND_START * it.tries.min(8));
+                worker.late_orders.retain(|(.., until)| *until > now);
+                worker.late_orders.push((task, run, now + LATE_MAX));
                 self.shun(now, key, SHUN_SILENT);
             }
             OrderReply::NotSent if it.maybe_late => {
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -125,6 +125,8 @@
     /// The highest end that was taken in, and the highest whose record is in the log.
     pub(crate) cursor_seen: u64,
     pub(crate) cursor_durable: u64,
+    /// Orders to start that went unanswered, and until when each may still be carried out.
+    pub(crate) late_orders: Vec<(TaskId, u32, Instant)>,
     pub(crate) failures: u32,
     pub(crate) shunned_until: Instant,
     /// When its figures were last taken in, and the running means of what images use.
@@ -156,6 +158,7 @@
             hold_failures: 0,
             cursor_seen: 0,
             cursor_durable: 0,
+            late_orders: Vec::new(),
             failures: 0,
             shunned_until: Instant::default(),
             reported_at: Instant::default(),
--- /dev/null
+++ b/daisy-workflow/tests/election.rs
@@ -0,0 +1,63 @@
+//! Who claims the workers, and when.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+use daisy_workflow::{Claim, Election, Verdict};
+
+const RTT: Duration = Duration::from_millis(5);
+
+fn claim(vm: &str, process: u64, released: bool) -> Claim {
+    Claim { vm: vm.to_owned(), process, epoch: 4, released }
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+#[test]
+fn ones_own_claim_makes_the_owner() {
+    let election = Election::new(at(0), "a", 1);
+
+    let verdict = election.verdict(at(5_000), Some(&claim("a", 1, false)), RTT);
+
+    assert_eq!(verdict, Verdict::Own(4));
+}
+
+/// The owner's VM loses power and is back: its new process need not wait for silence.
+#[test]
+fn an_earlier_process_of_the_vm_is_replaced_at_once() {
+    let election = Election::new(at(0), "a", 2);
+
+    let verdict = election.verdict(at(0), Some(&claim("a", 1, false)), RTT);
+
+    assert_eq!(verdict, Verdict::Claim);
+}
+
+#[test]
+fn a_silent_owner_is_replaced_after_a_while() {
+    let mut election = Election::new(at(0), "b", 2);
+    election.heard(at(1_000));
+    let other = claim("a", 1, false);
+
+    let early = election.verdict(at(2_300), Some(&other), RTT);
+    let late = election.verdict(at(2_500), Some(&other), RTT);
+
+    assert!(matches!(early, Verdict::Wait(_)));
+    assert_eq!(late, Verdict::Claim);
+}
+
+/// All see the owner release its workers at the same moment. Those near the platform go first, so
+/// that an owner's writes are short.
+#[test]
+fn the_nearest_claims_first() {
+    let mut election = Election::new(at(0), "b", 2);
+    election.heard(at(1_000));
+    let released = claim("a", 1, true);
+
+    let near = election.verdict(at(1_050), Some(&released), RTT);
+    let far = election.verdict(at(1_050), Some(&released), Duration::from_millis(30));
+
+    assert_eq!(near, Verdict::Claim);
+    assert!(matches!(far, Verdict::Wait(_)));
+}
--- /dev/null
+++ b/daisy-workflow/tests/records.rs
@@ -0,0 +1,127 @@
+//! Records: what is written is read, and what cannot be read says why.
+
+mod util;
+
+use daisy_workflow::{
+    Claim, Copy, Disturbance, Fold, JobId, JobState, Ledger, Phase, Progress, Record, RecordError,
+    SpecError, TaskState, decode, encode,
+};
+use util::{after, best_effort, job, lasting, step};
+
+fn progress() -> Progress {
+    let mut progress = Progress::new(&job(vec![step(3)]));
+    progress.begun = true;
+    let copies = vec![Copy { run: 4, worker: "w1".into() }, Copy { run: 5, worker: "w2".into() }];
+    progress.occurrences[0][0][1] =
+        TaskState { done: false, runs: 5, failures: 1, checkpoint: "c".to_owned(), copies };
+    progress
+}
+
+fn records() -> Vec<Record> {
+    vec![
+        Record::Submitted(JobId(7), job(vec![best_effort(2, "a"), after(&[0], lasting(1))])),
+        Record::Cancelled(JobId(7)),
+        Record::Progress(JobId(7), progress()),
+        Record::Claim(Claim { vm: "vm".to_owned(), process: 3, epoch: 9, released: true }),
+        Record::Learnt(vec![Disturbance {
+            serving: "s".into(),
+            best_effort: "b".into(),
+            permille: 6_500,
+        }]),
+    ]
+}
+
+#[test]
+fn what_is_written_is_read() {
+    for record in records() {
+        let (key, value) = encode(&record);
+
+        assert_eq!(decode(&key, &value), Ok(record));
+    }
+}
+
+#[test]
+fn each_prefix_of_a_record_is_refused() {
+    for record in records() {
+        let (key, value) = encode(&record);
+        for len in 0..value.len() {
+            assert!(decode(&key, &value[..len]).is_err(), "{key}, {len} bytes");
+        }
+    }
+}
+
+#[test]
+fn a_record_of_a_newer_build_is_named() {
+    let (key, mut value) = encode(&Record::Cancelled(JobId(1)));
+    value[0] = 200;
+
+    assert_eq!(decode(&key, &value), Err(RecordError::Version(200)));
+}
+
+#[test]
+fn foreign_keys_are_named() {
+    for key in ["", "job", "job-1", "task-0000000000000001", "job-00000000000000FF"] {
+        assert!(matches!(decode(key, &[1]), Err(RecordError::Key(_))), "{key:?}");
+    }
+}
+
+/// The topics are read one beside the other, so progress or a cancellation may come first.
+#[test]
+fn records_fold_in_any_order() {
+    let spec = job(vec![step(3)]);
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::Cancelled(JobId(1)));
+    ledger.fold(Record::Progress(JobId(1), progress()));
+    ledger.fold(Record::Progress(JobId(2), progress()));
+
+    let first = ledger.fold(Record::Submitted(JobId(1), spec.clone()));
+    let again = ledger.fold(Record::Submitted(JobId(1), spec.clone()));
+    ledger.fold(Record::Submitted(JobId(2), spec));
+
+    assert_eq!((first, again), (Fold::Submitted(JobId(1)), Fold::Nothing));
+    assert_eq!(ledger.job(JobId(1)).map(|it| it.state()), Some(JobState::Cancelled));
+    assert_eq!(ledger.job(JobId(2)).map(|it| it.state()), Some(JobState::Running));
+}
+
+#[test]
+fn progress_of_another_shape_is_passed_over() {
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::Submitted(JobId(1), job(vec![step(2)])));
+
+    let fold = ledger.fold(Record::Progress(JobId(1), progress()));
+
+    assert_eq!(fold, Fold::Nothing);
+}
+
+#[test]
+fn an_end_outlasts_a_late_cancellation() {
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::Submitted(JobId(1), job(vec![step(2)])));
+    let done = Progress { phase: Phase::Completed, begun: true, occurrences: Vec::new() };
+    ledger.fold(Record::Progress(JobId(1), done));
+    ledger.fold(Record::Cancelled(JobId(1)));
+
+    assert_eq!(ledger.job(JobId(1)).map(|it| it.state()), Some(JobState::Completed));
+}
+
+#[test]
+fn jobs_that_cannot_be_run_are_refused() {
+    let cases = [
+        (job(vec![]), SpecError::NoSteps),
+        (job(vec![step(0)]), SpecError::NoTasks(0)),
+        (job(vec![after(&[0], step(1))]), SpecError::Dependency(0, 0)),
+        (job(vec![step(1), after(&[2], step(1))]), SpecError::Dependency(1, 2)),
+        (job(vec![step(20_001)]), SpecError::TooManyTasks(20_001)),
+    ];
+    for (spec, error) in cases {
+        assert_eq!(spec.checked(), Err(error));
+    }
+}
+
+#[test]
+fn the_longest_chain_counts() {
+    let spec = job(vec![step(1), after(&[0], step(1)), step(1), after(&[1, 2], step(1))]);
+
+    assert_eq!(spec.chain_ms(), 3_000);
+    assert_eq!(spec.tails_ms(), [3_000, 2_000, 2_000, 1_000]);
+}
--- /dev/null
+++ b/daisy-workflow/tests/util/worker.rs
@@ -0,0 +1,239 @@
+//! A worker that does what the platform's contract says, with faults on demand.
+
+use std::net::SocketAddr;
+
+use daisy_model::{Instant, Resources};
+use daisy_workflow::{
+    Ended, HoldAnswer, Listed, OrderReply, Outcome, Refusal, Running, Start, TaskId,
+};
+
+/// What is wrong with a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    #[default]
+    None,
+    /// It is cut off: nothing arrives, and it goes on working.
+    Cut,
+    /// Orders to start are carried out, but their answers are lost.
+    LosesAnswers,
+    /// Orders to start get no answer and are carried out this many milliseconds later.
+    Late(u64),
+    /// All that it starts fails at once.
+    Fails,
+    /// All that it runs stands still.
+    Hangs,
+}
+
+#[derive(Debug, Clone)]
+pub struct FakeRun {
+    pub task: TaskId,
+    pub run: u32,
+    pub began: u64,
+    pub work_ms: u64,
+    pub stopping: Option<u64>,
+}
+
+/// A fake worker; times are milliseconds of its clock, which is the world's clock plus `offset`.
+#[derive(Debug, Clone)]
+pub struct FakeWorker {
+    pub name: String,
+    pub capacity: Resources,
+    pub labels: Vec<String>,
+    pub born_ms: u64,
+    pub offset: u64,
+    pub ready: bool,
+    pub listed: bool,
+    pub fault: Fault,
+    pub fence: u64,
+    pub deadline: u64,
+    pub runs: Vec<FakeRun>,
+    pub ends: Vec<Ended>,
+    pub number: u64,
+    /// Highest run of each task that ended or was shut out here.
+    pub shut: Vec<(TaskId, u32)>,
+    /// Orders that will be carried out later: when, epoch, order, work.
+    pub late: Vec<(u64, u64, Start, u64)>,
+}
+
+impl FakeWorker {
+    pub fn new(name: &str, cores: u32) -> FakeWorker {
+        FakeWorker {
+            name: name.to_owned(),
+            capacity: Resources { cpu_milli: cores * 1_000, memory_mib: 64_000, accelerators: 0 },
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            born_ms: 1,
+            offset: 5_000,
+            ready: true,
+            listed: true,
+            fault: Fault::None,
+            fence: 0,
+            deadline: 0,
+            runs: Vec::new(),
+            ends: Vec::new(),
+            number: 0,
+            shut: Vec::new(),
+            late: Vec::new(),
+        }
+    }
+
+    pub fn listing(&self) -> Listed {
+        Listed {
+            id: self.name.as_str().into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            service: "shop".into(),
+            ready: self.ready,
+            capacity: self.capacity,
+            labels: self.labels.iter().map(|it| it.as_str().into()).collect(),
+            born_ms: self.born_ms,
+            cold_ms: 0,
+            leaves_ms: (!self.ready).then_some(2_500),
+        }
+    }
+
+    pub fn clock(&self, now: Instant) -> u64 {
+        now.0 / 1_000 + self.offset
+    }
+
+    /// Lets time pass: work ends, leases lapse, late orders arrive.
+    pub fn pass(&mut self, now: Instant, fails: &dyn Fn(TaskId) -> bool) {
+        let clock = self.clock(now);
+        let due: Vec<_> = self.late.iter().filter(|it| it.0 <= clock).cloned().collect();
+        self.late.retain(|it| it.0 > clock);
+        for (_, epoch, start, work_ms) in due {
+            self.accept(clock, epoch, &start, work_ms);
+        }
+        if clock > self.deadline {
+            for run in std::mem::take(&mut self.runs) {
+                self.end(&run, Outcome::Lapsed);
+            }
+        }
+        for run in std::mem::take(&mut self.runs) {
+            let age = clock - run.began;
+            if run.stopping.is_some_and(|at| clock >= at) {
+                self.end(&run, Outcome::Stopped);
+            } else if self.fault == Fault::Fails || (fails(run.task) && age >= run.work_ms) {
+                self.end(&run, Outcome::Failed);
+            } else if self.fault != Fault::Hangs && age >= run.work_ms {
+                self.end(&run, Outcome::Done);
+            } else {
+                self.runs.push(run);
+            }
+        }
+    }
+
+    fn end(&mut self, run: &FakeRun, outcome: Outcome) {
+        self.number += 1;
+        self.shut.push((run.task, run.run));
+        self.ends.push(Ended {
+            number: self.number,
+            task: run.task,
+            run: run.run,
+            outcome,
+            checkpoint: String::new(),
+        });
+    }
+
+    pub fn start(&mut self, now: Instant, epoch: u64, start: &Start, work_ms: u64) -> OrderReply {
+        let clock = self.clock(now);
+        match self.fault {
+            Fault::Cut => OrderReply::Unknown,
+            Fault::LosesAnswers => {
+                self.accept(clock, epoch, start, work_ms);
+                OrderReply::Unknown
+            }
+            Fault::Late(by) => {
+                self.late.push((clock + by, epoch, start.clone(), work_ms));
+                OrderReply::Unknown
+            }
+            _ => self.accept(clock, epoch, start, work_ms),
+        }
+    }
+
+    fn accept(&mut self, clock: u64, epoch: u64, start: &Start, work_ms: u64) -> OrderReply {
+        if epoch < self.fence {
+            return OrderReply::Refused(Refusal::Fenced);
+        }
+        self.fence = epoch;
+        if self.runs.iter().any(|it| it.task == start.task && it.run == start.run) {
+            return OrderReply::Done { clock_ms: clock };
+        }
+        if self.shut.iter().any(|(task, run)| *task == start.task && start.run <= *run) {
+            return OrderReply::Refused(Refusal::Old);
+        }
+        if start.deadline_ms < clock {
+            return OrderReply::Refused(Refusal::Late);
+        }
+        self.deadline = self.deadline.max(start.deadline_ms);
+        let (task, run) = (start.task, start.run);
+        self.runs.push(FakeRun { task, run, began: clock, work_ms, stopping: None });
+        OrderReply::Done { clock_ms: clock }
+    }
+
+    pub fn stop(&mut self, now: Instant, epoch: u64, task: TaskId, run: u32) -> OrderReply {
+        if self.fault == Fault::Cut {
+            return OrderReply::Unknown;
+        }
+        if epoch < self.fence {
+            return OrderReply::Refused(Refusal::Fenced);
+        }
+        self.fence = epoch;
+        let clock = self.clock(now);
+        match self.runs.iter_mut().find(|it| it.task == task && it.run == run) {
+            Some(it) => it.stopping = it.stopping.or(Some(clock + 200)),
+            None => self.shut.push((task, run)),
+        }
+        OrderReply::Done { clock_ms: clock }
+    }
+
+    /// `None` if cut off; `Err` if fenced.
+    pub fn hold(
+        &mut self,
+        now: Instant,
+        epoch: u64,
+        deadline_ms: Option<u64>,
+        cursor: u64,
+    ) -> Option<Result<HoldAnswer, ()>> {
+        if self.fault == Fault::Cut {
+            return None;
+        }
+        if epoch < self.fence {
+            return Some(Err(()));
+        }
+        self.fence = epoch;
+        let clock = self.clock(now);
+        self.deadline = self.deadline.max(deadline_ms.unwrap_or_default());
+        self.ends.retain(|it| it.number > cursor);
+        let percent = |it: &FakeRun| match self.fault {
+            Fault::Hangs => 7,
+            _ => ((clock - it.began) * 100 / it.work_ms.max(1)).min(100) as u8,
+        };
+        let running = self.runs.iter().map(|it| Running {
+            task: it.task,
+            run: it.run,
+            checkpoint: String::new(),
+            percent: percent(it),
+            load: 10,
+        });
+        let running = running.collect();
+        Some(Ok(HoldAnswer {
+            clock_ms: clock,
+            born_ms: self.born_ms,
+            running,
+            ended: self.ends.clone(),
+        }))
+    }
+
+    /// The worker crashes and starts again under its name: it knows nothing of before.
+    pub fn restart(&mut self, now: Instant) {
+        let name = self.name.clone();
+        let fresh = FakeWorker::new(&name, self.capacity.cpu_milli / 1_000);
+        let born_ms = now.0 / 1_000 + 1;
+        let (labels, late) = (self.labels.clone(), std::mem::take(&mut self.late));
+        // Its clock begins anew, and orders on their way still arrive, though not before the owner
+        // has had the time for a call: one that is carried out at the very start, under an epoch
+        // that the new incarnation has not seen replaced, nobody could shut out.
+        let at = now.0 / 1_000 + fresh.offset + 300;
+        let late = late.into_iter().map(|(_, epoch, start, work)| (at, epoch, start, work));
+        *self = FakeWorker { born_ms, labels, late: late.collect(), ..fresh };
+    }
+}
