--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -8,7 +8,7 @@
     Guard, HoldError, HoldOrder, NodeSettings, Store, StoreError, Topic, WorkerCalls, worker,
 };
 use daisy_workflow::{
-    Action, Batch, Claim, Event, Listed, Note, OrderReply, Owner, Record, Settings, encode,
+    Action, Batch, Claim, Event, Listed, Note, OrderReply, Outcome, Owner, Record, Settings, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -341,10 +341,11 @@
                 log::info!("event=job_ended id={job} outcome={how} age_ms={}", age.as_millis());
             }
             Note::RunEnded { task, run, worker, outcome } => {
-                self.ownership.metrics.end("other");
+                let outcome = outcome_words(*outcome);
+                self.ownership.metrics.end(outcome);
                 let id = task.job;
                 log::info!(
-                    "event=run_ended id={id} task={task} run={run} worker={worker} outcome={outcome:?}"
+                    "event=run_ended id={id} task={task} run={run} worker={worker} outcome={outcome}"
                 );
             }
             Note::RunLost { task, run, worker, why } => {
@@ -430,6 +431,17 @@
     }
 }
 
+fn outcome_words(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Stopped => "stopped",
+        Outcome::Lapsed => "lapsed",
+        Outcome::Broken => "broken",
+        Outcome::Alone => "alone",
+    }
+}
+
 fn reply_words(reply: OrderReply) -> &'static str {
     match reply {
         OrderReply::Done { .. } => "done",
--- a/daisy-workflow/src/owner/ends.rs
+++ b/daisy-workflow/src/owner/ends.rs
@@ -25,9 +25,7 @@
         worker.remove(it.task, it.run);
         self.plan_due = true;
         let Ended { task, run, outcome, .. } = it;
-        if outcome != Outcome::Done {
-            self.actions.push(Action::Note(Note::RunEnded { task, run, worker: id, outcome }));
-        }
+        self.actions.push(Action::Note(Note::RunEnded { task, run, worker: id, outcome }));
         let failed_elsewhere = self.failed_before(task);
         let Some(state) = self.task_mut(task) else { return };
         let known = state.copies.iter().any(|it| it.run == run);
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -204,7 +204,7 @@
         /// Time since the owner first saw it.
         age: Duration,
     },
-    /// A run ended other than as done.
+    /// A run ended.
     RunEnded {
         /// The task.
         task: TaskId,
--- a/src/args.rs
+++ b/src/args.rs
@@ -34,6 +34,8 @@
     Node(Node),
     /// `standin`
     Standin(Standin),
+    /// `trace`
+    Trace(Trace),
 }
 
 /// Check a settings file, or a file of statements, and print every finding.
@@ -95,3 +97,15 @@
     #[argh(option, default = "daisy_settings::LogLevel::Info")]
     pub log_level: daisy_settings::LogLevel,
 }
+
+/// Print the lines of several processes' logs about one request, in order, and what they come to.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct Trace {
+    /// the request's id, as in its path
+    #[argh(option)]
+    pub id: String,
+    /// the processes' logs
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 mod logging;
 mod node;
 mod standin;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -28,6 +29,7 @@
         Command::Load(options) => standin::run_load(options),
         Command::Node(options) => node::run(&options),
         Command::Standin(options) => standin::run(options),
+        Command::Trace(options) => trace::run(&options),
     };
     match outcome {
         Ok(code) => code,
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
             .map(PathBuf::from)
             .with_context(|| format!("{} is not set", daisy_platform::SETTINGS_VARIABLE))?,
     };
-    logging::start(options.log_level)?;
+    logging::start_queued(options.log_level)?;
     // A VM of the platform has a quarter of one core: more threads would only take turns.
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.context("starting the runtime")?.block_on(daisy_node::run(&path))?;
