--- a/tests/node.rs
+++ b/tests/node.rs
@@ -187,3 +187,44 @@
 
     assert_eq!(submitted, 200);
 }
+
+/// The first walk of docs/OPERATIONS.md: a caller was rejected.
+#[tokio::test]
+async fn a_rejected_request_is_traced_to_its_cause() {
+    let fleet = Fleet::start(2, 1, WORK).await;
+    fleet.log.set_fault(LogFault::Busy);
+    fleet.post(0, JOB, job_body(1)).await;
+    fleet.log.set_fault(LogFault::None);
+
+    let said = fleet.wait_for_trace(JOB, "rejected without an effect").await;
+
+    assert!(said.contains("503 Service Unavailable"), "{said}");
+}
+
+/// The second walk: a job is late, as the worker of one of its tasks went silent.
+#[tokio::test]
+async fn a_late_job_is_traced_to_its_worker() {
+    let fleet = Fleet::start(2, 2, Duration::from_millis(800)).await;
+    fleet.post(0, JOB, job_body(1)).await;
+    fleet.wait_for_runs(1).await;
+    fleet.set_worker_of(JOB, WorkerFault::Cut);
+    fleet.wait_for_state(0, JOB, "completed").await;
+
+    let said = fleet.wait_for_trace(JOB, "ended as completed").await;
+
+    assert!(said.contains("was lost with"), "{said}");
+    assert!(said.contains("its worker is silent and its lease has run out"), "{said}");
+}
+
+/// The third walk: a caller was told that the outcome is unknown, and its job ran.
+#[tokio::test]
+async fn an_unknown_outcome_is_traced_to_the_log() {
+    let fleet = Fleet::start(2, 2, WORK).await;
+    fleet.log.set_fault(LogFault::LosesAnswers);
+    fleet.post(0, JOB, job_body(1)).await;
+    fleet.log.set_fault(LogFault::None);
+
+    let said = fleet.wait_for_trace(JOB, "ended as completed").await;
+
+    assert!(said.contains("the outcome is unknown: no answer"), "{said}");
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -1,9 +1,10 @@
 //! A log, workers, and processes of `daisyshift node`.
 
 use std::{
+    fs::File,
     io::Write,
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
@@ -94,7 +95,7 @@
              bounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
             self.log.address
         );
-        let mut file = std::fs::File::create(&settings).expect("a file for settings");
+        let mut file = File::create(&settings).expect("a file for settings");
         file.write_all(text.as_bytes()).expect("room for settings");
         let child = spawn(&settings);
         Node { child, callers, readiness, settings }
@@ -220,6 +221,34 @@
         self.workers.iter().for_each(|it| it.set_fault(fault));
     }
 
+    /// Sets what is wrong with the worker that runs a task of a job.
+    pub fn set_worker_of(&self, id: &str, fault: WorkerFault) {
+        let runs = |it: &&Worker| it.seen().iter().any(|it| it.task.starts_with(id));
+        self.workers.iter().find(runs).expect("a worker that runs it").set_fault(fault);
+    }
+
+    /// What `daisyshift trace` says of a request from the logs of all processes.
+    pub fn trace(&self, id: &str) -> String {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_daisyshift"));
+        command.args(["trace", "--id", id]);
+        command.args(self.nodes.iter().map(|it| log_of(&it.settings)));
+        let output = command.output().expect("the program that was built");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
+    /// The same, once it says `words`: lines take a moment to be written.
+    pub async fn wait_for_trace(&self, id: &str, words: &str) -> String {
+        let began = Instant::now();
+        loop {
+            let said = self.trace(id);
+            if said.contains(words) {
+                return said;
+            }
+            assert!(began.elapsed() < PATIENCE, "no {words:?} in {said}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     /// All runs of a job that workers have begun.
     pub fn runs_of(&self, id: &str) -> Vec<Seen> {
         let seen = self.workers.iter().flat_map(Worker::seen);
@@ -242,16 +271,24 @@
             // One that has ended needs no killing.
             let _ = node.child.kill();
             let _ = node.child.wait();
+            let _ = std::fs::remove_file(log_of(&node.settings));
             let _ = std::fs::remove_file(&node.settings);
         }
     }
 }
 
-fn spawn(settings: &PathBuf) -> Child {
+/// Where the log of the process of these settings goes.
+fn log_of(settings: &Path) -> PathBuf {
+    settings.with_extension("log")
+}
+
+fn spawn(settings: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log_of(settings));
+    let log = log.expect("a file for the log");
     Command::new(env!("CARGO_BIN_EXE_daisyshift"))
-        .args(["node", "--log-level", "warn", "--settings"])
+        .args(["node", "--settings"])
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(Stdio::from(log))
         .spawn()
         .expect("the program that was built")
 }
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -54,3 +54,34 @@
         }
     }
 }
+
+/// Names after `event=` in the sources of a folder.
+fn events_of(dir: &Path) -> Vec<String> {
+    let mut names = Vec::new();
+    for entry in fs::read_dir(dir).expect("a folder of sources") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            names.extend(events_of(&path));
+            continue;
+        }
+        let source = fs::read_to_string(&path).expect("a source");
+        let after = source.split("event=").skip(1);
+        let name =
+            |it: &str| it.chars().take_while(|it| it.is_ascii_lowercase() || *it == '_').collect();
+        names.extend(after.map(name).filter(|it: &String| !it.is_empty()));
+    }
+    names
+}
+
+#[test]
+fn every_event_of_a_node_is_on_the_page() {
+    let page = read("docs/OPERATIONS.md");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut events = events_of(&root.join("daisy-node/src"));
+    events.push("lines_left_out".to_owned());
+
+    for event in events {
+        // Some lines take the event's name from the request.
+        assert!(page.contains(&format!("`{event}`")), "{event}");
+    }
+}
