--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -16,15 +16,13 @@
 /// Headroom (target divided by tail latency) that a serving task is to keep: its tail then stays
 /// below two thirds of the target, as reports are rough and half a second old.
 pub(super) const HEADROOM_MIN: f64 = 1.5;
-/// Headroom below which every best-effort task beside counts, also one that hardly disturbs: many
-/// such together can make the difference.
-const HEADROOM_TIGHT: f64 = 1.25;
+/// Headroom that a serving task is to keep from those that hardly disturb it: many such together
+/// can make the difference.
+const HEADROOM_TIGHT: f64 = 1.15;
 /// How long a target may be missed before all best-effort tasks beside are halted, whatever was
 /// learnt of them.
 const OVER_MAX: Duration = Duration::from_millis(1_200);
-/// Headroom taken by one of them below which it is left alone even then.
-const PRESS_MIN_TIGHT: f64 = 0.01;
-/// Headroom taken below which a best-effort task is not worth holding back: a task on a tenth of
+/// Headroom taken from which a best-effort task counts as one that disturbs: a task on a tenth of
 /// a worker takes 0.6 to 0.8 where its image disturbs, and up to 0.1 where it does not.
 pub(super) const PRESS_MIN: f64 = 0.12;
 /// Headroom below which a report says less of a serving task's own load: its queue is full, and
@@ -64,11 +62,8 @@
 /// The headroom that all best-effort tasks of a worker at full pace take from a serving task of
 /// `image`.
 pub(super) fn full_press(learnt: &Interference, worker: &Worker, image: &str) -> f64 {
-    let each = worker.tasks.iter().filter(|it| it.best_effort_cpu > 0).map(|it| {
-        let other = it.image.as_deref().unwrap_or_default();
-        learnt.weight(image, other) * full_share(worker, it.best_effort_cpu)
-    });
-    each.sum()
+    let each = worker.tasks.iter().filter(|it| it.best_effort_cpu > 0);
+    each.map(|it| press(learnt, worker, image, it)).sum()
 }
 
 impl Owner {
@@ -87,15 +82,11 @@
         let mut caps: Vec<Cap> = Vec::new();
         let mut halt = false;
         for (serving, it) in worker.tasks.iter().enumerate() {
-            let Some(headroom) = headroom(it) else { continue };
-            halt |= it.over_since.is_some_and(|at| now.since(at) >= OVER_MAX);
-            let room = (it.own_headroom - HEADROOM_MIN).max(0.0);
-            let full = full_press(learnt, worker, it.image.as_deref().unwrap_or_default());
-            if full > room {
-                let tight = headroom < HEADROOM_TIGHT;
-                let press_min = if tight { PRESS_MIN_TIGHT } else { PRESS_MIN };
-                caps.push(Cap { serving, bearable: room / full, press_min });
+            if headroom(it).is_none() {
+                continue;
             }
+            halt |= it.over_since.is_some_and(|at| now.since(at) >= OVER_MAX);
+            caps.extend(Cap::new(learnt, worker, serving, it));
         }
         let shares = shares(learnt, worker, &caps, halt);
         order(now, worker, key, |at| shares[at], &mut self.actions);
@@ -154,10 +145,40 @@
 struct Cap {
     /// Its position among the worker's tasks.
     serving: usize,
-    /// The part of the disturbance that it can bear.
-    bearable: f64,
-    /// Headroom taken from which a best-effort task is held back.
-    press_min: f64,
+    /// The share at which tasks that disturb it may work.
+    strong: f64,
+    /// The share at which tasks that hardly disturb it may work.
+    weak: f64,
+}
+
+impl Cap {
+    /// Holds those back first that disturb most. The others, of which there are many, only count
+    /// where the target itself is near.
+    fn new(learnt: &Interference, worker: &Worker, serving: usize, it: &Assignment) -> Option<Cap> {
+        let image = it.image.as_deref().unwrap_or_default();
+        let (mut strong, mut weak) = (0.0, 0.0);
+        for other in worker.tasks.iter().filter(|it| it.best_effort_cpu > 0) {
+            match press(learnt, worker, image, other) {
+                press if press >= PRESS_MIN => strong += press,
+                press => weak += press,
+            }
+        }
+        let part = |room: f64, wanted: f64| match wanted > room {
+            true => (room / wanted).max(0.0),
+            false => 1.0,
+        };
+        let for_strong = part(it.own_headroom - weak - HEADROOM_MIN, strong);
+        let left = it.own_headroom - strong * for_strong;
+        let for_weak = part(left - HEADROOM_TIGHT, weak);
+        let pressed = for_strong < 1.0 || for_weak < 1.0;
+        pressed.then_some(Cap { serving, strong: for_strong, weak: for_weak })
+    }
+}
+
+/// The headroom that a best-effort task at full pace takes from a serving task of `image`.
+fn press(learnt: &Interference, worker: &Worker, image: &str, it: &Assignment) -> f64 {
+    let other = it.image.as_deref().unwrap_or_default();
+    learnt.weight(image, other) * full_share(worker, it.best_effort_cpu)
 }
 
 /// The target of a serving task at work, divided by its tail latency.
@@ -240,14 +261,11 @@
         if it.best_effort_cpu == 0 {
             return 100;
         }
-        let other = it.image.as_deref().unwrap_or_default();
         let mut share = 1.0f64;
         for cap in caps {
             let image = worker.tasks[cap.serving].image.as_deref().unwrap_or_default();
-            let press = learnt.weight(image, other) * full_share(worker, it.best_effort_cpu);
-            if press >= cap.press_min {
-                share = share.min(cap.bearable);
-            }
+            let strong = press(learnt, worker, image, it) >= PRESS_MIN;
+            share = share.min(if strong { cap.strong } else { cap.weak });
         }
         let percent = (share * 100.0) as u8;
         if halt || percent < STEP { 0 } else { percent }
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -17,6 +17,12 @@
 const COST_FAR_FROM_DATA: i64 = 10_000;
 const COST_HEADROOM: i64 = 4_000;
 const COST_PACED: i64 = 8_000;
+/// For each unit of headroom that a placement takes, and that it leaves a serving task short of
+/// [`HEADROOM_EASY`].
+const COST_TAKEN: f64 = 2_000.0;
+const COST_SHORT: f64 = 2_500.0;
+/// Headroom below which a serving task's own swings of load soon meet the target.
+const HEADROOM_EASY: f64 = 1.7;
 const COST_OTHER_IMAGE: i64 = 300;
 /// For each thousandth of a worker's processors that best-effort tasks would lack.
 const COST_SLOWED: i64 = 4;
@@ -127,6 +133,7 @@
     if step.best_effort {
         // Where nobody's tail suffers, and then where the others leave most.
         cost += ((1.0 - pace_with(learnt, worker, step)) * COST_PACED as f64) as i64;
+        cost += disturbance_cost(learnt, worker, step);
         let needed = worker.best_effort_cpu() + step.need.cpu_milli;
         let left = idle_cpu(worker);
         if needed > left {
@@ -147,6 +154,22 @@
     cost + used
 }
 
+/// What a best-effort task costs the worker's serving tasks, though all could work at full pace
+/// now: loads swing, and most images find a worker where they disturb nobody.
+fn disturbance_cost(learnt: &Interference, worker: &Worker, step: &StepSpec) -> i64 {
+    let other = step.image.as_deref().unwrap_or_default();
+    let share = full_share(worker, step.need.cpu_milli);
+    let mut worst = 0.0f64;
+    for it in worker.tasks.iter().filter(|it| it.target_ms > 0) {
+        let image = it.image.as_deref().unwrap_or_default();
+        let taken = learnt.weight(image, other) * share;
+        let left = it.own_headroom - full_press(learnt, worker, image) - taken;
+        let short = (HEADROOM_EASY - left).clamp(0.0, 2.0);
+        worst = worst.max(taken.min(2.0) * COST_TAKEN + short * COST_SHORT);
+    }
+    worst as i64
+}
+
 /// The share of its processor time at which one more best-effort task of `step` could work on a
 /// worker without taking too much headroom from a serving task, 0 to 1.
 pub(super) fn pace_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
