--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -22,6 +22,12 @@
 /// How long a target may be missed before all best-effort tasks beside are halted, whatever was
 /// learnt of them.
 const OVER_MAX: Duration = Duration::from_millis(1_200);
+/// How long a target may be missed before that is put down to the serving task's own load: with
+/// all beside it halted for over two seconds, its queue would have emptied.
+const OVER_OWN: Duration = Duration::from_millis(3_600);
+/// Headroom without best-effort tasks below which holding back those that hardly disturb is of no
+/// use: the target is missed all the same.
+const HEADROOM_LOST: f64 = 0.97;
 /// Headroom taken from which a best-effort task counts as one that disturbs: a task on a tenth of
 /// a worker takes 0.6 to 0.8 where its image disturbs, and up to 0.1 where it does not.
 pub(super) const PRESS_MIN: f64 = 0.12;
@@ -85,7 +91,10 @@
             if headroom(it).is_none() {
                 continue;
             }
-            halt |= it.over_since.is_some_and(|at| now.since(at) >= OVER_MAX);
+            halt |= it.over_since.is_some_and(|at| {
+                let over = now.since(at);
+                (OVER_MAX..OVER_OWN).contains(&over)
+            });
             caps.extend(Cap::new(learnt, worker, serving, it));
         }
         let shares = shares(learnt, worker, &caps, halt);
@@ -169,7 +178,10 @@
         };
         let for_strong = part(it.own_headroom - weak - HEADROOM_MIN, strong);
         let left = it.own_headroom - strong * for_strong;
-        let for_weak = part(left - HEADROOM_TIGHT, weak);
+        let for_weak = match it.own_headroom < HEADROOM_LOST {
+            true => 1.0,
+            false => part(left - HEADROOM_TIGHT, weak),
+        };
         let pressed = for_strong < 1.0 || for_weak < 1.0;
         pressed.then_some(Cap { serving, strong: for_strong, weak: for_weak })
     }
