workflow: keep only workers that can hold the task; node: slow appends go one at a time

Now a worker must have the room once all has ended that ends by itself. Cause 2 (incident, appends slow): each VM had four appends under way, 120 ms each and taken one after the other, so all waited behind each other for longer than their 700 ms. Ruled out: the owner's appends, alone in their partition. Tests of both fail without their change.

--- a/daisy-node/src/append.rs
+++ b/daisy-node/src/append.rs
@@ -1,61 +1,45 @@
 //! Group commit of submissions and cancellations.
 
-use daisy_platform::{Guard, Store, StoreError, Topic};
-use tokio::sync::{mpsc, oneshot};
-
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use daisy_model::Instant;
+use daisy_platform::{Guard, Store, StoreError, Topic};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock;
 
-/// How long an append may take. On the platform's slow days it takes up to 0.4 s; a caller waits
-/// for 3 s, so that an answer that was lost leaves time for a few more tries.
-const TIMEOUT: Duration = Duration::from_millis(700);
+/// The shortest and the longest time that an append may take before its outcome counts as unknown.
+///
+/// A caller waits for 3 s: where answers are lost, half a second leaves time for five tries. On
+/// the platform's slow days an append takes 0.4 s, and 1.1 s behind those of all other VMs.
+const TIMEOUT_MIN: Duration = Duration::from_millis(500);
+const TIMEOUT_MAX: Duration = Duration::from_millis(1_700);
+/// The timeout, in times of what appends took of late.
+const TIMEOUT_FACTOR: u32 = 6;
 /// Records of one append. A submission has at most some 10 KB, and the platform takes 2 MB.
 const BATCH_MAX: usize = 100;
 /// Appends under way at one time, so that one that hangs does not hold up the others.
-const UNDER_WAY_MAX: usize = 4;
-
-/// How long after an append that went unanswered the next may be tried: until then callers are
-/// told at once that nothing was stored, instead of waiting for the same silence.
+const UNDER_WAY_MAX: usize = 2;
+/// Appends that take longer than this go one at a time: the platform takes them one after the
+/// other, so more of them under way only make its queue longer.
+const SLOW: Duration = Duration::from_millis(80);
+/// How long nothing may be answered, while appends are made, before the log counts as silent:
+/// longer than an append takes on the platform's slow days.
+const SILENT: Duration = Duration::from_millis(1_200);
+/// How often an append is tried while the log is silent; callers in between are told at once that
+/// nothing was stored, instead of waiting for the same silence.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 
-/// Whether the log answers appends.
-#[derive(Debug, Clone, Default)]
-struct Reach(std::sync::Arc<std::sync::Mutex<Option<Instant>>>);
-
-impl Reach {
-    fn note(&self, now: Instant, outcome: &Result<(), StoreError>) {
-        let mut lost_at = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        match outcome {
-            Err(StoreError::Unknown(_)) => *lost_at = Some(now),
-            _ => *lost_at = None,
-        }
-    }
-
-    /// One call in each [`PROBE_EVERY`] finds the log reachable, so that its return shows.
-    fn is_lost(&self) -> bool {
-        let now = clock::now();
-        let mut lost_at = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        match *lost_at {
-            Some(at) if now.since(at) < PROBE_EVERY => true,
-            Some(_) => {
-                *lost_at = Some(now);
-                false
-            }
-            None => false,
-        }
-    }
-}
-
 type Waiter = (String, Vec<u8>, oneshot::Sender<Result<(), StoreError>>);
 
 /// Hands records to the task that appends them in batches.
 #[derive(Debug, Clone)]
 pub(crate) struct Appender {
     tx: mpsc::Sender<Waiter>,
-    reach: Reach,
+    pace: Pace,
 }
 
 impl Appender {
@@ -64,14 +48,14 @@
         /// Requests that wait for an append; more than a small VM has connections.
         const WAITING_MAX: usize = 4_096;
         let (tx, rx) = mpsc::channel(WAITING_MAX);
-        let reach = Reach::default();
-        tokio::spawn(run(store, rx, reach.clone()));
-        Appender { tx, reach }
+        let pace = Pace::default();
+        tokio::spawn(run(store, rx, pace.clone()));
+        Appender { tx, pace }
     }
 
     /// Whether the last appends went unanswered, so that the next one is not worth waiting for.
     pub fn is_cut_off(&self) -> bool {
-        self.reach.is_lost()
+        self.pace.lock().is_lost(clock::now())
     }
 
     /// Appends a record; the outcome is that of the append that held it.
@@ -87,33 +71,108 @@
     }
 }
 
-async fn run(store: Store, mut rx: mpsc::Receiver<Waiter>, reach: Reach) {
-    let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(UNDER_WAY_MAX));
+/// How the log takes appends, shared between them.
+#[derive(Debug, Clone, Default)]
+struct Pace {
+    state: Arc<Mutex<PaceState>>,
+    freed: Arc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct PaceState {
+    /// What appends took of late; one that went unanswered counts with its timeout.
+    took: Duration,
+    under_way: usize,
+    /// When the first append began that went unanswered, if none was answered since.
+    unanswered_since: Option<Instant>,
+    probed_at: Instant,
+}
+
+impl Pace {
+    fn lock(&self) -> MutexGuard<'_, PaceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until another append may begin, and gives its timeout.
+    async fn begin(&self) -> Duration {
+        loop {
+            let freed = self.freed.notified();
+            if let Some(timeout) = self.lock().try_begin() {
+                return timeout;
+            }
+            freed.await;
+        }
+    }
+
+    fn end(&self, took: Duration, outcome: &Result<(), StoreError>) {
+        self.lock().end(clock::now(), took, outcome);
+        self.freed.notify_one();
+    }
+}
+
+impl PaceState {
+    fn try_begin(&mut self) -> Option<Duration> {
+        let most = if self.took > SLOW { 1 } else { UNDER_WAY_MAX };
+        if self.under_way >= most {
+            return None;
+        }
+        self.under_way += 1;
+        Some((self.took * TIMEOUT_FACTOR).clamp(TIMEOUT_MIN, TIMEOUT_MAX))
+    }
+
+    fn end(&mut self, now: Instant, took: Duration, outcome: &Result<(), StoreError>) {
+        self.under_way -= 1;
+        self.took = (self.took + took) / 2;
+        self.unanswered_since = match outcome {
+            Err(StoreError::Unknown(_)) => self.unanswered_since.or(Some(now - took)),
+            _ => None,
+        };
+    }
+
+    /// One call in each [`PROBE_EVERY`] finds the log reachable, so that its return shows.
+    fn is_lost(&mut self, now: Instant) -> bool {
+        if self.unanswered_since.is_none_or(|at| now.since(at) < SILENT) {
+            return false;
+        }
+        let probe = now.since(self.probed_at) >= PROBE_EVERY;
+        if probe {
+            self.probed_at = now;
+        }
+        !probe
+    }
+}
+
+async fn run(store: Store, mut rx: mpsc::Receiver<Waiter>, pace: Pace) {
     let mut batch = Vec::new();
-    while rx.recv_many(&mut batch, BATCH_MAX).await > 0 {
-        let Ok(slot) = slots.clone().acquire_owned().await else { return };
+    loop {
+        // What comes while earlier appends are under way gathers and goes out together.
+        let timeout = pace.begin().await;
+        if rx.recv_many(&mut batch, BATCH_MAX).await == 0 {
+            return;
+        }
         let store = store.clone();
-        let reach = reach.clone();
         let batch = std::mem::take(&mut batch);
+        let pace = pace.clone();
         tokio::spawn(async move {
-            append(&store, batch, &reach).await;
-            drop(slot);
+            let began = clock::now();
+            let outcome = append(&store, batch, timeout).await;
+            pace.end(clock::now().since(began), &outcome);
         });
     }
 }
 
-async fn append(store: &Store, batch: Vec<Waiter>, reach: &Reach) {
+async fn append(store: &Store, batch: Vec<Waiter>, timeout: Duration) -> Result<(), StoreError> {
     let mut records = Vec::with_capacity(batch.len());
     let mut waiters = Vec::with_capacity(batch.len());
     for (key, value, tx) in batch {
         records.push((key, value));
         waiters.push(tx);
     }
-    let outcome = store.append(Topic::Jobs, &records, Guard::Free, TIMEOUT).await;
+    let outcome = store.append(Topic::Jobs, &records, Guard::Free, timeout).await;
     let outcome = outcome.map(|_| ());
-    reach.note(clock::now(), &outcome);
     for tx in waiters {
         // A caller that has left needs no answer.
         let _ = tx.send(outcome.clone());
     }
+    outcome
 }
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -332,6 +332,7 @@
         best_effort_cpu: if step.best_effort { step.need.cpu_milli } else { 0 },
         image: step.image.clone(),
         target_ms: step.target_ms,
+        lasts: step.long_running,
         sent: Sent::Recording,
         maybe_late: false,
         tries: 0,
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -90,7 +90,7 @@
                 && self.usable(now, it)
                 && !kept.contains(key)
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
-                && step.counted().fits(it.capacity)
+                && step.counted().fits(it.room_in_time())
                 && !super::place::is_crowded(step, it, task_id(ready, 0))
         });
         candidates.max_by_key(|(key, it)| (it.free().cpu_milli, *key)).map(|(key, _)| key)
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -66,6 +66,8 @@
     pub image: Option<Arc<str>>,
     /// Tail latency of a serving task that must not be exceeded; 0 for a task that serves nobody.
     pub target_ms: u32,
+    /// Whether it runs until its job is cancelled.
+    pub lasts: bool,
     pub sent: Sent,
     /// Whether an order to start it went unanswered: it may be carried out late.
     pub maybe_late: bool,
@@ -189,6 +191,14 @@
         self.capacity.try_sub(self.used).unwrap_or(Resources::ZERO)
     }
 
+    /// What is free once all has ended that ends by itself.
+    pub(crate) fn room_in_time(&self) -> Resources {
+        let lasting = self.tasks.iter().filter(|it| it.lasts);
+        let taken = lasting
+            .fold(Resources::ZERO, |sum, it| sum.try_add(it.counted).unwrap_or(self.capacity));
+        self.capacity.try_sub(taken).unwrap_or(Resources::ZERO)
+    }
+
     pub(crate) fn find(&mut self, task: TaskId, run: u32) -> Option<&mut Assignment> {
         self.tasks.iter_mut().find(|it| it.task == task && it.run == run)
     }
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -369,3 +369,27 @@
 
     assert!(copied);
 }
+
+/// No worker can ever hold the large task that lasts: others that last take too much of each. No
+/// worker is kept for it, so that small tasks do not wait beside free processors.
+#[test]
+fn no_worker_is_kept_for_what_never_fits() {
+    let mut world = two_workers();
+    world.work = |task| if task.job.0 < 10 { 600_000 } else { 700 };
+    let large = |cores: u32| StepSpec {
+        need: daisy_model::Resources { cpu_milli: cores * 1_000, ..step(1).need },
+        max_per_worker: 1,
+        ..lasting(2)
+    };
+    world.submit(1, job(vec![large(2)]));
+    world.run_ms(300);
+    world.submit(2, job(vec![large(3)]));
+    for id in 10..20 {
+        world.submit(id, job(vec![step(3)]));
+    }
+
+    let done = world.run_until(10_000, |it| (10..20).all(|id| it.state(id) == JobState::Completed));
+
+    assert!(done);
+    assert!(world.places(task(2, 0, 0)).is_empty());
+}
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -24,6 +24,9 @@
     Hangs,
 }
 
+/// A task with this much work lasts until it is stopped.
+pub const LASTS_MS: u64 = 600_000;
+
 #[derive(Debug, Clone)]
 pub struct FakeRun {
     pub task: TaskId,
@@ -205,6 +208,8 @@
         self.ends.retain(|it| it.number > cursor);
         let percent = |it: &FakeRun| match self.fault {
             Fault::Hangs => 7,
+            // A task that lasts is at work from its start.
+            _ if it.work_ms >= LASTS_MS => 100,
             _ => ((clock - it.began) * 100 / it.work_ms.max(1)).min(100) as u8,
         };
         let running = self.runs.iter().map(|it| Running {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -122,6 +122,30 @@
     assert_eq!((old, new), (404, 200));
 }
 
+/// The log takes appends one after the other, 150 ms each, and three VMs have 20 callers each. With
+/// several appends of each VM under way, each would wait behind all others for longer than it is
+/// given, and callers would be told that the outcome is unknown.
+#[tokio::test]
+async fn a_slow_log_stores_what_callers_bring() {
+    let fleet = Fleet::start(3, 1, WORK).await;
+    fleet.log.set_fault(LogFault::SlowAppends(Duration::from_millis(150)));
+    let mut posts = Vec::new();
+    for round in 0..20 {
+        for vm in 0..3 {
+            posts.push(fleet.post_after(
+                vm,
+                round * 3 + vm,
+                Duration::from_millis(round as u64 * 60),
+            ));
+        }
+    }
+
+    let statuses = futures::future::join_all(posts).await;
+
+    let stored = statuses.iter().filter(|it| **it == 200).count();
+    assert_eq!(stored, statuses.len(), "{statuses:?}");
+}
+
 #[tokio::test]
 async fn bad_input_is_refused_and_leaves_nothing_behind() {
     let fleet = Fleet::start(1, 1, WORK).await;
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -159,6 +159,12 @@
         self.call(at, "POST", &format!("/jobs/{id}"), body).await.0
     }
 
+    /// Submits job number `number` after a while.
+    pub async fn post_after(&self, at: usize, number: usize, after: Duration) -> u16 {
+        sleep(after).await;
+        self.post(at, &format!("{number:016x}"), job_body(1)).await
+    }
+
     pub async fn get(&self, at: usize, id: &str) -> (u16, String) {
         self.call(at, "GET", &format!("/jobs/{id}"), String::new()).await
     }
