--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -103,6 +103,13 @@
 }
 
 impl Interference {
+    /// How many images of best-effort tasks take less than `most` headroom from each serving task of
+    /// `images`, if they use all of a worker's processors.
+    pub fn harmless(&self, images: &[Arc<str>], most: f64) -> u32 {
+        let harmless = |other: &str| images.iter().all(|it| self.weight(it, other) < most);
+        self.images.iter().filter(|(it, _)| harmless(it)).count() as u32
+    }
+
     /// What an earlier owner had learnt, to go on from.
     pub fn inherit(now: Instant, pairs: &[Disturbance]) -> Interference {
         let mut learnt = Interference::default();
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -31,6 +31,8 @@
 /// Headroom taken from which a best-effort task counts as one that disturbs: a task on a tenth of
 /// a worker takes 0.6 to 0.8 where its image disturbs, and up to 0.1 where it does not.
 pub(super) const PRESS_MIN: f64 = 0.12;
+/// The factor below which a pair counts as one that hardly disturbs.
+const WEIGHT_HARMLESS: f64 = 2.0;
 /// Headroom below which a report says less of a serving task's own load: its queue is full, and
 /// empties over a second.
 const HEADROOM_FULL: f64 = 0.6;
@@ -83,6 +85,9 @@
         if now.since(worker.reported_at) >= REPORT_EVERY {
             worker.reported_at = now;
             learn(now, &mut self.interference, worker);
+            let serving = worker.tasks.iter().filter(|it| it.target_ms > 0);
+            let images: Vec<Arc<str>> = serving.filter_map(|it| it.image.clone()).collect();
+            worker.open_to = self.interference.harmless(&images, WEIGHT_HARMLESS);
         }
         let learnt = &self.interference;
         let mut caps: Vec<Cap> = Vec::new();
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -21,6 +21,9 @@
 /// [`HEADROOM_EASY`].
 const COST_TAKEN: f64 = 2_000.0;
 const COST_SHORT: f64 = 2_500.0;
+/// For each image that could work on a worker without harm: tasks that can go anywhere leave such
+/// workers to those that cannot.
+const COST_OPEN: i64 = 120;
 /// Headroom below which a serving task's own swings of load soon meet the target.
 const HEADROOM_EASY: f64 = 1.7;
 const COST_OTHER_IMAGE: i64 = 300;
@@ -134,6 +137,7 @@
         // Where nobody's tail suffers, and then where the others leave most.
         cost += ((1.0 - pace_with(learnt, worker, step)) * COST_PACED as f64) as i64;
         cost += disturbance_cost(learnt, worker, step);
+        cost += i64::from(worker.open_to) * COST_OPEN;
         let needed = worker.best_effort_cpu() + step.need.cpu_milli;
         let left = idle_cpu(worker);
         if needed > left {
@@ -151,7 +155,8 @@
         cost += others * COST_OTHER_IMAGE + (press * COST_HEADROOM as f64) as i64;
         return cost + 1_000 - used;
     }
-    cost + used
+    // Best fit: small tasks fill small gaps, and large ones find large gaps.
+    cost + 1_000 - used
 }
 
 /// What a best-effort task costs the worker's serving tasks, though all could work at full pace
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -134,6 +134,8 @@
     /// When its figures were last taken in, and the running means of what images use.
     pub(crate) reported_at: Instant,
     pub(crate) mean_used: Vec<(Arc<str>, f64)>,
+    /// Images of best-effort tasks that disturb no serving task here.
+    pub(crate) open_to: u32,
 }
 
 impl Worker {
@@ -165,6 +167,7 @@
             shunned_until: Instant::default(),
             reported_at: Instant::default(),
             mean_used: Vec::new(),
+            open_to: 0,
         }
     }
 
