--- a/tests/node.rs
+++ b/tests/node.rs
@@ -252,3 +252,25 @@
 
     assert!(said.contains("the outcome is unknown: no answer"), "{said}");
 }
+
+/// Nobody reads the pipe that a process logs into. It is full after some hundred lines; writing to
+/// it would stop the process, and its callers with it.
+#[tokio::test]
+async fn a_log_that_nobody_reads_delays_no_caller() {
+    let mut fleet = Fleet::start(1, 1, WORK).await;
+    fleet.kill(0);
+    fleet.restart_unread(0).await;
+
+    let start = std::time::Instant::now();
+    let mut slowest = Duration::ZERO;
+    while start.elapsed() < Duration::from_secs(8) {
+        let began = std::time::Instant::now();
+        // Each is a line of some 180 bytes. A pipe holds 64 KiB, the queue before it 2,048 lines,
+        // and 500 lines of a kind are written in a second: the queue is full after some five.
+        let status = fleet.post(0, JOB, "no job".to_owned()).await;
+        assert_eq!(status, 400);
+        slowest = slowest.max(began.elapsed());
+    }
+
+    assert!(slowest < Duration::from_secs(2), "{slowest:?}");
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -107,6 +107,12 @@
         child.wait().expect("the end of a killed process");
     }
 
+    /// Starts a process of the same VM again, with a log that goes into a pipe that nobody reads.
+    pub async fn restart_unread(&mut self, at: usize) {
+        self.nodes[at].child = spawn_to(&self.nodes[at].settings, Stdio::piped());
+        self.wait_ready(at).await;
+    }
+
     /// Starts a process of the same VM again.
     pub async fn restart(&mut self, at: usize) {
         self.nodes[at].child = spawn(&self.nodes[at].settings);
@@ -290,11 +296,14 @@
 
 fn spawn(settings: &Path) -> Child {
     let log = File::options().create(true).append(true).open(log_of(settings));
-    let log = log.expect("a file for the log");
+    spawn_to(settings, Stdio::from(log.expect("a file for the log")))
+}
+
+fn spawn_to(settings: &Path, log: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_daisyshift"))
         .args(["node", "--settings"])
         .arg(settings)
-        .stdout(Stdio::from(log))
+        .stdout(log)
         .spawn()
         .expect("the program that was built")
 }
