--- a/daisy-node/src/append.rs
+++ b/daisy-node/src/append.rs
@@ -5,8 +5,10 @@
     time::Duration,
 };
 
-use daisy_model::Instant;
+use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, Store, StoreError, Topic};
+use daisy_workflow::ShardId;
+use futures::future::join_all;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock;
@@ -33,7 +35,14 @@
 /// nothing was stored, instead of waiting for the same silence.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 
-type Waiter = (String, Vec<u8>, oneshot::Sender<Result<(), StoreError>>);
+/// A record that waits for its append.
+#[derive(Debug)]
+struct Waiter {
+    shard: ShardId,
+    key: String,
+    value: Vec<u8>,
+    tx: oneshot::Sender<Result<(), StoreError>>,
+}
 
 /// Hands records to the task that appends them in batches.
 #[derive(Debug, Clone)]
@@ -59,9 +68,14 @@
     }
 
     /// Appends a record; the outcome is that of the append that held it.
-    pub async fn append(&self, key: String, value: Vec<u8>) -> Result<(), StoreError> {
+    pub async fn append(
+        &self,
+        shard: ShardId,
+        key: String,
+        value: Vec<u8>,
+    ) -> Result<(), StoreError> {
         let (tx, rx) = oneshot::channel();
-        if self.tx.try_send((key, value, tx)).is_err() {
+        if self.tx.try_send(Waiter { shard, key, value, tx }).is_err() {
             return Err(StoreError::NotDone("too many appends wait".to_owned()));
         }
         match rx.await {
@@ -161,14 +175,42 @@
     }
 }
 
+/// Appends records of several shards at the same time; the outcome is that of any append that was
+/// answered, as it tells whether the log is there.
 async fn append(store: &Store, batch: Vec<Waiter>, timeout: Duration) -> Result<(), StoreError> {
+    let mut shards: SortedMap<ShardId, Vec<Waiter>> = SortedMap::new();
+    for it in batch {
+        shards.get_or_insert_with(it.shard, Vec::new).push(it);
+    }
+    let mut appends = Vec::with_capacity(shards.len());
+    for (shard, waiters) in shards.iter_mut() {
+        appends.push(append_to(store, *shard, std::mem::take(waiters), timeout));
+    }
+    let outcomes = join_all(appends).await;
+    let unanswered = |it: &Result<(), StoreError>| matches!(it, Err(StoreError::Unknown(_)));
+    let mut first = Ok(());
+    for it in outcomes {
+        if !unanswered(&it) {
+            return it;
+        }
+        first = it;
+    }
+    first
+}
+
+async fn append_to(
+    store: &Store,
+    shard: ShardId,
+    batch: Vec<Waiter>,
+    timeout: Duration,
+) -> Result<(), StoreError> {
     let mut records = Vec::with_capacity(batch.len());
     let mut waiters = Vec::with_capacity(batch.len());
-    for (key, value, tx) in batch {
+    for Waiter { key, value, tx, .. } in batch {
         records.push((key, value));
         waiters.push(tx);
     }
-    let outcome = store.append(Topic::Jobs, &records, Guard::Free, timeout).await;
+    let outcome = store.append(Topic::Jobs(shard.0), &records, Guard::Free, timeout).await;
     let outcome = outcome.map(|_| ());
     for tx in waiters {
         // A caller that has left needs no answer.
--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -1,26 +1,31 @@
-//! Following the owner's records, and becoming the owner.
+//! Becoming the owner of a shard, and ending that.
 
 use std::time::Duration;
 
+use daisy_model::Instant;
 use daisy_platform::{Guard, NodeSettings, Store, StoreError, Topic};
-use daisy_workflow::{Election, Record, Verdict, decode, encode};
+use daisy_workflow::{Candidate, Claim, Election, Fold, Ledger, Record, ShardId, Verdict, encode};
+use futures::future::join_all;
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
     follow::{CALL_TIMEOUT, Tail},
+    jobs::readable,
     metrics::Metrics,
-    own::{Ended, Ownership},
+    own::Ownership,
     shared::Shared,
 };
 
-/// How long a read waits for a record of the owner.
-const WAIT: Duration = Duration::from_millis(500);
-/// Between reads, so that records come in bunches: each call is paid for.
-const PAUSE: Duration = Duration::from_millis(80);
+/// Between looks at a shard's owner.
+const PAUSE: Duration = Duration::from_millis(40);
+/// How much later than others a process claims that gave its shards up as it was too slow: a
+/// slowed VM stays so for some seconds.
+const UNFIT_LATER: Duration = Duration::from_millis(2_500);
+const UNFIT_FOR: Duration = Duration::from_secs(10);
 
-/// The task that follows the owner, and is the owner at times.
-#[derive(Debug)]
+/// What a process needs to own shards.
+#[derive(Debug, Clone)]
 pub(crate) struct Elect {
     pub settings: NodeSettings,
     pub store: Store,
@@ -31,130 +36,200 @@
     pub stop: watch::Receiver<bool>,
 }
 
-impl Elect {
-    /// Runs until the process stops.
-    pub async fn run(self) {
-        let mut tail = Tail::new(self.store.clone(), Topic::Progress);
-        let mut election = Election::new(clock::now(), &self.settings.vm, self.process);
-        let mut rtt = Duration::from_millis(20);
-        while !*self.stop.borrow() {
-            let Some(at_end) = self.read(&mut tail, &mut election).await else { continue };
-            if !at_end {
-                continue;
-            }
-            match self.verdict(&election, rtt) {
-                Verdict::Own(epoch) => self.own(&mut tail, &mut election, epoch).await,
-                Verdict::Claim => {
-                    let began = clock::now();
-                    self.claim(&tail, &mut election).await;
-                    rtt = clock::now().since(began);
-                }
+/// Watches all shards until the process stops.
+pub(crate) async fn run(elect: Elect) {
+    let layout = loop {
+        if let Some(layout) = elect.shared.lock().directory.layout() {
+            break layout;
+        }
+        if *elect.stop.borrow() {
+            return;
+        }
+        sleep(PAUSE).await;
+    };
+    join_all(layout.all().map(|shard| Watch::new(elect.clone(), shard, layout.shards).run())).await;
+}
+
+/// The watch over one shard.
+struct Watch {
+    elect: Elect,
+    shard: ShardId,
+    shards: u16,
+    election: Election,
+    /// How long a call to the log takes.
+    rtt: Duration,
+    /// The last epoch under which this process owned the shard or failed to.
+    ended_epoch: u64,
+    unfit_until: Instant,
+}
+
+/// A claim that stands, with all that the log says of the shard.
+struct Won {
+    epoch: u64,
+    ledger: Ledger,
+    jobs: Tail,
+    settled: bool,
+}
+
+impl Watch {
+    fn new(elect: Elect, shard: ShardId, shards: u16) -> Watch {
+        let election = Election::new(clock::now(), &elect.settings.vm, elect.process);
+        Watch {
+            elect,
+            shard,
+            shards,
+            election,
+            rtt: Duration::from_millis(5),
+            ended_epoch: 0,
+            unfit_until: Instant::default(),
+        }
+    }
+
+    async fn run(mut self) {
+        while !*self.elect.stop.borrow() {
+            match self.verdict() {
+                Verdict::Claim => match self.claim().await {
+                    Some(won) => self.own(won).await,
+                    None => sleep(PAUSE).await,
+                },
+                Verdict::Own(_) => sleep(PAUSE).await,
                 Verdict::Wait(left) => sleep(PAUSE.min(left)).await,
             }
         }
     }
 
-    fn verdict(&self, election: &Election, rtt: Duration) -> Verdict {
-        let known = self.shared.lock();
-        // Without a configuration and the jobs, an owner would have nothing to go by.
-        if known.queues.is_none() || known.jobs_read_at.is_none() {
+    fn verdict(&mut self) -> Verdict {
+        let now = clock::now();
+        let known = self.elect.shared.lock();
+        // Without a configuration and the newest signs of life, a claim would go by nothing.
+        if known.queues.is_none() || !known.is_fresh() {
             return Verdict::Wait(PAUSE);
         }
-        election.verdict(clock::now(), known.ledger.owner(), rtt)
+        let heard = known.directory.owner(self.shard);
+        if let Some(heard) = heard {
+            self.election.heard(heard.at);
+        }
+        // An own claim that has ended is nobody's.
+        let newest = heard.map(|it| match it.sign.claim.epoch <= self.ended_epoch {
+            true => Claim { vm: String::new(), process: 0, ..it.sign.claim.clone() },
+            false => it.sign.claim.clone(),
+        });
+        let candidate = Candidate {
+            vm: &self.elect.settings.vm,
+            shard: self.shard,
+            shards: self.shards,
+            owned: known.owned(),
+            cpu_share: self.elect.settings.cpu_share,
+        };
+        let unfit = if now < self.unfit_until { UNFIT_LATER } else { Duration::ZERO };
+        self.election.set_rank(candidate.rank() + unfit);
+        self.election.verdict(now, newest.as_ref(), self.rtt)
     }
 
-    /// Reads what is new; whether that was all, or `None` if the call failed.
-    async fn read(&self, tail: &mut Tail, election: &mut Election) -> Option<bool> {
-        let read = tail.try_read(WAIT).await?;
-        let now = clock::now();
-        let mut known = self.shared.lock();
-        for it in &read.records {
-            if it.value.is_empty() {
+    /// Claims the shard after all that its log holds was read. What came of the claim shows in the
+    /// log alone: an answer may be lost, or speak of another's claim under the same epoch.
+    async fn claim(&mut self) -> Option<Won> {
+        /// Records that come between a read and the claim make another read necessary.
+        const TRIES: u32 = 4;
+        let store = &self.elect.store;
+        let mut ledger = Ledger::default();
+        let mut jobs = Tail::new(store.clone(), Topic::Jobs(self.shard.0));
+        let began = clock::now();
+        let read = jobs.try_read(Duration::ZERO).await?;
+        self.rtt = clock::now().since(began);
+        for record in readable("jobs", &read.records) {
+            ledger.fold(record);
+        }
+        let mut progress = Tail::new(store.clone(), Topic::Progress(self.shard.0));
+        let mut claimed = None;
+        for _ in 0..TRIES {
+            let read = progress.try_read(Duration::ZERO).await?;
+            let mut seen = false;
+            for record in readable("progress", &read.records) {
+                seen |= ledger.fold(record) == Fold::Claim;
+            }
+            if !read.at_end {
                 continue;
             }
-            match decode(&it.key, &it.value) {
-                Ok(record) => {
-                    if matches!(record, Record::Claim(_)) {
-                        election.heard(now);
-                    }
-                    known.ledger.fold(record);
-                }
-                Err(e) => log::warn!(
-                    "event=record_unreadable topic=progress offset={} cause=\"{e}\"",
-                    it.offset
-                ),
+            let mine = ledger.owner().filter(|it| self.is_mine(it) && Some(it.epoch) == claimed);
+            if let Some(claim) = mine {
+                let (epoch, settled) = (claim.epoch, claim.settled);
+                return Some(Won { epoch, ledger, jobs, settled });
             }
+            if claimed.is_some() && seen {
+                break;
+            }
+            let settled = self.is_settled(ledger.owner());
+            claimed = self.append_claim(progress.next()?, settled).await;
         }
-        if !read.records.is_empty() {
-            election.heard(now);
-        }
-        if read.at_end {
-            known.progress_read_at = Some(now);
-        }
-        Some(read.at_end)
+        // Somebody else was faster, or the log does not answer: as after a sign of life.
+        self.election.heard(clock::now());
+        None
     }
 
-    /// Appends a claim at the end that was read. What came of it shows in the log alone: an
-    /// answer may be lost, or speak of another's claim under the same epoch.
-    async fn claim(&self, tail: &Tail, election: &mut Election) {
-        let Some(at) = tail.next() else { return };
+    /// Appends a claim at the end that was read, and gives its epoch.
+    async fn append_claim(&self, at: u64, settled: bool) -> Option<u64> {
         let epoch = at + 1;
-        let record = encode(&Record::Claim(election.claim(epoch, false)));
-        let guard = Guard::Claim { at, epoch };
-        let outcome = self.store.append(Topic::Progress, &[record], guard, CALL_TIMEOUT).await;
-        match outcome {
-            Ok(_) => log::info!("event=claimed epoch={epoch}"),
+        let shard = self.shard.0;
+        let record = encode(&Record::Claim(self.election.claim(epoch, settled)));
+        let guard = Guard::Claim { shard, at, epoch };
+        let topic = Topic::Progress(shard);
+        match self.elect.store.append(topic, &[record], guard, CALL_TIMEOUT).await {
+            Ok(_) => log::info!("event=claimed shard={shard} epoch={epoch}"),
             Err(StoreError::Moved | StoreError::Fenced) => {
-                log::info!("event=claim_lost epoch={epoch} cause=\"another came first\"");
+                log::info!(
+                    "event=claim_lost shard={shard} epoch={epoch} cause=\"another came first\""
+                );
             }
             Err(e) => {
-                log::warn!("event=claim_failed epoch={epoch} cause=\"{e}\"");
-                // The next try waits as long as after a sign of life, so that a store that is
-                // away is not pressed.
-                sleep(PAUSE).await;
+                log::warn!("event=claim_failed shard={shard} epoch={epoch} cause=\"{e}\"");
             }
         }
+        Some(epoch)
     }
 
-    async fn own(&self, tail: &mut Tail, election: &mut Election, epoch: u64) {
-        let Some(next) = tail.next() else { return };
-        let ownership = Ownership {
-            settings: self.settings.clone(),
-            store: self.store.clone(),
-            shared: self.shared.clone(),
-            metrics: self.metrics.clone(),
-            stop: self.stop.clone(),
-            epoch,
-            next,
-            claim: election.claim(epoch, false),
-            predecessor_gone: self.predecessor_gone(),
-        };
-        log::info!("event=owner epoch={epoch}");
-        self.metrics.owner("won");
-        let Ended { next, why } = ownership.run().await;
-        log::info!("event=owner_ended epoch={epoch} cause=\"{why}\"");
-        self.metrics.owner("ended");
-        tail.skip_to(next);
-        election.heard(clock::now());
-        self.step_down(epoch);
+    fn is_mine(&self, claim: &Claim) -> bool {
+        claim.vm == self.elect.settings.vm && claim.process == self.elect.process
     }
 
-    /// Until somebody else claims, the newest claim is still that of this process, which no
-    /// longer acts on it.
-    fn step_down(&self, epoch: u64) {
-        let mut known = self.shared.lock();
-        if let Some(mut claim) = known.ledger.owner().cloned()
-            && claim.epoch == epoch
-        {
-            claim.process = 0;
-            claim.vm = String::new();
-            known.ledger.fold(Record::Claim(claim));
-        }
+    /// Whether no owner before the next one can renew anything: the last one has surely ended, and
+    /// had none before it that may not have.
+    ///
+    /// Without the second half, an owner that is cut off from the log could go on renewing leases
+    /// while the one after it comes and goes, and its tasks would be started elsewhere.
+    fn is_settled(&self, last: Option<&Claim>) -> bool {
+        let Some(last) = last else { return true };
+        let known = self.elect.shared.lock();
+        let sign = known.directory.owner(self.shard).map(|it| &it.sign.claim);
+        let last = sign.filter(|it| it.epoch == last.epoch).unwrap_or(last);
+        (last.released || last.vm == self.elect.settings.vm) && last.settled
     }
 
-    /// Whether the owner before has surely ended: it said so, or was a process of this VM.
-    fn predecessor_gone(&self) -> bool {
-        let known = self.shared.lock();
-        known.ledger.previous_owner().is_none_or(|it| it.released || it.vm == self.settings.vm)
+    async fn own(&mut self, won: Won) {
+        let Won { epoch, ledger, jobs, settled } = won;
+        let (shard, elect) = (self.shard, &self.elect);
+        log::info!("event=owner shard={} epoch={epoch} settled={settled}", shard.0);
+        elect.metrics.owner("won");
+        let told = {
+            let known = elect.shared.lock();
+            let ids = ledger.jobs().map(|(id, _)| id);
+            ids.filter_map(|id| known.directory.state(id).map(|state| (id, state))).collect()
+        };
+        let ownership = Ownership {
+            elect: elect.clone(),
+            shard,
+            epoch,
+            claim: self.election.claim(epoch, settled),
+            told,
+        };
+        let why = ownership.run(ledger, jobs).await;
+        log::info!("event=owner_ended shard={} epoch={epoch} cause=\"{}\"", shard.0, why.words());
+        self.elect.metrics.owner("ended");
+        let now = clock::now();
+        self.ended_epoch = epoch;
+        self.election.heard(now);
+        if why.is_unfit() {
+            self.unfit_until = now + UNFIT_FOR;
+        }
     }
 }
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -43,11 +43,6 @@
         self.next
     }
 
-    /// Reads on from `next`.
-    pub fn skip_to(&mut self, next: u64) {
-        self.next = Some(next);
-    }
-
     /// Reads what is new; waits up to `wait` for it. A failure is logged and takes a short pause.
     pub async fn try_read(&mut self, wait: Duration) -> Option<Read> {
         let outcome = match self.next {
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -5,7 +5,6 @@
 use anyhow::Context;
 use daisy_http::Http;
 use daisy_platform::{NodeSettings, Store, Topic, queues, settings};
-use daisy_workflow::decode;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
@@ -13,8 +12,15 @@
 };
 
 use crate::{
-    append::Appender, callers, clock, elect::Elect, follow::Tail, metrics::Metrics, readiness,
-    shared::Shared, submit::Submissions,
+    append::Appender,
+    callers,
+    elect::{self, Elect},
+    follow::Tail,
+    metrics::Metrics,
+    readiness,
+    shared::Shared,
+    states::{follow_states, lay_out},
+    submit::Submissions,
 };
 
 /// In a planned stop, between not ready and the end of new connections: the balancer asks every
@@ -22,12 +28,10 @@
 const LEAVE_BALANCER: Duration = Duration::from_millis(2_600);
 /// Left of the time that a planned stop may take when open requests are given up.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// How long a read of the configuration or of jobs waits for a record.
+/// How long a read of the configuration waits for a record.
 const WAIT: Duration = Duration::from_millis(1_000);
-/// Between reads of jobs, so that records come in bunches: each call is paid for.
-const JOBS_PAUSE: Duration = Duration::from_millis(60);
-/// The same, at the owner, where it delays what starts.
-const JOBS_PAUSE_OWNER: Duration = Duration::from_millis(4);
+/// Between reads of a configuration that is not there yet.
+const PAUSE: Duration = Duration::from_millis(60);
 
 /// Runs an entry VM by the settings file at `path`, until SIGTERM and its planned stop.
 ///
@@ -48,7 +52,8 @@
         Submissions { shared: shared.clone(), appender: Appender::start(store.clone()) };
     tokio::spawn(readiness::serve(readiness_port, shared.clone(), metrics.clone()));
     tokio::spawn(follow_configuration(store.clone(), shared.clone()));
-    tokio::spawn(follow_jobs(store.clone(), shared.clone()));
+    tokio::spawn(follow_states(store.clone(), shared.clone()));
+    tokio::spawn(lay_out(store.clone(), shared.clone(), settings.partitions));
     let serving =
         tokio::spawn(callers::serve(callers_port, submissions, metrics.clone(), stop.clone()));
     let (yielding, yields) = watch::channel(false);
@@ -60,7 +65,7 @@
         process,
         stop: yields,
     };
-    let electing = tokio::spawn(elect.run());
+    let electing = tokio::spawn(elect::run(elect));
     log::info!("event=started vm={} process={process:016x}", settings.vm);
 
     wait_for_stop(path).await?;
@@ -118,35 +123,7 @@
             }
         }
         if shared.lock().queues.is_none() {
-            sleep(JOBS_PAUSE).await;
+            sleep(PAUSE).await;
         }
     }
 }
-
-async fn follow_jobs(store: Store, shared: Shared) {
-    let mut tail = Tail::new(store, Topic::Jobs);
-    loop {
-        let Some(read) = tail.try_read(WAIT).await else { continue };
-        let mut records = Vec::with_capacity(read.records.len());
-        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
-            match decode(&it.key, &it.value) {
-                Ok(record) => records.push(record),
-                Err(e) => log::warn!(
-                    "event=record_unreadable topic=jobs offset={} cause=\"{e}\"",
-                    it.offset
-                ),
-            }
-        }
-        let is_owner = {
-            let mut known = shared.lock();
-            for record in records {
-                known.job_record(record);
-            }
-            if read.at_end {
-                known.jobs_read_at = Some(clock::now());
-            }
-            known.owner.is_some()
-        };
-        sleep(if is_owner { JOBS_PAUSE_OWNER } else { JOBS_PAUSE }).await;
-    }
-}
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -4,18 +4,17 @@
 
 use daisy_http::Http;
 use daisy_model::{Instant, SortedMap};
-use daisy_platform::{
-    Guard, HoldError, HoldOrder, NodeSettings, Store, StoreError, Topic, WorkerCalls, worker,
-};
+use daisy_platform::{Guard, HoldError, HoldOrder, Store, StoreError, Topic, WorkerCalls, worker};
 use daisy_workflow::{
-    Action, Batch, Claim, Event, Listed, Note, OrderReply, Outcome, Owner, Record, Settings, encode,
+    Action, Claim, Event, JobId, JobState, Ledger, Listed, Note, OrderReply, Outcome, Owner,
+    RENEW_ALONE_MAX, Record, Settings, ShardId, Sign, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use crate::{clock, follow::Tail, metrics::Metrics, shared::Shared};
+use crate::{clock, elect::Elect, follow::Tail, jobs::follow_jobs, shared::Shared, sign::Telling};
 
 /// How long a worker's tasks go on without a renewal.
 ///
@@ -26,8 +25,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Between signs of life while there is nothing to record.
-const HEARTBEAT: Duration = Duration::from_millis(400);
 /// The shortest time between two appends, so that records gather: each call is paid for.
 const APPEND_GAP: Duration = Duration::from_millis(12);
 /// How long an append may take before it is sent again.
@@ -38,73 +35,138 @@
 const LIST_EVERY: Duration = Duration::from_millis(300);
 
 /// An owner's time under one epoch.
-#[derive(Debug)]
 pub(crate) struct Ownership {
-    pub settings: NodeSettings,
-    pub store: Store,
-    pub shared: Shared,
-    pub metrics: Metrics,
-    pub stop: watch::Receiver<bool>,
+    pub elect: Elect,
+    pub shard: ShardId,
     pub epoch: u64,
-    /// The offset after the claim.
-    pub next: u64,
     pub claim: Claim,
-    pub predecessor_gone: bool,
+    /// States that all VMs know already.
+    pub told: SortedMap<JobId, JobState>,
 }
 
-/// How it ended.
-#[derive(Debug)]
-pub(crate) struct Ended {
-    /// Where to read the log on.
-    pub next: u64,
-    /// Why.
-    pub why: &'static str,
+/// Why an ownership ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// The log has seen a higher epoch.
+    FencedByLog,
+    /// A worker has seen a higher epoch.
+    FencedByWorker,
+    /// The process stops as planned.
+    Stopping,
+    /// The process runs so late that another does better.
+    Late,
+}
+
+impl Ended {
+    pub fn words(self) -> &'static str {
+        match self {
+            Ended::FencedByLog => "the log has seen a higher epoch",
+            Ended::FencedByWorker => "a worker has seen a higher epoch",
+            Ended::Stopping => "the process stops",
+            Ended::Late => "this VM is too slow",
+        }
+    }
+
+    /// Whether this process had better leave the shard to others for a while.
+    pub fn is_unfit(self) -> bool {
+        self == Ended::Late
+    }
 }
 
 /// What an append came to.
 #[derive(Debug)]
 enum Append {
-    Done { next: u64, records: Vec<Record> },
+    Progress,
+    States,
     Fenced,
 }
 
 impl Ownership {
     /// Runs until another owner takes over or the process stops.
-    pub async fn run(self) -> Ended {
+    pub async fn run(self, ledger: Ledger, jobs: Tail) -> Ended {
         let (events, rx) = mpsc::unbounded_channel();
-        let owner = self.start_owner(&events);
-        let http = Http::new(None);
-        let list = tokio::spawn(follow_workers(self.store.clone(), events.clone()));
-        let (appends, appended) = mpsc::channel(1);
         let now = clock::now();
-        let next = self.next;
+        let owner = self.start_owner(now, ledger, &events);
+        let store = self.elect.store.clone();
+        let (read, jobs_read) = watch::channel(now);
+        let following = [
+            tokio::spawn(follow_workers(
+                store,
+                self.elect.shared.clone(),
+                self.shard,
+                events.clone(),
+            )),
+            tokio::spawn(follow_jobs(jobs, events.clone(), read)),
+        ];
+        let (appends, appended) = mpsc::channel(2);
         let mut running = Running {
-            calls: WorkerCalls::new(http, self.epoch),
-            ownership: self,
+            calls: WorkerCalls::new(Http::new(None), self.epoch),
             owner,
             events,
             appends,
             appending: false,
             appended_at: now,
             seq: 1,
-            next,
+            telling: Telling::new(now, self.told.clone()),
+            telling_now: false,
+            told_seq: 0,
+            jobs_read,
+            began_at: now,
+            lateness: Lateness::new(now),
             reported_at: now,
+            ownership: self,
         };
         let why = running.serve(rx, appended).await;
-        list.abort();
-        running.ownership.shared.lock().owner = None;
-        Ended { next: running.next, why }
+        following.iter().for_each(|it| it.abort());
+        running.ownership.elect.shared.lock().end_owner(running.ownership.shard);
+        why
     }
 
-    /// An owner that knows all that this process knows, and hears of all that comes after.
-    fn start_owner(&self, events: &mpsc::UnboundedSender<Event>) -> Owner {
-        let settings = Settings { lease: LEASE.min(self.settings.lease_max) };
-        let mut known = self.shared.lock();
-        known.owner = Some(events.clone());
+    /// An owner that knows all that the log of its shard says, and hears of all that comes after.
+    fn start_owner(
+        &self,
+        now: Instant,
+        ledger: Ledger,
+        events: &mpsc::UnboundedSender<Event>,
+    ) -> Owner {
+        let settings = Settings { lease: LEASE.min(self.elect.settings.lease_max) };
+        let mut known = self.elect.shared.lock();
+        known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
-        let ledger = known.ledger.clone();
-        let (now, wall) = (clock::now(), clock::wall_ms());
-        Owner::new(now, wall, settings, ledger, queues, self.predecessor_gone)
+        Owner::new(now, clock::wall_ms(), settings, ledger, queues, self.claim.settled)
+    }
+}
+
+/// How late the process gets to what is due.
+#[derive(Debug)]
+struct Lateness {
+    ticked_at: Instant,
+    /// Running mean.
+    mean: Duration,
+}
+
+impl Lateness {
+    /// Weight of the newest tick is one in this many.
+    const WEIGHT: u32 = 8;
+
+    fn new(now: Instant) -> Lateness {
+        Lateness { ticked_at: now, mean: Duration::ZERO }
+    }
+
+    /// Takes a tick in that was due [`TICK`] after the last; whether the process is too late for
+    /// its shard.
+    ///
+    /// An owner without processor time sees its workers as silent and their answers as old: it
+    /// would give up runs that go on. A VM slowed to a fifth has a mean of 0.5 s and more.
+    fn is_too_late(&mut self, now: Instant) -> bool {
+        /// Workers are asked for an answer within 0.45 s; beyond this mean, many miss it.
+        const MEAN_MAX: Duration = Duration::from_millis(250);
+        /// One long pause is a freeze, after which the process is as good as before.
+        const ONE_MAX: Duration = Duration::from_millis(1_000);
+        let late = now.since(self.ticked_at).saturating_sub(TICK).min(ONE_MAX);
+        self.ticked_at = now;
+        self.mean = (self.mean * (Lateness::WEIGHT - 1) + late) / Lateness::WEIGHT;
+        self.mean > MEAN_MAX
     }
 }
 
@@ -116,11 +178,19 @@
     events: mpsc::UnboundedSender<Event>,
     appends: mpsc::Sender<Append>,
     appending: bool,
-    /// When the last append began.
+    /// When the last append of progress began.
     appended_at: Instant,
-    /// The number of the next append in this epoch.
+    /// The number of the next append of progress in this epoch.
     seq: u64,
-    next: u64,
+    telling: Telling,
+    /// Whether an append of states is under way.
+    telling_now: bool,
+    /// The number of the next append of states in this epoch.
+    told_seq: u64,
+    /// When all submissions had last been read.
+    jobs_read: watch::Receiver<Instant>,
+    began_at: Instant,
+    lateness: Lateness,
     reported_at: Instant,
 }
 
@@ -129,37 +199,46 @@
         &mut self,
         mut events: mpsc::UnboundedReceiver<Event>,
         mut appended: mpsc::Receiver<Append>,
-    ) -> &'static str {
+    ) -> Ended {
         /// Events taken in before what follows from them is done.
         const EVENTS_MAX: usize = 64;
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut gap = interval(APPEND_GAP);
         gap.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut stop = self.ownership.stop.clone();
+        let mut stop = self.ownership.elect.stop.clone();
         let mut batch = Vec::new();
         loop {
-            let waits = !self.appending && self.owner.has_batch();
+            let waits = !self.appending && self.owner.has_batch()
+                || !self.telling_now && self.telling.is_waiting();
             tokio::select! {
-                it = appended.recv() => match it {
-                    Some(Append::Done { next, records }) => self.appended(next, records),
-                    Some(Append::Fenced) | None => return "the log has seen a higher epoch",
-                },
+                it = appended.recv() => {
+                    if !self.taken(it) {
+                        return Ended::FencedByLog;
+                    }
+                }
                 _ = events.recv_many(&mut batch, EVENTS_MAX) => {
                     let now = clock::now();
                     for event in batch.drain(..) {
                         self.owner.step(now, event);
                     }
                 }
-                _ = tick.tick() => self.owner.step(clock::now(), Event::Tick),
+                _ = tick.tick() => {
+                    let now = clock::now();
+                    self.owner.step(now, Event::Tick);
+                    if self.lateness.is_too_late(now) {
+                        return self.release(appended, Ended::Late).await;
+                    }
+                }
                 _ = gap.tick(), if waits => {}
-                () = stopped(&mut stop) => return self.release(appended).await,
+                () = stopped(&mut stop) => return self.release(appended, Ended::Stopping).await,
             }
             self.report();
             if self.act() {
-                return "a worker has seen a higher epoch";
+                return Ended::FencedByWorker;
             }
             self.append();
+            self.tell();
         }
     }
 
@@ -187,8 +266,9 @@
         self.reported_at = now;
         let it = self.owner.summary(now);
         log::info!(
-            "event=owner_state epoch={} jobs={} waiting={} waiting_lasting={} \
+            "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={}",
+            self.ownership.shard.0,
             self.ownership.epoch,
             it.jobs,
             it.waiting,
@@ -200,7 +280,7 @@
             it.silent,
             it.free_cpu
         );
-        let metrics = &self.ownership.metrics;
+        let metrics = &self.ownership.elect.metrics;
         metrics.backlog.set(it.jobs as i64);
         metrics.usable_workers.set(it.usable as i64);
     }
@@ -218,7 +298,7 @@
         let (id, address) = (worker.id.clone(), worker.address);
         let calls = self.calls.clone();
         let events = self.events.clone();
-        let metrics = self.ownership.metrics.clone();
+        let metrics = self.ownership.elect.metrics.clone();
         tokio::spawn(async move {
             let event = match action {
                 Action::Hold { deadline_ms, cursor, wait, .. } => {
@@ -269,64 +349,110 @@
         });
     }
 
-    /// Appends what is to be recorded, or a sign of life.
+    /// Appends what is to be recorded.
     fn append(&mut self) {
         let now = clock::now();
-        let since = now.since(self.appended_at);
-        if self.appending || since < APPEND_GAP {
+        if self.appending || now.since(self.appended_at) < APPEND_GAP {
             return;
         }
-        let batch = match self.owner.try_batch(now) {
-            Some(batch) => batch,
-            None if since >= HEARTBEAT => {
-                Batch { records: vec![Record::Claim(self.ownership.claim.clone())] }
-            }
-            None => return,
-        };
-        self.send(now, batch);
-    }
-
-    fn send(&mut self, now: Instant, batch: Batch) {
+        let Some(batch) = self.owner.try_batch(now) else { return };
         self.appending = true;
         self.appended_at = now;
-        let guard = Guard::Sequence { epoch: self.ownership.epoch, seq: self.seq };
+        let guard = self.guard(self.seq);
         self.seq += 1;
-        let store = self.ownership.store.clone();
+        self.send(Topic::Progress(self.ownership.shard.0), batch.records, guard, Append::Progress);
+    }
+
+    /// Tells all VMs the states of jobs, and that this owner lives.
+    fn tell(&mut self) {
+        for (id, state) in self.owner.take_states() {
+            self.telling.add(id, state);
+        }
+        if self.telling_now {
+            return;
+        }
+        let now = clock::now();
+        let sign = self.sign(now, false);
+        let Some(records) = self.telling.try_records(now, sign) else { return };
+        self.send_states(records);
+    }
+
+    fn send_states(&mut self, records: Vec<Record>) {
+        self.telling_now = true;
+        let guard = self.guard(self.told_seq);
+        self.told_seq += 1;
+        self.send(Topic::States, records, guard, Append::States);
+    }
+
+    /// A sign of life.
+    fn sign(&self, now: Instant, released: bool) -> impl FnOnce() -> Sign + use<> {
+        /// Twice the longest wait for a new record, and a slow answer.
+        const CURRENT: Duration = Duration::from_millis(2_600);
+        let lease = self.ownership.elect.settings.lease_max;
+        // By then, what owners before this one may have granted has run out by any worker's clock.
+        let settles_at = self.began_at + RENEW_ALONE_MAX + lease + lease / 10;
+        let claim = Claim {
+            released,
+            settled: self.ownership.claim.settled || now >= settles_at,
+            ..self.ownership.claim.clone()
+        };
+        let shard = self.ownership.shard;
+        let current = now.since(*self.jobs_read.borrow()) < CURRENT;
+        let pending = self.owner.pending();
+        move || Sign { shard, claim, current, pending }
+    }
+
+    fn guard(&self, seq: u64) -> Guard {
+        Guard::Sequence { shard: self.ownership.shard.0, epoch: self.ownership.epoch, seq }
+    }
+
+    fn send(&self, topic: Topic, records: Vec<Record>, guard: Guard, done: Append) {
+        let store = self.ownership.elect.store.clone();
         let appends = self.appends.clone();
         tokio::spawn(async move {
-            let outcome = append(&store, batch.records, guard).await;
+            let outcome = match append(&store, topic, &records, guard).await {
+                Ok(()) => done,
+                Err(Fenced) => Append::Fenced,
+            };
             // Nobody hears it once the owner has stepped down.
             let _ = appends.send(outcome).await;
         });
     }
 
-    fn appended(&mut self, next: u64, records: Vec<Record>) {
-        self.appending = false;
-        self.next = next;
-        let now = clock::now();
-        let mut known = self.ownership.shared.lock();
-        for record in records {
-            known.ledger.fold(record);
-        }
-        known.progress_read_at = Some(now);
-        drop(known);
-        self.owner.step(now, Event::Appended);
+    /// Takes the end of an append in; whether this owner is still the one.
+    fn taken(&mut self, append: Option<Append>) -> bool {
+        let event = match append {
+            Some(Append::Progress) => {
+                self.appending = false;
+                Event::Appended
+            }
+            Some(Append::States) => {
+                self.telling_now = false;
+                Event::Reached
+            }
+            Some(Append::Fenced) | None => return false,
+        };
+        self.owner.step(clock::now(), event);
+        true
     }
 
-    /// A planned stop: what is under way is finished, then anybody may claim at once.
-    async fn release(&mut self, mut appended: mpsc::Receiver<Append>) -> &'static str {
-        if self.appending {
-            match appended.recv().await {
-                Some(Append::Done { next, records }) => self.appended(next, records),
-                Some(Append::Fenced) | None => return "the log has seen a higher epoch",
+    /// Gives the shard up: what is under way is finished, then anybody may claim at once.
+    async fn release(&mut self, mut appended: mpsc::Receiver<Append>, why: Ended) -> Ended {
+        while self.appending || self.telling_now {
+            let it = appended.recv().await;
+            if !self.taken(it) {
+                return Ended::FencedByLog;
             }
         }
-        let claim = Claim { released: true, ..self.ownership.claim.clone() };
-        self.send(clock::now(), Batch { records: vec![Record::Claim(claim)] });
-        if let Some(Append::Done { next, .. }) = appended.recv().await {
-            self.next = next;
+        for (id, state) in self.owner.take_states() {
+            self.telling.add(id, state);
         }
-        "the process stops"
+        let sign = self.sign(clock::now(), true);
+        let mut records = self.telling.records();
+        records.push(Record::Sign(sign()));
+        self.send_states(records);
+        appended.recv().await;
+        why
     }
 
     fn note(&self, note: &Note) {
@@ -336,14 +462,14 @@
             }
             Note::RunEnded { task, run, worker, outcome } => {
                 let outcome = outcome_words(*outcome);
-                self.ownership.metrics.end(outcome);
+                self.ownership.elect.metrics.end(outcome);
                 let id = task.job;
                 log::info!(
                     "event=run_ended id={id} task={task} run={run} worker={worker} outcome={outcome}"
                 );
             }
             Note::RunLost { task, run, worker, why } => {
-                self.ownership.metrics.lost();
+                self.ownership.elect.metrics.lost();
                 let id = task.job;
                 log::warn!(
                     "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{why}\""
@@ -362,23 +488,31 @@
     let _ = stop.wait_for(|it| *it).await;
 }
 
+/// A higher epoch has been seen.
+struct Fenced;
+
 /// Appends until the log has the records or a higher epoch has been seen. The number in `guard`
 /// makes a second sending of the same append have no second effect.
-async fn append(store: &Store, records: Vec<Record>, guard: Guard) -> Append {
+async fn append(
+    store: &Store,
+    topic: Topic,
+    records: &[Record],
+    guard: Guard,
+) -> Result<(), Fenced> {
     let encoded: Vec<_> = records.iter().map(encode).collect();
     let mut lost = false;
     loop {
-        match store.append(Topic::Progress, &encoded, guard, APPEND_TIMEOUT).await {
-            Ok(offset) => {
+        match store.append(topic, &encoded, guard, APPEND_TIMEOUT).await {
+            Ok(_) => {
                 if lost {
-                    log::info!("event=log_regained topic=progress");
+                    log::info!("event=log_regained topic={topic:?}");
                 }
-                return Append::Done { next: offset + encoded.len() as u64, records };
+                return Ok(());
             }
-            Err(StoreError::Fenced | StoreError::Moved) => return Append::Fenced,
+            Err(StoreError::Fenced | StoreError::Moved) => return Err(Fenced),
             Err(e) => {
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!("event=log_lost topic=progress cause=\"{e}\"");
+                    log::warn!("event=log_lost topic={topic:?} cause=\"{e}\"");
                 }
                 sleep(APPEND_RETRY).await;
             }
@@ -386,8 +520,16 @@
     }
 }
 
-/// Tells the owner of the platform's list of workers, whenever it changes.
-async fn follow_workers(store: Store, events: mpsc::UnboundedSender<Event>) {
+/// Tells the owner of those workers in the platform's list that belong to its shard, whenever the
+/// list changes.
+async fn follow_workers(
+    store: Store,
+    shared: Shared,
+    shard: ShardId,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let layout = shared.lock().directory.layout();
+    let here = |id: &str| layout.is_some_and(|it| it.of_worker(&id.into()) == shard);
     let mut tail = Tail::new(store, Topic::Workers);
     let mut listed: SortedMap<String, Arc<Listed>> = SortedMap::new();
     let mut unreadable = SortedMap::new();
@@ -397,8 +539,8 @@
         if fresh {
             listed = SortedMap::new();
         }
-        let changed = fresh || !read.records.is_empty();
-        for it in read.records {
+        let changed = fresh || read.records.iter().any(|it| here(&it.key));
+        for it in read.records.into_iter().filter(|it| here(&it.key)) {
             if it.value.is_empty() {
                 listed.remove(&it.key);
                 continue;
--- a/daisy-node/src/readiness.rs
+++ b/daisy-node/src/readiness.rs
@@ -58,5 +58,6 @@
 /// A VM takes callers once it has a configuration and follows the log, until it stops.
 fn is_ready(shared: &Shared) -> bool {
     let known = shared.lock();
-    !known.stopping && known.queues.is_some() && known.is_fresh()
+    let laid_out = known.directory.layout().is_some();
+    !known.stopping && known.queues.is_some() && laid_out && known.is_fresh()
 }
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -1,26 +1,33 @@
 //! What the tasks of a process share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use daisy_model::Instant;
-use daisy_workflow::{Event, Ledger, Queues, Record};
+use daisy_model::{Instant, SortedMap};
+use daisy_workflow::{Directory, Event, JobId, JobState, Queues, Record, ShardId};
 use tokio::sync::mpsc;
 
 use crate::clock;
 
+/// How long a job that this process stored counts as known though its owner has not told of it: as
+/// long as a change of the owner may take.
+const ACCEPTED_KEPT: Duration = Duration::from_secs(10);
+
 /// What this process knows.
 #[derive(Debug, Default)]
 pub(crate) struct Known {
-    /// The fold of all records read so far.
-    pub ledger: Ledger,
+    /// The fold of the records that every VM follows.
+    pub directory: Directory,
     /// The newest configuration, once one was read.
     pub queues: Option<Arc<Queues>>,
-    /// When the topic of jobs was last read to its end.
-    pub jobs_read_at: Option<Instant>,
-    /// When the topic of progress was last read to its end, or written by this process.
-    pub progress_read_at: Option<Instant>,
-    /// Where events go while this process is the owner.
-    pub owner: Option<mpsc::UnboundedSender<Event>>,
+    /// When the topic of states was last read to its end, and where that was.
+    pub states_read: Option<(Instant, u64)>,
+    /// Jobs that this process stored, and when.
+    accepted: SortedMap<JobId, Instant>,
+    /// Where events of the shards go that this process owns.
+    owners: SortedMap<ShardId, mpsc::UnboundedSender<Event>>,
     /// Whether the process is about to stop.
     pub stopping: bool,
 }
@@ -32,20 +39,35 @@
 impl Shared {
     /// What is known; never held across a wait.
     pub fn lock(&self) -> MutexGuard<'_, Known> {
-        // Whoever panicked left no half-made change: each is one call on the ledger.
+        // Whoever panicked left no half-made change: each is one call on the directory.
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Known {
-    /// Takes a submission or cancellation in, and tells the owner if this process is it.
-    pub fn job_record(&mut self, record: Record) {
-        if let Some(tx) = &self.owner
-            && tx.send(Event::Record(record.clone())).is_err()
+    /// A submission or cancellation of this process is in the log: if it owns the job's shard, it
+    /// need not wait until it reads the record.
+    pub fn stored(&mut self, record: Record) {
+        let now = clock::now();
+        let (Record::Submitted(id, _) | Record::Cancelled(id)) = &record else { return };
+        let id = *id;
+        if matches!(record, Record::Submitted(..)) {
+            self.accepted.retain(|_, at| now.since(*at) < ACCEPTED_KEPT);
+            self.accepted.insert(id, now);
+        }
+        let Some(layout) = self.directory.layout() else { return };
+        let shard = layout.of_job(id);
+        if let Some(tx) = self.owners.get(&shard)
+            && tx.send(Event::Record(record)).is_err()
         {
-            self.owner = None;
+            self.owners.remove(&shard);
         }
-        self.ledger.fold(record);
+    }
+
+    /// The state of a job, if it is known here.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let accepted = self.accepted.get(&id).map(|_| JobState::Queued);
+        self.directory.state(id).or(accepted)
     }
 
     /// Takes a configuration in unless a newer one is in force.
@@ -55,19 +77,41 @@
         }
         log::info!("event=configured version={} queues={}", queues.version, queues.queues.len());
         let queues = Arc::new(queues);
-        if let Some(tx) = &self.owner
-            && tx.send(Event::Queues(queues.clone())).is_err()
-        {
-            self.owner = None;
-        }
+        self.owners.retain(|_, tx| tx.send(Event::Queues(queues.clone())).is_ok());
         self.queues = Some(queues);
     }
 
-    /// Whether the topic of jobs was read to its end a short while ago, so that a job that is not
-    /// known does not exist.
+    /// This process begins to own a shard.
+    pub fn begin_owner(&mut self, shard: ShardId, events: mpsc::UnboundedSender<Event>) {
+        self.owners.insert(shard, events);
+    }
+
+    /// This process no longer owns a shard.
+    pub fn end_owner(&mut self, shard: ShardId) {
+        self.owners.remove(&shard);
+    }
+
+    /// How many shards this process owns.
+    pub fn owned(&self) -> u32 {
+        self.owners.len() as u32
+    }
+
+    /// Whether the topic of states was read to its end a short while ago.
     pub fn is_fresh(&self) -> bool {
         /// Twice the longest wait for a new record, and a slow answer.
         const FRESH_MS: u128 = 2_600;
-        self.jobs_read_at.is_some_and(|it| clock::now().since(it).as_millis() < FRESH_MS)
+        self.states_read.is_some_and(|(at, _)| clock::now().since(at).as_millis() < FRESH_MS)
+    }
+
+    /// Whether a job that is not known does not exist: its owner lives, and has told of all
+    /// submissions up to a short while ago.
+    pub fn is_complete(&self, id: JobId) -> bool {
+        /// Four signs of life.
+        const HEARD_MS: u128 = 1_600;
+        let Some(layout) = self.directory.layout() else { return false };
+        let owner = self.directory.owner(layout.of_job(id));
+        let alive = owner
+            .is_some_and(|it| it.sign.current && clock::now().since(it.at).as_millis() < HEARD_MS);
+        self.is_fresh() && alive
     }
 }
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -59,7 +59,7 @@
         deadline: Instant,
     ) -> Answer {
         if rest.is_empty() && method == Method::GET {
-            let pending = self.shared.lock().ledger.pending(&queue.terms.queue);
+            let pending = self.shared.lock().directory.pending(&queue.terms.queue);
             return Answer::new(StatusCode::OK, pending_body(pending));
         }
         let Ok(id) = rest.parse::<JobId>() else {
@@ -74,7 +74,7 @@
     }
 
     async fn submit(&self, id: JobId, queue: &Queue, body: &[u8], deadline: Instant) -> Answer {
-        if self.shared.lock().ledger.job(id).is_some() {
+        if self.shared.lock().state(id).is_some() {
             log::info!("event=submitted id={id} outcome=known");
             return Answer::new(StatusCode::OK, b"{}".to_vec());
         }
@@ -105,7 +105,7 @@
     async fn state(&self, id: JobId) -> Answer {
         match self.find(id).await {
             Found::Yes => {
-                let state = self.shared.lock().ledger.job(id).map(|it| it.state());
+                let state = self.shared.lock().state(id);
                 let Some(state) = state else {
                     return Answer::error(StatusCode::GONE, "no such job");
                 };
@@ -116,19 +116,23 @@
         }
     }
 
-    /// Whether a job exists. One that another VM has just accepted may not have been read yet, so
-    /// an unknown one is looked for twice.
+    /// Whether a job exists. One that another VM has just accepted may not have been told of yet,
+    /// so an unknown one is looked for again.
     async fn find(&self, id: JobId) -> Found {
-        /// A little longer than the pause between reads of the log.
-        const AGAIN: Duration = Duration::from_millis(200);
-        if self.shared.lock().ledger.job(id).is_some() {
-            return Found::Yes;
+        /// The owner reads a submission within some 20 ms, tells of it within 40 ms more, and this
+        /// VM reads that within 200 ms.
+        const AGAIN: Duration = Duration::from_millis(110);
+        const TRIES: u32 = 4;
+        for _ in 0..TRIES {
+            if self.shared.lock().state(id).is_some() {
+                return Found::Yes;
+            }
+            sleep(AGAIN).await;
         }
-        sleep(AGAIN).await;
         let known = self.shared.lock();
-        match known.ledger.job(id) {
+        match known.state(id) {
             Some(_) => Found::Yes,
-            None if known.is_fresh() => Found::No,
+            None if known.is_complete(id) => Found::No,
             None => Found::Unsure,
         }
     }
@@ -140,19 +144,23 @@
         /// Between tries whose effect is unknown.
         const PAUSE: Duration = Duration::from_millis(50);
         let deadline = deadline - ANSWER_MARGIN;
+        let Some(layout) = self.shared.lock().directory.layout() else {
+            return Answer::later("no layout of the workers was read yet");
+        };
+        let shard = layout.of_job(id);
         let (key, value) = encode(&record);
         let mut tries = 0;
         let mut unknown = false;
         loop {
             tries += 1;
-            let append = self.appender.append(key.clone(), value.clone());
+            let append = self.appender.append(shard, key.clone(), value.clone());
             let outcome = match tokio::time::timeout_at(deadline, append).await {
                 Ok(outcome) => outcome,
                 Err(_) => Err(StoreError::Unknown("the caller's deadline".to_owned())),
             };
             match outcome {
                 Ok(()) => {
-                    self.shared.lock().job_record(record);
+                    self.shared.lock().stored(record);
                     log::info!("event={what} id={id} outcome=stored tries={tries}");
                     return Answer::new(StatusCode::OK, b"{}".to_vec());
                 }
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::Instant;
 
-use crate::Claim;
+use crate::{Claim, ShardId, shard::hash};
 
 /// Silence of the owner after which others claim.
 ///
@@ -29,6 +29,8 @@
 pub struct Election {
     vm: String,
     process: u64,
+    /// How much later than the first this process claims.
+    rank: Duration,
     /// When the last record of an owner was read, or the watch began.
     heard_at: Instant,
 }
@@ -36,23 +38,29 @@
 impl Election {
     /// A watch by the process `process` of `vm` that begins now.
     pub fn new(now: Instant, vm: &str, process: u64) -> Election {
-        Election { vm: vm.to_owned(), process, heard_at: now }
+        Election { vm: vm.to_owned(), process, rank: Duration::ZERO, heard_at: now }
     }
 
-    /// The claim of this process under `epoch`.
-    pub fn claim(&self, epoch: u64, released: bool) -> Claim {
-        Claim { vm: self.vm.clone(), process: self.process, epoch, released }
+    /// Sets how much later than the first this process claims, besides the way to the platform.
+    pub fn set_rank(&mut self, rank: Duration) {
+        self.rank = rank;
+    }
+
+    /// The claim of this process under `epoch`; `settled` says that no owner before it can renew
+    /// anything.
+    pub fn claim(&self, epoch: u64, settled: bool) -> Claim {
+        Claim { vm: self.vm.clone(), process: self.process, epoch, released: false, settled }
     }
 
     /// Records of the owner came in.
     pub fn heard(&mut self, now: Instant) {
-        self.heard_at = now;
+        self.heard_at = self.heard_at.max(now);
     }
 
     /// What to do, given the newest claim and how long one's own calls to the platform take:
     /// those who are near it claim first, so that an owner's writes are short.
     pub fn verdict(&self, now: Instant, newest: Option<&Claim>, platform_rtt: Duration) -> Verdict {
-        let rank = (platform_rtt * 8).min(Duration::from_millis(300));
+        let rank = (platform_rtt * 8).min(Duration::from_millis(300)) + self.rank;
         let wait = match newest {
             Some(it) if !it.released && it.vm == self.vm && it.process == self.process => {
                 return Verdict::Own(it.epoch);
@@ -69,3 +77,41 @@
         }
     }
 }
+
+/// Where a process stands among those that may claim a shard.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate<'a> {
+    /// The VM's name.
+    pub vm: &'a str,
+    /// The shard.
+    pub shard: ShardId,
+    /// How many shards there are.
+    pub shards: u16,
+    /// How many of them this process owns.
+    pub owned: u32,
+    /// The VM's share of a core.
+    pub cpu_share: f64,
+}
+
+impl Candidate<'_> {
+    /// How much later than the first it claims. Large VMs come before small ones and those that own
+    /// nothing before those that own something; the rest is drawn by name, so that different
+    /// shards go to different VMs and an owner's death is followed by few claims.
+    pub fn rank(&self) -> Duration {
+        /// An owner of a hundred workers takes 0.09 cores, measured; less than twice that leaves
+        /// no room for bursts.
+        const SMALL_VM: f64 = 0.2;
+        /// Longer than the draw below, so that a small VM claims only if no large one does.
+        const SMALL_VM_LATER: Duration = Duration::from_millis(500);
+        /// For each shard owned: as long as a claim takes to be seen everywhere.
+        const OWNED_LATER: Duration = Duration::from_millis(350);
+        /// The draw, for each shard up to the most: an append and a read take some 20 ms.
+        const DRAW_MS: u64 = 40;
+        const DRAW_SHARDS_MAX: u64 = 8;
+        let draw = DRAW_MS * u64::from(self.shards).min(DRAW_SHARDS_MAX);
+        let name = format!("{} {}", self.vm, self.shard.0);
+        let drawn = Duration::from_millis(hash(name.as_bytes()) % draw.max(1));
+        let small = if self.cpu_share < SMALL_VM { SMALL_VM_LATER } else { Duration::ZERO };
+        drawn + small + OWNED_LATER * self.owned
+    }
+}
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -17,19 +17,27 @@
     pub cancelled: bool,
 }
 
-/// The state of a job that callers are told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The state of a job that callers are told. A later one in this order replaces an earlier one,
+/// never the reverse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JobState {
     /// No task was started.
     Queued,
     /// A task was started.
     Running,
+    /// Cancelled by a caller.
+    Cancelled,
     /// All tasks are done.
     Completed,
     /// Given up after too many failures.
     Failed,
-    /// Cancelled by a caller.
-    Cancelled,
+}
+
+impl JobState {
+    /// Whether nothing more happens to the job.
+    pub fn is_ended(self) -> bool {
+        self >= JobState::Cancelled
+    }
 }
 
 impl Job {
@@ -70,7 +78,6 @@
     early_cancels: Vec<JobId>,
     early_progress: SortedMap<JobId, Progress>,
     owner: Option<Claim>,
-    previous_owner: Option<Claim>,
     learnt: Vec<Disturbance>,
 }
 
@@ -86,6 +93,8 @@
                 self.learnt = pairs;
                 Fold::Nothing
             }
+            // For a [`Directory`](crate::Directory).
+            Record::State(..) | Record::Sign(_) | Record::Layout(_) => Fold::Nothing,
         }
     }
 
@@ -127,9 +136,6 @@
     }
 
     fn claim(&mut self, claim: Claim) -> Fold {
-        if self.owner.as_ref().is_some_and(|it| it.epoch < claim.epoch) {
-            self.previous_owner = self.owner.take();
-        }
         self.owner = Some(claim);
         Fold::Claim
     }
@@ -163,14 +169,13 @@
         &self.learnt
     }
 
-    /// The last claim of the owner before the newest one.
-    pub fn previous_owner(&self) -> Option<&Claim> {
-        self.previous_owner.as_ref()
-    }
-
-    /// Jobs of a queue of which no task was started and that were not cancelled.
-    pub fn pending(&self, queue: &str) -> usize {
-        let of_queue = self.jobs.iter().filter(|(_, it)| &*it.spec.terms.queue == queue);
-        of_queue.filter(|(_, it)| it.state() == JobState::Queued).count()
+    /// By queue, the jobs without a time of which no task was started and that were not cancelled.
+    pub fn pending(&self) -> Vec<(String, u32)> {
+        let mut counts: SortedMap<&str, u32> = SortedMap::new();
+        let queued = |it: &&Job| it.state() == JobState::Queued && !it.spec.timed;
+        for job in self.jobs.iter().map(|(_, it)| it).filter(queued) {
+            *counts.get_or_insert_with(&job.spec.terms.queue, || 0) += 1;
+        }
+        counts.iter().map(|(queue, count)| ((*queue).to_owned(), *count)).collect()
     }
 }
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! A caller submits a job: steps of tasks, some of which wait for others. Submissions and
 //! cancellations are immutable records that any entry VM may write; progress is written by one
-//! entry VM at a time, the [`Owner`], under an epoch. Every entry VM folds the same records into
-//! a [`Ledger`], which answers callers and from which the next owner starts.
+//! entry VM at a time, the [`Owner`], under an epoch. Every entry VM folds what all need to know into
+//! a [`Directory`], which answers callers; the records of one [shard](Layout) fold into a
+//! [`Ledger`], from which its next owner starts.
 //!
 //! Nothing here reads a clock, a socket or a file: the present time is an argument, and what is
 //! to be done comes back as [`Action`]s.
 
 #![deny(missing_docs, unsafe_code)]
 
+mod directory;
 mod election;
 mod id;
 mod ledger;
@@ -17,18 +19,21 @@
 mod progress;
 mod queue;
 mod record;
+mod shard;
 mod spec;
 
 pub use crate::{
-    election::{Election, Verdict},
+    directory::{Directory, Heard, Sign},
+    election::{Candidate, Election, Verdict},
     id::{JobId, ParseIdError, TaskId, WorkerId},
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
-        Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner, Refusal,
-        Running, Settings, Start, Summary, Worker, WorkerKey,
+        Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner,
+        RENEW_ALONE_MAX, Refusal, Running, Settings, Start, Summary, Worker, WorkerKey,
     },
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
     record::{Claim, Disturbance, OWNER_KEY, Record, RecordError, decode, encode},
+    shard::{Layout, ShardId},
     spec::{JobSpec, SpecError, StepSpec, Terms},
 };
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -33,7 +33,7 @@
     summary::Summary,
     worker::{Worker, WorkerKey},
 };
-use crate::{Fold, JobId, Ledger, Phase, Queues, Record, TaskId, WorkerId};
+use crate::{Fold, JobId, JobState, Ledger, Phase, Queues, Record, TaskId, WorkerId};
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
 ///
@@ -82,13 +82,15 @@
     orphans: Vec<Orphan>,
     /// When every lease that an earlier owner may have granted has surely run out.
     inherited_until: Instant,
-    /// When this owner began, and the wall clock then, in milliseconds since 1970.
-    /// When the log last took a batch.
+    /// When the log last took a batch or a sign of life.
     appended_at: Instant,
+    /// When this owner began, and the wall clock then, in milliseconds since 1970.
     began_at: Instant,
     began_wall_ms: u64,
     plan_due: bool,
     actions: Vec<Action>,
+    /// States of jobs that stand in the log and that callers are to be told.
+    states: Vec<(JobId, JobState)>,
 }
 
 /// A recorded run on a worker that is not known.
@@ -105,6 +107,8 @@
     starts: Vec<(WorkerKey, TaskId, u32)>,
     /// Ends that its records cover: worker, incarnation, number.
     cursors: Vec<(WorkerKey, u64, u64)>,
+    /// States of jobs as its records tell them.
+    states: Vec<(JobId, JobState)>,
 }
 
 impl Owner {
@@ -141,7 +145,9 @@
             began_wall_ms: wall_ms,
             plan_due: true,
             actions: Vec::new(),
+            states: Vec::new(),
         };
+        owner.states = owner.ledger.jobs().map(|(id, job)| (id, job.state())).collect();
         owner.inherit(now);
         owner
     }
@@ -199,6 +205,7 @@
                 self.paced(worker, task, run, percent, reply);
             }
             Event::Appended => self.appended(now),
+            Event::Reached => self.appended_at = now,
             Event::Tick => self.watch(now),
         }
     }
@@ -224,18 +231,33 @@
         self.dirty.sort_unstable();
         self.dirty.dedup();
         let ledger = &self.ledger;
-        let record = |id: JobId| ledger.job(id).map(|it| Record::Progress(id, it.progress.clone()));
-        let mut records: Vec<Record> = self.dirty.drain(..).filter_map(record).collect();
+        let changed: Vec<JobId> = std::mem::take(&mut self.dirty);
+        let record =
+            |id: &JobId| ledger.job(*id).map(|it| Record::Progress(*id, it.progress.clone()));
+        let mut records: Vec<Record> = changed.iter().filter_map(record).collect();
+        let state = |id: JobId| ledger.job(id).map(|it| (id, it.state()));
+        let states = changed.into_iter().filter_map(state).collect();
         if now.since(self.learnt_at) >= LEARNT_EVERY {
             self.learnt_at = now;
             records.push(Record::Learnt(self.interference.pairs()));
         }
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
-        self.in_flight = Some(InFlight { starts: std::mem::take(&mut self.recording), cursors });
+        let starts = std::mem::take(&mut self.recording);
+        self.in_flight = Some(InFlight { starts, cursors, states });
         Some(Batch { records })
     }
 
+    /// States of jobs that have come to stand in the log since the last call, the newest last.
+    pub fn take_states(&mut self) -> Vec<(JobId, JobState)> {
+        std::mem::take(&mut self.states)
+    }
+
+    /// By queue, the jobs without a time of which no task was started.
+    pub fn pending(&self) -> Vec<(String, u32)> {
+        self.ledger.pending()
+    }
+
     /// A worker of this owner.
     pub fn worker(&self, key: WorkerKey) -> Option<&Worker> {
         self.workers.get(key)
@@ -243,13 +265,28 @@
 
     fn record(&mut self, now: Instant, record: Record) {
         match self.ledger.fold(record) {
-            Fold::Submitted(id) => self.open(now, id),
-            Fold::Cancelled(id) => self.cancel(now, id),
+            Fold::Submitted(id) => {
+                self.tell_state(id);
+                self.open(now, id);
+            }
+            Fold::Cancelled(id) => {
+                self.tell_state(id);
+                self.cancel(now, id);
+            }
             Fold::Progress(_) | Fold::Claim | Fold::Nothing => {}
         }
         self.plan_due = true;
     }
 
+    fn tell_state(&mut self, id: JobId) {
+        // What is begun but not recorded yet is told with its record.
+        let state = self.ledger.job(id).map(|it| match it.state() {
+            JobState::Cancelled => JobState::Cancelled,
+            _ => JobState::Queued,
+        });
+        self.states.extend(state.map(|it| (id, it)));
+    }
+
     fn open(&mut self, now: Instant, id: JobId) {
         let Some(job) = self.ledger.job(id) else { return };
         let spec = &job.spec;
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -162,6 +162,8 @@
     Paced(WorkerKey, TaskId, u32, u8, OrderReply),
     /// The last [`Batch`] is in the log.
     Appended,
+    /// The log took a sign of life.
+    Reached,
     /// Time went by.
     Tick,
 }
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -5,7 +5,10 @@
 use bincode::{Decode, Encode, config};
 use daisy_model::Resources;
 
-use crate::{Copy, JobId, JobSpec, Phase, Progress, StepSpec, TaskState, Terms};
+use crate::{
+    Copy, JobId, JobSpec, JobState, Layout, Phase, Progress, ShardId, Sign, StepSpec, TaskState,
+    Terms,
+};
 
 /// The version that this build writes, and the newest that it reads.
 const VERSION: u8 = 1;
@@ -13,6 +16,8 @@
 pub const OWNER_KEY: &str = "owner";
 /// The key of what the owner has learnt.
 const LEARNT_KEY: &str = "learnt";
+/// The key of the layout of shards.
+const LAYOUT_KEY: &str = "layout";
 
 /// Who owns the workers, from this record's offset on.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
@@ -25,6 +30,8 @@
     pub epoch: u64,
     /// The owner gives its workers up: anybody may claim at once.
     pub released: bool,
+    /// No owner before this one can renew anything any more.
+    pub settled: bool,
 }
 
 /// What a record says.
@@ -40,6 +47,12 @@
     Claim(Claim),
     /// What the owner has learnt of images that disturb each other.
     Learnt(Vec<Disturbance>),
+    /// The state of a job that callers are told.
+    State(JobId, JobState),
+    /// A sign of life of a shard's owner.
+    Sign(Sign),
+    /// How jobs and workers are divided among shards.
+    Layout(Layout),
 }
 
 /// How much best-effort tasks of one image take from serving tasks of another.
@@ -78,6 +91,9 @@
         }
         Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
         Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
+        Record::State(id, state) => (format!("state-{id}"), framed(state_number(*state))),
+        Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(sign))),
+        Record::Layout(layout) => (LAYOUT_KEY.to_owned(), framed(layout.shards)),
     }
 }
 
@@ -93,8 +109,18 @@
     if key == LEARNT_KEY {
         return unframed::<LearntWire>(value).map(|it| Record::Learnt(it.into()));
     }
+    if key == LAYOUT_KEY {
+        return match unframed(value)? {
+            0 => Err(RecordError::Malformed("no shards".to_owned())),
+            shards => Ok(Record::Layout(Layout { shards })),
+        };
+    }
     let unknown = || RecordError::Key(key.chars().take(40).collect());
     let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
+    if kind == "sign" {
+        let shard = ShardId(id.parse().map_err(|_| unknown())?);
+        return unframed::<SignWire>(value).map(|it| Record::Sign(it.of(shard)));
+    }
     let id: JobId = id.parse().map_err(|_| unknown())?;
     match kind {
         "job" => {
@@ -104,6 +130,7 @@
             Ok(Record::Submitted(id, spec))
         }
         "cancel" => unframed(value).map(|()| Record::Cancelled(id)),
+        "state" => unframed(value).and_then(state_of).map(|it| Record::State(id, it)),
         "progress" => {
             let wire: ProgressWire = unframed(value)?;
             Ok(Record::Progress(id, wire.try_into()?))
@@ -135,6 +162,49 @@
     }
 }
 
+fn state_number(state: JobState) -> u8 {
+    match state {
+        JobState::Queued => 0,
+        JobState::Running => 1,
+        JobState::Cancelled => 2,
+        JobState::Completed => 3,
+        JobState::Failed => 4,
+    }
+}
+
+fn state_of(number: u8) -> Result<JobState, RecordError> {
+    match number {
+        0 => Ok(JobState::Queued),
+        1 => Ok(JobState::Running),
+        2 => Ok(JobState::Cancelled),
+        3 => Ok(JobState::Completed),
+        4 => Ok(JobState::Failed),
+        other => Err(RecordError::Malformed(format!("state {other}"))),
+    }
+}
+
+#[derive(Debug, Encode, Decode)]
+struct SignWire {
+    claim: Claim,
+    current: bool,
+    pending: Vec<(String, u32)>,
+}
+
+impl From<&Sign> for SignWire {
+    fn from(sign: &Sign) -> SignWire {
+        let Sign { claim, current, pending, .. } = sign.clone();
+        SignWire { claim, current, pending }
+    }
+}
+
+impl SignWire {
+    /// The sign of the shard that stands in the record's key.
+    fn of(self, shard: ShardId) -> Sign {
+        let SignWire { claim, current, pending } = self;
+        Sign { shard, claim, current, pending }
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 struct LearntWire {
     /// Serving image, best-effort image, thousandths.
--- /dev/null
+++ b/daisy-workflow/src/shard.rs
@@ -0,0 +1,60 @@
+//! Shards: parts of the workers, each with the jobs that run on them, each owned by one entry VM.
+
+use crate::{JobId, WorkerId};
+
+/// Workers that one owner takes.
+///
+/// An owner spends about 0.9 thousandths of a core on each worker that it renews and gives tasks
+/// to (0.06 cores for 66 workers and 150 starts a second, measured), and the smallest entry VM has
+/// 0.12 cores: with a hundred workers three quarters of it are used.
+const WORKERS_MAX: usize = 100;
+
+/// One shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ShardId(pub u16);
+
+/// How jobs and workers are divided among shards. It is chosen once and recorded, so that all
+/// entry VMs agree on the one accountant of each worker without talking.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Layout {
+    /// The number of shards, at least 1.
+    pub shards: u16,
+}
+
+impl Layout {
+    /// The layout for this many workers, with at most `most` shards.
+    pub fn for_workers(workers: usize, most: u16) -> Layout {
+        let wanted = u16::try_from(workers.div_ceil(WORKERS_MAX)).unwrap_or(u16::MAX);
+        Layout { shards: wanted.clamp(1, most.max(1)) }
+    }
+
+    /// All shards.
+    pub fn all(self) -> impl Iterator<Item = ShardId> {
+        (0..self.shards.max(1)).map(ShardId)
+    }
+
+    /// The shard that runs a job.
+    pub fn of_job(self, id: JobId) -> ShardId {
+        self.pick(&id.0.to_be_bytes())
+    }
+
+    /// The shard that a worker belongs to. Ids are spread over all data centres and racks, so that
+    /// the loss of one takes a part of each shard and the whole of none.
+    pub fn of_worker(self, id: &WorkerId) -> ShardId {
+        self.pick(id.0.as_bytes())
+    }
+
+    fn pick(self, bytes: &[u8]) -> ShardId {
+        ShardId((hash(bytes) % u64::from(self.shards.max(1))) as u16)
+    }
+}
+
+/// FNV-1a with a final mix: the same on every build, unlike the standard library's hashers.
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    let fnv = bytes.iter().fold(OFFSET, |hash, it| (hash ^ u64::from(*it)).wrapping_mul(PRIME));
+    // The low bits of FNV-1a depend on the low bits of the bytes alone.
+    let mixed = (fnv ^ (fnv >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -8,7 +8,7 @@
 const RTT: Duration = Duration::from_millis(5);
 
 fn claim(vm: &str, process: u64, released: bool) -> Claim {
-    Claim { vm: vm.to_owned(), process, epoch: 4, released }
+    Claim { vm: vm.to_owned(), process, epoch: 4, released, settled: true }
 }
 
 fn at(millis: u64) -> Instant {
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -3,8 +3,8 @@
 mod util;
 
 use daisy_workflow::{
-    Claim, Copy, Disturbance, Fold, JobId, JobState, Ledger, Phase, Progress, Record, RecordError,
-    SpecError, TaskState, decode, encode,
+    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Phase, Progress, Record,
+    RecordError, ShardId, Sign, SpecError, TaskState, decode, encode,
 };
 use util::{after, best_effort, job, lasting, step};
 
@@ -17,12 +17,24 @@
     progress
 }
 
+fn claim() -> Claim {
+    Claim { vm: "vm".to_owned(), process: 3, epoch: 9, released: true, settled: true }
+}
+
 fn records() -> Vec<Record> {
     vec![
         Record::Submitted(JobId(7), job(vec![best_effort(2, "a"), after(&[0], lasting(1))])),
         Record::Cancelled(JobId(7)),
         Record::Progress(JobId(7), progress()),
-        Record::Claim(Claim { vm: "vm".to_owned(), process: 3, epoch: 9, released: true }),
+        Record::Claim(claim()),
+        Record::State(JobId(7), JobState::Completed),
+        Record::Sign(Sign {
+            shard: ShardId(3),
+            claim: claim(),
+            current: true,
+            pending: vec![("q".to_owned(), 4)],
+        }),
+        Record::Layout(Layout { shards: 6 }),
         Record::Learnt(vec![Disturbance {
             serving: "s".into(),
             best_effort: "b".into(),
