Shards: jobs go to the shard with most room

Cause: jobs that last reserve four fifths of the processors and stay for 70 s; drawn by id alone, some shards had hundreds of tasks waiting while others had 2,000 cores free.

The owner of a job's own shard may hand it, before it began, to another shard: the decision is recorded, then the job is written to the other shard's submissions. Signs of life carry each shard's load.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -6,8 +6,8 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, HoldError, HoldOrder, Store, StoreError, Topic, WorkerCalls, worker};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, JobState, Ledger, Listed, Note, OrderReply, Outcome, Owner,
-    RENEW_ALONE_MAX, Record, Settings, ShardId, Sign, encode,
+    Action, Claim, Event, JobId, Layout, Ledger, Listed, Note, OrderReply, Outcome, Owner,
+    RENEW_ALONE_MAX, Record, Settings, ShardId, Sign, Told, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -41,7 +41,7 @@
     pub epoch: u64,
     pub claim: Claim,
     /// States that all VMs know already.
-    pub told: SortedMap<JobId, JobState>,
+    pub told: SortedMap<JobId, Told>,
 }
 
 /// Why an ownership ended.
@@ -107,7 +107,7 @@
             appending: false,
             appended_at: now,
             seq: 1,
-            telling: Telling::new(now, self.told.clone()),
+            telling: Telling::new(now, self.shard, self.told.clone()),
             telling_now: false,
             told_seq: 0,
             jobs_read,
@@ -129,8 +129,10 @@
         ledger: Ledger,
         events: &mpsc::UnboundedSender<Event>,
     ) -> Owner {
-        let settings = Settings { lease: LEASE.min(self.elect.settings.lease_max) };
+        let lease = LEASE.min(self.elect.settings.lease_max);
         let mut known = self.elect.shared.lock();
+        let layout = known.directory.layout().unwrap_or(Layout { shards: 1 });
+        let settings = Settings { lease, shard: self.shard, layout };
         known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
         Owner::new(now, clock::wall_ms(), settings, ledger, queues, self.claim.settled)
@@ -225,6 +227,9 @@
                 }
                 _ = tick.tick() => {
                     let now = clock::now();
+                    let loads =
+                        self.ownership.elect.shared.lock().directory.loads(self.ownership.shard);
+                    self.owner.step(now, Event::Loads(loads));
                     self.owner.step(now, Event::Tick);
                     if self.lateness.is_too_late(now) {
                         return self.release(appended, Ended::Late).await;
@@ -250,6 +255,7 @@
             match action {
                 Action::StepDown => step_down = true,
                 Action::Note(note) => self.note(&note),
+                Action::Forward(shard, record) => self.forward(shard, record),
                 other => self.call(other),
             }
         }
@@ -292,7 +298,7 @@
             Action::Start(worker, _) | Action::Stop(worker, ..) | Action::Pace(worker, ..) => {
                 *worker
             }
-            Action::StepDown | Action::Note(_) => return,
+            Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
         };
         let Some(worker) = self.owner.worker(key) else { return };
         let (id, address) = (worker.id.clone(), worker.address);
@@ -342,7 +348,7 @@
                     );
                     Event::Paced(key, task, run, percent, reply)
                 }
-                Action::StepDown | Action::Note(_) => return,
+                Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
             };
             // An owner that has stepped down hears no more.
             let _ = events.send(event);
@@ -372,7 +378,7 @@
             return;
         }
         let now = clock::now();
-        let sign = self.sign(now, false);
+        let sign = self.telling.is_sign_due(now).then(|| self.sign(now, false));
         let Some(records) = self.telling.try_records(now, sign) else { return };
         self.send_states(records);
     }
@@ -385,7 +391,7 @@
     }
 
     /// A sign of life.
-    fn sign(&self, now: Instant, released: bool) -> impl FnOnce() -> Sign + use<> {
+    fn sign(&self, now: Instant, released: bool) -> Sign {
         /// Twice the longest wait for a new record, and a slow answer.
         const CURRENT: Duration = Duration::from_millis(2_600);
         let lease = self.ownership.elect.settings.lease_max;
@@ -399,7 +405,8 @@
         let shard = self.ownership.shard;
         let current = now.since(*self.jobs_read.borrow()) < CURRENT;
         let pending = self.owner.pending();
-        move || Sign { shard, claim, current, pending }
+        let load = self.owner.load(now);
+        Sign { shard, claim, current, pending, load }
     }
 
     fn guard(&self, seq: u64) -> Guard {
@@ -436,6 +443,26 @@
         true
     }
 
+    /// Hands a job, or its cancellation, to another shard, unless that has told of it already. It
+    /// goes on after this process has stepped down: what was decided stands.
+    fn forward(&self, to: ShardId, record: Record) {
+        let elect = &self.ownership.elect;
+        if let Record::Submitted(id, _) = &record
+            && elect.shared.lock().directory.state(*id).is_some_and(|it| it.shard == to)
+        {
+            return;
+        }
+        let store = elect.store.clone();
+        let shared = elect.shared.clone();
+        tokio::spawn(async move {
+            // Such an append bears no epoch, so nothing fences it.
+            let topic = Topic::Jobs(to.0);
+            if append(&store, topic, std::slice::from_ref(&record), Guard::Free).await.is_ok() {
+                shared.lock().reached(to, record);
+            }
+        });
+    }
+
     /// Gives the shard up: what is under way is finished, then anybody may claim at once.
     async fn release(&mut self, mut appended: mpsc::Receiver<Append>, why: Ended) -> Ended {
         while self.appending || self.telling_now {
@@ -449,7 +476,7 @@
         }
         let sign = self.sign(clock::now(), true);
         let mut records = self.telling.records();
-        records.push(Record::Sign(sign()));
+        records.push(Record::Sign(sign));
         self.send_states(records);
         appended.recv().await;
         why
@@ -460,6 +487,10 @@
             Note::JobEnded { job, how, age } => {
                 log::info!("event=job_ended id={job} outcome={how} age_ms={}", age.as_millis());
             }
+            Note::Delegated { job, to } => {
+                let from = self.ownership.shard.0;
+                log::info!("event=delegated id={job} shard={from} to={}", to.0);
+            }
             Note::RunEnded { task, run, worker, outcome } => {
                 let outcome = outcome_words(*outcome);
                 self.ownership.elect.metrics.end(outcome);
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -56,7 +56,11 @@
             self.accepted.insert(id, now);
         }
         let Some(layout) = self.directory.layout() else { return };
-        let shard = layout.of_job(id);
+        self.reached(layout.of_job(id), record);
+    }
+
+    /// A record of a job is in the log of `shard`.
+    pub fn reached(&mut self, shard: ShardId, record: Record) {
         if let Some(tx) = self.owners.get(&shard)
             && tx.send(Event::Record(record)).is_err()
         {
@@ -67,7 +71,7 @@
     /// The state of a job, if it is known here.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         let accepted = self.accepted.get(&id).map(|_| JobState::Queued);
-        self.directory.state(id).or(accepted)
+        self.directory.state(id).map(|it| it.state).or(accepted)
     }
 
     /// Takes a configuration in unless a newer one is in force.
--- a/daisy-node/src/sign.rs
+++ b/daisy-node/src/sign.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisy_model::{Instant, SortedMap};
-use daisy_workflow::{JobId, JobState, Record, Sign};
+use daisy_workflow::{JobId, JobState, Record, ShardId, Sign, Told};
 
 /// The shortest time between two appends of states, so that they gather: each call is paid for,
 /// and the platform takes the appends of all owners one after the other, 2 ms each.
@@ -16,7 +16,8 @@
 /// What was told, and what is to be told next.
 #[derive(Debug)]
 pub(crate) struct Telling {
-    told: SortedMap<JobId, JobState>,
+    shard: ShardId,
+    told: SortedMap<JobId, Told>,
     waiting: SortedMap<JobId, JobState>,
     /// When the last append began.
     at: Instant,
@@ -25,34 +26,36 @@
 
 impl Telling {
     /// `told` is what the log says already.
-    pub fn new(now: Instant, told: SortedMap<JobId, JobState>) -> Telling {
-        Telling { told, waiting: SortedMap::new(), at: now, signed_at: None }
+    pub fn new(now: Instant, shard: ShardId, told: SortedMap<JobId, Told>) -> Telling {
+        Telling { shard, told, waiting: SortedMap::new(), at: now, signed_at: None }
     }
 
     /// A state that now stands in the log of the shard.
     pub fn add(&mut self, id: JobId, state: JobState) {
-        let known = self.told.get(&id).max(self.waiting.get(&id));
-        if known.is_none_or(|it| *it < state) {
+        // What another shard told says nothing of which one runs the job now.
+        let told = self.told.get(&id).filter(|it| it.shard == self.shard || it.state > state);
+        let known = told.map(|it| it.state).max(self.waiting.get(&id).copied());
+        if known.is_none_or(|it| it < state) {
             self.waiting.insert(id, state);
         }
     }
 
-    /// What to append now, if anything is due; `sign` makes the sign of life.
-    pub fn try_records(
-        &mut self,
-        now: Instant,
-        sign: impl FnOnce() -> Sign,
-    ) -> Option<Vec<Record>> {
-        let sign_due = self.signed_at.is_none_or(|at| now.since(at) >= HEARTBEAT);
+    /// Whether a sign of life is due.
+    pub fn is_sign_due(&self, now: Instant) -> bool {
+        self.signed_at.is_none_or(|at| now.since(at) >= HEARTBEAT)
+    }
+
+    /// What to append now, if anything is due; `sign` is the sign of life, where that is due.
+    pub fn try_records(&mut self, now: Instant, sign: Option<Sign>) -> Option<Vec<Record>> {
         let states_due = !self.waiting.is_empty() && now.since(self.at) >= GAP;
-        if !sign_due && !states_due {
+        if sign.is_none() && !states_due {
             return None;
         }
         self.at = now;
         let mut records = Vec::new();
-        if sign_due {
+        if let Some(sign) = sign {
             self.signed_at = Some(now);
-            records.push(Record::Sign(sign()));
+            records.push(Record::Sign(sign));
         }
         records.extend(self.records());
         Some(records)
@@ -65,8 +68,9 @@
         let mut records = Vec::with_capacity(next.len());
         for (id, state) in next {
             self.waiting.remove(&id);
-            self.told.insert(id, state);
-            records.push(Record::State(id, state));
+            let told = Told { state, shard: self.shard };
+            self.told.insert(id, told);
+            records.push(Record::State(id, told));
         }
         records
     }
--- /dev/null
+++ b/daisy-workflow/src/balance.rs
@@ -0,0 +1,126 @@
+//! Which shard runs a job: its own, or one that has more room.
+//!
+//! A job's id names the shard that answers for it. Jobs that last differ much in size and stay for
+//! long, so that shards drawn by id alone fill unevenly: at four fifths of the processors reserved,
+//! some had no room left while others had a third free.
+
+use std::time::Duration;
+
+use daisy_model::{Instant, SortedMap};
+
+use crate::{JobSpec, ShardId};
+
+/// What a shard has and what is asked of it, in thousandths of a core.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Load {
+    /// Processors of usable workers.
+    pub capacity: u64,
+    /// Reserved by tasks that last, running or waiting.
+    pub lasting: u64,
+    /// Reserved by tasks that end by themselves, running or waiting.
+    pub once: u64,
+    /// What best-effort tasks could use, running or waiting.
+    pub best_effort: u64,
+}
+
+/// What decides where a job goes best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Lasting,
+    Once,
+    BestEffort,
+}
+
+/// What a job adds to the load of its shard while its widest step runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    kind: Kind,
+    cpu: u64,
+}
+
+impl Demand {
+    /// The demand of a job.
+    pub fn of(spec: &JobSpec) -> Demand {
+        let cpu = |it: &crate::StepSpec| u64::from(it.count) * u64::from(it.need.cpu_milli);
+        let widest = spec.steps.iter().map(cpu).max().unwrap_or_default();
+        let kind = match &spec.steps[..] {
+            steps if steps.iter().any(|it| it.long_running) => Kind::Lasting,
+            steps if steps.iter().all(|it| it.best_effort) => Kind::BestEffort,
+            _ => Kind::Once,
+        };
+        Demand { kind, cpu: widest }
+    }
+}
+
+impl Load {
+    /// The load with a job more.
+    fn with(self, demand: Demand) -> Load {
+        let mut load = self;
+        match demand.kind {
+            Kind::Lasting => load.lasting += demand.cpu,
+            Kind::Once => load.once += demand.cpu,
+            Kind::BestEffort => load.best_effort += demand.cpu,
+        }
+        load
+    }
+
+    /// How full the shard is for jobs of a kind, 1 for full.
+    fn pressure(self, kind: Kind) -> f64 {
+        /// Serving tasks use about half of what they reserve, and best-effort tasks the rest.
+        const SERVING_USE: f64 = 0.55;
+        let (lasting, once, best_effort) =
+            (self.lasting as f64, self.once as f64, self.best_effort as f64);
+        let asked = match kind {
+            Kind::Lasting => lasting,
+            Kind::Once => lasting + once,
+            Kind::BestEffort => lasting * SERVING_USE + once + best_effort,
+        };
+        asked / (self.capacity.max(1) as f64)
+    }
+}
+
+/// What is known of the other shards.
+#[derive(Debug, Clone, Default)]
+pub struct Others {
+    loads: SortedMap<ShardId, Load>,
+    /// Jobs that were handed to others so lately that their loads do not show them.
+    sent: Vec<(Instant, ShardId, Demand)>,
+}
+
+impl Others {
+    /// Takes in what the owners of other shards last said.
+    pub fn update(&mut self, loads: SortedMap<ShardId, Load>) {
+        self.loads = loads;
+    }
+
+    /// A job went to `shard`.
+    pub fn sent(&mut self, now: Instant, shard: ShardId, demand: Demand) {
+        self.sent.push((now, shard, demand));
+    }
+
+    /// The shard that a job had better go to than the one with the load `own`, which already counts
+    /// it, if there is one.
+    pub fn try_better(&mut self, now: Instant, own: Load, demand: Demand) -> Option<ShardId> {
+        /// Loads are told every 0.4 s and read 0.2 s later.
+        const SHOWN_AFTER: Duration = Duration::from_millis(800);
+        /// Pressure below which a job stays: there is room in pieces of any size.
+        const EASY: [f64; 3] = [0.3, 0.8, 0.7];
+        /// By how much another must be better: a job that lasts is placed once and for long, others
+        /// come and go while loads are on their way.
+        const MARGIN: [f64; 3] = [0.03, 0.06, 0.15];
+        self.sent.retain(|(at, ..)| now.since(*at) < SHOWN_AFTER);
+        let kind = demand.kind;
+        let pressure = own.pressure(kind);
+        if pressure < EASY[kind as usize] {
+            return None;
+        }
+        let with_sent = |(shard, load): (&ShardId, &Load)| {
+            let sent = self.sent.iter().filter(|(_, to, _)| to == shard);
+            let load = sent.fold(*load, |load, (.., demand)| load.with(*demand)).with(demand);
+            (*shard, load.pressure(kind))
+        };
+        let others = self.loads.iter().filter(|(_, load)| load.capacity > 0).map(with_sent);
+        let (shard, best) = others.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        (best + MARGIN[kind as usize] < pressure).then_some(shard)
+    }
+}
--- a/daisy-workflow/src/directory.rs
+++ b/daisy-workflow/src/directory.rs
@@ -5,7 +5,7 @@
 
 use daisy_model::{Instant, SortedMap};
 
-use crate::{Claim, JobId, JobState, Layout, ShardId};
+use crate::{Claim, JobId, JobState, Layout, Load, ShardId};
 
 /// An owner's sign of life.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +19,17 @@
     pub current: bool,
     /// Jobs without a time of which no task was started, by queue.
     pub pending: Vec<(String, u32)>,
+    /// What the shard has, and what is asked of it.
+    pub load: Load,
+}
+
+/// What was last told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// Its state.
+    pub state: JobState,
+    /// The shard whose owner told it: the one that runs it.
+    pub shard: ShardId,
 }
 
 /// The newest sign of a shard's owner.
@@ -34,7 +45,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     layout: Option<Layout>,
-    states: SortedMap<JobId, JobState>,
+    states: SortedMap<JobId, Told>,
     owners: SortedMap<ShardId, Heard>,
 }
 
@@ -49,15 +60,10 @@
         self.layout
     }
 
-    /// Takes a job's state in; whether it is news. States only ever go forward, whatever comes
-    /// late.
-    pub fn set_state(&mut self, id: JobId, state: JobState) -> bool {
-        match self.states.get(&id) {
-            Some(known) if *known >= state => false,
-            _ => {
-                self.states.insert(id, state);
-                true
-            }
+    /// Takes in what was told of a job. States only ever go forward, whatever comes late.
+    pub fn set_state(&mut self, id: JobId, told: Told) {
+        if self.states.get(&id).is_none_or(|known| known.state <= told.state) {
+            self.states.insert(id, told);
         }
     }
 
@@ -66,8 +72,8 @@
         self.states.remove(&id);
     }
 
-    /// The state of a job.
-    pub fn state(&self, id: JobId) -> Option<JobState> {
+    /// What was last told of a job.
+    pub fn state(&self, id: JobId) -> Option<Told> {
         self.states.get(&id).copied()
     }
 
@@ -84,6 +90,13 @@
         self.owners.get(&shard)
     }
 
+    /// What the owners of all shards but `but` last said of their loads.
+    pub fn loads(&self, but: ShardId) -> SortedMap<ShardId, Load> {
+        let others =
+            self.owners.iter().filter(|(shard, it)| **shard != but && !it.sign.claim.released);
+        others.map(|(shard, it)| (*shard, it.sign.load)).collect()
+    }
+
     /// Jobs of a queue without a time of which no task was started, as owners last said.
     pub fn pending(&self, queue: &str) -> usize {
         let of_queue = |it: &Heard| -> usize {
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::SortedMap;
 
-use crate::{Claim, Disturbance, JobId, JobSpec, Phase, Progress, Record};
+use crate::{Claim, Disturbance, JobId, JobSpec, Phase, Progress, Record, ShardId};
 
 /// A job as the records tell it.
 #[derive(Debug, Clone)]
@@ -15,6 +15,8 @@
     pub progress: Progress,
     /// Whether a caller cancelled it.
     pub cancelled: bool,
+    /// The shard that it was handed to, which runs it.
+    pub delegated: Option<ShardId>,
 }
 
 /// The state of a job that callers are told. A later one in this order replaces an earlier one,
@@ -77,6 +79,7 @@
     /// independently of each other.
     early_cancels: Vec<JobId>,
     early_progress: SortedMap<JobId, Progress>,
+    early_delegated: SortedMap<JobId, ShardId>,
     owner: Option<Claim>,
     learnt: Vec<Disturbance>,
 }
@@ -93,6 +96,13 @@
                 self.learnt = pairs;
                 Fold::Nothing
             }
+            Record::Delegated(id, shard) => {
+                match self.jobs.get_mut(&id) {
+                    Some(job) => job.delegated = Some(shard),
+                    None => drop(self.early_delegated.insert(id, shard)),
+                }
+                Fold::Nothing
+            }
             // For a [`Directory`](crate::Directory).
             Record::State(..) | Record::Sign(_) | Record::Layout(_) => Fold::Nothing,
         }
@@ -106,7 +116,8 @@
         let progress = early.unwrap_or_else(|| Progress::new(&spec));
         let cancelled = self.early_cancels.contains(&id);
         self.early_cancels.retain(|it| *it != id);
-        self.jobs.insert(id, Job { spec: Arc::new(spec), progress, cancelled });
+        let delegated = self.early_delegated.remove(&id);
+        self.jobs.insert(id, Job { spec: Arc::new(spec), progress, cancelled, delegated });
         Fold::Submitted(id)
     }
 
@@ -172,7 +183,8 @@
     /// By queue, the jobs without a time of which no task was started and that were not cancelled.
     pub fn pending(&self) -> Vec<(String, u32)> {
         let mut counts: SortedMap<&str, u32> = SortedMap::new();
-        let queued = |it: &&Job| it.state() == JobState::Queued && !it.spec.timed;
+        let queued =
+            |it: &&Job| it.state() == JobState::Queued && !it.spec.timed && it.delegated.is_none();
         for job in self.jobs.iter().map(|(_, it)| it).filter(queued) {
             *counts.get_or_insert_with(&job.spec.terms.queue, || 0) += 1;
         }
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -11,6 +11,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod balance;
 mod directory;
 mod election;
 mod id;
@@ -23,7 +24,8 @@
 mod spec;
 
 pub use crate::{
-    directory::{Directory, Heard, Sign},
+    balance::{Demand, Load, Others},
+    directory::{Directory, Heard, Sign, Told},
     election::{Candidate, Election, Verdict},
     id::{JobId, ParseIdError, TaskId, WorkerId},
     ledger::{Fold, Job, JobState, Ledger},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -5,6 +5,7 @@
 //! the log. Workers refuse orders of a lower epoch than they have seen; an owner starts nothing
 //! on a worker that has not answered under its own.
 
+mod delegate;
 mod ends;
 mod hold;
 mod interference;
@@ -33,7 +34,9 @@
     summary::Summary,
     worker::{Worker, WorkerKey},
 };
-use crate::{Fold, JobId, JobState, Ledger, Phase, Queues, Record, TaskId, WorkerId};
+use crate::{
+    Fold, JobId, JobState, Layout, Ledger, Others, Phase, Queues, Record, ShardId, TaskId, WorkerId,
+};
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
 ///
@@ -47,6 +50,10 @@
 pub struct Settings {
     /// How long a worker's tasks go on without a renewal.
     pub lease: Duration,
+    /// The owner's shard.
+    pub shard: ShardId,
+    /// All shards.
+    pub layout: Layout,
 }
 
 /// What the owner keeps of a job besides its record.
@@ -91,6 +98,9 @@
     actions: Vec<Action>,
     /// States of jobs that stand in the log and that callers are to be told.
     states: Vec<(JobId, JobState)>,
+    others: Others,
+    /// When jobs that wait were last looked at for a better shard.
+    delegated_at: Instant,
 }
 
 /// A recorded run on a worker that is not known.
@@ -109,6 +119,8 @@
     cursors: Vec<(WorkerKey, u64, u64)>,
     /// States of jobs as its records tell them.
     states: Vec<(JobId, JobState)>,
+    /// Jobs that are handed to other shards once this is recorded.
+    delegated: Vec<JobId>,
 }
 
 impl Owner {
@@ -146,8 +158,12 @@
             plan_due: true,
             actions: Vec::new(),
             states: Vec::new(),
+            others: Others::default(),
+            delegated_at: now,
         };
-        owner.states = owner.ledger.jobs().map(|(id, job)| (id, job.state())).collect();
+        let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none());
+        owner.states = own.map(|(id, job)| (id, job.state())).collect();
+        owner.forward_all();
         owner.inherit(now);
         owner
     }
@@ -157,7 +173,7 @@
         let jobs: Vec<JobId> = self
             .ledger
             .jobs()
-            .filter(|(_, it)| it.progress.phase == Phase::Active)
+            .filter(|(_, it)| it.progress.phase == Phase::Active && it.delegated.is_none())
             .map(|(id, _)| id)
             .collect();
         for id in jobs {
@@ -206,6 +222,7 @@
             }
             Event::Appended => self.appended(now),
             Event::Reached => self.appended_at = now,
+            Event::Loads(loads) => self.others.update(loads),
             Event::Tick => self.watch(now),
         }
     }
@@ -232,11 +249,22 @@
         self.dirty.dedup();
         let ledger = &self.ledger;
         let changed: Vec<JobId> = std::mem::take(&mut self.dirty);
-        let record =
-            |id: &JobId| ledger.job(*id).map(|it| Record::Progress(*id, it.progress.clone()));
-        let mut records: Vec<Record> = changed.iter().filter_map(record).collect();
-        let state = |id: JobId| ledger.job(id).map(|it| (id, it.state()));
-        let states = changed.into_iter().filter_map(state).collect();
+        let mut records = Vec::with_capacity(changed.len());
+        let mut states = Vec::with_capacity(changed.len());
+        let mut delegated = Vec::new();
+        for id in changed {
+            let Some(job) = ledger.job(id) else { continue };
+            match job.delegated {
+                Some(shard) => {
+                    records.push(Record::Delegated(id, shard));
+                    delegated.push(id);
+                }
+                None => {
+                    records.push(Record::Progress(id, job.progress.clone()));
+                    states.push((id, job.state()));
+                }
+            }
+        }
         if now.since(self.learnt_at) >= LEARNT_EVERY {
             self.learnt_at = now;
             records.push(Record::Learnt(self.interference.pairs()));
@@ -244,7 +272,7 @@
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
         let starts = std::mem::take(&mut self.recording);
-        self.in_flight = Some(InFlight { starts, cursors, states });
+        self.in_flight = Some(InFlight { starts, cursors, states, delegated });
         Some(Batch { records })
     }
 
@@ -268,9 +296,11 @@
             Fold::Submitted(id) => {
                 self.tell_state(id);
                 self.open(now, id);
+                self.try_delegate(now, id);
             }
             Fold::Cancelled(id) => {
                 self.tell_state(id);
+                self.forward_cancel(id);
                 self.cancel(now, id);
             }
             Fold::Progress(_) | Fold::Claim | Fold::Nothing => {}
--- /dev/null
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -0,0 +1,127 @@
+//! Handing jobs to shards with more room.
+//!
+//! The owner of a job's own shard decides, once, and before any task of it was started. It records
+//! the decision and only then writes the job to the other shard's submissions; from the record on
+//! it never runs the job itself. Writing the job there twice has no second effect, so the next
+//! owner does it again for all jobs that the other shard has not told of.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    Owner,
+    message::{Action, Note},
+};
+use crate::{Demand, JobId, JobState, Load, Record, TaskState};
+
+/// Between looks at jobs that wait without a start.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+impl Owner {
+    /// What the shard has, and what is asked of it.
+    pub fn load(&self, now: Instant) -> Load {
+        let mut load = Load::default();
+        for (_, worker) in self.workers.iter().filter(|(_, it)| self.usable(now, it)) {
+            load.capacity += u64::from(worker.capacity.cpu_milli);
+        }
+        for (id, _) in self.active.iter() {
+            self.add_job(now, *id, &mut load);
+        }
+        load
+    }
+
+    /// Adds what a job asks for now: its tasks that run, and those that wait in steps whose turn
+    /// has come.
+    fn add_job(&self, now: Instant, id: JobId, load: &mut Load) {
+        let Some(job) = self.ledger.job(id) else { return };
+        if !matches!(job.state(), JobState::Queued | JobState::Running) {
+            return;
+        }
+        let ready = self.ready_steps(now, id);
+        for (k, steps) in job.progress.occurrences.iter().enumerate() {
+            for (s, (tasks, step)) in steps.iter().zip(&job.spec.steps).enumerate() {
+                let turn =
+                    ready.iter().any(|it| it.occurrence as usize == k && usize::from(it.step) == s);
+                let asks = |it: &&TaskState| {
+                    !it.done && (turn || step.long_running || !it.copies.is_empty())
+                };
+                let count = tasks.iter().filter(asks).count() as u64;
+                let cpu = count * u64::from(step.need.cpu_milli);
+                match (step.long_running, step.best_effort) {
+                    (true, _) => load.lasting += cpu,
+                    (false, true) => load.best_effort += cpu,
+                    (false, false) => load.once += cpu,
+                }
+            }
+        }
+    }
+
+    /// Hands a job to another shard if that has more room, unless it has begun or came from
+    /// another shard.
+    pub(super) fn try_delegate(&mut self, now: Instant, id: JobId) {
+        if self.settings.layout.shards < 2 || self.settings.layout.of_job(id) != self.settings.shard
+        {
+            return;
+        }
+        let Some(job) = self.ledger.job(id) else { return };
+        if job.state() != JobState::Queued || job.delegated.is_some() {
+            return;
+        }
+        let demand = Demand::of(&job.spec);
+        let own = self.load(now);
+        let Some(to) = self.others.try_better(now, own, demand) else { return };
+        self.others.sent(now, to, demand);
+        if let Some(job) = self.ledger.job_mut(id) {
+            job.delegated = Some(to);
+        }
+        self.active.remove(&id);
+        // From here on the other shard tells the job's state.
+        self.states.retain(|(it, _)| *it != id);
+        self.dirty.push(id);
+        self.actions.push(Action::Note(Note::Delegated { job: id, to }));
+    }
+
+    /// Jobs that found no room when they came may find it elsewhere by now.
+    pub(super) fn delegate_waiting(&mut self, now: Instant) {
+        if self.settings.layout.shards < 2 || now.since(self.delegated_at) < LOOK_EVERY {
+            return;
+        }
+        self.delegated_at = now;
+        let queued =
+            |id: &JobId| self.ledger.job(*id).is_some_and(|it| it.state() == JobState::Queued);
+        let waiting: Vec<JobId> = self.active.iter().map(|(id, _)| *id).filter(queued).collect();
+        for id in waiting {
+            self.try_delegate(now, id);
+        }
+    }
+
+    /// Writes a job, and its cancellation, to the shard that it was handed to.
+    pub(super) fn forward(&mut self, id: JobId) {
+        let Some(job) = self.ledger.job(id) else { return };
+        let Some(to) = job.delegated else { return };
+        let spec = (*job.spec).clone();
+        let cancelled = job.cancelled;
+        self.actions.push(Action::Forward(to, Record::Submitted(id, spec)));
+        if cancelled {
+            self.actions.push(Action::Forward(to, Record::Cancelled(id)));
+        }
+    }
+
+    /// A new owner does not know what the one before has written.
+    pub(super) fn forward_all(&mut self) {
+        let delegated = self.ledger.jobs().filter(|(_, it)| it.delegated.is_some());
+        let ids: Vec<JobId> = delegated.map(|(id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.forward(id));
+    }
+
+    pub(super) fn forward_cancel(&mut self, id: JobId) {
+        // Before the decision is recorded, the job itself was not written either: both follow then.
+        if let Some(to) = self.ledger.job(id).and_then(|it| it.delegated)
+            && !self.dirty.contains(&id)
+            && self.in_flight.as_ref().is_none_or(|it| !it.delegated.contains(&id))
+        {
+            self.actions.push(Action::Forward(to, Record::Cancelled(id)));
+        }
+    }
+}
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use daisy_model::Resources;
+use daisy_model::{Resources, SortedMap};
 
-use crate::{JobId, Queues, Record, TaskId, WorkerId, owner::WorkerKey};
+use crate::{JobId, Load, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey};
 
 /// A worker in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -164,6 +164,8 @@
     Appended,
     /// The log took a sign of life.
     Reached,
+    /// What the owners of other shards last said.
+    Loads(SortedMap<ShardId, Load>),
     /// Time went by.
     Tick,
 }
@@ -188,6 +190,8 @@
     Stop(WorkerKey, TaskId, u32),
     /// Let a run work at this share of its processor time, in percent.
     Pace(WorkerKey, TaskId, u32, u8),
+    /// Append this record of a job to another shard's submissions, again until the log has it.
+    Forward(ShardId, Record),
     /// Somebody else owns the workers now.
     StepDown,
     /// Say something in the log of events.
@@ -206,6 +210,13 @@
         /// Time since the owner first saw it.
         age: Duration,
     },
+    /// A job is handed to another shard.
+    Delegated {
+        /// The job.
+        job: JobId,
+        /// The shard that runs it.
+        to: ShardId,
+    },
     /// A run ended.
     RunEnded {
         /// The task.
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -33,6 +33,7 @@
         }
         self.give_up_orphans(now);
         self.send_stops(now);
+        self.delegate_waiting(now);
         self.plan_due = true;
     }
 
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -6,8 +6,8 @@
 use daisy_model::Resources;
 
 use crate::{
-    Copy, JobId, JobSpec, JobState, Layout, Phase, Progress, ShardId, Sign, StepSpec, TaskState,
-    Terms,
+    Copy, JobId, JobSpec, JobState, Layout, Load, Phase, Progress, ShardId, Sign, StepSpec,
+    TaskState, Terms, Told,
 };
 
 /// The version that this build writes, and the newest that it reads.
@@ -47,8 +47,10 @@
     Claim(Claim),
     /// What the owner has learnt of images that disturb each other.
     Learnt(Vec<Disturbance>),
+    /// The owner of a job's own shard has handed it to another one.
+    Delegated(JobId, ShardId),
     /// The state of a job that callers are told.
-    State(JobId, JobState),
+    State(JobId, Told),
     /// A sign of life of a shard's owner.
     Sign(Sign),
     /// How jobs and workers are divided among shards.
@@ -91,7 +93,10 @@
         }
         Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
         Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
-        Record::State(id, state) => (format!("state-{id}"), framed(state_number(*state))),
+        Record::Delegated(id, shard) => (format!("delegated-{id}"), framed(shard.0)),
+        Record::State(id, told) => {
+            (format!("state-{id}"), framed((state_number(told.state), told.shard.0)))
+        }
         Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(sign))),
         Record::Layout(layout) => (LAYOUT_KEY.to_owned(), framed(layout.shards)),
     }
@@ -130,7 +135,12 @@
             Ok(Record::Submitted(id, spec))
         }
         "cancel" => unframed(value).map(|()| Record::Cancelled(id)),
-        "state" => unframed(value).and_then(state_of).map(|it| Record::State(id, it)),
+        "delegated" => unframed(value).map(|it| Record::Delegated(id, ShardId(it))),
+        "state" => {
+            let (state, shard) = unframed(value)?;
+            let told = Told { state: state_of(state)?, shard: ShardId(shard) };
+            Ok(Record::State(id, told))
+        }
         "progress" => {
             let wire: ProgressWire = unframed(value)?;
             Ok(Record::Progress(id, wire.try_into()?))
@@ -188,20 +198,25 @@
     claim: Claim,
     current: bool,
     pending: Vec<(String, u32)>,
+    /// Capacity, then what lasting, other and best-effort tasks ask for.
+    load: [u64; 4],
 }
 
 impl From<&Sign> for SignWire {
     fn from(sign: &Sign) -> SignWire {
-        let Sign { claim, current, pending, .. } = sign.clone();
-        SignWire { claim, current, pending }
+        let Sign { claim, current, pending, load, .. } = sign.clone();
+        let load = [load.capacity, load.lasting, load.once, load.best_effort];
+        SignWire { claim, current, pending, load }
     }
 }
 
 impl SignWire {
     /// The sign of the shard that stands in the record's key.
     fn of(self, shard: ShardId) -> Sign {
-        let SignWire { claim, current, pending } = self;
-        Sign { shard, claim, current, pending }
+        let SignWire { claim, current, pending, load } = self;
+        let [capacity, lasting, once, best_effort] = load;
+        let load = Load { capacity, lasting, once, best_effort };
+        Sign { shard, claim, current, pending, load }
     }
 }
 
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -3,8 +3,8 @@
 mod util;
 
 use daisy_workflow::{
-    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Phase, Progress, Record,
-    RecordError, ShardId, Sign, SpecError, TaskState, decode, encode,
+    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Load, Phase, Progress, Record,
+    RecordError, ShardId, Sign, SpecError, TaskState, Told, decode, encode,
 };
 use util::{after, best_effort, job, lasting, step};
 
@@ -27,12 +27,14 @@
         Record::Cancelled(JobId(7)),
         Record::Progress(JobId(7), progress()),
         Record::Claim(claim()),
-        Record::State(JobId(7), JobState::Completed),
+        Record::Delegated(JobId(7), ShardId(2)),
+        Record::State(JobId(7), Told { state: JobState::Completed, shard: ShardId(2) }),
         Record::Sign(Sign {
             shard: ShardId(3),
             claim: claim(),
             current: true,
             pending: vec![("q".to_owned(), 4)],
+            load: Load { capacity: 9, lasting: 5, once: 3, best_effort: 7 },
         }),
         Record::Layout(Layout { shards: 6 }),
         Record::Learnt(vec![Disturbance {
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, JobState, Ledger, OrderReply, Owner, Record, Settings,
-    Start, TaskId, WorkerKey, decode, encode,
+    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, OrderReply, Owner, Record,
+    Settings, ShardId, Start, TaskId, WorkerKey, decode, encode,
 };
 
 use super::worker::FakeWorker;
@@ -180,6 +180,7 @@
                 let reply = OrderReply::Done { clock_ms: self.of(key).clock(now) };
                 self.events.push((now + STEP, Event::Paced(key, task, run, percent, reply)));
             }
+            Action::Forward(..) => unreachable!("there is one shard"),
             Action::StepDown => self.stepped_down = true,
             Action::Note(_) => {}
         }
@@ -236,6 +237,7 @@
 }
 
 fn owner(now: Instant, ledger: Ledger, predecessor_gone: bool) -> Owner {
-    let settings = Settings { lease: Duration::from_secs(5) };
+    let settings =
+        Settings { lease: Duration::from_secs(5), shard: ShardId(0), layout: Layout { shards: 1 } };
     Owner::new(now, 0, settings, ledger, super::queues(), predecessor_gone)
 }
