Tests of shards: division, claims, delegation, several owners as processes

The gauges of backlog and usable workers are now one a shard: a process that owns two overwrote one with the other.

--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use daisy_workflow::ShardId;
 use http::{Method, StatusCode};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -27,6 +28,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShardLabels {
+    shard: u16,
+}
+
 /// The metrics of a process.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -37,10 +43,8 @@
     ends: Family<Outcome, Counter>,
     lost_runs: Counter,
     ownership: Family<Outcome, Counter>,
-    /// Jobs that this process, as the owner, has not ended.
-    pub backlog: Gauge,
-    /// Workers that this process, as the owner, can give work to.
-    pub usable_workers: Gauge,
+    backlog: Family<ShardLabels, Gauge>,
+    usable_workers: Family<ShardLabels, Gauge>,
 }
 
 impl Metrics {
@@ -54,8 +58,8 @@
             ends: Family::default(),
             lost_runs: Counter::default(),
             ownership: Family::default(),
-            backlog: Gauge::default(),
-            usable_workers: Gauge::default(),
+            backlog: Family::default(),
+            usable_workers: Family::default(),
         };
         let mut registry = Registry::with_prefix("daisyshift");
         registry.register("requests", "Callers' requests", metrics.requests.clone());
@@ -105,6 +109,14 @@
         self.ownership.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Sets the jobs not ended and the workers that take new tasks, of a shard that this process
+    /// owns; both are 0 for one that it no longer owns.
+    pub fn shard(&self, shard: ShardId, jobs: usize, usable_workers: usize) {
+        let labels = ShardLabels { shard: shard.0 };
+        self.backlog.get_or_create(&labels).set(jobs as i64);
+        self.usable_workers.get_or_create(&labels).set(usable_workers as i64);
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -118,7 +118,9 @@
         };
         let why = running.serve(rx, appended).await;
         following.iter().for_each(|it| it.abort());
-        running.ownership.elect.shared.lock().end_owner(running.ownership.shard);
+        let Ownership { elect, shard, .. } = &running.ownership;
+        elect.shared.lock().end_owner(*shard);
+        elect.metrics.shard(*shard, 0, 0);
         why
     }
 
@@ -286,9 +288,7 @@
             it.silent,
             it.free_cpu
         );
-        let metrics = &self.ownership.elect.metrics;
-        metrics.backlog.set(it.jobs as i64);
-        metrics.usable_workers.set(it.usable as i64);
+        self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
 
     /// Makes a call to a worker in a task of its own.
--- /dev/null
+++ b/daisy-workflow/tests/delegate.rs
@@ -0,0 +1,187 @@
+//! Jobs that their shard hands to another one with more room.
+
+mod util;
+
+use daisy_model::{Instant, SortedMap};
+use daisy_workflow::{
+    Action, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, Others, Owner, Record,
+    Settings, ShardId,
+};
+use std::time::Duration;
+use util::{CORE, FakeWorker, best_effort, job, lasting, step};
+
+const LAYOUT: Layout = Layout { shards: 2 };
+const OWN: ShardId = ShardId(0);
+const OTHER: ShardId = ShardId(1);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+/// The first ids of jobs that belong to a shard.
+fn ids(shard: ShardId) -> impl Iterator<Item = JobId> {
+    (1..).map(JobId).filter(move |id| LAYOUT.of_job(*id) == shard)
+}
+
+fn id_of(shard: ShardId) -> JobId {
+    ids(shard).next().expect("one of many")
+}
+
+fn load(lasting: u64, once: u64, best_effort: u64) -> Load {
+    Load { capacity: 1_000, lasting, once, best_effort }
+}
+
+fn owner(ledger: Ledger) -> Owner {
+    let settings = Settings { lease: Duration::from_secs(5), shard: OWN, layout: LAYOUT };
+    Owner::new(at(1_000), 0, settings, ledger, util::queues(), true)
+}
+
+/// An owner of one worker of four cores that answers, with another shard that is empty.
+fn owner_of_one_worker(now: Instant) -> Owner {
+    let mut owner = owner(Ledger::default());
+    let mut worker = FakeWorker::new("w1", 4);
+    owner.step(now, Event::Workers(vec![worker.listing()]));
+    for action in owner.act(now) {
+        let Action::Hold { worker: key, deadline_ms, cursor, .. } = action else { continue };
+        let answer = worker.hold(now, 1, deadline_ms, cursor);
+        let answer = answer.and_then(Result::ok);
+        owner.step(now, Event::Held(key, answer));
+    }
+    let others = SortedMap::from_iter([(OTHER, Load { capacity: 4_000, ..Load::default() })]);
+    owner.step(now, Event::Loads(others));
+    owner
+}
+
+fn forwarded(actions: Vec<Action>) -> Vec<(ShardId, Record)> {
+    let forward = |it| match it {
+        Action::Forward(shard, record) => Some((shard, record)),
+        _ => None,
+    };
+    actions.into_iter().filter_map(forward).collect()
+}
+
+fn submit(owner: &mut Owner, id: JobId, spec: JobSpec) {
+    owner.step(at(1_010), Event::Record(Record::Submitted(id, spec)));
+}
+
+/// Jobs that last fill some shards and leave others a third free, as they are drawn by their ids.
+/// What comes next to a full shard waits for as long as those last.
+#[test]
+fn a_full_shard_hands_a_job_on_once_that_is_recorded() {
+    let mut owner = owner_of_one_worker(at(1_000));
+    let mut own = ids(OWN);
+    let (first, second) = (own.next().expect("one"), own.next().expect("another"));
+    submit(&mut owner, first, job(vec![lasting(1)]));
+    submit(&mut owner, second, job(vec![lasting(4)]));
+
+    let batch = owner.try_batch(at(1_020)).expect("the decision is to be recorded");
+    let before = forwarded(owner.act(at(1_020)));
+    owner.step(at(1_030), Event::Appended);
+    let after = forwarded(owner.act(at(1_030)));
+
+    assert!(batch.records.contains(&Record::Delegated(second, OTHER)), "{:?}", batch.records);
+    assert_eq!(before, Vec::new());
+    assert_eq!(after, [(OTHER, Record::Submitted(second, job(vec![lasting(4)])))]);
+}
+
+/// The owner dies between the record of its decision and the write to the other shard. The next
+/// owner writes it; it does not run the job itself.
+#[test]
+fn the_next_owner_hands_on_what_was_recorded() {
+    let id = id_of(OWN);
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::Submitted(id, job(vec![step(2)])));
+    ledger.fold(Record::Cancelled(id));
+    ledger.fold(Record::Delegated(id, OTHER));
+
+    let mut owner = owner(ledger);
+    let forwarded = forwarded(owner.act(at(1_010)));
+
+    let expected =
+        [(OTHER, Record::Submitted(id, job(vec![step(2)]))), (OTHER, Record::Cancelled(id))];
+    assert_eq!(forwarded, expected);
+    assert_eq!(owner.take_states(), Vec::new());
+}
+
+/// A caller cancels a job that was handed on: its own shard's submissions name the cancellation, the
+/// shard that runs it has to hear of it.
+#[test]
+fn a_cancellation_follows_its_job() {
+    let id = id_of(OWN);
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::Submitted(id, job(vec![step(2)])));
+    ledger.fold(Record::Delegated(id, OTHER));
+    let mut owner = owner(ledger);
+    owner.act(at(1_010));
+
+    owner.step(at(1_020), Event::Record(Record::Cancelled(id)));
+
+    assert_eq!(forwarded(owner.act(at(1_020))), [(OTHER, Record::Cancelled(id))]);
+    assert_eq!(owner.take_states(), [(id, JobState::Cancelled)]);
+}
+
+/// Two shards that are both full must not hand a job to and fro: it is handed on once.
+#[test]
+fn a_job_of_another_shard_stays() {
+    let mut owner = owner_of_one_worker(at(1_000));
+    let id = id_of(OTHER);
+    submit(&mut owner, id, job(vec![lasting(8)]));
+
+    let batch = owner.try_batch(at(1_020));
+
+    let handed_on = |it: &Record| matches!(it, Record::Delegated(..));
+    assert!(!batch.is_some_and(|it| it.records.iter().any(handed_on)));
+}
+
+#[test]
+fn a_job_that_has_begun_stays() {
+    let mut owner = owner_of_one_worker(at(1_000));
+    let id = id_of(OWN);
+    submit(&mut owner, id, job(vec![step(1)]));
+    owner.act(at(1_020));
+    let full = Load { capacity: 4_000, ..Load::default() };
+    owner.step(at(1_500), Event::Loads(SortedMap::from_iter([(OTHER, full)])));
+    owner.step(at(1_500), Event::Tick);
+
+    let batch = owner.try_batch(at(1_520)).expect("a start is to be recorded");
+
+    assert!(matches!(batch.records[..], [Record::Progress(..)]), "{:?}", batch.records);
+}
+
+#[test]
+fn an_easy_shard_keeps_its_jobs() {
+    let mut others = Others::default();
+    others.update(SortedMap::from_iter([(OTHER, load(0, 0, 0))]));
+
+    for (own, spec) in [
+        (load(250, 0, 0), lasting(1)),
+        (load(500, 250, 0), step(1)),
+        (load(500, 200, 200), best_effort(1, "a")),
+    ] {
+        let demand = Demand::of(&job(vec![spec]));
+        assert_eq!(others.try_better(at(0), own, demand), None);
+    }
+}
+
+/// Loads are told every 0.4 s. A burst that comes in between must not all go to the shard that was
+/// emptiest then.
+#[test]
+fn what_was_just_sent_counts_before_it_shows() {
+    let mut others = Others::default();
+    let shards = [(OTHER, load(0, 0, 0)), (ShardId(2), load(100, 0, 0))];
+    others.update(SortedMap::from_iter(shards));
+    let demand = Demand::of(&job(vec![lasting(1)]));
+    let own =
+        Load { capacity: 20 * u64::from(CORE), lasting: 15 * u64::from(CORE), ..load(0, 0, 0) };
+    let empty = Load { capacity: 20 * u64::from(CORE), ..load(0, 0, 0) };
+    others.update(SortedMap::from_iter([(OTHER, empty), (ShardId(2), empty)]));
+    let mut taken = [0; 3];
+
+    for _ in 0..10 {
+        let to = others.try_better(at(0), own, demand).expect("others are empty");
+        others.sent(at(0), to, demand);
+        taken[usize::from(to.0)] += 1;
+    }
+
+    assert_eq!(taken, [0, 5, 5]);
+}
--- /dev/null
+++ b/daisy-workflow/tests/directory.rs
@@ -0,0 +1,83 @@
+//! What every entry VM knows of jobs and owners.
+
+use daisy_model::Instant;
+use daisy_workflow::{Claim, Directory, JobId, JobState, Layout, Load, ShardId, Sign, Told};
+
+const ID: JobId = JobId(7);
+
+fn told(state: JobState) -> Told {
+    Told { state, shard: ShardId(0) }
+}
+
+fn sign(epoch: u64, released: bool) -> Sign {
+    let claim = Claim { vm: "a".to_owned(), process: 1, epoch, released, settled: true };
+    let load = Load { capacity: epoch, ..Load::default() };
+    Sign { shard: ShardId(1), claim, current: true, pending: vec![("q".to_owned(), 3)], load }
+}
+
+/// A record of a job's earlier state is read after one of its end, as an owner's append came late. A
+/// caller who has been told that the job is completed must not be told that it runs.
+#[test]
+fn a_state_never_goes_back() {
+    let mut directory = Directory::default();
+    directory.set_state(ID, told(JobState::Completed));
+
+    directory.set_state(ID, told(JobState::Running));
+
+    assert_eq!(directory.state(ID), Some(told(JobState::Completed)));
+}
+
+#[test]
+fn the_shard_that_runs_a_job_replaces_its_own() {
+    let mut directory = Directory::default();
+    directory.set_state(ID, told(JobState::Queued));
+    let elsewhere = Told { state: JobState::Queued, shard: ShardId(2) };
+
+    directory.set_state(ID, elsewhere);
+
+    assert_eq!(directory.state(ID), Some(elsewhere));
+}
+
+/// Two entry VMs lay a new system out at once. The second record must change nothing: workers would
+/// have two accountants.
+#[test]
+fn the_first_layout_stands() {
+    let mut directory = Directory::default();
+    directory.set_layout(Layout { shards: 2 });
+
+    directory.set_layout(Layout { shards: 5 });
+
+    assert_eq!(directory.layout(), Some(Layout { shards: 2 }));
+}
+
+#[test]
+fn a_sign_of_an_earlier_owner_says_nothing() {
+    let mut directory = Directory::default();
+    directory.hear(Instant::from_millis(10), sign(5, false));
+
+    directory.hear(Instant::from_millis(20), sign(4, false));
+
+    let heard = directory.owner(ShardId(1)).expect("a sign was heard");
+    assert_eq!((heard.sign.claim.epoch, heard.at), (5, Instant::from_millis(10)));
+}
+
+#[test]
+fn loads_are_those_of_other_owners_that_live() {
+    let mut directory = Directory::default();
+    directory.hear(Instant::from_millis(10), sign(5, false));
+
+    let seen_by_another = directory.loads(ShardId(0)).len();
+    let seen_by_itself = directory.loads(ShardId(1)).len();
+    directory.hear(Instant::from_millis(20), sign(5, true));
+    let released = directory.loads(ShardId(0)).len();
+
+    assert_eq!((seen_by_another, seen_by_itself, released), (1, 0, 0));
+}
+
+#[test]
+fn jobs_without_a_start_are_counted_by_queue() {
+    let mut directory = Directory::default();
+    directory.hear(Instant::from_millis(10), sign(5, false));
+
+    assert_eq!((directory.pending("q"), directory.pending("other")), (3, 0));
+}
--- /dev/null
+++ b/daisy-workflow/tests/shard.rs
@@ -0,0 +1,66 @@
+//! How jobs and workers are divided, and who claims a shard first.
+
+use std::time::Duration;
+
+use daisy_workflow::{Candidate, JobId, Layout, ShardId, WorkerId};
+
+fn candidate(vm: &str, shard: u16) -> Candidate<'_> {
+    Candidate { vm, shard: ShardId(shard), shards: 5, owned: 0, cpu_share: 0.5 }
+}
+
+#[test]
+fn the_number_of_shards_follows_from_the_workers() {
+    let shards = |workers| Layout::for_workers(workers, 12).shards;
+
+    assert_eq!([0, 1, 66, 100, 101, 490, 790, 11_000].map(shards), [1, 1, 1, 1, 2, 5, 8, 12]);
+}
+
+/// A hash that differs between builds would give a worker two accountants while a new build is
+/// rolled out, each of which would fill it.
+#[test]
+fn a_build_divides_as_every_other_does() {
+    let layout = Layout { shards: 5 };
+
+    let jobs = [1, 2, 0xdead_beef].map(|id| layout.of_job(JobId(id)).0);
+    let workers = ["i-1", "i-2", "w"].map(|id| layout.of_worker(&WorkerId::from(id)).0);
+
+    assert_eq!((jobs, workers), ([3, 4, 0], [1, 4, 0]));
+}
+
+#[test]
+fn shards_get_about_as_many_jobs_and_workers_each() {
+    let layout = Layout { shards: 5 };
+    let mut jobs = [0u32; 5];
+    let mut workers = [0u32; 5];
+
+    for at in 0..10_000u64 {
+        jobs[usize::from(layout.of_job(JobId(at)).0)] += 1;
+        let worker = WorkerId::from(format!("i-{at}").as_str());
+        workers[usize::from(layout.of_worker(&worker).0)] += 1;
+    }
+
+    assert!(
+        jobs.iter().chain(&workers).all(|it| (1_800..2_200).contains(it)),
+        "{jobs:?} {workers:?}"
+    );
+}
+
+/// An entry VM with an eighth of a core owns a shard only if no larger one does: a burst of starts
+/// takes more than it has.
+#[test]
+fn large_vms_claim_before_small_ones() {
+    for shard in 0..5 {
+        let slowest_large = (0..20).map(|it| candidate(&format!("large-{it}"), shard).rank()).max();
+        let small = Candidate { cpu_share: 0.12, ..candidate("small", shard) };
+
+        assert!(small.rank() > slowest_large.unwrap_or_default());
+    }
+}
+
+#[test]
+fn who_owns_a_shard_claims_the_next_one_later() {
+    let free = candidate("a", 1);
+    let owner = Candidate { owned: 1, ..free };
+
+    assert!(owner.rank() >= free.rank() + Duration::from_millis(300));
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -274,3 +274,30 @@
 
     assert!(slowest < Duration::from_secs(2), "{slowest:?}");
 }
+
+/// More workers than one owner can carry are divided: each part has an owner of its own, and any VM
+/// takes and tells of any job. One of the owners is killed while tasks run; another process takes its
+/// part over, nothing runs twice and nothing is lost.
+#[tokio::test]
+async fn parts_of_many_workers_have_owners_of_their_own() {
+    const JOBS: u64 = 12;
+    let mut fleet = Fleet::start(3, 120, Duration::from_millis(2_500)).await;
+    let owned = fleet.owned().await;
+    for number in 0..JOBS {
+        let id = format!("{number:016x}");
+        assert_eq!(fleet.post(number as usize % 3, &id, job_body(5)).await, 200);
+    }
+    fleet.wait_until(|it| it.all_runs() as u64 >= JOBS * 5).await;
+
+    let killed = owned.iter().position(|it| *it > 0).expect("somebody owns them");
+    fleet.kill(killed);
+    for number in 0..JOBS {
+        let id = format!("{number:016x}");
+        fleet.wait_for_state((killed + 1) % 3, &id, "completed").await;
+    }
+
+    assert!(owned.iter().filter(|it| **it > 0).count() == 2, "{owned:?}");
+    for number in 0..JOBS {
+        fleet.assert_each_task_ran_once(&format!("{number:016x}"), 5);
+    }
+}
