--- a/daisy-standin/src/link.rs
+++ b/daisy-standin/src/link.rs
@@ -53,6 +53,8 @@
 pub struct LinkFaults {
     /// Passes no byte on while it is set; connections stay open, as in a partition.
     pub cut: bool,
+    /// Passes nothing back: what is sent arrives, and its answer does not.
+    pub cut_back: bool,
     /// Closes all connections and new ones at once.
     pub reset: bool,
     /// Milliseconds added each way.
@@ -196,8 +198,8 @@
     tokio::select! {
         _ = async {
             tokio::join!(
-                copy(near_rx, far_tx, faults.clone()),
-                copy(far_rx, near_tx, faults.clone()),
+                copy(near_rx, far_tx, faults.clone(), |it| it.cut),
+                copy(far_rx, near_tx, faults.clone(), |it| it.cut || it.cut_back),
             )
         } => {}
         _ = resets.wait_for(|faults| faults.reset) => {}
@@ -208,9 +210,15 @@
 /// Pieces on their way; more wait at the sender, as in a full link.
 const PIECES: usize = 64;
 
-async fn copy(from: OwnedReadHalf, to: OwnedWriteHalf, faults: watch::Receiver<LinkFaults>) {
+/// Copies one way; `is_cut` says whether that way is cut.
+async fn copy(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    faults: watch::Receiver<LinkFaults>,
+    is_cut: fn(&LinkFaults) -> bool,
+) {
     let (tx, rx) = mpsc::channel(PIECES);
-    let _ = tokio::join!(read(from, tx, faults.clone()), write(to, rx, faults));
+    let _ = tokio::join!(read(from, tx, faults.clone()), write(to, rx, faults, is_cut));
 }
 
 async fn read(
@@ -235,10 +243,11 @@
     mut to: OwnedWriteHalf,
     mut rx: mpsc::Receiver<(Instant, Vec<u8>)>,
     mut faults: watch::Receiver<LinkFaults>,
+    is_cut: fn(&LinkFaults) -> bool,
 ) -> io::Result<()> {
     while let Some((due, piece)) = rx.recv().await {
         sleep_until(due).await;
-        let Ok(open) = faults.wait_for(|faults| !faults.cut).await.map(|faults| *faults) else {
+        let Ok(open) = faults.wait_for(|faults| !is_cut(faults)).await.map(|faults| *faults) else {
             return Ok(());
         };
         let micros = (piece.len() as u64 * 1_000_000).checked_div(open.bytes_a_second);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,6 +2,8 @@
 
 #[path = "node/fleet.rs"]
 mod fleet;
+#[path = "node/process.rs"]
+mod process;
 
 use std::time::Duration;
 
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -1,11 +1,8 @@
 //! A log, workers, and processes of `daisyshift node`.
 
 use std::{
-    fs::File,
-    io::Write,
-    net::{SocketAddr, TcpListener},
-    path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    net::SocketAddr,
+    process::Command,
     time::{Duration, Instant},
 };
 
@@ -13,13 +10,12 @@
 use daisy_platform_standin::{Log, Seen, Worker, WorkerFault};
 use http::Method;
 use http_body_util::Full;
-use nix::{
-    sys::signal::{Signal, kill},
-    unistd::Pid,
-};
+use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::process::Process;
+
 /// Ids of jobs.
 pub const JOB: &str = "00000000000000aa";
 pub const OTHER: &str = "00000000000000bb";
@@ -34,17 +30,10 @@
     .to_string()
 }
 
-struct Node {
-    child: Child,
-    callers: SocketAddr,
-    readiness: SocketAddr,
-    settings: PathBuf,
-}
-
 pub struct Fleet {
     pub log: Log,
     workers: Vec<Worker>,
-    nodes: Vec<Node>,
+    nodes: Vec<Process>,
     http: Http,
 }
 
@@ -61,8 +50,7 @@
             fleet.workers.push(worker.expect("a port of loopback"));
         }
         for at in 0..nodes {
-            let node = fleet.new_node(at);
-            fleet.nodes.push(node);
+            fleet.nodes.push(Process::start(at, fleet.log.address));
         }
         for at in 0..nodes {
             fleet.wait_ready(at).await;
@@ -82,54 +70,31 @@
         }));
     }
 
-    fn new_node(&self, at: usize) -> Node {
-        let (callers, readiness) = (free_address(), free_address());
-        let settings = std::env::temp_dir().join(format!(
-            "daisyshift-{}-{}.yaml",
-            std::process::id(),
-            callers.port()
-        ));
-        let text = format!(
-            "node-name: vm-{at}\nzone: z1\nregion: r1\nlisten:\n  front: \"{callers}\"\n  ready: \
-             \"{readiness}\"\ncontrol-mode: push\nplatform:\n  address: \"{}\"\n  form: log\n  parts: 12\n\
-             bounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
-            self.log.address
-        );
-        let mut file = File::create(&settings).expect("a file for settings");
-        file.write_all(text.as_bytes()).expect("room for settings");
-        let child = spawn(&settings);
-        Node { child, callers, readiness, settings }
-    }
-
     pub fn kill(&mut self, at: usize) {
-        let child = &mut self.nodes[at].child;
-        child.kill().expect("a process that this test started");
-        child.wait().expect("the end of a killed process");
+        self.nodes[at].kill();
     }
 
     /// Starts a process of the same VM again, with a log that goes into a pipe that nobody reads.
     pub async fn restart_unread(&mut self, at: usize) {
-        self.nodes[at].child = spawn_to(&self.nodes[at].settings, Stdio::piped());
+        self.nodes[at].restart_unread();
         self.wait_ready(at).await;
     }
 
     /// Starts a process of the same VM again.
     pub async fn restart(&mut self, at: usize) {
-        self.nodes[at].child = spawn(&self.nodes[at].settings);
+        self.nodes[at].restart();
         self.wait_ready(at).await;
     }
 
     pub fn signal(&self, at: usize, signal: Signal) {
-        let pid = Pid::from_raw(self.nodes[at].child.id() as i32);
-        kill(pid, signal).expect("a process that this test started");
+        self.nodes[at].signal(signal);
     }
 
     pub async fn wait_for_exit(&mut self, at: usize) -> Option<i32> {
         let began = Instant::now();
         loop {
-            let ended = self.nodes[at].child.try_wait().expect("a process that this test started");
-            if let Some(status) = ended {
-                return status.code();
+            if let Some(code) = self.nodes[at].try_exit() {
+                return code;
             }
             assert!(began.elapsed() < PATIENCE, "the process does not end");
             sleep(Duration::from_millis(50)).await;
@@ -259,7 +224,7 @@
     pub fn trace(&self, id: &str) -> String {
         let mut command = Command::new(env!("CARGO_BIN_EXE_daisyshift"));
         command.args(["trace", "--id", id]);
-        command.args(self.nodes.iter().map(|it| log_of(&it.settings)));
+        command.args(self.nodes.iter().map(Process::log));
         let output = command.output().expect("the program that was built");
         String::from_utf8_lossy(&output.stdout).into_owned()
     }
@@ -298,45 +263,8 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for node in &mut self.nodes {
-            // One that has ended needs no killing.
-            let _ = node.child.kill();
-            let _ = node.child.wait();
-            let _ = std::fs::remove_file(log_of(&node.settings));
-            let _ = std::fs::remove_file(&node.settings);
-        }
-    }
-}
-
 /// Workers, over all shards, that a process can give work to, by its metrics.
 fn usable_workers(metrics: &str) -> usize {
     let lines = metrics.lines().filter(|it| it.starts_with("daisyshift_usable_workers{"));
     lines.filter_map(|it| it.rsplit(' ').next()?.parse::<usize>().ok()).sum()
 }
-
-/// Where the log of the process of these settings goes.
-fn log_of(settings: &Path) -> PathBuf {
-    settings.with_extension("log")
-}
-
-fn spawn(settings: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(log_of(settings));
-    spawn_to(settings, Stdio::from(log.expect("a file for the log")))
-}
-
-fn spawn_to(settings: &Path, log: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_daisyshift"))
-        .args(["node", "--settings"])
-        .arg(settings)
-        .stdout(log)
-        .spawn()
-        .expect("the program that was built")
-}
-
-/// An address that was free a moment ago.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port of loopback");
-    listener.local_addr().expect("its address")
-}
--- /dev/null
+++ b/tests/soak/promises.rs
@@ -0,0 +1,118 @@
+//! What must hold of all that callers and workers saw.
+
+use std::time::{Duration, Instant};
+
+use daisy_platform_standin::Seen;
+
+use crate::{callers::Call, fleet::CORES};
+
+/// Tasks of half a core that a worker holds.
+const TASKS_MAX: usize = CORES as usize * 2;
+/// How long after its acceptance a job may be unknown to a VM.
+const VISIBLE: Duration = Duration::from_secs(3);
+
+/// All promises that were broken, in words.
+pub fn broken(calls: &[Call], runs: &[(usize, Seen)]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for call in calls {
+        broken.extend(told_truly(call));
+        let of_job: Vec<_> = runs.iter().filter(|(_, it)| it.task.starts_with(&call.id)).collect();
+        broken.extend(of_one_job(call, &of_job));
+    }
+    let known = |it: &Seen| calls.iter().any(|call| it.task.starts_with(&call.id));
+    let foreign = runs.iter().filter(|(_, it)| !known(it));
+    broken.extend(foreign.map(|(_, it)| format!("{} runs and nobody submitted it", it.task)));
+    broken.extend(over_capacity(runs));
+    broken
+}
+
+/// A job that was accepted is never unknown later on, and an ended one never runs again.
+fn told_truly(call: &Call) -> Vec<String> {
+    let mut broken = Vec::new();
+    let mut ended = false;
+    for (at, status, state) in &call.told {
+        let late = call.accepted.is_some_and(|it| *at > it + VISIBLE);
+        if *status == 410 && late && call.cancel_sent.is_none() {
+            broken.push(format!("{} was accepted and is said not to exist", call.id));
+        }
+        if ended && (state.contains("running") || state.contains("queued")) {
+            broken.push(format!("{} had ended and is {state} again", call.id));
+        }
+        ended |= state.contains("completed");
+    }
+    broken
+}
+
+fn of_one_job(call: &Call, runs: &[&(usize, Seen)]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let refused = call.submitted.iter().all(|it| *it == 503) && !call.submitted.is_empty();
+    if refused && !runs.is_empty() {
+        broken.push(format!("{} was refused and runs", call.id));
+    }
+    let mut done: Vec<_> = runs.iter().filter(|(_, it)| it.done).map(|(_, it)| &it.task).collect();
+    done.sort_unstable();
+    done.dedup();
+    if call.accepted.is_some() && call.cancel_sent.is_none() && done.len() != call.tasks {
+        broken.push(format!(
+            "{} was accepted; {} of {} tasks ran",
+            call.id,
+            done.len(),
+            call.tasks
+        ));
+    }
+    if call.cancelled.is_some() && runs.iter().any(|(_, it)| it.ended.is_none()) {
+        broken.push(format!("{} was cancelled and runs on", call.id));
+    }
+    for (at, (first, a)) in runs.iter().enumerate() {
+        for (second, b) in &runs[at + 1..] {
+            if a.task != b.task {
+                continue;
+            }
+            if overlap(a, b) {
+                broken.push(format!(
+                    "{} runs {} on {first} and {} on {second} at one time",
+                    a.task, a.run, b.run
+                ));
+            }
+            let (one, next) = if a.began <= b.began { (a, b) } else { (b, a) };
+            if one.done && one.acknowledged {
+                broken.push(format!("{} run {} starts after its end", one.task, next.run));
+            }
+        }
+    }
+    broken
+}
+
+/// Whether two runs were there at one time.
+fn overlap(a: &Seen, b: &Seen) -> bool {
+    let ends = |it: &Seen| it.ended.unwrap_or_else(|| it.began + Duration::from_secs(3_600));
+    a.began < ends(b) && b.began < ends(a)
+}
+
+/// Workers that held more at one time than they have room for.
+fn over_capacity(runs: &[(usize, Seen)]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let workers = runs.iter().map(|(worker, _)| *worker).max().map_or(0, |it| it + 1);
+    for worker in 0..workers {
+        let mut changes: Vec<(Instant, i32)> = Vec::new();
+        for (_, it) in runs.iter().filter(|(at, _)| *at == worker) {
+            changes.push((it.began, 1));
+            changes.extend(it.ended.map(|at| (at, -1)));
+        }
+        // Where one ends as another begins, the end counts first.
+        changes.sort_by_key(|(at, change)| (*at, *change));
+        let mut held = 0;
+        let most = changes
+            .iter()
+            .map(|(_, it)| {
+                held += it;
+                held
+            })
+            .max()
+            .unwrap_or_default();
+        if most > TASKS_MAX as i32 {
+            broken.push(format!("worker {worker} held {most} tasks; {TASKS_MAX} fit"));
+        }
+    }
+    broken
+}
