Runs answered by a worker's next incarnation, and jobs read late by a new owner

A worker crashed and started again; an order meant for the old incarnation reached the new one and was answered. As the list told of the new start, the owner took the run for one that had ended with the old incarnation and started the task elsewhere, while it ran. Submissions and progress are read independently. A job that an earlier owner had handed on, read between the two, was taken for a new one and ran in both shards. Now such a job is forwarded, one that has begun is taken over, and a new owner reads all submissions once more after its claim stands.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -135,11 +135,8 @@
         let mut ledger = Ledger::default();
         let mut jobs = Tail::new(store.clone(), Topic::Jobs(self.shard.0));
         let began = clock::now();
-        let read = jobs.try_read(Duration::ZERO).await?;
+        self.read_jobs(&mut jobs, &mut ledger).await?;
         self.rtt = clock::now().since(began);
-        for record in readable("jobs", &read.records) {
-            ledger.fold(record);
-        }
         let mut progress = Tail::new(store.clone(), Topic::Progress(self.shard.0));
         let mut claimed = None;
         for _ in 0..TRIES {
@@ -154,6 +151,10 @@
             let mine = ledger.owner().filter(|it| self.is_mine(it) && Some(it.epoch) == claimed);
             if let Some(claim) = mine {
                 let (epoch, settled) = (claim.epoch, claim.settled);
+                // From the claim on nobody else records progress, so all jobs that have any are
+                // read by now. An end that a worker lists of a job that is not known would be
+                // acknowledged and lost.
+                while !self.read_jobs(&mut jobs, &mut ledger).await? {}
                 return Some(Won { epoch, ledger, jobs, settled });
             }
             if claimed.is_some() && seen {
@@ -167,6 +168,15 @@
         None
     }
 
+    /// Reads on in the shard's submissions; whether that was all.
+    async fn read_jobs(&self, jobs: &mut Tail, ledger: &mut Ledger) -> Option<bool> {
+        let read = jobs.try_read(Duration::ZERO).await?;
+        for record in readable("jobs", &read.records) {
+            ledger.fold(record);
+        }
+        Some(read.at_end)
+    }
+
     /// Appends a claim at the end that was read, and gives its epoch.
     async fn append_claim(&self, at: u64, settled: bool) -> Option<u64> {
         let epoch = at + 1;
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -134,7 +134,8 @@
         let lease = LEASE.min(self.elect.settings.lease_max);
         let mut known = self.elect.shared.lock();
         let layout = known.directory.layout().unwrap_or(Layout { shards: 1 });
-        let settings = Settings { lease, shard: self.shard, layout };
+        let lease_max = self.elect.settings.lease_max;
+        let settings = Settings { lease, lease_max, shard: self.shard, layout };
         known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
         Owner::new(now, clock::wall_ms(), settings, ledger, queues, self.claim.settled)
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -35,7 +35,8 @@
     worker::{Worker, WorkerKey},
 };
 use crate::{
-    Fold, JobId, JobState, Layout, Ledger, Others, Phase, Queues, Record, ShardId, TaskId, WorkerId,
+    Fold, Job, JobId, JobState, Layout, Ledger, Others, Phase, Queues, Record, ShardId, TaskId,
+    WorkerId,
 };
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
@@ -50,6 +51,8 @@
 pub struct Settings {
     /// How long a worker's tasks go on without a renewal.
     pub lease: Duration,
+    /// The longest lease that a worker grants, whatever it is asked for.
+    pub lease_max: Duration,
     /// The owner's shard.
     pub shard: ShardId,
     /// All shards.
@@ -176,24 +179,18 @@
             .filter(|(_, it)| it.progress.phase == Phase::Active && it.delegated.is_none())
             .map(|(id, _)| id)
             .collect();
-        for id in jobs {
-            self.open(now, id);
-            let Some(job) = self.ledger.job(id) else { continue };
-            for (k, steps) in job.progress.occurrences.iter().enumerate() {
-                for (s, tasks) in steps.iter().enumerate() {
-                    for (i, state) in tasks.iter().enumerate() {
-                        let task = TaskId {
-                            job: id,
-                            occurrence: k as u32,
-                            step: s as u16,
-                            index: i as u32,
-                        };
-                        for copy in &state.copies {
-                            let worker = copy.worker.clone();
-                            self.orphans.push(Orphan { worker, task, run: copy.run });
-                        }
-                    }
-                }
+        jobs.into_iter().for_each(|id| self.inherit_job(now, id));
+    }
+
+    /// Takes over a job as an earlier owner recorded it.
+    fn inherit_job(&mut self, now: Instant, id: JobId) {
+        self.open(now, id);
+        let Some(job) = self.ledger.job(id) else { return };
+        let copies = recorded_copies(id, job);
+        for (worker, task, run) in copies {
+            match self.by_id.get(&worker).copied() {
+                Some(key) => self.adopt(now, key, task, run, Sent::Inherited),
+                None => self.orphans.push(Orphan { worker, task, run }),
             }
         }
     }
@@ -294,9 +291,7 @@
     fn record(&mut self, now: Instant, record: Record) {
         match self.ledger.fold(record) {
             Fold::Submitted(id) => {
-                self.tell_state(id);
-                self.open(now, id);
-                self.try_delegate(now, id);
+                self.submitted(now, id);
             }
             Fold::Cancelled(id) => {
                 self.tell_state(id);
@@ -308,6 +303,28 @@
         self.plan_due = true;
     }
 
+    /// A job is read that was not known.
+    ///
+    /// Submissions and progress are read independently, so an earlier owner may have begun the job
+    /// or handed it on, between this owner's reads of the two. Taken for a new one, it would run
+    /// here and in the shard that it was handed to, or twice here.
+    fn submitted(&mut self, now: Instant, id: JobId) {
+        let Some(job) = self.ledger.job(id) else { return };
+        if job.delegated.is_some() {
+            self.forward(id);
+            return;
+        }
+        let is_new = job_is_new(job);
+        self.tell_state(id);
+        match is_new {
+            true => {
+                self.open(now, id);
+                self.try_delegate(now, id);
+            }
+            false => self.inherit_job(now, id),
+        }
+    }
+
     fn tell_state(&mut self, id: JobId) {
         // What is begun but not recorded yet is told with its record.
         let state = self.ledger.job(id).map(|it| match it.state() {
@@ -375,6 +392,25 @@
     }
 }
 
+/// Runs of a job that its record says may be on a worker.
+fn recorded_copies(id: JobId, job: &Job) -> Vec<(WorkerId, TaskId, u32)> {
+    let mut copies = Vec::new();
+    for (occurrence, steps) in (0u32..).zip(&job.progress.occurrences) {
+        for (step, tasks) in (0u16..).zip(steps) {
+            for (index, state) in (0u32..).zip(tasks) {
+                let task = TaskId { job: id, occurrence, step, index };
+                copies.extend(state.copies.iter().map(|it| (it.worker.clone(), task, it.run)));
+            }
+        }
+    }
+    copies
+}
+
+/// Whether no owner has recorded anything of a job.
+fn job_is_new(job: &Job) -> bool {
+    job.progress.phase == Phase::Active && !job.progress.begun
+}
+
 /// Between records of what was learnt, so that a new owner need not begin anew: about 1 KB each.
 const LEARNT_EVERY: Duration = Duration::from_secs(2);
 
@@ -393,6 +429,7 @@
         target_ms: step.target_ms,
         lasts: step.long_running,
         sent: Sent::Recording,
+        listed: false,
         maybe_late: false,
         tries: 0,
         stop: Stop::No,
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -5,7 +5,7 @@
 use daisy_model::{Instant, Resources, SortedMap};
 
 use super::{
-    Owner,
+    Owner, Settings,
     message::{Action, HoldAnswer, Listed, Note, Running},
     worker::{Sent, Stop, Worker, WorkerKey},
 };
@@ -46,7 +46,14 @@
     }
 
     /// Counts a run that is, or may be, on a worker though this owner did not start it.
-    fn adopt(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, sent: Sent) {
+    pub(super) fn adopt(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        task: TaskId,
+        run: u32,
+        sent: Sent,
+    ) {
         let Some(job) = self.ledger.job(task.job) else { return };
         let ended = job.cancelled || job.state() != crate::JobState::Running;
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
@@ -102,6 +109,7 @@
         worker.clock = None;
         worker.deadline_ms = 0;
         worker.fenced = false;
+        worker.reborn = true;
         worker.cursor_seen = 0;
         worker.cursor_durable = 0;
         worker.failures = 0;
@@ -114,8 +122,13 @@
                 // epoch and no run: only a stop that it has answered shuts the run out.
                 Sent::InFlight | Sent::Unanswered(_) => it.stop = Stop::Due(now),
                 Sent::There(_) | Sent::Inherited if it.maybe_late => it.stop = Stop::Due(now),
+                // An answer to an order does not tell which incarnation gave it. Taken for one that
+                // ended with the old one, the run would go on here while it is started elsewhere;
+                // the next lists tell whether it is there.
+                Sent::There(_) if !it.listed => {}
                 Sent::There(_) | Sent::Inherited => lost.push((it.task, it.run)),
             }
+            it.listed = false;
         }
         self.shut_out_late(now, key);
         for (task, run) in lost {
@@ -194,7 +207,7 @@
     }
 
     fn greeted(&mut self, now: Instant, key: WorkerKey, answer: &HoldAnswer) {
-        let lease = self.settings.lease;
+        let Settings { lease, lease_max, .. } = self.settings;
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.hold_failures > 0 {
             worker.hold_failures = 0;
@@ -210,8 +223,11 @@
         if !worker.fenced {
             worker.fenced = true;
             self.plan_due = true;
-            // An earlier owner may have granted a whole lease just before.
-            let inherited = answer.clock_ms + lease.as_millis() as u64;
+            // An earlier owner may have granted a whole lease just before. An order meant for an
+            // earlier incarnation names a time far ahead of this one's clock: the worker then
+            // grants as long a lease as it ever does.
+            let granted = if worker.reborn { lease_max } else { lease };
+            let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.deadline_ms = worker.deadline_ms.max(inherited);
         }
     }
@@ -229,6 +245,7 @@
                     known.percent = it.percent;
                     known.load = it.load;
                     known.absent = 0;
+                    known.listed = true;
                     if !it.checkpoint.is_empty() && known.checkpoint != it.checkpoint {
                         known.checkpoint = it.checkpoint.clone();
                     }
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -69,6 +69,8 @@
     /// Whether it runs until its job is cancelled.
     pub lasts: bool,
     pub sent: Sent,
+    /// Whether a list of the worker's present incarnation named it.
+    pub listed: bool,
     /// Whether an order to start it went unanswered: it may be carried out late.
     pub maybe_late: bool,
     pub tries: u32,
@@ -120,6 +122,8 @@
     pub(crate) deadline_ms: u64,
     /// Whether it has answered under this owner's epoch: from then on it refuses older orders.
     pub(crate) fenced: bool,
+    /// Whether it started anew under this owner, which may have sent it orders without knowing.
+    pub(crate) reborn: bool,
     pub(crate) holding: bool,
     pub(crate) held_at: Instant,
     pub(crate) hold_sent_at: Instant,
@@ -156,6 +160,7 @@
             clock: None,
             deadline_ms: 0,
             fenced: false,
+            reborn: false,
             holding: false,
             held_at: Instant::default(),
             hold_sent_at: Instant::default(),
