Owners of shards share what they learn of images

Cause: a pair of images meets on few workers of one shard; on the grown sites (10 serving images by 18 and more best-effort ones) an owner of a fifth of the workers knew each pair a fifth as well, held best-effort tasks back where they did no harm and let others miss the serving tasks' targets.

Owners append the sums of their reports once a second to a topic of its own and add those of others.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -14,7 +14,14 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use crate::{clock, elect::Elect, follow::Tail, jobs::follow_jobs, shared::Shared, sign::Telling};
+use crate::{
+    clock,
+    elect::Elect,
+    follow::Tail,
+    jobs::{follow_jobs, readable},
+    shared::Shared,
+    sign::Telling,
+};
 
 /// How long a worker's tasks go on without a renewal.
 ///
@@ -31,6 +38,9 @@
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
 /// Before an append that the log refused is sent again.
 const APPEND_RETRY: Duration = Duration::from_millis(100);
+/// Between records of what was learnt for the owners of other shards, and between their reads: twice
+/// the time that a worker's report covers.
+const SHARE_EVERY: Duration = Duration::from_millis(1_000);
 /// Between reads of the list of workers.
 const LIST_EVERY: Duration = Duration::from_millis(300);
 
@@ -97,6 +107,12 @@
                 events.clone(),
             )),
             tokio::spawn(follow_jobs(jobs, events.clone(), read)),
+            tokio::spawn(follow_observations(
+                self.elect.store.clone(),
+                self.elect.shared.clone(),
+                self.shard,
+                events.clone(),
+            )),
         ];
         let (appends, appended) = mpsc::channel(2);
         let mut running = Running {
@@ -112,6 +128,7 @@
             told_seq: 0,
             jobs_read,
             began_at: now,
+            observed_at: now,
             lateness: Lateness::new(now),
             reported_at: now,
             ownership: self,
@@ -195,6 +212,8 @@
     /// When all submissions had last been read.
     jobs_read: watch::Receiver<Instant>,
     began_at: Instant,
+    /// When what was learnt was last given to other owners.
+    observed_at: Instant,
     lateness: Lateness,
     reported_at: Instant,
 }
@@ -247,6 +266,7 @@
             }
             self.append();
             self.tell();
+            self.share();
         }
     }
 
@@ -384,6 +404,30 @@
         self.send_states(records);
     }
 
+    /// Gives what was learnt to the owners of other shards. What does not arrive is learnt anew.
+    fn share(&mut self) {
+        let now = clock::now();
+        if now.since(self.observed_at) < SHARE_EVERY {
+            return;
+        }
+        self.observed_at = now;
+        let seen = self.owner.take_observations();
+        let Ownership { elect, shard, .. } = &self.ownership;
+        let shards = elect.shared.lock().directory.layout().map_or(1, |it| it.shards);
+        if seen.is_empty() || shards < 2 {
+            return;
+        }
+        let record = encode(&Record::Observed(*shard, seen));
+        let store = elect.store.clone();
+        tokio::spawn(async move {
+            let records = [record];
+            let append = store.append(Topic::Observed, &records, Guard::Free, APPEND_TIMEOUT);
+            if let Err(e) = append.await {
+                log::debug!("event=log_lost topic=Observed cause=\"{e}\"");
+            }
+        });
+    }
+
     fn send_states(&mut self, records: Vec<Record>) {
         self.telling_now = true;
         let guard = self.guard(self.told_seq);
@@ -552,6 +596,31 @@
     }
 }
 
+/// Tells the owner what the owners of other shards have learnt.
+async fn follow_observations(
+    store: Store,
+    shared: Shared,
+    shard: ShardId,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    if shared.lock().directory.layout().is_none_or(|it| it.shards < 2) {
+        return;
+    }
+    let mut tail = Tail::new(store, Topic::Observed);
+    while !events.is_closed() {
+        sleep(SHARE_EVERY).await;
+        let Some(read) = tail.try_read(Duration::ZERO).await else { continue };
+        for record in readable("observed", &read.records) {
+            if let Record::Observed(from, seen) = record
+                && from != shard
+                && events.send(Event::Observed(seen)).is_err()
+            {
+                return;
+            }
+        }
+    }
+}
+
 /// Tells the owner of those workers in the platform's list that belong to its shard, whenever the
 /// list changes.
 async fn follow_workers(
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -104,7 +104,9 @@
                 Fold::Nothing
             }
             // For a [`Directory`](crate::Directory).
-            Record::State(..) | Record::Sign(_) | Record::Layout(_) => Fold::Nothing,
+            Record::State(..) | Record::Sign(_) | Record::Layout(_) | Record::Observed(..) => {
+                Fold::Nothing
+            }
         }
     }
 
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -35,7 +35,7 @@
     },
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
-    record::{Claim, Disturbance, OWNER_KEY, Record, RecordError, decode, encode},
+    record::{Claim, Disturbance, OWNER_KEY, Observations, Record, RecordError, decode, encode},
     shard::{Layout, ShardId},
     spec::{JobSpec, SpecError, StepSpec, Terms},
 };
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -35,8 +35,8 @@
     worker::{Worker, WorkerKey},
 };
 use crate::{
-    Fold, Job, JobId, JobState, Layout, Ledger, Others, Phase, Queues, Record, ShardId, TaskId,
-    WorkerId,
+    Fold, Job, JobId, JobState, Layout, Ledger, Observations, Others, Phase, Queues, Record,
+    ShardId, TaskId, WorkerId,
 };
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
@@ -220,6 +220,9 @@
             Event::Appended => self.appended(now),
             Event::Reached => self.appended_at = now,
             Event::Loads(loads) => self.others.update(loads),
+            Event::Observed(seen) => {
+                seen.iter().for_each(|it| self.interference.add_observations(now, it));
+            }
             Event::Tick => self.watch(now),
         }
     }
@@ -278,6 +281,11 @@
         std::mem::take(&mut self.states)
     }
 
+    /// What was learnt of images since the last call, for the owners of other shards.
+    pub fn take_observations(&mut self) -> Vec<Observations> {
+        self.interference.take_observations()
+    }
+
     /// By queue, the jobs without a time of which no task was started.
     pub fn pending(&self) -> Vec<(String, u32)> {
         self.ledger.pending()
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -11,7 +11,7 @@
 
 use daisy_model::{Instant, SortedMap};
 
-use crate::Disturbance;
+use crate::{Disturbance, Observations};
 
 /// Reports older than this count for half: the amounts change within seconds, and a worker
 /// reports about twice a second.
@@ -45,9 +45,30 @@
     weights: Vec<f64>,
     /// What each weight is drawn to, and how firmly.
     priors: Vec<(f64, f64)>,
+    /// Sums of this owner's reports that were not given to other owners yet.
+    fresh: Sums,
     at: Instant,
 }
 
+/// Sums of reports: for each pair of images products of what they used, for each image the products
+/// with the headroom lost.
+#[derive(Debug, Clone, Default)]
+struct Sums {
+    products: SortedMap<(usize, usize), f64>,
+    answers: SortedMap<usize, f64>,
+}
+
+impl Sums {
+    fn add(&mut self, x: &[(usize, f64)], y: f64) {
+        for (at, (i, a)) in x.iter().enumerate() {
+            *self.answers.get_or_insert_with(*i, || 0.0) += a * y;
+            for (j, b) in &x[at..] {
+                *self.products.get_or_insert_with((*i.min(j), *i.max(j)), || 0.0) += a * b;
+            }
+        }
+    }
+}
+
 impl Fit {
     fn new(now: Instant) -> Fit {
         Fit {
@@ -55,6 +76,7 @@
             answers: Vec::new(),
             weights: Vec::new(),
             priors: Vec::new(),
+            fresh: Sums::default(),
             at: now,
         }
     }
@@ -88,6 +110,19 @@
         }
     }
 
+    /// Adds another owner's sums; images by their numbers here.
+    fn add_sums(&mut self, sums: &Sums) {
+        for (i, it) in sums.answers.iter() {
+            self.answers[*i] += it;
+        }
+        for ((i, j), it) in sums.products.iter() {
+            self.products[*i][*j] += it;
+            if i != j {
+                self.products[*j][*i] += it;
+            }
+        }
+    }
+
     /// Coordinate descent: each weight in turn takes its best value at or above zero.
     fn solve(&mut self) {
         for _ in 0..PASSES {
@@ -160,6 +195,51 @@
         fit.grow(self.images.len());
         fit.forget(now);
         fit.add(&x, loss);
+        fit.fresh.add(&x, loss);
+        fit.solve();
+    }
+
+    /// What this owner has learnt since the last call, for the owners of other shards.
+    pub fn take_observations(&mut self) -> Vec<Observations> {
+        let names: Vec<Arc<str>> = {
+            let mut names: Vec<_> = self.images.iter().map(|(it, at)| (*at, it.clone())).collect();
+            names.sort_unstable_by_key(|(at, _)| *at);
+            names.into_iter().map(|(_, it)| it).collect()
+        };
+        let name = |at: usize| names[at].clone();
+        let mut taken = Vec::new();
+        for (serving, fit) in self.serving.iter_mut() {
+            let fresh = std::mem::take(&mut fit.fresh);
+            if fresh.answers.is_empty() {
+                continue;
+            }
+            let products = fresh.products.iter();
+            taken.push(Observations {
+                serving: serving.clone(),
+                answers: fresh.answers.iter().map(|(at, it)| (name(*at), *it as f32)).collect(),
+                products: products.map(|((i, j), it)| (name(*i), name(*j), *it as f32)).collect(),
+            });
+        }
+        taken
+    }
+
+    /// Takes in what another owner has learnt.
+    ///
+    /// A pair of images meets on few workers of one shard: from its own reports alone, an owner of a
+    /// fifth of the workers knows a pair a fifth as well, and the amounts change within seconds.
+    pub fn add_observations(&mut self, now: Instant, seen: &Observations) {
+        let mut sums = Sums::default();
+        for (image, it) in &seen.answers {
+            sums.answers.insert(self.number(image), f64::from(*it));
+        }
+        for (a, b, it) in &seen.products {
+            let (a, b) = (self.number(a), self.number(b));
+            sums.products.insert((a.min(b), a.max(b)), f64::from(*it));
+        }
+        let fit = self.serving.get_or_insert_with(seen.serving.clone(), || Fit::new(now));
+        fit.grow(self.images.len());
+        fit.forget(now);
+        fit.add_sums(&sums);
         fit.solve();
     }
 
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -4,7 +4,9 @@
 
 use daisy_model::{Resources, SortedMap};
 
-use crate::{JobId, Load, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey};
+use crate::{
+    JobId, Load, Observations, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey,
+};
 
 /// A worker in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -166,12 +168,14 @@
     Reached,
     /// What the owners of other shards last said.
     Loads(SortedMap<ShardId, Load>),
+    /// What the owner of another shard has learnt.
+    Observed(Vec<Observations>),
     /// Time went by.
     Tick,
 }
 
 /// What is to be done.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Renew a worker's lease, acknowledge ends, and read its lists.
     Hold {
@@ -251,7 +255,7 @@
 }
 
 /// Records to be appended together.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Batch {
     /// The records.
     pub records: Vec<Record>,
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -35,7 +35,7 @@
 }
 
 /// What a record says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Record {
     /// A caller submitted a job.
     Submitted(JobId, JobSpec),
@@ -55,6 +55,8 @@
     Sign(Sign),
     /// How jobs and workers are divided among shards.
     Layout(Layout),
+    /// What a shard's owner has learnt since its last such record.
+    Observed(ShardId, Vec<Observations>),
 }
 
 /// How much best-effort tasks of one image take from serving tasks of another.
@@ -69,6 +71,18 @@
     pub permille: u32,
 }
 
+/// What an owner has learnt of a serving image's neighbours within a second or so: weighted sums
+/// that those of other owners can be added to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Observations {
+    /// The image of the serving tasks.
+    pub serving: Arc<str>,
+    /// By image of best-effort tasks, share of a worker's processors times headroom lost.
+    pub answers: Vec<(Arc<str>, f32)>,
+    /// By two of them, share times share.
+    pub products: Vec<(Arc<str>, Arc<str>, f32)>,
+}
+
 /// Why a record says nothing that can be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum RecordError {
@@ -98,6 +112,9 @@
             (format!("state-{id}"), framed((state_number(told.state), told.shard.0)))
         }
         Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(sign))),
+        Record::Observed(shard, seen) => {
+            (format!("observed-{}", shard.0), framed(ObservedWire::from(&seen[..])))
+        }
         Record::Layout(layout) => (LAYOUT_KEY.to_owned(), framed(layout.shards)),
     }
 }
@@ -126,6 +143,11 @@
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
         return unframed::<SignWire>(value).map(|it| Record::Sign(it.of(shard)));
     }
+    if kind == "observed" {
+        let shard = ShardId(id.parse().map_err(|_| unknown())?);
+        let wire: ObservedWire = unframed(value)?;
+        return Ok(Record::Observed(shard, wire.try_into()?));
+    }
     let id: JobId = id.parse().map_err(|_| unknown())?;
     match kind {
         "job" => {
@@ -172,6 +194,74 @@
     }
 }
 
+/// Images by their position in `images`, so that each pair needs numbers only.
+#[derive(Debug, Encode, Decode)]
+struct ObservedWire {
+    images: Vec<String>,
+    fits: Vec<FitWire>,
+}
+
+#[derive(Debug, Encode, Decode)]
+struct FitWire {
+    serving: u16,
+    answers: Vec<(u16, f32)>,
+    products: Vec<(u16, u16, f32)>,
+}
+
+impl From<&[Observations]> for ObservedWire {
+    fn from(seen: &[Observations]) -> ObservedWire {
+        let mut images: Vec<String> = Vec::new();
+        let mut number = |name: &Arc<str>| match images.iter().position(|it| **it == **name) {
+            Some(at) => at as u16,
+            None => {
+                images.push(name.to_string());
+                (images.len() - 1) as u16
+            }
+        };
+        let mut fits = Vec::with_capacity(seen.len());
+        for it in seen {
+            fits.push(FitWire {
+                serving: number(&it.serving),
+                answers: it.answers.iter().map(|(a, sum)| (number(a), *sum)).collect(),
+                products: it
+                    .products
+                    .iter()
+                    .map(|(a, b, sum)| (number(a), number(b), *sum))
+                    .collect(),
+            });
+        }
+        ObservedWire { images, fits }
+    }
+}
+
+impl TryFrom<ObservedWire> for Vec<Observations> {
+    type Error = RecordError;
+
+    fn try_from(wire: ObservedWire) -> Result<Vec<Observations>, RecordError> {
+        let images: Vec<Arc<str>> = wire.images.into_iter().map(Into::into).collect();
+        let name = |at: u16| {
+            let image = images.get(usize::from(at)).cloned();
+            image.ok_or_else(|| RecordError::Malformed(format!("image {at}")))
+        };
+        let mut seen = Vec::with_capacity(wire.fits.len());
+        for fit in wire.fits {
+            let finite = fit.answers.iter().all(|(_, it)| it.is_finite())
+                && fit.products.iter().all(|(.., it)| it.is_finite());
+            if !finite {
+                return Err(RecordError::Malformed("a sum that is no number".to_owned()));
+            }
+            let answer = |(a, sum)| Ok((name(a)?, sum));
+            let product = |(a, b, sum)| Ok((name(a)?, name(b)?, sum));
+            seen.push(Observations {
+                serving: name(fit.serving)?,
+                answers: fit.answers.into_iter().map(answer).collect::<Result<_, _>>()?,
+                products: fit.products.into_iter().map(product).collect::<Result<_, _>>()?,
+            });
+        }
+        Ok(seen)
+    }
+}
+
 fn state_number(state: JobState) -> u8 {
     match state {
         JobState::Queued => 0,
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -3,8 +3,8 @@
 mod util;
 
 use daisy_workflow::{
-    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Load, Phase, Progress, Record,
-    RecordError, ShardId, Sign, SpecError, TaskState, Told, decode, encode,
+    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Load, Observations, Phase,
+    Progress, Record, RecordError, ShardId, Sign, SpecError, TaskState, Told, decode, encode,
 };
 use util::{after, best_effort, job, lasting, step};
 
@@ -37,6 +37,14 @@
             load: Load { capacity: 9, lasting: 5, once: 3, best_effort: 7 },
         }),
         Record::Layout(Layout { shards: 6 }),
+        Record::Observed(
+            ShardId(3),
+            vec![Observations {
+                serving: "s".into(),
+                answers: vec![("a".into(), 0.25), ("b".into(), -0.5)],
+                products: vec![("a".into(), "a".into(), 0.125), ("a".into(), "b".into(), 0.5)],
+            }],
+        ),
         Record::Learnt(vec![Disturbance {
             serving: "s".into(),
             best_effort: "b".into(),
