--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -17,7 +17,6 @@
 mod own;
 mod readiness;
 mod shared;
-mod sign;
 mod states;
 mod submit;
 
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -1,35 +1,33 @@
 //! The owner's process side: carries out what the core decides.
 
-use std::{sync::Arc, time::Duration};
+mod calls;
+mod follow;
+
+use std::time::Duration;
 
 use daisy_http::Http;
 use daisy_model::{Instant, SortedMap};
-use daisy_platform::{Guard, HoldError, HoldOrder, Store, StoreError, Topic, WorkerCalls, worker};
+use daisy_platform::{Guard, Store, StoreError, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Layout, Ledger, Listed, Note, OrderReply, Outcome, Owner,
-    RENEW_ALONE_MAX, Record, Settings, ShardId, Sign, Told, encode,
+    Action, Claim, Event, JobId, Lateness, Layout, Ledger, Note, Outcome, Owner, RENEW_ALONE_MAX,
+    Record, Settings, ShardId, Sign, Telling, Told, WorkerKey, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use crate::{
-    clock,
-    elect::Elect,
-    follow::Tail,
-    jobs::{follow_jobs, readable},
-    shared::Shared,
-    sign::Telling,
+use self::{
+    calls::Calls,
+    follow::{follow_observations, follow_workers},
 };
+use crate::{clock, elect::Elect, follow::Tail, jobs::follow_jobs};
 
 /// How long a worker's tasks go on without a renewal.
 ///
 /// Long enough for a change of the owner (1.4 s of silence, a claim and a pass over the workers)
 /// after a renewal that was 1.5 s ago; short, as tasks of a worker that is lost wait this long.
 const LEASE: Duration = Duration::from_millis(5_000);
-/// How long a worker may take to answer: 24 ms on the way between regions, and a slow VM.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 /// The shortest time between two appends, so that records gather: each call is paid for. A calm day's
@@ -42,8 +40,6 @@
 /// Between records of what was learnt for the owners of other shards, and between their reads: twice
 /// the time that a worker's report covers.
 const SHARE_EVERY: Duration = Duration::from_millis(1_000);
-/// Between reads of the list of workers.
-const LIST_EVERY: Duration = Duration::from_millis(300);
 
 /// An owner's time under one epoch.
 pub(crate) struct Ownership {
@@ -117,9 +113,12 @@
         ];
         let (appends, appended) = mpsc::channel(2);
         let mut running = Running {
-            calls: WorkerCalls::new(Http::new(None), self.epoch),
+            calls: Calls {
+                calls: WorkerCalls::new(Http::new(None), self.epoch),
+                events,
+                metrics: self.elect.metrics.clone(),
+            },
             owner,
-            events,
             appends,
             appending: false,
             appended_at: now,
@@ -130,7 +129,7 @@
             jobs_read,
             began_at: now,
             observed_at: now,
-            lateness: Lateness::new(now),
+            lateness: Lateness::new(now, TICK),
             reported_at: now,
             ownership: self,
         };
@@ -160,45 +159,11 @@
     }
 }
 
-/// How late the process gets to what is due.
-#[derive(Debug)]
-struct Lateness {
-    ticked_at: Instant,
-    /// Running mean.
-    mean: Duration,
-}
-
-impl Lateness {
-    /// Weight of the newest tick is one in this many.
-    const WEIGHT: u32 = 8;
-
-    fn new(now: Instant) -> Lateness {
-        Lateness { ticked_at: now, mean: Duration::ZERO }
-    }
-
-    /// Takes a tick in that was due [`TICK`] after the last; whether the process is too late for
-    /// its shard.
-    ///
-    /// An owner without processor time sees its workers as silent and their answers as old: it
-    /// would give up runs that go on. A VM slowed to a fifth has a mean of 0.5 s and more.
-    fn is_too_late(&mut self, now: Instant) -> bool {
-        /// Workers are asked for an answer within 0.45 s; beyond this mean, many miss it.
-        const MEAN_MAX: Duration = Duration::from_millis(250);
-        /// One long pause is a freeze, after which the process is as good as before.
-        const ONE_MAX: Duration = Duration::from_millis(1_000);
-        let late = now.since(self.ticked_at).saturating_sub(TICK).min(ONE_MAX);
-        self.ticked_at = now;
-        self.mean = (self.mean * (Lateness::WEIGHT - 1) + late) / Lateness::WEIGHT;
-        self.mean > MEAN_MAX
-    }
-}
-
 /// The owner at work.
 struct Running {
     ownership: Ownership,
-    calls: WorkerCalls,
+    calls: Calls,
     owner: Owner,
-    events: mpsc::UnboundedSender<Event>,
     appends: mpsc::Sender<Append>,
     appending: bool,
     /// When the last append of progress began.
@@ -280,7 +245,10 @@
                 Action::StepDown => step_down = true,
                 Action::Note(note) => self.note(&note),
                 Action::Forward(shard, record) => self.forward(shard, record),
-                other => self.call(other),
+                Action::Hold { worker, .. }
+                | Action::Start(worker, _)
+                | Action::Stop(worker, ..)
+                | Action::Pace(worker, ..) => self.call(worker, action),
             }
         }
         step_down
@@ -313,68 +281,10 @@
         self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
 
-    /// Makes a call to a worker in a task of its own.
-    fn call(&self, action: Action) {
-        let key = match &action {
-            Action::Hold { worker, .. } => *worker,
-            Action::Start(worker, _) | Action::Stop(worker, ..) | Action::Pace(worker, ..) => {
-                *worker
-            }
-            Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
-        };
-        let Some(worker) = self.owner.worker(key) else { return };
-        let (id, address) = (worker.id.clone(), worker.address);
-        let calls = self.calls.clone();
-        let events = self.events.clone();
-        let metrics = self.ownership.elect.metrics.clone();
-        tokio::spawn(async move {
-            let event = match action {
-                Action::Hold { deadline_ms, cursor, wait, .. } => {
-                    let order = HoldOrder { deadline_ms, cursor, wait };
-                    match calls.hold(&id, address, order, ORDER_TIMEOUT).await {
-                        Ok(answer) => Event::Held(key, Some(answer)),
-                        Err(HoldError::Fenced) => Event::Fenced(key),
-                        Err(HoldError::NoAnswer(why)) => {
-                            log::debug!("event=hold_failed worker={id} cause=\"{why}\"");
-                            Event::Held(key, None)
-                        }
-                    }
-                }
-                Action::Start(_, start) => {
-                    let reply = calls.start(&id, address, &start, ORDER_TIMEOUT).await;
-                    let outcome = reply_words(reply);
-                    let (task, run) = (start.task, start.run);
-                    log::info!(
-                        "event=start id={} task={task} run={run} worker={id} outcome={outcome}",
-                        task.job
-                    );
-                    metrics.start(outcome);
-                    Event::Started(key, task, run, reply)
-                }
-                Action::Stop(_, task, run) => {
-                    let reply = calls.stop(&id, address, task, run, ORDER_TIMEOUT).await;
-                    let outcome = reply_words(reply);
-                    log::info!(
-                        "event=stop id={} task={task} run={run} worker={id} outcome={outcome}",
-                        task.job
-                    );
-                    Event::Stopped(key, task, run, reply)
-                }
-                Action::Pace(_, task, run, percent) => {
-                    let order = (task, run, percent);
-                    let reply = calls.pace(&id, address, order, ORDER_TIMEOUT).await;
-                    log::info!(
-                        "event=pace id={} task={task} run={run} worker={id} percent={percent} outcome={}",
-                        task.job,
-                        reply_words(reply)
-                    );
-                    Event::Paced(key, task, run, percent, reply)
-                }
-                Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
-            };
-            // An owner that has stepped down hears no more.
-            let _ = events.send(event);
-        });
+    fn call(&self, key: WorkerKey, action: Action) {
+        if let Some(worker) = self.owner.worker(key) {
+            self.calls.begin(key, worker, action);
+        }
     }
 
     /// Appends what is to be recorded.
@@ -597,78 +507,6 @@
     }
 }
 
-/// Tells the owner what the owners of other shards have learnt.
-async fn follow_observations(
-    store: Store,
-    shared: Shared,
-    shard: ShardId,
-    events: mpsc::UnboundedSender<Event>,
-) {
-    if shared.lock().directory.layout().is_none_or(|it| it.shards < 2) {
-        return;
-    }
-    let mut tail = Tail::new(store, Topic::Observed);
-    while !events.is_closed() {
-        sleep(SHARE_EVERY).await;
-        let Some(read) = tail.try_read(Duration::ZERO).await else { continue };
-        for record in readable("observed", &read.records) {
-            if let Record::Observed(from, seen) = record
-                && from != shard
-                && events.send(Event::Observed(seen)).is_err()
-            {
-                return;
-            }
-        }
-    }
-}
-
-/// Tells the owner of those workers in the platform's list that belong to its shard, whenever the
-/// list changes.
-async fn follow_workers(
-    store: Store,
-    shared: Shared,
-    shard: ShardId,
-    events: mpsc::UnboundedSender<Event>,
-) {
-    let layout = shared.lock().directory.layout();
-    let here = |id: &str| layout.is_some_and(|it| it.of_worker(&id.into()) == shard);
-    let mut tail = Tail::new(store, Topic::Workers);
-    let mut listed: SortedMap<String, Arc<Listed>> = SortedMap::new();
-    let mut unreadable = SortedMap::new();
-    while !events.is_closed() {
-        let fresh = tail.next().is_none();
-        let Some(read) = tail.try_read(Duration::ZERO).await else { continue };
-        if fresh {
-            listed = SortedMap::new();
-        }
-        let changed = fresh || read.records.iter().any(|it| here(&it.key));
-        for it in read.records.into_iter().filter(|it| here(&it.key)) {
-            if it.value.is_empty() {
-                listed.remove(&it.key);
-                continue;
-            }
-            match worker(&it.key, &it.value) {
-                Ok(entry) => {
-                    listed.insert(it.key, Arc::new(entry));
-                }
-                Err(why) => {
-                    listed.remove(&it.key);
-                    if unreadable.insert(it.key.clone(), ()).is_none() {
-                        log::warn!("event=worker_unreadable worker={:?} cause=\"{why}\"", it.key);
-                    }
-                }
-            }
-        }
-        if changed {
-            let list = listed.iter().map(|(_, it)| Listed::clone(it)).collect();
-            if events.send(Event::Workers(list)).is_err() {
-                return;
-            }
-        }
-        sleep(LIST_EVERY).await;
-    }
-}
-
 fn outcome_words(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Done => "done",
@@ -679,12 +517,3 @@
         Outcome::Alone => "alone",
     }
 }
-
-fn reply_words(reply: OrderReply) -> &'static str {
-    match reply {
-        OrderReply::Done { .. } => "done",
-        OrderReply::Refused(_) => "refused",
-        OrderReply::NotSent => "not_sent",
-        OrderReply::Unknown => "unknown",
-    }
-}
--- /dev/null
+++ b/daisy-node/src/own/calls.rs
@@ -0,0 +1,104 @@
+//! Calls to workers: each in a task of its own, whose outcome comes back as an event.
+
+use std::{net::SocketAddr, time::Duration};
+
+use daisy_platform::{HoldError, HoldOrder, WorkerCalls};
+use daisy_workflow::{Action, Event, OrderReply, Start, TaskId, Worker, WorkerId, WorkerKey};
+use tokio::sync::mpsc;
+
+use crate::metrics::Metrics;
+
+/// How long a worker may take to answer: 24 ms on the way between regions, and a slow VM.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Makes an owner's calls to workers.
+#[derive(Clone)]
+pub(super) struct Calls {
+    pub calls: WorkerCalls,
+    pub events: mpsc::UnboundedSender<Event>,
+    pub metrics: Metrics,
+}
+
+/// The worker that a call goes to.
+#[derive(Debug, Clone)]
+struct Target {
+    key: WorkerKey,
+    id: WorkerId,
+    address: SocketAddr,
+}
+
+impl Calls {
+    /// Begins the call that `action` asks for; `worker` is the one that it names.
+    pub fn begin(&self, key: WorkerKey, worker: &Worker, action: Action) {
+        let to = Target { key, id: worker.id.clone(), address: worker.address };
+        let this = self.clone();
+        tokio::spawn(async move {
+            let event = match action {
+                Action::Hold { deadline_ms, cursor, wait, .. } => {
+                    this.hold(&to, HoldOrder { deadline_ms, cursor, wait }).await
+                }
+                Action::Start(_, start) => this.start(&to, &start).await,
+                Action::Stop(_, task, run) => this.stop(&to, task, run).await,
+                Action::Pace(_, task, run, percent) => this.pace(&to, task, run, percent).await,
+                Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
+            };
+            // An owner that has stepped down hears no more.
+            let _ = this.events.send(event);
+        });
+    }
+
+    async fn hold(&self, to: &Target, order: HoldOrder) -> Event {
+        match self.calls.hold(&to.id, to.address, order, ORDER_TIMEOUT).await {
+            Ok(answer) => Event::Held(to.key, Some(answer)),
+            Err(HoldError::Fenced) => Event::Fenced(to.key),
+            Err(HoldError::NoAnswer(why)) => {
+                log::debug!("event=hold_failed worker={} cause=\"{why}\"", to.id);
+                Event::Held(to.key, None)
+            }
+        }
+    }
+
+    async fn start(&self, to: &Target, start: &Start) -> Event {
+        let reply = self.calls.start(&to.id, to.address, start, ORDER_TIMEOUT).await;
+        let outcome = reply_words(reply);
+        let (task, run, worker) = (start.task, start.run, &to.id);
+        log::info!(
+            "event=start id={} task={task} run={run} worker={worker} outcome={outcome}",
+            task.job
+        );
+        self.metrics.start(outcome);
+        Event::Started(to.key, task, run, reply)
+    }
+
+    async fn stop(&self, to: &Target, task: TaskId, run: u32) -> Event {
+        let reply = self.calls.stop(&to.id, to.address, task, run, ORDER_TIMEOUT).await;
+        log::info!(
+            "event=stop id={} task={task} run={run} worker={} outcome={}",
+            task.job,
+            to.id,
+            reply_words(reply)
+        );
+        Event::Stopped(to.key, task, run, reply)
+    }
+
+    async fn pace(&self, to: &Target, task: TaskId, run: u32, percent: u8) -> Event {
+        let order = (task, run, percent);
+        let reply = self.calls.pace(&to.id, to.address, order, ORDER_TIMEOUT).await;
+        log::info!(
+            "event=pace id={} task={task} run={run} worker={} percent={percent} outcome={}",
+            task.job,
+            to.id,
+            reply_words(reply)
+        );
+        Event::Paced(to.key, task, run, percent, reply)
+    }
+}
+
+fn reply_words(reply: OrderReply) -> &'static str {
+    match reply {
+        OrderReply::Done { .. } => "done",
+        OrderReply::Refused(_) => "refused",
+        OrderReply::NotSent => "not_sent",
+        OrderReply::Unknown => "unknown",
+    }
+}
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod election;
 mod id;
+mod lateness;
 mod ledger;
 mod owner;
 mod progress;
@@ -22,12 +23,14 @@
 mod record;
 mod shard;
 mod spec;
+mod telling;
 
 pub use crate::{
     balance::{Demand, Load, Others},
     directory::{Directory, Heard, Sign, Told},
     election::{Candidate, Election, Verdict},
     id::{JobId, ParseIdError, TaskId, WorkerId},
+    lateness::Lateness,
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner,
@@ -38,4 +41,5 @@
     record::{Claim, Disturbance, OWNER_KEY, Observations, Record, RecordError, decode, encode},
     shard::{Layout, ShardId},
     spec::{JobSpec, SpecError, StepSpec, Terms},
+    telling::Telling,
 };
--- a/daisy-node/src/sign.rs
+++ b/daisy-workflow/src/telling.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use crate::{JobId, JobState, Record, ShardId, Sign, Told};
 use daisy_model::{Instant, SortedMap};
-use daisy_workflow::{JobId, JobState, Record, ShardId, Sign, Told};
 
 /// The shortest time between two appends of states, so that they gather: each call is paid for,
 /// and the platform takes the appends of all owners one after the other, 2 ms each.
@@ -13,9 +13,9 @@
 /// States told in one append, of some 30 bytes each.
 const STATES_MAX: usize = 500;
 
-/// What was told, and what is to be told next.
+/// What an owner has told all VMs, and what it is to tell next.
 #[derive(Debug)]
-pub(crate) struct Telling {
+pub struct Telling {
     shard: ShardId,
     told: SortedMap<JobId, Told>,
     waiting: SortedMap<JobId, JobState>,
--- /dev/null
+++ b/daisy-workflow/tests/telling.rs
@@ -0,0 +1,79 @@
+//! What an owner tells all VMs, and when.
+
+use daisy_model::{Instant, SortedMap};
+use daisy_workflow::{Claim, JobId, JobState, Load, Record, ShardId, Sign, Telling, Told};
+
+const OWN: ShardId = ShardId(1);
+const ID: JobId = JobId(7);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn sign() -> Sign {
+    let claim = Claim { vm: "a".to_owned(), process: 1, epoch: 3, released: false, settled: true };
+    Sign { shard: OWN, claim, current: true, pending: Vec::new(), load: Load::default() }
+}
+
+fn told(state: JobState, shard: ShardId) -> SortedMap<JobId, Told> {
+    SortedMap::from_iter([(ID, Told { state, shard })])
+}
+
+fn state(state: JobState) -> Record {
+    Record::State(ID, Told { state, shard: OWN })
+}
+
+#[test]
+fn a_new_owner_shows_at_once_that_it_lives() {
+    let mut telling = Telling::new(at(0), OWN, SortedMap::new());
+
+    let due = telling.is_sign_due(at(0));
+    let records = telling.try_records(at(0), Some(sign()));
+
+    assert!(due);
+    assert_eq!(records, Some(vec![Record::Sign(sign())]));
+    assert!(!telling.is_sign_due(at(399)) && telling.is_sign_due(at(400)));
+}
+
+#[test]
+fn states_gather_for_a_while() {
+    let mut telling = Telling::new(at(0), OWN, SortedMap::new());
+    telling.add(ID, JobState::Queued);
+    telling.add(ID, JobState::Running);
+
+    let early = telling.try_records(at(10), None);
+    let due = telling.try_records(at(30), None);
+
+    assert_eq!((early, due), (None, Some(vec![state(JobState::Running)])));
+    assert!(!telling.is_waiting());
+}
+
+#[test]
+fn what_all_know_is_not_told_again() {
+    let mut telling = Telling::new(at(0), OWN, told(JobState::Running, OWN));
+
+    telling.add(ID, JobState::Queued);
+    telling.add(ID, JobState::Running);
+
+    assert!(!telling.is_waiting());
+}
+
+/// A job's own shard has told that it waits, and then handed it here. Unless this shard tells of it,
+/// the other one's next owner hands it on once more.
+#[test]
+fn a_job_that_came_from_another_shard_is_told_of() {
+    let mut telling = Telling::new(at(0), OWN, told(JobState::Queued, ShardId(0)));
+
+    telling.add(ID, JobState::Queued);
+
+    assert_eq!(telling.try_records(at(30), None), Some(vec![state(JobState::Queued)]));
+}
+
+#[test]
+fn a_late_state_does_not_follow_a_newer_one() {
+    let mut telling = Telling::new(at(0), OWN, told(JobState::Completed, ShardId(0)));
+
+    telling.add(ID, JobState::Running);
+
+    assert!(!telling.is_waiting());
+}
