--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -157,7 +157,7 @@
                 while !self.read_jobs(&mut jobs, &mut ledger).await? {}
                 return Some(Won { epoch, ledger, jobs, settled });
             }
-            if claimed.is_some() && seen {
+            if claimed.is_some() && seen || self.is_just_claimed(ledger.owner()) {
                 break;
             }
             let settled = self.is_settled(ledger.owner());
@@ -198,6 +198,13 @@
         Some(epoch)
     }
 
+    /// See [`Election::is_just_claimed`].
+    fn is_just_claimed(&mut self, newest: Option<&Claim>) -> bool {
+        let known = self.elect.shared.lock();
+        let signed = known.directory.owner(self.shard).map(|it| &it.sign.claim);
+        self.election.is_just_claimed(newest, signed)
+    }
+
     fn is_mine(&self, claim: &Claim) -> bool {
         claim.vm == self.elect.settings.vm && claim.process == self.elect.process
     }
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -33,12 +33,14 @@
     rank: Duration,
     /// When the last record of an owner was read, or the watch began.
     heard_at: Instant,
+    /// The epoch of the newest claim that was read in the shard's log.
+    claim_seen: u64,
 }
 
 impl Election {
     /// A watch by the process `process` of `vm` that begins now.
     pub fn new(now: Instant, vm: &str, process: u64) -> Election {
-        Election { vm: vm.to_owned(), process, rank: Duration::ZERO, heard_at: now }
+        Election { vm: vm.to_owned(), process, rank: Duration::ZERO, heard_at: now, claim_seen: 0 }
     }
 
     /// Sets how much later than the first this process claims, besides the way to the platform.
@@ -57,6 +59,20 @@
         self.heard_at = self.heard_at.max(now);
     }
 
+    /// Whether somebody has claimed of whom no sign of life was read yet: `newest` is the newest claim
+    /// in the shard's log, `signed` that of the newest sign of life. It is so once for each claim:
+    /// one that is still without a sign when the next claim is due has died.
+    ///
+    /// Signs are read some time after they are written. Without this, each of forty VMs that start
+    /// together claims in turn; each claim costs a pass over the workers, and none counts as settled.
+    pub fn is_just_claimed(&mut self, newest: Option<&Claim>, signed: Option<&Claim>) -> bool {
+        let Some(newest) = newest else { return false };
+        let mine = newest.vm == self.vm && newest.process == self.process;
+        let known = signed.map_or(0, |it| it.epoch).max(self.claim_seen);
+        self.claim_seen = self.claim_seen.max(newest.epoch);
+        newest.epoch > known && !mine
+    }
+
     /// What to do, given the newest claim and how long one's own calls to the platform take:
     /// those who are near it claim first, so that an owner's writes are short.
     pub fn verdict(&self, now: Instant, newest: Option<&Claim>, platform_rtt: Duration) -> Verdict {
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -61,3 +61,33 @@
     assert_eq!(near, Verdict::Claim);
     assert!(matches!(far, Verdict::Wait(_)));
 }
+
+/// Forty VMs start together, and signs of life are read 0.2 s after they are written. A VM whose turn
+/// comes meanwhile must not claim from an owner that has just claimed.
+#[test]
+fn a_claim_without_a_sign_yet_is_left_alone_once() {
+    let mut election = Election::new(at(0), "b", 2);
+    let fresh = claim("a", 1, false);
+
+    let first = election.is_just_claimed(Some(&fresh), None);
+    let again = election.is_just_claimed(Some(&fresh), None);
+
+    assert!(first, "it may be about to show that it lives");
+    assert!(!again, "it has died before it could");
+}
+
+#[test]
+fn a_claim_that_is_known_by_its_sign_is_no_news() {
+    let mut election = Election::new(at(0), "b", 2);
+    let old = claim("a", 1, false);
+
+    assert!(!election.is_just_claimed(Some(&old), Some(&old)));
+    assert!(!election.is_just_claimed(None, None));
+}
+
+#[test]
+fn an_own_claim_is_no_rival() {
+    let mut election = Election::new(at(0), "b", 2);
+
+    assert!(!election.is_just_claimed(Some(&claim("b", 2, false)), None));
+}
