--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -157,7 +157,8 @@
                 while !self.read_jobs(&mut jobs, &mut ledger).await? {}
                 return Some(Won { epoch, ledger, jobs, settled });
             }
-            if claimed.is_some() && seen || self.is_just_claimed(ledger.owner()) {
+            let rival = self.is_just_claimed(ledger.owner());
+            if rival || claimed.is_some() && seen {
                 break;
             }
             let settled = self.is_settled(ledger.owner());
--- a/daisy-node/src/jobs.rs
+++ b/daisy-node/src/jobs.rs
@@ -12,8 +12,9 @@
 
 use crate::{clock, follow::Tail};
 
-/// How long a read waits for a record.
-const WAIT: Duration = Duration::from_millis(1_000);
+/// How long a read waits for a record: it bounds how far the owner may be behind when it says that
+/// it has read all.
+const WAIT: Duration = Duration::from_millis(400);
 /// Between reads: each call is paid for, and a job waits this long for its first start.
 const PAUSE: Duration = Duration::from_millis(4);
 
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -348,8 +348,8 @@
 
     /// A sign of life.
     fn sign(&self, now: Instant, released: bool) -> Sign {
-        /// Twice the longest wait for a new record, and a slow answer.
-        const CURRENT: Duration = Duration::from_millis(2_600);
+        /// Twice the longest wait for a new record.
+        const CURRENT: Duration = Duration::from_millis(800);
         let lease = self.ownership.elect.settings.lease_max;
         // By then, what owners before this one may have granted has run out by any worker's clock.
         let settles_at = self.began_at + RENEW_ALONE_MAX + lease + lease / 10;
--- a/daisy-node/src/own/follow.rs
+++ b/daisy-node/src/own/follow.rs
@@ -75,11 +75,12 @@
                 }
             }
         }
-        if changed {
-            let list = listed.iter().map(|(_, it)| Listed::clone(it)).collect();
-            if events.send(Event::Workers(list)).is_err() {
-                return;
-            }
+        let event = match changed {
+            true => Event::Workers(listed.iter().map(|(_, it)| Listed::clone(it)).collect()),
+            false => Event::ListRead,
+        };
+        if events.send(event).is_err() {
+            return;
         }
         sleep(LIST_EVERY).await;
     }
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -109,13 +109,20 @@
 
     /// Whether a job that is not known does not exist: its owner lives, and has told of all
     /// submissions up to a short while ago.
+    ///
+    /// How far the owner is behind in reading, the age of its last sign and that of the last read
+    /// here add up; together they stay below the 3 s after which a job must be known everywhere.
     pub fn is_complete(&self, id: JobId) -> bool {
-        /// Four signs of life.
-        const HEARD_MS: u128 = 1_600;
+        /// Two signs of life.
+        const HEARD_MS: u128 = 900;
+        /// While owners live, something is read every 0.4 s.
+        const READ_MS: u128 = 900;
+        let now = clock::now();
         let Some(layout) = self.directory.layout() else { return false };
         let owner = self.directory.owner(layout.of_job(id));
-        let alive = owner
-            .is_some_and(|it| it.sign.current && clock::now().since(it.at).as_millis() < HEARD_MS);
-        self.is_fresh() && alive
+        let heard = |at| now.since(at).as_millis() < HEARD_MS;
+        let alive = owner.is_some_and(|it| it.sign.current && heard(it.at));
+        let read = self.states_read.is_some_and(|(at, _)| now.since(at).as_millis() < READ_MS);
+        read && alive
     }
 }
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -77,10 +77,13 @@
     /// those who are near it claim first, so that an owner's writes are short.
     pub fn verdict(&self, now: Instant, newest: Option<&Claim>, platform_rtt: Duration) -> Verdict {
         let rank = (platform_rtt * 8).min(Duration::from_millis(300)) + self.rank;
+        // A claim that was read in the shard's log and has no sign of life yet.
+        let unsigned = self.claim_seen > newest.map_or(0, |it| it.epoch);
         let wait = match newest {
             Some(it) if !it.released && it.vm == self.vm && it.process == self.process => {
                 return Verdict::Own(it.epoch);
             }
+            _ if unsigned => SILENCE + rank,
             // The owner was an earlier process of this VM: it is gone for sure.
             Some(it) if it.vm == self.vm => Duration::ZERO,
             Some(it) if it.released => rank,
@@ -117,8 +120,10 @@
         /// An owner of a hundred workers takes 0.09 cores, measured; less than twice that leaves
         /// no room for bursts.
         const SMALL_VM: f64 = 0.2;
-        /// Longer than the draw below, so that a small VM claims only if no large one does.
-        const SMALL_VM_LATER: Duration = Duration::from_millis(500);
+        /// Longer than the draw below and a claim on a slow platform, whose calls take 0.25 s each, so
+        /// that a small VM claims only if no large one does: its link is too narrow for a shard's
+        /// lists, which then come late.
+        const SMALL_VM_LATER: Duration = Duration::from_millis(2_000);
         /// For each shard owned: as long as a claim takes to be seen everywhere.
         const OWNED_LATER: Duration = Duration::from_millis(350);
         /// The draw, for each shard up to the most: an append and a read take some 20 ms.
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -78,6 +78,8 @@
     queues: Arc<Queues>,
     workers: Arena<WorkerKey, Worker>,
     by_id: SortedMap<WorkerId, WorkerKey>,
+    /// When the platform's list of workers was last read.
+    list_read_at: Instant,
     /// Jobs that are not ended.
     active: SortedMap<JobId, JobView>,
     /// Jobs whose records are to be written.
@@ -147,6 +149,7 @@
             queues,
             workers: Arena::new(),
             by_id: SortedMap::new(),
+            list_read_at: now,
             active: SortedMap::new(),
             dirty: Vec::new(),
             recording: Vec::new(),
@@ -199,7 +202,11 @@
     pub fn step(&mut self, now: Instant, event: Event) {
         match event {
             Event::Record(record) => self.record(now, record),
-            Event::Workers(listed) => self.listed(now, &listed),
+            Event::Workers(listed) => {
+                self.list_read_at = now;
+                self.listed(now, &listed);
+            }
+            Event::ListRead => self.list_read_at = now,
             Event::Queues(queues) => {
                 if queues.version >= self.queues.version {
                     self.queues = queues;
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -76,8 +76,6 @@
             job.delegated = Some(to);
         }
         self.active.remove(&id);
-        // From here on the other shard tells the job's state.
-        self.states.retain(|(it, _)| *it != id);
         self.dirty.push(id);
         self.actions.push(Action::Note(Note::Delegated { job: id, to }));
     }
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -150,6 +150,8 @@
     Record(Record),
     /// The platform's whole list of workers.
     Workers(Vec<Listed>),
+    /// The platform's list of workers was read and has not changed.
+    ListRead,
     /// A version of the configuration.
     Queues(Arc<Queues>),
     /// The answer to [`Action::Hold`]; `None` if none came.
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -17,6 +17,10 @@
 const STUCK_AFTER: Duration = Duration::from_millis(1_800);
 /// How long a worker on which a run stood still gets no work.
 const SHUN_STUCK: Duration = Duration::from_secs(4);
+/// Age of the platform's list from which on it says too little of who drains: an owner whose calls
+/// to the platform hang would start tasks on workers that have long said that they leave, and the
+/// contract allows 2.5 s from their saying so. A read, a record and an order take some 0.4 s.
+const LIST_STALE: Duration = Duration::from_millis(1_900);
 /// A worker that drains is left by tasks that would not end this long before it goes.
 const LEAVE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -109,7 +113,8 @@
 
     /// Whether a worker takes new tasks now.
     pub(super) fn usable(&self, now: Instant, worker: &Worker) -> bool {
-        worker.listed
+        now.since(self.list_read_at) < LIST_STALE
+            && worker.listed
             && worker.ready
             && worker.fenced
             && worker.hold_failures == 0
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -93,6 +93,18 @@
     assert_eq!(after, [(OTHER, Record::Submitted(second, job(vec![lasting(4)])))]);
 }
 
+/// A job is handed on, and the other shard is without an owner for seconds. Callers who ask for the job
+/// meanwhile must not be told that it does not exist: its own shard tells that it waits.
+#[test]
+fn a_job_that_is_handed_on_is_told_of_at_once() {
+    let mut owner = owner_of_one_worker(at(1_000));
+    let id = id_of(OWN);
+
+    submit(&mut owner, id, job(vec![lasting(8)]));
+
+    assert_eq!(owner.take_states(), [(id, JobState::Queued)]);
+}
+
 /// The owner dies between the record of its decision and the write to the other shard. The next
 /// owner writes it; it does not run the job itself.
 #[test]
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -76,6 +76,21 @@
     assert!(!again, "it has died before it could");
 }
 
+/// The same VM looks again a moment later, still without a sign of the rival: it waits as long as for
+/// an owner that has fallen silent.
+#[test]
+fn a_rival_without_a_sign_yet_is_given_time() {
+    let mut election = Election::new(at(0), "b", 2);
+    election.is_just_claimed(Some(&claim("a", 1, false)), None);
+    election.heard(at(1_000));
+
+    let soon = election.verdict(at(1_300), None, RTT);
+    let late = election.verdict(at(2_500), None, RTT);
+
+    assert!(matches!(soon, Verdict::Wait(_)));
+    assert_eq!(late, Verdict::Claim);
+}
+
 #[test]
 fn a_claim_that_is_known_by_its_sign_is_no_news() {
     let mut election = Election::new(at(0), "b", 2);
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -414,3 +414,25 @@
     assert!(started && done);
     assert_eq!(world.starts.len(), 1, "{:?}", world.starts);
 }
+
+/// An owner's calls for the platform's list hang for two seconds, while orders to workers get through.
+/// A worker says meanwhile that it leaves. Nothing is started on what may be leaving; once the list is
+/// read again, work goes to the worker that stays.
+#[test]
+fn nothing_starts_by_a_list_that_is_old() {
+    let mut world = two_workers();
+    world.run_ms(200);
+    world.list_lags = true;
+    world.worker("w1").ready = false;
+    world.run_ms(2_000);
+
+    world.submit(1, job(vec![step(1)]));
+    world.run_ms(300);
+    let by_the_old_list = world.starts.len();
+    world.list_lags = false;
+    let done = world.run_until(3_000, |it| it.state(1) == JobState::Completed);
+
+    assert_eq!(by_the_old_list, 0);
+    assert!(done);
+    assert!(world.starts.iter().all(|(.., worker)| worker == "w2"), "{:?}", world.starts);
+}
