--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -12,9 +12,12 @@
 use super::{
     Owner,
     message::{Action, Note},
+    worker::Worker,
 };
 use crate::{Demand, JobId, JobState, Load, Record, TaskState};
 
+/// How long a new owner may take to learn of its workers: a read of the list on a slow platform.
+const KNOWS_WORKERS_AFTER: Duration = Duration::from_secs(3);
 /// Between looks at jobs that wait without a start.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -22,7 +25,8 @@
     /// What the shard has, and what is asked of it.
     pub fn load(&self, now: Instant) -> Load {
         let mut load = Load::default();
-        for (_, worker) in self.workers.iter().filter(|(_, it)| self.usable(now, it)) {
+        let has_room = |it: &Worker| it.listed && it.ready && it.hold_failures == 0;
+        for (_, worker) in self.workers.iter().filter(|(_, it)| has_room(it)) {
             load.capacity += u64::from(worker.capacity.cpu_milli);
         }
         for (id, _) in self.active.iter() {
@@ -70,6 +74,10 @@
         }
         let demand = Demand::of(&job.spec);
         let own = self.load(now);
+        // A new owner that has not read the list yet seems to have no room at all.
+        if own.capacity == 0 && now.since(self.began_at) < KNOWS_WORKERS_AFTER {
+            return;
+        }
         let Some(to) = self.others.try_better(now, own, demand) else { return };
         self.others.sent(now, to, demand);
         if let Some(job) = self.ledger.job_mut(id) {
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -105,6 +105,20 @@
     assert_eq!(owner.take_states(), [(id, JobState::Queued)]);
 }
 
+/// A shard has just changed its owner, who has not read the list of workers yet. It must not hand all
+/// waiting jobs to others as if it had no room.
+#[test]
+fn a_new_owner_keeps_its_jobs_until_it_knows_its_workers() {
+    let mut owner = owner(Ledger::default());
+    let others = SortedMap::from_iter([(OTHER, Load { capacity: 4_000, ..Load::default() })]);
+    owner.step(at(1_000), Event::Loads(others));
+
+    submit(&mut owner, id_of(OWN), job(vec![step(1)]));
+    owner.step(at(1_500), Event::Tick);
+
+    assert_eq!(owner.try_batch(at(1_510)), None);
+}
+
 /// The owner dies between the record of its decision and the write to the other shard. The next
 /// owner writes it; it does not run the job itself.
 #[test]
