--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -98,11 +98,15 @@
 #[test]
 fn a_job_that_is_handed_on_is_told_of_at_once() {
     let mut owner = owner_of_one_worker(at(1_000));
-    let id = id_of(OWN);
+    let mut own = ids(OWN);
+    let (stays, goes) = (own.next().expect("one"), own.next().expect("another"));
+    submit(&mut owner, stays, job(vec![lasting(1)]));
 
-    submit(&mut owner, id, job(vec![lasting(8)]));
+    submit(&mut owner, goes, job(vec![lasting(4)]));
 
-    assert_eq!(owner.take_states(), [(id, JobState::Queued)]);
+    let batch = owner.try_batch(at(1_020)).expect("the decision is to be recorded");
+    assert!(batch.records.contains(&Record::Delegated(goes, OTHER)), "{:?}", batch.records);
+    assert_eq!(owner.take_states(), [(stays, JobState::Queued), (goes, JobState::Queued)]);
 }
 
 /// A shard has just changed its owner, who has not read the list of workers yet. It must not hand all
