--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -157,7 +157,7 @@
                 while !self.read_jobs(&mut jobs, &mut ledger).await? {}
                 return Some(Won { epoch, ledger, jobs, settled });
             }
-            let rival = self.is_just_claimed(ledger.owner());
+            let rival = self.election.is_just_claimed(ledger.owner());
             if rival || claimed.is_some() && seen {
                 break;
             }
@@ -199,13 +199,6 @@
         Some(epoch)
     }
 
-    /// See [`Election::is_just_claimed`].
-    fn is_just_claimed(&mut self, newest: Option<&Claim>) -> bool {
-        let known = self.elect.shared.lock();
-        let signed = known.directory.owner(self.shard).map(|it| &it.sign.claim);
-        self.election.is_just_claimed(newest, signed)
-    }
-
     fn is_mine(&self, claim: &Claim) -> bool {
         claim.vm == self.elect.settings.vm && claim.process == self.elect.process
     }
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -35,12 +35,21 @@
     heard_at: Instant,
     /// The epoch of the newest claim that was read in the shard's log.
     claim_seen: u64,
+    /// That of the newest sign of life at the last verdict.
+    signed: u64,
 }
 
 impl Election {
     /// A watch by the process `process` of `vm` that begins now.
     pub fn new(now: Instant, vm: &str, process: u64) -> Election {
-        Election { vm: vm.to_owned(), process, rank: Duration::ZERO, heard_at: now, claim_seen: 0 }
+        Election {
+            vm: vm.to_owned(),
+            process,
+            rank: Duration::ZERO,
+            heard_at: now,
+            claim_seen: 0,
+            signed: 0,
+        }
     }
 
     /// Sets how much later than the first this process claims, besides the way to the platform.
@@ -59,26 +68,33 @@
         self.heard_at = self.heard_at.max(now);
     }
 
-    /// Whether somebody has claimed of whom no sign of life was read yet: `newest` is the newest claim
-    /// in the shard's log, `signed` that of the newest sign of life. It is so once for each claim:
-    /// one that is still without a sign when the next claim is due has died.
+    /// Whether somebody has claimed since the last verdict: `newest` is the newest claim in the shard's
+    /// log. It is so once for each claim: one that is still without a sign of life when the next
+    /// claim is due has died.
     ///
     /// Signs are read some time after they are written. Without this, each of forty VMs that start
-    /// together claims in turn; each claim costs a pass over the workers, and none counts as settled.
-    pub fn is_just_claimed(&mut self, newest: Option<&Claim>, signed: Option<&Claim>) -> bool {
+    /// together claims in turn; each claim costs a pass over the workers, none counts as settled,
+    /// and the VMs farthest from the platform, which are the last, own the shards in the end.
+    pub fn is_just_claimed(&mut self, newest: Option<&Claim>) -> bool {
         let Some(newest) = newest else { return false };
         let mine = newest.vm == self.vm && newest.process == self.process;
-        let known = signed.map_or(0, |it| it.epoch).max(self.claim_seen);
+        let known = self.signed.max(self.claim_seen);
         self.claim_seen = self.claim_seen.max(newest.epoch);
         newest.epoch > known && !mine
     }
 
     /// What to do, given the newest claim and how long one's own calls to the platform take:
     /// those who are near it claim first, so that an owner's writes are short.
-    pub fn verdict(&self, now: Instant, newest: Option<&Claim>, platform_rtt: Duration) -> Verdict {
+    pub fn verdict(
+        &mut self,
+        now: Instant,
+        newest: Option<&Claim>,
+        platform_rtt: Duration,
+    ) -> Verdict {
         let rank = (platform_rtt * 8).min(Duration::from_millis(300)) + self.rank;
         // A claim that was read in the shard's log and has no sign of life yet.
-        let unsigned = self.claim_seen > newest.map_or(0, |it| it.epoch);
+        self.signed = newest.map_or(0, |it| it.epoch);
+        let unsigned = self.claim_seen > self.signed;
         let wait = match newest {
             Some(it) if !it.released && it.vm == self.vm && it.process == self.process => {
                 return Verdict::Own(it.epoch);
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn ones_own_claim_makes_the_owner() {
-    let election = Election::new(at(0), "a", 1);
+    let mut election = Election::new(at(0), "a", 1);
 
     let verdict = election.verdict(at(5_000), Some(&claim("a", 1, false)), RTT);
 
@@ -27,7 +27,7 @@
 /// The owner's VM loses power and is back: its new process need not wait for silence.
 #[test]
 fn an_earlier_process_of_the_vm_is_replaced_at_once() {
-    let election = Election::new(at(0), "a", 2);
+    let mut election = Election::new(at(0), "a", 2);
 
     let verdict = election.verdict(at(0), Some(&claim("a", 1, false)), RTT);
 
@@ -63,15 +63,18 @@
 }
 
 /// Forty VMs start together, and signs of life are read 0.2 s after they are written. A VM whose turn
-/// comes meanwhile must not claim from an owner that has just claimed.
+/// comes meanwhile must not claim from an owner that has just claimed, also where it reads that
+/// owner's sign between its verdict and its claim.
 #[test]
-fn a_claim_without_a_sign_yet_is_left_alone_once() {
+fn a_claim_since_the_verdict_is_left_alone_once() {
     let mut election = Election::new(at(0), "b", 2);
     let fresh = claim("a", 1, false);
 
-    let first = election.is_just_claimed(Some(&fresh), None);
-    let again = election.is_just_claimed(Some(&fresh), None);
+    let verdict = election.verdict(at(500), None, RTT);
+    let first = election.is_just_claimed(Some(&fresh));
+    let again = election.is_just_claimed(Some(&fresh));
 
+    assert_eq!(verdict, Verdict::Claim);
     assert!(first, "it may be about to show that it lives");
     assert!(!again, "it has died before it could");
 }
@@ -81,7 +84,7 @@
 #[test]
 fn a_rival_without_a_sign_yet_is_given_time() {
     let mut election = Election::new(at(0), "b", 2);
-    election.is_just_claimed(Some(&claim("a", 1, false)), None);
+    election.is_just_claimed(Some(&claim("a", 1, false)));
     election.heard(at(1_000));
 
     let soon = election.verdict(at(1_300), None, RTT);
@@ -92,17 +95,19 @@
 }
 
 #[test]
-fn a_claim_that_is_known_by_its_sign_is_no_news() {
+fn a_claim_that_was_known_at_the_verdict_is_no_news() {
     let mut election = Election::new(at(0), "b", 2);
     let old = claim("a", 1, false);
+    let verdict = election.verdict(at(2_000), Some(&old), RTT);
 
-    assert!(!election.is_just_claimed(Some(&old), Some(&old)));
-    assert!(!election.is_just_claimed(None, None));
+    assert_eq!(verdict, Verdict::Claim);
+    assert!(!election.is_just_claimed(Some(&old)));
+    assert!(!election.is_just_claimed(None));
 }
 
 #[test]
 fn an_own_claim_is_no_rival() {
     let mut election = Election::new(at(0), "b", 2);
 
-    assert!(!election.is_just_claimed(Some(&claim("b", 2, false)), None));
+    assert!(!election.is_just_claimed(Some(&claim("b", 2, false))));
 }
