Best-effort tasks wait for room instead of crawling; what is nearly done goes first

Cause: every best-effort task started within 50 ms of its turn and then shared headroom and processors with all others. Of the work held back half stood beside serving tasks that it disturbs, where it takes six times the headroom of a harmless one. Change: a task starts only where it and those already there can work at full pace (headroom of the serving tasks, idle processors), otherwise it waits; jobs with the least part of their work left go first; serving images are packed more firmly. What decides is in room.rs.

--- a/daisy-model/src/arena.rs
+++ b/daisy-model/src/arena.rs
@@ -48,6 +48,11 @@
     pub fn iter(&self) -> impl Iterator<Item = (K, &T)> {
         self.items.iter().enumerate().map(|(index, item)| (K::from_index(index), item))
     }
+
+    /// Keys and elements to change, in the order of creation.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut T)> {
+        self.items.iter_mut().enumerate().map(|(index, item)| (K::from_index(index), item))
+    }
 }
 
 impl<K: Key, T> Default for Arena<K, T> {
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -54,6 +54,19 @@
             Phase::Active => JobState::Queued,
         }
     }
+
+    /// The part of the job's estimated work whose tasks have not ended as done, in thousandths.
+    pub fn left_permille(&self) -> u64 {
+        let (mut left, mut all) = (0, 0);
+        for steps in &self.progress.occurrences {
+            for (tasks, step) in steps.iter().zip(&self.spec.steps) {
+                let each = u64::from(step.estimate_ms) * u64::from(step.need.cpu_milli);
+                all += each * tasks.len() as u64;
+                left += each * tasks.iter().filter(|it| !it.done).count() as u64;
+            }
+        }
+        left * 1_000 / all.max(1)
+    }
 }
 
 /// What a record changed.
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod place;
 mod plan;
+mod room;
 mod summary;
 mod watch;
 mod worker;
@@ -106,6 +107,8 @@
     others: Others,
     /// When jobs that wait were last looked at for a better shard.
     delegated_at: Instant,
+    /// When what starts was last decided.
+    planned_at: Instant,
 }
 
 /// A recorded run on a worker that is not known.
@@ -166,6 +169,7 @@
             states: Vec::new(),
             others: Others::default(),
             delegated_at: now,
+            planned_at: now - PLAN_EVERY,
         };
         let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none());
         owner.states = own.map(|(id, job)| (id, job.state())).collect();
@@ -236,7 +240,9 @@
 
     /// Decides what starts now, and gives all that is to be done.
     pub fn act(&mut self, now: Instant) -> Vec<Action> {
-        if std::mem::take(&mut self.plan_due) {
+        if self.plan_due && now.since(self.planned_at) >= PLAN_EVERY {
+            self.plan_due = false;
+            self.planned_at = now;
             self.plan(now);
         }
         std::mem::take(&mut self.actions)
@@ -429,18 +435,33 @@
 /// Between records of what was learnt, so that a new owner need not begin anew: about 1 KB each.
 const LEARNT_EVERY: Duration = Duration::from_secs(2);
 
+/// Between decisions on what starts: each looks at all jobs and workers, and on a busy owner
+/// hundreds of events a second call for one.
+const PLAN_EVERY: Duration = Duration::from_millis(20);
+
 /// Headroom that a serving task counts with until its first report: that of a task at its mean
 /// load, as seen.
 const NEW_HEADROOM: f64 = 2.7;
 
 /// An assignment that begins now.
-fn assignment(now: Instant, task: TaskId, run: u32, step: &crate::StepSpec) -> Assignment {
+fn assignment(
+    now: Instant,
+    learnt: &mut Interference,
+    task: TaskId,
+    run: u32,
+    step: &crate::StepSpec,
+) -> Assignment {
+    let image = match (&step.image, step.target_ms) {
+        (None, _) => None,
+        (Some(it), 0) => Some(learnt.best_effort_key(it)),
+        (Some(it), _) => Some(learnt.serving_key(now, it)),
+    };
     Assignment {
         task,
         run,
         counted: step.counted(),
         best_effort_cpu: if step.best_effort { step.need.cpu_milli } else { 0 },
-        image: step.image.clone(),
+        image,
         target_ms: step.target_ms,
         lasts: step.long_running,
         sent: Sent::Recording,
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -57,7 +57,7 @@
         let Some(job) = self.ledger.job(task.job) else { return };
         let ended = job.cancelled || job.state() != crate::JobState::Running;
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
-        let mut it = super::assignment(now, task, run, step);
+        let mut it = super::assignment(now, &mut self.interference, task, run, step);
         it.sent = sent;
         it.pace = None;
         if ended {
@@ -148,7 +148,7 @@
             }
             let Some(job) = self.ledger.job(task.job) else { continue };
             let Some(step) = job.spec.steps.get(usize::from(task.step)) else { continue };
-            let mut it = super::assignment(now, task, run, step);
+            let mut it = super::assignment(now, &mut self.interference, task, run, step);
             it.counted = Resources::ZERO;
             it.sent = Sent::Unanswered(now);
             it.maybe_late = true;
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -28,12 +28,45 @@
 /// Passes of the fit; the next report goes on from where the last fit ended.
 const PASSES: usize = 4;
 
+/// The number of an image, either among those of serving tasks or among those of best-effort tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ImageKey(u16);
+
+impl ImageKey {
+    fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// Numbers given to images in the order in which they were first seen.
+#[derive(Debug, Clone, Default)]
+struct Images(SortedMap<Arc<str>, ImageKey>);
+
+impl Images {
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn key(&mut self, image: &Arc<str>) -> ImageKey {
+        let next = ImageKey(self.0.len() as u16);
+        *self.0.get_or_insert_with(image.clone(), || next)
+    }
+
+    /// All images by their numbers.
+    fn names(&self) -> Vec<Arc<str>> {
+        let mut names: Vec<_> = self.0.iter().map(|(it, key)| (key.0, it.clone())).collect();
+        names.sort_unstable();
+        names.into_iter().map(|(_, it)| it).collect()
+    }
+}
+
 /// What was learnt of all pairs of images.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Interference {
-    /// Numbers of the images of best-effort tasks.
-    images: SortedMap<Arc<str>, usize>,
-    serving: SortedMap<Arc<str>, Fit>,
+    best_effort: Images,
+    serving: Images,
+    /// By the number of the serving image.
+    fits: Vec<Fit>,
 }
 
 /// Weighted sums of one serving image's reports, and the weights fitted to them. Positions are
@@ -138,20 +171,47 @@
 }
 
 impl Interference {
+    /// The number of an image of serving tasks.
+    pub fn serving_key(&mut self, now: Instant, image: &Arc<str>) -> ImageKey {
+        let key = self.serving.key(image);
+        if key.index() == self.fits.len() {
+            self.fits.push(Fit::new(now));
+        }
+        key
+    }
+
+    /// The number of an image of best-effort tasks.
+    pub fn best_effort_key(&mut self, image: &Arc<str>) -> ImageKey {
+        self.best_effort.key(image)
+    }
+
+    /// The number of an image of serving tasks, if one was seen.
+    pub fn try_serving(&self, image: &Arc<str>) -> Option<ImageKey> {
+        self.serving.0.get(image).copied()
+    }
+
+    /// The number of an image of best-effort tasks, if one was seen.
+    pub fn try_best_effort(&self, image: &Arc<str>) -> Option<ImageKey> {
+        self.best_effort.0.get(image).copied()
+    }
+
     /// How many images of best-effort tasks take less than `most` headroom from each serving task of
     /// `images`, if they use all of a worker's processors.
-    pub fn harmless(&self, images: &[Arc<str>], most: f64) -> u32 {
-        let harmless = |other: &str| images.iter().all(|it| self.weight(it, other) < most);
-        self.images.iter().filter(|(it, _)| harmless(it)).count() as u32
+    pub fn harmless(&self, images: &[ImageKey], most: f64) -> u32 {
+        let all = (0..self.best_effort.len()).map(|it| ImageKey(it as u16));
+        let harmless =
+            |other: &ImageKey| images.iter().all(|it| self.weight(Some(*it), Some(*other)) < most);
+        all.filter(harmless).count() as u32
     }
 
     /// What an earlier owner had learnt, to go on from.
     pub fn inherit(now: Instant, pairs: &[Disturbance]) -> Interference {
         let mut learnt = Interference::default();
         for pair in pairs {
-            let at = learnt.number(&pair.best_effort);
-            let len = learnt.images.len();
-            let fit = learnt.serving.get_or_insert_with(pair.serving.clone(), || Fit::new(now));
+            let at = learnt.best_effort.key(&pair.best_effort).index();
+            let key = learnt.serving_key(now, &pair.serving);
+            let len = learnt.best_effort.len();
+            let fit = &mut learnt.fits[key.index()];
             fit.grow(len);
             let weight = f64::from(pair.permille) / 1_000.0;
             fit.weights[at] = weight;
@@ -163,9 +223,10 @@
     /// All that was learnt.
     pub fn pairs(&self) -> Vec<Disturbance> {
         let mut pairs = Vec::new();
-        for (serving, fit) in self.serving.iter() {
-            for (best_effort, at) in self.images.iter() {
-                if let Some(weight) = fit.weights.get(*at) {
+        for (serving, key) in self.serving.0.iter() {
+            let fit = &self.fits[key.index()];
+            for (best_effort, at) in self.best_effort.0.iter() {
+                if let Some(weight) = fit.weights.get(at.index()) {
                     pairs.push(Disturbance {
                         serving: serving.clone(),
                         best_effort: best_effort.clone(),
@@ -177,22 +238,14 @@
         pairs
     }
 
-    /// The number of an image of best-effort tasks.
-    fn number(&mut self, image: &Arc<str>) -> usize {
-        let next = self.images.len();
-        *self.images.get_or_insert_with(image.clone(), || next)
-    }
-
     /// Takes a report in: a serving task of `image` had `loss` less headroom than in the mean of
     /// the reports before, while best-effort tasks of these images used so much more of its
     /// worker's processors.
-    pub fn learn(&mut self, now: Instant, image: &Arc<str>, loss: f64, more: &[(Arc<str>, f64)]) {
-        let mut x = Vec::with_capacity(more.len());
-        for (other, share) in more {
-            x.push((self.number(other), *share));
-        }
-        let fit = self.serving.get_or_insert_with(image.clone(), || Fit::new(now));
-        fit.grow(self.images.len());
+    pub fn learn(&mut self, now: Instant, image: ImageKey, loss: f64, more: &[(ImageKey, f64)]) {
+        let x: Vec<(usize, f64)> = more.iter().map(|(it, share)| (it.index(), *share)).collect();
+        let len = self.best_effort.len();
+        let fit = &mut self.fits[image.index()];
+        fit.grow(len);
         fit.forget(now);
         fit.add(&x, loss);
         fit.fresh.add(&x, loss);
@@ -201,15 +254,11 @@
 
     /// What this owner has learnt since the last call, for the owners of other shards.
     pub fn take_observations(&mut self) -> Vec<Observations> {
-        let names: Vec<Arc<str>> = {
-            let mut names: Vec<_> = self.images.iter().map(|(it, at)| (*at, it.clone())).collect();
-            names.sort_unstable_by_key(|(at, _)| *at);
-            names.into_iter().map(|(_, it)| it).collect()
-        };
+        let names = self.best_effort.names();
         let name = |at: usize| names[at].clone();
         let mut taken = Vec::new();
-        for (serving, fit) in self.serving.iter_mut() {
-            let fresh = std::mem::take(&mut fit.fresh);
+        for (serving, key) in self.serving.0.iter() {
+            let fresh = std::mem::take(&mut self.fits[key.index()].fresh);
             if fresh.answers.is_empty() {
                 continue;
             }
@@ -230,29 +279,26 @@
     pub fn add_observations(&mut self, now: Instant, seen: &Observations) {
         let mut sums = Sums::default();
         for (image, it) in &seen.answers {
-            sums.answers.insert(self.number(image), f64::from(*it));
+            sums.answers.insert(self.best_effort.key(image).index(), f64::from(*it));
         }
         for (a, b, it) in &seen.products {
-            let (a, b) = (self.number(a), self.number(b));
+            let (a, b) = (self.best_effort.key(a).index(), self.best_effort.key(b).index());
             sums.products.insert((a.min(b), a.max(b)), f64::from(*it));
         }
-        let fit = self.serving.get_or_insert_with(seen.serving.clone(), || Fit::new(now));
-        fit.grow(self.images.len());
+        let key = self.serving_key(now, &seen.serving);
+        let len = self.best_effort.len();
+        let fit = &mut self.fits[key.index()];
+        fit.grow(len);
         fit.forget(now);
         fit.add_sums(&sums);
         fit.solve();
     }
 
-    /// The headroom that a best-effort task of image `other`, using all of a worker's processors,
-    /// would take from a serving task of `image`.
-    pub fn weight(&self, image: &str, other: &str) -> f64 {
-        let fit = self.find(image);
-        let at = self.images.iter().find(|(it, _)| &***it == other).map(|(_, at)| *at);
-        let known = fit.zip(at).and_then(|(fit, at)| fit.weights.get(at));
+    /// The headroom that best-effort tasks of image `other`, using all of a worker's processors,
+    /// would take from a serving task of `image`; that of an unknown pair for tasks without image.
+    pub fn weight(&self, image: Option<ImageKey>, other: Option<ImageKey>) -> f64 {
+        let fit = image.and_then(|it| self.fits.get(it.index()));
+        let known = fit.zip(other).and_then(|(fit, at)| fit.weights.get(at.index()));
         known.copied().unwrap_or(PRIOR_WEIGHT)
     }
-
-    fn find(&self, image: &str) -> Option<&Fit> {
-        self.serving.iter().find(|(it, _)| &***it == image).map(|(_, fit)| fit)
-    }
 }
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -1,24 +1,19 @@
 //! Holding best-effort tasks back beside tasks that serve callers.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use daisy_model::Instant;
 
 use super::{
     Owner,
-    interference::Interference,
+    interference::{ImageKey, Interference},
     message::{Action, OrderReply, Refusal},
     place::Place,
+    room::{HEADROOM_MIN, HEADROOM_TIGHT, PRESS_MIN, Pressed, press},
     worker::{Assignment, Sent, Stop, Worker, WorkerKey},
 };
 use crate::TaskId;
 
-/// Headroom (target divided by tail latency) that a serving task is to keep: its tail then stays
-/// below two thirds of the target, as reports are rough and half a second old.
-pub(super) const HEADROOM_MIN: f64 = 1.5;
-/// Headroom that a serving task is to keep from those that hardly disturb it: many such together
-/// can make the difference.
-const HEADROOM_TIGHT: f64 = 1.15;
 /// How long a target may be missed before all best-effort tasks beside are halted, whatever was
 /// learnt of them.
 const OVER_MAX: Duration = Duration::from_millis(1_200);
@@ -28,9 +23,6 @@
 /// Headroom without best-effort tasks below which holding back those that hardly disturb is of no
 /// use: the target is missed all the same.
 const HEADROOM_LOST: f64 = 0.97;
-/// Headroom taken from which a best-effort task counts as one that disturbs: a task on a tenth of
-/// a worker takes 0.6 to 0.8 where its image disturbs, and up to 0.1 where it does not.
-pub(super) const PRESS_MIN: f64 = 0.12;
 /// The factor below which a pair counts as one that hardly disturbs.
 const WEIGHT_HARMLESS: f64 = 2.0;
 /// Headroom below which a report says less of a serving task's own load: its queue is full, and
@@ -47,8 +39,6 @@
 /// A task that was held to less than this, in percent, for this long, starts anew elsewhere.
 const STARVED_BELOW: u8 = 40;
 const STARVED_AFTER: Duration = Duration::from_millis(1_000);
-/// The share at which it must be able to work there.
-const MOVE_PACE_MIN: f64 = 0.9;
 /// Work done, in percent, that a task without checkpoints may lose by starting anew.
 const LOSS_MAX: u8 = 25;
 /// Weight of the newest report in running means, so that they follow a load that swings over some
@@ -60,20 +50,6 @@
     matches!(it.sent, Sent::There(_)) && it.stop == Stop::No
 }
 
-/// The share of a worker's processors that a best-effort task takes at full pace.
-pub(super) fn full_share(worker: &Worker, cpu_milli: u32) -> f64 {
-    /// Best-effort tasks use somewhat less than they ask for where others work beside them.
-    const TYPICAL_USE: f64 = 0.85;
-    f64::from(cpu_milli) * TYPICAL_USE / f64::from(worker.capacity.cpu_milli.max(1))
-}
-
-/// The headroom that all best-effort tasks of a worker at full pace take from a serving task of
-/// `image`.
-pub(super) fn full_press(learnt: &Interference, worker: &Worker, image: &str) -> f64 {
-    let each = worker.tasks.iter().filter(|it| it.best_effort_cpu > 0);
-    each.map(|it| press(learnt, worker, image, it)).sum()
-}
-
 impl Owner {
     /// Learns from a worker's report and chooses the shares of its best-effort tasks.
     pub(super) fn pace(&mut self, now: Instant, key: WorkerKey) {
@@ -85,10 +61,13 @@
         if now.since(worker.reported_at) >= REPORT_EVERY {
             worker.reported_at = now;
             learn(now, &mut self.interference, worker);
-            let serving = worker.tasks.iter().filter(|it| it.target_ms > 0);
-            let images: Vec<Arc<str>> = serving.filter_map(|it| it.image.clone()).collect();
+            worker.weigh(&self.interference);
+            let images: Vec<ImageKey> = worker.pressed.iter().filter_map(|it| it.image).collect();
             worker.open_to = self.interference.harmless(&images, WEIGHT_HARMLESS);
         }
+        if !worker.is_weighed {
+            worker.weigh(&self.interference);
+        }
         let learnt = &self.interference;
         let mut caps: Vec<Cap> = Vec::new();
         let mut halt = false;
@@ -100,7 +79,8 @@
                 let over = now.since(at);
                 (OVER_MAX..OVER_OWN).contains(&over)
             });
-            caps.extend(Cap::new(learnt, worker, serving, it));
+            let pressed = worker.pressed.iter().find(|of| of.image == it.image);
+            caps.extend(pressed.and_then(|of| Cap::new(serving, it, of)));
         }
         let shares = shares(learnt, worker, &caps, halt);
         order(now, worker, key, |at| shares[at], &mut self.actions);
@@ -125,7 +105,8 @@
             return;
         }
         let service = worker.service.clone();
-        let options = Place { rack: None, taken: &[], pace_min: MOVE_PACE_MIN, kept: &[] };
+        self.weigh_all();
+        let options = Place { rack: None, taken: &[], any_pace: false, kept: &[] };
         let to = self.try_place(now, &service, step, task, options);
         if to.is_some_and(|to| to != key)
             && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run))
@@ -168,15 +149,8 @@
 impl Cap {
     /// Holds those back first that disturb most. The others, of which there are many, only count
     /// where the target itself is near.
-    fn new(learnt: &Interference, worker: &Worker, serving: usize, it: &Assignment) -> Option<Cap> {
-        let image = it.image.as_deref().unwrap_or_default();
-        let (mut strong, mut weak) = (0.0, 0.0);
-        for other in worker.tasks.iter().filter(|it| it.best_effort_cpu > 0) {
-            match press(learnt, worker, image, other) {
-                press if press >= PRESS_MIN => strong += press,
-                press => weak += press,
-            }
-        }
+    fn new(serving: usize, it: &Assignment, pressed: &Pressed) -> Option<Cap> {
+        let Pressed { strong, weak, .. } = *pressed;
         let part = |room: f64, wanted: f64| match wanted > room {
             true => (room / wanted).max(0.0),
             false => 1.0,
@@ -192,12 +166,6 @@
     }
 }
 
-/// The headroom that a best-effort task at full pace takes from a serving task of `image`.
-fn press(learnt: &Interference, worker: &Worker, image: &str, it: &Assignment) -> f64 {
-    let other = it.image.as_deref().unwrap_or_default();
-    learnt.weight(image, other) * full_share(worker, it.best_effort_cpu)
-}
-
 /// The target of a serving task at work, divided by its tail latency.
 fn headroom(it: &Assignment) -> Option<f64> {
     if it.target_ms == 0 || it.percent < 100 || it.load == 0 {
@@ -209,13 +177,13 @@
 /// Takes a worker's report in.
 fn learn(now: Instant, learnt: &mut Interference, worker: &mut Worker) {
     let capacity = f64::from(worker.capacity.cpu_milli.max(1));
-    let mut used: Vec<(Arc<str>, f64)> = Vec::new();
+    let mut used: Vec<(ImageKey, f64)> = Vec::new();
     for it in worker.tasks.iter().filter(|it| it.best_effort_cpu > 0 && is_there(it)) {
-        let Some(image) = &it.image else { continue };
+        let Some(image) = it.image else { continue };
         let share = f64::from(it.load) / capacity;
-        match used.iter_mut().find(|(other, _)| other == image) {
+        match used.iter_mut().find(|(other, _)| *other == image) {
             Some((_, sum)) => *sum += share,
-            None => used.push((image.clone(), share)),
+            None => used.push((image, share)),
         }
     }
     let more = more_used(&mut worker.mean_used, &used);
@@ -225,14 +193,16 @@
             true => it.over_since.or(Some(now)),
             false => None,
         };
-        let Some(image) = &it.image else { continue };
-        let pressed: f64 =
-            used.iter().map(|(other, share)| learnt.weight(image, other) * share).sum();
+        let Some(image) = it.image else { continue };
+        let taken = |used: &[(ImageKey, f64)], learnt: &Interference| -> f64 {
+            let each = used.iter();
+            each.map(|(other, share)| learnt.weight(Some(image), Some(*other)) * share).sum()
+        };
+        let pressed = taken(&used, learnt);
         let own = headroom + pressed;
         match it.mean_headroom {
             Some(mean) => {
-                let expected: f64 =
-                    more.iter().map(|(other, share)| learnt.weight(image, other) * share).sum();
+                let expected = taken(&more, learnt);
                 // A full queue shows only that there was at least so much loss.
                 if headroom >= HEADROOM_FULL || mean - headroom > expected {
                     learnt.learn(now, image, mean - headroom, &more);
@@ -253,18 +223,18 @@
 
 /// How much more of a worker's processors each image uses than in the running means, which then
 /// follow.
-fn more_used(means: &mut Vec<(Arc<str>, f64)>, used: &[(Arc<str>, f64)]) -> Vec<(Arc<str>, f64)> {
+fn more_used(means: &mut Vec<(ImageKey, f64)>, used: &[(ImageKey, f64)]) -> Vec<(ImageKey, f64)> {
     /// Means below this are forgotten.
     const NOTHING: f64 = 1e-4;
     for (image, _) in used {
         if !means.iter().any(|(it, _)| it == image) {
-            means.push((image.clone(), 0.0));
+            means.push((*image, 0.0));
         }
     }
     let mut more = Vec::with_capacity(means.len());
     for (image, mean) in means.iter_mut() {
         let share = used.iter().find(|(it, _)| it == image).map_or(0.0, |(_, share)| *share);
-        more.push((image.clone(), share - *mean));
+        more.push((*image, share - *mean));
         *mean += (share - *mean) * SMOOTHING;
     }
     means.retain(|(_, mean)| *mean > NOTHING);
@@ -280,7 +250,7 @@
         }
         let mut share = 1.0f64;
         for cap in caps {
-            let image = worker.tasks[cap.serving].image.as_deref().unwrap_or_default();
+            let image = worker.tasks[cap.serving].image;
             let strong = press(learnt, worker, image, it) >= PRESS_MIN;
             share = share.min(if strong { cap.strong } else { cap.weak });
         }
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -4,8 +4,8 @@
 
 use super::{
     Owner,
-    interference::Interference,
-    pace::{HEADROOM_MIN, PRESS_MIN, full_press, full_share},
+    interference::ImageKey,
+    room::{admits, full_share, idle_cpu, pace_with, press},
     worker::{Assignment, Worker, WorkerKey},
 };
 use crate::{StepSpec, TaskId};
@@ -15,8 +15,8 @@
 const COST_FAILED_HERE: i64 = 100_000;
 const COST_RECENT_FAILURE: i64 = 1_500;
 const COST_FAR_FROM_DATA: i64 = 10_000;
-const COST_HEADROOM: i64 = 4_000;
-const COST_PACED: i64 = 8_000;
+const COST_HEADROOM: f64 = 4_000.0;
+const COST_PACED: f64 = 8_000.0;
 /// For each unit of headroom that a placement takes, and that it leaves a serving task short of
 /// [`HEADROOM_EASY`].
 const COST_TAKEN: f64 = 2_000.0;
@@ -26,12 +26,9 @@
 const COST_OPEN: i64 = 120;
 /// Headroom below which a serving task's own swings of load soon meet the target.
 const HEADROOM_EASY: f64 = 1.7;
-/// Headroom that the swings of a serving task's own load may take while a best-effort task of some
-/// two seconds runs beside it. Without it, a third of the tasks that disturb were started while the
-/// load was low and then held back: in three plays each, worth 0.572 to 0.597 on a calm day of 490
-/// workers, and 0.698 to 0.715 and 0.522 to 0.595 on two heavy days.
-const SWING: f64 = 0.6;
-const COST_OTHER_IMAGE: i64 = 300;
+/// For each serving task of another image: a worker that serves few images leaves room for more
+/// kinds of best-effort tasks.
+const COST_OTHER_IMAGE: i64 = 1_000;
 /// For each thousandth of a worker's processors that best-effort tasks would lack.
 const COST_SLOWED: i64 = 4;
 const COST_COLD: i64 = 3_000;
@@ -43,8 +40,8 @@
     pub rack: Option<&'a str>,
     /// Placements of the same gang that are not made yet.
     pub taken: &'a [(WorkerKey, Resources)],
-    /// The share of its processor time at which a best-effort task must be able to work.
-    pub pace_min: f64,
+    /// Whether a best-effort task may be placed where it would be held back.
+    pub any_pace: bool,
     /// Workers that are kept for more urgent tasks.
     pub kept: &'a [WorkerKey],
 }
@@ -59,20 +56,78 @@
         task: TaskId,
         options: Place<'_>,
     ) -> Option<WorkerKey> {
-        let Place { rack, taken, pace_min, kept } = options;
-        let candidates = self.workers.iter().filter(|(key, it)| {
-            &*it.service == service
+        let Place { rack, taken, any_pace, kept } = options;
+        let image = step.image.as_ref().and_then(|it| self.interference.try_best_effort(it));
+        let mut best: Option<(i64, WorkerKey)> = None;
+        for (key, it) in self.workers.iter() {
+            let can = &*it.service == service
                 && self.usable(now, it)
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
-                && (step.best_effort || !kept.contains(key))
-                && fits(step, it, *key, taken)
-                && (!step.best_effort || pace_with(&self.interference, it, step) >= pace_min)
-                && !crowded(step, it, *key, task, taken)
-        });
-        candidates
-            .min_by_key(|(key, it)| (cost(now, &self.interference, step, it, task), *key))
-            .map(|(key, _)| key)
+                && (step.best_effort || !kept.contains(&key))
+                && fits(step, it, key, taken)
+                && !crowded(step, it, key, task, taken);
+            if !can {
+                continue;
+            }
+            let mut cost = cost(now, step, it, task);
+            if step.best_effort {
+                let pace = pace_with(&self.interference, it, step, image);
+                if !any_pace && !admits(it, pace) {
+                    continue;
+                }
+                cost += self.cost_beside(step, it, image, pace);
+            } else if step.target_ms > 0 {
+                cost += self.cost_serving(step, it);
+            }
+            if best.is_none_or(|best| (cost, key) < best) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// What a best-effort task costs that could work at `pace`: first where nobody's tail suffers,
+    /// then where the others leave most.
+    fn cost_beside(
+        &self,
+        step: &StepSpec,
+        worker: &Worker,
+        image: Option<ImageKey>,
+        pace: f64,
+    ) -> i64 {
+        let asked = worker.best_effort_cpu() + step.need.cpu_milli;
+        let lacking = asked.saturating_sub(idle_cpu(worker));
+        ((1.0 - pace) * COST_PACED) as i64
+            + self.cost_disturbed(step, worker, image)
+            + i64::from(worker.open_to) * COST_OPEN
+            + permille(worker, lacking) * COST_SLOWED
+            + permille(worker, worker.best_effort_cpu())
+    }
+
+    /// What a best-effort task costs the worker's serving tasks, though all could work at full pace
+    /// now: loads swing, and most images find a worker where they disturb nobody.
+    fn cost_disturbed(&self, step: &StepSpec, worker: &Worker, image: Option<ImageKey>) -> i64 {
+        let share = full_share(worker, step.need.cpu_milli);
+        let mut worst = 0.0f64;
+        for it in &worker.pressed {
+            let taken = self.interference.weight(it.image, image) * share;
+            let left = it.own_headroom - it.strong - it.weak - taken;
+            let short = (HEADROOM_EASY - left).clamp(0.0, 2.0);
+            worst = worst.max(taken.min(2.0) * COST_TAKEN + short * COST_SHORT);
+        }
+        worst as i64
+    }
+
+    /// Serving tasks of one image are packed together: the fewer images a worker serves, the more
+    /// kinds of best-effort tasks go well beside them.
+    fn cost_serving(&self, step: &StepSpec, worker: &Worker) -> i64 {
+        let image = step.image.as_ref().and_then(|it| self.interference.try_serving(it));
+        let other = |it: &&Assignment| it.target_ms > 0 && it.image != image;
+        let others = worker.tasks.iter().filter(other).count() as i64;
+        let best_effort = worker.tasks.iter().filter(|it| it.best_effort_cpu > 0);
+        let press: f64 = best_effort.map(|it| press(&self.interference, worker, image, it)).sum();
+        others * COST_OTHER_IMAGE + (press.min(4.0) * COST_HEADROOM) as i64
     }
 }
 
@@ -115,16 +170,8 @@
     crowded(step, worker, WorkerKey(u32::MAX), task, &[])
 }
 
-/// Lower is better.
-fn cost(
-    now: Instant,
-    learnt: &Interference,
-    step: &StepSpec,
-    worker: &Worker,
-    task: TaskId,
-) -> i64 {
-    let permille = |cpu: u32| i64::from(cpu) * 1_000 / i64::from(worker.capacity.cpu_milli.max(1));
-    let used = permille(worker.used.cpu_milli);
+/// What binds all kinds of tasks; lower is better.
+fn cost(now: Instant, step: &StepSpec, worker: &Worker, task: TaskId) -> i64 {
     let mut cost = 0;
     if worker.failures > 0 {
         cost += COST_RECENT_FAILURE * i64::from(worker.failures);
@@ -138,74 +185,14 @@
     if worker.cold_until > now {
         cost += COST_COLD;
     }
-    if step.best_effort {
-        // Where nobody's tail suffers, and then where the others leave most.
-        cost += ((1.0 - pace_with(learnt, worker, step)) * COST_PACED as f64) as i64;
-        cost += disturbance_cost(learnt, worker, step);
-        cost += i64::from(worker.open_to) * COST_OPEN;
-        let needed = worker.best_effort_cpu() + step.need.cpu_milli;
-        let left = idle_cpu(worker);
-        if needed > left {
-            cost += permille(needed - left) * COST_SLOWED;
-        }
-        return cost + permille(worker.best_effort_cpu());
-    }
-    if step.target_ms > 0 {
-        // Serving tasks of one image are packed together: the fewer images a worker serves, the
-        // more kinds of best-effort tasks go well beside them.
-        let other = |it: &&Assignment| it.target_ms > 0 && it.image != step.image;
-        let others = worker.tasks.iter().filter(other).count() as i64;
-        let image = step.image.as_deref().unwrap_or_default();
-        let press = full_press(learnt, worker, image).min(4.0);
-        cost += others * COST_OTHER_IMAGE + (press * COST_HEADROOM as f64) as i64;
-        return cost + 1_000 - used;
-    }
-    // Best fit: small tasks fill small gaps, and large ones find large gaps.
-    cost + 1_000 - used
-}
-
-/// What a best-effort task costs the worker's serving tasks, though all could work at full pace
-/// now: loads swing, and most images find a worker where they disturb nobody.
-fn disturbance_cost(learnt: &Interference, worker: &Worker, step: &StepSpec) -> i64 {
-    let other = step.image.as_deref().unwrap_or_default();
-    let share = full_share(worker, step.need.cpu_milli);
-    let mut worst = 0.0f64;
-    for it in worker.tasks.iter().filter(|it| it.target_ms > 0) {
-        let image = it.image.as_deref().unwrap_or_default();
-        let taken = learnt.weight(image, other) * share;
-        let left = it.own_headroom - full_press(learnt, worker, image) - taken;
-        let short = (HEADROOM_EASY - left).clamp(0.0, 2.0);
-        worst = worst.max(taken.min(2.0) * COST_TAKEN + short * COST_SHORT);
-    }
-    worst as i64
-}
-
-/// The share of its processor time at which one more best-effort task of `step` could work on a
-/// worker without taking too much headroom from a serving task, 0 to 1.
-pub(super) fn pace_with(learnt: &Interference, worker: &Worker, step: &StepSpec) -> f64 {
-    let other = step.image.as_deref().unwrap_or_default();
-    let share = full_share(worker, step.need.cpu_milli);
-    let mut pace = 1.0f64;
-    for it in worker.tasks.iter().filter(|it| it.target_ms > 0) {
-        let image = it.image.as_deref().unwrap_or_default();
-        let more = learnt.weight(image, other) * share;
-        if more < PRESS_MIN {
-            continue;
-        }
-        let full = full_press(learnt, worker, image) + more;
-        let room = (it.own_headroom - HEADROOM_MIN - SWING).max(0.0);
-        pace = pace.min(room / full);
+    if !step.best_effort {
+        // Best fit: small tasks fill small gaps, and large ones find large gaps.
+        cost += 1_000 - permille(worker, worker.used.cpu_milli);
     }
-    pace
+    cost
 }
 
-/// Processor time that is left for best-effort tasks, in thousandths of a core.
-fn idle_cpu(worker: &Worker) -> u32 {
-    /// Serving tasks use about half of what they reserve.
-    const SERVING_USE_PERCENT: u32 = 55;
-    let used = |it: &Assignment| match it.target_ms {
-        0 => it.counted.cpu_milli,
-        _ => it.counted.cpu_milli / 100 * SERVING_USE_PERCENT,
-    };
-    worker.capacity.cpu_milli.saturating_sub(worker.tasks.iter().map(used).sum())
+/// A part of a worker's processors, in thousandths of all.
+fn permille(worker: &Worker, cpu_milli: u32) -> i64 {
+    i64::from(cpu_milli) * 1_000 / i64::from(worker.capacity.cpu_milli.max(1))
 }
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -35,20 +35,50 @@
 /// does not hold up those that can: in an overload, the earliest deadline first would make all of
 /// them late by a little.
 fn standing(now: Instant, view: &JobView, chain_ms: u64) -> Standing {
-    /// Estimates are off by up to a half; a job counts as late only where even half of its
-    /// estimated work would be too much.
-    const LEAST_WORK_PERCENT: u64 = 50;
     /// Results are of use up to three times the objective, as the operators' contract has it.
     const OF_USE: u32 = 3;
     let allowed = view.objective.since(view.since);
-    let least = Duration::from_millis(chain_ms * LEAST_WORK_PERCENT / 100);
-    match now + least {
+    match now + Duration::from_millis(chain_ms) {
         it if it <= view.objective => Standing::InTime,
         it if it <= view.since + allowed * OF_USE => Standing::Late,
         _ => Standing::TooLate,
     }
 }
 
+/// What one pass over all jobs has found so far.
+#[derive(Debug, Default)]
+struct Round {
+    /// Workers that are kept for more urgent tasks.
+    kept: Vec<WorkerKey>,
+    /// Best-effort tasks for which there is no room.
+    full: Vec<Full>,
+}
+
+/// Best-effort tasks of one image that find no room, and all that need as much or more.
+#[derive(Debug)]
+struct Full {
+    service: Arc<str>,
+    image: Option<Arc<str>>,
+    need: Resources,
+}
+
+impl Round {
+    /// Whether a task of `step` surely finds no room, as one like it has found none.
+    fn is_full(&self, service: &Arc<str>, step: &StepSpec) -> bool {
+        let covers =
+            |it: &Full| it.service == *service && it.image == step.image && it.need.fits(step.need);
+        step.best_effort && self.full.iter().any(covers)
+    }
+
+    fn add_full(&mut self, service: &Arc<str>, step: &StepSpec) {
+        // What binds the step alone says nothing of others.
+        if step.best_effort && step.required_label.is_none() && step.max_per_worker == 0 {
+            let (service, image) = (service.clone(), step.image.clone());
+            self.full.push(Full { service, image, need: step.need });
+        }
+    }
+}
+
 /// A step whose turn has come.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Ready {
@@ -60,14 +90,22 @@
 impl Owner {
     /// Starts what can be started, the most urgent first.
     pub(super) fn plan(&mut self, now: Instant) {
-        let mut kept = Vec::new();
+        self.weigh_all();
+        let mut round = Round::default();
         for id in self.by_urgency(now) {
             for ready in self.ready_steps(now, id) {
-                self.place_step(now, ready, &mut kept);
+                self.place_step(now, ready, &mut round);
             }
         }
     }
 
+    /// Sums up anew the workers on which something was started or has ended.
+    pub(super) fn weigh_all(&mut self) {
+        for (_, worker) in self.workers.iter_mut().filter(|(_, it)| !it.is_weighed) {
+            worker.weigh(&self.interference);
+        }
+    }
+
     /// A worker that is kept for a task without room, so that what ends there leaves it enough in
     /// time: else smaller tasks take each gap as it comes, and a large one never starts.
     fn try_keep(
@@ -101,8 +139,9 @@
     }
 
     /// Jobs that are not ended: first those whose tasks are to run all the time, as each moment
-    /// without them counts; then those that can still be in time, by priority and by the time
-    /// that is left beside the work that is left.
+    /// without them counts; then those that can still be in time, by priority and by the part of
+    /// their work that is left. What was put into a job is of use to nobody until its last task has
+    /// ended, so that in an overload, jobs that are nearly done go before those that have just come.
     fn by_urgency(&self, now: Instant) -> Vec<JobId> {
         let mut jobs: Vec<_> = self
             .active
@@ -117,7 +156,7 @@
                 let latest = view.objective.0.saturating_sub(chain * 1_000);
                 let lasts = job.spec.steps.iter().any(|it| it.long_running);
                 let standing = if lasts { Standing::Lasts } else { standing(now, view, chain) };
-                Some(((standing, job.spec.terms.priority, latest), *id))
+                Some(((standing, job.spec.terms.priority, job.left_permille(), latest), *id))
             })
             .collect();
         jobs.sort_unstable();
@@ -184,7 +223,7 @@
         worker.is_none_or(|it| it.hold_failures > 0 || !it.listed)
     }
 
-    fn place_step(&mut self, now: Instant, ready: Ready, kept: &mut Vec<WorkerKey>) {
+    fn place_step(&mut self, now: Instant, ready: Ready, round: &mut Round) {
         let Some(job) = self.ledger.job(ready.job) else { return };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(ready.step)];
@@ -201,12 +240,15 @@
             return;
         }
         let service = self.service(&spec);
-        let pace_min = self.pace_min(now, ready);
+        if round.is_full(&service, step) {
+            return;
+        }
         for index in waiting {
             let task = task_id(ready, index);
-            let options = Place { rack: None, taken: &[], pace_min, kept };
+            let options = Place { rack: None, taken: &[], any_pace: false, kept: &round.kept };
             let Some(key) = self.try_place(now, &service, step, task, options) else {
-                kept.extend(self.try_keep(now, ready, step, kept));
+                round.kept.extend(self.try_keep(now, ready, step, &round.kept));
+                round.add_full(&service, step);
                 break;
             };
             let run = self.next_run(task);
@@ -214,18 +256,6 @@
         }
     }
 
-    /// The share of its processor time at which a best-effort task must be able to work to be
-    /// started at all: a job that has time left waits for a better place.
-    fn pace_min(&self, now: Instant, ready: Ready) -> f64 {
-        /// Where a task would work at less, it would soon be moved again.
-        const PACE_MIN: f64 = 0.6;
-        const PACE_MIN_URGENT: f64 = 0.2;
-        let Some(view) = self.active.get(&ready.job) else { return PACE_MIN_URGENT };
-        let tail = view.tails_ms.get(usize::from(ready.step)).copied().unwrap_or_default();
-        let urgent = now + Duration::from_millis(tail + tail / 4) > view.objective;
-        if urgent && now < view.objective { PACE_MIN_URGENT } else { PACE_MIN }
-    }
-
     /// Starts all members of a gang, or none.
     fn place_gang(&mut self, now: Instant, ready: Ready, spec: &JobSpec, step: &StepSpec) {
         let service = self.service(spec);
@@ -256,7 +286,7 @@
         let mut taken: Vec<(WorkerKey, Resources)> = Vec::new();
         for index in 0..step.count {
             let task = task_id(ready, index);
-            let options = Place { rack, taken: &taken, pace_min: 0.0, kept: &[] };
+            let options = Place { rack, taken: &taken, any_pace: true, kept: &[] };
             let key = self.try_place(now, service, step, task, options)?;
             taken.push((key, step.counted()));
         }
@@ -286,8 +316,10 @@
 
     /// Gives a task to a worker; the order goes out when its record is in the log.
     fn assign(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, step: &StepSpec) {
+        let it = super::assignment(now, &mut self.interference, task, run, step);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        worker.add(super::assignment(now, task, run, step));
+        worker.add(it);
+        worker.weigh(&self.interference);
         let id = worker.id.clone();
         let Some(state) = self.task_mut(task) else { return };
         state.runs = run;
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -4,6 +4,10 @@
 
 use daisy_model::{Instant, Key, Resources};
 
+use super::{
+    interference::{ImageKey, Interference},
+    room::{self, Pressed},
+};
 use crate::{Listed, TaskId, WorkerId};
 
 /// A worker's clock may run this much slower than the owner's, in thousandths: the platform's
@@ -63,7 +67,8 @@
     pub counted: Resources,
     /// Processor time that a best-effort task can use, in thousandths of a core.
     pub best_effort_cpu: u32,
-    pub image: Option<Arc<str>>,
+    /// The number of its image among those of serving or of best-effort tasks.
+    pub image: Option<ImageKey>,
     /// Tail latency of a serving task that must not be exceeded; 0 for a task that serves nobody.
     pub target_ms: u32,
     /// Whether it runs until its job is cancelled.
@@ -137,9 +142,12 @@
     pub(crate) shunned_until: Instant,
     /// When its figures were last taken in, and the running means of what images use.
     pub(crate) reported_at: Instant,
-    pub(crate) mean_used: Vec<(Arc<str>, f64)>,
+    pub(crate) mean_used: Vec<(ImageKey, f64)>,
     /// Images of best-effort tasks that disturb no serving task here.
     pub(crate) open_to: u32,
+    /// Its serving images; summed anew once `is_weighed` is false.
+    pub(crate) pressed: Vec<Pressed>,
+    pub(crate) is_weighed: bool,
 }
 
 impl Worker {
@@ -173,6 +181,8 @@
             reported_at: Instant::default(),
             mean_used: Vec::new(),
             open_to: 0,
+            pressed: Vec::new(),
+            is_weighed: true,
         }
     }
 
@@ -214,11 +224,13 @@
     pub(crate) fn add(&mut self, it: Assignment) {
         self.used = self.used.try_add(it.counted).unwrap_or(self.capacity);
         self.tasks.push(it);
+        self.is_weighed = false;
     }
 
     pub(crate) fn remove(&mut self, task: TaskId, run: u32) -> Option<Assignment> {
         let at = self.tasks.iter().position(|it| it.task == task && it.run == run)?;
         let it = self.tasks.swap_remove(at);
+        self.is_weighed = false;
         // Summed anew: with a capacity that shrank, a difference could go below zero.
         self.used = Resources::ZERO;
         for it in &self.tasks {
@@ -232,6 +244,12 @@
         self.labels.iter().any(|it| &**it == label)
     }
 
+    /// Sums up anew how its best-effort tasks press on those that serve.
+    pub(crate) fn weigh(&mut self, learnt: &Interference) {
+        self.pressed = room::pressed(learnt, self);
+        self.is_weighed = true;
+    }
+
     /// Processor time that best-effort tasks here could use, in thousandths of a core.
     pub(crate) fn best_effort_cpu(&self) -> u32 {
         self.tasks.iter().map(|it| it.best_effort_cpu).sum()
