Little is sent to a log that has fallen silent, and its return shows at once

After the return, reads that were sent into the silence hung for up to 1.9 s more, and so did the rejections. Change: what is sent is decided by Silence, without I/O: beside an append that hangs nothing fresh is sent; a log is silent when neither appends nor reads are answered for 0.7 s; records that wait unsent are rejected, truthfully, and so is one whose caller's deadline passes before its turn. Reads tell when the log is back; every second call into a silence has a short timeout, so that the next one is made soon. Retry-After is 2 s or 3 s then. Error bodies are written by serde_json.

--- a/daisy-node/src/append.rs
+++ b/daisy-node/src/append.rs
@@ -1,39 +1,28 @@
 //! Group commit of submissions and cancellations.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, Store, StoreError, Topic};
-use daisy_workflow::ShardId;
+use daisy_workflow::{ShardId, Silence, Turn};
 use futures::future::join_all;
-use tokio::sync::{Notify, mpsc, oneshot};
-
-use crate::clock;
-
-/// The shortest and the longest time that an append may take before its outcome counts as unknown.
-///
-/// A caller waits for 3 s: where answers are lost, half a second leaves time for five tries. On
-/// the platform's slow days an append takes 0.4 s, and 1.1 s behind those of all other VMs.
-const TIMEOUT_MIN: Duration = Duration::from_millis(500);
-const TIMEOUT_MAX: Duration = Duration::from_millis(1_700);
-/// The timeout, in times of what appends took of late.
-const TIMEOUT_FACTOR: u32 = 6;
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::{Instant as Deadline, sleep, timeout_at},
+};
+
+use crate::{clock, shared::Shared};
+
 /// Records of one append. A submission has at most some 10 KB, and the platform takes 2 MB.
 const BATCH_MAX: usize = 100;
-/// Appends under way at one time, so that one that hangs does not hold up the others.
-const UNDER_WAY_MAX: usize = 2;
-/// Appends that take longer than this go one at a time: the platform takes them one after the
-/// other, so more of them under way only make its queue longer.
-const SLOW: Duration = Duration::from_millis(80);
-/// How long nothing may be answered, while appends are made, before the log counts as silent:
-/// longer than an append takes on the platform's slow days.
-const SILENT: Duration = Duration::from_millis(1_200);
-/// How often an append is tried while the log is silent; callers in between are told at once that
-/// nothing was stored, instead of waiting for the same silence.
-const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// Between looks at records that wait while the log hangs.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// A record that waits for its append.
 #[derive(Debug)]
@@ -41,6 +30,11 @@
     shard: ShardId,
     key: String,
     value: Vec<u8>,
+    since: Instant,
+    /// Whether it was sent before, without an answer.
+    again: bool,
+    /// Set by whoever comes first: the task that sends it, or its caller, who has left.
+    claimed: Arc<AtomicBool>,
     tx: oneshot::Sender<Result<(), StoreError>>,
 }
 
@@ -48,133 +42,143 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Appender {
     tx: mpsc::Sender<Waiter>,
-    pace: Pace,
+    log: Log,
 }
 
 impl Appender {
     /// Starts the task.
-    pub fn start(store: Store) -> Appender {
+    pub fn start(store: Store, shared: Shared) -> Appender {
         /// Requests that wait for an append; more than a small VM has connections.
         const WAITING_MAX: usize = 4_096;
         let (tx, rx) = mpsc::channel(WAITING_MAX);
-        let pace = Pace::default();
-        tokio::spawn(run(store, rx, pace.clone()));
-        Appender { tx, pace }
+        let log = Log { shared, silence: Arc::default(), freed: Arc::default() };
+        tokio::spawn(run(store, rx, log.clone()));
+        Appender { tx, log }
     }
 
-    /// Whether the last appends went unanswered, so that the next one is not worth waiting for.
+    /// Whether the log has fallen silent, so that the next append is not worth waiting for.
     pub fn is_cut_off(&self) -> bool {
-        self.pace.lock().is_lost(clock::now())
+        let now = clock::now();
+        self.log.lock(now).is_silent(now)
     }
 
-    /// Appends a record; the outcome is that of the append that held it.
+    /// Appends a record by `deadline`; the outcome is that of the append that held it. `again` says
+    /// that it was sent before and may be stored already.
     pub async fn append(
         &self,
         shard: ShardId,
         key: String,
         value: Vec<u8>,
+        again: bool,
+        deadline: Deadline,
     ) -> Result<(), StoreError> {
         let (tx, rx) = oneshot::channel();
-        if self.tx.try_send(Waiter { shard, key, value, tx }).is_err() {
+        let claimed = Arc::new(AtomicBool::new(false));
+        let since = clock::now();
+        let waiter = Waiter { shard, key, value, since, again, claimed: claimed.clone(), tx };
+        if self.tx.try_send(waiter).is_err() {
             return Err(StoreError::NotDone("too many appends wait".to_owned()));
         }
-        match rx.await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(StoreError::Unknown("the process stops".to_owned())),
+        match timeout_at(deadline, rx).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(StoreError::Unknown("the process stops".to_owned())),
+            Err(_) if !claimed.swap(true, Ordering::AcqRel) => {
+                Err(StoreError::NotDone("its turn did not come before the deadline".to_owned()))
+            }
+            Err(_) => Err(StoreError::Unknown("the caller's deadline".to_owned())),
         }
     }
 }
 
-/// How the log takes appends, shared between them.
-#[derive(Debug, Clone, Default)]
-struct Pace {
-    state: Arc<Mutex<PaceState>>,
+/// How the log answers, shared between appends.
+#[derive(Debug, Clone)]
+struct Log {
+    shared: Shared,
+    silence: Arc<Mutex<Silence>>,
     freed: Arc<Notify>,
 }
 
-#[derive(Debug, Default)]
-struct PaceState {
-    /// What appends took of late; one that went unanswered counts with its timeout.
-    took: Duration,
-    under_way: usize,
-    /// When the first append began that went unanswered, if none was answered since.
-    unanswered_since: Option<Instant>,
-    probed_at: Instant,
-}
-
-impl Pace {
-    fn lock(&self) -> MutexGuard<'_, PaceState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+impl Log {
+    /// What is known by `now`, with the last read that was answered.
+    fn lock(&self, now: Instant) -> MutexGuard<'_, Silence> {
+        let read = self.shared.lock().states_read.map(|(at, _)| at);
+        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
+        silence.read(read.unwrap_or_default().min(now));
+        silence
     }
 
-    /// Waits until another append may begin, and gives its timeout.
-    async fn begin(&self) -> Duration {
-        loop {
-            let freed = self.freed.notified();
-            if let Some(timeout) = self.lock().try_begin() {
-                return timeout;
-            }
-            freed.await;
-        }
-    }
-
-    fn end(&self, took: Duration, outcome: &Result<(), StoreError>) {
-        self.lock().end(clock::now(), took, outcome);
+    fn end(&self, began: Instant, outcome: &Result<(), StoreError>) {
+        let now = clock::now();
+        let answered = !matches!(outcome, Err(StoreError::Unknown(_)));
+        self.lock(now).end(now, began, answered);
         self.freed.notify_one();
     }
 }
 
-impl PaceState {
-    fn try_begin(&mut self) -> Option<Duration> {
-        let most = if self.took > SLOW { 1 } else { UNDER_WAY_MAX };
-        if self.under_way >= most {
-            return None;
-        }
-        self.under_way += 1;
-        Some((self.took * TIMEOUT_FACTOR).clamp(TIMEOUT_MIN, TIMEOUT_MAX))
-    }
-
-    fn end(&mut self, now: Instant, took: Duration, outcome: &Result<(), StoreError>) {
-        self.under_way -= 1;
-        self.took = (self.took + took) / 2;
-        self.unanswered_since = match outcome {
-            Err(StoreError::Unknown(_)) => self.unanswered_since.or(Some(now - took)),
-            _ => None,
-        };
-    }
-
-    /// One call in each [`PROBE_EVERY`] finds the log reachable, so that its return shows.
-    fn is_lost(&mut self, now: Instant) -> bool {
-        if self.unanswered_since.is_none_or(|at| now.since(at) < SILENT) {
-            return false;
-        }
-        let probe = now.since(self.probed_at) >= PROBE_EVERY;
-        if probe {
-            self.probed_at = now;
-        }
-        !probe
-    }
-}
-
-async fn run(store: Store, mut rx: mpsc::Receiver<Waiter>, pace: Pace) {
-    let mut batch = Vec::new();
+async fn run(store: Store, mut rx: mpsc::Receiver<Waiter>, log: Log) {
+    let mut waiting: Vec<Waiter> = Vec::new();
     loop {
         // What comes while earlier appends are under way gathers and goes out together.
-        let timeout = pace.begin().await;
-        if rx.recv_many(&mut batch, BATCH_MAX).await == 0 {
-            return;
+        tokio::select! {
+            it = rx.recv() => match it {
+                Some(it) => waiting.push(it),
+                None => return,
+            },
+            () = log.freed.notified() => {}
+            () = sleep(LOOK_EVERY), if !waiting.is_empty() => {}
         }
-        let store = store.clone();
-        let batch = std::mem::take(&mut batch);
-        let pace = pace.clone();
+        while let Ok(it) = rx.try_recv() {
+            waiting.push(it);
+        }
+        let now = clock::now();
+        reject_hopeless(now, &log, &mut waiting);
+        let Some((batch, timeout)) = try_batch(now, &log, &mut waiting) else { continue };
+        let (store, log) = (store.clone(), log.clone());
         tokio::spawn(async move {
-            let began = clock::now();
             let outcome = append(&store, batch, timeout).await;
-            pace.end(clock::now().since(began), &outcome);
+            log.end(now, &outcome);
         });
     }
 }
 
+/// Answers those whose records were never sent and had better not be.
+fn reject_hopeless(now: Instant, log: &Log, waiting: &mut Vec<Waiter>) {
+    let silence = log.lock(now);
+    let hopeless = |it: &mut Waiter| !it.again && silence.is_hopeless(now, it.since);
+    for it in waiting.extract_if(.., hopeless) {
+        let why = "the log does not answer, and nothing was sent to it";
+        // A caller that has left needs no answer.
+        let _ = it.tx.send(Err(StoreError::NotDone(why.to_owned())));
+    }
+}
+
+/// The records to be appended next, and how long that may take.
+fn try_batch(
+    now: Instant,
+    log: &Log,
+    waiting: &mut Vec<Waiter>,
+) -> Option<(Vec<Waiter>, Duration)> {
+    let mut silence = log.lock(now);
+    let (timeout, all) = match silence.turn(now) {
+        Turn::All(timeout) => (timeout, true),
+        Turn::Again(timeout) => (timeout, false),
+        Turn::Wait => return None,
+    };
+    let mut left = BATCH_MAX;
+    let goes = |it: &mut Waiter| {
+        let goes = left > 0 && (all || it.again);
+        left -= usize::from(goes);
+        goes
+    };
+    // What a caller has claimed who has left is not sent.
+    let here = |it: &Waiter| !it.claimed.swap(true, Ordering::AcqRel);
+    let batch: Vec<Waiter> = waiting.extract_if(.., goes).filter(here).collect();
+    if batch.is_empty() {
+        return None;
+    }
+    silence.begin(now);
+    Some((batch, timeout))
+}
 /// Appends records of several shards at the same time; the outcome is that of any append that was
 /// answered, as it tells whether the log is there.
 async fn append(store: &Store, batch: Vec<Waiter>, timeout: Duration) -> Result<(), StoreError> {
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -9,6 +9,11 @@
 ///
 /// Its answers take 4 ms, and up to 60 times as long on a slow day.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same, for every second call to a platform that does not answer.
+///
+/// A call that was sent into a silence gets no answer when the silence ends: the next one does. The
+/// others have the whole time, in case the platform is slow.
+const CALL_TIMEOUT_LOST: Duration = Duration::from_millis(350);
 /// Before a call that failed is made again.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -19,8 +24,8 @@
     topic: Topic,
     /// Where to read on; `None` before the first read and after records were dropped unread.
     next: Option<u64>,
-    /// Whether the last call failed, so that only changes are logged.
-    lost: bool,
+    /// Calls in a row that have failed.
+    failures: u32,
 }
 
 /// What a read gave.
@@ -35,7 +40,7 @@
 impl Tail {
     /// A tail of `topic` that has read nothing.
     pub fn new(store: Store, topic: Topic) -> Tail {
-        Tail { store, topic, next: None, lost: false }
+        Tail { store, topic, next: None, failures: 0 }
     }
 
     /// Where to read on.
@@ -45,13 +50,18 @@
 
     /// Reads what is new; waits up to `wait` for it. A failure is logged and takes a short pause.
     pub async fn try_read(&mut self, wait: Duration) -> Option<Read> {
+        let (wait, timeout) = match self.failures {
+            0 => (wait, CALL_TIMEOUT),
+            it if it % 2 == 1 => (Duration::ZERO, CALL_TIMEOUT_LOST),
+            _ => (Duration::ZERO, CALL_TIMEOUT),
+        };
         let outcome = match self.next {
-            None => self.store.newest(self.topic, CALL_TIMEOUT).await.map(|it| {
+            None => self.store.newest(self.topic, timeout).await.map(|it| {
                 self.next = Some(it.end);
                 Read { records: it.records, at_end: true }
             }),
             Some(from) => {
-                let page = self.store.read(self.topic, from, wait, CALL_TIMEOUT).await;
+                let page = self.store.read(self.topic, from, wait, timeout).await;
                 page.map(|it| {
                     self.next = Some(it.next);
                     Read { records: it.records, at_end: it.next >= it.end }
@@ -60,7 +70,7 @@
         };
         match outcome {
             Ok(read) => {
-                if std::mem::take(&mut self.lost) {
+                if std::mem::take(&mut self.failures) > 0 {
                     log::info!("event=log_regained topic={:?}", self.topic);
                 }
                 Some(read)
@@ -71,7 +81,8 @@
                     self.next = None;
                     return None;
                 }
-                if !std::mem::replace(&mut self.lost, true) {
+                self.failures += 1;
+                if self.failures == 1 {
                     log::warn!("event=log_lost topic={:?} cause=\"{e}\"", self.topic);
                 }
                 sleep(RETRY).await;
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -48,8 +48,10 @@
 
     let callers_port = callers::listen(settings.callers).await?;
     let readiness_port = callers::listen(settings.readiness).await?;
-    let submissions =
-        Submissions { shared: shared.clone(), appender: Appender::start(store.clone()) };
+    let submissions = Submissions {
+        shared: shared.clone(),
+        appender: Appender::start(store.clone(), shared.clone()),
+    };
     tokio::spawn(readiness::serve(readiness_port, shared.clone(), metrics.clone()));
     tokio::spawn(follow_configuration(store.clone(), shared.clone()));
     tokio::spawn(follow_states(store.clone(), shared.clone()));
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -35,6 +35,9 @@
 const APPEND_GAP: Duration = Duration::from_millis(24);
 /// How long an append may take before it is sent again.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same, for every second sending to a log that does not answer: one that was sent into a
+/// silence gets no answer when the silence ends.
+const APPEND_TIMEOUT_LOST: Duration = Duration::from_millis(400);
 /// Before an append that the log refused is sent again.
 const APPEND_RETRY: Duration = Duration::from_millis(100);
 /// Between records of what was learnt for the owners of other shards, and between their reads: twice
@@ -487,18 +490,20 @@
     guard: Guard,
 ) -> Result<(), Fenced> {
     let encoded: Vec<_> = records.iter().map(encode).collect();
-    let mut lost = false;
+    let mut failures = 0;
     loop {
-        match store.append(topic, &encoded, guard, APPEND_TIMEOUT).await {
+        let timeout = if failures % 2 == 1 { APPEND_TIMEOUT_LOST } else { APPEND_TIMEOUT };
+        match store.append(topic, &encoded, guard, timeout).await {
             Ok(_) => {
-                if lost {
+                if failures > 0 {
                     log::info!("event=log_regained topic={topic:?}");
                 }
                 return Ok(());
             }
             Err(StoreError::Fenced | StoreError::Moved) => return Err(Fenced),
             Err(e) => {
-                if !std::mem::replace(&mut lost, true) {
+                failures += 1;
+                if failures == 1 {
                     log::warn!("event=log_lost topic={topic:?} cause=\"{e}\"");
                 }
                 sleep(APPEND_RETRY).await;
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -24,21 +24,19 @@
     }
 
     pub fn error(status: StatusCode, why: &str) -> Answer {
-        let body = format!("{{\"error\":{}}}", quoted(why));
-        Answer::new(status, body.into_bytes())
+        Answer::new(status, serde_json::json!({ "error": why }).to_string().into_bytes())
     }
 
-    /// The request had no effect; the caller may come back.
+    /// The request had no effect; the caller may come back in a second.
     pub fn later(why: &str) -> Answer {
-        let after = Some(Duration::from_secs(1));
-        Answer { retry_after: after, ..Answer::error(StatusCode::SERVICE_UNAVAILABLE, why) }
+        Answer::later_by(Duration::from_secs(1), why)
     }
-}
 
-/// A JSON string.
-fn quoted(text: &str) -> String {
-    let escaped = text.chars().flat_map(char::escape_default).filter(|it| it.is_ascii());
-    format!("\"{}\"", escaped.collect::<String>().replace("\\'", "'").replace("\\u{", "u{"))
+    /// The request had no effect; the caller may come back after this time.
+    pub fn later_by(after: Duration, why: &str) -> Answer {
+        let answer = Answer::error(StatusCode::SERVICE_UNAVAILABLE, why);
+        Answer { retry_after: Some(after), ..answer }
+    }
 }
 
 /// Answers requests about jobs.
@@ -87,7 +85,7 @@
         };
         if self.appender.is_cut_off() {
             log::warn!("event=submitted id={id} outcome=rejected cause=\"the log is silent\"");
-            return Answer::later("the platform's store does not answer");
+            return Answer::later_by(after_silence(id), "the platform's store does not answer");
         }
         let record = Record::Submitted(id, spec);
         self.write(id, "submitted", record, deadline).await
@@ -153,12 +151,8 @@
         let mut unknown = false;
         loop {
             tries += 1;
-            let append = self.appender.append(shard, key.clone(), value.clone());
-            let outcome = match tokio::time::timeout_at(deadline, append).await {
-                Ok(outcome) => outcome,
-                Err(_) => Err(StoreError::Unknown("the caller's deadline".to_owned())),
-            };
-            match outcome {
+            let append = self.appender.append(shard, key.clone(), value.clone(), unknown, deadline);
+            match append.await {
                 Ok(()) => {
                     self.shared.lock().stored(record);
                     log::info!("event={what} id={id} outcome=stored tries={tries}");
@@ -166,7 +160,11 @@
                 }
                 Err(e) if !unknown && matches!(e, StoreError::NotDone(_)) => {
                     log::warn!("event={what} id={id} outcome=rejected tries={tries} cause=\"{e}\"");
-                    return Answer::later("the platform's store takes nothing at present");
+                    let why = "the platform's store takes nothing at present";
+                    return match self.appender.is_cut_off() {
+                        true => Answer::later_by(after_silence(id), why),
+                        false => Answer::later(why),
+                    };
                 }
                 Err(e) => {
                     unknown = true;
@@ -187,6 +185,13 @@
     }
 }
 
+/// When a caller had better come back to a log that has fallen silent: silences last for seconds, and
+/// most callers ask a handful of times. Half of them come a second later than the others.
+fn after_silence(id: JobId) -> Duration {
+    const SHORTEST: Duration = Duration::from_secs(2);
+    SHORTEST + Duration::from_secs(id.0 % 2)
+}
+
 /// Whether a job exists.
 enum Found {
     Yes,
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod record;
 mod shard;
+mod silence;
 mod spec;
 mod telling;
 
@@ -40,6 +41,7 @@
     queue::{Queue, Queues, Service},
     record::{Claim, Disturbance, OWNER_KEY, Observations, Record, RecordError, decode, encode},
     shard::{Layout, ShardId},
+    silence::{Silence, Turn},
     spec::{JobSpec, SpecError, StepSpec, Terms},
     telling::Telling,
 };
--- /dev/null
+++ b/daisy-workflow/src/silence.rs
@@ -0,0 +1,143 @@
+//! Whether the log answers one VM, and what that VM sends it meanwhile.
+//!
+//! An append that gets no answer may be done all the same, also later: its caller can be told
+//! neither yes nor no. So as few records as possible are sent to a log that has fallen silent. The
+//! others wait here for a short while, and are then rejected, truthfully, as nothing was done for
+//! them.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+/// The shortest and the longest time that an append may take before its outcome counts as unknown.
+const TIMEOUT_MIN: Duration = Duration::from_millis(500);
+const TIMEOUT_MAX: Duration = Duration::from_millis(1_700);
+/// The timeout, in times of what appends took of late; doubled for each that went unanswered.
+const TIMEOUT_FACTOR: u32 = 6;
+/// Appends under way at one time, so that one that hangs does not hold up the others.
+const UNDER_WAY_MAX: usize = 2;
+/// The same, with those that have been overtaken by reads.
+const OVERTAKEN_MAX: usize = 4;
+/// Appends that take longer than this go one at a time: the log takes them one after the other, so
+/// more of them under way only make its queue longer.
+const SLOW: Duration = Duration::from_millis(80);
+/// An append under way for this many times what appends took of late counts as one that hangs.
+const HANGS_FACTOR: u32 = 4;
+/// How long nothing may be answered before the log counts as silent.
+const SILENT: Duration = Duration::from_millis(700);
+/// Appends in a row that went unanswered while reads were answered, from which on the log counts as
+/// silent to appends.
+const DEAF_MIN: u32 = 2;
+/// Between appends that are tried meanwhile, so that it shows when the log takes them again.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// How long a record waits unsent before its caller is told that nothing was done.
+const UNSENT_MAX: Duration = Duration::from_millis(1_500);
+
+/// What may be sent next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// All that waits, as one append with this timeout.
+    All(Duration),
+    /// Only records that were sent before and may be stored already, with this timeout.
+    Again(Duration),
+    /// Nothing yet.
+    Wait,
+}
+
+/// How the log answers a VM's appends.
+#[derive(Debug, Clone, Default)]
+pub struct Silence {
+    /// What appends took of late that were answered.
+    took: Duration,
+    /// When each append under way began.
+    under_way: Vec<Instant>,
+    unanswered: Option<Unanswered>,
+    /// When a read was last answered.
+    read_at: Instant,
+}
+
+/// Appends that went unanswered since the last answer.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    /// When the first and the last of them began.
+    first: Instant,
+    last: Instant,
+    count: u32,
+    /// How many of them were overtaken by reads that were answered.
+    overtaken: u32,
+}
+
+impl Silence {
+    /// A read of the log was answered at `now`.
+    pub fn read(&mut self, now: Instant) {
+        self.read_at = self.read_at.max(now);
+    }
+
+    /// An append begins, as [`turn`](Silence::turn) has said.
+    pub fn begin(&mut self, now: Instant) {
+        self.under_way.push(now);
+    }
+
+    /// The append that began at `began` has ended, with or without an answer.
+    pub fn end(&mut self, now: Instant, began: Instant, answered: bool) {
+        if let Some(at) = self.under_way.iter().position(|it| *it == began) {
+            self.under_way.swap_remove(at);
+        }
+        if answered {
+            self.took = (self.took + now.since(began)) / 2;
+            self.unanswered = None;
+            return;
+        }
+        let overtaken = u32::from(self.read_at > began);
+        let it = self.unanswered.get_or_insert(Unanswered {
+            first: began,
+            last: began,
+            count: 0,
+            overtaken: 0,
+        });
+        it.last = it.last.max(began);
+        it.count += 1;
+        it.overtaken = (it.overtaken + overtaken) * overtaken;
+    }
+
+    /// What may be sent now.
+    pub fn turn(&self, now: Instant) -> Turn {
+        let hangs_after = SLOW.max(self.took * HANGS_FACTOR);
+        let hangs = |it: &&Instant| now.since(**it) > hangs_after;
+        // A log that has answered a read since is not silent: that append alone is lost or late.
+        let overtaken = |it: &&Instant| hangs(it) && self.read_at > **it + hangs_after;
+        let others = || self.under_way.iter().filter(|it| !overtaken(it));
+        let most = if self.took > SLOW { 1 } else { UNDER_WAY_MAX };
+        if others().any(|it| hangs(&it))
+            || others().count() >= most
+            || self.under_way.len() >= OVERTAKEN_MAX
+        {
+            return Turn::Wait;
+        }
+        let timeout = (self.took * TIMEOUT_FACTOR).max(TIMEOUT_MIN);
+        let Some(it) = self.unanswered else { return Turn::All(timeout.min(TIMEOUT_MAX)) };
+        let timeout = (timeout * 2u32.pow(it.count.min(2))).min(TIMEOUT_MAX);
+        match it.is_silent(now, self.read_at) {
+            true => Turn::Again(timeout),
+            false if self.read_at <= it.last => Turn::Again(timeout),
+            false => Turn::All(timeout),
+        }
+    }
+
+    /// Whether the log has fallen silent, so that waiting for it is of no use.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.unanswered.is_some_and(|it| it.is_silent(now, self.read_at))
+    }
+
+    /// Whether a record that has waited unsent since `since` is to be rejected.
+    pub fn is_hopeless(&self, now: Instant, since: Instant) -> bool {
+        self.is_silent(now) || now.since(since) >= UNSENT_MAX
+    }
+}
+
+impl Unanswered {
+    fn is_silent(&self, now: Instant, read_at: Instant) -> bool {
+        let deaf = self.overtaken >= DEAF_MIN && now.since(self.last) < PROBE_EVERY * 2;
+        deaf || read_at <= self.last && now.since(self.first) >= SILENT
+    }
+}
--- /dev/null
+++ b/daisy-workflow/tests/silence.rs
@@ -0,0 +1,95 @@
+//! What is sent to a log that has fallen silent.
+
+use daisy_model::Instant;
+use daisy_workflow::{Silence, Turn};
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+/// A log that has answered appends within 10 ms, and reads, up to 1,000 ms.
+fn answering() -> Silence {
+    let mut log = Silence::default();
+    for began in [900, 940, 980] {
+        log.begin(at(began));
+        log.end(at(began + 10), at(began), true);
+    }
+    log.read(at(1_000));
+    log
+}
+
+/// The log falls silent. Requests go on coming, and each is sent on as the last ones were: when
+/// nothing is answered, all their callers are told that the outcome is unknown, and cannot ask again.
+/// Only what was under way before it showed is unknown; the others were never sent.
+#[test]
+fn little_is_sent_to_a_log_that_hangs() {
+    let mut log = answering();
+    let mut sent = 0;
+
+    for now in (1_000..2_400).step_by(20) {
+        if let Turn::All(_) = log.turn(at(now)) {
+            sent += 1;
+            log.begin(at(now));
+        }
+        if now == 1_500 {
+            log.end(at(now), at(1_000), false);
+        }
+    }
+
+    assert!(sent <= 2, "{sent} appends were sent");
+}
+
+/// An append went unanswered, and so did all reads. A caller who comes then is told at once that
+/// nothing was done; once a read is answered, requests are taken again.
+#[test]
+fn a_silent_log_is_known_until_it_answers() {
+    let mut log = answering();
+    log.begin(at(1_010));
+    log.end(at(1_510), at(1_010), false);
+
+    let before = log.is_silent(at(1_600));
+    let silent = log.is_silent(at(1_800));
+    let again = log.turn(at(1_800));
+    log.read(at(5_000));
+    let after = (log.is_silent(at(5_000)), log.turn(at(5_000)));
+
+    assert!(!before && silent);
+    assert!(matches!(again, Turn::Again(_)));
+    assert!(!after.0);
+    assert!(matches!(after.1, Turn::All(_)));
+}
+
+/// The log answers reads and no appends. One append in a second shows when that ends; the callers who
+/// come in between are told that nothing was done.
+#[test]
+fn a_log_that_only_answers_reads_is_probed() {
+    let mut log = answering();
+    log.begin(at(1_010));
+    log.end(at(1_510), at(1_010), false);
+    let mut probes = 0;
+
+    let mut under_way: Option<u64> = None;
+    for now in (1_520..7_500).step_by(20) {
+        log.read(at(now));
+        if let Some(began) = under_way.filter(|it| now >= it + 500) {
+            log.end(at(now), at(began), false);
+            under_way = None;
+        }
+        if under_way.is_none() && matches!(log.turn(at(now)), Turn::All(_)) {
+            probes += 1;
+            log.begin(at(now));
+            under_way = Some(now);
+        }
+    }
+
+    assert!((4..=8).contains(&probes), "{probes} probes");
+}
+
+/// On a slow log a record waits while others are under way, but not as long as its caller does.
+#[test]
+fn what_waits_unsent_is_rejected_in_time() {
+    let log = answering();
+
+    assert!(!log.is_hopeless(at(2_400), at(1_000)));
+    assert!(log.is_hopeless(at(2_500), at(1_000)));
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -303,3 +303,25 @@
         fleet.assert_each_task_ran_once(&format!("{number:016x}"), 5);
     }
 }
+
+/// The log falls silent while callers go on handing jobs in, one every 60 ms. What was on its way to
+/// the log has an unknown outcome, which its callers cannot do anything about; all others are told at
+/// once that nothing was done and when to come back, and their jobs never run.
+#[tokio::test]
+async fn few_outcomes_are_unknown_when_the_log_falls_silent() {
+    let fleet = Fleet::start(1, 2, WORK).await;
+    fleet.post(0, JOB, job_body(1)).await;
+    fleet.wait_for_state(0, JOB, "completed").await;
+    fleet.log.set_fault(LogFault::Silent);
+
+    let post = async |at: u64| {
+        tokio::time::sleep(Duration::from_millis(60 * at)).await;
+        fleet.post(0, &format!("{:016x}", 0xa000 + at), job_body(1)).await
+    };
+    let statuses = futures::future::join_all((0..16).map(post)).await;
+
+    let unknown = statuses.iter().filter(|it| **it == 504).count();
+    let rejected = statuses.iter().filter(|it| **it == 503).count();
+    assert!(unknown <= 3, "{statuses:?}");
+    assert_eq!(unknown + rejected, 16, "{statuses:?}");
+}
