daisyshift account: where the time of jobs went; stops and waits say why

Cause: a late request's lines told that runs were stopped and started anew, and nothing told why, nor what a job waited for. Change: an order to stop carries its cause, a step that finds no room is told once with what it lacks and the backlog, a job's end with its kind and objective. account reads the logs and gives, by kind, the mean seconds by cause, which add up to the latency; trace counts the causes. JobKind replaces the copy of it in balance.rs; lines.rs is one reader of log lines for trace and account. Measured: a test of a job of 6 s gives each cause its seconds.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -443,8 +443,19 @@
 
     fn note(&self, note: &Note) {
         match note {
-            Note::JobEnded { job, how, age } => {
-                log::info!("event=job_ended id={job} outcome={how} age_ms={}", age.as_millis());
+            Note::JobEnded { job, how, kind, age, objective } => {
+                log::info!(
+                    "event=job_ended id={job} outcome={how} kind={} age_ms={} objective_ms={}",
+                    kind.word(),
+                    age.as_millis(),
+                    objective.as_millis()
+                );
+            }
+            Note::Waits { job, step, tasks, cause, backlog } => {
+                let cause = cause.words();
+                log::info!(
+                    "event=waits id={job} step={step} tasks={tasks} backlog={backlog} cause=\"{cause}\""
+                );
             }
             Note::Delegated { job, to } => {
                 let from = self.ownership.shard.0;
--- a/daisy-node/src/own/calls.rs
+++ b/daisy-node/src/own/calls.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use daisy_platform::{HoldError, HoldOrder, WorkerCalls};
-use daisy_workflow::{Action, Event, OrderReply, Start, TaskId, Worker, WorkerId, WorkerKey};
+use daisy_workflow::{
+    Action, Event, OrderReply, Start, StopCause, TaskId, Worker, WorkerId, WorkerKey,
+};
 use tokio::sync::mpsc;
 
 use crate::metrics::Metrics;
@@ -38,7 +40,7 @@
                     this.hold(&to, HoldOrder { deadline_ms, cursor, wait }).await
                 }
                 Action::Start(_, start) => this.start(&to, &start).await,
-                Action::Stop(_, task, run) => this.stop(&to, task, run).await,
+                Action::Stop(_, task, run, cause) => this.stop(&to, task, run, cause).await,
                 Action::Pace(_, task, run, percent) => this.pace(&to, task, run, percent).await,
                 Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
             };
@@ -70,13 +72,14 @@
         Event::Started(to.key, task, run, reply)
     }
 
-    async fn stop(&self, to: &Target, task: TaskId, run: u32) -> Event {
+    async fn stop(&self, to: &Target, task: TaskId, run: u32, cause: StopCause) -> Event {
         let reply = self.calls.stop(&to.id, to.address, task, run, ORDER_TIMEOUT).await;
         log::info!(
-            "event=stop id={} task={task} run={run} worker={} outcome={}",
+            "event=stop id={} task={task} run={run} worker={} outcome={} cause=\"{}\"",
             task.job,
             to.id,
-            reply_words(reply)
+            reply_words(reply),
+            cause.words()
         );
         Event::Stopped(to.key, task, run, reply)
     }
--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -8,7 +8,7 @@
 
 use daisy_model::{Instant, SortedMap};
 
-use crate::{JobSpec, ShardId};
+use crate::{JobKind, JobSpec, ShardId};
 
 /// What a shard has and what is asked of it, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -23,18 +23,10 @@
     pub best_effort: u64,
 }
 
-/// What decides where a job goes best.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    Lasting,
-    Once,
-    BestEffort,
-}
-
 /// What a job adds to the load of its shard while its widest step runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
-    kind: Kind,
+    kind: JobKind,
     cpu: u64,
 }
 
@@ -43,11 +35,7 @@
     pub fn of(spec: &JobSpec) -> Demand {
         let cpu = |it: &crate::StepSpec| u64::from(it.count) * u64::from(it.need.cpu_milli);
         let widest = spec.steps.iter().map(cpu).max().unwrap_or_default();
-        let kind = match &spec.steps[..] {
-            steps if steps.iter().any(|it| it.long_running) => Kind::Lasting,
-            steps if steps.iter().all(|it| it.best_effort) => Kind::BestEffort,
-            _ => Kind::Once,
-        };
+        let kind = spec.kind();
         Demand { kind, cpu: widest }
     }
 }
@@ -57,23 +45,23 @@
     fn with(self, demand: Demand) -> Load {
         let mut load = self;
         match demand.kind {
-            Kind::Lasting => load.lasting += demand.cpu,
-            Kind::Once => load.once += demand.cpu,
-            Kind::BestEffort => load.best_effort += demand.cpu,
+            JobKind::Lasting => load.lasting += demand.cpu,
+            JobKind::Once => load.once += demand.cpu,
+            JobKind::BestEffort => load.best_effort += demand.cpu,
         }
         load
     }
 
     /// How full the shard is for jobs of a kind, 1 for full.
-    fn pressure(self, kind: Kind) -> f64 {
+    fn pressure(self, kind: JobKind) -> f64 {
         /// Serving tasks use about half of what they reserve, and best-effort tasks the rest.
         const SERVING_USE: f64 = 0.55;
         let (lasting, once, best_effort) =
             (self.lasting as f64, self.once as f64, self.best_effort as f64);
         let asked = match kind {
-            Kind::Lasting => lasting,
-            Kind::Once => lasting + once,
-            Kind::BestEffort => lasting * SERVING_USE + once + best_effort,
+            JobKind::Lasting => lasting,
+            JobKind::Once => lasting + once,
+            JobKind::BestEffort => lasting * SERVING_USE + once + best_effort,
         };
         asked / (self.capacity.max(1) as f64)
     }
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -35,13 +35,14 @@
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner,
-        RENEW_ALONE_MAX, Refusal, Running, Settings, Start, Summary, Worker, WorkerKey,
+        RENEW_ALONE_MAX, Refusal, Running, Settings, Start, StopCause, Summary, WaitCause, Worker,
+        WorkerKey,
     },
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
     record::{Claim, Disturbance, OWNER_KEY, Observations, Record, RecordError, decode, encode},
     shard::{Layout, ShardId},
     silence::{Silence, Turn},
-    spec::{JobSpec, SpecError, StepSpec, Terms},
+    spec::{JobKind, JobSpec, SpecError, StepSpec, Terms},
     telling::Telling,
 };
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -30,7 +30,7 @@
 pub use self::{
     message::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
-        Running, Start,
+        Running, Start, StopCause, WaitCause,
     },
     summary::Summary,
     worker::{Worker, WorkerKey},
@@ -69,6 +69,8 @@
     pub objective: Instant,
     /// Estimated time from each step's start to the job's end, in milliseconds.
     pub tails_ms: Vec<u64>,
+    /// Steps of which it was told that they wait for room.
+    pub told_waiting: Vec<u16>,
 }
 
 /// The owner.
@@ -371,6 +373,7 @@
             since,
             objective: since + Duration::from_millis(objective),
             tails_ms: spec.tails_ms(),
+            told_waiting: Vec::new(),
         };
         let cancelled = job.cancelled;
         self.active.insert(id, view);
@@ -386,7 +389,7 @@
             for it in worker.tasks.iter_mut().filter(|it| it.task.job == id) {
                 left = true;
                 if it.stop == Stop::No && it.sent != Sent::Recording {
-                    it.stop = Stop::Due(now);
+                    it.stop_at(now, StopCause::JobOver);
                 }
             }
         }
@@ -469,6 +472,7 @@
         maybe_late: false,
         tries: 0,
         stop: Stop::No,
+        stop_cause: StopCause::Unknown,
         absent: 0,
         checkpoint: String::new(),
         percent: 0,
--- a/daisy-workflow/src/owner/ends.rs
+++ b/daisy-workflow/src/owner/ends.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Owner,
-    message::{Action, Ended, Note, Outcome},
+    message::{Action, Ended, Note, Outcome, StopCause},
     worker::{Sent, Stop, WorkerKey},
 };
 use crate::{JobId, Phase, TaskId};
@@ -57,7 +57,7 @@
         if over && job.progress.phase == Phase::Active {
             self.end_job(now, task.job, Phase::Completed);
         }
-        self.stop_copies(now, |it| it == task);
+        self.stop_copies(now, StopCause::Done, |it| it == task);
     }
 
     fn failed(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32, elsewhere: bool) {
@@ -102,20 +102,27 @@
         let Some(job) = self.ledger.job_mut(id) else { return };
         job.progress.phase = phase;
         self.dirty.push(id);
-        let since = self.active.get(&id).map_or(now, |it| it.since);
+        let kind = job.spec.kind();
+        let view = self.active.get(&id);
+        let (since, due) = view.map_or((now, now), |it| (it.since, it.objective));
         let how = if phase == Phase::Completed { "completed" } else { "failed" };
-        let age = now.since(since);
-        self.actions.push(Action::Note(Note::JobEnded { job: id, how, age }));
-        self.stop_copies(now, |it| it.job == id);
+        let (age, objective) = (now.since(since), due.since(since));
+        self.actions.push(Action::Note(Note::JobEnded { job: id, how, kind, age, objective }));
+        self.stop_copies(now, StopCause::JobOver, |it| it.job == id);
     }
 
     /// Stops all runs of the tasks that `which` names.
-    pub(super) fn stop_copies(&mut self, now: Instant, which: impl Fn(TaskId) -> bool) {
+    pub(super) fn stop_copies(
+        &mut self,
+        now: Instant,
+        cause: StopCause,
+        which: impl Fn(TaskId) -> bool,
+    ) {
         for at in 0..self.workers.len() {
             let Some(worker) = self.workers.get_mut(WorkerKey(at as u32)) else { continue };
             for it in worker.tasks.iter_mut().filter(|it| which(it.task)) {
                 if it.stop == Stop::No && it.sent != Sent::Recording {
-                    it.stop = Stop::Due(now);
+                    it.stop_at(now, cause);
                 }
             }
         }
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Owner, Settings,
-    message::{Action, HoldAnswer, Listed, Note, Running},
+    message::{Action, HoldAnswer, Listed, Note, Running, StopCause},
     worker::{Sent, Stop, Worker, WorkerKey},
 };
 use crate::{TaskId, WorkerId};
@@ -61,7 +61,7 @@
         it.sent = sent;
         it.pace = None;
         if ended {
-            it.stop = Stop::Due(now);
+            it.stop_at(now, StopCause::JobOver);
         }
         if let Some(worker) = self.workers.get_mut(key) {
             worker.add(it);
@@ -120,8 +120,10 @@
                 Sent::Recording => {}
                 // An order that is still under way may reach the new incarnation, which knows no
                 // epoch and no run: only a stop that it has answered shuts the run out.
-                Sent::InFlight | Sent::Unanswered(_) => it.stop = Stop::Due(now),
-                Sent::There(_) | Sent::Inherited if it.maybe_late => it.stop = Stop::Due(now),
+                Sent::InFlight | Sent::Unanswered(_) => it.stop_at(now, StopCause::MaybeLate),
+                Sent::There(_) | Sent::Inherited if it.maybe_late => {
+                    it.stop_at(now, StopCause::MaybeLate);
+                }
                 // An answer to an order does not tell which incarnation gave it. Taken for one that
                 // ended with the old one, the run would go on here while it is started elsewhere;
                 // the next lists tell whether it is there.
@@ -152,7 +154,7 @@
             it.counted = Resources::ZERO;
             it.sent = Sent::Unanswered(now);
             it.maybe_late = true;
-            it.stop = Stop::Due(now);
+            it.stop_at(now, StopCause::MaybeLate);
             worker.add(it);
         }
     }
@@ -261,7 +263,7 @@
             // Such a run was given up, or its job is over. It takes room until it has ended.
             self.adopt(now, key, task, run, Sent::There(now));
             if let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) {
-                it.stop = Stop::Due(now);
+                it.stop_at(now, StopCause::Unknown);
             }
         }
         for (task, run) in gone {
@@ -311,7 +313,7 @@
             (Stop::No, Sent::There(at)) if at <= sent_at => {
                 it.absent += 1;
                 if it.absent >= ABSENT_MAX {
-                    it.stop = Stop::Due(sent_at);
+                    it.stop_at(sent_at, StopCause::Absent);
                 }
             }
             _ => {}
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -5,7 +5,7 @@
 use daisy_model::{Resources, SortedMap};
 
 use crate::{
-    JobId, Load, Observations, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey,
+    JobId, JobKind, Load, Observations, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey,
 };
 
 /// A worker in the platform's list.
@@ -176,6 +176,65 @@
     Tick,
 }
 
+/// Why a run is told to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopCause {
+    /// Its job is cancelled or over.
+    JobOver,
+    /// Another copy of the task has done the work.
+    Done,
+    /// It is held back for serving tasks here, and can work at full pace elsewhere.
+    HeldBack {
+        /// The share of its processor time that it has here, in percent.
+        percent: u8,
+    },
+    /// It makes no progress.
+    Stuck,
+    /// Its worker leaves before it would end.
+    Draining,
+    /// Its order may yet be carried out, by a worker that has refused it or started anew.
+    MaybeLate,
+    /// The worker's lists do not name it, though it was started.
+    Absent,
+    /// This owner has not started it, or has given it up.
+    Unknown,
+}
+
+impl StopCause {
+    /// The cause in words.
+    pub fn words(self) -> &'static str {
+        match self {
+            StopCause::JobOver => "its job is over",
+            StopCause::Done => "another copy is done",
+            StopCause::HeldBack { .. } => "held back here, room elsewhere",
+            StopCause::Stuck => "no progress",
+            StopCause::Draining => "its worker leaves",
+            StopCause::MaybeLate => "its order may be carried out late",
+            StopCause::Absent => "its worker does not list it",
+            StopCause::Unknown => "not of this owner",
+        }
+    }
+}
+
+/// Why a task waits whose turn has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitCause {
+    /// No worker has room for what it reserves.
+    Room,
+    /// It could work at full pace beside the tasks of no worker.
+    Headroom,
+}
+
+impl WaitCause {
+    /// The cause in words.
+    pub fn words(self) -> &'static str {
+        match self {
+            WaitCause::Room => "no worker has room",
+            WaitCause::Headroom => "no worker can give it full pace",
+        }
+    }
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -193,7 +252,7 @@
     /// Start a task.
     Start(WorkerKey, Start),
     /// Stop a run.
-    Stop(WorkerKey, TaskId, u32),
+    Stop(WorkerKey, TaskId, u32, StopCause),
     /// Let a run work at this share of its processor time, in percent.
     Pace(WorkerKey, TaskId, u32, u8),
     /// Append this record of a job to another shard's submissions, again until the log has it.
@@ -213,8 +272,25 @@
         job: JobId,
         /// `completed` or `failed`.
         how: &'static str,
-        /// Time since the owner first saw it.
+        /// What kind of job it was.
+        kind: JobKind,
+        /// Time since it was accepted, as far as the owner knows.
         age: Duration,
+        /// Time in which it should have ended.
+        objective: Duration,
+    },
+    /// A step whose turn has come finds no room; told once.
+    Waits {
+        /// The job.
+        job: JobId,
+        /// The step.
+        step: u16,
+        /// Tasks of it that wait.
+        tasks: usize,
+        /// What it lacks.
+        cause: WaitCause,
+        /// Jobs that are not ended.
+        backlog: usize,
     },
     /// A job is handed to another shard.
     Delegated {
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -6,7 +6,7 @@
 
 use super::{
     InFlight, Owner,
-    message::{Action, OrderReply, Refusal, Start},
+    message::{Action, OrderReply, Refusal, Start, StopCause},
     worker::{Sent, Stop, WorkerKey},
 };
 use crate::{JobState, TaskId};
@@ -146,7 +146,7 @@
         match it.maybe_late {
             true => {
                 it.sent = Sent::Unanswered(now + RESEND_START);
-                it.stop = Stop::Due(now);
+                it.stop_at(now, StopCause::MaybeLate);
                 self.send_stops(now);
             }
             false => self.unassign(key, task, run),
@@ -169,7 +169,7 @@
                     && at <= now
                 {
                     it.stop = Stop::InFlight;
-                    self.actions.push(Action::Stop(key, it.task, it.run));
+                    self.actions.push(Action::Stop(key, it.task, it.run, it.stop_cause));
                 }
             }
         }
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -7,7 +7,7 @@
 use super::{
     Owner,
     interference::{ImageKey, Interference},
-    message::{Action, OrderReply, Refusal},
+    message::{Action, OrderReply, Refusal, StopCause},
     place::Place,
     room::{HEADROOM_MIN, HEADROOM_TIGHT, PRESS_MIN, Pressed, press},
     worker::{Assignment, Sent, Stop, Worker, WorkerKey},
@@ -111,7 +111,8 @@
         if to.is_some_and(|to| to != key)
             && let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run))
         {
-            it.stop = Stop::Due(now);
+            let percent = it.pace.unwrap_or_default();
+            it.stop_at(now, StopCause::HeldBack { percent });
         }
     }
 
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -6,6 +6,7 @@
 
 use super::{
     JobView, Owner,
+    message::{Action, Note, WaitCause},
     place::{Place, is_crowded},
     worker::WorkerKey,
 };
@@ -241,14 +242,17 @@
         }
         let service = self.service(&spec);
         if round.is_full(&service, step) {
+            self.note_wait(ready, step, waiting.len());
             return;
         }
-        for index in waiting {
+        let count = waiting.len();
+        for (at, index) in waiting.into_iter().enumerate() {
             let task = task_id(ready, index);
             let options = Place { rack: None, taken: &[], any_pace: false, kept: &round.kept };
             let Some(key) = self.try_place(now, &service, step, task, options) else {
                 round.kept.extend(self.try_keep(now, ready, step, &round.kept));
                 round.add_full(&service, step);
+                self.note_wait(ready, step, count - at);
                 break;
             };
             let run = self.next_run(task);
@@ -256,6 +260,19 @@
         }
     }
 
+    /// Tells once of each step that it waits, and for what.
+    fn note_wait(&mut self, ready: Ready, step: &StepSpec, tasks: usize) {
+        let backlog = self.active.len();
+        let Some(view) = self.active.get_mut(&ready.job) else { return };
+        if view.told_waiting.contains(&ready.step) {
+            return;
+        }
+        view.told_waiting.push(ready.step);
+        let cause = if step.best_effort { WaitCause::Headroom } else { WaitCause::Room };
+        let Ready { job, step, .. } = ready;
+        self.actions.push(Action::Note(Note::Waits { job, step, tasks, cause, backlog }));
+    }
+
     /// Starts all members of a gang, or none.
     fn place_gang(&mut self, now: Instant, ready: Ready, spec: &JobSpec, step: &StepSpec) {
         let service = self.service(spec);
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Owner,
+    message::StopCause,
     worker::{Sent, Stop, Worker, WorkerKey},
 };
 use crate::TaskId;
@@ -89,7 +90,7 @@
             let still = now.since(it.moved_at) > STUCK_AFTER;
             let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
             if there && still && !starved && !at_work && it.percent < 100 {
-                it.stop = Stop::Due(now);
+                it.stop_at(now, StopCause::Stuck);
                 found = true;
             }
         }
@@ -106,7 +107,7 @@
         for it in &mut worker.tasks {
             let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
             if there && !ends_before(now, leaves_at, it.percent, now.since(it.began_at)) {
-                it.stop = Stop::Due(now);
+                it.stop_at(now, StopCause::Draining);
             }
         }
     }
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -6,6 +6,7 @@
 
 use super::{
     interference::{ImageKey, Interference},
+    message::StopCause,
     room::{self, Pressed},
 };
 use crate::{Listed, TaskId, WorkerId};
@@ -80,6 +81,8 @@
     pub maybe_late: bool,
     pub tries: u32,
     pub stop: Stop,
+    /// Why it is to be stopped, once it is.
+    pub stop_cause: StopCause,
     /// Renewals in a row, sent after the start was answered, that list the run nowhere.
     pub absent: u8,
     pub checkpoint: String,
@@ -150,6 +153,14 @@
     pub(crate) is_weighed: bool,
 }
 
+impl Assignment {
+    /// Has the run stopped at `at`.
+    pub(crate) fn stop_at(&mut self, at: Instant, cause: StopCause) {
+        self.stop = Stop::Due(at);
+        self.stop_cause = cause;
+    }
+}
+
 impl Worker {
     pub(crate) fn new(now: Instant, listed: &Listed) -> Worker {
         Worker {
--- a/daisy-workflow/src/spec.rs
+++ b/daisy-workflow/src/spec.rs
@@ -52,6 +52,28 @@
     pub target_latency_ms: u32,
 }
 
+/// What decides how a job's tasks are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobKind {
+    /// Some of its tasks run until it is cancelled.
+    Lasting,
+    /// Its tasks reserve what they need.
+    Once,
+    /// All its tasks use what others leave.
+    BestEffort,
+}
+
+impl JobKind {
+    /// The kind in one word.
+    pub fn word(self) -> &'static str {
+        match self {
+            JobKind::Lasting => "lasting",
+            JobKind::Once => "once",
+            JobKind::BestEffort => "best_effort",
+        }
+    }
+}
+
 /// A job as submitted; it never changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobSpec {
@@ -157,6 +179,15 @@
         self.first_due_ms.saturating_add(u64::from(k).saturating_mul(self.interval_ms))
     }
 
+    /// What kind of job it is.
+    pub fn kind(&self) -> JobKind {
+        match &self.steps[..] {
+            steps if steps.iter().any(|it| it.long_running) => JobKind::Lasting,
+            steps if steps.iter().all(|it| it.best_effort) => JobKind::BestEffort,
+            _ => JobKind::Once,
+        }
+    }
+
     /// The estimated length of the longest chain of steps, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
         self.tails_ms().into_iter().max().unwrap_or_default()
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -177,7 +177,7 @@
                 self.events.push((now + after, event));
             }
             Action::Start(key, start) => self.start(key, start),
-            Action::Stop(key, task, run) => {
+            Action::Stop(key, task, run, _) => {
                 let reply = self.of(key).stop(now, epoch, task, run);
                 self.events.push((now + STEP, Event::Stopped(key, task, run, reply)));
             }
--- a/src/args.rs
+++ b/src/args.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
+    /// `account`
+    Account(Account),
     /// `check`
     Check(Check),
     /// `ctl`
@@ -38,6 +40,18 @@
     Trace(Trace),
 }
 
+/// Print where the time of jobs went, by kind of job and cause, from several processes' logs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "account")]
+pub struct Account {
+    /// how many of the latest jobs are listed with their main cause (default 5)
+    #[argh(option, default = "5")]
+    pub worst: usize,
+    /// the processes' logs
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Check a settings file, or a file of statements, and print every finding.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,13 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod account;
 mod args;
 mod check;
 mod ctl;
 mod demo;
 mod entry;
+mod lines;
 mod logging;
 mod node;
 mod standin;
@@ -22,6 +24,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let outcome = match args.command {
+        Command::Account(options) => account::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Ctl(options) => ctl::run(&options),
         Command::Demo(options) => demo::run(&options),
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -3,9 +3,10 @@
 
 use std::process::ExitCode;
 
-use anyhow::Context;
-
-use crate::args;
+use crate::{
+    args,
+    lines::{self, Line},
+};
 
 /// Prints the lines and the findings; fails if no line names the id.
 ///
@@ -13,13 +14,7 @@
 ///
 /// If a file cannot be read.
 pub fn run(options: &args::Trace) -> anyhow::Result<ExitCode> {
-    let mut lines = Vec::new();
-    for file in &options.files {
-        let text = std::fs::read(file).with_context(|| format!("reading {}", file.display()))?;
-        let text = String::from_utf8_lossy(&text);
-        lines.extend(text.lines().filter_map(|it| Line::parse(it, &options.id)));
-    }
-    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let lines = lines::read(&options.files, |it| it.value("id") == Some(&options.id))?;
     for line in &lines {
         println!("{} {}", line.time, line.event);
     }
@@ -33,49 +28,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// A line about the request.
-#[derive(Debug)]
-struct Line {
-    time: String,
-    /// From `event=` on.
-    event: String,
-}
-
-impl Line {
-    /// `None` for a line that does not name `id`, or has no time.
-    fn parse(text: &str, id: &str) -> Option<Line> {
-        let at = text.find("event=")?;
-        let event = &text[at..];
-        if !event.split_whitespace().any(|it| it.strip_prefix("id=") == Some(id)) {
-            return None;
-        }
-        let is_time = |it: &&str| it.len() > 20 && it.as_bytes()[10] == b'T' && it.ends_with('Z');
-        let time = text[..at].split_whitespace().find(is_time)?;
-        Some(Line { time: time.to_owned(), event: event.to_owned() })
-    }
-
-    fn name(&self) -> &str {
-        self.value("event").unwrap_or_default()
-    }
-
-    /// The value of a key, without quotes.
-    fn value(&self, key: &str) -> Option<&str> {
-        let at = self.event.split_whitespace().find_map(|it| {
-            let value = it.strip_prefix(key)?.strip_prefix('=')?;
-            Some(value.as_ptr() as usize - self.event.as_ptr() as usize)
-        })?;
-        let value = &self.event[at..];
-        match value.strip_prefix('"') {
-            Some(quoted) => quoted.split('"').next(),
-            None => value.split_whitespace().next(),
-        }
-    }
-
-    fn is(&self, name: &str, outcome: &str) -> bool {
-        self.name() == name && self.value("outcome") == Some(outcome)
-    }
-}
-
 /// What the lines say of the request's way, in words.
 fn findings(lines: &[Line]) -> Vec<String> {
     let count = |name: &str, outcome: &str| lines.iter().filter(|it| it.is(name, outcome)).count();
@@ -114,6 +66,12 @@
     if unanswered > 0 {
         found.push(format!("{unanswered} orders to start got no answer"));
     }
+    for cause in causes(lines, "stop") {
+        found.push(format!("stopped: {cause}"));
+    }
+    for cause in causes(lines, "waits") {
+        found.push(format!("waited: {cause}"));
+    }
     match lines.iter().find(|it| it.name() == "job_ended") {
         Some(it) => found.push(format!(
             "ended as {} {} ms after it was stored",
@@ -124,3 +82,12 @@
     }
     found
 }
+
+/// The causes that events of a name give, each once with how often.
+fn causes(lines: &[Line], name: &str) -> Vec<String> {
+    let of_name = lines.iter().filter(|it| it.name() == name);
+    let mut causes: Vec<&str> = of_name.filter_map(|it| it.value("cause")).collect();
+    causes.sort_unstable();
+    let counted = causes.chunk_by(|a, b| a == b);
+    counted.map(|it| format!("{} ({} times)", it[0], it.len())).collect()
+}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -91,6 +91,39 @@
     assert!(stderr(&output).contains("no connection"), "{}", stderr(&output));
 }
 
+/// A job of two tasks waits a second for its first start, one task is held back for two seconds, and
+/// the other is stopped and done by its second run. The seconds by cause add up to the latency.
+#[test]
+fn an_account_tells_where_the_time_went() {
+    let at = |second: &str, event: &str| {
+        format!("2026-03-15T15:38:{second}Z [INFO] daisy_node::own: event={event}\n")
+    };
+    let log = [
+        at("10.000", "submitted id=a1 outcome=stored tries=1"),
+        at("11.000", "start id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        at("11.000", "start id=a1 task=a1.0.0.1 run=1 worker=w1 outcome=done"),
+        at("11.000", "pace id=a1 task=a1.0.0.0 run=1 worker=w1 percent=0 outcome=done"),
+        at("13.000", "pace id=a1 task=a1.0.0.0 run=1 worker=w1 percent=100 outcome=done"),
+        at("13.000", "run_ended id=a1 task=a1.0.0.1 run=1 worker=w1 outcome=stopped"),
+        at("14.000", "run_ended id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        at("15.000", "start id=a1 task=a1.0.0.1 run=2 worker=w2 outcome=done"),
+        at("16.000", "run_ended id=a1 task=a1.0.0.1 run=2 worker=w2 outcome=done"),
+        at(
+            "16.000",
+            "job_ended id=a1 outcome=completed kind=best_effort age_ms=6000 objective_ms=4000",
+        ),
+    ];
+    let path = file("account.log", &log.concat());
+
+    let output = daisyshift(&["account", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    let summary = "kind=best_effort jobs=1 in_time=0 latency_s=6.00 first_start_s=1.00 \
+                   waiting_s=1.00 held_back_s=1.00 lost_s=1.00 last_task_s=2.00 work_s=0.00";
+    assert_eq!(text.lines().next(), Some(summary), "{text}");
+    assert!(text.contains("id=a1 kind=best_effort late_s=2.0"), "{text}");
+}
+
 #[test]
 fn unknown_arguments_are_refused() {
     let output = daisyshift(&["demo", "--speed", "9"]);
