A slow log is not taken for a silent one

Appends were sent beside such as reads had overtaken after 80 ms, which made the log's queue longer than any timeout, and two unanswered appends counted as a log that takes none. Change: an append counts as overtaken after half a second or twice what appends take, the timeout after an unanswered one is the longest, and the first unanswered one does not count against the log.

--- a/daisy-workflow/src/silence.rs
+++ b/daisy-workflow/src/silence.rs
@@ -12,7 +12,7 @@
 /// The shortest and the longest time that an append may take before its outcome counts as unknown.
 const TIMEOUT_MIN: Duration = Duration::from_millis(500);
 const TIMEOUT_MAX: Duration = Duration::from_millis(1_700);
-/// The timeout, in times of what appends took of late; doubled for each that went unanswered.
+/// The timeout, in times of what appends took of late; the longest after one that went unanswered.
 const TIMEOUT_FACTOR: u32 = 6;
 /// Appends under way at one time, so that one that hangs does not hold up the others.
 const UNDER_WAY_MAX: usize = 2;
@@ -23,6 +23,10 @@
 const SLOW: Duration = Duration::from_millis(80);
 /// An append under way for this many times what appends took of late counts as one that hangs.
 const HANGS_FACTOR: u32 = 4;
+/// An append for which reads that came so much later were answered is lost, or late by itself: the
+/// shortest such time, and in times of what appends took of late.
+const OVERTAKEN_AFTER: Duration = Duration::from_millis(500);
+const OVERTAKEN_FACTOR: u32 = 2;
 /// How long nothing may be answered before the log counts as silent.
 const SILENT: Duration = Duration::from_millis(700);
 /// Appends in a row that went unanswered while reads were answered, from which on the log counts as
@@ -62,8 +66,7 @@
     /// When the first and the last of them began.
     first: Instant,
     last: Instant,
-    count: u32,
-    /// How many of them were overtaken by reads that were answered.
+    /// How many of the others than the first were overtaken by reads that were answered.
     overtaken: u32,
 }
 
@@ -88,24 +91,21 @@
             self.unanswered = None;
             return;
         }
-        let overtaken = u32::from(self.read_at > began);
-        let it = self.unanswered.get_or_insert(Unanswered {
-            first: began,
-            last: began,
-            count: 0,
-            overtaken: 0,
-        });
+        let Some(it) = &mut self.unanswered else {
+            self.unanswered = Some(Unanswered { first: began, last: began, overtaken: 0 });
+            return;
+        };
         it.last = it.last.max(began);
-        it.count += 1;
-        it.overtaken = (it.overtaken + overtaken) * overtaken;
+        it.overtaken = if self.read_at > began { it.overtaken + 1 } else { 0 };
     }
 
     /// What may be sent now.
     pub fn turn(&self, now: Instant) -> Turn {
         let hangs_after = SLOW.max(self.took * HANGS_FACTOR);
         let hangs = |it: &&Instant| now.since(**it) > hangs_after;
-        // A log that has answered a read since is not silent: that append alone is lost or late.
-        let overtaken = |it: &&Instant| hangs(it) && self.read_at > **it + hangs_after;
+        // A log that has answered reads since is not silent.
+        let overtaken_after = OVERTAKEN_AFTER.max(self.took * OVERTAKEN_FACTOR);
+        let overtaken = |it: &&Instant| self.read_at > **it + overtaken_after;
         let others = || self.under_way.iter().filter(|it| !overtaken(it));
         let most = if self.took > SLOW { 1 } else { UNDER_WAY_MAX };
         if others().any(|it| hangs(&it))
@@ -114,13 +114,11 @@
         {
             return Turn::Wait;
         }
-        let timeout = (self.took * TIMEOUT_FACTOR).max(TIMEOUT_MIN);
-        let Some(it) = self.unanswered else { return Turn::All(timeout.min(TIMEOUT_MAX)) };
-        let timeout = (timeout * 2u32.pow(it.count.min(2))).min(TIMEOUT_MAX);
-        match it.is_silent(now, self.read_at) {
-            true => Turn::Again(timeout),
-            false if self.read_at <= it.last => Turn::Again(timeout),
-            false => Turn::All(timeout),
+        let timeout = (self.took * TIMEOUT_FACTOR).clamp(TIMEOUT_MIN, TIMEOUT_MAX);
+        let Some(it) = self.unanswered else { return Turn::All(timeout) };
+        match it.is_silent(now, self.read_at) || self.read_at <= it.last {
+            true => Turn::Again(TIMEOUT_MAX),
+            false => Turn::All(TIMEOUT_MAX),
         }
     }
 
