Owners do not all hand their jobs to the shard that was emptiest

Change: an owner takes it that all others send as much as it does until loads tell. Ruled out: drawing the shard by weights, which spreads as well but no longer evenly from one owner.

--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -88,6 +88,10 @@
 
     /// The shard that a job had better go to than the one with the load `own`, which already counts
     /// it, if there is one.
+    ///
+    /// Loads are known late, and all owners know the same: in a flood, each would hand its jobs to the
+    /// shard that was emptiest before, which is overfull from then on, as jobs that have begun stay
+    /// where they are. So an owner takes it that all others send as much as it does.
     pub fn try_better(&mut self, now: Instant, own: Load, demand: Demand) -> Option<ShardId> {
         /// Loads are told every 0.4 s and read 0.2 s later.
         const SHOWN_AFTER: Duration = Duration::from_millis(800);
@@ -102,9 +106,13 @@
         if pressure < EASY[kind as usize] {
             return None;
         }
+        let senders = self.loads.len().max(1) as u64;
         let with_sent = |(shard, load): (&ShardId, &Load)| {
             let sent = self.sent.iter().filter(|(_, to, _)| to == shard);
-            let load = sent.fold(*load, |load, (.., demand)| load.with(*demand)).with(demand);
+            let add = |load: Load, (.., demand): &(Instant, ShardId, Demand)| {
+                load.with(Demand { cpu: demand.cpu * senders, ..*demand })
+            };
+            let load = sent.fold(*load, add).with(demand);
             (*shard, load.pressure(kind))
         };
         let others = self.loads.iter().filter(|(_, load)| load.capacity > 0).map(with_sent);
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -263,3 +263,29 @@
 
     assert_eq!(taken, [0, 5, 5]);
 }
+
+/// A flood of lasting jobs comes to four shards at once. Each owner sees the same loads, half a second
+/// old, and hands what it cannot hold to the emptiest: all to the same one, where tasks wait for
+/// good, as jobs that have begun stay, while the others have room. The jobs are to fill both alike.
+#[test]
+fn many_owners_do_not_flood_the_emptiest_shard() {
+    let cores = |it: u64| it * u64::from(CORE);
+    let load = |lasting| Load { capacity: cores(1_000), lasting: cores(lasting), ..load(0, 0, 0) };
+    let (emptiest, empty) = (ShardId(8), ShardId(9));
+    let demand = Demand::of(&job(vec![lasting(10)]));
+    let mut taken = [cores(100), cores(200)];
+
+    for owner in 0..4 {
+        let full = (0..4).filter(|it| *it != owner).map(|it| (ShardId(it), load(950)));
+        let mut view = Others::default();
+        view.update(full.chain([(emptiest, load(100)), (empty, load(200))]).collect());
+        for _ in 0..25 {
+            let to = view.try_better(at(0), load(900), demand).expect("two shards have room");
+            view.sent(at(0), to, demand);
+            taken[usize::from(to == empty)] += cores(10);
+        }
+    }
+
+    // 1,000 cores are handed on: each shard then has some 650 of its 1,000 in use.
+    assert!(taken.iter().all(|it| *it < cores(750)), "{taken:?}");
+}
