--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -30,8 +30,7 @@
 const LEASE: Duration = Duration::from_millis(5_000);
 /// Between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// The shortest time between two appends, so that records gather: each call is paid for. A calm day's
-/// calls of a fleet of 7 VMs fell from 8,490 at 12 ms to 6,820; a start waits 6 ms longer in the mean.
+/// The shortest time between two appends, so that records gather: each call is paid for.
 const APPEND_GAP: Duration = Duration::from_millis(24);
 /// How long an append may take before it is sent again.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
--- a/daisy-placement/src/usage.rs
+++ b/daisy-placement/src/usage.rs
@@ -1,4 +1,4 @@
-//! What a job's tasks were seen to take, against what was declared.
+//! What a job's tasks have taken, against what was declared.
 
 use std::time::Duration;
 
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -133,8 +133,7 @@
     /// nothing before those that own something; the rest is drawn by name, so that different
     /// shards go to different VMs and an owner's death is followed by few claims.
     pub fn rank(&self) -> Duration {
-        /// An owner of a hundred workers takes 0.09 cores, measured; less than twice that leaves
-        /// no room for bursts.
+        /// Twice what an owner of a full shard takes, in cores: less leaves no room for bursts.
         const SMALL_VM: f64 = 0.2;
         /// Longer than the draw below and a claim on a slow platform, whose calls take 0.25 s each, so
         /// that a small VM claims only if no large one does: its link is too narrow for a shard's
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -442,8 +442,7 @@
 /// hundreds of events a second call for one.
 const PLAN_EVERY: Duration = Duration::from_millis(20);
 
-/// Headroom that a serving task counts with until its first report: that of a task at its mean
-/// load, as seen.
+/// Headroom that a serving task counts with until its first report.
 const NEW_HEADROOM: f64 = 2.7;
 
 /// An assignment that begins now.
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -16,9 +16,8 @@
 /// Reports older than this count for half: the amounts change within seconds, and a worker
 /// reports about twice a second.
 const HALF_LIFE_S: f64 = 10.0;
-/// The factor that a pair begins with: a task on a tenth of a worker then takes 0.25 of headroom,
-/// so that unknown images are tried a few to a worker. Pairs that disturb each other were seen at
-/// 5 to 9, the others, about three of four, below 1.
+/// The factor that a pair begins with, between those of pairs that disturb each other and of pairs that
+/// do not: unknown images are tried a few to a worker.
 const PRIOR_WEIGHT: f64 = 2.5;
 /// How firmly it is held to, in squared shares of a worker: some five reports of a start or an
 /// end of a task on a twentieth of a worker outweigh it.
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -15,8 +15,7 @@
 /// Copies of one task at a time, where its step allows copies.
 const COPIES_MAX: usize = 2;
 
-/// A quick job with less time left than this beside its work may keep a worker free. With it, 164 of
-/// 193 quick jobs of a heavy day were in time, without 126.
+/// A quick job with less time left than this beside its work may keep a worker free.
 const KEEP_SLACK: Duration = Duration::from_millis(1_000);
 
 /// What a job can still come to; the first goes first.
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -13,7 +13,7 @@
 
 /// A run whose share of work done has not risen for this long stands still.
 ///
-/// The shortest tasks take some 0.2 s and the picture of a worker is up to 0.8 s old, so two
+/// The picture of a worker is up to 0.8 s old and short tasks come and go in between, so two
 /// pictures in a row must show the same.
 const STUCK_AFTER: Duration = Duration::from_millis(1_800);
 /// How long a worker on which a run stood still gets no work.
--- a/daisy-workflow/src/shard.rs
+++ b/daisy-workflow/src/shard.rs
@@ -2,11 +2,7 @@
 
 use crate::{JobId, WorkerId};
 
-/// Workers that one owner takes.
-///
-/// An owner spends about 0.9 thousandths of a core on each worker that it renews and gives tasks
-/// to (0.06 cores for 66 workers and 150 starts a second, measured), and the smallest entry VM has
-/// 0.12 cores: with a hundred workers three quarters of it are used.
+/// Workers that one owner takes: as many as the smallest entry VM has processors for.
 const WORKERS_MAX: usize = 100;
 
 /// One shard.
