--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -145,10 +145,15 @@
         self.ask(address, "GET", "/daisyshift/readiness", String::new()).await.0 == 200
     }
 
-    async fn wait_ready(&self, at: usize) {
+    async fn wait_ready(&mut self, at: usize) {
         let began = Instant::now();
         while !self.ready(at).await {
-            assert!(began.elapsed() < PATIENCE, "a process is not ready");
+            let ended = self.nodes[at].try_exit();
+            let late = began.elapsed() > PATIENCE;
+            if ended.is_some() || late {
+                let log = self.nodes[at].log_text();
+                panic!("process {at} is not ready, ended: {ended:?}, its log:\n{log}");
+            }
             sleep(Duration::from_millis(20)).await;
         }
     }
