Tasks that last and find no room are handed to another shard

Cause: a job that has begun could not leave its shard.

Change: after a second without room, the shard records that it hands the task on (a number rising with each hop) and then writes it to the submissions of the shard with most room; signs of life tell the largest pieces of room. Run numbers and checkpoints go along. Cancellations follow. A new owner writes again what was recorded.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -460,6 +460,14 @@
                 let from = self.ownership.shard.0;
                 log::info!("event=delegated id={job} shard={from} to={}", to.0);
             }
+            Note::HandedOver { task, hop, to } => {
+                let (id, from) = (task.job, self.ownership.shard.0);
+                log::info!(
+                    "event=handed_over id={id} task={task} hop={hop} shard={from} to={} \
+                     cause=\"no worker of the shard has room\"",
+                    to.0
+                );
+            }
             Note::RunEnded { task, run, worker, outcome } => {
                 let outcome = outcome_words(*outcome);
                 self.ownership.elect.metrics.end(outcome);
--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -8,7 +8,11 @@
 
 use daisy_model::{Instant, SortedMap};
 
-use crate::{JobKind, JobSpec, ShardId};
+use crate::{JobKind, JobSpec, ShardId, StepSpec};
+
+/// Pieces of free processors that a shard tells of: more tasks than find no room in the time in
+/// which loads are told anew.
+pub const PIECES: usize = 16;
 
 /// What a shard has and what is asked of it, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -21,6 +25,9 @@
     pub once: u64,
     /// What best-effort tasks could use, running or waiting.
     pub best_effort: u64,
+    /// Processors that are left for tasks that last once all others have ended, of the workers with
+    /// most, the largest first: for such a task, a worker is kept until they have.
+    pub pieces: [u32; PIECES],
 }
 
 /// What a job adds to the load of its shard while its widest step runs.
@@ -31,9 +38,14 @@
 }
 
 impl Demand {
+    /// The demand of one task of a step that lasts.
+    pub fn of_lasting(step: &StepSpec) -> Demand {
+        Demand { kind: JobKind::Lasting, cpu: u64::from(step.need.cpu_milli) }
+    }
+
     /// The demand of a job.
     pub fn of(spec: &JobSpec) -> Demand {
-        let cpu = |it: &crate::StepSpec| u64::from(it.count) * u64::from(it.need.cpu_milli);
+        let cpu = |it: &StepSpec| u64::from(it.count) * u64::from(it.need.cpu_milli);
         let widest = spec.steps.iter().map(cpu).max().unwrap_or_default();
         let kind = spec.kind();
         Demand { kind, cpu: widest }
@@ -41,6 +53,18 @@
 }
 
 impl Load {
+    /// Keeps the largest of these pieces.
+    pub fn set_pieces(&mut self, mut pieces: Vec<u32>) {
+        pieces.sort_unstable_by(|a, b| b.cmp(a));
+        pieces.resize(PIECES, 0);
+        self.pieces.copy_from_slice(&pieces);
+    }
+
+    /// Tasks that last, need `cpu` of one worker and find room in time, as far as the pieces tell.
+    fn rooms(&self, cpu: u32) -> u64 {
+        self.pieces.iter().map(|it| u64::from(it / cpu.max(1))).sum()
+    }
+
     /// The load with a job more.
     fn with(self, demand: Demand) -> Load {
         let mut load = self;
@@ -67,6 +91,9 @@
     }
 }
 
+/// Loads are told every 0.4 s and read 0.2 s later.
+const SHOWN_AFTER: Duration = Duration::from_millis(800);
+
 /// What is known of the other shards.
 #[derive(Debug, Clone, Default)]
 pub struct Others {
@@ -93,8 +120,6 @@
     /// shard that was emptiest before, which is overfull from then on, as jobs that have begun stay
     /// where they are. So an owner takes it that all others send as much as it does.
     pub fn try_better(&mut self, now: Instant, own: Load, demand: Demand) -> Option<ShardId> {
-        /// Loads are told every 0.4 s and read 0.2 s later.
-        const SHOWN_AFTER: Duration = Duration::from_millis(800);
         /// Pressure below which a job stays: there is room in pieces of any size.
         const EASY: [f64; 3] = [0.3, 0.8, 0.7];
         /// By how much another must be better: a job that lasts is placed once and for long, others
@@ -119,4 +144,21 @@
         let (shard, best) = others.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         (best + MARGIN[kind as usize] < pressure).then_some(shard)
     }
+
+    /// The shard with most room for tasks that last and need `cpu` of one worker each, if one has
+    /// any; `but` is left out. What was sent lately counts as in [`try_better`](Others::try_better).
+    pub fn try_room(&mut self, now: Instant, but: ShardId, cpu: u32) -> Option<ShardId> {
+        self.sent.retain(|(at, ..)| now.since(*at) < SHOWN_AFTER);
+        let senders = self.loads.len().max(1) as u64;
+        let left = |(shard, load): (&ShardId, &Load)| {
+            let lasting =
+                |it: &&(Instant, ShardId, Demand)| it.1 == *shard && it.2.kind == JobKind::Lasting;
+            let sent: u64 = self.sent.iter().filter(lasting).map(|(.., it)| it.cpu).sum();
+            let sent = sent.div_ceil(u64::from(cpu.max(1))) * senders;
+            (*shard, load.rooms(cpu).saturating_sub(sent))
+        };
+        let others = self.loads.iter().filter(|(shard, _)| **shard != but).map(left);
+        let (shard, most) = others.max_by_key(|(_, left)| *left)?;
+        (most > 0).then_some(shard)
+    }
 }
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -4,7 +4,10 @@
 
 use daisy_model::SortedMap;
 
-use crate::{Claim, Disturbance, JobId, JobSpec, Phase, Progress, Record, ShardId};
+use crate::{
+    Claim, Disturbance, Handover, Hop, JobId, JobSpec, Moved, Phase, Progress, Record, ShardId,
+    TaskId,
+};
 
 /// A job as the records tell it.
 #[derive(Debug, Clone)]
@@ -17,6 +20,10 @@
     pub cancelled: bool,
     /// The shard that it was handed to, which runs it.
     pub delegated: Option<ShardId>,
+    /// Whether this shard runs nothing of it but the tasks that were handed to it.
+    pub partial: bool,
+    /// Its tasks that have changed their shard.
+    pub moved: SortedMap<TaskId, Moved>,
 }
 
 /// The state of a job that callers are told. A later one in this order replaces an earlier one,
@@ -55,6 +62,44 @@
         }
     }
 
+    /// Takes a change of a task's shard in; whether it is newer than all that was known.
+    pub(crate) fn move_task(&mut self, id: TaskId, moved: Moved) -> bool {
+        let newer = self.moved.get(&id).is_none_or(|it| it.hop < moved.hop);
+        if newer {
+            self.moved.insert(id, moved);
+            self.settle_tasks();
+        }
+        newer
+    }
+
+    /// Makes the states of tasks follow from where they were handed to.
+    ///
+    /// Progress that was recorded before a task came says nothing of its earlier runs: started by it,
+    /// the task would get the number of a run that another shard has started.
+    fn settle_tasks(&mut self) {
+        let partial = self.partial;
+        if !partial && self.moved.is_empty() {
+            return;
+        }
+        let tasks = self.progress.occurrences.iter_mut().flatten().flatten();
+        tasks.for_each(|it| it.elsewhere = partial);
+        for (id, moved) in self.moved.iter() {
+            let Some(state) = self.progress.task_mut(*id) else { continue };
+            state.elsewhere = moved.to.is_some();
+            if moved.to.is_none() && state.runs < moved.came.runs {
+                *state = moved.came.clone();
+            }
+        }
+    }
+
+    /// Shards that tasks of this job were handed to by this one.
+    pub fn handed_to(&self) -> Vec<ShardId> {
+        let mut shards: Vec<ShardId> = self.moved.iter().filter_map(|(_, it)| it.to).collect();
+        shards.sort_unstable();
+        shards.dedup();
+        shards
+    }
+
     /// The part of the job's estimated work whose tasks have not ended as done, in thousandths.
     pub fn left_permille(&self) -> u64 {
         let (mut left, mut all) = (0, 0);
@@ -78,6 +123,8 @@
     Cancelled(JobId),
     /// A job's progress.
     Progress(JobId),
+    /// A task was handed to this shard.
+    Task(TaskId),
     /// Somebody claimed the workers, or showed that it lives.
     Claim,
     /// Nothing, as for a record that repeats another.
@@ -93,6 +140,7 @@
     early_cancels: Vec<JobId>,
     early_progress: SortedMap<JobId, Progress>,
     early_delegated: SortedMap<JobId, ShardId>,
+    early_hops: SortedMap<TaskId, Hop>,
     owner: Option<Claim>,
     learnt: Vec<Disturbance>,
 }
@@ -116,6 +164,14 @@
                 }
                 Fold::Nothing
             }
+            Record::TaskHandedOn(id, hop) => {
+                match self.jobs.get_mut(&id.job) {
+                    Some(job) => drop(job.move_task(id, hop.into())),
+                    None => self.early_hop(id, hop),
+                }
+                Fold::Nothing
+            }
+            Record::TaskSubmitted(id, handover) => self.task_submitted(id, *handover),
             // For a [`Directory`](crate::Directory).
             Record::State(..) | Record::Sign(_) | Record::Layout(_) | Record::Observed(..) => {
                 Fold::Nothing
@@ -127,13 +183,50 @@
         if self.jobs.contains_key(&id) {
             return Fold::Nothing;
         }
+        self.add_job(id, spec, false);
+        Fold::Submitted(id)
+    }
+
+    fn task_submitted(&mut self, id: TaskId, handover: Handover) -> Fold {
+        if !self.jobs.contains_key(&id.job) {
+            self.add_job(id.job, handover.spec.clone(), true);
+        }
+        let job = self.jobs.get_mut(&id.job);
+        match job.is_some_and(|it| it.move_task(id, handover.into())) {
+            true => Fold::Task(id),
+            false => Fold::Nothing,
+        }
+    }
+
+    /// Adds a job, with all that was read of it before.
+    fn add_job(&mut self, id: JobId, spec: JobSpec, partial: bool) {
         let early = self.early_progress.remove(&id).filter(|it| it.fits(&spec));
-        let progress = early.unwrap_or_else(|| Progress::new(&spec));
+        let mut progress = early.unwrap_or_else(|| Progress::new(&spec));
+        progress.begun |= partial;
         let cancelled = self.early_cancels.contains(&id);
         self.early_cancels.retain(|it| *it != id);
         let delegated = self.early_delegated.remove(&id);
-        self.jobs.insert(id, Job { spec: Arc::new(spec), progress, cancelled, delegated });
-        Fold::Submitted(id)
+        let spec = Arc::new(spec);
+        let moved = SortedMap::new();
+        let mut job = Job { spec, progress, cancelled, delegated, partial, moved };
+        let hops: Vec<(TaskId, Hop)> = self
+            .early_hops
+            .iter()
+            .filter(|(task, _)| task.job == id)
+            .map(|(task, hop)| (*task, *hop))
+            .collect();
+        for (task, hop) in hops {
+            self.early_hops.remove(&task);
+            job.move_task(task, hop.into());
+        }
+        job.settle_tasks();
+        self.jobs.insert(id, job);
+    }
+
+    fn early_hop(&mut self, id: TaskId, hop: Hop) {
+        if self.early_hops.get(&id).is_none_or(|it| it.number < hop.number) {
+            self.early_hops.insert(id, hop);
+        }
     }
 
     fn cancelled(&mut self, id: JobId) -> Fold {
@@ -158,6 +251,7 @@
             return Fold::Nothing;
         }
         job.progress = progress;
+        job.settle_tasks();
         Fold::Progress(id)
     }
 
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -14,6 +14,7 @@
 mod balance;
 mod directory;
 mod election;
+mod handover;
 mod id;
 mod lateness;
 mod ledger;
@@ -27,9 +28,10 @@
 mod telling;
 
 pub use crate::{
-    balance::{Demand, Load, Others},
+    balance::{Demand, Load, Others, PIECES},
     directory::{Directory, Heard, Sign, Told},
     election::{Candidate, Election, Verdict},
+    handover::{Handover, Hop, Moved},
     id::{JobId, ParseIdError, TaskId, WorkerId},
     lateness::Lateness,
     ledger::{Fold, Job, JobState, Ledger},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -7,6 +7,7 @@
 
 mod delegate;
 mod ends;
+mod hand_over;
 mod hold;
 mod interference;
 mod message;
@@ -107,6 +108,10 @@
     /// States of jobs that stand in the log and that callers are to be told.
     states: Vec<(JobId, JobState)>,
     others: Others,
+    /// Tasks that are handed on and of which nothing is recorded yet.
+    handed: Vec<TaskId>,
+    /// Since when tasks that last have found no room here.
+    waits_since: SortedMap<TaskId, Instant>,
     /// When jobs that wait were last looked at for a better shard.
     delegated_at: Instant,
     /// When what starts was last decided.
@@ -129,8 +134,9 @@
     cursors: Vec<(WorkerKey, u64, u64)>,
     /// States of jobs as its records tell them.
     states: Vec<(JobId, JobState)>,
-    /// Jobs that are handed to other shards once this is recorded.
+    /// Jobs and tasks that are handed to other shards once this is recorded.
     delegated: Vec<JobId>,
+    handed: Vec<TaskId>,
 }
 
 impl Owner {
@@ -170,12 +176,15 @@
             actions: Vec::new(),
             states: Vec::new(),
             others: Others::default(),
+            handed: Vec::new(),
+            waits_since: SortedMap::new(),
             delegated_at: now,
             planned_at: now - PLAN_EVERY,
         };
-        let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none());
+        let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none() && !it.partial);
         owner.states = own.map(|(id, job)| (id, job.state())).collect();
         owner.forward_all();
+        owner.forward_all_tasks();
         owner.inherit(now);
         owner
     }
@@ -276,10 +285,15 @@
                 }
                 None => {
                     records.push(Record::Progress(id, job.progress.clone()));
-                    states.push((id, job.state()));
+                    // What a part of a job comes to is no state of the job.
+                    if !job.partial {
+                        states.push((id, job.state()));
+                    }
                 }
             }
         }
+        let handed = std::mem::take(&mut self.handed);
+        records.extend(self.handed_records(&handed));
         if now.since(self.learnt_at) >= LEARNT_EVERY {
             self.learnt_at = now;
             records.push(Record::Learnt(self.interference.pairs()));
@@ -287,7 +301,7 @@
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
         let starts = std::mem::take(&mut self.recording);
-        self.in_flight = Some(InFlight { starts, cursors, states, delegated });
+        self.in_flight = Some(InFlight { starts, cursors, states, delegated, handed });
         Some(Batch { records })
     }
 
@@ -321,6 +335,7 @@
                 self.forward_cancel(id);
                 self.cancel(now, id);
             }
+            Fold::Task(task) => self.task_submitted(now, task),
             Fold::Progress(_) | Fold::Claim | Fold::Nothing => {}
         }
         self.plan_due = true;
@@ -350,7 +365,8 @@
 
     fn tell_state(&mut self, id: JobId) {
         // What is begun but not recorded yet is told with its record.
-        let state = self.ledger.job(id).map(|it| match it.state() {
+        let job = self.ledger.job(id).filter(|it| !it.partial);
+        let state = job.map(|it| match it.state() {
             JobState::Cancelled => JobState::Cancelled,
             _ => JobState::Queued,
         });
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -14,10 +14,10 @@
     message::{Action, Note},
     worker::Worker,
 };
-use crate::{Demand, JobId, JobState, Load, Record, TaskState};
+use crate::{Demand, Job, JobId, JobState, Load, Record, TaskState};
 
 /// How long a new owner may take to learn of its workers: a read of the list on a slow platform.
-const KNOWS_WORKERS_AFTER: Duration = Duration::from_secs(3);
+pub(super) const KNOWS_WORKERS_AFTER: Duration = Duration::from_secs(3);
 /// Between looks at jobs that wait without a start.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -26,9 +26,14 @@
     pub fn load(&self, now: Instant) -> Load {
         let mut load = Load::default();
         let has_room = |it: &Worker| it.listed && it.ready && it.hold_failures == 0;
+        let mut pieces = Vec::with_capacity(self.workers.len());
         for (_, worker) in self.workers.iter().filter(|(_, it)| has_room(it)) {
             load.capacity += u64::from(worker.capacity.cpu_milli);
+            if self.usable(now, worker) {
+                pieces.push(worker.room_in_time().cpu_milli);
+            }
         }
+        load.set_pieces(pieces);
         for (id, _) in self.active.iter() {
             self.add_job(now, *id, &mut load);
         }
@@ -48,7 +53,9 @@
                 let turn =
                     ready.iter().any(|it| it.occurrence as usize == k && usize::from(it.step) == s);
                 let asks = |it: &&TaskState| {
-                    !it.done && (turn || step.long_running || !it.copies.is_empty())
+                    !it.done
+                        && !it.elsewhere
+                        && (turn || step.long_running || !it.copies.is_empty())
                 };
                 let count = tasks.iter().filter(asks).count() as u64;
                 let cpu = count * u64::from(step.need.cpu_milli);
@@ -100,6 +107,7 @@
         for id in waiting {
             self.try_delegate(now, id);
         }
+        self.hand_over_waiting(now);
     }
 
     /// Writes a job, and its cancellation, to the shard that it was handed to.
@@ -129,5 +137,8 @@
         {
             self.actions.push(Action::Forward(to, Record::Cancelled(id)));
         }
+        let shards = self.ledger.job(id).map(Job::handed_to).unwrap_or_default();
+        let forwards = shards.into_iter().map(|to| Action::Forward(to, Record::Cancelled(id)));
+        self.actions.extend(forwards);
     }
 }
--- /dev/null
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -0,0 +1,128 @@
+//! Handing single tasks that last to shards with room.
+//!
+//! As with whole jobs, the decision is recorded first, in the shard that gives the task away, and only
+//! then written to the submissions of the other one; the next owner writes it again. The task has no
+//! run in the shard that gives it away: what may still run there keeps it.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    Owner,
+    delegate::KNOWS_WORKERS_AFTER,
+    message::{Action, Note},
+};
+use crate::{Demand, Handover, Hop, Job, JobId, JobState, Record, StepSpec, TaskId};
+
+/// How long a task waits for room in its shard before it is handed on; doubled with each hop.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Hops after which the patience does not grow any more.
+const PATIENT_HOPS: u32 = 4;
+
+impl Owner {
+    /// Hands on tasks that last and have long found no room here.
+    pub(super) fn hand_over_waiting(&mut self, now: Instant) {
+        if self.settings.layout.shards < 2 {
+            return;
+        }
+        let known = now.since(self.began_at) >= KNOWS_WORKERS_AFTER;
+        let waiting = self.waiting_tasks(now);
+        self.waits_since.retain(|task, _| waiting.binary_search(task).is_ok());
+        for task in waiting {
+            let since = *self.waits_since.get_or_insert_with(task, || now);
+            if known && now.since(since) >= self.patience(task) {
+                self.try_hand_over(now, task);
+            }
+        }
+    }
+
+    /// Tasks that are to last, wait, and may be handed on, in order.
+    fn waiting_tasks(&self, now: Instant) -> Vec<TaskId> {
+        let mut waiting = Vec::new();
+        for (id, _) in self.active.iter() {
+            let Some(job) = self.ledger.job(*id).filter(|it| may_be_split(it)) else { continue };
+            for ready in self.ready_steps(now, *id) {
+                let steps = &job.progress.occurrences[ready.occurrence as usize];
+                let tasks = (0u32..).zip(&steps[usize::from(ready.step)]);
+                let here = tasks.filter(|(_, it)| it.is_waiting());
+                let (occurrence, step) = (ready.occurrence, ready.step);
+                waiting.extend(here.map(|(index, _)| TaskId { job: *id, occurrence, step, index }));
+            }
+        }
+        waiting.sort_unstable();
+        waiting
+    }
+
+    /// Shards that are all full would hand a task round and round, each time with two records.
+    fn patience(&self, task: TaskId) -> Duration {
+        let moved = self.ledger.job(task.job).and_then(|it| it.moved.get(&task));
+        PATIENCE * 2u32.pow(moved.map_or(0, |it| it.hop).min(PATIENT_HOPS))
+    }
+
+    fn try_hand_over(&mut self, now: Instant, task: TaskId) {
+        // The shard of the job's id may know the job as one that it has handed on whole.
+        let but = self.settings.layout.of_job(task.job);
+        let Some(job) = self.ledger.job_mut(task.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
+        let Some(to) = self.others.try_room(now, but, step.need.cpu_milli) else { return };
+        self.others.sent(now, to, Demand::of_lasting(step));
+        let number = job.moved.get(&task).map_or(0, |it| it.hop) + 1;
+        job.move_task(task, Hop { number, to }.into());
+        job.progress.begun = true;
+        self.dirty.push(task.job);
+        self.handed.push(task);
+        self.actions.push(Action::Note(Note::HandedOver { task, hop: number, to }));
+    }
+
+    /// Records of tasks that are handed on and of which nothing is recorded yet.
+    pub(super) fn handed_records(&self, handed: &[TaskId]) -> Vec<Record> {
+        let hop = |task: &TaskId| {
+            let moved = self.ledger.job(task.job)?.moved.get(task)?;
+            Some(Record::TaskHandedOn(*task, Hop { number: moved.hop, to: moved.to? }))
+        };
+        handed.iter().filter_map(hop).collect()
+    }
+
+    /// Writes a task to the shard that it was handed to; with its job's cancellation, if there is one.
+    pub(super) fn forward_task(&mut self, task: TaskId) {
+        let Some(job) = self.ledger.job(task.job) else { return };
+        let Some(moved) = job.moved.get(&task) else { return };
+        let (Some(to), Some(state)) = (moved.to, job.progress.task(task)) else { return };
+        let handover = Handover {
+            hop: moved.hop,
+            spec: (*job.spec).clone(),
+            runs: state.runs,
+            failures: state.failures,
+            checkpoint: state.checkpoint.clone(),
+        };
+        self.actions.push(Action::Forward(to, Record::TaskSubmitted(task, Box::new(handover))));
+        if job.cancelled {
+            self.actions.push(Action::Forward(to, Record::Cancelled(task.job)));
+        }
+    }
+
+    /// A new owner does not know what the one before has written.
+    pub(super) fn forward_all_tasks(&mut self) {
+        let handed = |(_, job): (JobId, &Job)| {
+            let away = job.moved.iter().filter(|(_, it)| it.to.is_some());
+            away.map(|(task, _)| *task).collect::<Vec<_>>()
+        };
+        let tasks: Vec<TaskId> = self.ledger.jobs().flat_map(handed).collect();
+        tasks.into_iter().for_each(|it| self.forward_task(it));
+    }
+
+    /// A task was handed to this shard.
+    pub(super) fn task_submitted(&mut self, now: Instant, task: TaskId) {
+        if !self.active.contains_key(&task.job) {
+            self.inherit_job(now, task.job);
+        }
+    }
+}
+
+/// Whether single tasks of a job may run in another shard: they need nothing of the others, and their
+/// ends decide nothing about the job.
+fn may_be_split(job: &Job) -> bool {
+    let alone = |it: &StepSpec| it.long_running && !it.gang && it.depends_on.is_empty();
+    matches!(job.state(), JobState::Queued | JobState::Running) && job.spec.steps.iter().all(alone)
+}
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -299,6 +299,15 @@
         /// The shard that runs it.
         to: ShardId,
     },
+    /// A task that found no room here is handed to another shard.
+    HandedOver {
+        /// The task.
+        task: TaskId,
+        /// The number of its hand-over.
+        hop: u32,
+        /// The shard that runs it.
+        to: ShardId,
+    },
     /// A run ended.
     RunEnded {
         /// The task.
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -30,11 +30,11 @@
     /// The batch under way is in the log: its starts may go out, its ends are acknowledged.
     pub(super) fn appended(&mut self, now: Instant) {
         self.appended_at = now;
-        let Some(InFlight { starts, cursors, states, delegated }) = self.in_flight.take() else {
-            return;
-        };
+        let Some(it) = self.in_flight.take() else { return };
+        let InFlight { starts, cursors, states, delegated, handed } = it;
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward(id));
+        handed.into_iter().for_each(|task| self.forward_task(task));
         for (key, born_ms, number) in cursors {
             if let Some(worker) = self.workers.get_mut(key)
                 && worker.born_ms == born_ms
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -206,7 +206,7 @@
     /// Whether another copy of a task is to be started: there is none, or the only one is on a
     /// worker that does not answer and the step allows copies.
     fn wants_copy(&self, step: &StepSpec, state: &TaskState) -> bool {
-        if state.done {
+        if state.done || state.elsewhere {
             return false;
         }
         if state.copies.is_empty() {
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -1,6 +1,6 @@
 //! How far a job is, as the owner records it.
 
-use crate::{JobSpec, WorkerId};
+use crate::{JobSpec, TaskId, WorkerId};
 
 /// The state of a whole job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -36,12 +36,14 @@
     pub checkpoint: String,
     /// Runs that may be on a worker.
     pub copies: Vec<Copy>,
+    /// Whether another shard runs it. Not part of the record: it follows from the hops.
+    pub elsewhere: bool,
 }
 
 impl TaskState {
     /// Whether the task is neither done nor anywhere.
     pub fn is_waiting(&self) -> bool {
-        !self.done && self.copies.is_empty()
+        !self.done && !self.elsewhere && self.copies.is_empty()
     }
 }
 
@@ -68,6 +70,18 @@
         }
     }
 
+    /// The state of a task of this job, if it has such a task.
+    pub fn task(&self, id: TaskId) -> Option<&TaskState> {
+        let steps = self.occurrences.get(id.occurrence as usize)?;
+        steps.get(usize::from(id.step))?.get(id.index as usize)
+    }
+
+    /// The same, to change.
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut TaskState> {
+        let steps = self.occurrences.get_mut(id.occurrence as usize)?;
+        steps.get_mut(usize::from(id.step))?.get_mut(id.index as usize)
+    }
+
     /// Whether the shape is that of `spec`: a record of another job's shape names no state.
     pub fn fits(&self, spec: &JobSpec) -> bool {
         self.phase != Phase::Active
--- a/daisy-workflow/src/spec.rs
+++ b/daisy-workflow/src/spec.rs
@@ -4,6 +4,8 @@
 
 use daisy_model::Resources;
 
+use crate::TaskId;
+
 /// Tasks of one job, all occurrences together, that are taken at most.
 ///
 /// A job's progress is one record, rewritten at each change; 20,000 tasks of some 10 bytes stay
@@ -174,6 +176,12 @@
         Ok(self)
     }
 
+    /// Whether it has a task of this position.
+    pub fn has_task(&self, id: TaskId) -> bool {
+        let step = self.steps.get(usize::from(id.step));
+        id.occurrence < self.occurrences && step.is_some_and(|it| id.index < it.count)
+    }
+
     /// When occurrence `k` is due, in milliseconds since 1970; 0 for at once.
     pub fn due_ms(&self, k: u32) -> u64 {
         self.first_due_ms.saturating_add(u64::from(k).saturating_mul(self.interval_ms))
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -28,7 +28,7 @@
 }
 
 fn load(lasting: u64, once: u64, best_effort: u64) -> Load {
-    Load { capacity: 1_000, lasting, once, best_effort }
+    Load { capacity: 1_000, lasting, once, best_effort, ..Load::default() }
 }
 
 fn owner(ledger: Ledger) -> Owner {
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -3,17 +3,23 @@
 mod util;
 
 use daisy_workflow::{
-    Claim, Copy, Disturbance, Fold, JobId, JobState, Layout, Ledger, Load, Observations, Phase,
-    Progress, Record, RecordError, ShardId, Sign, SpecError, TaskState, Told, decode, encode,
+    Claim, Copy, Disturbance, Fold, Handover, Hop, JobId, JobState, Layout, Ledger, Load,
+    Observations, PIECES, Phase, Progress, Record, RecordError, ShardId, Sign, SpecError,
+    TaskState, Told, decode, encode,
 };
-use util::{after, best_effort, job, lasting, step};
+use util::{after, best_effort, job, lasting, step, task};
 
 fn progress() -> Progress {
     let mut progress = Progress::new(&job(vec![step(3)]));
     progress.begun = true;
     let copies = vec![Copy { run: 4, worker: "w1".into() }, Copy { run: 5, worker: "w2".into() }];
-    progress.occurrences[0][0][1] =
-        TaskState { done: false, runs: 5, failures: 1, checkpoint: "c".to_owned(), copies };
+    progress.occurrences[0][0][1] = TaskState {
+        runs: 5,
+        failures: 1,
+        checkpoint: "c".to_owned(),
+        copies,
+        ..Default::default()
+    };
     progress
 }
 
@@ -34,9 +40,20 @@
             claim: claim(),
             current: true,
             pending: vec![("q".to_owned(), 4)],
-            load: Load { capacity: 9, lasting: 5, once: 3, best_effort: 7 },
+            load: Load { capacity: 9, lasting: 5, once: 3, best_effort: 7, pieces: [6; PIECES] },
         }),
         Record::Layout(Layout { shards: 6 }),
+        Record::TaskHandedOn(task(7, 0, 1), Hop { number: 3, to: ShardId(2) }),
+        Record::TaskSubmitted(
+            task(7, 0, 1),
+            Box::new(Handover {
+                hop: 3,
+                spec: job(vec![lasting(2)]),
+                runs: 5,
+                failures: 1,
+                checkpoint: "c".to_owned(),
+            }),
+        ),
         Record::Observed(
             ShardId(3),
             vec![Observations {
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -28,6 +28,10 @@
     /// Orders to start that were sent: task, run, worker.
     pub starts: Vec<(TaskId, u32, String)>,
     pub stepped_down: bool,
+    /// What is to be written to the submissions of other shards.
+    pub forwarded: Vec<(ShardId, Record)>,
+    shard: ShardId,
+    layout: Layout,
     /// Milliseconds of work of a task.
     pub work: fn(TaskId) -> u64,
     pub fails: fn(TaskId) -> bool,
@@ -37,12 +41,20 @@
 
 impl World {
     pub fn new(workers: Vec<FakeWorker>) -> World {
+        World::of_shard(workers, ShardId(0), Layout { shards: 1 })
+    }
+
+    /// One shard of several, with its own workers.
+    pub fn of_shard(workers: Vec<FakeWorker>, shard: ShardId, layout: Layout) -> World {
         let now = Instant::from_millis(1_000);
         let ledger = Ledger::default();
         World {
             now,
             epoch: 1,
-            owner: owner(now, ledger.clone(), true),
+            owner: owner(now, ledger.clone(), true, shard, layout),
+            shard,
+            layout,
+            forwarded: Vec::new(),
             workers,
             ledger,
             log_up: true,
@@ -64,7 +76,8 @@
         self.write(Record::Cancelled(JobId(id)));
     }
 
-    fn write(&mut self, record: Record) {
+    /// A record comes to stand in the shard's submissions.
+    pub fn write(&mut self, record: Record) {
         let (key, value) = encode(&record);
         let record = decode(&key, &value).expect("own records can be read");
         self.ledger.fold(record.clone());
@@ -77,7 +90,8 @@
         self.pending = None;
         self.events.clear();
         self.stepped_down = false;
-        self.owner = owner(self.now, self.ledger.clone(), predecessor_gone);
+        self.owner =
+            owner(self.now, self.ledger.clone(), predecessor_gone, self.shard, self.layout);
     }
 
     pub fn worker(&mut self, name: &str) -> &mut FakeWorker {
@@ -113,7 +127,7 @@
         done(self)
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now = self.now + STEP;
         let now = self.now;
         for worker in &mut self.workers {
@@ -185,7 +199,7 @@
                 let reply = OrderReply::Done { clock_ms: self.of(key).clock(now) };
                 self.events.push((now + STEP, Event::Paced(key, task, run, percent, reply)));
             }
-            Action::Forward(..) => unreachable!("there is one shard"),
+            Action::Forward(shard, record) => self.forwarded.push((shard, record)),
             Action::StepDown => self.stepped_down = true,
             Action::Note(_) => {}
         }
@@ -241,12 +255,18 @@
     }
 }
 
-fn owner(now: Instant, ledger: Ledger, predecessor_gone: bool) -> Owner {
+fn owner(
+    now: Instant,
+    ledger: Ledger,
+    predecessor_gone: bool,
+    shard: ShardId,
+    layout: Layout,
+) -> Owner {
     let settings = Settings {
         lease: Duration::from_secs(5),
         lease_max: Duration::from_secs(10),
-        shard: ShardId(0),
-        layout: Layout { shards: 1 },
+        shard,
+        layout,
     };
     Owner::new(now, 0, settings, ledger, super::queues(), predecessor_gone)
 }
