--- a/daisy-workflow/tests/hand_over.rs
+++ b/daisy-workflow/tests/hand_over.rs
@@ -228,7 +228,9 @@
     for turn in 0..4 {
         records.rotate_left(1);
         let mut ledger = Ledger::default();
-        records.iter().for_each(|it| drop(ledger.fold(it.clone())));
+        for it in &records {
+            ledger.fold(it.clone());
+        }
 
         assert!(!waits_here(&ledger), "turn {turn}");
     }
