daisy-node: an owner's appends and its log lines are modules of their own

own.rs had 550 lines and three jobs: the loop of an owner, the appends that are sent until the log has them, and the words of decisions. No change of what it does.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -1,23 +1,26 @@
 //! The owner's process side: carries out what the core decides.
 
+mod append;
 mod calls;
 mod follow;
+mod notes;
 
 use std::time::Duration;
 
 use daisy_http::Http;
 use daisy_model::{Instant, SortedMap};
-use daisy_platform::{Guard, Store, StoreError, Topic, WorkerCalls};
+use daisy_platform::{Guard, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Lateness, Layout, Ledger, Note, Outcome, Owner, RENEW_ALONE_MAX,
-    Record, Settings, ShardId, Sign, Telling, Told, WorkerKey, encode,
+    Action, Claim, Event, JobId, Lateness, Layout, Ledger, Owner, RENEW_ALONE_MAX, Record,
+    Settings, ShardId, Sign, Telling, Told, WorkerKey, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval},
 };
 
 use self::{
+    append::{APPEND_TIMEOUT, Fenced, append},
     calls::Calls,
     follow::{follow_observations, follow_workers},
 };
@@ -32,13 +35,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// The shortest time between two appends, so that records gather: each call is paid for.
 const APPEND_GAP: Duration = Duration::from_millis(24);
-/// How long an append may take before it is sent again.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
-/// The same, for every second sending to a log that does not answer: one that was sent into a
-/// silence gets no answer when the silence ends.
-const APPEND_TIMEOUT_LOST: Duration = Duration::from_millis(400);
-/// Before an append that the log refused is sent again.
-const APPEND_RETRY: Duration = Duration::from_millis(100);
 /// Between records of what was learnt for the owners of other shards, and between their reads: twice
 /// the time that a worker's report covers.
 const SHARE_EVERY: Duration = Duration::from_millis(1_000);
@@ -250,7 +246,9 @@
         for action in self.owner.act(now) {
             match action {
                 Action::StepDown => step_down = true,
-                Action::Note(note) => self.note(&note),
+                Action::Note(note) => {
+                    notes::write(&note, self.ownership.shard, &self.ownership.elect.metrics);
+                }
                 Action::Forward(shard, record) => self.forward(shard, record),
                 Action::Hold { worker, .. }
                 | Action::Start(worker, _)
@@ -444,55 +442,6 @@
         appended.recv().await;
         why
     }
-
-    fn note(&self, note: &Note) {
-        match note {
-            Note::JobEnded { job, how, kind, age, objective } => {
-                log::info!(
-                    "event=job_ended id={job} outcome={how} kind={} age_ms={} objective_ms={}",
-                    kind.word(),
-                    age.as_millis(),
-                    objective.as_millis()
-                );
-            }
-            Note::Waits { job, step, tasks, cause, backlog } => {
-                let cause = cause.words();
-                log::info!(
-                    "event=waits id={job} step={step} tasks={tasks} backlog={backlog} cause=\"{cause}\""
-                );
-            }
-            Note::Delegated { job, to } => {
-                let from = self.ownership.shard.0;
-                log::info!("event=delegated id={job} shard={from} to={}", to.0);
-            }
-            Note::HandedOver { task, hop, to } => {
-                let (id, from) = (task.job, self.ownership.shard.0);
-                log::info!(
-                    "event=handed_over id={id} task={task} hop={hop} shard={from} to={} \
-                     cause=\"no worker of the shard has room\"",
-                    to.0
-                );
-            }
-            Note::RunEnded { task, run, worker, outcome } => {
-                let outcome = outcome_words(*outcome);
-                self.ownership.elect.metrics.end(outcome);
-                let id = task.job;
-                log::info!(
-                    "event=run_ended id={id} task={task} run={run} worker={worker} outcome={outcome}"
-                );
-            }
-            Note::RunLost { task, run, worker, why } => {
-                self.ownership.elect.metrics.lost();
-                let id = task.job;
-                log::warn!(
-                    "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{why}\""
-                );
-            }
-            Note::Worker { worker, is, why } => {
-                log::info!("event=worker worker={worker} is={is} cause=\"{why}\"");
-            }
-        }
-    }
 }
 
 /// Waits until the process is to stop.
@@ -500,48 +449,3 @@
     // An error means that nobody is left to say so.
     let _ = stop.wait_for(|it| *it).await;
 }
-
-/// A higher epoch has been seen.
-struct Fenced;
-
-/// Appends until the log has the records or a higher epoch has been seen. The number in `guard`
-/// makes a second sending of the same append have no second effect.
-async fn append(
-    store: &Store,
-    topic: Topic,
-    records: &[Record],
-    guard: Guard,
-) -> Result<(), Fenced> {
-    let encoded: Vec<_> = records.iter().map(encode).collect();
-    let mut failures = 0;
-    loop {
-        let timeout = if failures % 2 == 1 { APPEND_TIMEOUT_LOST } else { APPEND_TIMEOUT };
-        match store.append(topic, &encoded, guard, timeout).await {
-            Ok(_) => {
-                if failures > 0 {
-                    log::info!("event=log_regained topic={topic:?}");
-                }
-                return Ok(());
-            }
-            Err(StoreError::Fenced | StoreError::Moved) => return Err(Fenced),
-            Err(e) => {
-                failures += 1;
-                if failures == 1 {
-                    log::warn!("event=log_lost topic={topic:?} cause=\"{e}\"");
-                }
-                sleep(APPEND_RETRY).await;
-            }
-        }
-    }
-}
-
-fn outcome_words(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Done => "done",
-        Outcome::Failed => "failed",
-        Outcome::Stopped => "stopped",
-        Outcome::Lapsed => "lapsed",
-        Outcome::Broken => "broken",
-        Outcome::Alone => "alone",
-    }
-}
--- /dev/null
+++ b/daisy-node/src/own/notes.rs
@@ -0,0 +1,66 @@
+//! The owner's decisions as lines of the log.
+
+use daisy_workflow::{Note, Outcome, ShardId};
+
+use crate::metrics::Metrics;
+
+/// Writes the line of a decision of the owner of `shard`, and counts it.
+pub(super) fn write(note: &Note, shard: ShardId, metrics: &Metrics) {
+    match note {
+        Note::JobEnded { job, how, kind, age, objective } => {
+            log::info!(
+                "event=job_ended id={job} outcome={how} kind={} age_ms={} objective_ms={}",
+                kind.word(),
+                age.as_millis(),
+                objective.as_millis()
+            );
+        }
+        Note::Waits { job, step, tasks, cause, backlog } => {
+            let cause = cause.words();
+            log::info!(
+                "event=waits id={job} step={step} tasks={tasks} backlog={backlog} cause=\"{cause}\""
+            );
+        }
+        Note::Delegated { job, to } => {
+            let from = shard.0;
+            log::info!("event=delegated id={job} shard={from} to={}", to.0);
+        }
+        Note::HandedOver { task, hop, to } => {
+            let (id, from) = (task.job, shard.0);
+            log::info!(
+                "event=handed_over id={id} task={task} hop={hop} shard={from} to={} \
+                 cause=\"no worker of the shard has room\"",
+                to.0
+            );
+        }
+        Note::RunEnded { task, run, worker, outcome } => {
+            let outcome = outcome_words(*outcome);
+            metrics.end(outcome);
+            let id = task.job;
+            log::info!(
+                "event=run_ended id={id} task={task} run={run} worker={worker} outcome={outcome}"
+            );
+        }
+        Note::RunLost { task, run, worker, why } => {
+            metrics.lost();
+            let id = task.job;
+            log::warn!(
+                "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{why}\""
+            );
+        }
+        Note::Worker { worker, is, why } => {
+            log::info!("event=worker worker={worker} is={is} cause=\"{why}\"");
+        }
+    }
+}
+
+fn outcome_words(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Stopped => "stopped",
+        Outcome::Lapsed => "lapsed",
+        Outcome::Broken => "broken",
+        Outcome::Alone => "alone",
+    }
+}
