--- a/src/trace.rs
+++ b/src/trace.rs
@@ -52,6 +52,15 @@
             it.value("cause").unwrap_or("not said")
         ));
     }
+    for it in lines.iter().filter(|it| it.name() == "handed_over") {
+        found.push(format!(
+            "task {} was handed from shard {} to {}: {}",
+            it.value("task").unwrap_or("?"),
+            it.value("shard").unwrap_or("?"),
+            it.value("to").unwrap_or("?"),
+            it.value("cause").unwrap_or("not said")
+        ));
+    }
     for (outcome, words) in [
         ("failed", "runs failed"),
         ("stopped", "runs were stopped and started anew"),
