Owners are not replaced for the time that the log was away

Change: an owner's silence is counted from the log's return (Reach), and claims under way count as shards owned when a VM's rank is worked out. An owner that died while the log was away is replaced up to 1.4 s later than before.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -88,10 +88,15 @@
     async fn run(mut self) {
         while !*self.elect.stop.borrow() {
             match self.verdict() {
-                Verdict::Claim => match self.claim().await {
-                    Some(won) => self.own(won).await,
-                    None => sleep(PAUSE).await,
-                },
+                Verdict::Claim => {
+                    self.elect.shared.lock().begin_claim();
+                    let won = self.claim().await;
+                    self.elect.shared.lock().end_claim();
+                    match won {
+                        Some(won) => self.own(won).await,
+                        None => sleep(PAUSE).await,
+                    }
+                }
                 Verdict::Own(_) => sleep(PAUSE).await,
                 Verdict::Wait(left) => sleep(PAUSE.min(left)).await,
             }
@@ -109,6 +114,9 @@
         if let Some(heard) = heard {
             self.election.heard(heard.at);
         }
+        // While the log is away no owner can show that it lives. Taken for dead as it comes back, all
+        // would be replaced, at the same moment and by the same few VMs.
+        self.election.heard(known.reach.back_at());
         // An own claim that has ended is nobody's.
         let newest = heard.map(|it| match it.sign.claim.epoch <= self.ended_epoch {
             true => Claim { vm: String::new(), process: 0, ..it.sign.claim.clone() },
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -6,7 +6,7 @@
 };
 
 use daisy_model::{Instant, SortedMap};
-use daisy_workflow::{Directory, Event, JobId, JobState, Queues, Record, ShardId};
+use daisy_workflow::{Directory, Event, JobId, JobState, Queues, Reach, Record, ShardId};
 use tokio::sync::mpsc;
 
 use crate::clock;
@@ -24,6 +24,10 @@
     pub queues: Option<Arc<Queues>>,
     /// When the topic of states was last read to its end, and where that was.
     pub states_read: Option<(Instant, u64)>,
+    /// How the log answered reads of that topic.
+    pub reach: Reach,
+    /// Shards that this process is about to claim.
+    claiming: u32,
     /// Jobs that this process stored, and when.
     accepted: SortedMap<JobId, Instant>,
     /// Where events of the shards go that this process owns.
@@ -95,9 +99,23 @@
         self.owners.remove(&shard);
     }
 
-    /// How many shards this process owns.
+    /// This process begins to claim a shard.
+    pub fn begin_claim(&mut self) {
+        self.claiming += 1;
+    }
+
+    /// A claim of this process has come to something or to nothing.
+    pub fn end_claim(&mut self) {
+        self.claiming -= 1;
+    }
+
+    /// How many shards this process owns or is about to.
+    ///
+    /// Several shards may be without an owner at the same moment. Counted only once it is won, each of
+    /// them would look like the first to the nearest large VM, which then owns all: more than it
+    /// has connections and processor time for.
     pub fn owned(&self) -> u32 {
-        self.owners.len() as u32
+        self.owners.len() as u32 + self.claiming
     }
 
     /// Whether the topic of states was read to its end a short while ago.
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -24,9 +24,13 @@
 pub(crate) async fn follow_states(store: Store, shared: Shared) {
     let mut tail = Tail::new(store, Topic::States);
     loop {
-        let Some(read) = tail.try_read(WAIT).await else { continue };
+        let Some(read) = tail.try_read(WAIT).await else {
+            shared.lock().reach.fail();
+            continue;
+        };
         let pause = {
             let mut known = shared.lock();
+            known.reach.read(clock::now());
             fold(&mut known, &read);
             if let Some(end) = tail.next().filter(|_| read.at_end) {
                 known.states_read = Some((clock::now(), end));
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -21,6 +21,7 @@
 mod owner;
 mod progress;
 mod queue;
+mod reach;
 mod record;
 mod shard;
 mod silence;
@@ -42,6 +43,7 @@
     },
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
+    reach::Reach,
     record::{Claim, Disturbance, OWNER_KEY, Observations, Record, RecordError, decode, encode},
     shard::{Layout, ShardId},
     silence::{Silence, Turn},
--- /dev/null
+++ b/daisy-workflow/src/reach.rs
@@ -0,0 +1,37 @@
+//! Whether the log was away, as the reads of one VM tell.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+/// Time without an answered read, some of which failed, from which on the log counts as away: owners
+/// give signs of life more often than this.
+const AWAY: Duration = Duration::from_millis(700);
+
+/// Reads of a topic that owners write to all the time.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    read_at: Instant,
+    failed: bool,
+    back_at: Instant,
+}
+
+impl Reach {
+    /// A read failed.
+    pub fn fail(&mut self) {
+        self.failed = true;
+    }
+
+    /// A read was answered at `now`.
+    pub fn read(&mut self, now: Instant) {
+        if std::mem::take(&mut self.failed) && now.since(self.read_at) > AWAY {
+            self.back_at = now;
+        }
+        self.read_at = now;
+    }
+
+    /// When the log was last back after it had been away. Before, no owner could show that it lives.
+    pub fn back_at(&self) -> Instant {
+        self.back_at
+    }
+}
--- /dev/null
+++ b/daisy-workflow/tests/reach.rs
@@ -0,0 +1,49 @@
+//! Whether the log was away.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+use daisy_workflow::{Claim, Election, Reach, Verdict};
+
+const RTT: Duration = Duration::from_millis(5);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn owner() -> Claim {
+    Claim { vm: "a".to_owned(), process: 1, epoch: 4, released: false, settled: true }
+}
+
+/// The log is away for four seconds. As it comes back, every VM finds that it has heard nothing of any
+/// owner for longer than an owner may be silent: the nearest large VM claims all shards, has
+/// connections for half of their workers, and all work is late until the next change of owners. But
+/// the owners live, and show it with their next sign.
+#[test]
+fn an_owner_may_sign_once_the_log_is_back() {
+    let (mut reach, mut election) = (Reach::default(), Election::new(at(0), "b", 2));
+    reach.read(at(1_000));
+    election.heard(at(1_000));
+    reach.fail();
+    reach.read(at(5_000));
+
+    election.heard(reach.back_at());
+    let back = election.verdict(at(5_010), Some(&owner()), RTT);
+    let later = election.verdict(at(6_500), Some(&owner()), RTT);
+
+    assert!(matches!(back, Verdict::Wait(_)), "{back:?}");
+    assert_eq!(later, Verdict::Claim);
+}
+
+/// A read that was lost alone, and one that waited long for a record, say nothing of the log: an owner
+/// that has died is replaced as soon as before.
+#[test]
+fn a_lost_read_is_no_absence() {
+    let mut reach = Reach::default();
+    reach.read(at(1_000));
+    reach.fail();
+    reach.read(at(1_600));
+    reach.read(at(2_900));
+
+    assert_eq!(reach.back_at(), Instant::default());
+}
