--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -91,7 +91,6 @@
     pub async fn run(self, ledger: Ledger, jobs: Tail) -> Ended {
         let (events, rx) = mpsc::unbounded_channel();
         let now = clock::now();
-        let layout = self.layout();
         let owner = self.start_owner(now, ledger, &events);
         let store = self.elect.store.clone();
         let (read, jobs_read) = watch::channel(now);
@@ -122,7 +121,7 @@
             appending: false,
             appended_at: now,
             seq: 1,
-            telling: Telling::new(now, self.shard, layout, self.told.clone()),
+            telling: Telling::new(now, self.shard, self.told.clone()),
             telling_now: false,
             told_seq: 0,
             jobs_read,
@@ -140,10 +139,6 @@
         why
     }
 
-    fn layout(&self) -> Layout {
-        self.elect.shared.lock().directory.layout().unwrap_or(Layout { shards: 1 })
-    }
-
     /// An owner that knows all that the log of its shard says, and hears of all that comes after.
     fn start_owner(
         &self,
@@ -152,8 +147,8 @@
         events: &mpsc::UnboundedSender<Event>,
     ) -> Owner {
         let lease = LEASE.min(self.elect.settings.lease_max);
-        let layout = self.layout();
         let mut known = self.elect.shared.lock();
+        let layout = known.directory.layout().unwrap_or(Layout { shards: 1 });
         let lease_max = self.elect.settings.lease_max;
         let settings = Settings { lease, lease_max, shard: self.shard, layout };
         known.begin_owner(self.shard, events.clone());
--- a/daisy-workflow/src/telling.rs
+++ b/daisy-workflow/src/telling.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use crate::{JobId, JobState, Layout, Record, ShardId, Sign, Told};
+use crate::{JobId, JobState, Record, ShardId, Sign, Told};
 use daisy_model::{Instant, SortedMap};
 
-/// The shortest time between two appends of states, for each shard up to the most, so that they
-/// gather: each call is paid for, and the platform takes the appends of all owners one after the
-/// other, 2 ms each. The VMs of a system with many shards read less often.
-const GAP_A_SHARD: Duration = Duration::from_millis(30);
-const GAP_MAX: Duration = Duration::from_millis(100);
+/// The shortest time between two appends of states, so that they gather: each call is paid for,
+/// and the platform takes the appends of all owners one after the other, 2 ms each.
+const GAP: Duration = Duration::from_millis(30);
 /// Between signs of life. Others claim after 1.4 s without one.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// States told in one append, of some 30 bytes each.
@@ -19,7 +17,6 @@
 #[derive(Debug)]
 pub struct Telling {
     shard: ShardId,
-    gap: Duration,
     told: SortedMap<JobId, Told>,
     waiting: SortedMap<JobId, JobState>,
     /// When the last append began.
@@ -29,14 +26,8 @@
 
 impl Telling {
     /// `told` is what the log says already.
-    pub fn new(
-        now: Instant,
-        shard: ShardId,
-        layout: Layout,
-        told: SortedMap<JobId, Told>,
-    ) -> Telling {
-        let gap = (GAP_A_SHARD * u32::from(layout.shards)).min(GAP_MAX);
-        Telling { shard, gap, told, waiting: SortedMap::new(), at: now, signed_at: None }
+    pub fn new(now: Instant, shard: ShardId, told: SortedMap<JobId, Told>) -> Telling {
+        Telling { shard, told, waiting: SortedMap::new(), at: now, signed_at: None }
     }
 
     /// A state that now stands in the log of the shard.
@@ -56,7 +47,7 @@
 
     /// What to append now, if anything is due; `sign` is the sign of life, where that is due.
     pub fn try_records(&mut self, now: Instant, sign: Option<Sign>) -> Option<Vec<Record>> {
-        let states_due = !self.waiting.is_empty() && now.since(self.at) >= self.gap;
+        let states_due = !self.waiting.is_empty() && now.since(self.at) >= GAP;
         if sign.is_none() && !states_due {
             return None;
         }
