At most five unused connections to one address are kept

Cause: a burst of calls to a worker opens a connection for each, and all were kept for 30 s: some ten a worker. A process that owned four shards of 94 workers had 3,742 descriptors of 4,100 (200 of them for files), and half of its workers seemed silent to it.

--- a/daisy-http/src/client.rs
+++ b/daisy-http/src/client.rs
@@ -15,6 +15,13 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Unused connections to one address that are kept.
+///
+/// A burst of calls to a worker opens a connection for each of them. Kept all, they are ten for each
+/// worker, and a process that owns three shards runs out of descriptors: half of its workers then
+/// seem silent to it, and their tasks end with their leases.
+const IDLE_MAX: usize = 5;
+
 /// How long sent bytes may stay unacknowledged before a connection counts as dead.
 ///
 /// A partition sends no reset: without this bound, a pooled connection across it would be taken
@@ -68,6 +75,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_MAX)
             // A request that may have had an effect is repeated only by whoever knows that
             // it is idempotent.
             .retry_canceled_requests(false)
