--- a/tests/node.rs
+++ b/tests/node.rs
@@ -214,6 +214,28 @@
     assert_eq!(submitted, 200);
 }
 
+/// The log is silent for three seconds, then slow for one. In the silence no owner could show that it lives;
+/// replaced as the log comes back, all shards go to whoever reads first, and nothing starts until it
+/// has asked all workers. The owners stay, and jobs of before and after run.
+#[tokio::test]
+async fn owners_stay_while_the_log_is_away() {
+    let fleet = Fleet::start(3, 120, WORK).await;
+    let before = fleet.changes_of_owner();
+    fleet.post(0, JOB, job_body(4)).await;
+
+    fleet.log.set_fault(LogFault::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.log.set_fault(LogFault::SlowAppends(Duration::from_millis(300)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.log.set_fault(LogFault::None);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let later = fleet.post(0, OTHER, job_body(4)).await;
+
+    fleet.wait_for_state(1, JOB, "completed").await;
+    fleet.wait_for_state(2, OTHER, "completed").await;
+    assert_eq!((later, fleet.changes_of_owner()), (200, before));
+}
+
 /// The first walk of docs/OPERATIONS.md: a caller was rejected.
 #[tokio::test]
 async fn a_rejected_request_is_traced_to_its_cause() {
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// How often any process became the owner of workers, by their logs.
+    pub fn changes_of_owner(&self) -> usize {
+        let owner = |it: &Process| it.log_text().matches("event=owner ").count();
+        self.nodes.iter().map(owner).sum()
+    }
+
     /// How many workers each process can give work to, once each worker has an owner.
     pub async fn owned(&self) -> Vec<usize> {
         let began = Instant::now();
