Logs tell how large rooms and jobs are, and how long lasting tasks wait

A task of a watch was down for twenty seconds beside free room. No line told which of three things it was: that its shard had no room, that another had, or that it had room which went to others. owner_state now has the largest free piece on one worker, the same once all has ended that ends by itself, the least need of waiting lasting tasks and the longest wait. A submission's line has the job's kind and estimated work, and account tells how many of the largest jobs were completed, which the figures of all jobs together hide. Decides nothing.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -265,7 +265,8 @@
         let it = self.owner.summary(now);
         log::info!(
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
-             waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={}",
+             waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
+             largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={}",
             self.ownership.shard.0,
             self.ownership.epoch,
             it.jobs,
@@ -276,7 +277,11 @@
             it.workers,
             it.usable,
             it.silent,
-            it.free_cpu
+            it.free_cpu,
+            it.largest_room,
+            it.largest_room_in_time,
+            it.least_lasting,
+            it.longest_wait.as_millis()
         );
         self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -147,6 +147,7 @@
         };
         let shard = layout.of_job(id);
         let (key, value) = encode(&record);
+        let size = size(&record);
         let mut tries = 0;
         let mut unknown = false;
         loop {
@@ -155,7 +156,7 @@
             match append.await {
                 Ok(()) => {
                     self.shared.lock().stored(record);
-                    log::info!("event={what} id={id} outcome=stored tries={tries}");
+                    log::info!("event={what} id={id} outcome=stored tries={tries}{size}");
                     return Answer::new(StatusCode::OK, b"{}".to_vec());
                 }
                 Err(e) if !unknown && matches!(e, StoreError::NotDone(_)) => {
@@ -185,6 +186,16 @@
     }
 }
 
+/// Of a submission, the job's kind and its estimated work as fields of a line.
+fn size(record: &Record) -> String {
+    match record {
+        Record::Submitted(_, spec) => {
+            format!(" kind={} work_ms={}", spec.kind().word(), spec.work_ms())
+        }
+        _ => String::new(),
+    }
+}
+
 /// When a caller had better come back to a log that has fallen silent: silences last for seconds, and
 /// most callers ask a handful of times. Half of them come a second later than the others.
 fn after_silence(id: JobId) -> Duration {
--- a/daisy-workflow/src/owner/summary.rs
+++ b/daisy-workflow/src/owner/summary.rs
@@ -1,5 +1,7 @@
 //! What an owner has before it, in a few figures.
 
+use std::time::Duration;
+
 use daisy_model::Instant;
 
 use super::Owner;
@@ -27,6 +29,14 @@
     pub silent: usize,
     /// Processor time that is free on usable workers, in thousandths of a core.
     pub free_cpu: u64,
+    /// The most of it on one worker.
+    pub largest_room: u32,
+    /// The most of it on one worker once all has ended that ends by itself.
+    pub largest_room_in_time: u32,
+    /// The least that any waiting task needs that is to last, in thousandths of a core; 0 for none.
+    pub least_lasting: u32,
+    /// How long the first of the waiting tasks that are to last has waited.
+    pub longest_wait: Duration,
 }
 
 impl Owner {
@@ -39,7 +49,11 @@
             sum.silent += usize::from(worker.hold_failures > 0 && !worker.tasks.is_empty());
             if self.usable(now, worker) {
                 sum.usable += 1;
-                sum.free_cpu += u64::from(worker.free().cpu_milli);
+                let room = worker.free().cpu_milli;
+                sum.free_cpu += u64::from(room);
+                sum.largest_room = sum.largest_room.max(room);
+                sum.largest_room_in_time =
+                    sum.largest_room_in_time.max(worker.room_in_time().cpu_milli);
             }
         }
         for (id, _) in self.active.iter() {
@@ -51,14 +65,24 @@
                 let step = &job.spec.steps[usize::from(ready.step)];
                 let steps = &job.progress.occurrences[ready.occurrence as usize];
                 let count = steps[usize::from(ready.step)].iter().filter(|it| it.is_waiting());
+                let count = count.count();
+                if step.long_running && count > 0 {
+                    let need = step.counted().cpu_milli;
+                    sum.least_lasting = match sum.least_lasting {
+                        0 => need,
+                        least => least.min(need),
+                    };
+                }
                 let sum = match (step.long_running, step.best_effort) {
                     (true, _) => &mut sum.waiting_lasting,
                     (false, true) => &mut sum.waiting_best_effort,
                     (false, false) => &mut sum.waiting,
                 };
-                *sum += count.count();
+                *sum += count;
             }
         }
+        let waits = self.waits_since.iter().map(|(_, since)| now.since(*since));
+        sum.longest_wait = waits.max().unwrap_or_default();
         sum
     }
 }
--- a/daisy-workflow/src/spec.rs
+++ b/daisy-workflow/src/spec.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// The estimated work of all its tasks, in milliseconds of a core.
+    pub fn work_ms(&self) -> u64 {
+        let work = |it: &StepSpec| {
+            u64::from(it.count) * u64::from(it.estimate_ms) * u64::from(it.need.cpu_milli) / 1_000
+        };
+        self.steps.iter().map(work).sum::<u64>() * u64::from(self.occurrences)
+    }
+
     /// The estimated length of the longest chain of steps, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
         self.tails_ms().into_iter().max().unwrap_or_default()
--- a/src/account.rs
+++ b/src/account.rs
@@ -15,8 +15,8 @@
 /// Events that the account is made of.
 const EVENTS: [&str; 6] = ["submitted", "start", "run_ended", "run_lost", "pace", "job_ended"];
 
-/// Prints, for each kind of job, how many were in time and the mean seconds by cause; then the jobs
-/// that were latest, each with its main cause.
+/// Prints, for each kind of job, how many were in time, the mean seconds by cause and how many of the
+/// largest were completed; then the jobs that were latest, each with its main cause.
 ///
 /// # Errors
 ///
@@ -42,6 +42,14 @@
         let of_kind: Vec<&Job> =
             ended.iter().filter(|(_, it)| it.kind() == kind).map(|(_, it)| *it).collect();
         println!("{}", summary(kind, &of_kind));
+        let accepted: Vec<&Job> = jobs
+            .iter()
+            .map(|(_, it)| it)
+            .filter(|it| it.kind() == kind && it.work_ms() > 0)
+            .collect();
+        if !accepted.is_empty() {
+            println!("{}", by_size(kind, accepted));
+        }
     }
     let mut late: Vec<_> = ended.iter().filter(|(_, it)| it.late_by() > 0.0).collect();
     late.sort_by(|a, b| b.1.late_by().total_cmp(&a.1.late_by()));
@@ -65,6 +73,24 @@
     line
 }
 
+/// One line for all accepted jobs of a kind: how many were completed of the tenth with most work, of
+/// the fifth below it, and of all.
+fn by_size(kind: &str, mut jobs: Vec<&Job>) -> String {
+    jobs.sort_by_key(|it| std::cmp::Reverse(it.work_ms()));
+    let largest = jobs.len().div_ceil(10);
+    let next = (largest + jobs.len().div_ceil(5)).min(jobs.len());
+    let part = |of: &[&Job]| {
+        let completed = of.iter().filter(|it| it.is_completed()).count();
+        format!("{completed}/{}", of.len())
+    };
+    format!(
+        "kind={kind} completed largest_tenth={} next_fifth={} all={}",
+        part(&jobs[..largest]),
+        part(&jobs[largest..next]),
+        part(&jobs)
+    )
+}
+
 /// The cause that took most of a job's time besides its own work.
 fn main_cause(job: &Job) -> String {
     let causes = Cause::ALL.into_iter().filter(|it| *it != Cause::Work);
--- a/src/account/job.rs
+++ b/src/account/job.rs
@@ -63,6 +63,9 @@
     accepted: Option<f64>,
     ended: Option<f64>,
     kind: Option<String>,
+    /// Estimated work of all its tasks, in milliseconds of a core.
+    work_ms: u64,
+    completed: bool,
     objective_s: f64,
     /// By task and number of the start.
     runs: SortedMap<(String, u32), Run>,
@@ -75,6 +78,8 @@
         match line.name() {
             "submitted" if line.is("submitted", "stored") => {
                 self.accepted = self.accepted.or(Some(now));
+                self.kind = self.kind.take().or(line.value("kind").map(str::to_owned));
+                self.work_ms = line.number("work_ms").unwrap_or_default();
             }
             "start" if line.is("start", "done") => self.start(now, line),
             "run_ended" | "run_lost" => self.end_run(now, line),
@@ -86,6 +91,7 @@
             }
             "job_ended" => {
                 self.ended = self.ended.or(Some(now));
+                self.completed |= line.is("job_ended", "completed");
                 self.kind = line.value("kind").map(str::to_owned);
                 self.objective_s = line.number::<f64>("objective_ms").unwrap_or_default() / 1_000.0;
             }
@@ -121,6 +127,16 @@
         self.kind.as_deref().unwrap_or("unknown")
     }
 
+    /// Estimated work of all its tasks, in milliseconds of a core; 0 if no line tells.
+    pub fn work_ms(&self) -> u64 {
+        self.work_ms
+    }
+
+    /// Whether all its tasks have ended as done.
+    pub fn is_completed(&self) -> bool {
+        self.completed
+    }
+
     /// From its acceptance to its end, in seconds; `None` if one is not in the lines.
     pub fn latency(&self) -> Option<f64> {
         Some((self.ended? - self.accepted?).max(0.0))
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -150,6 +150,28 @@
     assert!(text.contains("waiting_s=0.50 held_back_s=0.00 lost_s=0.00"), "{text}");
 }
 
+/// Small jobs pass large ones by: the figures of all jobs together do not show it.
+#[test]
+fn an_account_tells_how_many_of_the_largest_jobs_were_completed() {
+    let at = |event: String| {
+        format!("2026-03-15T15:38:10.000Z [INFO] daisy_node::own: event={event}\n")
+    };
+    let submitted = |id: u32| {
+        at(format!("submitted id=a{id} outcome=stored tries=1 kind=once work_ms={}", id * 100))
+    };
+    let ended = |id: u32| {
+        at(format!("job_ended id=a{id} outcome=completed kind=once age_ms=900 objective_ms=4000"))
+    };
+    let log: String = (1..=10).map(submitted).chain((1..=7).map(ended)).collect();
+    let path = file("sizes.log", &log);
+
+    let output = daisyshift(&["account", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    let sizes = "kind=once completed largest_tenth=0/1 next_fifth=0/2 all=7/10";
+    assert!(text.lines().any(|it| it == sizes), "{text}");
+}
+
 #[test]
 fn unknown_arguments_are_refused() {
     let output = daisyshift(&["demo", "--speed", "9"]);
