Logs tell what the workers lack for a lasting task that waits

owner_state said that such tasks wait beside a free piece that holds them, not why. The tests' two shards become a fleet of any number, with the same checks. Decides nothing.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -283,6 +283,24 @@
             it.least_lasting,
             it.longest_wait.as_millis()
         );
+        if let Some(it) = self.owner.try_longest_wait(now) {
+            log::info!(
+                "event=longest_wait id={} task={} shard={} waited_ms={} cpu={} memory_mib={} \
+                 unusable={} lack_processors={} lack_memory={} crowded={} kept={} lack_nothing={}",
+                it.task.job,
+                it.task,
+                self.ownership.shard.0,
+                it.waited.as_millis(),
+                it.need.cpu_milli,
+                it.need.memory_mib,
+                it.unusable,
+                it.processors,
+                it.memory,
+                it.crowded,
+                it.kept,
+                it.nothing
+            );
+        }
         self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
 
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -37,7 +37,7 @@
     lateness::Lateness,
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
-        Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Owner,
+        Action, Batch, Ended, Event, HoldAnswer, Lacks, Listed, Note, OrderReply, Outcome, Owner,
         RENEW_ALONE_MAX, Refusal, Running, Settings, Start, StopCause, Summary, WaitCause, Worker,
         WorkerKey,
     },
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -10,6 +10,7 @@
 mod hand_over;
 mod hold;
 mod interference;
+mod lacks;
 mod message;
 mod orders;
 mod pace;
@@ -29,6 +30,7 @@
     worker::{Assignment, Sent, Stop},
 };
 pub use self::{
+    lacks::Lacks,
     message::{
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
         Running, Start, StopCause, WaitCause,
@@ -116,6 +118,8 @@
     delegated_at: Instant,
     /// When what starts was last decided.
     planned_at: Instant,
+    /// Workers that were kept for more urgent tasks then.
+    kept: Vec<WorkerKey>,
 }
 
 /// A recorded run on a worker that is not known.
@@ -180,6 +184,7 @@
             waits_since: SortedMap::new(),
             delegated_at: now,
             planned_at: now - PLAN_EVERY,
+            kept: Vec::new(),
         };
         let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none() && !it.partial);
         owner.states = own.map(|(id, job)| (id, job.state())).collect();
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -97,6 +97,7 @@
                 self.place_step(now, ready, &mut round);
             }
         }
+        self.kept = round.kept;
     }
 
     /// Sums up anew the workers on which something was started or has ended.
@@ -318,7 +319,7 @@
     }
 
     /// The service that runs a job's tasks: as its queue says now, or last said.
-    fn service(&self, spec: &JobSpec) -> Arc<str> {
+    pub(super) fn service(&self, spec: &JobSpec) -> Arc<str> {
         let queue = self.queues.queue(&spec.terms.queue);
         queue.map_or_else(|| spec.terms.service.clone(), |it| it.terms.service.clone())
     }
--- a/daisy-workflow/tests/hand_over.rs
+++ b/daisy-workflow/tests/hand_over.rs
@@ -2,104 +2,29 @@
 
 mod util;
 
-use std::time::Duration;
-
 use daisy_model::{Instant, Resources, SortedMap};
 use daisy_workflow::{
     Copy, Event, Fold, Handover, Hop, JobId, JobSpec, Layout, Ledger, Load, Others, Progress,
     Record, ShardId, StepSpec, TaskId,
 };
-use util::{CORE, FakeWorker, LASTS_MS, World, job, lasting, task};
+use util::{CORE, FakeWorker, Fleet, job, lasting, task};
 
 const LAYOUT: Layout = Layout { shards: 2 };
 const FULL: ShardId = ShardId(0);
 const ROOMY: ShardId = ShardId(1);
-/// How long a write to another shard takes.
-const WRITE: Duration = Duration::from_millis(30);
-
-/// Two shards, and what is written from one to the other.
-struct Fleet {
-    worlds: [World; 2],
-    under_way: Vec<(Instant, ShardId, Record)>,
+/// One worker of 4 cores in the first shard, one of 8 in the second.
+fn two_shards() -> Fleet {
+    Fleet::new(vec![vec![FakeWorker::new("a", 4)], vec![FakeWorker::new("b", 8)]])
 }
 
-impl Fleet {
-    /// One worker of 4 cores in the first shard, one of 8 in the second.
-    fn new() -> Fleet {
-        let worlds = [(FULL, "a", 4), (ROOMY, "b", 8)].map(|(shard, name, cores)| {
-            let mut world = World::of_shard(vec![FakeWorker::new(name, cores)], shard, LAYOUT);
-            world.work = |_| LASTS_MS;
-            world
-        });
-        Fleet { worlds, under_way: Vec::new() }
-    }
-
-    /// The same, with a job in the first shard that has room for one of its two tasks.
-    fn with_a_waiting_task() -> Fleet {
-        let mut fleet = Fleet::new();
-        fleet.run_ms(100);
-        fleet.worlds[0].submit(job_id().0, large_job());
-        fleet.run_ms(100);
-        assert_eq!(fleet.places(of_job(0)), ["a"], "the first of its tasks runs");
-        fleet
-    }
-
-    fn step(&mut self) {
-        for world in &mut self.worlds {
-            world.step();
-            let at = world.now + WRITE;
-            let forwarded = world.forwarded.drain(..);
-            self.under_way.extend(forwarded.map(|(shard, record)| (at, shard, record)));
-        }
-        let now = self.worlds[0].now;
-        let under_way = std::mem::take(&mut self.under_way);
-        for (at, shard, record) in under_way {
-            match at <= now {
-                true => self.worlds[usize::from(shard.0)].write(record),
-                false => self.under_way.push((at, shard, record)),
-            }
-        }
-        for index in 0..2 {
-            assert!(self.places(of_job(index)).len() < 2, "task {index} runs in two places");
-        }
-    }
-
-    fn run_ms(&mut self, millis: u64) {
-        for _ in 0..millis / 10 {
-            self.step();
-        }
-    }
-
-    /// The same, with loads told as owners tell them.
-    fn run_told(&mut self, millis: u64) {
-        for at in 0..millis / 10 {
-            if at % 40 == 0 {
-                self.tell_loads();
-            }
-            self.step();
-        }
-    }
-
-    fn tell_loads(&mut self) {
-        let loads = [0, 1].map(|at| self.worlds[at].owner.load(self.worlds[at].now));
-        for (at, other) in [(0, ROOMY), (1, FULL)] {
-            let others = SortedMap::from_iter([(other, loads[usize::from(other.0)])]);
-            let now = self.worlds[at].now;
-            self.worlds[at].owner.step(now, Event::Loads(others));
-        }
-    }
-
-    /// The owner of a shard dies with all that it was writing; another takes over.
-    fn kill_owner(&mut self, at: usize) {
-        let other = ShardId(1 - at as u16);
-        self.worlds[at].forwarded.clear();
-        self.under_way.retain(|(_, to, _)| *to != other);
-        self.worlds[at].change_owner(true);
-    }
-
-    fn places(&self, task: TaskId) -> Vec<&str> {
-        self.worlds.iter().flat_map(|it| it.places(task)).collect()
-    }
+/// The same, with a job in the first shard that has room for one of its two tasks.
+fn with_a_waiting_task() -> Fleet {
+    let mut fleet = two_shards();
+    fleet.run_ms(100);
+    fleet.worlds[0].submit(job_id().0, large_job());
+    fleet.run_ms(100);
+    assert_eq!(fleet.places(of_job(0)), ["a"], "the first of its tasks runs");
+    fleet
 }
 
 /// A job of the first shard.
@@ -136,7 +61,7 @@
 /// as long as others last, and a job that has begun cannot leave its shard. Another shard has room.
 #[test]
 fn a_task_without_room_runs_in_another_shard() {
-    let mut fleet = Fleet::with_a_waiting_task();
+    let mut fleet = with_a_waiting_task();
 
     fleet.run_told(4_500);
 
@@ -150,7 +75,7 @@
 fn a_hand_over_outlives_its_owners() {
     for at in 0..2 {
         for moment in (280..420).chain((500..1_000).step_by(50)) {
-            let mut fleet = Fleet::with_a_waiting_task();
+            let mut fleet = with_a_waiting_task();
             fleet.run_told(moment * 10);
             fleet.kill_owner(at);
 
@@ -167,7 +92,7 @@
 fn a_hand_over_outlives_both_owners() {
     for first in (290..350).step_by(3) {
         for later in 0..12 {
-            let mut fleet = Fleet::with_a_waiting_task();
+            let mut fleet = with_a_waiting_task();
             fleet.run_told(first * 10);
             fleet.kill_owner(0);
             fleet.run_told(later * 10);
@@ -183,7 +108,7 @@
 /// A caller cancels a job of which a task runs in another shard: that task is stopped, too.
 #[test]
 fn a_cancellation_follows_a_task() {
-    let mut fleet = Fleet::with_a_waiting_task();
+    let mut fleet = with_a_waiting_task();
     fleet.run_told(4_500);
 
     fleet.worlds[0].cancel(job_id().0);
@@ -196,7 +121,7 @@
 /// the first shard knows of its earlier runs is no longer true.
 #[test]
 fn a_task_that_was_handed_on_is_started_anew_where_it_is() {
-    let mut fleet = Fleet::with_a_waiting_task();
+    let mut fleet = with_a_waiting_task();
     fleet.run_told(4_500);
 
     let now = fleet.worlds[1].now;
@@ -209,7 +134,7 @@
 /// While no shard has room, a task stays where it is.
 #[test]
 fn a_task_stays_where_no_other_shard_has_room() {
-    let mut fleet = Fleet::with_a_waiting_task();
+    let mut fleet = with_a_waiting_task();
     let full = Load { capacity: 8_000, lasting: 8_000, ..Load::default() };
     let now = fleet.worlds[0].now;
     fleet.worlds[0].owner.step(now, Event::Loads(SortedMap::from_iter([(ROOMY, full)])));
--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
 
+mod fleet;
 mod worker;
 mod world;
 
@@ -11,6 +12,7 @@
 use daisy_workflow::{JobId, JobSpec, Queue, Queues, Service, StepSpec, TaskId, Terms};
 
 pub use self::{
+    fleet::Fleet,
     worker::{FakeWorker, Fault, LASTS_MS},
     world::World,
 };
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Tasks that run here.
+    pub fn tasks(&self) -> Vec<TaskId> {
+        self.runs.iter().map(|it| it.task).collect()
+    }
+
     pub fn clock(&self, now: Instant) -> u64 {
         now.0 / 1_000 + self.offset
     }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -153,9 +153,8 @@
 /// Small jobs pass large ones by: the figures of all jobs together do not show it.
 #[test]
 fn an_account_tells_how_many_of_the_largest_jobs_were_completed() {
-    let at = |event: String| {
-        format!("2026-03-15T15:38:10.000Z [INFO] daisy_node::own: event={event}\n")
-    };
+    let at =
+        |event: String| format!("2026-03-15T15:38:10.000Z [INFO] daisy_node::own: event={event}\n");
     let submitted = |id: u32| {
         at(format!("submitted id=a{id} outcome=stored tries=1 kind=once work_ms={}", id * 100))
     };
