A task without room may return to the shard that handed its job on

Cause: a job is handed on whole before it begins. If a task of it later finds no room, the hand-over left out the shard of the job's id, since that shard knew the job as one of which it runs nothing. Room there was out of reach for every task of such a job; in the record the job's id belongs to shard 2 and its runs are in shard 0. Class: a decision that was taken once, for the whole job, binds a part of it for good.

Change: a shard that has handed a job on runs the tasks of it that came back, and no others; whole jobs and parts are told apart in one place (Job::is_part). The decision to hand a job on has a list of its own among what is to be recorded, so that progress of returned tasks is written as well. A job that is read after its returned task becomes whole.

That the recorded task was this case is not shown: the record does not say which shard had the room.

--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -146,8 +146,8 @@
     }
 
     /// The shard with most room for tasks that last and need `cpu` of one worker each, if one has
-    /// any; `but` is left out. What was sent lately counts as in [`try_better`](Others::try_better).
-    pub fn try_room(&mut self, now: Instant, but: ShardId, cpu: u32) -> Option<ShardId> {
+    /// any; `own` is left out. What was sent lately counts as in [`try_better`](Others::try_better).
+    pub fn try_room(&mut self, now: Instant, own: ShardId, cpu: u32) -> Option<ShardId> {
         self.sent.retain(|(at, ..)| now.since(*at) < SHOWN_AFTER);
         let senders = self.loads.len().max(1) as u64;
         let left = |(shard, load): (&ShardId, &Load)| {
@@ -157,7 +157,7 @@
             let sent = sent.div_ceil(u64::from(cpu.max(1))) * senders;
             (*shard, load.rooms(cpu).saturating_sub(sent))
         };
-        let others = self.loads.iter().filter(|(shard, _)| **shard != but).map(left);
+        let others = self.loads.iter().filter(|(shard, _)| **shard != own).map(left);
         let (shard, most) = others.max_by_key(|(_, left)| *left)?;
         (most > 0).then_some(shard)
     }
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -62,6 +62,23 @@
         }
     }
 
+    /// Whether this shard runs nothing of it but the tasks that were handed to it, as another shard
+    /// has the job.
+    pub fn is_part(&self) -> bool {
+        self.partial || self.delegated.is_some()
+    }
+
+    /// Whether tasks of it were handed to this shard.
+    pub fn has_tasks_that_came(&self) -> bool {
+        self.moved.iter().any(|(_, it)| it.to.is_none())
+    }
+
+    /// Gives the whole job, of which nothing has begun, to another shard.
+    pub(crate) fn delegate(&mut self, to: ShardId) {
+        self.delegated = Some(to);
+        self.settle_tasks();
+    }
+
     /// Takes a change of a task's shard in; whether it is newer than all that was known.
     pub(crate) fn move_task(&mut self, id: TaskId, moved: Moved) -> bool {
         let newer = self.moved.get(&id).is_none_or(|it| it.hop < moved.hop);
@@ -77,12 +94,12 @@
     /// Progress that was recorded before a task came says nothing of its earlier runs: started by it,
     /// the task would get the number of a run that another shard has started.
     fn settle_tasks(&mut self) {
-        let partial = self.partial;
-        if !partial && self.moved.is_empty() {
+        let is_part = self.is_part();
+        if !is_part && self.moved.is_empty() {
             return;
         }
         let tasks = self.progress.occurrences.iter_mut().flatten().flatten();
-        tasks.for_each(|it| it.elsewhere = partial);
+        tasks.for_each(|it| it.elsewhere = is_part);
         for (id, moved) in self.moved.iter() {
             let Some(state) = self.progress.task_mut(*id) else { continue };
             state.elsewhere = moved.to.is_some();
@@ -159,7 +176,7 @@
             }
             Record::Delegated(id, shard) => {
                 match self.jobs.get_mut(&id) {
-                    Some(job) => job.delegated = Some(shard),
+                    Some(job) => job.delegate(shard),
                     None => drop(self.early_delegated.insert(id, shard)),
                 }
                 Fold::Nothing
@@ -180,10 +197,15 @@
     }
 
     fn submitted(&mut self, id: JobId, spec: JobSpec) -> Fold {
-        if self.jobs.contains_key(&id) {
-            return Fold::Nothing;
+        match self.jobs.get_mut(&id) {
+            None => self.add_job(id, spec, false),
+            // A task of it that returned was read first.
+            Some(job) if job.partial => {
+                job.partial = false;
+                job.settle_tasks();
+            }
+            Some(_) => return Fold::Nothing,
         }
-        self.add_job(id, spec, false);
         Fold::Submitted(id)
     }
 
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -90,6 +90,8 @@
     active: SortedMap<JobId, JobView>,
     /// Jobs whose records are to be written.
     dirty: Vec<JobId>,
+    /// Jobs that are handed on whole and of which that is not recorded yet.
+    delegating: Vec<JobId>,
     /// Starts that wait for their record.
     recording: Vec<(WorkerKey, TaskId, u32)>,
     in_flight: Option<InFlight>,
@@ -167,6 +169,7 @@
             list_read_at: now,
             active: SortedMap::new(),
             dirty: Vec::new(),
+            delegating: Vec::new(),
             recording: Vec::new(),
             in_flight: None,
             interference,
@@ -186,7 +189,7 @@
             planned_at: now - PLAN_EVERY,
             kept: Vec::new(),
         };
-        let own = owner.ledger.jobs().filter(|(_, it)| it.delegated.is_none() && !it.partial);
+        let own = owner.ledger.jobs().filter(|(_, it)| !it.is_part());
         owner.states = own.map(|(id, job)| (id, job.state())).collect();
         owner.forward_all();
         owner.forward_all_tasks();
@@ -199,7 +202,7 @@
         let jobs: Vec<JobId> = self
             .ledger
             .jobs()
-            .filter(|(_, it)| it.progress.phase == Phase::Active && it.delegated.is_none())
+            .filter(|(_, it)| it.progress.phase == Phase::Active && runs_here(it))
             .map(|(id, _)| id)
             .collect();
         jobs.into_iter().for_each(|id| self.inherit_job(now, id));
@@ -266,7 +269,9 @@
 
     /// Whether there are records to be appended.
     pub fn has_batch(&self) -> bool {
-        self.in_flight.is_none() && !(self.dirty.is_empty() && self.recording.is_empty())
+        let nothing =
+            self.dirty.is_empty() && self.delegating.is_empty() && self.recording.is_empty();
+        self.in_flight.is_none() && !nothing
     }
 
     /// Records to be appended next, unless a batch is under way or there are none.
@@ -280,21 +285,15 @@
         let changed: Vec<JobId> = std::mem::take(&mut self.dirty);
         let mut records = Vec::with_capacity(changed.len());
         let mut states = Vec::with_capacity(changed.len());
-        let mut delegated = Vec::new();
+        let delegated = std::mem::take(&mut self.delegating);
+        let to = |id: &JobId| ledger.job(*id).and_then(|it| it.delegated);
+        records.extend(delegated.iter().filter_map(|id| Some(Record::Delegated(*id, to(id)?))));
         for id in changed {
             let Some(job) = ledger.job(id) else { continue };
-            match job.delegated {
-                Some(shard) => {
-                    records.push(Record::Delegated(id, shard));
-                    delegated.push(id);
-                }
-                None => {
-                    records.push(Record::Progress(id, job.progress.clone()));
-                    // What a part of a job comes to is no state of the job.
-                    if !job.partial {
-                        states.push((id, job.state()));
-                    }
-                }
+            records.push(Record::Progress(id, job.progress.clone()));
+            // What a part of a job comes to is no state of the job.
+            if !job.is_part() {
+                states.push((id, job.state()));
             }
         }
         let handed = std::mem::take(&mut self.handed);
@@ -354,7 +353,11 @@
     fn submitted(&mut self, now: Instant, id: JobId) {
         let Some(job) = self.ledger.job(id) else { return };
         if job.delegated.is_some() {
+            let returned = job.has_tasks_that_came();
             self.forward(id);
+            if returned {
+                self.inherit_job(now, id);
+            }
             return;
         }
         let is_new = job_is_new(job);
@@ -451,6 +454,11 @@
     copies
 }
 
+/// Whether this shard runs a job, or tasks of it.
+fn runs_here(job: &Job) -> bool {
+    job.delegated.is_none() || job.has_tasks_that_came()
+}
+
 /// Whether no owner has recorded anything of a job.
 fn job_is_new(job: &Job) -> bool {
     job.progress.phase == Phase::Active && !job.progress.begun
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -88,10 +88,10 @@
         let Some(to) = self.others.try_better(now, own, demand) else { return };
         self.others.sent(now, to, demand);
         if let Some(job) = self.ledger.job_mut(id) {
-            job.delegated = Some(to);
+            job.delegate(to);
         }
         self.active.remove(&id);
-        self.dirty.push(id);
+        self.delegating.push(id);
         self.actions.push(Action::Note(Note::Delegated { job: id, to }));
     }
 
@@ -132,7 +132,7 @@
     pub(super) fn forward_cancel(&mut self, id: JobId) {
         // Before the decision is recorded, the job itself was not written either: both follow then.
         if let Some(to) = self.ledger.job(id).and_then(|it| it.delegated)
-            && !self.dirty.contains(&id)
+            && !self.delegating.contains(&id)
             && self.in_flight.as_ref().is_none_or(|it| !it.delegated.contains(&id))
         {
             self.actions.push(Action::Forward(to, Record::Cancelled(id)));
--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -61,11 +61,10 @@
     }
 
     fn try_hand_over(&mut self, now: Instant, task: TaskId) {
-        // The shard of the job's id may know the job as one that it has handed on whole.
-        let but = self.settings.layout.of_job(task.job);
+        let own = self.settings.shard;
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
-        let Some(to) = self.others.try_room(now, but, step.need.cpu_milli) else { return };
+        let Some(to) = self.others.try_room(now, own, step.need.cpu_milli) else { return };
         self.others.sent(now, to, Demand::of_lasting(step));
         let number = job.moved.get(&task).map_or(0, |it| it.hop) + 1;
         job.move_task(task, Hop { number, to }.into());
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -3,7 +3,7 @@
 mod util;
 
 use daisy_model::Resources;
-use daisy_workflow::{JobId, JobSpec, Record, ShardId, StepSpec};
+use daisy_workflow::{Fold, Handover, JobId, JobSpec, Ledger, Record, ShardId, StepSpec, TaskId};
 use util::{CORE, FakeWorker, Fleet, job, lasting, task};
 
 const FIRST: ShardId = ShardId(0);
@@ -14,6 +14,10 @@
     job(vec![StepSpec { need, ..lasting(count) }])
 }
 
+fn first_task(id: JobId) -> TaskId {
+    task(id.0, 0, 0)
+}
+
 /// Shards of one worker each, of this many cores, that have not told each other of their loads.
 fn shards(cores: &[u32]) -> Fleet {
     let worker = |(at, cores): (usize, &u32)| vec![FakeWorker::new(&format!("w{at}"), *cores)];
@@ -22,7 +26,7 @@
     fleet
 }
 
-/// A job of the second shard that was handed whole to the first.
+/// A job of the second shard, whose workers are full, that was handed whole to the first.
 fn job_handed_whole(fleet: &mut Fleet, spec: JobSpec) -> JobId {
     let id = fleet.job_of(ShardId(1));
     fleet.worlds[1].write(Record::Delegated(id, FIRST));
@@ -43,3 +47,56 @@
     let places = [0, 1].map(|index| fleet.places(task(id.0, 0, index)));
     assert_eq!(places, [vec!["w0"], vec!["w1"]]);
 }
+
+/// The same while either owner is killed at any moment of the return.
+#[test]
+fn a_return_outlives_its_owners() {
+    for at in 0..2 {
+        for moment in (100..460).step_by(4) {
+            let mut fleet = shards(&[4, 8]);
+            let id = job_handed_whole(&mut fleet, tasks(2, 3, 100));
+            fleet.run_told(moment * 10);
+            fleet.kill_owner(at);
+
+            fleet.run_told(9_000);
+
+            let places = [0, 1].map(|index| fleet.places(task(id.0, 0, index)));
+            assert_eq!(places, [vec!["w0"], vec!["w1"]], "owner {at} killed after {moment}0 ms");
+        }
+    }
+}
+
+/// A caller cancels a job of which a task has returned to the job's own shard.
+#[test]
+fn a_cancellation_stops_a_task_that_returned() {
+    let mut fleet = shards(&[4, 8]);
+    let id = job_handed_whole(&mut fleet, tasks(2, 3, 100));
+    fleet.run_told(4_500);
+    assert_eq!(fleet.places(task(id.0, 0, 1)), ["w1"], "it has returned");
+
+    fleet.worlds[1].cancel(id.0);
+    fleet.run_ms(600);
+
+    let places = [0, 1].map(|index| fleet.places(task(id.0, 0, index)));
+    assert_eq!(places, [vec![""; 0], vec![]]);
+}
+
+/// A new owner of the job's own shard may read a task that returned before it reads the job: the
+/// tasks that were never handed on are still the shard's.
+#[test]
+fn a_job_that_is_read_after_its_returned_task_is_whole() {
+    let id = JobId(1);
+    let spec = tasks(2, 1, 100);
+    let it =
+        Handover { hop: 2, spec: spec.clone(), runs: 3, failures: 0, checkpoint: String::new() };
+    let mut ledger = Ledger::default();
+    ledger.fold(Record::TaskSubmitted(first_task(id), Box::new(it)));
+
+    let fold = ledger.fold(Record::Submitted(id, spec));
+
+    let waits = |index| {
+        let job = ledger.job(id).expect("a job that was read");
+        job.progress.task(task(id.0, 0, index)).expect("its task").is_waiting()
+    };
+    assert_eq!((fold, waits(0), waits(1)), (Fold::Submitted(id), true, true));
+}
