A shard tells others only of room that they can use

What callers saw: tasks of watches waited for many seconds, or went to a shard where they waited again, while a third shard had room.

Cause: a shard told the free processors of its workers and nothing else. It also told of pieces that its own waiting tasks were about to take. Class: a figure that stands for less than what the decision needs.

Change: what is told is all that a worker has left, processors, memory and accelerators, once what ends by itself has ended and the shard's own waiting tasks have their place; pieces come in the order of their scarcest part. What decides whether a job goes elsewhere no longer computes pieces. Waits are noted with one shard as well.

Evidence: both tests failed before. The task went to the shard without memory (left Some([ShardId(1)]), right Some([ShardId(2)])), and room was told twice (left [4, 4], right [4, 1]).

--- a/daisy-model/tests/resources.rs
+++ b/daisy-model/tests/resources.rs
@@ -42,3 +42,13 @@
     assert_eq!(most.try_add(resources(1, 0, 0)), None);
     assert_eq!(most.try_mul(2), None);
 }
+
+#[test]
+fn the_scarcest_part_says_how_many_times_a_need_fits() {
+    let room = Resources { cpu_milli: 12_000, memory_mib: 1_000, accelerators: 0 };
+    let need = Resources { cpu_milli: 3_000, memory_mib: 400, accelerators: 0 };
+
+    assert_eq!(room.holds(need), 2);
+    assert_eq!(room.holds(Resources { memory_mib: 0, ..need }), 4);
+    assert_eq!(room.holds(Resources { accelerators: 1, ..need }), 0);
+}
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -455,7 +455,7 @@
         }
         let sign = self.sign(clock::now(), true);
         let mut records = self.telling.records();
-        records.push(Record::Sign(sign));
+        records.push(Record::Sign(Box::new(sign)));
         self.send_states(records);
         appended.recv().await;
         why
--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -6,11 +6,11 @@
 
 use std::time::Duration;
 
-use daisy_model::{Instant, SortedMap};
+use daisy_model::{Instant, Resources, SortedMap};
 
 use crate::{JobKind, JobSpec, ShardId, StepSpec};
 
-/// Pieces of free processors that a shard tells of: more tasks than find no room in the time in
+/// Free pieces of workers that a shard tells of: more tasks than find no room in the time in
 /// which loads are told anew.
 pub const PIECES: usize = 16;
 
@@ -25,9 +25,9 @@
     pub once: u64,
     /// What best-effort tasks could use, running or waiting.
     pub best_effort: u64,
-    /// Processors that are left for tasks that last once all others have ended, of the workers with
+    /// What is left of a worker for tasks that last once all others have ended, of the workers with
     /// most, the largest first: for such a task, a worker is kept until they have.
-    pub pieces: [u32; PIECES],
+    pub pieces: [Resources; PIECES],
 }
 
 /// What a job adds to the load of its shard while its widest step runs.
@@ -53,16 +53,16 @@
 }
 
 impl Load {
-    /// Keeps the largest of these pieces.
-    pub fn set_pieces(&mut self, mut pieces: Vec<u32>) {
-        pieces.sort_unstable_by(|a, b| b.cmp(a));
-        pieces.resize(PIECES, 0);
+    /// Keeps the first of these pieces.
+    pub fn set_pieces(&mut self, mut pieces: Vec<Resources>) {
+        pieces.resize(PIECES, Resources::ZERO);
         self.pieces.copy_from_slice(&pieces);
     }
 
-    /// Tasks that last, need `cpu` of one worker and find room in time, as far as the pieces tell.
-    fn rooms(&self, cpu: u32) -> u64 {
-        self.pieces.iter().map(|it| u64::from(it / cpu.max(1))).sum()
+    /// Tasks that last, need this much of one worker and find room in time, as far as the pieces
+    /// tell.
+    fn rooms(&self, need: Resources) -> u64 {
+        self.pieces.iter().map(|it| u64::from(it.holds(need))).sum()
     }
 
     /// The load with a job more.
@@ -145,17 +145,18 @@
         (best + MARGIN[kind as usize] < pressure).then_some(shard)
     }
 
-    /// The shard with most room for tasks that last and need `cpu` of one worker each, if one has
-    /// any; `own` is left out. What was sent lately counts as in [`try_better`](Others::try_better).
-    pub fn try_room(&mut self, now: Instant, own: ShardId, cpu: u32) -> Option<ShardId> {
+    /// The shard with most room for tasks that last and need this much of one worker each, if one
+    /// has any; `own` is left out. What was sent lately counts as in
+    /// [`try_better`](Others::try_better).
+    pub fn try_room(&mut self, now: Instant, own: ShardId, need: Resources) -> Option<ShardId> {
         self.sent.retain(|(at, ..)| now.since(*at) < SHOWN_AFTER);
         let senders = self.loads.len().max(1) as u64;
         let left = |(shard, load): (&ShardId, &Load)| {
             let lasting =
                 |it: &&(Instant, ShardId, Demand)| it.1 == *shard && it.2.kind == JobKind::Lasting;
             let sent: u64 = self.sent.iter().filter(lasting).map(|(.., it)| it.cpu).sum();
-            let sent = sent.div_ceil(u64::from(cpu.max(1))) * senders;
-            (*shard, load.rooms(cpu).saturating_sub(sent))
+            let sent = sent.div_ceil(u64::from(need.cpu_milli.max(1))) * senders;
+            (*shard, load.rooms(need).saturating_sub(sent))
         };
         let others = self.loads.iter().filter(|(shard, _)| **shard != own).map(left);
         let (shard, most) = others.max_by_key(|(_, left)| *left)?;
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -7,11 +7,12 @@
 
 use std::time::Duration;
 
-use daisy_model::Instant;
+use daisy_model::{Instant, Resources};
 
 use super::{
     Owner,
     message::{Action, Note},
+    place::is_crowded,
     worker::Worker,
 };
 use crate::{Demand, Job, JobId, JobState, Load, Record, TaskState};
@@ -22,18 +23,46 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 impl Owner {
-    /// What the shard has, and what is asked of it.
+    /// What the shard has, what is asked of it, and what room it has left for others.
     pub fn load(&self, now: Instant) -> Load {
+        let mut load = self.demand(now);
+        load.set_pieces(self.pieces(now));
+        load
+    }
+
+    /// What is left of each usable worker for tasks that last once all others have ended and those of
+    /// this shard that wait have found their place, the largest first.
+    fn pieces(&self, now: Instant) -> Vec<Resources> {
+        let usable = self.workers.iter().filter(|(_, it)| self.usable(now, it));
+        let mut pieces: Vec<(&Worker, Resources)> =
+            usable.map(|(_, it)| (it, it.room_in_time())).collect();
+        for (task, _) in self.waits_since.iter() {
+            let step = self.ledger.job(task.job).and_then(|it| it.spec.step_of(*task));
+            let Some(step) = step else { continue };
+            let fitting = pieces.iter_mut().filter(|(worker, room)| {
+                step.counted().fits(*room) && !is_crowded(step, worker, *task)
+            });
+            if let Some((_, room)) = fitting.min_by_key(|(_, room)| room.cpu_milli) {
+                *room = room.try_sub(step.counted()).unwrap_or(Resources::ZERO);
+            }
+        }
+        // The scarcest of what a worker has left bounds what it can take.
+        let scarcest = |(worker, room): &(&Worker, Resources)| {
+            let permille = |part: u32, of: u32| u64::from(part) * 1_000 / u64::from(of.max(1));
+            let cpu = permille(room.cpu_milli, worker.capacity.cpu_milli);
+            cpu.min(permille(room.memory_mib, worker.capacity.memory_mib))
+        };
+        pieces.sort_by_key(|it| std::cmp::Reverse(scarcest(it)));
+        pieces.into_iter().map(|(_, room)| room).collect()
+    }
+
+    /// What the shard has, and what is asked of it.
+    fn demand(&self, now: Instant) -> Load {
         let mut load = Load::default();
         let has_room = |it: &Worker| it.listed && it.ready && it.hold_failures == 0;
-        let mut pieces = Vec::with_capacity(self.workers.len());
         for (_, worker) in self.workers.iter().filter(|(_, it)| has_room(it)) {
             load.capacity += u64::from(worker.capacity.cpu_milli);
-            if self.usable(now, worker) {
-                pieces.push(worker.room_in_time().cpu_milli);
-            }
         }
-        load.set_pieces(pieces);
         for (id, _) in self.active.iter() {
             self.add_job(now, *id, &mut load);
         }
@@ -80,7 +109,7 @@
             return;
         }
         let demand = Demand::of(&job.spec);
-        let own = self.load(now);
+        let own = self.demand(now);
         // A new owner that has not read the list yet seems to have no room at all.
         if own.capacity == 0 && now.since(self.began_at) < KNOWS_WORKERS_AFTER {
             return;
@@ -95,12 +124,16 @@
         self.actions.push(Action::Note(Note::Delegated { job: id, to }));
     }
 
-    /// Jobs that found no room when they came may find it elsewhere by now.
-    pub(super) fn delegate_waiting(&mut self, now: Instant) {
-        if self.settings.layout.shards < 2 || now.since(self.delegated_at) < LOOK_EVERY {
+    /// Jobs and tasks that found no room when they came may find it elsewhere by now.
+    pub(super) fn look_for_room(&mut self, now: Instant) {
+        if now.since(self.delegated_at) < LOOK_EVERY {
             return;
         }
         self.delegated_at = now;
+        self.update_waits(now);
+        if self.settings.layout.shards < 2 {
+            return;
+        }
         let queued =
             |id: &JobId| self.ledger.job(*id).is_some_and(|it| it.state() == JobState::Queued);
         let waiting: Vec<JobId> = self.active.iter().map(|(id, _)| *id).filter(queued).collect();
--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -23,17 +23,21 @@
 impl Owner {
     /// Hands on tasks that last and have long found no room here.
     pub(super) fn hand_over_waiting(&mut self, now: Instant) {
-        if self.settings.layout.shards < 2 {
+        if now.since(self.began_at) < KNOWS_WORKERS_AFTER {
             return;
         }
-        let known = now.since(self.began_at) >= KNOWS_WORKERS_AFTER;
+        let waits = self.waits_since.iter();
+        let due = waits.filter(|(task, since)| now.since(**since) >= self.patience(**task));
+        let due: Vec<TaskId> = due.map(|(task, _)| *task).collect();
+        due.into_iter().for_each(|task| self.try_hand_over(now, task));
+    }
+
+    /// Notes since when tasks that last have waited.
+    pub(super) fn update_waits(&mut self, now: Instant) {
         let waiting = self.waiting_tasks(now);
         self.waits_since.retain(|task, _| waiting.binary_search(task).is_ok());
         for task in waiting {
-            let since = *self.waits_since.get_or_insert_with(task, || now);
-            if known && now.since(since) >= self.patience(task) {
-                self.try_hand_over(now, task);
-            }
+            self.waits_since.get_or_insert_with(task, || now);
         }
     }
 
@@ -64,7 +68,7 @@
         let own = self.settings.shard;
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
-        let Some(to) = self.others.try_room(now, own, step.need.cpu_milli) else { return };
+        let Some(to) = self.others.try_room(now, own, step.counted()) else { return };
         self.others.sent(now, to, Demand::of_lasting(step));
         let number = job.moved.get(&task).map_or(0, |it| it.hop) + 1;
         job.move_task(task, Hop { number, to }.into());
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -38,7 +38,7 @@
         }
         self.give_up_orphans(now);
         self.send_stops(now);
-        self.delegate_waiting(now);
+        self.look_for_room(now);
         self.plan_due = true;
     }
 
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -57,7 +57,7 @@
     /// The state of a job that callers are told.
     State(JobId, Told),
     /// A sign of life of a shard's owner.
-    Sign(Sign),
+    Sign(Box<Sign>),
     /// How jobs and workers are divided among shards.
     Layout(Layout),
     /// What a shard's owner has learnt since its last such record.
@@ -122,7 +122,7 @@
         Record::State(id, told) => {
             (format!("state-{id}"), framed((state_number(told.state), told.shard.0)))
         }
-        Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(sign))),
+        Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(&**sign))),
         Record::Observed(shard, seen) => {
             (format!("observed-{}", shard.0), framed(ObservedWire::from(&seen[..])))
         }
@@ -152,7 +152,7 @@
     let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
     if kind == "sign" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
-        return unframed::<SignWire>(value).map(|it| Record::Sign(it.of(shard)));
+        return unframed::<SignWire>(value).map(|it| Record::Sign(Box::new(it.of(shard))));
     }
     if kind == "observed" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -107,14 +107,14 @@
     pending: Vec<(String, u32)>,
     /// Capacity, then what lasting, other and best-effort tasks ask for.
     load: [u64; 4],
-    /// The largest pieces of free processors.
-    pieces: [u32; PIECES],
+    /// The largest free pieces of workers: thousandths of a core, MiB, accelerators.
+    pieces: [[u32; 3]; PIECES],
 }
 
 impl From<&Sign> for SignWire {
     fn from(sign: &Sign) -> SignWire {
         let Sign { claim, current, pending, load, .. } = sign.clone();
-        let pieces = load.pieces;
+        let pieces = load.pieces.map(|it| [it.cpu_milli, it.memory_mib, it.accelerators]);
         let load = [load.capacity, load.lasting, load.once, load.best_effort];
         SignWire { claim, current, pending, load, pieces }
     }
@@ -125,6 +125,11 @@
     pub(super) fn of(self, shard: ShardId) -> Sign {
         let SignWire { claim, current, pending, load, pieces } = self;
         let [capacity, lasting, once, best_effort] = load;
+        let pieces = pieces.map(|[cpu_milli, memory_mib, accelerators]| Resources {
+            cpu_milli,
+            memory_mib,
+            accelerators,
+        });
         let load = Load { capacity, lasting, once, best_effort, pieces };
         Sign { shard, claim, current, pending, load }
     }
--- a/daisy-workflow/src/spec.rs
+++ b/daisy-workflow/src/spec.rs
@@ -182,6 +182,11 @@
         id.occurrence < self.occurrences && step.is_some_and(|it| id.index < it.count)
     }
 
+    /// The step of a task, if it has such a step.
+    pub fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
+        self.steps.get(usize::from(id.step))
+    }
+
     /// When occurrence `k` is due, in milliseconds since 1970; 0 for at once.
     pub fn due_ms(&self, k: u32) -> u64 {
         self.first_due_ms.saturating_add(u64::from(k).saturating_mul(self.interval_ms))
--- a/daisy-workflow/src/telling.rs
+++ b/daisy-workflow/src/telling.rs
@@ -55,7 +55,7 @@
         let mut records = Vec::new();
         if let Some(sign) = sign {
             self.signed_at = Some(now);
-            records.push(Record::Sign(sign));
+            records.push(Record::Sign(Box::new(sign)));
         }
         records.extend(self.records());
         Some(records)
--- a/daisy-workflow/tests/hand_over.rs
+++ b/daisy-workflow/tests/hand_over.rs
@@ -195,14 +195,15 @@
 #[test]
 fn owners_share_the_rooms_that_all_of_them_see() {
     let mut room = Load { capacity: 64_000, ..Load::default() };
-    room.set_pieces(vec![6_000; 6]);
+    let need = large_job().steps[0].need;
+    room.set_pieces(vec![Resources { cpu_milli: 6_000, memory_mib: 64_000, ..need }; 6]);
     let full = Load { capacity: 64_000, ..Load::default() };
     let loads = [(ShardId(1), room), (ShardId(2), full), (ShardId(3), full)];
     let mut others = Others::default();
     others.update(SortedMap::from_iter(loads));
     let mut sent = 0;
 
-    while let Some(to) = others.try_room(Instant::default(), FULL, 3_000) {
+    while let Some(to) = others.try_room(Instant::default(), FULL, need) {
         others.sent(
             Instant::default(),
             to,
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -2,6 +2,7 @@
 
 mod util;
 
+use daisy_model::Resources;
 use daisy_workflow::{
     Claim, Copy, Disturbance, Fold, Handover, Hop, JobId, JobState, Layout, Ledger, Load,
     Observations, PIECES, Phase, Progress, Record, RecordError, ShardId, Sign, SpecError,
@@ -9,6 +10,8 @@
 };
 use util::{after, best_effort, job, lasting, step, task};
 
+const PIECE: Resources = Resources { cpu_milli: 6, memory_mib: 8, accelerators: 1 };
+
 fn progress() -> Progress {
     let mut progress = Progress::new(&job(vec![step(3)]));
     progress.begun = true;
@@ -35,13 +38,19 @@
         Record::Claim(claim()),
         Record::Delegated(JobId(7), ShardId(2)),
         Record::State(JobId(7), Told { state: JobState::Completed, shard: ShardId(2) }),
-        Record::Sign(Sign {
+        Record::Sign(Box::new(Sign {
             shard: ShardId(3),
             claim: claim(),
             current: true,
             pending: vec![("q".to_owned(), 4)],
-            load: Load { capacity: 9, lasting: 5, once: 3, best_effort: 7, pieces: [6; PIECES] },
-        }),
+            load: Load {
+                capacity: 9,
+                lasting: 5,
+                once: 3,
+                best_effort: 7,
+                pieces: [PIECE; PIECES],
+            },
+        })),
         Record::Layout(Layout { shards: 6 }),
         Record::TaskHandedOn(task(7, 0, 1), Hop { number: 3, to: ShardId(2) }),
         Record::TaskSubmitted(
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::Resources;
 use daisy_workflow::{Fold, Handover, JobId, JobSpec, Ledger, Record, ShardId, StepSpec, TaskId};
-use util::{CORE, FakeWorker, Fleet, job, lasting, task};
+use util::{CORE, FakeWorker, Fleet, LASTS_MS, World, job, lasting, step, task};
 
 const FIRST: ShardId = ShardId(0);
 
@@ -100,3 +100,41 @@
     };
     assert_eq!((fold, waits(0), waits(1)), (Fold::Submitted(id), true, true));
 }
+
+/// A shard has most processors free, on a worker without memory: a task that is handed there waits
+/// once more, while another shard has room for it.
+#[test]
+fn a_task_goes_where_there_is_memory_as_well() {
+    let mut fleet = shards(&[2, 16, 4]);
+    let large = fleet.job_of(ShardId(1));
+    fleet.worlds[1].submit(large.0, tasks(1, 1, 63_950));
+    fleet.run_ms(500);
+    let id = fleet.job_of(FIRST);
+    fleet.worlds[0].submit(id.0, tasks(2, 2, 100));
+    fleet.run_ms(200);
+
+    fleet.run_told(3_000);
+
+    let handed_to = fleet.worlds[0].ledger.job(id).map(|it| it.handed_to());
+    assert_eq!(handed_to, Some(vec![ShardId(2)]));
+    assert_eq!(fleet.places(task(id.0, 0, 1)), ["w2"]);
+}
+
+/// The room that a shard tells of is what others find when they come, not what its own waiting tasks
+/// are about to take.
+#[test]
+fn room_that_own_waiting_tasks_will_take_is_not_told() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |task| if task.job.0 == 1 { 1_500 } else { LASTS_MS };
+    world.run_ms(200);
+    world.submit(1, job(vec![step(4)]));
+    world.run_ms(200);
+    let before = world.owner.load(world.now);
+
+    world.submit(2, tasks(1, 3, 100));
+    world.run_ms(100);
+    let after = world.owner.load(world.now);
+
+    let cores = [before, after].map(|it| it.pieces[0].cpu_milli / CORE);
+    assert_eq!(cores, [4, 1]);
+}
--- a/daisy-workflow/tests/telling.rs
+++ b/daisy-workflow/tests/telling.rs
@@ -31,7 +31,7 @@
     let records = telling.try_records(at(0), Some(sign()));
 
     assert!(due);
-    assert_eq!(records, Some(vec![Record::Sign(sign())]));
+    assert_eq!(records, Some(vec![Record::Sign(Box::new(sign()))]));
     assert!(!telling.is_sign_due(at(399)) && telling.is_sign_due(at(400)));
 }
 
