A task that moved often takes new room as soon as any other

What callers saw: tasks of watches stayed down beside room that had come free in another shard.

Cause: each hand-over doubled the time that a task waits for the next one, up to 16 s, so that it would not go round among full shards; the wait went by hops and not by whether there was room. Since a shard tells only of room that others find, there is nothing to go round for.

Change: a task waits a second for room in its shard, whatever its way was.

Evidence: the test failed before (left [], right ["w1"] 2.5 s after room came free; the task had moved four times).

--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -15,10 +15,8 @@
 };
 use crate::{Demand, Handover, Hop, Job, JobId, JobState, Record, StepSpec, TaskId};
 
-/// How long a task waits for room in its shard before it is handed on; doubled with each hop.
+/// How long a task waits for room in its shard before it is handed on.
 const PATIENCE: Duration = Duration::from_millis(1_000);
-/// Hops after which the patience does not grow any more.
-const PATIENT_HOPS: u32 = 4;
 
 impl Owner {
     /// Hands on tasks that last and have long found no room here.
@@ -27,7 +25,7 @@
             return;
         }
         let waits = self.waits_since.iter();
-        let due = waits.filter(|(task, since)| now.since(**since) >= self.patience(**task));
+        let due = waits.filter(|(_, since)| now.since(**since) >= PATIENCE);
         let due: Vec<TaskId> = due.map(|(task, _)| *task).collect();
         due.into_iter().for_each(|task| self.try_hand_over(now, task));
     }
@@ -58,12 +56,6 @@
         waiting
     }
 
-    /// Shards that are all full would hand a task round and round, each time with two records.
-    fn patience(&self, task: TaskId) -> Duration {
-        let moved = self.ledger.job(task.job).and_then(|it| it.moved.get(&task));
-        PATIENCE * 2u32.pow(moved.map_or(0, |it| it.hop).min(PATIENT_HOPS))
-    }
-
     fn try_hand_over(&mut self, now: Instant, task: TaskId) {
         let own = self.settings.shard;
         let Some(job) = self.ledger.job_mut(task.job) else { return };
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -138,3 +138,26 @@
     let cores = [before, after].map(|it| it.pieces[0].cpu_milli / CORE);
     assert_eq!(cores, [4, 1]);
 }
+
+/// A task has been handed on again and again while all shards were full. Once one has room, it is not
+/// left waiting for longer than any other task.
+#[test]
+fn a_task_that_moved_often_takes_new_room_at_once() {
+    let mut fleet = shards(&[2, 4]);
+    let full = fleet.job_of(FIRST);
+    fleet.worlds[0].submit(full.0, tasks(1, 2, 100));
+    let full = fleet.job_of(ShardId(1));
+    fleet.worlds[1].submit(full.0, tasks(1, 4, 100));
+    fleet.run_ms(500);
+    let id = JobId(1_000_003);
+    let spec = tasks(1, 2, 100);
+    let it = Handover { hop: 4, spec, runs: 2, failures: 0, checkpoint: String::new() };
+    fleet.worlds[0].write(Record::TaskSubmitted(first_task(id), Box::new(it)));
+    fleet.run_told(4_000);
+    assert_eq!(fleet.places(first_task(id)), [""; 0], "no shard has room yet");
+
+    fleet.worlds[1].cancel(full.0);
+    fleet.run_told(2_500);
+
+    assert_eq!(fleet.places(first_task(id)), ["w1"]);
+}
