Best-effort tasks leave memory on a worker that is kept for another task

What callers saw: a task of a watch waited beside a worker with the processors for it.

Cause: a worker is kept for a lasting task until what runs there leaves it enough, and best-effort tasks were let in all the same, as they count no processors. They count memory: each took the place of the one before.

Change: what a worker is kept for is noted with it, and best-effort tasks come in only beside that; moves of held-back tasks go by it as well.

Evidence: the test failed before (still waiting after 3 s while forty small jobs came and went) and passes.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -27,6 +27,7 @@
 
 use self::{
     interference::Interference,
+    place::Kept,
     worker::{Assignment, Sent, Stop},
 };
 pub use self::{
@@ -121,7 +122,7 @@
     /// When what starts was last decided.
     planned_at: Instant,
     /// Workers that were kept for more urgent tasks then.
-    kept: Vec<WorkerKey>,
+    kept: Vec<Kept>,
 }
 
 /// A recorded run on a worker that is not known.
--- a/daisy-workflow/src/owner/lacks.rs
+++ b/daisy-workflow/src/owner/lacks.rs
@@ -69,7 +69,7 @@
                 &mut lacks.memory
             } else if is_crowded(step, it, task) {
                 &mut lacks.crowded
-            } else if self.kept.contains(&key) {
+            } else if self.kept.iter().any(|it| it.worker == key) {
                 &mut lacks.kept
             } else {
                 &mut lacks.nothing
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -43,7 +43,15 @@
     /// Whether a best-effort task may be placed where it would be held back.
     pub any_pace: bool,
     /// Workers that are kept for more urgent tasks.
-    pub kept: &'a [WorkerKey],
+    pub kept: &'a [Kept],
+}
+
+/// A worker that is kept for a task without room until what runs there leaves it enough.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Kept {
+    pub worker: WorkerKey,
+    /// What the task needs.
+    pub need: Resources,
 }
 
 impl Owner {
@@ -64,7 +72,7 @@
                 && self.usable(now, it)
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
-                && (step.best_effort || !kept.contains(&key))
+                && kept.iter().all(|kept| kept.worker != key || spares(step, it, kept.need))
                 && fits(step, it, key, taken)
                 && !crowded(step, it, key, task, taken);
             if !can {
@@ -147,6 +155,13 @@
     need.fits(worker.free())
 }
 
+/// Whether a task of `step` leaves a kept worker what it is kept for: best-effort tasks take no
+/// processors from others, but memory.
+fn spares(step: &StepSpec, worker: &Worker, need: Resources) -> bool {
+    let both = Resources { cpu_milli: 0, ..need }.try_add(step.counted());
+    step.best_effort && both.is_some_and(|it| it.fits(worker.free()))
+}
+
 /// Whether the worker already has as many tasks of the step as may be on one.
 fn crowded(
     step: &StepSpec,
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -7,7 +7,7 @@
 use super::{
     JobView, Owner,
     message::{Action, Note, WaitCause},
-    place::{Place, is_crowded},
+    place::{Kept, Place, is_crowded},
     worker::WorkerKey,
 };
 use crate::{Copy, JobId, JobSpec, JobState, StepSpec, TaskId, TaskState};
@@ -48,8 +48,7 @@
 /// What one pass over all jobs has found so far.
 #[derive(Debug, Default)]
 struct Round {
-    /// Workers that are kept for more urgent tasks.
-    kept: Vec<WorkerKey>,
+    kept: Vec<Kept>,
     /// Best-effort tasks for which there is no room.
     full: Vec<Full>,
 }
@@ -109,13 +108,7 @@
 
     /// A worker that is kept for a task without room, so that what ends there leaves it enough in
     /// time: else smaller tasks take each gap as it comes, and a large one never starts.
-    fn try_keep(
-        &self,
-        now: Instant,
-        ready: Ready,
-        step: &StepSpec,
-        kept: &[WorkerKey],
-    ) -> Option<WorkerKey> {
+    fn try_keep(&self, now: Instant, ready: Ready, step: &StepSpec, kept: &[Kept]) -> Option<Kept> {
         /// Workers kept at one time at most, in shares of all.
         const KEPT_SHARE: usize = 8;
         let view = self.active.get(&ready.job)?;
@@ -131,12 +124,13 @@
         let candidates = self.workers.iter().filter(|(key, it)| {
             it.service == service
                 && self.usable(now, it)
-                && !kept.contains(key)
+                && kept.iter().all(|kept| kept.worker != *key)
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && step.counted().fits(it.room_in_time())
                 && !is_crowded(step, it, task_id(ready, 0))
         });
-        candidates.max_by_key(|(key, it)| (it.free().cpu_milli, *key)).map(|(key, _)| key)
+        let best = candidates.max_by_key(|(key, it)| (it.free().cpu_milli, *key));
+        best.map(|(worker, _)| Kept { worker, need: step.counted() })
     }
 
     /// Jobs that are not ended: first those whose tasks are to run all the time, as each moment
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -2,9 +2,9 @@
 
 mod util;
 
-use daisy_model::Resources;
+use daisy_model::{Instant, Resources};
 use daisy_workflow::{Fold, Handover, JobId, JobSpec, Ledger, Record, ShardId, StepSpec, TaskId};
-use util::{CORE, FakeWorker, Fleet, LASTS_MS, World, job, lasting, step, task};
+use util::{CORE, FakeWorker, Fleet, LASTS_MS, World, best_effort, job, lasting, step, task};
 
 const FIRST: ShardId = ShardId(0);
 
@@ -161,3 +161,23 @@
 
     assert_eq!(fleet.places(first_task(id)), ["w1"]);
 }
+
+/// Best-effort tasks count no processors, but memory: they keep the worker full that is kept for a
+/// task that lasts, each taking the place of the one before.
+#[test]
+fn best_effort_tasks_leave_memory_on_a_worker_that_is_kept() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |task| if task.job.0 < 100 { 500 + task.job.0 * 30 } else { LASTS_MS };
+    world.run_ms(200);
+    for id in 0..40 {
+        let small = best_effort(1, "render");
+        let need = Resources { cpu_milli: CORE, memory_mib: 16_000, accelerators: 0 };
+        world.submit(id, job(vec![StepSpec { need, ..small }]));
+    }
+    world.run_ms(300);
+
+    world.submit(100, tasks(1, 3, 40_000));
+    let found = world.run_until(3_000, |it| !it.places(first_task(JobId(100))).is_empty());
+
+    assert!(found, "it still waits after {:?}", world.now.since(Instant::from_millis(1_000)));
+}
