A claim's read is waited for while the log answers other calls

Cause: a claim begins with a read of the newest record of each job of the shard, the largest answer there is. On the slow platform it takes longer than the 900 ms of a call, and each try began anew with the same bound and without the pages that had come.

Evidence: five VMs with event=log_lost topic=Jobs(0) cause="no answer: no answer in 900ms", 1.1 s apart, until the platform was fast again, and no other topic.

Change: Patience decides how long such a read is waited for. Every 900 ms it is asked whether the log has answered any other call of the VM; if not, the log is silent and the try ends, after 350 ms or 900 ms as before. If so, the answer is waited for, 2.7 s at first and twice as long in each further try, 8.1 s at most. A tail keeps the pages that came, and a VM's next claim goes on from what the last one has read, unless records were dropped meanwhile. Jobs and progress are read at the same time. A VM that is to stop does not claim after a long read. The list of workers is counted by the same reads.

Not tried: a second read beside the first while that is under way. It would find a lost answer sooner, but all VMs read the same large answer when the platform is slow, and share what it sends in a second.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -5,12 +5,12 @@
 use daisy_model::Instant;
 use daisy_platform::{Guard, NodeSettings, Store, StoreError, Topic};
 use daisy_workflow::{Candidate, Claim, Election, Fold, Ledger, Record, ShardId, Verdict, encode};
-use futures::future::join_all;
+use futures::{future::join_all, join};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
-    follow::{CALL_TIMEOUT, Tail},
+    follow::{CALL_TIMEOUT, Read, Tail},
     jobs::readable,
     metrics::Metrics,
     own::Ownership,
@@ -23,6 +23,9 @@
 /// slowed VM stays so for some seconds.
 const UNFIT_LATER: Duration = Duration::from_millis(2_500);
 const UNFIT_FOR: Duration = Duration::from_secs(10);
+/// How long what a claim has read is kept for the next one, which is due at once if nobody else owns
+/// the shard meanwhile.
+const READ_KEPT: Duration = Duration::from_secs(10);
 
 /// What a process needs to own shards.
 #[derive(Debug, Clone)]
@@ -61,6 +64,50 @@
     /// The last epoch under which this process owned the shard or failed to.
     ended_epoch: u64,
     unfit_until: Instant,
+    /// Of a claim that got no further as the log did not answer, and since when.
+    unfinished: Option<(Instant, Reading)>,
+}
+
+/// What a claim has read of the shard's log.
+struct Reading {
+    ledger: Ledger,
+    jobs: Tail,
+    progress: Tail,
+}
+
+/// What a read of progress gave.
+struct Progressed {
+    /// Whether there was a claim in it.
+    seen: bool,
+    at_end: bool,
+}
+
+impl Reading {
+    /// Reads on in the shard's submissions; whether that was all.
+    async fn read_jobs(&mut self) -> Option<bool> {
+        let read = self.jobs.try_read(Duration::ZERO).await?;
+        Some(self.fold_jobs(&read))
+    }
+
+    fn fold_jobs(&mut self, read: &Read) -> bool {
+        for record in readable("jobs", &read.records) {
+            self.ledger.fold(record);
+        }
+        read.at_end
+    }
+
+    async fn read_progress(&mut self) -> Option<Progressed> {
+        let read = self.progress.try_read(Duration::ZERO).await?;
+        Some(self.fold_progress(&read))
+    }
+
+    fn fold_progress(&mut self, read: &Read) -> Progressed {
+        let mut seen = false;
+        for record in readable("progress", &read.records) {
+            seen |= self.ledger.fold(record) == Fold::Claim;
+        }
+        Progressed { seen, at_end: read.at_end }
+    }
 }
 
 /// A claim that stands, with all that the log says of the shard.
@@ -82,11 +129,13 @@
             rtt: Duration::from_millis(5),
             ended_epoch: 0,
             unfit_until: Instant::default(),
+            unfinished: None,
         }
     }
 
     async fn run(mut self) {
         while !*self.elect.stop.borrow() {
+            self.unfinished.take_if(|(at, _)| clock::now().since(*at) > READ_KEPT);
             match self.verdict() {
                 Verdict::Claim => {
                     self.elect.shared.lock().begin_claim();
@@ -139,51 +188,75 @@
     async fn claim(&mut self) -> Option<Won> {
         /// Records that come between a read and the claim make another read necessary.
         const TRIES: u32 = 4;
-        let store = &self.elect.store;
-        let mut ledger = Ledger::default();
-        let mut jobs = Tail::new(store.clone(), Topic::Jobs(self.shard.0));
+        let mut reading = self.begin_reading();
         let began = clock::now();
-        self.read_jobs(&mut jobs, &mut ledger).await?;
+        let (jobs, progress) =
+            join!(reading.jobs.try_read(Duration::ZERO), reading.progress.try_read(Duration::ZERO));
+        let jobs = jobs.map(|it| reading.fold_jobs(&it));
+        let mut progress = progress.map(|it| reading.fold_progress(&it));
+        if jobs.is_none() || progress.is_none() {
+            return self.keep(reading);
+        }
         self.rtt = clock::now().since(began);
-        let mut progress = Tail::new(store.clone(), Topic::Progress(self.shard.0));
         let mut claimed = None;
         for _ in 0..TRIES {
-            let read = progress.try_read(Duration::ZERO).await?;
-            let mut seen = false;
-            for record in readable("progress", &read.records) {
-                seen |= ledger.fold(record) == Fold::Claim;
-            }
-            if !read.at_end {
+            let read = match progress.take() {
+                Some(it) => Some(it),
+                None => reading.read_progress().await,
+            };
+            let Some(Progressed { seen, at_end }) = read else { return self.keep(reading) };
+            if !at_end {
                 continue;
             }
-            let mine = ledger.owner().filter(|it| self.is_mine(it) && Some(it.epoch) == claimed);
+            let last = reading.ledger.owner();
+            let mine = last.filter(|it| self.is_mine(it) && Some(it.epoch) == claimed);
             if let Some(claim) = mine {
                 let (epoch, settled) = (claim.epoch, claim.settled);
                 // From the claim on nobody else records progress, so all jobs that have any are
                 // read by now. An end that a worker lists of a job that is not known would be
                 // acknowledged and lost.
-                while !self.read_jobs(&mut jobs, &mut ledger).await? {}
+                loop {
+                    match reading.read_jobs().await {
+                        Some(true) => break,
+                        Some(false) => {}
+                        None => return self.keep(reading),
+                    }
+                }
+                let Reading { ledger, jobs, .. } = reading;
                 return Some(Won { epoch, ledger, jobs, settled });
             }
-            let rival = self.election.is_just_claimed(ledger.owner());
+            let rival = self.election.is_just_claimed(last);
             if rival || claimed.is_some() && seen {
                 break;
             }
-            let settled = self.is_settled(ledger.owner());
-            claimed = self.append_claim(progress.next()?, settled).await;
+            // A read may have taken long.
+            if *self.elect.stop.borrow() {
+                return None;
+            }
+            let settled = self.is_settled(last);
+            claimed = self.append_claim(reading.progress.next()?, settled).await;
         }
         // Somebody else was faster, or the log does not answer: as after a sign of life.
         self.election.heard(clock::now());
         None
     }
 
-    /// Reads on in the shard's submissions; whether that was all.
-    async fn read_jobs(&self, jobs: &mut Tail, ledger: &mut Ledger) -> Option<bool> {
-        let read = jobs.try_read(Duration::ZERO).await?;
-        for record in readable("jobs", &read.records) {
-            ledger.fold(record);
-        }
-        Some(read.at_end)
+    /// What an earlier claim has read that the log did not let get any further, or nothing.
+    fn begin_reading(&mut self) -> Reading {
+        let (shard, store) = (self.shard.0, &self.elect.store);
+        let kept = self.unfinished.take().map(|(_, it)| it);
+        kept.unwrap_or_else(|| Reading {
+            ledger: Ledger::default(),
+            jobs: Tail::new(store.clone(), Topic::Jobs(shard)),
+            progress: Tail::new(store.clone(), Topic::Progress(shard)),
+        })
+    }
+
+    /// Ends a claim that the log did not let get any further.
+    fn keep(&mut self, reading: Reading) -> Option<Won> {
+        let whole = !reading.jobs.has_gap() && !reading.progress.has_gap();
+        self.unfinished = whole.then(|| (clock::now(), reading));
+        None
     }
 
     /// Appends a claim at the end that was read, and gives its epoch.
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -1,9 +1,12 @@
 //! Following a topic of the platform's log.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
-use daisy_platform::{Store, StoreError, StoredRecord, Topic};
-use tokio::time::sleep;
+use daisy_platform::{NewestPage, Store, StoreError, StoredRecord, Topic};
+use daisy_workflow::Patience;
+use tokio::time::{sleep, timeout};
+
+use crate::clock;
 
 /// How long a call to the platform may take beyond the time that it is asked to wait.
 ///
@@ -24,8 +27,12 @@
     topic: Topic,
     /// Where to read on; `None` before the first read and after records were dropped unread.
     next: Option<u64>,
+    has_gap: bool,
     /// Calls in a row that have failed.
     failures: u32,
+    /// Pages of the first read that have come.
+    pages: Option<NewestPage>,
+    patience: Patience,
 }
 
 /// What a read gave.
@@ -40,7 +47,15 @@
 impl Tail {
     /// A tail of `topic` that has read nothing.
     pub fn new(store: Store, topic: Topic) -> Tail {
-        Tail { store, topic, next: None, failures: 0 }
+        Tail {
+            store,
+            topic,
+            next: None,
+            has_gap: false,
+            failures: 0,
+            pages: None,
+            patience: Patience::default(),
+        }
     }
 
     /// Where to read on.
@@ -48,6 +63,11 @@
         self.next
     }
 
+    /// Whether records were dropped unread, so that what was read before does not go on from there.
+    pub fn has_gap(&self) -> bool {
+        self.has_gap
+    }
+
     /// Reads what is new; waits up to `wait` for it. A failure is logged and takes a short pause.
     pub async fn try_read(&mut self, wait: Duration) -> Option<Read> {
         let (wait, timeout) = match self.failures {
@@ -56,10 +76,7 @@
             _ => (Duration::ZERO, CALL_TIMEOUT),
         };
         let outcome = match self.next {
-            None => self.store.newest(self.topic, timeout).await.map(|it| {
-                self.next = Some(it.end);
-                Read { records: it.records, at_end: true }
-            }),
+            None => self.newest(timeout).await,
             Some(from) => {
                 let page = self.store.read(self.topic, from, wait, timeout).await;
                 page.map(|it| {
@@ -79,6 +96,7 @@
                 if let StoreError::Expired(first) = &e {
                     log::warn!("event=log_gap topic={:?} first={first}", self.topic);
                     self.next = None;
+                    self.has_gap = true;
                     return None;
                 }
                 self.failures += 1;
@@ -90,4 +108,47 @@
             }
         }
     }
+
+    /// Reads the newest record of each key anew, as [`try_read`](Tail::try_read) does at first.
+    pub async fn try_newest(&mut self) -> Option<Read> {
+        self.next = None;
+        self.try_read(Duration::ZERO).await
+    }
+
+    /// Reads the newest record of each key. Pages that came before a failure are kept.
+    async fn newest(&mut self, silent_after: Duration) -> Result<Read, StoreError> {
+        loop {
+            let page = self.newest_page(silent_after).await?;
+            let pages = match &mut self.pages {
+                None => self.pages.insert(page),
+                Some(it) => {
+                    // Only from the first page's end on is it sure that nothing is missed.
+                    it.records.extend(page.records);
+                    it.has_more = page.has_more;
+                    it
+                }
+            };
+            if !pages.has_more {
+                let records = std::mem::take(&mut pages.records);
+                self.next = Some(pages.end);
+                self.pages = None;
+                return Ok(Read { records, at_end: true });
+            }
+        }
+    }
+
+    async fn newest_page(&mut self, silent_after: Duration) -> Result<NewestPage, StoreError> {
+        let silent_after = if self.patience.is_tried() { CALL_TIMEOUT } else { silent_after };
+        let after = self.pages.as_ref().and_then(|it| it.records.last()).map(|it| it.key.as_str());
+        let mut call = pin!(self.store.newest(self.topic, after, Patience::BOUND_MAX));
+        let began = clock::now();
+        self.patience.begin(began, silent_after, self.store.answered());
+        while let Some(wait) = self.patience.try_wait(clock::now(), self.store.answered()) {
+            if let Ok(it) = timeout(wait, &mut call).await {
+                return it;
+            }
+        }
+        let lasted = clock::now().since(began).as_millis();
+        Err(StoreError::Unknown(format!("no answer in {lasted}ms")))
+    }
 }
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -74,6 +74,7 @@
     /// With no worker for this long, the layout is that of the smallest system.
     const PATIENCE: Duration = Duration::from_secs(8);
     let began = clock::now();
+    let mut list = Tail::new(store.clone(), Topic::Workers);
     let mut before = 0;
     loop {
         let end = {
@@ -83,7 +84,7 @@
             }
             known.states_read.map(|(_, end)| end)
         };
-        let count = count_workers(&store).await;
+        let count = count_workers(&mut list).await;
         let settled = count.is_some_and(|it| it > 0 && it == before);
         let (Some(end), Some(workers)) = (end, count) else {
             sleep(COUNT_EVERY).await;
@@ -98,14 +99,9 @@
 }
 
 /// Workers in the platform's list.
-async fn count_workers(store: &Store) -> Option<usize> {
-    match store.newest(Topic::Workers, CALL_TIMEOUT).await {
-        Ok(it) => Some(it.records.iter().filter(|it| worker(&it.key, &it.value).is_ok()).count()),
-        Err(e) => {
-            log::warn!("event=log_lost topic=Workers cause=\"{e}\"");
-            None
-        }
-    }
+async fn count_workers(list: &mut Tail) -> Option<usize> {
+    let read = list.try_newest().await?;
+    Some(read.records.iter().filter(|it| worker(&it.key, &it.value).is_ok()).count())
 }
 
 async fn choose(store: &Store, layout: Layout, workers: usize, end: u64) {
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -19,6 +19,7 @@
 mod lateness;
 mod ledger;
 mod owner;
+mod patience;
 mod progress;
 mod queue;
 mod reach;
@@ -41,6 +42,7 @@
         RENEW_ALONE_MAX, Refusal, Running, Settings, Start, StopCause, Summary, WaitCause, Worker,
         WorkerKey,
     },
+    patience::Patience,
     progress::{Copy, Phase, Progress, TaskState},
     queue::{Queue, Queues, Service},
     reach::Reach,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -236,6 +236,21 @@
     assert_eq!((later, fleet.changes_of_owner()), (200, before));
 }
 
+/// The owner stops as planned while answers with the newest records take longer than other calls may.
+#[tokio::test]
+async fn a_shard_whose_records_come_slowly_gets_an_owner() {
+    let fleet = Fleet::start(2, 2, WORK).await;
+    let owner = fleet.owner().await;
+    fleet.log.set_fault(LogFault::SlowNewest(Duration::from_millis(1_500)));
+
+    fleet.signal(owner, Signal::SIGTERM);
+    let submitted = fleet.post(1 - owner, JOB, job_body(2)).await;
+    fleet.wait_for_state(1 - owner, JOB, "completed").await;
+
+    assert_eq!(submitted, 200);
+    fleet.assert_each_task_ran_once(JOB, 2);
+}
+
 /// The first walk of docs/OPERATIONS.md: a caller was rejected.
 #[tokio::test]
 async fn a_rejected_request_is_traced_to_its_cause() {
