An owner's old sign does not prove that a job does not exist

Callers saw 410 for a job that was stored, from a VM that had just started: asked for or cancelled half a second after all processes were killed, a job that its owner had not told of yet was said not to exist. Its next owner found it in the log and ran it.

Cause: whether a job that is not known exists was decided by when the last sign of life of its shard's owner was read. A process that starts, or that was cut off from the log, reads signs of any age and took them for fresh ones for 0.9 s; a caller is answered after 0.44 s.

Evidence: the new process test froze the owner, stored a job, killed all processes and asked the first that was back.

Change: a sign proves a life only if it was written since a read of all that was there, at most 1.8 s ago; with the 0.8 s that the owner may be behind, that stays below the 3 s after which a job must be known. What a first read finds, or a read after records were dropped, proves nothing. The rule moved from the process to the directory, where tests drive it.

--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -125,22 +125,8 @@
         self.states_read.is_some_and(|(at, _)| clock::now().since(at).as_millis() < FRESH_MS)
     }
 
-    /// Whether a job that is not known does not exist: its owner lives, and has told of all
-    /// submissions up to a short while ago.
-    ///
-    /// How far the owner is behind in reading, the age of its last sign and that of the last read
-    /// here add up; together they stay below the 3 s after which a job must be known everywhere.
+    /// Whether a job that is not known does not exist.
     pub fn is_complete(&self, id: JobId) -> bool {
-        /// Two signs of life.
-        const HEARD_MS: u128 = 900;
-        /// While owners live, something is read every 0.4 s.
-        const READ_MS: u128 = 900;
-        let now = clock::now();
-        let Some(layout) = self.directory.layout() else { return false };
-        let owner = self.directory.owner(layout.of_job(id));
-        let heard = |at| now.since(at).as_millis() < HEARD_MS;
-        let alive = owner.is_some_and(|it| it.sign.current && heard(it.at));
-        let read = self.states_read.is_some_and(|(at, _)| now.since(at).as_millis() < READ_MS);
-        read && alive
+        self.directory.is_complete(clock::now(), id)
     }
 }
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -24,6 +24,7 @@
 pub(crate) async fn follow_states(store: Store, shared: Shared) {
     let mut tail = Tail::new(store, Topic::States);
     loop {
+        let anew = tail.next().is_none();
         let Some(read) = tail.try_read(WAIT).await else {
             shared.lock().reach.fail();
             continue;
@@ -31,9 +32,13 @@
         let pause = {
             let mut known = shared.lock();
             known.reach.read(clock::now());
+            if anew {
+                known.directory.begin_anew();
+            }
             fold(&mut known, &read);
             if let Some(end) = tail.next().filter(|_| read.at_end) {
                 known.states_read = Some((clock::now(), end));
+                known.directory.read_to_end(clock::now());
             }
             let shards = known.directory.layout().map_or(1, |it| it.shards);
             (PAUSE + PAUSE_A_SHARD * u32::from(shards)).min(PAUSE_MAX)
--- a/daisy-workflow/src/directory.rs
+++ b/daisy-workflow/src/directory.rs
@@ -3,6 +3,8 @@
 //! The whole progress of jobs is read by the owner of their shard alone. What callers are told
 //! follows from one small record a job, and a sign of life of each owner.
 
+use std::time::Duration;
+
 use daisy_model::{Instant, SortedMap};
 
 use crate::{Claim, JobId, JobState, Layout, Load, ShardId};
@@ -39,6 +41,8 @@
     pub sign: Sign,
     /// When it was read here.
     pub at: Instant,
+    /// A time before it was written; `None` if it may be of any age.
+    pub written_after: Option<Instant>,
 }
 
 /// The fold of the records that every entry VM follows.
@@ -47,6 +51,8 @@
     layout: Option<Layout>,
     states: SortedMap<JobId, Told>,
     owners: SortedMap<ShardId, Heard>,
+    /// When all that had been written was last read.
+    read_at: Option<Instant>,
 }
 
 impl Directory {
@@ -81,10 +87,43 @@
     pub fn hear(&mut self, now: Instant, sign: Sign) {
         let newer = |it: &Heard| it.sign.claim.epoch <= sign.claim.epoch;
         if self.owners.get(&sign.shard).is_none_or(newer) {
-            self.owners.insert(sign.shard, Heard { at: now, sign });
+            let written_after = self.read_at;
+            self.owners.insert(sign.shard, Heard { sign, at: now, written_after });
         }
     }
 
+    /// All that was written before `now` has been read.
+    pub fn read_to_end(&mut self, now: Instant) {
+        self.read_at = Some(now);
+    }
+
+    /// The newest record of each key is read anew: what comes may have been read before.
+    pub fn begin_anew(&mut self) {
+        self.read_at = None;
+    }
+
+    /// Whether a job that is not known does not exist: its owner lives, and has told of all
+    /// submissions up to a short while ago.
+    ///
+    /// How far the owner is behind in reading and the age of its last sign add up; together they stay
+    /// below the 3 s after which a job must be known everywhere. A VM that has just started, or was cut
+    /// off, reads the signs of owners that have long died: only one that was written since the
+    /// last read proves a life.
+    pub fn is_complete(&self, now: Instant, id: JobId) -> bool {
+        /// Two signs of life.
+        const HEARD: Duration = Duration::from_millis(900);
+        /// The same, and the read before.
+        const WRITTEN: Duration = Duration::from_millis(1_800);
+        /// While owners live, something is read every 0.4 s.
+        const READ: Duration = Duration::from_millis(900);
+        let Some(layout) = self.layout else { return false };
+        let owner = self.owners.get(&layout.of_job(id)).filter(|it| it.sign.current);
+        let alive = owner.is_some_and(|it| {
+            now.since(it.at) < HEARD && it.written_after.is_some_and(|at| now.since(at) < WRITTEN)
+        });
+        alive && self.read_at.is_some_and(|at| now.since(at) < READ)
+    }
+
     /// What the owner of a shard last said.
     pub fn owner(&self, shard: ShardId) -> Option<&Heard> {
         self.owners.get(&shard)
--- a/daisy-workflow/tests/directory.rs
+++ b/daisy-workflow/tests/directory.rs
@@ -1,5 +1,7 @@
 //! What every entry VM knows of jobs and owners.
 
+use std::time::Duration;
+
 use daisy_model::Instant;
 use daisy_workflow::{Claim, Directory, JobId, JobState, Layout, Load, ShardId, Sign, Told};
 
@@ -38,6 +40,42 @@
     assert_eq!(directory.state(ID), Some(elsewhere));
 }
 
+/// A VM has just started, or was cut off, and reads what the owner of a shard wrote long before it died.
+/// A caller who asks for a job that this owner did not tell of must not hear that there is none.
+#[test]
+fn a_sign_of_unknown_age_proves_no_life() {
+    let mut directory = Directory::default();
+    directory.set_layout(Layout { shards: 2 });
+    let of_shard = |id: &JobId| Layout { shards: 2 }.of_job(*id) == ShardId(1);
+    let id = (1..).map(JobId).find(of_shard).expect("one of many");
+    let mut complete = Vec::new();
+    for read_at in [1_000, 1_400, 9_000, 9_400] {
+        let now = Instant::from_millis(read_at);
+        directory.hear(now, sign(5, false));
+        directory.read_to_end(now);
+        complete.push(directory.is_complete(now + Duration::from_millis(100), id));
+    }
+
+    assert_eq!(complete, [false, true, false, true], "started, signed, cut off, signed");
+}
+
+/// The owner of a shard died a second ago.
+#[test]
+fn a_silent_owner_proves_nothing() {
+    let mut directory = Directory::default();
+    directory.set_layout(Layout { shards: 1 });
+    let signs = Sign { shard: ShardId(0), ..sign(5, false) };
+    for read_at in [1_000, 1_400] {
+        directory.hear(Instant::from_millis(read_at), signs.clone());
+        directory.read_to_end(Instant::from_millis(read_at));
+    }
+
+    directory.read_to_end(Instant::from_millis(2_400));
+
+    assert!(directory.is_complete(Instant::from_millis(1_500), ID));
+    assert!(!directory.is_complete(Instant::from_millis(2_400), ID));
+}
+
 /// Two entry VMs lay a new system out at once. The second record must change nothing: workers would
 /// have two accountants.
 #[test]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -185,6 +185,26 @@
     assert_eq!(cancelled, 200);
 }
 
+/// All processes are killed before the owner of the workers has read a job that was just stored. The first
+/// process that is back finds that owner's last sign of life in the log, which proves nothing any more.
+#[tokio::test]
+async fn a_stored_job_is_not_denied_after_a_kill_of_all() {
+    let mut fleet = Fleet::start(2, 2, WORK).await;
+    let owner = fleet.owner().await;
+    let other = 1 - owner;
+    fleet.signal(owner, Signal::SIGSTOP);
+    let submitted = fleet.post(other, JOB, job_body(2)).await;
+    fleet.kill(owner);
+    fleet.kill(other);
+    fleet.restart(other).await;
+
+    let told = fleet.get(other, JOB).await.0;
+    fleet.wait_for_state(other, JOB, "completed").await;
+
+    assert_eq!(submitted, 200);
+    assert_ne!(told, 410);
+}
+
 /// A VM is stopped as planned: it says at once that it takes no more callers, and answers those it
 /// has; another VM owns the workers within a moment.
 #[tokio::test]
