--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -94,6 +94,22 @@
             owner(self.now, self.ledger.clone(), predecessor_gone, self.shard, self.layout);
     }
 
+    /// The owner's process dies; what it was appending is stored all the same, or not.
+    pub fn kill_owner(&mut self, stored: bool) {
+        if let Some((_, batch)) = self.pending.take().filter(|_| stored) {
+            self.store(&batch);
+        }
+    }
+
+    /// Time passes while nobody is the owner.
+    pub fn idle(&mut self) {
+        self.now = self.now + STEP;
+        for worker in &mut self.workers {
+            worker.pass(self.now, &self.fails);
+        }
+        self.check();
+    }
+
     pub fn worker(&mut self, name: &str) -> &mut FakeWorker {
         self.workers.iter_mut().find(|it| it.name == name).expect("a worker of this name")
     }
@@ -163,10 +179,7 @@
             && self.log_up
             && let Some((_, batch)) = self.pending.take()
         {
-            for record in batch.records {
-                let (key, value) = encode(&record);
-                self.ledger.fold(decode(&key, &value).expect("own records can be read"));
-            }
+            self.store(&batch);
             self.owner.step(self.now, Event::Appended);
             for action in self.owner.act(self.now) {
                 self.carry_out(action);
@@ -174,6 +187,13 @@
         }
     }
 
+    fn store(&mut self, batch: &Batch) {
+        for record in &batch.records {
+            let (key, value) = encode(record);
+            self.ledger.fold(decode(&key, &value).expect("own records can be read"));
+        }
+    }
+
     fn carry_out(&mut self, action: Action) {
         let now = self.now;
         let epoch = self.epoch;
