A shard's owner does not vouch for jobs that nobody tells of

A caller could be told 410 for a job that was stored and handed to another shard. Found by reading the code; no play showed it.

Cause: an owner that dies between the record of a hand-over and its telling of the job leaves it to the other shard to tell of it. If that one is without an owner as well, as after a kill of all, nobody tells of it; but the next owner of the job's own shard says in its signs that it has read all submissions, and every VM takes that for a proof that a job that it does not know does not exist.

Evidence: a new owner's states left such a job out, and its signs looked at its reads alone.

Change: the sign counts as current only if each job that is handed on whole was told of by somebody, or is told of by this owner. Until then the answer is 503. The owner itself tells nothing of it, as its record could follow one of the job's end by the other shard.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -364,12 +364,18 @@
             ..self.ownership.claim.clone()
         };
         let shard = self.ownership.shard;
-        let current = now.since(*self.jobs_read.borrow()) < CURRENT;
+        let current = now.since(*self.jobs_read.borrow()) < CURRENT && self.all_told();
         let pending = self.owner.pending();
         let load = self.owner.load(now);
         Sign { shard, claim, current, pending, load }
     }
 
+    /// Whether callers can know of all jobs that are handed on.
+    fn all_told(&self) -> bool {
+        let known = self.ownership.elect.shared.lock();
+        self.telling.all_told(&known.directory, self.owner.handed_on())
+    }
+
     fn guard(&self, seq: u64) -> Guard {
         Guard::Sequence { shard: self.ownership.shard.0, epoch: self.ownership.epoch, seq }
     }
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -320,6 +320,11 @@
         self.ledger.pending()
     }
 
+    /// Jobs that were handed on whole, of which the shards that run them tell.
+    pub fn handed_on(&self) -> impl Iterator<Item = JobId> {
+        self.ledger.jobs().filter(|(_, it)| it.delegated.is_some()).map(|(id, _)| id)
+    }
+
     /// A worker of this owner.
     pub fn worker(&self, key: WorkerKey) -> Option<&Worker> {
         self.workers.get(key)
--- a/daisy-workflow/src/telling.rs
+++ b/daisy-workflow/src/telling.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{JobId, JobState, Record, ShardId, Sign, Told};
+use crate::{Directory, JobId, JobState, Record, ShardId, Sign, Told};
 use daisy_model::{Instant, SortedMap};
 
 /// The shortest time between two appends of states, so that they gather: each call is paid for,
@@ -75,6 +75,15 @@
         records
     }
 
+    /// Whether somebody tells of each of these jobs, which other shards run. Those may be without an
+    /// owner, and the last owner of this one may have died before it told of them.
+    pub fn all_told(&self, others: &Directory, mut jobs: impl Iterator<Item = JobId>) -> bool {
+        jobs.all(|id| {
+            let own = self.told.contains_key(&id) || self.waiting.contains_key(&id);
+            own || others.state(id).is_some()
+        })
+    }
+
     /// Whether there are states to be told.
     pub fn is_waiting(&self) -> bool {
         !self.waiting.is_empty()
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -109,6 +109,22 @@
     assert_eq!(owner.take_states(), [(stays, JobState::Queued), (goes, JobState::Queued)]);
 }
 
+#[test]
+fn the_next_owner_knows_what_it_does_not_tell_of() {
+    let mut own = ids(OWN);
+    let (stays, goes) = (own.next().expect("one"), own.next().expect("another"));
+    let mut ledger = Ledger::default();
+    for id in [stays, goes] {
+        ledger.fold(Record::Submitted(id, job(vec![step(2)])));
+    }
+    ledger.fold(Record::Delegated(goes, OTHER));
+
+    let mut owner = owner(ledger);
+
+    assert_eq!(owner.take_states(), [(stays, JobState::Queued)]);
+    assert_eq!(owner.handed_on().collect::<Vec<_>>(), [goes]);
+}
+
 /// A shard has just changed its owner, who has not read the list of workers yet. It must not hand all
 /// waiting jobs to others as if it had no room.
 #[test]
--- a/daisy-workflow/tests/telling.rs
+++ b/daisy-workflow/tests/telling.rs
@@ -1,7 +1,9 @@
 //! What an owner tells all VMs, and when.
 
 use daisy_model::{Instant, SortedMap};
-use daisy_workflow::{Claim, JobId, JobState, Load, Record, ShardId, Sign, Telling, Told};
+use daisy_workflow::{
+    Claim, Directory, JobId, JobState, Load, Record, ShardId, Sign, Telling, Told,
+};
 
 const OWN: ShardId = ShardId(1);
 const ID: JobId = JobId(7);
@@ -77,3 +79,29 @@
 
     assert!(!telling.is_waiting());
 }
+
+/// An owner hands a job on and dies before it has told of it; the other shard has no owner either. The
+/// next owner must not vouch that what nobody knows does not exist.
+#[test]
+fn a_job_that_was_handed_on_and_not_told_of_is_missing() {
+    let telling = Telling::new(at(0), OWN, SortedMap::new());
+    let mut directory = Directory::default();
+
+    let before = telling.all_told(&directory, [ID].into_iter());
+    directory.set_state(ID, Told { state: JobState::Queued, shard: ShardId(0) });
+    let after = telling.all_told(&directory, [ID].into_iter());
+
+    assert_eq!((before, after), (false, true));
+}
+
+#[test]
+fn a_job_that_this_owner_tells_of_is_not_missing() {
+    let mut telling = Telling::new(at(0), OWN, SortedMap::new());
+    telling.add(ID, JobState::Queued);
+
+    let waits = telling.all_told(&Directory::default(), [ID].into_iter());
+    telling.try_records(at(30), None);
+    let told = telling.all_told(&Directory::default(), [ID].into_iter());
+
+    assert_eq!((waits, told), (true, true));
+}
