--- a/tests/node.rs
+++ b/tests/node.rs
@@ -185,6 +185,46 @@
     assert_eq!(cancelled, 200);
 }
 
+/// All processes are killed before the owner of the workers has read a job that was just stored. The first
+/// process that is back finds that owner's last sign of life in the log, which proves nothing any more.
+#[tokio::test]
+async fn a_stored_job_is_not_denied_after_a_kill_of_all() {
+    let mut fleet = Fleet::start(2, 2, WORK).await;
+    let owner = fleet.owner().await;
+    let other = 1 - owner;
+    fleet.signal(owner, Signal::SIGSTOP);
+    let submitted = fleet.post(other, JOB, job_body(2)).await;
+    fleet.kill(owner);
+    fleet.kill(other);
+    fleet.restart(other).await;
+
+    let told = fleet.get(other, JOB).await.0;
+    fleet.wait_for_state(other, JOB, "completed").await;
+
+    assert_eq!(submitted, 200);
+    assert_ne!(told, 410);
+}
+
+/// The owner of the workers freezes before it reads a job that was just stored; its last sign of life is
+/// fresh. The caller cancels the job at a VM that does not know it: whatever the answer, it never runs.
+#[tokio::test]
+async fn a_job_that_is_cancelled_before_it_is_known_never_runs() {
+    let mut fleet = Fleet::start(3, 2, WORK).await;
+    let owner = fleet.owner().await;
+    let (stores, cancels) = ((owner + 1) % 3, (owner + 2) % 3);
+    fleet.signal(owner, Signal::SIGSTOP);
+    let submitted = fleet.post(stores, JOB, job_body(2)).await;
+    let cancelled = fleet.call(cancels, "DELETE", &format!("/jobs/{JOB}"), String::new()).await.0;
+    fleet.kill(owner);
+    fleet.post(cancels, OTHER, job_body(2)).await;
+
+    fleet.wait_for_state(cancels, OTHER, "completed").await;
+
+    assert_eq!(submitted, 200);
+    assert!(matches!(cancelled, 200 | 410), "{cancelled}");
+    assert!(fleet.runs_of(JOB).is_empty(), "cancelled with {cancelled}, and it runs");
+}
+
 /// A VM is stopped as planned: it says at once that it takes no more callers, and answers those it
 /// has; another VM owns the workers within a moment.
 #[tokio::test]
