A run that was held back is not taken for one that stands still

Cause: a run whose share of work has not risen for 1.8 s counts as stuck, its worker is taken for bad, and gets no task for 4 s. Runs that are held at no share at all were left out of that, but the clock ran on meanwhile: as soon as a run was let go on, or a busy worker came free, it counted as stuck at once. Class: a time-out that counts a wait which the owner itself imposed.

The test failed before (left [[], []], right [["w"], ["w"]]).

Change: the clock stands while a run is held back, its worker is busy or silent.

--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -11,7 +11,8 @@
 };
 use crate::TaskId;
 
-/// A run whose share of work done has not risen for this long stands still.
+/// A run whose share of work done has not risen for this long, all of which it could have worked,
+/// stands still.
 ///
 /// The picture of a worker is up to 0.8 s old and short tasks come and go in between, so two
 /// pictures in a row must show the same.
@@ -79,6 +80,8 @@
     fn stop_stuck(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.hold_failures > 0 || !worker.fenced {
+            // Nothing is seen of what they do.
+            worker.tasks.iter_mut().for_each(|it| it.moved_at = now);
             return;
         }
         // Best-effort tasks stand still where the others leave them nothing.
@@ -86,10 +89,13 @@
         let mut found = false;
         for it in &mut worker.tasks {
             let starved = it.best_effort_cpu > 0 && (busy || it.pace.is_none_or(|it| it < 50));
+            if starved {
+                it.moved_at = now;
+            }
             let at_work = it.target_ms > 0 && it.percent >= 100;
             let still = now.since(it.moved_at) > STUCK_AFTER;
             let there = matches!(it.sent, Sent::There(_)) && it.stop == Stop::No;
-            if there && still && !starved && !at_work && it.percent < 100 {
+            if there && still && !at_work && it.percent < 100 {
                 it.stop_at(now, StopCause::Stuck);
                 found = true;
             }
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -438,3 +438,29 @@
     assert!(done);
     assert!(world.starts.iter().all(|(.., worker)| worker == "w2"), "{:?}", world.starts);
 }
+
+/// A run that was held at no share at all goes on. Taken for one that stands still, it would cost a
+/// sound worker its place for seconds, and tasks that last the only room.
+#[test]
+fn a_run_that_goes_on_after_a_hold_is_not_taken_for_stuck() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |task| if task.job.0 == 1 { LASTS_MS } else { 20_000 };
+    world.run_ms(200);
+    world.submit(1, job(vec![lasting(1)]));
+    world.submit(2, job(vec![best_effort(1, "render")]));
+    world.run_ms(1_500);
+    world.worker("w").tail_ms = 200;
+    let held = world.run_until(6_000, |it| it.workers[0].runs.iter().any(|run| run.pace == 0.0));
+    world.run_ms(2_500);
+
+    world.cancel(1);
+    let goes_on = world.run_until(2_000, |it| it.workers[0].runs.iter().all(|run| run.pace > 0.5));
+    world.run_ms(500);
+    world.submit(3, job(vec![lasting(1)]));
+    world.run_ms(200);
+
+    assert!(held && goes_on, "held {held}, goes on {goes_on}");
+    let runs = [task(2, 0, 0), task(3, 0, 0)].map(|it| world.places(it));
+    assert_eq!(runs, [vec!["w"], vec!["w"]]);
+    assert_eq!(world.starts.len(), 3);
+}
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -35,6 +35,8 @@
     pub work_ms: u64,
     /// Milliseconds of work done.
     pub done_ms: f64,
+    /// The share of its processor time that it was last ordered to take.
+    pub pace: f64,
     pub stopping: Option<u64>,
 }
 
@@ -59,6 +61,8 @@
     /// Whether runs that are more than its processors, a core each, share these equally.
     pub shares: bool,
     pub passed_at: u64,
+    /// The tail latency of its serving tasks.
+    pub tail_ms: u32,
     /// Orders that will be carried out later: when, epoch, order, work.
     pub late: Vec<(u64, u64, Start, u64)>,
 }
@@ -82,6 +86,7 @@
             shut: Vec::new(),
             shares: false,
             passed_at: 0,
+            tail_ms: 10,
             late: Vec::new(),
         }
     }
@@ -126,7 +131,7 @@
         self.passed_at = clock;
         let pace = self.pace();
         for mut run in std::mem::take(&mut self.runs) {
-            run.done_ms += (clock - run.began).min(passed) as f64 * pace;
+            run.done_ms += (clock - run.began).min(passed) as f64 * pace * run.pace;
             let age = run.done_ms.round() as u64;
             if run.stopping.is_some_and(|at| clock >= at) {
                 self.end(&run, Outcome::Stopped);
@@ -193,10 +198,25 @@
         }
         self.deadline = self.deadline.max(start.deadline_ms);
         let (task, run) = (start.task, start.run);
-        self.runs.push(FakeRun { task, run, began: clock, work_ms, done_ms: 0.0, stopping: None });
+        self.runs.push(FakeRun {
+            task,
+            run,
+            began: clock,
+            work_ms,
+            done_ms: 0.0,
+            pace: 1.0,
+            stopping: None,
+        });
         OrderReply::Done { clock_ms: clock }
     }
 
+    pub fn set_pace(&mut self, task: TaskId, run: u32, percent: u8) {
+        let run = self.runs.iter_mut().find(|it| it.task == task && it.run == run);
+        if let Some(it) = run {
+            it.pace = f64::from(percent) / 100.0;
+        }
+    }
+
     pub fn stop(&mut self, now: Instant, epoch: u64, task: TaskId, run: u32) -> OrderReply {
         if self.fault == Fault::Cut {
             return OrderReply::Unknown;
@@ -242,7 +262,7 @@
             run: it.run,
             checkpoint: String::new(),
             percent: percent(it),
-            load: 10,
+            load: self.tail_ms,
         });
         let running = running.collect();
         Some(Ok(HoldAnswer {
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -216,6 +216,7 @@
                 self.events.push((now + STEP, Event::Stopped(key, task, run, reply)));
             }
             Action::Pace(key, task, run, percent) => {
+                self.of(key).set_pace(task, run, percent);
                 let reply = OrderReply::Done { clock_ms: self.of(key).clock(now) };
                 self.events.push((now + STEP, Event::Paced(key, task, run, percent, reply)));
             }
