The log is out of reach only while an append is tried again

Callers saw 12 of 30 tasks done and the rest never, and operators' changes refused with "the log takes no appends", on a log that took them.

Cause: two sources of one fact. An append whose answer is lost is done once the fold shows it, and a separate mark said whether the log is in reach. The mark was put right when the fold came after the loss. When the loss was noticed after the fold, it was set by an append that was no longer on its way: nothing was tried again, the holder records nothing and submits nothing while the log is out of reach, and so no answer could clear it. Only the fold of anybody's next append did, which also told a process that its own appends get through when it had no word of that. The last append before a quiet time therefore stopped the data centre for good.

Ruled out: the wait for what an earlier holder may have started; it is 9 s from the last claim, and was over some 10 s before the test failed.

Change: the queue of appends tells whether the log is in reach, from the append that is on its way: out of reach from an unanswered try until the append is answered, folded or refused. A log that asks to wait is in reach, and is now told apart from one that is silent. The platform's stand-in can lose an answer late.

The test's bound is as it was.

--- a/daisy-entry/src/control/append.rs
+++ b/daisy-entry/src/control/append.rs
@@ -53,8 +53,8 @@
     waiters: SortedMap<u64, oneshot::Sender<Verdict>>,
     /// Names claims, which do not go through the queue.
     claims: AppendId,
-    /// Whether the last try was answered.
-    reachable: bool,
+    /// What was last told about the log's reach.
+    told_reachable: bool,
     flushing: Vec<oneshot::Sender<()>>,
 }
 
@@ -65,7 +65,7 @@
             queue: Queue::new(Options::new(sender, INTERVAL)),
             waiters: SortedMap::new(),
             claims: AppendId { sender: !sender, seq: 0 },
-            reachable: true,
+            told_reachable: true,
             flushing: Vec::new(),
         }
     }
@@ -75,9 +75,9 @@
         self.queue.backlog()
     }
 
-    /// Whether the last try to append was answered.
+    /// Whether the log takes appends, as far as is known.
     pub fn reachable(&self) -> bool {
-        self.reachable
+        self.queue.is_reachable()
     }
 
     /// When the queue wants to be looked at.
@@ -100,7 +100,7 @@
     /// While the log is out of reach nothing more is taken in: its sender would be told that
     /// it failed, and see it take effect an hour later.
     pub(super) fn submit(&mut self, record: Record, reply: oneshot::Sender<Verdict>) {
-        if !self.appends.reachable {
+        if !self.appends.reachable() {
             let _ = reply.send(Verdict::NotSent("the log takes no appends"));
             return;
         }
@@ -135,24 +135,16 @@
         }
         let event = match outcome {
             Try::At(offset) => Event::Answered { id, offset },
-            Try::Unanswered | Try::Busy => Event::Unanswered { id },
+            Try::Unanswered => Event::Unanswered { id },
+            Try::Busy => Event::Busy { id },
             Try::Rejected => Event::Rejected { id },
         };
         self.step_queue(now, event, None);
-        match outcome {
-            Try::Unanswered => self.set_log_reachable(now, false),
-            _ => self.set_log_reachable(now, true),
-        }
     }
 
-    /// The fold has come to one of the own appends.
-    ///
-    /// Guard: an append whose answer was lost is done once the fold shows it, and is not tried
-    /// again. The log would count as out of reach for ever, as only a try's answer said
-    /// otherwise: operators' changes were refused and the holder recorded nothing any more.
-    pub(super) fn own_append_folded(&mut self, now: Instant, id: AppendId, outcomes: &[Outcome]) {
+    /// The fold has come to an append, which may be an own one.
+    pub(super) fn append_folded(&mut self, now: Instant, id: AppendId, outcomes: &[Outcome]) {
         self.step_queue(now, Event::Folded { id }, Some(outcomes));
-        self.set_log_reachable(now, true);
     }
 
     /// Lets the queue send what is due, and tells who waits for all of it.
@@ -191,6 +183,17 @@
                 }
             }
         }
+        self.note_reach(now);
+    }
+
+    /// Tells the holder when the log has come into or out of reach.
+    fn note_reach(&mut self, now: Instant) {
+        let reachable = self.appends.queue.is_reachable();
+        if self.appends.told_reachable != reachable {
+            self.appends.told_reachable = reachable;
+            log::warn!("event=log_appends reachable={reachable}");
+            self.drive(now, daisy_placement::Event::Log { reachable });
+        }
     }
 
     /// Tells a waiter; without a verdict its sender is dropped, and the outcome stays open.
@@ -206,12 +209,4 @@
         let (platform, control) = (self.out.platform.clone(), self.out.control.clone());
         append_calls::spawn(platform, self.clock, batch, control);
     }
-
-    fn set_log_reachable(&mut self, now: Instant, reachable: bool) {
-        if self.appends.reachable != reachable {
-            self.appends.reachable = reachable;
-            log::warn!("event=log_appends reachable={reachable}");
-            self.drive(now, daisy_placement::Event::Log { reachable });
-        }
-    }
 }
--- a/daisy-entry/src/control/fold.rs
+++ b/daisy-entry/src/control/fold.rs
@@ -105,7 +105,7 @@
 
     /// Tells who waits for the batch, and looks for signs of life of the holder.
     fn learn(&mut self, now: Instant, batch: &Batch, applied: Applied) {
-        self.own_append_folded(now, batch.id, &applied.outcomes);
+        self.append_folded(now, batch.id, &applied.outcomes);
         for (record, outcome) in batch.records.iter().zip(&applied.outcomes) {
             if let (Record::Change(change), Outcome::Refused(refusal)) = (record, outcome) {
                 log::info!("event=change_refused who={} cause=\"{refusal}\"", change.who);
--- a/daisy-entry/tests/control/log.rs
+++ b/daisy-entry/tests/control/log.rs
@@ -29,6 +29,23 @@
     assert_eq!(json(&changes)["results"][0]["rows"][0][0], "1", "{:?}", changes.body);
 }
 
+/// An answer is lost after its change was seen in the log: the next change must not be refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_loss_noticed_late_refuses_nothing() {
+    let cluster = cluster().await;
+    let entry = cluster.ready_entry(1, 0).await;
+    cluster.until(&entry, |it| it["role"] == "holder").await;
+    let faults = Faults { lose_answers: 1, late_ms: 300, ..Faults::default() };
+    cluster.platform.set_faults(faults).expect("a known switch");
+    let lost = cluster.say(&entry, "quota team shop cpu 8 memory 8Gi").await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+
+    let next = cluster.say(&entry, "pause batch").await;
+
+    assert_eq!(lost.status, StatusCode::OK, "{:?}", lost.body);
+    assert_eq!(next.status, StatusCode::OK, "{:?}", next.body);
+}
+
 /// The log is down. Operators are refused for sure, the entry VM goes on serving under the
 /// configuration that it has, and its data centre is not claimed anew. A change that was
 /// refused must not turn up when the log is back.
--- a/daisy-ledger/src/append.rs
+++ b/daisy-ledger/src/append.rs
@@ -52,11 +52,16 @@
         /// Where it stands.
         offset: Offset,
     },
-    /// No answer came, or one that leaves the outcome open, or one that asks to wait.
+    /// No answer came, or one that leaves the outcome open.
     Unanswered {
         /// The append.
         id: AppendId,
     },
+    /// The platform asks to wait; nothing was appended.
+    Busy {
+        /// The append.
+        id: AppendId,
+    },
     /// The platform will never take the append, such as one that is too long.
     Rejected {
         /// The append.
@@ -101,6 +106,8 @@
     tickets: Range<u64>,
     /// Whether an attempt is under way.
     sent: bool,
+    /// Whether the last attempt that ended got no answer.
+    lost: bool,
     /// When to give the attempt up or, if none is under way, to start the next one.
     next: Instant,
     backoff: Duration,
@@ -154,7 +161,8 @@
     pub fn step(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Answered { id, .. } => self.answered(id),
-            Event::Unanswered { id } => self.unanswered(now, id),
+            Event::Unanswered { id } => self.try_later(now, id, true),
+            Event::Busy { id } => self.try_later(now, id, false),
             Event::Rejected { id } => self.rejected(id, actions),
             Event::Folded { id } => self.folded(id, actions),
             Event::Tick => self.give_up_attempt(now),
@@ -177,6 +185,15 @@
         self.waiting.len() + outstanding
     }
 
+    /// Whether the log takes appends, as far as is known.
+    ///
+    /// Guard: it is out of reach only as long as an append is tried again. The loss of an answer
+    /// may be noticed after the fold met the append; taken by itself it would stand for ever, as
+    /// nothing is sent while the log is out of reach.
+    pub fn is_reachable(&self) -> bool {
+        self.outstanding.as_ref().is_none_or(|it| !it.lost)
+    }
+
     fn can_batch(&self) -> bool {
         !self.waiting.is_empty() && self.unfolded.len() < MAX_UNFOLDED
     }
@@ -192,7 +209,7 @@
         }
     }
 
-    fn unanswered(&mut self, now: Instant, id: AppendId) {
+    fn try_later(&mut self, now: Instant, id: AppendId, lost: bool) {
         let max_backoff = self.options.max_backoff;
         let Some(outstanding) = self.outstanding.as_mut().filter(|it| it.batch.id == id) else {
             return;
@@ -201,6 +218,7 @@
             return;
         }
         outstanding.sent = false;
+        outstanding.lost = lost;
         outstanding.next = now + outstanding.backoff;
         outstanding.backoff = (outstanding.backoff * 2).min(max_backoff);
     }
@@ -224,7 +242,7 @@
     fn give_up_attempt(&mut self, now: Instant) {
         let expired = self.outstanding.as_ref().filter(|it| it.sent && it.next <= now);
         if let Some(id) = expired.map(|it| it.batch.id) {
-            self.unanswered(now, id);
+            self.try_later(now, id, true);
         }
     }
 
@@ -260,6 +278,6 @@
         self.next_seq += 1;
         let batch = Batch { id, records };
         let backoff = self.options.interval.max(Duration::from_millis(10));
-        Outstanding { batch, tickets, sent: false, next: now, backoff }
+        Outstanding { batch, tickets, sent: false, lost: false, next: now, backoff }
     }
 }
--- a/daisy-ledger/tests/append.rs
+++ b/daisy-ledger/tests/append.rs
@@ -78,6 +78,53 @@
     assert_eq!(sent(&folded)[0].records, [record(1)]);
 }
 
+/// The loss of an answer is noticed after the log has shown the append, and nothing else waits.
+#[test]
+fn a_loss_noticed_after_the_log_shows_the_append_leaves_the_log_in_reach() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    let id = sent(&first)[0].id;
+    step(&mut queue, 10, Event::Folded { id });
+    step(&mut queue, 11, Event::Unanswered { id });
+
+    assert!(queue.is_reachable(), "no later try would say so");
+    assert_eq!(queue.wake(), None);
+}
+
+/// An answer is lost before the log shows the append: until then the outcome is open.
+#[test]
+fn the_log_is_out_of_reach_from_a_lost_answer_until_the_log_shows_the_append() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    let id = sent(&first)[0].id;
+    let before = queue.is_reachable();
+    step(&mut queue, 10, Event::Unanswered { id });
+    let open = queue.is_reachable();
+    let again = step(&mut queue, 110, Event::Tick);
+    let open_still = queue.is_reachable();
+    step(&mut queue, 120, Event::Folded { id });
+
+    assert_eq!(sent(&again), sent(&first));
+    assert_eq!((before, open, open_still), (true, false, false));
+    assert!(queue.is_reachable());
+}
+
+#[test]
+fn a_log_that_asks_to_wait_is_in_reach() {
+    let mut queue = queue();
+    queue.push(record(0)).expect("room");
+    let first = step(&mut queue, 0, Event::Tick);
+    let id = sent(&first)[0].id;
+    let early = step(&mut queue, 10, Event::Busy { id });
+    let again = step(&mut queue, 110, Event::Tick);
+
+    assert!(queue.is_reachable());
+    assert!(early.is_empty());
+    assert_eq!(sent(&again), sent(&first));
+}
+
 #[test]
 fn a_full_queue_gives_the_record_back() {
     let mut queue = Queue::new(Options { capacity: 2, ..Options::new(9, INTERVAL) });
--- a/daisy-standin/src/fault.rs
+++ b/daisy-standin/src/fault.rs
@@ -54,7 +54,8 @@
     /// Backend server: sends the next so many requests the whole answer of another one.
     pub reorder: u32,
     /// Worker: milliseconds by which `late_calls` are late. Backend server: milliseconds by
-    /// which each answer is held back after the run.
+    /// which each answer is held back after the run. Platform: milliseconds from an append's
+    /// effect to the loss of its answer.
     pub late_ms: u64,
 }
 
--- a/daisy-standin/src/platform.rs
+++ b/daisy-standin/src/platform.rs
@@ -22,7 +22,10 @@
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     FaultError, Faults, Recorder,
@@ -110,7 +113,7 @@
         }
         vms.publish_at_once();
         let shared = Arc::new(Shared {
-            switches: Switches::new(&recorder, "platform", &["double_appends"]),
+            switches: Switches::new(&recorder, "platform", &["double_appends", "late_ms"]),
             recorder,
             body_bytes: options.body_bytes,
             log: Mutex::new(Log::new(options.log)),
@@ -194,6 +197,10 @@
             self.appended(&id, &from, copy);
         }
         if self.switches.loses_answer() {
+            let late_ms = self.switches.with(|faults| faults.late_ms);
+            if late_ms > 0 {
+                sleep(Duration::from_millis(late_ms)).await;
+            }
             return Err(Abort);
         }
         Ok(json(StatusCode::OK, &Appended { offset }))
