A suspected worker takes a lasting task that has no other place

Cause: two runs in a row that fail, each by its own fault, take a worker away from all tasks for 4 s. Tasks that have another place lose little by that; one that lasts and has none stays down. The same search found the opposite as well: once other tasks of its step had failed, a lasting task was started on a failing worker again and again, as nothing was blamed on the worker any more.

Change: suspicion is told apart from a worker that says that it takes nothing. Tasks that last come in from 1.5 s after it on, at the highest cost; each further failure under suspicion renews it.

--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -30,12 +30,12 @@
         load
     }
 
-    /// What is left of each usable worker for tasks that last once all others have ended and those of
+    /// What is left of each worker for tasks that last once all others have ended and those of
     /// this shard that wait have found their place, the largest first.
     fn pieces(&self, now: Instant) -> Vec<Resources> {
-        let usable = self.workers.iter().filter(|(_, it)| self.usable(now, it));
+        let takers = self.workers.iter().filter(|(_, it)| self.takes_lasting(now, it));
         let mut pieces: Vec<(&Worker, Resources)> =
-            usable.map(|(_, it)| (it, it.room_in_time())).collect();
+            takers.map(|(_, it)| (it, it.room_in_time())).collect();
         for (task, _) in self.waits_since.iter() {
             let step = self.ledger.job(task.job).and_then(|it| it.spec.step_of(*task));
             let Some(step) = step else { continue };
--- a/daisy-workflow/src/owner/ends.rs
+++ b/daisy-workflow/src/owner/ends.rs
@@ -1,7 +1,5 @@
 //! Ends of runs, and what follows for their jobs.
 
-use std::time::Duration;
-
 use daisy_model::Instant;
 
 use super::{
@@ -14,9 +12,6 @@
 /// Runs in a row that fail on a worker, none of whose tasks failed elsewhere, after which it gets
 /// no more work for a while.
 const FAILURES_MAX: u32 = 2;
-/// How long such a worker gets no work.
-const SHUN_FAILING: Duration = Duration::from_secs(4);
-
 impl Owner {
     pub(super) fn ended(&mut self, now: Instant, key: WorkerKey, it: Ended) {
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -76,7 +71,8 @@
         if failures >= attempts && !step.long_running && job.progress.phase == Phase::Active {
             self.end_job(now, task.job, Phase::Failed);
         }
-        if !elsewhere {
+        let suspected = self.workers.get(key).is_some_and(|it| it.suspected_until > now);
+        if !elsewhere || suspected {
             self.blame(now, key);
         }
     }
@@ -93,9 +89,8 @@
     fn blame(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         worker.failures += 1;
-        if worker.failures >= FAILURES_MAX && worker.shunned_until <= now {
-            worker.shunned_until = now + SHUN_FAILING;
-            self.note_worker(key, "shunned", "its runs fail one after the other");
+        if worker.failures >= FAILURES_MAX {
+            self.suspect(now, key, "its runs fail one after the other");
         }
     }
 
--- a/daisy-workflow/src/owner/lacks.rs
+++ b/daisy-workflow/src/owner/lacks.rs
@@ -61,7 +61,7 @@
             let label = step.required_label.as_ref().is_none_or(|label| it.has_label(label));
             let processors =
                 need.cpu_milli <= free.cpu_milli && need.accelerators <= free.accelerators;
-            let count = if !(it.service == service && label && self.usable(now, it)) {
+            let count = if !(it.service == service && label && self.takes_lasting(now, it)) {
                 &mut lacks.unusable
             } else if !processors {
                 &mut lacks.processors
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -32,6 +32,7 @@
 /// For each thousandth of a worker's processors that best-effort tasks would lack.
 const COST_SLOWED: i64 = 4;
 const COST_COLD: i64 = 3_000;
+const COST_SUSPECTED: i64 = 1_000_000;
 
 /// What binds a placement besides the step itself.
 #[derive(Debug, Clone, Copy)]
@@ -68,8 +69,12 @@
         let image = step.image.as_ref().and_then(|it| self.interference.try_best_effort(it));
         let mut best: Option<(i64, WorkerKey)> = None;
         for (key, it) in self.workers.iter() {
+            let takes = match step.long_running {
+                true => self.takes_lasting(now, it),
+                false => self.usable(now, it),
+            };
             let can = &*it.service == service
-                && self.usable(now, it)
+                && takes
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
                 && kept.iter().all(|kept| kept.worker != key || spares(step, it, kept.need))
@@ -197,6 +202,9 @@
     if step.data_rack.as_ref().is_some_and(|it| !worker.has_label(it)) {
         cost += COST_FAR_FROM_DATA;
     }
+    if worker.suspected_until > now {
+        cost += COST_SUSPECTED;
+    }
     if worker.cold_until > now {
         cost += COST_COLD;
     }
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -17,8 +17,10 @@
 /// The picture of a worker is up to 0.8 s old and short tasks come and go in between, so two
 /// pictures in a row must show the same.
 const STUCK_AFTER: Duration = Duration::from_millis(1_800);
-/// How long a worker on which a run stood still gets no work.
-const SHUN_STUCK: Duration = Duration::from_secs(4);
+/// How long a worker is suspected on which runs failed or stood still.
+const SUSPECTED_FOR: Duration = Duration::from_secs(4);
+/// How long a suspected worker gets no task at all.
+const SUSPECT_REST: Duration = Duration::from_millis(1_500);
 /// Age of the platform's list from which on it says too little of who drains: an owner whose calls
 /// to the platform hang would start tasks on workers that have long said that they leave, and the
 /// contract allows 2.5 s from their saying so. A read, a record and an order take some 0.4 s.
@@ -101,8 +103,17 @@
             }
         }
         if found {
-            self.shun(now, key, SHUN_STUCK);
-            self.note_worker(key, "shunned", "a run on it stands still");
+            self.suspect(now, key, "a run on it stands still");
+        }
+    }
+
+    /// Leaves a worker alone for a while.
+    pub(super) fn suspect(&mut self, now: Instant, key: WorkerKey, why: &'static str) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let known = worker.suspected_until > now;
+        worker.suspected_until = now + SUSPECTED_FOR;
+        if !known {
+            self.note_worker(key, "shunned", why);
         }
     }
 
@@ -120,6 +131,16 @@
 
     /// Whether a worker takes new tasks now.
     pub(super) fn usable(&self, now: Instant, worker: &Worker) -> bool {
+        worker.suspected_until <= now && self.in_reach(now, worker)
+    }
+
+    /// Whether a worker takes new tasks that last. It takes them sooner after a suspicion than others:
+    /// what failed may have been at fault, and a task that has no other place loses nothing.
+    pub(super) fn takes_lasting(&self, now: Instant, worker: &Worker) -> bool {
+        worker.suspected_until + SUSPECT_REST <= now + SUSPECTED_FOR && self.in_reach(now, worker)
+    }
+
+    fn in_reach(&self, now: Instant, worker: &Worker) -> bool {
         now.since(self.list_read_at) < LIST_STALE
             && worker.listed
             && worker.ready
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -142,7 +142,11 @@
     /// Orders to start that went unanswered, and until when each may still be carried out.
     pub(crate) late_orders: Vec<(TaskId, u32, Instant)>,
     pub(crate) failures: u32,
+    /// Until when it takes no new tasks.
     pub(crate) shunned_until: Instant,
+    /// Until when it is left to tasks that last and find no other place, as what ran on it failed or
+    /// stood still.
+    pub(crate) suspected_until: Instant,
     /// When its figures were last taken in, and the running means of what images use.
     pub(crate) reported_at: Instant,
     pub(crate) mean_used: Vec<(ImageKey, f64)>,
@@ -189,6 +193,7 @@
             late_orders: Vec::new(),
             failures: 0,
             shunned_until: Instant::default(),
+            suspected_until: Instant::default(),
             reported_at: Instant::default(),
             mean_used: Vec::new(),
             open_to: 0,
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -464,3 +464,36 @@
     assert_eq!(runs, [vec!["w"], vec!["w"]]);
     assert_eq!(world.starts.len(), 3);
 }
+
+/// Two tasks fail by their own fault on the only worker with room: a task that lasts is not kept
+/// waiting for as long as the worker is suspected.
+#[test]
+fn a_suspected_worker_takes_a_task_that_lasts_and_has_no_other_place() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |task| if task.job.0 == 3 { LASTS_MS } else { 100 };
+    world.fails = |task| task.job.0 < 3;
+    world.run_ms(200);
+    world.submit(1, job(vec![step(1)]));
+    world.submit(2, job(vec![step(1)]));
+    let suspected = world.run_until(1_000, |it| it.owner.summary(it.now).usable == 0);
+
+    world.submit(3, job(vec![lasting(1)]));
+    let runs = world.run_until(2_000, |it| !it.places(task(3, 0, 0)).is_empty());
+
+    assert!(suspected && runs, "suspected {suspected}, runs {runs}");
+    assert_eq!(world.owner.summary(world.now).usable, 0, "other tasks are kept off");
+}
+
+/// A worker fails all that it starts. A task that lasts and has no other place tries it now and then,
+/// and not again and again.
+#[test]
+fn a_suspected_worker_is_tried_now_and_then() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.worker("w").fault = Fault::Fails;
+    world.run_ms(200);
+
+    world.submit(1, job(vec![lasting(1)]));
+    world.run_ms(6_000);
+
+    assert!((2..=6).contains(&world.starts.len()), "{} starts", world.starts.len());
+}
