A quick job that has begun goes on as long as it is of use

Cause: once a job could no longer be in time it went behind all that could, also behind those that came later.

Change: a quick job that has begun keeps its place among those that can be in time until it is of no more use; among these the one with the least left goes first, as before. Jobs that have not begun still wait behind those that can be in time.

Evidence: the test failed before (Running after 5.5 s, Completed now, beside 20 and more small jobs).

Tried and not kept: quick jobs before lasting tasks without room.

--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -10,7 +10,7 @@
     place::{Kept, Place, is_crowded},
     worker::WorkerKey,
 };
-use crate::{Copy, JobId, JobSpec, JobState, StepSpec, TaskId, TaskState};
+use crate::{Copy, JobId, JobKind, JobSpec, JobState, StepSpec, TaskId, TaskState};
 
 /// Copies of one task at a time, where its step allows copies.
 const COPIES_MAX: usize = 2;
@@ -149,8 +149,12 @@
                 }
                 let chain = self.chain_left(*id, view);
                 let latest = view.objective.0.saturating_sub(chain * 1_000);
-                let lasts = job.spec.steps.iter().any(|it| it.long_running);
-                let standing = if lasts { Standing::Lasts } else { standing(now, view, chain) };
+                let standing = match (job.spec.kind(), standing(now, view, chain)) {
+                    (JobKind::Lasting, _) => Standing::Lasts,
+                    // A wide job cannot be in time where rooms are few, but of use.
+                    (JobKind::Once, Standing::Late) if job.progress.begun => Standing::InTime,
+                    (_, it) => it,
+                };
                 Some(((standing, job.spec.terms.priority, job.left_permille(), latest), *id))
             })
             .collect();
--- a/daisy-workflow/tests/overload.rs
+++ b/daisy-workflow/tests/overload.rs
@@ -95,3 +95,24 @@
 
     assert!(done);
 }
+
+/// Late, a wide job that has begun must not wait behind all that comes anew while it is still of use.
+#[test]
+fn a_wide_job_that_has_begun_is_finished_beside_small_ones() {
+    let mut world = World::new((0..2).map(|at| FakeWorker::new(&format!("w{at}"), 4)).collect());
+    world.work = |_| 450;
+    world.run_ms(200);
+    let short = |count| StepSpec { estimate_ms: 450, ..step(count) };
+
+    world.submit(0, job(vec![short(48)]));
+    let mut next = 1;
+    for _ in 0..55 {
+        world.submit(next, job(vec![short(1)]));
+        next += 1;
+        world.run_ms(100);
+    }
+
+    assert_eq!(world.state(0), JobState::Completed);
+    let in_time = completed(&world, 1..next);
+    assert!(in_time >= 20, "{in_time} small jobs are done");
+}
