--- a/daisy-workflow/tests/both_ways.rs
+++ b/daisy-workflow/tests/both_ways.rs
@@ -3,8 +3,8 @@
 mod util;
 
 use daisy_model::Resources;
-use daisy_workflow::{JobId, JobSpec, ShardId, StepSpec, TaskId};
-use util::{CORE, FakeWorker, Fleet, job, lasting, task};
+use daisy_workflow::{Handover, JobId, JobSpec, Record, ShardId, StepSpec, TaskId};
+use util::{CORE, FakeWorker, Fleet, LASTS_MS, World, job, lasting, step, task};
 
 const FIRST: ShardId = ShardId(0);
 
@@ -42,3 +42,116 @@
 
     assert_eq!(fleet.places(first_task(id)).len(), 1);
 }
+
+/// A task needs workers of a kind that only its own shard has. Other shards tell of room on workers of
+/// other kinds, and it goes round among them, also once its own shard has room for it.
+#[test]
+fn a_task_that_needs_a_label_returns_to_the_shard_that_has_it() {
+    let mut fleet = shards(&[&[4], &[16], &[16]]);
+    fleet.worlds[0].workers[0].labels.push("fast".to_owned());
+    fleet.run_ms(200);
+    let [full, id] = two_jobs_of_the_first(&fleet);
+    fleet.worlds[0].submit(full.0, tasks(1, 4));
+    fleet.run_told(300);
+    let spec = tasks(1, 2);
+    let labelled = StepSpec { required_label: Some("fast".into()), ..spec.steps[0].clone() };
+    fleet.worlds[0].submit(id.0, job(vec![labelled]));
+    fleet.run_told(5_000);
+
+    fleet.worlds[0].cancel(full.0);
+    fleet.run_told(10_000);
+
+    assert_eq!(fleet.places(first_task(id)), ["w00"]);
+}
+
+/// A shard tells of the pieces that are largest in shares of their workers: of many small workers that
+/// are empty, and not of a large one that is nearly so.
+#[test]
+fn room_on_a_large_worker_is_told_beside_many_small_ones() {
+    let small = [2; 16];
+    let second: Vec<u32> = small.into_iter().chain([16]).collect();
+    let mut fleet = shards(&[&[4], &second]);
+    let [full, id] = two_jobs_of_the_first(&fleet);
+    let beside = fleet.job_of(ShardId(1));
+    fleet.worlds[1].submit(beside.0, tasks(1, 4));
+    fleet.worlds[0].submit(full.0, tasks(1, 4));
+    fleet.run_ms(300);
+    fleet.worlds[0].submit(id.0, tasks(2, 4));
+    fleet.worlds[0].cancel(full.0);
+    fleet.run_ms(500);
+    assert_eq!(fleet.places(first_task(id)), ["w00"], "the other of its tasks waits");
+
+    fleet.run_told(6_000);
+
+    assert_eq!(fleet.places(task(id.0, 0, 1)), ["w116"]);
+}
+
+/// The same for the one worker that has accelerators.
+#[test]
+fn room_with_accelerators_is_told_beside_many_workers_without() {
+    let mut fleet = shards(&[&[4], &[4; 17]]);
+    fleet.worlds[0].workers[0].capacity.accelerators = 1;
+    fleet.worlds[1].workers[3].capacity.accelerators = 1;
+    fleet.run_ms(200);
+    let beside = fleet.job_of(ShardId(1));
+    let accelerated = |count, cores| {
+        let spec = tasks(count, cores);
+        let need = Resources { accelerators: 1, ..spec.steps[0].need };
+        job(vec![StepSpec { need, ..spec.steps[0].clone() }])
+    };
+    let need = Resources { accelerators: 0, ..accelerated(1, 1).steps[0].need };
+    let small = StepSpec { need, data_rack: Some("near".into()), ..lasting(1) };
+    fleet.worlds[1].workers[3].labels.push("near".to_owned());
+    fleet.run_ms(100);
+    fleet.worlds[1].submit(beside.0, job(vec![small]));
+    let id = fleet.job_of(FIRST);
+    fleet.worlds[0].submit(id.0, accelerated(2, 1));
+    fleet.run_ms(500);
+
+    fleet.run_told(6_000);
+
+    assert_eq!(fleet.places(task(id.0, 0, 1)), ["w13"]);
+}
+
+/// Gangs that are small take each gap on a worker that is kept for a large task.
+#[test]
+fn gangs_leave_a_worker_that_is_kept() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |task| if task.job.0 < 100 { 500 + task.job.0 * 30 } else { LASTS_MS };
+    world.run_ms(200);
+    for id in 0..40 {
+        world.submit(id, job(vec![StepSpec { gang: true, ..step(1) }]));
+    }
+    world.run_ms(300);
+
+    world.submit(100, tasks(1, 3));
+    let found = world.run_until(4_000, |it| !it.places(first_task(JobId(100))).is_empty());
+
+    assert!(found, "it still waits");
+}
+
+/// An owner reads a task that returned before it reads its job, and has started it by then: the run
+/// takes its room once.
+#[test]
+fn a_returned_task_that_is_read_before_its_job_counts_once() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |_| LASTS_MS;
+    let id = JobId(1);
+    let spec = tasks(1, 1);
+    let it =
+        Handover { hop: 2, spec: spec.clone(), runs: 3, failures: 0, checkpoint: String::new() };
+    world.write(Record::TaskSubmitted(first_task(id), Box::new(it)));
+    world.run_ms(500);
+
+    world.submit(id.0, spec);
+    world.run_ms(2_000);
+
+    assert_eq!(world.owner.summary(world.now).runs, 1);
+}
+
+/// Two jobs of the first shard.
+fn two_jobs_of_the_first(fleet: &Fleet) -> [JobId; 2] {
+    let layout = daisy_workflow::Layout { shards: fleet.worlds.len() as u16 };
+    let mut ids = (1..).map(JobId).filter(|id| layout.of_job(*id) == FIRST);
+    [ids.next().expect("one of many"), ids.next().expect("one of many")]
+}
