--- a/daisy-workflow/tests/util/fleet.rs
+++ b/daisy-workflow/tests/util/fleet.rs
@@ -10,10 +10,15 @@
 /// How long a write to another shard takes.
 const WRITE: Duration = Duration::from_millis(30);
 
+/// How much longer it may take.
+const WRITE_MORE_MS: u64 = 1_500;
+
 pub struct Fleet {
     pub worlds: Vec<World>,
     /// When each arrives, the shards that it goes from and to, and what is written.
     under_way: Vec<(Instant, ShardId, ShardId, Record)>,
+    /// Draws how much longer a write takes, if it may.
+    pub slow_writes: Option<fastrand::Rng>,
 }
 
 impl Fleet {
@@ -25,7 +30,7 @@
             world.work = |_| LASTS_MS;
             world
         });
-        Fleet { worlds: worlds.collect(), under_way: Vec::new() }
+        Fleet { worlds: worlds.collect(), under_way: Vec::new(), slow_writes: None }
     }
 
     /// The first job whose id belongs to a shard.
@@ -38,8 +43,10 @@
         for (from, world) in (0u16..).map(ShardId).zip(&mut self.worlds) {
             world.step();
             let at = world.now + WRITE;
-            let forwarded = world.forwarded.drain(..);
-            self.under_way.extend(forwarded.map(|(to, record)| (at, from, to, record)));
+            for (to, record) in world.forwarded.drain(..) {
+                let more = self.slow_writes.as_mut().map_or(0, |it| it.u64(..WRITE_MORE_MS));
+                self.under_way.push((at + Duration::from_millis(more), from, to, record));
+            }
         }
         let now = self.worlds[0].now;
         let under_way = std::mem::take(&mut self.under_way);
@@ -96,6 +103,13 @@
         self.worlds[at].change_owner(true);
     }
 
+    /// The same; the new one reads the log anew.
+    pub fn kill_owner_and_read(&mut self, at: usize, by_key: bool, progress_first: bool) {
+        self.worlds[at].forwarded.clear();
+        self.under_way.retain(|(_, from, ..)| usize::from(from.0) != at);
+        self.worlds[at].change_owner_that_reads(by_key, progress_first);
+    }
+
     pub fn places(&self, task: TaskId) -> Vec<&str> {
         self.worlds.iter().flat_map(|it| it.places(task)).collect()
     }
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -37,6 +37,9 @@
     pub fails: fn(TaskId) -> bool,
     pending: Option<(Instant, Batch)>,
     events: Vec<(Instant, Event)>,
+    /// What stands in the shard's submissions and in its progress.
+    submissions: Vec<Record>,
+    progress: Vec<Record>,
 }
 
 impl World {
@@ -65,6 +68,8 @@
             fails: |_| false,
             pending: None,
             events: Vec::new(),
+            submissions: Vec::new(),
+            progress: Vec::new(),
         }
     }
 
@@ -81,6 +86,7 @@
         let (key, value) = encode(&record);
         let record = decode(&key, &value).expect("own records can be read");
         self.ledger.fold(record.clone());
+        self.submissions.push(record.clone());
         self.owner.step(self.now, Event::Record(record));
     }
 
@@ -94,6 +100,24 @@
             owner(self.now, self.ledger.clone(), predecessor_gone, self.shard, self.layout);
     }
 
+    /// The same; the new one reads the log anew, in the order of its keys or as it was written.
+    pub fn change_owner_that_reads(&mut self, by_key: bool, progress_first: bool) {
+        self.change_owner(true);
+        let mut submissions = self.submissions.clone();
+        if by_key {
+            submissions.sort_by_key(|it| encode(it).0);
+        }
+        let mut ledger = Ledger::default();
+        let (first, second) = match progress_first {
+            true => (&self.progress, &submissions),
+            false => (&submissions, &self.progress),
+        };
+        for it in first.iter().chain(second) {
+            ledger.fold(it.clone());
+        }
+        self.owner = owner(self.now, ledger, true, self.shard, self.layout);
+    }
+
     /// The owner's process dies; what it was appending is stored all the same, or not.
     pub fn kill_owner(&mut self, stored: bool) {
         if let Some((_, batch)) = self.pending.take().filter(|_| stored) {
@@ -190,7 +214,10 @@
     fn store(&mut self, batch: &Batch) {
         for record in &batch.records {
             let (key, value) = encode(record);
-            self.ledger.fold(decode(&key, &value).expect("own records can be read"));
+            let record = decode(&key, &value).expect("own records can be read");
+            self.progress.retain(|it| encode(it).0 != key);
+            self.progress.push(record.clone());
+            self.ledger.fold(record);
         }
     }
 
