A task whose job was just handed on whole is not handed on as well

The waits are noted before jobs are handed on in the same look, so a task of such a job was taken for one that waits.

--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -59,6 +59,10 @@
     fn try_hand_over(&mut self, now: Instant, task: TaskId) {
         let own = self.settings.shard;
         let Some(job) = self.ledger.job_mut(task.job) else { return };
+        // Its job may have been handed on whole since the waits were noted.
+        if job.progress.task(task).is_none_or(|it| !it.is_waiting()) {
+            return;
+        }
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
         let Some(to) = self.others.try_room(now, own, step.counted()) else { return };
         self.others.sent(now, to, Demand::of_lasting(step));
