--- a/daisy-workflow/tests/both_ways.rs
+++ b/daisy-workflow/tests/both_ways.rs
@@ -130,6 +130,56 @@
     assert!(found, "it still waits");
 }
 
+/// Quick tasks end and begin on all workers. For each of four jobs a worker is kept; four tasks of one
+/// job are to wait no longer.
+#[test]
+fn tasks_of_one_job_wait_no_longer_than_those_of_many() {
+    let wait_ms = |jobs: u64, each: u32| {
+        let mut world = World::new(workers_of_four_cores());
+        world.work = |it| if it.job.0 < 1_000 { quick_ms(it) } else { LASTS_MS };
+        world.run_ms(200);
+        for id in 0..80 {
+            world.submit(id, job(vec![StepSpec { estimate_ms: 3_000, ..step(20) }]));
+            world.run_ms(40);
+        }
+        let began = world.now;
+        (0..jobs).for_each(|it| world.submit(1_000 + it, tasks(each, 3)));
+        let all = (0..jobs).flat_map(|it| (0..each).map(move |index| task(1_000 + it, 0, index)));
+        let all: Vec<TaskId> = all.collect();
+        world.run_until(30_000, |it| all.iter().all(|task| !it.places(*task).is_empty()));
+        world.now.since(began).as_millis()
+    };
+
+    let (one_job, many_jobs) = (wait_ms(1, 4), wait_ms(4, 1));
+
+    assert!(one_job < 3 * many_jobs, "{one_job} ms instead of {many_jobs} ms");
+}
+
+/// A task that no shard can run goes round among shards with room on workers of other kinds, with two
+/// records each time.
+#[test]
+fn a_task_that_no_shard_can_run_seldom_moves() {
+    let mut fleet = shards(&[&[4], &[16], &[16]]);
+    let id = fleet.job_of(FIRST);
+    let nowhere = StepSpec { required_label: Some("none".into()), ..tasks(1, 2).steps[0].clone() };
+    fleet.worlds[0].submit(id.0, job(vec![nowhere]));
+
+    fleet.run_told(30_000);
+
+    let jobs = fleet.worlds.iter().filter_map(|it| it.ledger.job(id));
+    let hops = jobs.flat_map(|it| it.moved.iter().map(|(_, it)| it.hop)).max().unwrap_or(0);
+    assert!(hops <= 6, "{hops} hops in 30 s");
+}
+
+fn workers_of_four_cores() -> Vec<FakeWorker> {
+    (0..24).map(|it| FakeWorker::new(&format!("w{it}"), 4)).collect()
+}
+
+/// Three to four seconds, so that quick tasks end one after the other.
+fn quick_ms(it: TaskId) -> u64 {
+    3_000 + (it.job.0 * 7_919 + u64::from(it.index) * 104_729) % 1_000
+}
+
 /// An owner reads a task that returned before it reads its job, and has started it by then: the run
 /// takes its room once.
 #[test]
