--- a/daisy-workflow/tests/both_ways.rs
+++ b/daisy-workflow/tests/both_ways.rs
@@ -205,3 +205,27 @@
     let mut ids = (1..).map(JobId).filter(|id| layout.of_job(*id) == FIRST);
     [ids.next().expect("one of many"), ids.next().expect("one of many")]
 }
+
+/// A quick job needs a kind of workers that only its own shard has, which is busy. It is handed on to
+/// the emptiest shard, which has none of them, and stays there for good.
+#[test]
+fn a_job_is_not_handed_to_a_shard_that_cannot_run_it() {
+    let mut fleet = shards(&[&[4], &[16]]);
+    fleet.worlds.iter_mut().for_each(|it| it.work = |_| 1_000);
+    fleet.worlds[0].workers[0].labels.push("fast".to_owned());
+    fleet.run_ms(200);
+    let ids = two_jobs_of_the_first(&fleet);
+    let fast = StepSpec { required_label: Some("fast".into()), ..step(4) };
+    fleet.run_told(100);
+    ids.iter().for_each(|id| fleet.worlds[0].submit(id.0, job(vec![fast.clone()])));
+
+    fleet.run_told(6_000);
+
+    let done = |id: &JobId| fleet.worlds.iter().any(|it| is_completed(it, *id));
+    assert_eq!(ids.map(|id| done(&id)), [true, true]);
+}
+
+fn is_completed(world: &World, id: JobId) -> bool {
+    let job = world.ledger.job(id);
+    job.is_some_and(|it| it.state() == daisy_workflow::JobState::Completed)
+}
