--- a/daisy-workflow/tests/both_ways.rs
+++ b/daisy-workflow/tests/both_ways.rs
@@ -29,8 +29,7 @@
     task(id.0, 0, 0)
 }
 
-/// Room in two other shards shows at one time for a job that has waited: it is handed on whole, and
-/// in the same moment its task is handed on alone, to the other of the two.
+/// Room in two other shards shows at one time for a job that has waited.
 #[test]
 fn a_job_that_is_handed_on_whole_is_not_handed_on_in_parts_as_well() {
     let mut fleet = shards(&[&[2], &[8], &[7]]);
@@ -43,8 +42,7 @@
     assert_eq!(fleet.places(first_task(id)).len(), 1);
 }
 
-/// A task needs workers of a kind that only its own shard has. Other shards tell of room on workers of
-/// other kinds, and it goes round among them, also once its own shard has room for it.
+/// Shards without workers of the kind that it needs tell of room, and hand it to each other.
 #[test]
 fn a_task_that_needs_a_label_returns_to_the_shard_that_has_it() {
     let mut fleet = shards(&[&[4], &[16], &[16]]);
@@ -64,8 +62,7 @@
     assert_eq!(fleet.places(first_task(id)), ["w00"]);
 }
 
-/// A shard tells of the pieces that are largest in shares of their workers: of many small workers that
-/// are empty, and not of a large one that is nearly so.
+/// Pieces are told in the order of shares of their workers, so that small empty ones come first.
 #[test]
 fn room_on_a_large_worker_is_told_beside_many_small_ones() {
     let small = [2; 16];
@@ -130,8 +127,7 @@
     assert!(found, "it still waits");
 }
 
-/// Quick tasks end and begin on all workers. For each of four jobs a worker is kept; four tasks of one
-/// job are to wait no longer.
+/// One worker is kept for each job, however many of its tasks wait.
 #[test]
 fn tasks_of_one_job_wait_no_longer_than_those_of_many() {
     let wait_ms = |jobs: u64, each: u32| {
@@ -155,8 +151,7 @@
     assert!(one_job < 3 * many_jobs, "{one_job} ms instead of {many_jobs} ms");
 }
 
-/// A task that no shard can run goes round among shards with room on workers of other kinds, with two
-/// records each time.
+/// Each move costs two records, and the shards tell of room on workers of other kinds.
 #[test]
 fn a_task_that_no_shard_can_run_seldom_moves() {
     let mut fleet = shards(&[&[4], &[16], &[16]]);
@@ -180,8 +175,7 @@
     3_000 + (it.job.0 * 7_919 + u64::from(it.index) * 104_729) % 1_000
 }
 
-/// An owner reads a task that returned before it reads its job, and has started it by then: the run
-/// takes its room once.
+/// Its job may be read once the task has been started.
 #[test]
 fn a_returned_task_that_is_read_before_its_job_counts_once() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
@@ -206,8 +200,7 @@
     [ids.next().expect("one of many"), ids.next().expect("one of many")]
 }
 
-/// A quick job needs a kind of workers that only its own shard has, which is busy. It is handed on to
-/// the emptiest shard, which has none of them, and stays there for good.
+/// Only its own shard, which is busy, has workers of the kind that it needs.
 #[test]
 fn a_job_is_not_handed_to_a_shard_that_cannot_run_it() {
     let mut fleet = shards(&[&[4], &[16]]);
--- a/daisy-workflow/tests/kept_here.rs
+++ b/daisy-workflow/tests/kept_here.rs
@@ -1,5 +1,4 @@
-//! A task that lasts and for which a worker is kept, while others in other shards would have to be kept
-//! as long.
+//! A task that lasts and for which a worker is kept, in a shard beside others.
 
 mod util;
 
@@ -61,8 +60,7 @@
     waited
 }
 
-/// A worker is kept for a task until the quick tasks there have ended. Handed on to another shard
-/// before, the task begins to wait anew, and again in the next one.
+/// Handed on before its kept worker is free, it begins to wait anew, and again in the next shard.
 #[test]
 fn a_task_waits_no_longer_beside_other_shards_than_in_one_alone() {
     let [alone, beside] = [1, SHARDS].map(wait_ms);
--- a/daisy-workflow/tests/moves.rs
+++ b/daisy-workflow/tests/moves.rs
@@ -1,5 +1,4 @@
-//! Seeded schedules of faults against several shards that hand jobs and tasks to each other. The fleet
-//! checks the promises at each step; in the end each task runs, no cancelled one, and owners count these.
+//! Seeded schedules of faults against shards that hand jobs and tasks to each other.
 
 mod util;
 
