A lasting task that fails on a worker again is blamed on the worker

What callers saw: nothing yet; found by a test of a suspected worker.

Cause: a failure is put down to the task once tasks of its step have failed before. A task that lasts and has no other place was started anew at once on a worker that fails everything, 55 times in 6 s, and the worker was never suspected.

Change: a lasting task that fails on a worker with a failure already counts against it.

Evidence: a_suspected_worker_is_tried_now_and_then failed with 55 starts and now sees at most 6.

--- a/daisy-workflow/src/owner/ends.rs
+++ b/daisy-workflow/src/owner/ends.rs
@@ -67,12 +67,14 @@
             false => tasks[task.index as usize].failures += 1,
         }
         let failures = tasks[task.index as usize].failures;
+        let lasts = step.long_running;
         let attempts = job.spec.terms.max_attempts.max(1);
         if failures >= attempts && !step.long_running && job.progress.phase == Phase::Active {
             self.end_job(now, task.job, Phase::Failed);
         }
-        let suspected = self.workers.get(key).is_some_and(|it| it.suspected_until > now);
-        if !elsewhere || suspected {
+        // A task that lasts may have no other place, and be started here again and again.
+        let again = self.workers.get(key).is_some_and(|it| it.failures > 0) && lasts;
+        if !elsewhere || again {
             self.blame(now, key);
         }
     }
