A returned task that is read before its job counts once

Cause: a job that becomes whole by its submission was inherited anew, with all runs of tasks that had come before, so that their room counted twice until they ended. The order of reads at a claim rules it out today.

Evidence: a_returned_task_that_is_read_before_its_job_counts_once failed (2 instead of 1) and passes.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -373,6 +373,8 @@
                 self.open(now, id);
                 self.try_delegate(now, id);
             }
+            // Tasks of it that were handed here may run already.
+            false if self.active.contains_key(&id) => {}
             false => self.inherit_job(now, id),
         }
     }
