A worker is kept for each task that waits, and gangs leave it alone

What callers saw: tasks of one watch waited for many seconds one after the other.

Cause: a pass kept one worker for a step, however many of its tasks waited, and members of gangs were placed on kept workers.

Change: one worker for each waiting task, within the same bound of all, and gangs go by what is kept.

--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -106,15 +106,20 @@
         }
     }
 
+    /// Workers that are kept at one time at most.
+    pub(super) fn kept_max(&self) -> usize {
+        /// The part of all workers.
+        const KEPT_SHARE: usize = 8;
+        self.workers.len() / KEPT_SHARE + 1
+    }
+
     /// A worker that is kept for a task without room, so that what ends there leaves it enough in
     /// time: else smaller tasks take each gap as it comes, and a large one never starts.
     fn try_keep(&self, now: Instant, ready: Ready, step: &StepSpec, kept: &[Kept]) -> Option<Kept> {
-        /// Workers kept at one time at most, in shares of all.
-        const KEPT_SHARE: usize = 8;
         let view = self.active.get(&ready.job)?;
         let tail = view.tails_ms.get(usize::from(ready.step)).copied().unwrap_or_default();
         let pressed = now + Duration::from_millis(tail) + KEEP_SLACK > view.objective;
-        if step.best_effort || kept.len() > self.workers.len() / KEPT_SHARE {
+        if step.best_effort || kept.len() >= self.kept_max() {
             return None;
         }
         if !step.long_running && (!pressed || now > view.objective) {
@@ -234,7 +239,7 @@
             .collect();
         if step.gang {
             if waiting.len() == tasks.len() {
-                self.place_gang(now, ready, &spec, step);
+                self.place_gang(now, ready, &spec, step, &round.kept);
             }
             return;
         }
@@ -248,7 +253,10 @@
             let task = task_id(ready, index);
             let options = Place { rack: None, taken: &[], any_pace: false, kept: &round.kept };
             let Some(key) = self.try_place(now, &service, step, task, options) else {
-                round.kept.extend(self.try_keep(now, ready, step, &round.kept));
+                for _ in at..count {
+                    let Some(kept) = self.try_keep(now, ready, step, &round.kept) else { break };
+                    round.kept.push(kept);
+                }
                 round.add_full(&service, step);
                 self.note_wait(ready, step, count - at);
                 break;
@@ -272,15 +280,22 @@
     }
 
     /// Starts all members of a gang, or none.
-    fn place_gang(&mut self, now: Instant, ready: Ready, spec: &JobSpec, step: &StepSpec) {
+    fn place_gang(
+        &mut self,
+        now: Instant,
+        ready: Ready,
+        spec: &JobSpec,
+        step: &StepSpec,
+        kept: &[Kept],
+    ) {
         let service = self.service(spec);
         let found = match step.same_rack {
             true => self
                 .racks(&service)
                 .into_iter()
-                .find_map(|rack| self.try_place_all(now, &service, step, ready, Some(&rack)))
-                .or_else(|| self.try_place_all(now, &service, step, ready, None)),
-            false => self.try_place_all(now, &service, step, ready, None),
+                .find_map(|rack| self.try_place_all(now, &service, step, ready, Some(&rack), kept))
+                .or_else(|| self.try_place_all(now, &service, step, ready, None, kept)),
+            false => self.try_place_all(now, &service, step, ready, None, kept),
         };
         let Some(keys) = found else { return };
         let members = 0..step.count;
@@ -297,11 +312,12 @@
         step: &StepSpec,
         ready: Ready,
         rack: Option<&str>,
+        kept: &[Kept],
     ) -> Option<Vec<WorkerKey>> {
         let mut taken: Vec<(WorkerKey, Resources)> = Vec::new();
         for index in 0..step.count {
             let task = task_id(ready, index);
-            let options = Place { rack, taken: &taken, any_pace: true, kept: &[] };
+            let options = Place { rack, taken: &taken, any_pace: true, kept };
             let key = self.try_place(now, service, step, task, options)?;
             taken.push((key, step.counted()));
         }
