A task stays where a worker is kept for it, and shards tell of all kinds of room

A task left the worker that was kept for it after a second, for a shard where it began to wait anew (20 s and more instead of 6 s); 16 told pieces hid the one that fits; tasks and jobs that need a label went to shards without it.

Room that comes in time was taken for room now; pieces were ranked by the share of their own worker; labels stand in no figure that is told.

Change: tasks that find a place here in time stay, as many as workers are kept; pieces are ranked by what they hold, with some of those with accelerators first; what needs a label that a worker here has stays, and else moves ever more seldom.

Evidence: kept_here and five tests of both_ways failed before and pass. What is told still lacks labels, services and limits a worker.

--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -15,7 +15,7 @@
     place::is_crowded,
     worker::Worker,
 };
-use crate::{Demand, Job, JobId, JobState, Load, Record, TaskState};
+use crate::{Demand, Job, JobId, JobState, Load, PIECES, Record, StepSpec, TaskId, TaskState};
 
 /// How long a new owner may take to learn of its workers: a read of the list on a slow platform.
 pub(super) const KNOWS_WORKERS_AFTER: Duration = Duration::from_secs(3);
@@ -33,27 +33,41 @@
     /// What is left of each worker for tasks that last once all others have ended and those of
     /// this shard that wait have found their place, the largest first.
     fn pieces(&self, now: Instant) -> Vec<Resources> {
+        let (rooms, _) = self.rooms_in_time(now);
+        let pieces: Vec<Resources> = rooms.into_iter().map(|(_, room)| room).collect();
+        largest_first(pieces)
+    }
+
+    /// What is left of each worker for tasks that last once all others have ended and those that wait
+    /// have found their place, and those that find one.
+    pub(super) fn rooms_in_time(&self, now: Instant) -> (Vec<(&Worker, Resources)>, Vec<TaskId>) {
         let takers = self.workers.iter().filter(|(_, it)| self.takes_lasting(now, it));
-        let mut pieces: Vec<(&Worker, Resources)> =
+        let mut rooms: Vec<(&Worker, Resources)> =
             takers.map(|(_, it)| (it, it.room_in_time())).collect();
+        let mut placed = Vec::new();
         for (task, _) in self.waits_since.iter() {
-            let step = self.ledger.job(task.job).and_then(|it| it.spec.step_of(*task));
-            let Some(step) = step else { continue };
-            let fitting = pieces.iter_mut().filter(|(worker, room)| {
-                step.counted().fits(*room) && !is_crowded(step, worker, *task)
+            let Some(job) = self.ledger.job(task.job) else { continue };
+            let Some(step) = job.spec.step_of(*task) else { continue };
+            let service = self.service(&job.spec);
+            let fitting = rooms.iter_mut().filter(|(worker, room)| {
+                worker.service == service
+                    && step.required_label.as_ref().is_none_or(|label| worker.has_label(label))
+                    && step.counted().fits(*room)
+                    && !is_crowded(step, worker, *task)
             });
             if let Some((_, room)) = fitting.min_by_key(|(_, room)| room.cpu_milli) {
                 *room = room.try_sub(step.counted()).unwrap_or(Resources::ZERO);
+                placed.push(*task);
             }
         }
-        // The scarcest of what a worker has left bounds what it can take.
-        let scarcest = |(worker, room): &(&Worker, Resources)| {
-            let permille = |part: u32, of: u32| u64::from(part) * 1_000 / u64::from(of.max(1));
-            let cpu = permille(room.cpu_milli, worker.capacity.cpu_milli);
-            cpu.min(permille(room.memory_mib, worker.capacity.memory_mib))
-        };
-        pieces.sort_by_key(|it| std::cmp::Reverse(scarcest(it)));
-        pieces.into_iter().map(|(_, room)| room).collect()
+        (rooms, placed)
+    }
+
+    /// Whether a task of `step` is bound to this shard: it needs a label, which shards do not tell of,
+    /// and a worker here has it.
+    pub(super) fn is_bound(&self, step: &StepSpec) -> bool {
+        let Some(label) = &step.required_label else { return false };
+        self.workers.iter().any(|(_, it)| it.listed && it.has_label(label))
     }
 
     /// What the shard has, and what is asked of it.
@@ -108,6 +122,9 @@
         if job.state() != JobState::Queued || job.delegated.is_some() {
             return;
         }
+        if job.spec.steps.iter().any(|it| self.is_bound(it)) {
+            return;
+        }
         let demand = Demand::of(&job.spec);
         let own = self.demand(now);
         // A new owner that has not read the list yet seems to have no room at all.
@@ -175,3 +192,28 @@
         self.actions.extend(forwards);
     }
 }
+
+/// Pieces in the order in which they are told: those that hold most, by the scarcest of what they
+/// have, and among the first some of those with accelerators.
+fn largest_first(mut pieces: Vec<Resources>) -> Vec<Resources> {
+    /// Pieces with accelerators that come before all others.
+    const WITH_ACCELERATORS: usize = PIECES / 4;
+    let most = pieces.iter().fold(Resources::ZERO, |most, it| Resources {
+        cpu_milli: most.cpu_milli.max(it.cpu_milli),
+        memory_mib: most.memory_mib.max(it.memory_mib),
+        accelerators: 0,
+    });
+    let permille = |part: u32, of: u32| u64::from(part) * 1_000 / u64::from(of.max(1));
+    let scarcest = |it: &Resources| {
+        let cpu = permille(it.cpu_milli, most.cpu_milli);
+        cpu.min(permille(it.memory_mib, most.memory_mib))
+    };
+    pieces.sort_by_key(|it| std::cmp::Reverse(scarcest(it)));
+    let mut special = 0;
+    pieces.sort_by_key(|it| {
+        let first = it.accelerators > 0 && special < WITH_ACCELERATORS;
+        special += usize::from(first);
+        !first
+    });
+    pieces
+}
--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -17,6 +17,8 @@
 
 /// How long a task waits for room in its shard before it is handed on.
 const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Hops after which the patience does not grow any more.
+const PATIENT_HOPS: u32 = 4;
 
 impl Owner {
     /// Hands on tasks that last and have long found no room here.
@@ -24,12 +26,24 @@
         if now.since(self.began_at) < KNOWS_WORKERS_AFTER {
             return;
         }
-        let waits = self.waits_since.iter();
-        let due = waits.filter(|(_, since)| now.since(**since) >= PATIENCE);
+        // A worker is kept for these: elsewhere they would wait anew.
+        let (_, mut staying) = self.rooms_in_time(now);
+        staying.truncate(self.kept_max());
+        let waits = self.waits_since.iter().filter(|(task, _)| !staying.contains(task));
+        let due = waits.filter(|(task, since)| now.since(**since) >= self.patience(**task));
         let due: Vec<TaskId> = due.map(|(task, _)| *task).collect();
         due.into_iter().for_each(|task| self.try_hand_over(now, task));
     }
 
+    /// How long a task waits for room in its shard before it is handed on. Of labels, shards do not
+    /// tell: a task that needs one could go round among shards that cannot run it.
+    fn patience(&self, task: TaskId) -> Duration {
+        let Some(job) = self.ledger.job(task.job) else { return PATIENCE };
+        let labelled = job.spec.step_of(task).is_some_and(|it| it.required_label.is_some());
+        let hops = job.moved.get(&task).filter(|_| labelled).map_or(0, |it| it.hop);
+        PATIENCE * 2u32.pow(hops.min(PATIENT_HOPS))
+    }
+
     /// Notes since when tasks that last have waited.
     pub(super) fn update_waits(&mut self, now: Instant) {
         let waiting = self.waiting_tasks(now);
@@ -58,6 +72,10 @@
 
     fn try_hand_over(&mut self, now: Instant, task: TaskId) {
         let own = self.settings.shard;
+        let step = self.ledger.job(task.job).and_then(|it| it.spec.step_of(task));
+        if step.is_some_and(|it| self.is_bound(it)) {
+            return;
+        }
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         // Its job may have been handed on whole since the waits were noted.
         if job.progress.task(task).is_none_or(|it| !it.is_waiting()) {
