An answer that comes before its key's handover is kept

What callers saw: the repeat of an order that ran and was answered is told 409 key-in-progress, and some seconds later key-unknown, in place of the answer. It concerns orders that are under way while an entry VM joins their data centre, as in each rolling restart.

Cause: an entry VM that sees the new one tells it the end of a claim at once, while the key itself is still on its way in the handover. The new home did not know the key, forgot the end and said Taken. The key then came as running, and nobody would end it.

The new test failed.

Change: a home that is not settled answers Settling about a claim whose key it does not know, and who tells the end tries again, as it does for any other answer than Taken. A home that is settled takes the end as before: its key is gone for good, and the caller's answer must not wait. Between a home that is settled and a fresh one that hands over to it the order may still be wrong; no play showed it.

--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -206,6 +206,11 @@
         if !self.is_home(&key) {
             return KeyAnswer::NotHome;
         }
+        // Guards against an answer that is forgotten because it came before the key that the old
+        // home hands over: its repeat would be told that nobody knows.
+        if self.store.get_mut(&key).is_none() && !self.past.is_settled(now) {
+            return KeyAnswer::Settling;
+        }
         let until = now + self.window;
         self.store.finish(&key, claim, end, until);
         KeyAnswer::Taken
--- a/daisy-routing/tests/keys/home.rs
+++ b/daisy-routing/tests/keys/home.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use daisy_model::{DcId, Instant, VmId};
-use daisy_routing::{ClaimId, KeyAnswer, KeyLimits, KeyQuery, KeyTable};
+use daisy_routing::{
+    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyLimits, KeyQuery, KeyState, KeyTable, StoredAnswer,
+};
 
 use crate::world::{Ended, World, key, routes};
 
@@ -260,3 +262,35 @@
 
     assert_eq!(table.handle(now, VmId(1), first), KeyAnswer::Granted);
 }
+
+/// A buyer's repeat is told that nobody knows, of an order that was answered while its home changed.
+#[test]
+fn an_answer_that_comes_before_its_key_is_not_lost() {
+    let (new, old) = (VmId(1), VmId(2));
+    let mut table = KeyTable::new(new, KeyLimits { keys: 10, bytes: 1 << 10 }, Instant::default());
+    let now = Instant::from_millis(200);
+    let entries = vec![(A, new), (A, old)];
+    table.set_routes(now, &routes(A, entries.clone(), entries));
+    let own = (0..20).map(key).find(|key| table.homes(A, key)[0] == new).unwrap();
+    let answer = StoredAnswer { status: 200, headers: Vec::new(), body: None };
+    let end = ClaimEnd::Answered(answer.clone());
+    let finish = KeyQuery::Finish { key: own.clone(), claim: ClaimId(1), end };
+    let state = KeyState::Running { claim: ClaimId(1) };
+    let running = HandedKey { key: own.clone(), shape: 0, state, keep: seconds(4) };
+    let handover = KeyQuery::Handover {
+        keys: vec![running],
+        last: true,
+        complete: true,
+        fresh: false,
+        leaving: false,
+    };
+
+    let early = table.handle(now, old, finish.clone());
+    table.handle(now, old, handover);
+    let again = table.handle(now, old, finish);
+
+    let repeat =
+        KeyQuery::Claim { key: own, shape: 0, claim: ClaimId(2), repeated: true, hold: seconds(1) };
+    assert_eq!((early, again), (KeyAnswer::Settling, KeyAnswer::Taken));
+    assert_eq!(table.handle(now, old, repeat), KeyAnswer::Answered(answer));
+}
