A fresh home counts who handed keys over as live

An order may run twice: its first attempt runs, and its repeat, sent to an entry VM that has just joined, runs again.

Cause: a fresh entry VM counts as live whom it has heard of by heartbeat. Its peers see it first and hand over the keys whose home it becomes, and no others. Once all have handed over it is settled and vouches. If it has not heard of one of them yet, it takes itself for the home of the keys that this one keeps, does not know them, and grants them to a repeated attempt.

A heartbeat apart is enough. The model of tests/keys never showed it, because its heartbeats reach everybody in the same step. The new test failed with Granted.

Change: who has handed keys over counts as live until its first heartbeat comes. If none comes for 2 s, it is missing, and the home no longer vouches, as before. Ruled out: to wait for the heartbeat before granting, as first attempts would wait for up to a second at each join.

--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -120,6 +120,7 @@
                 if last {
                     self.past.handed_over(now, from, Word { complete, fresh, leaving });
                     self.view.set_left(from, leaving);
+                    self.view.set_shown(from);
                 }
                 KeyAnswer::Taken
             }
--- a/daisy-routing/src/keys/view.rs
+++ b/daisy-routing/src/keys/view.rs
@@ -18,6 +18,8 @@
     listed: Vec<(DcId, VmId)>,
     /// Those that have handed their keys over and stop.
     left: Vec<VmId>,
+    /// Those of the own data centre that have handed keys over and were not heard of otherwise.
+    shown: Vec<VmId>,
     /// Whether the platform's VM list was read: before that nobody else seems to be there.
     informed: bool,
     /// Peers at the last update.
@@ -39,6 +41,7 @@
         // Backend servers come from the VM list.
         self.informed |= routes.services.iter().any(|(_, service)| !service.backends.is_empty());
         self.note_unmet(now);
+        self.drop_shown(now);
         self.note_empty(now, routes);
         let peers = self.peers(me);
         let before = std::mem::replace(&mut self.seen, peers.clone());
@@ -50,12 +53,19 @@
         let is_in = |vms: &[(DcId, VmId)], vm: VmId| vms.iter().any(|(_, other)| *other == vm);
         self.unmet.retain(|vm, _| is_in(listed, *vm) && !is_in(live, *vm));
         for (_, vm) in listed.iter().filter(|(dc, vm)| *dc == self.dc && !is_in(live, *vm)) {
-            let met = self.seen.contains(vm);
+            let met = self.seen.contains(vm) && !self.shown.contains(vm);
             let since = if met { now - UNMET_GRACE } else { now };
             self.unmet.get_or_insert_with(*vm, || since);
         }
     }
 
+    fn drop_shown(&mut self, now: Instant) {
+        let View { live, unmet, informed, .. } = self;
+        let heard = |vm: &VmId| live.iter().any(|(_, other)| other == vm);
+        let begins = |vm: &VmId| unmet.get(vm).is_some_and(|at| now.since(*at) < UNMET_GRACE);
+        self.shown.retain(|vm| !heard(vm) && (begins(vm) || !*informed));
+    }
+
     fn note_empty(&mut self, now: Instant, routes: &Routes) {
         let by_region = (0..routes.regions.len()).map(|dc| DcId(dc as u16));
         let seen = self.live.iter().chain(&self.listed).map(|(dc, _)| *dc);
@@ -113,6 +123,17 @@
         }
     }
 
+    /// Notes that `vm` of the own data centre has handed its keys over.
+    ///
+    /// Guards against an order that runs twice: a fresh entry VM that has not heard of an older one
+    /// would take itself for the home of the keys that this one keeps, and vouch for them.
+    pub(super) fn set_shown(&mut self, vm: VmId) {
+        let heard = self.live.iter().any(|(_, other)| *other == vm);
+        if !heard && !self.shown.contains(&vm) {
+            self.shown.push(vm);
+        }
+    }
+
     /// The home of `key` in the own data centre.
     pub(super) fn home(&self, key: &KeyId) -> Option<VmId> {
         let item = digest(key.key.as_bytes());
@@ -138,7 +159,8 @@
     }
 
     fn members(&self, dc: DcId) -> impl Iterator<Item = VmId> + '_ {
-        let of = self.live.iter().filter(move |(other, _)| *other == dc);
-        of.map(|(_, vm)| *vm).filter(|vm| !self.left.contains(vm))
+        let of = self.live.iter().filter(move |(other, _)| *other == dc).map(|(_, vm)| *vm);
+        let shown = self.shown.iter().copied().filter(move |_| dc == self.dc);
+        of.chain(shown).filter(|vm| !self.left.contains(vm))
     }
 }
--- a/daisy-routing/tests/keys/home.rs
+++ b/daisy-routing/tests/keys/home.rs
@@ -294,3 +294,35 @@
     assert_eq!((early, again), (KeyAnswer::Settling, KeyAnswer::Taken));
     assert_eq!(table.handle(now, old, repeat), KeyAnswer::Answered(answer));
 }
+
+/// An order runs twice: a fresh entry VM grants the repeat of one that it was never to get.
+#[test]
+fn a_fresh_home_does_not_vouch_for_keys_of_one_that_it_has_not_heard() {
+    let (new, old) = (VmId(1), VmId(2));
+    let mut table = KeyTable::new(new, KeyLimits { keys: 10, bytes: 1 << 10 }, Instant::default());
+    let now = Instant::from_millis(200);
+    let listed = vec![(A, new), (A, old)];
+    table.set_routes(now, &routes(A, listed.clone(), listed.clone()));
+    let others = (0..20).map(key).find(|key| table.homes(A, key)[0] == old).unwrap();
+    let mut table = KeyTable::new(new, KeyLimits { keys: 10, bytes: 1 << 10 }, Instant::default());
+    table.set_routes(now, &routes(A, vec![(A, new)], listed));
+    let handover = KeyQuery::Handover {
+        keys: Vec::new(),
+        last: true,
+        complete: true,
+        fresh: false,
+        leaving: false,
+    };
+    table.handle(now, old, handover);
+
+    let repeat = KeyQuery::Claim {
+        key: others,
+        shape: 0,
+        claim: ClaimId(1),
+        repeated: true,
+        hold: seconds(1),
+    };
+    let told = table.handle(now, new, repeat);
+
+    assert_ne!(told, KeyAnswer::Granted);
+}
