--- a/daisy-workflow/tests/cancel.rs
+++ b/daisy-workflow/tests/cancel.rs
@@ -215,8 +215,7 @@
     (to, Record::TaskSubmitted(moves(), Box::new(it)))
 }
 
-/// All owners are killed, at any moment around a cancellation that is stored. Their successors carry it
-/// out wherever tasks of the job run.
+/// Killed around a cancellation that is stored, owners would leave tasks of the job running.
 #[test]
 fn a_cancellation_outlives_all_owners() {
     for way in WAYS {
--- a/daisy-workflow/tests/directory.rs
+++ b/daisy-workflow/tests/directory.rs
@@ -40,8 +40,7 @@
     assert_eq!(directory.state(ID), Some(elsewhere));
 }
 
-/// A VM has just started, or was cut off, and reads what the owner of a shard wrote long before it died.
-/// A caller who asks for a job that this owner did not tell of must not hear that there is none.
+/// A VM that has just started reads what an owner wrote long before it died.
 #[test]
 fn a_sign_of_unknown_age_proves_no_life() {
     let mut directory = Directory::default();
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -439,8 +439,7 @@
     assert!(world.starts.iter().all(|(.., worker)| worker == "w2"), "{:?}", world.starts);
 }
 
-/// A run that was held at no share at all goes on. Taken for one that stands still, it would cost a
-/// sound worker its place for seconds, and tasks that last the only room.
+/// Taken for one that stands still, a run that was held back costs tasks that last their only room.
 #[test]
 fn a_run_that_goes_on_after_a_hold_is_not_taken_for_stuck() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
@@ -465,8 +464,7 @@
     assert_eq!(world.starts.len(), 3);
 }
 
-/// Two tasks fail by their own fault on the only worker with room: a task that lasts is not kept
-/// waiting for as long as the worker is suspected.
+/// Two tasks that fail by their own fault would keep a task that lasts off the only worker with room.
 #[test]
 fn a_suspected_worker_takes_a_task_that_lasts_and_has_no_other_place() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
@@ -484,8 +482,7 @@
     assert_eq!(world.owner.summary(world.now).usable, 0, "other tasks are kept off");
 }
 
-/// A worker fails all that it starts. A task that lasts and has no other place tries it now and then,
-/// and not again and again.
+/// A task that lasts would be started again and again on a worker that fails all it starts.
 #[test]
 fn a_suspected_worker_is_tried_now_and_then() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -35,8 +35,7 @@
     id
 }
 
-/// A job was handed whole to another shard before it began. A task of it finds no room there later,
-/// and the only room is in the shard that the job came from.
+/// A task that finds no room where its job was handed to was kept out of the shard that has room.
 #[test]
 fn a_task_returns_to_the_shard_that_handed_its_job_on() {
     let mut fleet = shards(&[4, 8]);
@@ -81,8 +80,7 @@
     assert_eq!(places, [vec![""; 0], vec![]]);
 }
 
-/// A new owner of the job's own shard may read a task that returned before it reads the job: the
-/// tasks that were never handed on are still the shard's.
+/// Read after a task of it that returned, a job would lose the tasks that were never handed on.
 #[test]
 fn a_job_that_is_read_after_its_returned_task_is_whole() {
     let id = JobId(1);
@@ -101,8 +99,7 @@
     assert_eq!((fold, waits(0), waits(1)), (Fold::Submitted(id), true, true));
 }
 
-/// A shard has most processors free, on a worker without memory: a task that is handed there waits
-/// once more, while another shard has room for it.
+/// A task that went where only processors are free would wait there once more.
 #[test]
 fn a_task_goes_where_there_is_memory_as_well() {
     let mut fleet = shards(&[2, 16, 4]);
@@ -120,8 +117,7 @@
     assert_eq!(fleet.places(task(id.0, 0, 1)), ["w2"]);
 }
 
-/// The room that a shard tells of is what others find when they come, not what its own waiting tasks
-/// are about to take.
+/// Tasks of other shards would come for room that the shard's own are about to take.
 #[test]
 fn room_that_own_waiting_tasks_will_take_is_not_told() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
@@ -139,8 +135,7 @@
     assert_eq!(cores, [4, 1]);
 }
 
-/// A task has been handed on again and again while all shards were full. Once one has room, it is not
-/// left waiting for longer than any other task.
+/// A task that was handed on again and again would wait beside room that has come free.
 #[test]
 fn a_task_that_moved_often_takes_new_room_at_once() {
     let mut fleet = shards(&[2, 4]);
@@ -162,8 +157,7 @@
     assert_eq!(fleet.places(first_task(id)), ["w1"]);
 }
 
-/// Best-effort tasks count no processors, but memory: they keep the worker full that is kept for a
-/// task that lasts, each taking the place of the one before.
+/// Best-effort tasks would keep the memory taken of a worker that is kept for another task.
 #[test]
 fn best_effort_tasks_leave_memory_on_a_worker_that_is_kept() {
     let mut world = World::new(vec![FakeWorker::new("w", 4)]);
--- a/daisy-workflow/tests/telling.rs
+++ b/daisy-workflow/tests/telling.rs
@@ -80,8 +80,7 @@
     assert!(!telling.is_waiting());
 }
 
-/// An owner hands a job on and dies before it has told of it; the other shard has no owner either. The
-/// next owner must not vouch that what nobody knows does not exist.
+/// An owner that dies before it tells of a job it has handed on leaves one that nobody knows.
 #[test]
 fn a_job_that_was_handed_on_and_not_told_of_is_missing() {
     let telling = Telling::new(at(0), OWN, SortedMap::new());
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -185,8 +185,7 @@
     assert_eq!(cancelled, 200);
 }
 
-/// All processes are killed before the owner of the workers has read a job that was just stored. The first
-/// process that is back finds that owner's last sign of life in the log, which proves nothing any more.
+/// A process that has just started denied a stored job by a dead owner's last sign of life.
 #[tokio::test]
 async fn a_stored_job_is_not_denied_after_a_kill_of_all() {
     let mut fleet = Fleet::start(2, 2, WORK).await;
@@ -205,8 +204,7 @@
     assert_ne!(told, 410);
 }
 
-/// The owner of the workers freezes before it reads a job that was just stored; its last sign of life is
-/// fresh. The caller cancels the job at a VM that does not know it: whatever the answer, it never runs.
+/// A job ran though its caller had cancelled it, at a VM that did not know it yet.
 #[tokio::test]
 async fn a_job_that_is_cancelled_before_it_is_known_never_runs() {
     let mut fleet = Fleet::start(3, 2, WORK).await;
