Failures far apart make no worker suspected

Cause: a failure stands until a run succeeds there, and tasks that last seldom end. Two of them that failed by themselves, however far apart, kept quick tasks off a sound worker for 4 s.

Change: failures are in a row only within three seconds.

Evidence: the test failed before (0 usable workers instead of 1).

--- a/daisy-workflow/src/owner/ends.rs
+++ b/daisy-workflow/src/owner/ends.rs
@@ -1,17 +1,21 @@
 //! Ends of runs, and what follows for their jobs.
 
+use std::time::Duration;
+
 use daisy_model::Instant;
 
 use super::{
     Owner,
     message::{Action, Ended, Note, Outcome, StopCause},
-    worker::{Sent, Stop, WorkerKey},
+    worker::{Sent, Stop, Worker, WorkerKey},
 };
 use crate::{JobId, Phase, TaskId};
 
 /// Runs in a row that fail on a worker, none of whose tasks failed elsewhere, after which it gets
 /// no more work for a while.
 const FAILURES_MAX: u32 = 2;
+/// Failures further apart are not in a row: tasks that last seldom end, and may fail at any time.
+const IN_A_ROW: Duration = Duration::from_secs(3);
 impl Owner {
     pub(super) fn ended(&mut self, now: Instant, key: WorkerKey, it: Ended) {
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -73,7 +77,7 @@
             self.end_job(now, task.job, Phase::Failed);
         }
         // A task that lasts may have no other place, and be started here again and again.
-        let again = self.workers.get(key).is_some_and(|it| it.failures > 0) && lasts;
+        let again = lasts && self.workers.get(key).is_some_and(|it| fails_lately(now, it));
         if !elsewhere || again {
             self.blame(now, key);
         }
@@ -90,7 +94,11 @@
 
     fn blame(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        if !fails_lately(now, worker) {
+            worker.failures = 0;
+        }
         worker.failures += 1;
+        worker.failed_at = now;
         if worker.failures >= FAILURES_MAX {
             self.suspect(now, key, "its runs fail one after the other");
         }
@@ -139,3 +147,8 @@
         }
     }
 }
+
+/// Whether a run that was blamed on the worker failed a short while ago, and none has succeeded since.
+fn fails_lately(now: Instant, worker: &Worker) -> bool {
+    worker.failures > 0 && now.since(worker.failed_at) <= IN_A_ROW
+}
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -142,6 +142,8 @@
     /// Orders to start that went unanswered, and until when each may still be carried out.
     pub(crate) late_orders: Vec<(TaskId, u32, Instant)>,
     pub(crate) failures: u32,
+    /// When the last of them came.
+    pub(crate) failed_at: Instant,
     /// Until when it takes no new tasks.
     pub(crate) shunned_until: Instant,
     /// Until when it is left to tasks that last and find no other place, as what ran on it failed or
@@ -192,6 +194,7 @@
             cursor_durable: 0,
             late_orders: Vec::new(),
             failures: 0,
+            failed_at: Instant::default(),
             shunned_until: Instant::default(),
             suspected_until: Instant::default(),
             reported_at: Instant::default(),
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -494,3 +494,24 @@
 
     assert!((2..=6).contains(&world.starts.len()), "{} starts", world.starts.len());
 }
+
+/// Tasks that last and fail now and then would keep other tasks off sound workers.
+#[test]
+fn failures_far_apart_make_no_worker_suspected() {
+    let mut world = World::new(vec![FakeWorker::new("w", 4)]);
+    world.work = |_| LASTS_MS;
+    world.run_ms(200);
+    world.submit(1, job(vec![lasting(1)]));
+    world.run_ms(300);
+
+    for _ in 0..3 {
+        world.worker("w").fault = Fault::Fails;
+        world.run_ms(10);
+        world.worker("w").fault = Fault::None;
+        world.run_ms(500);
+        assert_eq!(world.owner.summary(world.now).usable, 1);
+        world.run_ms(4_500);
+    }
+
+    assert_eq!(world.starts.len(), 4);
+}
