--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod hand_over;
 mod hold;
+mod intake;
 mod interference;
 mod lacks;
 mod message;
@@ -40,8 +41,8 @@
     worker::{Worker, WorkerKey},
 };
 use crate::{
-    Fold, Job, JobId, JobState, Layout, Ledger, Observations, Others, Phase, Queues, Record,
-    ShardId, TaskId, WorkerId,
+    Job, JobId, JobState, Layout, Ledger, Observations, Others, Phase, Queues, Record, ShardId,
+    TaskId, WorkerId,
 };
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
@@ -335,102 +336,6 @@
         self.workers.get(key)
     }
 
-    fn record(&mut self, now: Instant, record: Record) {
-        match self.ledger.fold(record) {
-            Fold::Submitted(id) => {
-                self.submitted(now, id);
-            }
-            Fold::Cancelled(id) => {
-                self.tell_state(id);
-                self.forward_cancel(id);
-                self.cancel(now, id);
-            }
-            Fold::Task(task) => self.task_submitted(now, task),
-            Fold::Progress(_) | Fold::Claim | Fold::Nothing => {}
-        }
-        self.plan_due = true;
-    }
-
-    /// A job is read that was not known.
-    ///
-    /// Submissions and progress are read independently, so an earlier owner may have begun the job
-    /// or handed it on, between this owner's reads of the two. Taken for a new one, it would run
-    /// here and in the shard that it was handed to, or twice here.
-    fn submitted(&mut self, now: Instant, id: JobId) {
-        let Some(job) = self.ledger.job(id) else { return };
-        if job.delegated.is_some() {
-            let returned = job.has_tasks_that_came();
-            self.forward(id);
-            if returned {
-                self.inherit_job(now, id);
-            }
-            return;
-        }
-        let is_new = job_is_new(job);
-        self.tell_state(id);
-        match is_new {
-            true => {
-                self.open(now, id);
-                self.try_delegate(now, id);
-            }
-            // Tasks of it that were handed here may run already.
-            false if self.active.contains_key(&id) => {}
-            false => self.inherit_job(now, id),
-        }
-    }
-
-    fn tell_state(&mut self, id: JobId) {
-        // What is begun but not recorded yet is told with its record.
-        let job = self.ledger.job(id).filter(|it| !it.partial);
-        let state = job.map(|it| match it.state() {
-            JobState::Cancelled => JobState::Cancelled,
-            _ => JobState::Queued,
-        });
-        self.states.extend(state.map(|it| (id, it)));
-    }
-
-    fn open(&mut self, now: Instant, id: JobId) {
-        let Some(job) = self.ledger.job(id) else { return };
-        let spec = &job.spec;
-        // The accepting VM's clock may be off, so it only dates jobs that are older than this
-        // owner, and never into the future.
-        let age_ms = self.began_wall_ms.saturating_sub(spec.accepted_ms).min(120_000);
-        let since = match now == self.began_at {
-            true => now - Duration::from_millis(age_ms),
-            false => now,
-        };
-        let chain = spec.chain_ms() * u64::from(spec.terms.slack_permille) / 1_000;
-        let objective = chain + u64::from(spec.terms.target_latency_ms);
-        let view = JobView {
-            since,
-            objective: since + Duration::from_millis(objective),
-            tails_ms: spec.tails_ms(),
-            told_waiting: Vec::new(),
-        };
-        let cancelled = job.cancelled;
-        self.active.insert(id, view);
-        if cancelled {
-            self.cancel(now, id);
-        }
-    }
-
-    fn cancel(&mut self, now: Instant, id: JobId) {
-        let mut left = false;
-        for at in 0..self.workers.len() {
-            let Some(worker) = self.workers.get_mut(WorkerKey(at as u32)) else { continue };
-            for it in worker.tasks.iter_mut().filter(|it| it.task.job == id) {
-                left = true;
-                if it.stop == Stop::No && it.sent != Sent::Recording {
-                    it.stop_at(now, StopCause::JobOver);
-                }
-            }
-        }
-        if !left {
-            self.active.remove(&id);
-        }
-        self.send_stops(now);
-    }
-
     /// The state of a task, to change; the job is written anew.
     fn task_mut(&mut self, task: TaskId) -> Option<&mut crate::TaskState> {
         let job = self.ledger.job_mut(task.job)?;
@@ -467,11 +372,6 @@
     job.delegated.is_none() || job.has_tasks_that_came()
 }
 
-/// Whether no owner has recorded anything of a job.
-fn job_is_new(job: &Job) -> bool {
-    job.progress.phase == Phase::Active && !job.progress.begun
-}
-
 /// Between records of what was learnt, so that a new owner need not begin anew: about 1 KB each.
 const LEARNT_EVERY: Duration = Duration::from_secs(2);
 
