Pieces with accelerators come first by a plain pass

Cause: the order was made by a key that counted its own calls, and sorting may ask for a key as often as it likes: the order was not fixed, and a sort that notices panics. Found on reading the change again.

Evidence: the new test of the order that is told failed before (0 pieces with accelerators come first).

--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -209,11 +209,14 @@
         cpu.min(permille(it.memory_mib, most.memory_mib))
     };
     pieces.sort_by_key(|it| std::cmp::Reverse(scarcest(it)));
-    let mut special = 0;
-    pieces.sort_by_key(|it| {
-        let first = it.accelerators > 0 && special < WITH_ACCELERATORS;
-        special += usize::from(first);
-        !first
-    });
-    pieces
+    let mut first = Vec::new();
+    let mut others = Vec::with_capacity(pieces.len());
+    for it in pieces {
+        match it.accelerators > 0 && first.len() < WITH_ACCELERATORS {
+            true => first.push(it),
+            false => others.push(it),
+        }
+    }
+    first.extend(others);
+    first
 }
--- a/daisy-workflow/tests/rooms.rs
+++ b/daisy-workflow/tests/rooms.rs
@@ -175,3 +175,22 @@
 
     assert!(found, "it still waits after {:?}", world.now.since(Instant::from_millis(1_000)));
 }
+
+/// Told in an order that depends on how it is sorted, pieces would differ from call to call, or panic.
+#[test]
+fn pieces_are_told_with_some_accelerators_first_and_then_by_size() {
+    let worker = |at: u32| {
+        let mut it = FakeWorker::new(&format!("w{at:02}"), 1 + at % 30);
+        it.capacity.accelerators = u32::from(at.is_multiple_of(3));
+        it
+    };
+    let mut world = World::new((0..60).map(worker).collect());
+    world.run_ms(300);
+
+    let pieces = world.owner.load(world.now).pieces;
+
+    let special = pieces.iter().take_while(|it| it.accelerators > 0).count();
+    assert!(special >= 4, "{special} pieces with accelerators come first");
+    let sizes: Vec<u32> = pieces[4..].iter().map(|it| it.cpu_milli).collect();
+    assert!(sizes.is_sorted_by(|a, b| a >= b), "{sizes:?}");
+}
