Logs tell of runs whose fate the owner does not know, and until when it waits

In the incident a run that may be on a silent worker was neither waiting nor at work: owner_state said waiting_lasting=0 beside tasks that were down for 15 s, and no line said what the owner waited for. owner_state now counts such runs of tasks that last (uncertain) with the longest time left (uncertain_for_ms), and event=uncertain names each once a cause: the worker is silent, has never answered this owner, or is not in the list. The end of a worker's lease is now an instant, used by both.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -12,7 +12,7 @@
 use daisy_platform::{Guard, Topic, WorkerCalls};
 use daisy_workflow::{
     Action, Claim, Event, JobId, Lateness, Layout, Ledger, Owner, RENEW_ALONE_MAX, Record, Rules,
-    Settings, ShardId, Sign, Telling, Told, WorkerKey, encode,
+    Settings, ShardId, Sign, Telling, Told, Uncertain, WorkerKey, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -129,6 +129,7 @@
             observed_at: now,
             lateness: Lateness::new(now, TICK),
             reported_at: now,
+            uncertain: Vec::new(),
             ownership: self,
         };
         let why = running.serve(rx, appended).await;
@@ -181,6 +182,8 @@
     observed_at: Instant,
     lateness: Lateness,
     reported_at: Instant,
+    /// Runs whose fate was not known at the last report.
+    uncertain: Vec<Uncertain>,
 }
 
 impl Running {
@@ -267,7 +270,8 @@
         log::info!(
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
-             unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={}",
+             unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={} \
+             uncertain={} uncertain_for_ms={}",
             self.ownership.shard.0,
             self.ownership.epoch,
             it.jobs,
@@ -283,8 +287,11 @@
             it.largest_room,
             it.largest_room_in_time,
             it.least_lasting,
-            it.longest_wait.as_millis()
+            it.longest_wait.as_millis(),
+            it.uncertain,
+            it.uncertain_for.as_millis()
         );
+        self.report_uncertain(now);
         if let Some(it) = self.owner.try_longest_wait(now) {
             log::info!(
                 "event=longest_wait id={} task={} shard={} waited_ms={} cpu={} memory_mib={} \
@@ -306,6 +313,29 @@
         self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
 
+    /// Logs each run of a task that last whose fate is not known, once for each cause.
+    fn report_uncertain(&mut self, now: Instant) {
+        let uncertain = self.owner.uncertain(now);
+        for it in &uncertain {
+            let told =
+                |known: &Uncertain| (known.task, known.run, known.why) == (it.task, it.run, it.why);
+            if self.uncertain.iter().any(told) {
+                continue;
+            }
+            log::info!(
+                "event=uncertain id={} task={} run={} shard={} worker={} over_in_ms={} cause=\"{}\"",
+                it.task.job,
+                it.task,
+                it.run,
+                self.ownership.shard.0,
+                it.worker,
+                it.left.as_millis(),
+                it.why.words()
+            );
+        }
+        self.uncertain = uncertain;
+    }
+
     fn call(&self, key: WorkerKey, action: Action) {
         if let Some(worker) = self.owner.worker(key) {
             self.calls.begin(key, worker, action);
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -20,6 +20,7 @@
 mod plan;
 mod room;
 mod summary;
+mod uncertain;
 mod watch;
 mod worker;
 
@@ -40,6 +41,7 @@
         Running, Start, StopCause, WaitCause,
     },
     summary::Summary,
+    uncertain::{Doubt, Uncertain},
     worker::{Worker, WorkerKey},
 };
 use crate::{
--- a/daisy-workflow/src/owner/summary.rs
+++ b/daisy-workflow/src/owner/summary.rs
@@ -27,6 +27,10 @@
     pub usable: usize,
     /// Workers that do not answer and may still run something.
     pub silent: usize,
+    /// Runs of tasks that last and whose fate is not known.
+    pub uncertain: usize,
+    /// How long until the last of them counts as over.
+    pub uncertain_for: Duration,
     /// Processor time that is free on usable workers, in thousandths of a core.
     pub free_cpu: u64,
     /// The part of it in pieces too small for a task of the mean size that ends by itself.
@@ -86,6 +90,9 @@
                 *sum += count;
             }
         }
+        let uncertain = self.uncertain(now);
+        sum.uncertain = uncertain.len();
+        sum.uncertain_for = uncertain.iter().map(|it| it.left).max().unwrap_or_default();
         let waits = self.waits_since.iter().map(|(_, since)| now.since(*since));
         sum.longest_wait = waits.max().unwrap_or_default();
         sum
--- /dev/null
+++ b/daisy-workflow/src/owner/uncertain.rs
@@ -0,0 +1,101 @@
+//! Runs of which the owner cannot tell whether they are still at work.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+
+use super::{
+    Owner,
+    worker::{Sent, Worker},
+};
+use crate::{TaskId, WorkerId};
+
+/// Why the fate of a run is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// Its worker has answered this owner, and does so no more.
+    Silent,
+    /// Its worker has never answered this owner; one before it may have renewed its lease.
+    NeverReached,
+    /// The list of workers does not name it, so that nobody can be asked.
+    NotListed,
+}
+
+impl Doubt {
+    /// In a few words, for a log line.
+    pub fn words(self) -> &'static str {
+        match self {
+            Doubt::Silent => "its worker is silent, and its lease may not be over",
+            Doubt::NeverReached => {
+                "its worker has not answered this owner, and one before may have renewed its lease"
+            }
+            Doubt::NotListed => {
+                "the list does not name its worker, and an owner before may have renewed its lease"
+            }
+        }
+    }
+}
+
+/// A run that is neither known to be at work nor to be over, so that its task cannot start elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Uncertain {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub run: u32,
+    /// Where it may be.
+    pub worker: WorkerId,
+    /// Why that is not known.
+    pub why: Doubt,
+    /// How long until it counts as over.
+    pub left: Duration,
+}
+
+impl Owner {
+    /// Runs of tasks that last and whose fate is not known.
+    pub fn uncertain(&self, now: Instant) -> Vec<Uncertain> {
+        let mut found = Vec::new();
+        for (_, worker) in self.workers.iter() {
+            let Some(why) = doubt(worker) else { continue };
+            let left = self.over_at(worker).since(now);
+            let lasting = worker.tasks.iter().filter(|it| it.lasts && it.sent != Sent::Recording);
+            found.extend(lasting.map(|it| Uncertain {
+                task: it.task,
+                run: it.run,
+                worker: worker.id.clone(),
+                why,
+                left,
+            }));
+        }
+        let left = self.inherited_until.since(now);
+        let lasting = self.orphans.iter().filter(|it| self.lasts(it.task));
+        found.extend(lasting.map(|it| Uncertain {
+            task: it.task,
+            run: it.run,
+            worker: it.worker.clone(),
+            why: Doubt::NotListed,
+            left,
+        }));
+        found
+    }
+
+    /// When all runs on a worker that is silent are over.
+    pub(super) fn over_at(&self, worker: &Worker) -> Instant {
+        worker.lease_over_at().unwrap_or(self.inherited_until)
+    }
+
+    fn lasts(&self, task: TaskId) -> bool {
+        let step =
+            self.ledger.job(task.job).and_then(|it| it.spec.steps.get(usize::from(task.step)));
+        step.is_some_and(|it| it.long_running)
+    }
+}
+
+/// Why the fate of what runs on a worker is not known, if it is not.
+fn doubt(worker: &Worker) -> Option<Doubt> {
+    match (worker.clock, worker.hold_failures > 0 || !worker.listed) {
+        (None, _) => Some(Doubt::NeverReached),
+        (Some(_), true) => Some(Doubt::Silent),
+        (Some(_), false) => None,
+    }
+}
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -52,11 +52,7 @@
         if worker.tasks.is_empty() || (worker.hold_failures == 0 && worker.listed) {
             return;
         }
-        let over = match worker.clock {
-            Some(_) => worker.lease_over(now),
-            None => now >= self.inherited_until,
-        };
-        if !over {
+        if now < self.over_at(worker) {
             return;
         }
         let lost: Vec<(TaskId, u32)> = worker
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -219,9 +219,12 @@
         Some(self.deadline_ms)
     }
 
-    /// Whether every lease that was ever sent has surely run out on the worker's own clock.
-    pub(crate) fn lease_over(&self, now: Instant) -> bool {
-        self.clock_at_least(now).is_some_and(|it| it > self.deadline_ms + EXPIRY_MARGIN_MS)
+    /// When every lease that was ever sent has surely run out on the worker's own clock, if that was
+    /// ever read.
+    pub(crate) fn lease_over_at(&self) -> Option<Instant> {
+        let (clock, at) = self.clock?;
+        let left = (self.deadline_ms + EXPIRY_MARGIN_MS + 1).saturating_sub(clock);
+        Some(at + Duration::from_millis(left * 1_000 / (1_000 - CLOCK_SLOW_PERMILLE) + 1))
     }
 
     pub(crate) fn free(&self) -> Resources {
