--- /dev/null
+++ b/daisy-workflow/tests/takeover.rs
@@ -0,0 +1,46 @@
+//! Tasks that last while their owner changes and their worker is out of reach.
+
+mod util;
+
+use util::{FakeWorker, Fault, LASTS_MS, World, job, lasting, task};
+
+const TASKS: u32 = 10;
+
+/// Milliseconds without a disturbance after which a task that lasts has to be at work where there is
+/// room, as the platform's contract has it.
+const CALM_MS: u64 = 7_000;
+
+/// Five workers with room for twice the tasks that last, all of which have been at work for a while.
+fn at_work() -> World {
+    let names = ["w1", "w2", "w3", "w4", "w5"];
+    let mut world = World::new(names.map(|it| FakeWorker::new(it, 4)).into());
+    world.work = |_| LASTS_MS;
+    world.submit(1, job(vec![lasting(TASKS)]));
+    assert!(world.run_until(1_000, all_run), "no room in an empty fleet");
+    world.run_ms(3_000);
+    world
+}
+
+fn all_run(world: &World) -> bool {
+    (0..TASKS).all(|it| !world.places(task(1, 0, it)).is_empty())
+}
+
+/// A worker with some of the tasks crashes and does not come back.
+fn lose_a_worker(world: &mut World) {
+    let worker = world.workers.iter_mut().find(|it| !it.runs.is_empty()).expect("one at work");
+    worker.runs.clear();
+    worker.listed = false;
+    worker.fault = Fault::Cut;
+}
+
+/// A task was down for 15 s as the new owner allowed for renewals by the one before.
+#[test]
+fn a_task_of_a_lost_worker_starts_elsewhere_soon_after_a_change_of_owner() {
+    let mut world = at_work();
+    lose_a_worker(&mut world);
+
+    world.change_owner(false);
+    let again = world.run_until(CALM_MS, all_run);
+
+    assert!(again, "a task that lasts is down after {CALM_MS} ms");
+}
