Tests with several owners alive at a time

An old owner that is cut off, or stands still, and the one that replaced it were never alive in the same test, so nothing showed what both do to one worker. tests/util/partition.rs drives several owners, each under its own epoch, over links that are cut and healed one way or both, with workers that crash, leave the list and run slow clocks. After each step no task may run in two places; the longest time without a run of a task that lasts is kept.

What a worker does on an action, what stands in the log and what must hold of all runs are shared with the world of one owner. Fake workers now grant no lease beyond the longest of the contract.

--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -1,24 +1,33 @@
-//! Fixtures: jobs, and a world of fake workers and a log around one owner at a time.
+//! Fixtures: jobs, and worlds of fake workers and a log around one owner at a time, or several.
 
 #![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
 
 mod fleet;
+mod log;
+mod partition;
 mod worker;
 mod world;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use daisy_model::Resources;
 use daisy_workflow::{JobId, JobSpec, Queue, Queues, Service, StepSpec, TaskId, Terms};
 
 pub use self::{
     fleet::Fleet,
+    partition::{Cluster, Node},
     worker::{FakeWorker, Fault, LASTS_MS},
     world::World,
 };
 
 pub const CORE: u32 = 1_000;
 
+/// How long each step of a world takes.
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// The longest lease that a worker grants.
+pub const LEASE_MAX: Duration = Duration::from_secs(10);
+
 /// Terms of a queue that gives a task three attempts.
 pub fn terms() -> Terms {
     Terms {
--- /dev/null
+++ b/daisy-workflow/tests/util/partition.rs
@@ -0,0 +1,546 @@
+//! Several owners at a time, each of which reaches a part of the store and of the workers.
+
+use std::time::Duration;
+
+use daisy_model::Instant;
+use daisy_workflow::{
+    Action, Batch, Event, JobId, JobSpec, Layout, Ledger, Listed, Owner, RENEW_ALONE_MAX, Record,
+    ShardId, Start, TaskId, WorkerKey,
+};
+
+use super::{
+    LASTS_MS, LEASE_MAX, STEP,
+    log::Log,
+    worker::{FakeWorker, target, unanswered},
+    world::{check_runs, owner},
+};
+
+/// Between signs of life.
+const SIGN_EVERY: Duration = Duration::from_millis(400);
+/// After silence for this long others claim.
+const SILENCE: Duration = Duration::from_millis(1_400);
+/// Before a write without an answer is sent again.
+const WRITE_AGAIN: Duration = Duration::from_millis(600);
+/// Before a call counts as unanswered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(450);
+/// Between reads of the list of workers.
+const LIST_EVERY: Duration = Duration::from_millis(100);
+/// Between a worker's writes of its entry, and how long an entry stands.
+const ENTRY_EVERY: Duration = Duration::from_millis(1_100);
+const ENTRY_STANDS: Duration = Duration::from_millis(3_300);
+/// The shortest time for which a crashed worker is away.
+const DOWN_MIN: Duration = Duration::from_millis(300);
+/// A key that stands for the log, whose refusals end an owner as those of workers do.
+const LOG: WorkerKey = WorkerKey(u32::MAX);
+
+/// What can be cut off from another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Node {
+    /// The log and the list of workers.
+    Store,
+    /// A VM on which an owner may run.
+    Vm(usize),
+    Worker(usize),
+}
+
+/// A write to the log that is not known to have been taken.
+struct Write {
+    /// What is recorded; `None` for a sign of life.
+    batch: Option<Batch>,
+    send_at: Instant,
+}
+
+/// An owner's process.
+struct Process {
+    epoch: u64,
+    owner: Owner,
+    settled: bool,
+    began_at: Instant,
+    signed_at: Option<Instant>,
+    listed_at: Option<Instant>,
+    writes: Vec<Write>,
+    /// What it has decided and not sent yet.
+    outbox: Vec<Action>,
+    /// Answers, and when they arrive.
+    inbox: Vec<(Instant, Event)>,
+    /// Submissions that it has read.
+    read: usize,
+}
+
+/// A VM; it may run an owner.
+#[derive(Default)]
+struct Vm {
+    process: Option<Process>,
+    frozen: bool,
+}
+
+/// A call under way.
+struct Call {
+    at: Instant,
+    sent_at: Instant,
+    vm: usize,
+    epoch: u64,
+    worker: String,
+    action: Action,
+}
+
+/// The newest claim, with what its signs of life have told since.
+struct Claimed {
+    epoch: u64,
+    vm: usize,
+    settled: bool,
+    released: bool,
+}
+
+/// A task that lasts: since when it is away, and for how long it was at most.
+struct Watched {
+    task: TaskId,
+    since: Option<Instant>,
+    longest: Duration,
+}
+
+/// A worker that has crashed: when it is back, and as what.
+struct Down {
+    until: Instant,
+    name: String,
+}
+
+/// VMs, workers and the store; checks after each step that no task runs twice.
+pub struct Cluster {
+    pub now: Instant,
+    pub step: Duration,
+    pub workers: Vec<FakeWorker>,
+    /// What stands in the log.
+    pub ledger: Ledger,
+    /// Whether a VM claims once no sign of life was taken for a while.
+    pub elects: bool,
+    /// How long calls to workers are under way; they are then carried out whatever was cut meanwhile.
+    pub calls_take: Duration,
+    vms: Vec<Vm>,
+    down: Vec<Option<Down>>,
+    /// Ways on which nothing passes.
+    cut: Vec<(Node, Node)>,
+    log: Log,
+    claimed: Option<Claimed>,
+    /// The epoch of the newest sign of life, and when it was taken. Signs are fenced by signs alone, as
+    /// they are in a partition of their own.
+    signed: (u64, Instant),
+    entries: Vec<(Instant, Listed)>,
+    calls: Vec<Call>,
+    watched: Vec<Watched>,
+}
+
+impl Cluster {
+    /// VMs and workers that reach each other; the first VM has an owner.
+    pub fn new(vms: usize, workers: Vec<FakeWorker>) -> Cluster {
+        let now = Instant::from_millis(1_000);
+        let mut cluster = Cluster {
+            now,
+            step: STEP,
+            down: workers.iter().map(|_| None).collect(),
+            workers,
+            ledger: Ledger::default(),
+            elects: false,
+            calls_take: Duration::ZERO,
+            vms: (0..vms).map(|_| Vm::default()).collect(),
+            cut: Vec::new(),
+            log: Log::default(),
+            claimed: None,
+            signed: (0, now),
+            entries: Vec::new(),
+            calls: Vec::new(),
+            watched: Vec::new(),
+        };
+        cluster.claim(0);
+        cluster
+    }
+
+    pub fn submit(&mut self, id: u64, spec: JobSpec) {
+        let lasting = (0u16..).zip(&spec.steps).filter(|(_, it)| it.long_running);
+        let tasks = lasting.flat_map(|(step, it)| {
+            let task = move |index| TaskId { job: JobId(id), occurrence: 0, step, index };
+            (0..it.count).map(task)
+        });
+        let watched = |task| Watched { task, since: None, longest: Duration::ZERO };
+        self.watched.extend(tasks.map(watched));
+        let record = self.log.submit(&Record::Submitted(JobId(id), spec));
+        self.ledger.fold(record);
+    }
+
+    /// Nothing passes between any of `some` and any of `others`.
+    pub fn cut(&mut self, some: &[Node], others: &[Node]) {
+        for (a, b) in some.iter().flat_map(|a| others.iter().map(|b| (*a, *b))) {
+            self.cut_way(a, b);
+            self.cut_way(b, a);
+        }
+    }
+
+    /// Nothing passes from one to the other.
+    pub fn cut_way(&mut self, from: Node, to: Node) {
+        if let Err(at) = self.cut.binary_search(&(from, to)) {
+            self.cut.insert(at, (from, to));
+        }
+    }
+
+    /// A group, such as a data centre, reaches only itself.
+    pub fn cut_off(&mut self, group: &[Node]) {
+        let others: Vec<Node> = self.nodes().into_iter().filter(|it| !group.contains(it)).collect();
+        self.cut(group, &others);
+    }
+
+    pub fn heal(&mut self, some: &[Node], others: &[Node]) {
+        let are = |a: &Node, b: &Node| some.contains(a) && others.contains(b);
+        self.cut.retain(|(a, b)| !are(a, b) && !are(b, a));
+    }
+
+    pub fn heal_all(&mut self) {
+        self.cut.clear();
+        self.calls_take = Duration::ZERO;
+        (0..self.vms.len()).for_each(|vm| self.wake(vm));
+    }
+
+    fn nodes(&self) -> Vec<Node> {
+        let vms = (0..self.vms.len()).map(Node::Vm);
+        let workers = (0..self.workers.len()).map(Node::Worker);
+        [Node::Store].into_iter().chain(vms).chain(workers).collect()
+    }
+
+    fn passes(&self, from: Node, to: Node) -> bool {
+        self.cut.binary_search(&(from, to)).is_err()
+    }
+
+    fn reach(&self, a: Node, b: Node) -> bool {
+        self.passes(a, b) && self.passes(b, a)
+    }
+
+    /// A VM stands still: what it has decided it sends once it wakes, and what it is told it hears then.
+    pub fn freeze(&mut self, vm: usize) {
+        self.vms[vm].frozen = true;
+    }
+
+    pub fn wake(&mut self, vm: usize) {
+        self.vms[vm].frozen = false;
+    }
+
+    /// The process on a VM ends without a word; calls that are under way arrive.
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm] = Vm::default();
+    }
+
+    /// The owner on a VM gives the shard up; whether it could say so.
+    pub fn release(&mut self, vm: usize) -> bool {
+        let reaches = self.reach(Node::Vm(vm), Node::Store) && !self.vms[vm].frozen;
+        let epoch = self.epoch(vm);
+        let claimed = self.claimed.as_mut().filter(|it| reaches && Some(it.epoch) == epoch);
+        let Some(claimed) = claimed else { return false };
+        claimed.released = true;
+        self.vms[vm].process = None;
+        true
+    }
+
+    /// The epoch of the owner on a VM.
+    pub fn epoch(&self, vm: usize) -> Option<u64> {
+        self.vms[vm].process.as_ref().map(|it| it.epoch)
+    }
+
+    pub fn is_frozen(&self, vm: usize) -> bool {
+        self.vms[vm].frozen
+    }
+
+    /// A VM claims the shard and reads its log; whether it could.
+    pub fn claim(&mut self, vm: usize) -> bool {
+        let it = &self.vms[vm];
+        if it.frozen || it.process.is_some() || !self.reach(Node::Vm(vm), Node::Store) {
+            return false;
+        }
+        let last = self.claimed.as_ref();
+        let settled = last.is_none_or(|it| (it.released || it.vm == vm) && it.settled);
+        let epoch = last.map_or(0, |it| it.epoch) + 1;
+        self.claimed = Some(Claimed { epoch, vm, settled, released: false });
+        let ledger = self.log.read(false, false);
+        self.vms[vm].process = Some(Process {
+            epoch,
+            owner: owner(self.now, ledger, settled, ShardId(0), Layout { shards: 1 }),
+            settled,
+            began_at: self.now,
+            signed_at: None,
+            listed_at: None,
+            writes: Vec::new(),
+            outbox: Vec::new(),
+            inbox: Vec::new(),
+            read: self.log.submissions.len(),
+        });
+        true
+    }
+
+    /// A worker crashes and is back after a while under its id, or under another.
+    pub fn crash(&mut self, at: usize, away: Duration, same_id: bool) {
+        let worker = &mut self.workers[at];
+        worker.runs.clear();
+        let name = if same_id { worker.name.clone() } else { format!("{}'", worker.name) };
+        self.down[at] = Some(Down { until: self.now + away.max(DOWN_MIN), name });
+    }
+
+    pub fn is_down(&self, worker: usize) -> bool {
+        self.down[worker].is_some()
+    }
+
+    pub fn run_ms(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done`, at most for `millis`; whether it came about.
+    pub fn run_until(&mut self, millis: u64, done: impl Fn(&Cluster) -> bool) -> bool {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end && !done(self) {
+            self.step();
+        }
+        done(self)
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now + self.step;
+        self.pass();
+        self.write_entries();
+        if self.elects {
+            self.elect();
+        }
+        for vm in 0..self.vms.len() {
+            self.run(vm);
+        }
+        self.deliver();
+        check_runs(&self.workers, &self.ledger);
+        self.watch();
+    }
+
+    fn pass(&mut self) {
+        let now = self.now;
+        for (worker, down) in self.workers.iter_mut().zip(&mut self.down) {
+            if down.as_ref().is_some_and(|it| it.until <= now)
+                && let Some(it) = down.take()
+            {
+                let slow_permille = worker.slow_permille;
+                worker.restart(now);
+                worker.name = it.name;
+                worker.slow_permille = slow_permille;
+                worker.zero_ms = now.0 / 1_000;
+                worker.offset = 1;
+            }
+            if down.is_none() {
+                worker.pass(now, &|_| false);
+            }
+        }
+    }
+
+    fn write_entries(&mut self) {
+        let now = self.now;
+        for at in 0..self.workers.len() {
+            let listing = self.workers[at].listing();
+            let known = self.entries.iter().position(|(_, it)| it.id == listing.id);
+            let due = known.is_none_or(|it| {
+                let (written_at, entry) = &self.entries[it];
+                now.since(*written_at) >= ENTRY_EVERY || entry.born_ms != listing.born_ms
+            });
+            if due && !self.is_down(at) && self.passes(Node::Worker(at), Node::Store) {
+                self.entries.retain(|(_, it)| it.id != listing.id);
+                self.entries.push((now, listing));
+            }
+        }
+        self.entries.retain(|(at, _)| now.since(*at) < ENTRY_STANDS);
+    }
+
+    fn elect(&mut self) {
+        let released = self.claimed.as_ref().is_some_and(|it| it.released);
+        if released || self.now.since(self.signed.1) > SILENCE {
+            // A claim counts as a sign of life to the others.
+            self.signed.1 = self.now;
+            let _ = (0..self.vms.len()).any(|vm| self.claim(vm));
+        }
+    }
+
+    /// What a process does in a step.
+    fn run(&mut self, vm: usize) {
+        if self.vms[vm].frozen {
+            return;
+        }
+        let Some(mut process) = self.vms[vm].process.take() else { return };
+        let now = self.now;
+        self.send(vm, &mut process);
+        self.read(vm, &mut process);
+        let (due, later) = process.inbox.drain(..).partition(|(at, _)| *at <= now);
+        process.inbox = later;
+        let due: Vec<(Instant, Event)> = due;
+        due.into_iter().for_each(|(_, event)| process.owner.step(now, event));
+        process.owner.step(now, Event::Tick);
+        process.outbox = process.owner.act(now);
+        if process.outbox.contains(&Action::StepDown) {
+            self.send(vm, &mut process);
+            return;
+        }
+        if let Some(batch) = process.owner.try_batch(now) {
+            process.writes.push(Write { batch: Some(batch), send_at: now + self.step });
+        }
+        let signs = process.writes.iter().any(|it| it.batch.is_none());
+        if !signs && process.signed_at.is_none_or(|it| now.since(it) >= SIGN_EVERY) {
+            process.signed_at = Some(now);
+            process.writes.push(Write { batch: None, send_at: now });
+        }
+        self.write(vm, &mut process);
+        self.vms[vm].process = Some(process);
+    }
+
+    fn send(&mut self, vm: usize, process: &mut Process) {
+        let now = self.now;
+        for action in process.outbox.drain(..) {
+            let Some(key) = target(&action) else { continue };
+            let name = &process.owner.worker(key).expect("the owner's worker").id.0;
+            let to = self.workers.iter().position(|it| it.name == **name);
+            match to.filter(|to| self.passes(Node::Vm(vm), Node::Worker(*to))) {
+                Some(_) => self.calls.push(Call {
+                    at: now + self.calls_take,
+                    sent_at: now,
+                    vm,
+                    epoch: process.epoch,
+                    worker: name.to_string(),
+                    action,
+                }),
+                None => {
+                    let event = unanswered(action).map(|it| (now + CALL_TIMEOUT, it));
+                    process.inbox.extend(event);
+                }
+            }
+        }
+    }
+
+    fn read(&self, vm: usize, process: &mut Process) {
+        if !self.reach(Node::Vm(vm), Node::Store) {
+            return;
+        }
+        let now = self.now;
+        for record in &self.log.submissions[process.read..] {
+            process.owner.step(now, Event::Record(record.clone()));
+        }
+        process.read = self.log.submissions.len();
+        if process.listed_at.is_none_or(|it| now.since(it) >= LIST_EVERY) {
+            process.listed_at = Some(now);
+            let listed = self.entries.iter().map(|(_, it)| it.clone()).collect();
+            process.owner.step(now, Event::Workers(listed));
+        }
+    }
+
+    fn write(&mut self, vm: usize, process: &mut Process) {
+        let now = self.now;
+        for mut write in std::mem::take(&mut process.writes) {
+            let sent = write.send_at <= now && self.passes(Node::Vm(vm), Node::Store);
+            let answer = sent.then(|| self.take(process, write.batch.as_ref()));
+            match answer.filter(|_| self.passes(Node::Store, Node::Vm(vm))) {
+                Some(event) => process.inbox.push((now + self.step, event)),
+                None => {
+                    if write.send_at <= now {
+                        write.send_at = now + WRITE_AGAIN;
+                    }
+                    process.writes.push(write);
+                }
+            }
+        }
+    }
+
+    /// The log takes a write, or refuses it; taken again, it changes nothing.
+    fn take(&mut self, process: &Process, batch: Option<&Batch>) -> Event {
+        let claimed = self.claimed.as_mut().expect("the first owner has claimed");
+        let newest = if batch.is_some() { claimed.epoch } else { self.signed.0 };
+        if process.epoch < newest {
+            return Event::Fenced(LOG);
+        }
+        match batch {
+            Some(batch) => {
+                for record in self.log.store(batch) {
+                    self.ledger.fold(record);
+                }
+                Event::Appended
+            }
+            None => {
+                self.signed = (process.epoch, self.now);
+                let settles_at = process.began_at + RENEW_ALONE_MAX + LEASE_MAX + LEASE_MAX / 10;
+                if process.epoch == claimed.epoch {
+                    claimed.settled = process.settled || self.now >= settles_at;
+                }
+                Event::Reached
+            }
+        }
+    }
+
+    /// Calls arrive, and their answers go back.
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.calls.drain(..).partition(|it| it.at <= now);
+        self.calls = later;
+        let due: Vec<Call> = due;
+        for Call { sent_at, vm, epoch, worker, action, .. } in due {
+            let at = self.workers.iter().position(|it| it.name == worker);
+            let at = at.filter(|at| !self.is_down(*at));
+            let lost = unanswered(action.clone()).map(|it| (CALL_TIMEOUT, it));
+            let answer = at.and_then(|at| self.obey(at, epoch, action));
+            let back = at.is_some_and(|at| self.passes(Node::Worker(at), Node::Vm(vm)));
+            let answer = if back && now.since(sent_at) < CALL_TIMEOUT { answer } else { lost };
+            let process = self.vms[vm].process.as_mut().filter(|it| it.epoch == epoch);
+            if let (Some(process), Some((after, event))) = (process, answer) {
+                process.inbox.push(((now + after).max(sent_at + self.step), event));
+            }
+        }
+    }
+
+    fn obey(&mut self, at: usize, epoch: u64, action: Action) -> Option<(Duration, Event)> {
+        let work_ms = match &action {
+            Action::Start(_, start) => self.work_ms(start),
+            _ => 0,
+        };
+        let (worker, now) = (&mut self.workers[at], self.now);
+        let before = worker.runs.len();
+        let start = if let Action::Start(_, it) = &action { Some(it.clone()) } else { None };
+        let answer = worker.obey(now, epoch, action, work_ms);
+        if let Some(start) = start.filter(|_| self.workers[at].runs.len() > before) {
+            let state = self.ledger.job(start.task.job).and_then(|it| it.progress.task(start.task));
+            assert!(state.is_some_and(|it| !it.done), "{} is started after its end", start.task);
+            let recorded = state.is_some_and(|it| it.runs >= start.run);
+            assert!(recorded, "{} run {} began before its record", start.task, start.run);
+        }
+        answer
+    }
+
+    fn work_ms(&self, start: &Start) -> u64 {
+        let job = self.ledger.job(start.task.job).expect("only submitted jobs run");
+        let step = &job.spec.steps[usize::from(start.task.step)];
+        if step.long_running { LASTS_MS } else { u64::from(step.estimate_ms) }
+    }
+
+    fn watch(&mut self) {
+        for it in &mut self.watched {
+            let runs = |worker: &FakeWorker| worker.runs.iter().any(|run| run.task == it.task);
+            if self.workers.iter().any(runs) {
+                it.since = Some(self.now);
+            } else if let Some(since) = it.since {
+                it.longest = it.longest.max(self.now.since(since));
+            }
+        }
+    }
+
+    /// Where a task runs.
+    pub fn places(&self, task: TaskId) -> Vec<&str> {
+        let here = |it: &&FakeWorker| it.runs.iter().any(|run| run.task == task);
+        self.workers.iter().filter(here).map(|it| it.name.as_str()).collect()
+    }
+
+    /// Whether all tasks that last run.
+    pub fn all_last(&self) -> bool {
+        self.watched.iter().all(|it| !self.places(it.task).is_empty())
+    }
+
+    /// The longest time for which a task that lasts was without a run.
+    pub fn longest_away(&self) -> Duration {
+        self.watched.iter().map(|it| it.longest).max().unwrap_or_default()
+    }
+}
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -1,12 +1,15 @@
 //! A worker that does what the platform's contract says, with faults on demand.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use daisy_model::{Instant, Resources};
 use daisy_workflow::{
-    Ended, HoldAnswer, Listed, OrderReply, Outcome, Refusal, Running, Start, TaskId,
+    Action, Ended, Event, HoldAnswer, Listed, OrderReply, Outcome, Refusal, Running, Start, TaskId,
+    WorkerKey,
 };
 
+use super::{LEASE_MAX, STEP};
+
 /// What is wrong with a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Fault {
@@ -40,7 +43,8 @@
     pub stopping: Option<u64>,
 }
 
-/// A fake worker; times are milliseconds of its clock, which is the world's clock plus `offset`.
+/// A fake worker; times are milliseconds of its clock, which shows `offset` at `zero_ms` of the world's
+/// clock and runs `slow_permille` slower.
 #[derive(Debug, Clone)]
 pub struct FakeWorker {
     pub name: String,
@@ -48,6 +52,8 @@
     pub labels: Vec<String>,
     pub born_ms: u64,
     pub offset: u64,
+    pub zero_ms: u64,
+    pub slow_permille: u64,
     pub ready: bool,
     pub listed: bool,
     pub fault: Fault,
@@ -67,6 +73,29 @@
     pub late: Vec<(u64, u64, Start, u64)>,
 }
 
+/// The worker that an action calls.
+pub fn target(action: &Action) -> Option<WorkerKey> {
+    match action {
+        Action::Hold { worker: key, .. }
+        | Action::Start(key, _)
+        | Action::Stop(key, ..)
+        | Action::Pace(key, ..) => Some(*key),
+        Action::Forward(..) | Action::StepDown | Action::Note(_) => None,
+    }
+}
+
+/// What an owner hears of a call that gets no answer.
+pub fn unanswered(action: Action) -> Option<Event> {
+    let reply = OrderReply::Unknown;
+    Some(match action {
+        Action::Hold { worker, .. } => Event::Held(worker, None),
+        Action::Start(key, start) => Event::Started(key, start.task, start.run, reply),
+        Action::Stop(key, task, run, _) => Event::Stopped(key, task, run, reply),
+        Action::Pace(key, task, run, percent) => Event::Paced(key, task, run, percent, reply),
+        Action::Forward(..) | Action::StepDown | Action::Note(_) => return None,
+    })
+}
+
 impl FakeWorker {
     pub fn new(name: &str, cores: u32) -> FakeWorker {
         FakeWorker {
@@ -75,6 +104,8 @@
             labels: vec!["a".to_owned(), "r1".to_owned()],
             born_ms: 1,
             offset: 5_000,
+            zero_ms: 0,
+            slow_permille: 0,
             ready: true,
             listed: true,
             fault: Fault::None,
@@ -111,7 +142,50 @@
     }
 
     pub fn clock(&self, now: Instant) -> u64 {
-        now.0 / 1_000 + self.offset
+        let passed = now.0 / 1_000 - self.zero_ms;
+        passed - passed * self.slow_permille / 1_000 + self.offset
+    }
+
+    /// Does what an action of an owner asks for; the answer, and how long that takes.
+    pub fn obey(
+        &mut self,
+        now: Instant,
+        epoch: u64,
+        action: Action,
+        work_ms: u64,
+    ) -> Option<(Duration, Event)> {
+        Some(match action {
+            Action::Hold { worker: key, deadline_ms, cursor, wait } => {
+                match self.hold(now, epoch, deadline_ms, cursor) {
+                    None => (Duration::from_millis(300), Event::Held(key, None)),
+                    Some(Err(())) => (STEP, Event::Fenced(key)),
+                    Some(Ok(answer)) => {
+                        let wait = wait.min(Duration::from_millis(50));
+                        (wait.max(STEP), Event::Held(key, Some(answer)))
+                    }
+                }
+            }
+            Action::Start(key, start) => {
+                let reply = self.start(now, epoch, &start, work_ms);
+                (STEP, Event::Started(key, start.task, start.run, reply))
+            }
+            Action::Stop(key, task, run, _) => {
+                let reply = self.stop(now, epoch, task, run);
+                (STEP, Event::Stopped(key, task, run, reply))
+            }
+            Action::Pace(key, task, run, percent) => {
+                self.set_pace(task, run, percent);
+                let reply = OrderReply::Done { clock_ms: self.clock(now) };
+                (STEP, Event::Paced(key, task, run, percent, reply))
+            }
+            Action::Forward(..) | Action::StepDown | Action::Note(_) => return None,
+        })
+    }
+
+    /// Grants a lease, though none longer than workers ever grant.
+    fn grant(&mut self, clock: u64, deadline_ms: u64) {
+        let longest = clock + LEASE_MAX.as_millis() as u64;
+        self.deadline = self.deadline.max(deadline_ms.min(longest));
     }
 
     /// Lets time pass: work ends, leases lapse, late orders arrive.
@@ -196,7 +270,7 @@
         if start.deadline_ms < clock {
             return OrderReply::Refused(Refusal::Late);
         }
-        self.deadline = self.deadline.max(start.deadline_ms);
+        self.grant(clock, start.deadline_ms);
         let (task, run) = (start.task, start.run);
         self.runs.push(FakeRun {
             task,
@@ -249,7 +323,7 @@
         }
         self.fence = epoch;
         let clock = self.clock(now);
-        self.deadline = self.deadline.max(deadline_ms.unwrap_or_default());
+        self.grant(clock, deadline_ms.unwrap_or_default());
         self.ends.retain(|it| it.number > cursor);
         let percent = |it: &FakeRun| match self.fault {
             Fault::Hangs => 7,
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -4,14 +4,15 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, OrderReply, Owner, Record,
-    Rules, Settings, ShardId, Start, TaskId, WorkerKey, decode, encode,
+    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, Record, Rules, Settings,
+    ShardId, Start, TaskId, WorkerKey,
 };
 
-use super::worker::FakeWorker;
-
-/// How long each step of the world takes.
-const STEP: Duration = Duration::from_millis(10);
+use super::{
+    LEASE_MAX, STEP,
+    log::Log,
+    worker::{FakeWorker, target},
+};
 
 /// Between signs of life, in microseconds.
 const SIGN_EVERY_US: u64 = 400_000;
@@ -40,9 +41,7 @@
     pub fails: fn(TaskId) -> bool,
     pending: Option<(Instant, Batch)>,
     events: Vec<(Instant, Event)>,
-    /// What stands in the shard's submissions and in its progress.
-    submissions: Vec<Record>,
-    progress: Vec<Record>,
+    log: Log,
 }
 
 impl World {
@@ -71,8 +70,7 @@
             fails: |_| false,
             pending: None,
             events: Vec::new(),
-            submissions: Vec::new(),
-            progress: Vec::new(),
+            log: Log::default(),
         }
     }
 
@@ -86,10 +84,8 @@
 
     /// A record comes to stand in the shard's submissions.
     pub fn write(&mut self, record: Record) {
-        let (key, value) = encode(&record);
-        let record = decode(&key, &value).expect("own records can be read");
+        let record = self.log.submit(&record);
         self.ledger.fold(record.clone());
-        self.submissions.push(record.clone());
         self.owner.step(self.now, Event::Record(record));
     }
 
@@ -106,18 +102,7 @@
     /// The same; the new one reads the log anew, in the order of its keys or as it was written.
     pub fn change_owner_that_reads(&mut self, by_key: bool, progress_first: bool) {
         self.change_owner(true);
-        let mut submissions = self.submissions.clone();
-        if by_key {
-            submissions.sort_by_key(|it| encode(it).0);
-        }
-        let mut ledger = Ledger::default();
-        let (first, second) = match progress_first {
-            true => (&self.progress, &submissions),
-            false => (&submissions, &self.progress),
-        };
-        for it in first.iter().chain(second) {
-            ledger.fold(it.clone());
-        }
+        let ledger = self.log.read(by_key, progress_first);
         self.owner = owner(self.now, ledger, true, self.shard, self.layout);
     }
 
@@ -219,69 +204,41 @@
     }
 
     fn store(&mut self, batch: &Batch) {
-        for record in &batch.records {
-            let (key, value) = encode(record);
-            let record = decode(&key, &value).expect("own records can be read");
-            self.progress.retain(|it| encode(it).0 != key);
-            self.progress.push(record.clone());
+        for record in self.log.store(batch) {
             self.ledger.fold(record);
         }
     }
 
     fn carry_out(&mut self, action: Action) {
-        let now = self.now;
-        let epoch = self.epoch;
+        if let Action::Start(key, start) = &action {
+            self.check_start(*key, start);
+        }
         match action {
-            Action::Hold { worker: key, deadline_ms, cursor, wait } => {
-                let worker = self.of(key);
-                let (after, event) = match worker.hold(now, epoch, deadline_ms, cursor) {
-                    None => (Duration::from_millis(300), Event::Held(key, None)),
-                    Some(Err(())) => (STEP, Event::Fenced(key)),
-                    Some(Ok(answer)) => {
-                        let wait = wait.min(Duration::from_millis(50));
-                        (wait.max(STEP), Event::Held(key, Some(answer)))
-                    }
-                };
-                self.events.push((now + after, event));
-            }
-            Action::Start(key, start) => self.start(key, start),
-            Action::Stop(key, task, run, _) => {
-                let reply = self.of(key).stop(now, epoch, task, run);
-                self.events.push((now + STEP, Event::Stopped(key, task, run, reply)));
-            }
-            Action::Pace(key, task, run, percent) => {
-                self.of(key).set_pace(task, run, percent);
-                let reply = OrderReply::Done { clock_ms: self.of(key).clock(now) };
-                self.events.push((now + STEP, Event::Paced(key, task, run, percent, reply)));
-            }
             Action::Forward(shard, record) => self.forwarded.push((shard, record)),
             Action::StepDown => self.stepped_down = true,
             Action::Note(_) => {}
+            action => self.call(action),
         }
     }
 
-    fn start(&mut self, key: WorkerKey, start: Start) {
+    fn call(&mut self, action: Action) {
+        let Some(key) = target(&action) else { return };
+        let work_ms = if let Action::Start(_, it) = &action { (self.work)(it.task) } else { 0 };
+        let (now, epoch) = (self.now, self.epoch);
+        if let Some((after, event)) = self.of(key).obey(now, epoch, action, work_ms) {
+            self.events.push((now + after, event));
+        }
+    }
+
+    fn check_start(&mut self, key: WorkerKey, start: &Start) {
         // An end that its worker lost with all else before it was recorded is no end.
-        let state = |world: &World| {
-            let job = world.ledger.job(start.task.job)?;
-            let steps = &job.progress.occurrences.get(start.task.occurrence as usize)?;
-            Some(steps[usize::from(start.task.step)][start.task.index as usize].clone())
-        };
-        let ended = state(self).is_none_or(|it| it.done);
-        assert!(!ended, "{} is started after its end", start.task);
-        let recorded = self.ledger.job(start.task.job).is_some_and(|job| {
-            let steps = &job.progress.occurrences[start.task.occurrence as usize];
-            let state = &steps[usize::from(start.task.step)][start.task.index as usize];
-            state.copies.iter().any(|it| it.run == start.run)
-        });
+        let job = self.ledger.job(start.task.job);
+        let state = job.and_then(|it| it.progress.task(start.task));
+        assert!(state.is_some_and(|it| !it.done), "{} is started after its end", start.task);
+        let recorded = state.is_some_and(|it| it.copies.iter().any(|it| it.run == start.run));
         assert!(recorded, "{} run {} was ordered before its record", start.task, start.run);
-        let work = (self.work)(start.task);
-        let (now, epoch) = (self.now, self.epoch);
-        let worker = self.of(key);
-        let name = worker.name.clone();
-        let reply = worker.start(now, epoch, &start, work);
+        let name = self.of(key).name.clone();
         self.starts.push((start.task, start.run, name));
-        self.events.push((now + STEP, Event::Started(key, start.task, start.run, reply)));
     }
 
     fn of(&mut self, key: WorkerKey) -> &mut FakeWorker {
@@ -289,28 +246,32 @@
         self.worker(&id.0)
     }
 
-    /// What must hold at each moment.
     fn check(&self) {
-        let mut seen: Vec<TaskId> = Vec::new();
-        for worker in &self.workers {
-            let mut cpu = 0;
-            for run in &worker.runs {
-                let job = self.ledger.job(run.task.job).expect("only submitted jobs run");
-                let step = &job.spec.steps[usize::from(run.task.step)];
-                cpu += step.counted().cpu_milli;
-                assert!(
-                    step.speculative || !seen.contains(&run.task),
-                    "{} runs in two places",
-                    run.task
-                );
-                seen.push(run.task);
-            }
-            assert!(cpu <= worker.capacity.cpu_milli, "{} is over its capacity", worker.name);
+        check_runs(&self.workers, &self.ledger);
+    }
+}
+
+/// What must hold of all that runs at each moment.
+pub fn check_runs(workers: &[FakeWorker], ledger: &Ledger) {
+    let mut seen: Vec<TaskId> = Vec::new();
+    for worker in workers {
+        let mut cpu = 0;
+        for run in &worker.runs {
+            let job = ledger.job(run.task.job).expect("only submitted jobs run");
+            let step = &job.spec.steps[usize::from(run.task.step)];
+            cpu += step.counted().cpu_milli;
+            assert!(
+                step.speculative || !seen.contains(&run.task),
+                "{} runs in two places",
+                run.task
+            );
+            seen.push(run.task);
         }
+        assert!(cpu <= worker.capacity.cpu_milli, "{} is over its capacity", worker.name);
     }
 }
 
-fn owner(
+pub fn owner(
     now: Instant,
     ledger: Ledger,
     predecessor_gone: bool,
@@ -319,7 +280,7 @@
 ) -> Owner {
     let settings = Settings {
         lease: Duration::from_secs(5),
-        lease_max: Duration::from_secs(10),
+        lease_max: LEASE_MAX,
         shard,
         layout,
         rules: Rules::default(),
