An owner's right to renew counts from when it last asked, not from when it heard

What would have been seen: a task that lasts at work in two places, after an owner was frozen or cut off from the log together with a worker.

- a start whose record was taken before a freeze was ordered after it, with a fresh lease;
- a start without an answer was sent again after a freeze;
- and without the log for as long as it went unanswered: neither minded the bound on renewals;
- the 10 s for which an owner renews without the log counted from when it heard that a sign was taken, not from when it had sent it;
- the next owner counted its wait from its own beginning, while signs of the one before are taken until its own first sign fences them.

Class: a right counted from the arrival of its proof instead of from its cause. Now what the log took counts from when it was first sent, also the claim itself; starts, again or not, need the same right as renewals, and one whose record came too late is taken back, as nothing was sent; the next owner counts from its first sign that was taken, from which on the log refuses all before it. Both sides stand in one module, succession. No wait is shorter by this.

--- a/daisy-measure/src/overload/drive.rs
+++ b/daisy-measure/src/overload/drive.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::{Instant, Resources, SortedMap};
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobKind, JobState, Layout, Ledger, Owner, Queue, Queues, Record,
-    Rules, Service, Settings, ShardId, Start, TaskId, WorkerKey,
+    Action, Batch, Claimed, Event, JobId, JobKind, JobState, Layout, Ledger, Owner, Queue, Queues,
+    Record, Rules, Service, Settings, ShardId, Start, TaskId, WorkerKey,
 };
 
 use super::{
@@ -142,7 +142,7 @@
         for (own, shard) in self.layout.all().zip(&mut self.shards) {
             let others = loads.iter().filter(|(id, _)| *id != own).copied();
             shard.owner.step(now, Event::Loads(others.collect()));
-            shard.owner.step(now, Event::Reached);
+            shard.owner.step(now, Event::Reached { sent_at: now });
             for (from, seen) in self.layout.all().zip(&seen) {
                 if from != own && !seen.is_empty() {
                     shard.owner.step(now, Event::Observed(seen.clone()));
@@ -269,7 +269,8 @@
             rules,
         };
         let now = Instant::from_millis(0);
-        let owner = Owner::new(now, 0, settings, Ledger::default(), queues(), true);
+        let claimed = Claimed { at: now, alone: true };
+        let owner = Owner::new(now, 0, settings, Ledger::default(), queues(), claimed);
         Shard {
             owner,
             workers: Vec::new(),
--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -113,6 +113,8 @@
 /// A claim that stands, with all that the log says of the shard.
 struct Won {
     epoch: u64,
+    /// A time before the claim was sent.
+    claimed_at: Instant,
     ledger: Ledger,
     jobs: Tail,
     settled: bool,
@@ -199,6 +201,7 @@
         }
         self.rtt = clock::now().since(began);
         let mut claimed = None;
+        let mut claimed_at = began;
         for _ in 0..TRIES {
             let read = match progress.take() {
                 Some(it) => Some(it),
@@ -223,7 +226,7 @@
                     }
                 }
                 let Reading { ledger, jobs, .. } = reading;
-                return Some(Won { epoch, ledger, jobs, settled });
+                return Some(Won { epoch, claimed_at, ledger, jobs, settled });
             }
             let rival = self.election.is_just_claimed(last);
             if rival || claimed.is_some() && seen {
@@ -234,6 +237,7 @@
                 return None;
             }
             let settled = self.is_settled(last);
+            claimed_at = clock::now();
             claimed = self.append_claim(reading.progress.next()?, settled).await;
         }
         // Somebody else was faster, or the log does not answer: as after a sign of life.
@@ -298,7 +302,7 @@
     }
 
     async fn own(&mut self, won: Won) {
-        let Won { epoch, ledger, jobs, settled } = won;
+        let Won { epoch, claimed_at, ledger, jobs, settled } = won;
         let (shard, elect) = (self.shard, &self.elect);
         log::info!("event=owner shard={} epoch={epoch} settled={settled}", shard.0);
         elect.metrics.owner("won");
@@ -312,6 +316,7 @@
             shard,
             epoch,
             claim: self.election.claim(epoch, settled),
+            claimed_at,
             told,
         };
         let why = ownership.run(ledger, jobs).await;
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -11,8 +11,8 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Lateness, Layout, Ledger, Owner, RENEW_ALONE_MAX, Record, Rules,
-    Settings, ShardId, Sign, Telling, Told, Uncertain, WorkerKey, encode,
+    Action, Claim, Claimed, Event, JobId, Lateness, Layout, Ledger, Owner, Record, Rules, Settings,
+    ShardId, Sign, Telling, Told, Uncertain, WorkerKey, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -45,6 +45,8 @@
     pub shard: ShardId,
     pub epoch: u64,
     pub claim: Claim,
+    /// A time before the claim was sent.
+    pub claimed_at: Instant,
     /// States that all VMs know already.
     pub told: SortedMap<JobId, Told>,
 }
@@ -82,7 +84,8 @@
 #[derive(Debug)]
 enum Append {
     Progress,
-    States,
+    /// States, or a sign of life, first sent at this time.
+    States(Instant),
     Fenced,
 }
 
@@ -125,7 +128,6 @@
             telling_now: false,
             told_seq: 0,
             jobs_read,
-            began_at: now,
             observed_at: now,
             lateness: Lateness::new(now, TICK),
             reported_at: now,
@@ -153,9 +155,10 @@
         let lease_max = self.elect.settings.lease_max;
         let rules = Rules::default();
         let settings = Settings { lease, lease_max, shard: self.shard, layout, rules };
+        let claimed = Claimed { at: self.claimed_at, alone: self.claim.settled };
         known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
-        Owner::new(now, clock::wall_ms(), settings, ledger, queues, self.claim.settled)
+        Owner::new(now, clock::wall_ms(), settings, ledger, queues, claimed)
     }
 }
 
@@ -177,7 +180,6 @@
     told_seq: u64,
     /// When all submissions had last been read.
     jobs_read: watch::Receiver<Instant>,
-    began_at: Instant,
     /// When what was learnt was last given to other owners.
     observed_at: Instant,
     lateness: Lateness,
@@ -398,19 +400,16 @@
         self.telling_now = true;
         let guard = self.guard(self.told_seq);
         self.told_seq += 1;
-        self.send(Topic::States, records, guard, Append::States);
+        self.send(Topic::States, records, guard, Append::States(clock::now()));
     }
 
     /// A sign of life.
     fn sign(&self, now: Instant, released: bool) -> Sign {
         /// Twice the longest wait for a new record.
         const CURRENT: Duration = Duration::from_millis(800);
-        let lease = self.ownership.elect.settings.lease_max;
-        // By then, what owners before this one may have granted has run out by any worker's clock.
-        let settles_at = self.began_at + RENEW_ALONE_MAX + lease + lease / 10;
         let claim = Claim {
             released,
-            settled: self.ownership.claim.settled || now >= settles_at,
+            settled: self.ownership.claim.settled || self.owner.is_settled(now),
             ..self.ownership.claim.clone()
         };
         let shard = self.ownership.shard;
@@ -450,9 +449,9 @@
                 self.appending = false;
                 Event::Appended
             }
-            Some(Append::States) => {
+            Some(Append::States(sent_at)) => {
                 self.telling_now = false;
-                Event::Reached
+                Event::Reached { sent_at }
             }
             Some(Append::Fenced) | None => return false,
         };
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -38,9 +38,9 @@
     lateness::Lateness,
     ledger::{Fold, Job, JobState, Ledger},
     owner::{
-        Action, Batch, Doubt, Ended, Event, HoldAnswer, Lacks, Listed, Note, OrderReply, Outcome,
-        Owner, Packing, RENEW_ALONE_MAX, Refusal, Rules, Running, Settings, Start, StopCause,
-        Summary, Uncertain, WaitCause, Worker, WorkerKey,
+        Action, Batch, Claimed, Doubt, Ended, Event, HoldAnswer, Lacks, Listed, Note, OrderReply,
+        Outcome, Owner, Packing, Refusal, Rules, Running, Settings, Start, StopCause, Summary,
+        Uncertain, WaitCause, Worker, WorkerKey,
     },
     patience::Patience,
     progress::{Copy, Phase, Progress, TaskState},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -19,6 +19,7 @@
 mod place;
 mod plan;
 mod room;
+mod succession;
 mod summary;
 mod uncertain;
 mod watch;
@@ -32,6 +33,7 @@
     defragment::Move,
     interference::Interference,
     place::Kept,
+    succession::Succession,
     worker::{Assignment, Sent, Stop},
 };
 pub use self::{
@@ -40,6 +42,7 @@
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
         Running, Start, StopCause, WaitCause,
     },
+    succession::Claimed,
     summary::Summary,
     uncertain::{Doubt, Uncertain},
     worker::{Worker, WorkerKey},
@@ -49,13 +52,6 @@
     TaskId, WorkerId,
 };
 
-/// How long an owner whose writes the log does not take goes on renewing leases.
-///
-/// An outage of the platform must not end the work that runs; but a worker that only the old
-/// owner reaches keeps its tasks from starting elsewhere for as long. Outages of the contract
-/// last up to 9 s.
-pub const RENEW_ALONE_MAX: Duration = Duration::from_secs(10);
-
 /// Figures of the platform that an owner goes by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -134,10 +130,8 @@
     learnt_at: Instant,
     /// Copies recorded by an earlier owner on workers that the list does not name.
     orphans: Vec<Orphan>,
-    /// When every lease that an earlier owner may have granted has surely run out.
-    inherited_until: Instant,
-    /// When the log last took a batch or a sign of life.
-    appended_at: Instant,
+    /// Who may renew leases besides.
+    succession: Succession,
     /// When this owner began, and the wall clock then, in milliseconds since 1970.
     began_at: Instant,
     began_wall_ms: u64,
@@ -176,6 +170,8 @@
 /// A batch that is being appended.
 #[derive(Debug)]
 struct InFlight {
+    /// When it was given out to be sent.
+    began: Instant,
     starts: Vec<(WorkerKey, TaskId, u32)>,
     /// Ends that its records cover: worker, incarnation, number.
     cursors: Vec<(WorkerKey, u64, u64)>,
@@ -188,18 +184,15 @@
 
 impl Owner {
     /// An owner that begins with what `ledger` says; `wall_ms` is the present time since 1970.
-    ///
-    /// `predecessor_gone` says that the owner before has surely ended, so that it renews nothing.
     pub fn new(
         now: Instant,
         wall_ms: u64,
         settings: Settings,
         ledger: Ledger,
         queues: Arc<Queues>,
-        predecessor_gone: bool,
+        claimed: Claimed,
     ) -> Owner {
-        let alone = if predecessor_gone { Duration::ZERO } else { RENEW_ALONE_MAX };
-        let inherited_until = now + alone + settings.lease + settings.lease / 20;
+        let succession = Succession::new(now, claimed);
         let interference = Interference::inherit(now, ledger.learnt());
         let mut owner = Owner {
             settings,
@@ -216,8 +209,7 @@
             interference,
             learnt_at: now,
             orphans: Vec::new(),
-            inherited_until,
-            appended_at: now,
+            succession,
             began_at: now,
             began_wall_ms: wall_ms,
             plan_due: true,
@@ -293,7 +285,7 @@
                 self.paced(worker, task, run, percent, reply);
             }
             Event::Appended => self.appended(now),
-            Event::Reached => self.appended_at = now,
+            Event::Reached { sent_at } => self.reached(now, sent_at),
             Event::Loads(loads) => self.others.update(loads),
             Event::Observed(seen) => {
                 seen.iter().for_each(|it| self.interference.add_observations(now, it));
@@ -350,7 +342,7 @@
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
         let starts = std::mem::take(&mut self.recording);
-        self.in_flight = Some(InFlight { starts, cursors, states, delegated, handed });
+        self.in_flight = Some(InFlight { began: now, starts, cursors, states, delegated, handed });
         Some(Batch { records })
     }
 
--- a/daisy-workflow/src/owner/defragment.rs
+++ b/daisy-workflow/src/owner/defragment.rs
@@ -113,7 +113,7 @@
         self.settings.rules.defragments
             && !self.short.is_empty()
             && now.since(self.began_at) >= STAYS
-            && now.since(self.appended_at) <= LOG_RECENT
+            && self.succession.silent_for(now) <= LOG_RECENT
     }
 
     fn begin_move(&mut self, now: Instant, choice: Choice, need: Resources) {
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -274,13 +274,13 @@
     /// Renews a worker's lease if that is due.
     pub(super) fn renew(&mut self, now: Instant, key: WorkerKey) {
         let lease = self.settings.lease;
-        let alone = now.since(self.appended_at) > super::RENEW_ALONE_MAX;
+        let may_renew = self.may_renew(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.holding || !hold_due(now, worker) {
             return;
         }
         // While a worker is silent, nothing is granted: else its leases would never run out.
-        let grant = worker.fenced && worker.hold_failures == 0 && !alone;
+        let grant = worker.fenced && worker.hold_failures == 0 && may_renew;
         let deadline_ms = if grant { worker.lease_end(now, lease) } else { None };
         worker.holding = true;
         worker.hold_sent_at = now;
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use daisy_model::{Resources, SortedMap};
+use daisy_model::{Instant, Resources, SortedMap};
 
 use crate::{
     JobId, JobKind, Load, Observations, Queues, Record, ShardId, TaskId, WorkerId, owner::WorkerKey,
@@ -166,8 +166,11 @@
     Paced(WorkerKey, TaskId, u32, u8, OrderReply),
     /// The last [`Batch`] is in the log.
     Appended,
-    /// The log took a sign of life.
-    Reached,
+    /// The log took a sign of life that was sent at this time.
+    Reached {
+        /// When it was first sent.
+        sent_at: Instant,
+    },
     /// What the owners of other shards last said.
     Loads(SortedMap<ShardId, Load>),
     /// What the owner of another shard has learnt.
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -29,9 +29,9 @@
 impl Owner {
     /// The batch under way is in the log: its starts may go out, its ends are acknowledged.
     pub(super) fn appended(&mut self, now: Instant) {
-        self.appended_at = now;
         let Some(it) = self.in_flight.take() else { return };
-        let InFlight { starts, cursors, states, delegated, handed } = it;
+        self.succession.taken(it.began);
+        let InFlight { began: _, starts, cursors, states, delegated, handed } = it;
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward(id));
         handed.into_iter().for_each(|task| self.forward_task(task));
@@ -50,7 +50,8 @@
 
     fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
         let lease = self.settings.lease;
-        let wanted = self.is_wanted(task);
+        // A record that took long to be told of may stand behind those of another owner.
+        let wanted = self.is_wanted(task) && self.may_renew(now);
         let Some(job) = self.ledger.job(task.job) else { return };
         let text = job.spec.text.clone();
         let steps = &job.progress.occurrences;
@@ -199,6 +200,9 @@
 
     /// Sends unanswered starts again.
     pub(super) fn resend_starts(&mut self, now: Instant) {
+        if !self.may_renew(now) {
+            return;
+        }
         for at in 0..self.workers.len() {
             let key = WorkerKey(at as u32);
             let Some(worker) = self.workers.get(key) else { continue };
--- a/daisy-workflow/src/owner/uncertain.rs
+++ b/daisy-workflow/src/owner/uncertain.rs
@@ -57,7 +57,8 @@
         let mut found = Vec::new();
         for (_, worker) in self.workers.iter() {
             let Some(why) = doubt(worker) else { continue };
-            let left = self.over_at(worker).since(now);
+            let over_at = worker.lease_over_at().unwrap_or_else(|| self.inherited_until(now));
+            let left = over_at.since(now);
             let lasting = worker.tasks.iter().filter(|it| it.lasts && it.sent != Sent::Recording);
             found.extend(lasting.map(|it| Uncertain {
                 task: it.task,
@@ -67,7 +68,7 @@
                 left,
             }));
         }
-        let left = self.inherited_until.since(now);
+        let left = self.inherited_until(now).since(now);
         let lasting = self.orphans.iter().filter(|it| self.lasts(it.task));
         found.extend(lasting.map(|it| Uncertain {
             task: it.task,
@@ -79,9 +80,9 @@
         found
     }
 
-    /// When all runs on a worker that is silent are over.
-    pub(super) fn over_at(&self, worker: &Worker) -> Instant {
-        worker.lease_over_at().unwrap_or(self.inherited_until)
+    /// When all runs on a worker that is silent are over, if that is known.
+    pub(super) fn try_over_at(&self, worker: &Worker) -> Option<Instant> {
+        worker.lease_over_at().or_else(|| self.try_inherited_until())
     }
 
     fn lasts(&self, task: TaskId) -> bool {
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -31,6 +31,7 @@
 impl Owner {
     /// Looks after all that is due.
     pub(super) fn watch(&mut self, now: Instant) {
+        self.settle(now);
         self.renew_due(now);
         self.resend_starts(now);
         for at in 0..self.workers.len() {
@@ -52,7 +53,7 @@
         if worker.tasks.is_empty() || (worker.hold_failures == 0 && worker.listed) {
             return;
         }
-        if now < self.over_at(worker) {
+        if self.try_over_at(worker).is_none_or(|it| now < it) {
             return;
         }
         let lost: Vec<(TaskId, u32)> = worker
@@ -67,7 +68,7 @@
     }
 
     fn give_up_orphans(&mut self, now: Instant) {
-        if now < self.inherited_until || self.orphans.is_empty() {
+        if self.orphans.is_empty() || self.try_inherited_until().is_none_or(|it| now < it) {
             return;
         }
         for it in std::mem::take(&mut self.orphans) {
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Action, Copy, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, Others, Owner,
-    Progress, Record, Rules, Settings, ShardId,
+    Action, Claimed, Copy, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, Others,
+    Owner, Progress, Record, Rules, Settings, ShardId,
 };
 use std::time::Duration;
 use util::{CORE, FakeWorker, best_effort, job, lasting, step};
@@ -39,7 +39,8 @@
         layout: LAYOUT,
         rules: Rules::default(),
     };
-    Owner::new(at(1_000), 0, settings, ledger, util::queues(), true)
+    let claimed = Claimed { at: at(1_000), alone: true };
+    Owner::new(at(1_000), 0, settings, ledger, util::queues(), claimed)
 }
 
 /// Lists a worker and lets it answer what the owner asks of it.
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, Record, Rules, Settings,
-    ShardId, Start, TaskId, WorkerKey,
+    Action, Batch, Claimed, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, Record, Rules,
+    Settings, ShardId, Start, TaskId, WorkerKey,
 };
 
 use super::{
@@ -174,7 +174,7 @@
         }
         // Signs of life show that the log takes what is written.
         if self.log_up && now.0.is_multiple_of(SIGN_EVERY_US) {
-            self.owner.step(now, Event::Reached);
+            self.owner.step(now, Event::Reached { sent_at: now });
         }
         self.owner.step(now, Event::Tick);
         for action in self.owner.act(now) {
@@ -285,5 +285,6 @@
         layout,
         rules: Rules::default(),
     };
-    Owner::new(now, 0, settings, ledger, super::queues(), predecessor_gone)
+    let claimed = Claimed { at: now, alone: predecessor_gone };
+    Owner::new(now, 0, settings, ledger, super::queues(), claimed)
 }
