A new owner waits for one lease once most workers have answered it

What callers saw: a watch with a task down for 15 s beside free room.

Cause: an owner that the log does not hear renews leases for 10 s more, in case the log is away for all. A new owner therefore waited these 10 s and a lease, 15.25 s from its own claim, before a run recorded on a worker that it never reached counted as over, and each further owner waited anew. Class: a wait sized for the worst that another might do, where nothing bounds what it does.

In memory, the task is down for 15.25 s after the claim (takeover.rs).

Now an owner without the log renews only while more than half of its witnesses answer: workers that it has named in the log. Workers refuse an owner once a newer one has called them; so a new owner that more than half of the same witnesses have answered knows that nobody before it renews anything a second later. It waits for one lease from there: about 6.5 s after its claim, also if owners follow each other. One that fewer answer waits as before.

Price: a cut-off minority loses its work after 6 s instead of 15 s, and renewals go out three times a second while the log is late.

--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Claim, Disturbance, Handover, Hop, JobId, JobSpec, Moved, Phase, Progress, Record, ShardId,
-    TaskId,
+    TaskId, Witness,
 };
 
 /// A job as the records tell it.
@@ -160,6 +160,7 @@
     early_hops: SortedMap<TaskId, Hop>,
     owner: Option<Claim>,
     learnt: Vec<Disturbance>,
+    witnesses: Vec<Witness>,
 }
 
 impl Ledger {
@@ -174,6 +175,10 @@
                 self.learnt = pairs;
                 Fold::Nothing
             }
+            Record::Witnesses(witnesses) => {
+                self.witnesses = witnesses;
+                Fold::Nothing
+            }
             Record::Delegated(id, shard) => {
                 match self.jobs.get_mut(&id) {
                     Some(job) => job.delegate(shard),
@@ -311,6 +316,11 @@
         &self.learnt
     }
 
+    /// The workers that the last owner to name any has to be answered by while it goes without the log.
+    pub fn witnesses(&self) -> &[Witness] {
+        &self.witnesses
+    }
+
     /// By queue, the jobs without a time of which no task was started and that were not cancelled.
     pub fn pending(&self) -> Vec<(String, u32)> {
         let mut counts: SortedMap<&str, u32> = SortedMap::new();
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -42,7 +42,7 @@
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
         Running, Start, StopCause, WaitCause,
     },
-    succession::Claimed,
+    succession::{Claimed, Witness},
     summary::Summary,
     uncertain::{Doubt, Uncertain},
     worker::{Worker, WorkerKey},
@@ -192,7 +192,7 @@
         queues: Arc<Queues>,
         claimed: Claimed,
     ) -> Owner {
-        let succession = Succession::new(now, claimed);
+        let succession = Succession::new(now, claimed, ledger.witnesses().to_vec());
         let interference = Interference::inherit(now, ledger.learnt());
         let mut owner = Owner {
             settings,
@@ -308,7 +308,7 @@
     pub fn has_batch(&self) -> bool {
         let nothing =
             self.dirty.is_empty() && self.delegating.is_empty() && self.recording.is_empty();
-        self.in_flight.is_none() && !nothing
+        self.in_flight.is_none() && (!nothing || self.succession.has_record())
     }
 
     /// Records to be appended next, unless a batch is under way or there are none.
@@ -339,6 +339,7 @@
             self.learnt_at = now;
             records.push(Record::Learnt(self.interference.pairs()));
         }
+        records.extend(self.succession.try_record());
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.born_ms, it.cursor_seen)).collect();
         let starts = std::mem::take(&mut self.recording);
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -222,6 +222,7 @@
         }
         worker.clock = Some((answer.clock_ms, now));
         worker.held_at = now;
+        worker.answered_since = worker.hold_sent_at;
         if !worker.fenced {
             worker.fenced = true;
             self.plan_due = true;
@@ -275,6 +276,7 @@
     pub(super) fn renew(&mut self, now: Instant, key: WorkerKey) {
         let lease = self.settings.lease;
         let may_renew = self.may_renew(now);
+        let log_late = self.succession.is_log_late(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.holding || !hold_due(now, worker) {
             return;
@@ -285,7 +287,7 @@
         worker.holding = true;
         worker.hold_sent_at = now;
         let cursor = worker.cursor_durable;
-        let wait = hold_wait(worker);
+        let wait = hold_wait(worker, log_late);
         self.actions.push(Action::Hold { worker: key, deadline_ms, cursor, wait });
     }
 
@@ -341,13 +343,18 @@
 
 /// How long a worker may wait for an end before it answers: it bounds how old the picture of the
 /// worker gets, and how late its silence shows. Each renewal is paid for.
-fn hold_wait(worker: &Worker) -> Duration {
+fn hold_wait(worker: &Worker, log_late: bool) -> Duration {
     const IDLE: Duration = Duration::from_millis(1_500);
     const AT_WORK: Duration = Duration::from_millis(800);
     const SERVING: Duration = Duration::from_millis(500);
+    /// Often enough that each worker's answer counts until the next.
+    const LOG_LATE: Duration = Duration::from_millis(300);
     if !worker.fenced || worker.hold_failures > 0 || worker.cursor_seen > worker.cursor_durable {
         return Duration::ZERO;
     }
+    if log_late {
+        return LOG_LATE;
+    }
     let beside = worker.serving() > 0 && worker.best_effort_cpu() > 0;
     match (worker.tasks.is_empty(), beside) {
         (true, _) => IDLE,
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -31,6 +31,7 @@
     pub(super) fn appended(&mut self, now: Instant) {
         let Some(it) = self.in_flight.take() else { return };
         self.succession.taken(it.began);
+        self.succession.recorded();
         let InFlight { began: _, starts, cursors, states, delegated, handed } = it;
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward(id));
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -1,18 +1,39 @@
 //! Which of several owners may renew leases, while not all of them hear of each other.
 //!
-//! An owner that the log does not hear cannot tell whether another has taken its place: it goes on
-//! renewing for a while, and the next one waits as long.
+//! An owner that the log does not hear cannot tell whether another has taken its place. It goes on
+//! renewing only while more than half of its witnesses answer it: workers that are named in the log
+//! beside its claim. A worker refuses an owner once a newer one has called it. So a newer owner
+//! that more than half of the same witnesses have answered knows that nobody before it renews
+//! anything from then on, whoever else is cut off together with the one before.
 
 use std::time::Duration;
 
 use daisy_model::Instant;
 
-use super::Owner;
+use super::{Owner, Worker};
+use crate::{Record, WorkerId};
 
 /// How long an owner whose writes the log does not take goes on renewing leases.
 ///
 /// An outage of the platform must not end the work that runs: the contract's last up to 9 s.
 const RENEW_ALONE_MAX: Duration = Duration::from_secs(10);
+/// How long an answer of the log, or of a witness, counts, from when it was asked for.
+const ANSWER_COUNTS: Duration = Duration::from_millis(1_000);
+/// Time without an answer of the log from which on witnesses are asked more often.
+const LOG_LATE: Duration = Duration::from_millis(700);
+/// Between looks at whether the witnesses still stand for the workers.
+const REVIEW_EVERY: Duration = Duration::from_secs(1);
+/// Before the first one, for workers to answer.
+const FIRST_REVIEW: Duration = Duration::from_millis(200);
+
+/// A worker that an owner without the log has to be answered by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Witness {
+    /// The worker.
+    pub worker: WorkerId,
+    /// When the incarnation started that counts: a later one has forgotten which owners called it.
+    pub born_ms: u64,
+}
 
 /// When an owner began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,16 +51,31 @@
     appended_at: Instant,
     /// When the log had first refused all owners before.
     fenced_at: Option<Instant>,
+    /// When the witnesses had first refused them.
+    outvoted_at: Option<Instant>,
     /// From when on no owner before renews anything, once that is known.
     settled_at: Option<Instant>,
+    /// Those in the log: of the last owner that recorded any.
+    witnesses: Vec<Witness>,
+    /// Those that are to be recorded.
+    next: Option<Vec<Witness>>,
+    /// Those that may be in the log already.
+    recording: Option<Vec<Witness>>,
+    /// When to look next whether they still stand for the workers.
+    review_at: Instant,
 }
 
 impl Succession {
-    pub(super) fn new(now: Instant, claimed: Claimed) -> Succession {
+    pub(super) fn new(now: Instant, claimed: Claimed, witnesses: Vec<Witness>) -> Succession {
         Succession {
             appended_at: claimed.at,
             fenced_at: None,
+            outvoted_at: None,
             settled_at: claimed.alone.then_some(now),
+            witnesses,
+            next: None,
+            recording: None,
+            review_at: now + FIRST_REVIEW,
         }
     }
 
@@ -52,6 +88,30 @@
     pub(super) fn silent_for(&self, now: Instant) -> Duration {
         now.since(self.appended_at)
     }
+
+    /// Whether the log is late with its answers.
+    pub(super) fn is_log_late(&self, now: Instant) -> bool {
+        self.silent_for(now) >= LOG_LATE
+    }
+
+    /// Whether witnesses are to be recorded.
+    pub(super) fn has_record(&self) -> bool {
+        self.next.is_some()
+    }
+
+    /// The record of the witnesses, if that is due.
+    pub(super) fn try_record(&mut self) -> Option<Record> {
+        let next = self.next.take()?;
+        self.recording = Some(next.clone());
+        Some(Record::Witnesses(next))
+    }
+
+    /// The batch under way is in the log.
+    pub(super) fn recorded(&mut self) {
+        if let Some(it) = self.recording.take() {
+            self.witnesses = it;
+        }
+    }
 }
 
 impl Owner {
@@ -63,7 +123,37 @@
 
     /// Whether leases may be renewed: nobody else can count them as over yet.
     pub(super) fn may_renew(&self, now: Instant) -> bool {
-        self.succession.silent_for(now) <= RENEW_ALONE_MAX
+        let it = &self.succession;
+        let silent = it.silent_for(now);
+        if silent < ANSWER_COUNTS {
+            return true;
+        }
+        // Where none are recorded, the next owner waits for the whole time.
+        let witnessed = it.witnesses.is_empty() || self.most_answer(&it.witnesses, now);
+        silent <= RENEW_ALONE_MAX
+            && witnessed
+            && it.recording.as_ref().is_none_or(|it| self.most_answer(it, now))
+    }
+
+    /// Whether more than half of the witnesses have answered of late.
+    fn most_answer(&self, witnesses: &[Witness], now: Instant) -> bool {
+        self.is_majority(witnesses, |worker, it| {
+            worker.born_ms == it.born_ms && now.since(worker.answered_since) < ANSWER_COUNTS
+        })
+    }
+
+    /// Whether more than half of the witnesses are workers that `holds` is true of, and that have
+    /// answered under this owner's epoch.
+    fn is_majority(
+        &self,
+        witnesses: &[Witness],
+        holds: impl Fn(&Worker, &Witness) -> bool,
+    ) -> bool {
+        let with = witnesses.iter().filter(|it| {
+            let worker = self.by_id.get(&it.worker).and_then(|key| self.workers.get(*key));
+            worker.is_some_and(|worker| worker.fenced && holds(worker, it))
+        });
+        with.count() * 2 > witnesses.len()
     }
 
     /// Notes when no owner before can renew anything any more.
@@ -72,9 +162,18 @@
             return;
         }
         let Some(fenced_at) = self.succession.fenced_at else { return };
-        let over = fenced_at + RENEW_ALONE_MAX;
+        // A later incarnation that answers tells as much of the one before: it has ended.
+        let outvoted = self.is_majority(&self.succession.witnesses, |_, _| true);
+        let it = &mut self.succession;
+        if outvoted {
+            it.outvoted_at.get_or_insert(now);
+        }
+        let over = match it.outvoted_at {
+            Some(at) => at + ANSWER_COUNTS,
+            None => fenced_at + RENEW_ALONE_MAX,
+        };
         if now >= over {
-            self.succession.settled_at = Some(over);
+            it.settled_at = Some(over);
         }
     }
 
@@ -88,8 +187,8 @@
     pub(super) fn inherited_until(&self, now: Instant) -> Instant {
         let it = &self.succession;
         let lease = self.settings.lease;
-        let settled_at = it.settled_at.unwrap_or(it.fenced_at.unwrap_or(now) + RENEW_ALONE_MAX);
-        settled_at + lease + lease / 20
+        let settled_at = it.settled_at.or(it.outvoted_at.map(|it| it + ANSWER_COUNTS));
+        settled_at.unwrap_or(it.fenced_at.unwrap_or(now) + RENEW_ALONE_MAX) + lease + lease / 20
     }
 
     /// Whether no owner before this one can renew anything, and what they renewed has run out by any
@@ -98,4 +197,32 @@
         let longest = self.settings.lease_max + self.settings.lease_max / 10;
         self.succession.settled_at.is_some_and(|it| now >= it + longest)
     }
+
+    /// Names new witnesses where those in the log do not stand for the workers any more.
+    pub(super) fn review_witnesses(&mut self, now: Instant) {
+        let it = &self.succession;
+        if it.settled_at.is_none()
+            || it.next.is_some()
+            || it.recording.is_some()
+            || now < it.review_at
+        {
+            return;
+        }
+        let stands = |worker: &Worker| worker.listed && worker.fenced && worker.hold_failures == 0;
+        let mut now_there: Vec<Witness> = self
+            .workers
+            .iter()
+            .filter(|(_, it)| stands(it))
+            .map(|(_, it)| Witness { worker: it.id.clone(), born_ms: it.born_ms })
+            .collect();
+        now_there.sort_unstable_by(|a, b| a.worker.cmp(&b.worker));
+        let known = now_there.iter().filter(|it| self.succession.witnesses.contains(it)).count();
+        let (old, new) = (self.succession.witnesses.len(), now_there.len());
+        let it = &mut self.succession;
+        it.review_at = now + REVIEW_EVERY;
+        // A majority is to be left also if as many again fall silent at once.
+        if new > 0 && (known * 4 < old * 3 || known * 4 < new * 3) {
+            it.next = Some(now_there);
+        }
+    }
 }
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -32,6 +32,7 @@
     /// Looks after all that is due.
     pub(super) fn watch(&mut self, now: Instant) {
         self.settle(now);
+        self.review_witnesses(now);
         self.renew_due(now);
         self.resend_starts(now);
         for at in 0..self.workers.len() {
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -135,6 +135,8 @@
     pub(crate) holding: bool,
     pub(crate) held_at: Instant,
     pub(crate) hold_sent_at: Instant,
+    /// When the renewal was sent that was last answered.
+    pub(crate) answered_since: Instant,
     pub(crate) hold_failures: u32,
     /// The highest end that was taken in, and the highest whose record is in the log.
     pub(crate) cursor_seen: u64,
@@ -189,6 +191,7 @@
             holding: false,
             held_at: Instant::default(),
             hold_sent_at: Instant::default(),
+            answered_since: Instant::default(),
             hold_failures: 0,
             cursor_seen: 0,
             cursor_durable: 0,
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -7,9 +7,12 @@
 use bincode::{Decode, Encode, config};
 
 use self::wire::{
-    HandoverWire, JobWire, LearntWire, ObservedWire, ProgressWire, SignWire, state_number, state_of,
+    HandoverWire, JobWire, LearntWire, ObservedWire, ProgressWire, SignWire, WitnessesWire,
+    state_number, state_of,
+};
+use crate::{
+    Handover, Hop, JobId, JobSpec, Layout, Progress, ShardId, Sign, TaskId, Told, Witness,
 };
-use crate::{Handover, Hop, JobId, JobSpec, Layout, Progress, ShardId, Sign, TaskId, Told};
 
 /// The version that this build writes, and the newest that it reads.
 const VERSION: u8 = 1;
@@ -17,6 +20,8 @@
 pub const OWNER_KEY: &str = "owner";
 /// The key of what the owner has learnt.
 const LEARNT_KEY: &str = "learnt";
+/// The key of an owner's witnesses.
+const WITNESSES_KEY: &str = "witnesses";
 /// The key of the layout of shards.
 const LAYOUT_KEY: &str = "layout";
 
@@ -48,6 +53,8 @@
     Claim(Claim),
     /// What the owner has learnt of images that disturb each other.
     Learnt(Vec<Disturbance>),
+    /// The workers that a shard's owner has to be answered by while it goes without the log.
+    Witnesses(Vec<Witness>),
     /// The owner of a job's own shard has handed it to another one.
     Delegated(JobId, ShardId),
     /// A shard has handed a task to another one.
@@ -112,6 +119,9 @@
         }
         Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
         Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
+        Record::Witnesses(witnesses) => {
+            (WITNESSES_KEY.to_owned(), framed(WitnessesWire::from(&witnesses[..])))
+        }
         Record::Delegated(id, shard) => (format!("delegated-{id}"), framed(shard.0)),
         Record::TaskHandedOn(id, hop) => (format!("handed-{id}"), framed((hop.number, hop.to.0))),
         // The log keeps the newest record of a key alone, and a hop may be written again after a
@@ -142,6 +152,9 @@
     if key == LEARNT_KEY {
         return unframed::<LearntWire>(value).map(|it| Record::Learnt(it.into()));
     }
+    if key == WITNESSES_KEY {
+        return unframed::<WitnessesWire>(value).map(|it| Record::Witnesses(it.into()));
+    }
     if key == LAYOUT_KEY {
         return match unframed(value)? {
             0 => Err(RecordError::Malformed("no shards".to_owned())),
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -8,7 +8,7 @@
 use super::{Claim, Disturbance, Observations, RecordError};
 use crate::{
     Copy, Handover, JobSpec, JobState, Load, PIECES, Phase, Progress, ShardId, Sign, StepSpec,
-    TaskId, TaskState, Terms,
+    TaskId, TaskState, Terms, Witness,
 };
 
 /// Images by their position in `images`, so that each pair needs numbers only.
@@ -160,6 +160,27 @@
     }
 }
 
+#[derive(Debug, Encode, Decode)]
+pub(super) struct WitnessesWire {
+    /// Worker, start of its incarnation in milliseconds since 1970.
+    workers: Vec<(String, u64)>,
+}
+
+impl From<&[Witness]> for WitnessesWire {
+    fn from(witnesses: &[Witness]) -> WitnessesWire {
+        let workers = witnesses.iter().map(|it| (it.worker.0.to_string(), it.born_ms));
+        WitnessesWire { workers: workers.collect() }
+    }
+}
+
+impl From<WitnessesWire> for Vec<Witness> {
+    fn from(wire: WitnessesWire) -> Vec<Witness> {
+        let witness =
+            |(worker, born_ms): (String, u64)| Witness { worker: worker.as_str().into(), born_ms };
+        wire.workers.into_iter().map(witness).collect()
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 pub(super) struct JobWire {
     queue: String,
--- a/daisy-workflow/tests/takeover.rs
+++ b/daisy-workflow/tests/takeover.rs
@@ -44,3 +44,49 @@
 
     assert!(again, "a task that lasts is down after {CALM_MS} ms");
 }
+
+/// Each owner that followed another waited anew, however long the ones before had waited.
+#[test]
+fn owners_that_follow_each_other_add_no_wait() {
+    let mut world = at_work();
+    lose_a_worker(&mut world);
+
+    for _ in 0..4 {
+        world.change_owner(false);
+        world.run_ms(3_000);
+    }
+    let again = world.run_until(CALM_MS - 3_000, all_run);
+
+    assert!(again, "a task that lasts is down {CALM_MS} ms after the last change");
+}
+
+/// Guards against renewals by an owner that has been replaced by one with most of the workers.
+#[test]
+fn an_owner_without_the_log_and_most_workers_renews_nothing() {
+    let mut world = at_work();
+    let at = world.workers.iter().position(|it| !it.runs.is_empty()).expect("one at work");
+    world.log_up = false;
+    for it in (0..5).filter(|it| *it != at).take(3) {
+        world.workers[it].fault = Fault::Cut;
+    }
+
+    world.run_ms(6_500);
+
+    assert!(world.workers[at].runs.is_empty(), "renewed after most workers were gone");
+}
+
+/// Guards against work that is lost in an outage of the log as some workers are out of reach.
+#[test]
+fn an_owner_without_the_log_goes_on_with_most_of_its_workers() {
+    let mut world = at_work();
+    let at = world.workers.iter().position(|it| !it.runs.is_empty()).expect("one at work");
+    let before = world.workers[at].tasks();
+    world.log_up = false;
+    for it in (0..5).filter(|it| *it != at).take(2) {
+        world.workers[it].fault = Fault::Cut;
+    }
+
+    world.run_ms(9_000);
+
+    assert_eq!(world.workers[at].tasks(), before);
+}
