An owner that is seen to write is not replaced at once for late signs of life

Cause: signs of life of all owners go through one partition of the log, and on a slow log they are late while each owner's own records are not. Others claim after 1.4 s without a sign; a claim that is refused because the owner has just written was tried up to four times in a row, and again 0.85 s later.

Evidence: front-pkr-c-2's claims at 45.05 s and 45.92 s were refused as the log had moved, without any claim of another; the owner's lines go on until 46.81 s.

Now records that are read after such a refusal count as a sign of life (event=claim_dropped), up to 4.2 s after the last true sign, as callers hear of jobs by what goes with the signs. A dead owner writes nothing, so that nothing changes for it. Shown by tests of the election, two of which failed before (there was no such call); not by a play of processes.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -77,8 +77,9 @@
 
 /// What a read of progress gave.
 struct Progressed {
-    /// Whether there was a claim in it.
+    /// Whether there was a claim in it, and whether there was anything else.
     seen: bool,
+    wrote: bool,
     at_end: bool,
 }
 
@@ -102,11 +103,14 @@
     }
 
     fn fold_progress(&mut self, read: &Read) -> Progressed {
-        let mut seen = false;
+        let (mut seen, mut wrote) = (false, false);
         for record in readable("progress", &read.records) {
-            seen |= self.ledger.fold(record) == Fold::Claim;
+            match self.ledger.fold(record) {
+                Fold::Claim => seen = true,
+                _ => wrote = true,
+            }
         }
-        Progressed { seen, at_end: read.at_end }
+        Progressed { seen, wrote, at_end: read.at_end }
     }
 }
 
@@ -207,7 +211,15 @@
                 Some(it) => Some(it),
                 None => reading.read_progress().await,
             };
-            let Some(Progressed { seen, at_end }) = read else { return self.keep(reading) };
+            let Some(Progressed { seen, wrote, at_end }) = read else { return self.keep(reading) };
+            // What is read after a claim was refused has just been written.
+            if claimed.is_some() && !seen && wrote && self.election.wrote(clock::now()) {
+                log::info!(
+                    "event=claim_dropped shard={} cause=\"the owner writes though no sign of it is heard\"",
+                    self.shard.0
+                );
+                return self.keep(reading);
+            }
             if !at_end {
                 continue;
             }
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -13,6 +13,10 @@
 /// the workers.
 const SILENCE: Duration = Duration::from_millis(1_400);
 
+/// Time without a sign of life from which on the owner is replaced though it writes to the shard's log:
+/// callers hear of its jobs by what it tells beside its signs.
+const UNHEARD_MAX: Duration = Duration::from_millis(4_200);
+
 /// What an entry VM is to do about the workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -33,6 +37,8 @@
     rank: Duration,
     /// When the last record of an owner was read, or the watch began.
     heard_at: Instant,
+    /// The same, of its signs of life alone.
+    signed_at: Instant,
     /// The epoch of the newest claim that was read in the shard's log.
     claim_seen: u64,
     /// That of the newest sign of life at the last verdict.
@@ -47,6 +53,7 @@
             process,
             rank: Duration::ZERO,
             heard_at: now,
+            signed_at: now,
             claim_seen: 0,
             signed: 0,
         }
@@ -63,9 +70,20 @@
         Claim { vm: self.vm.clone(), process: self.process, epoch, released: false, settled }
     }
 
-    /// Records of the owner came in.
+    /// A sign of the owner's life came in, or anything else that is as good as one.
     pub fn heard(&mut self, now: Instant) {
         self.heard_at = self.heard_at.max(now);
+        self.signed_at = self.signed_at.max(now);
+    }
+
+    /// The owner has written to the shard's log of late; whether that counts as a sign of life. Signs
+    /// of all owners go through one partition, and may be late while its other writes are not.
+    pub fn wrote(&mut self, now: Instant) -> bool {
+        let counts = now.since(self.signed_at) < UNHEARD_MAX;
+        if counts {
+            self.heard_at = self.heard_at.max(now);
+        }
+        counts
     }
 
     /// Whether somebody has claimed since the last verdict: `newest` is the newest claim in the shard's
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -111,3 +111,31 @@
 
     assert!(!election.is_just_claimed(Some(&claim("b", 2, false))));
 }
+
+/// An owner whose signs of life were late was replaced in the midst of its writes.
+#[test]
+fn an_owner_that_writes_is_left_alone_for_a_while() {
+    let mut election = Election::new(at(0), "a", 1);
+    let owner = claim("b", 2, false);
+
+    let before = election.verdict(at(1_500), Some(&owner), RTT);
+    let counts = election.wrote(at(1_500));
+    let after = election.verdict(at(1_600), Some(&owner), RTT);
+
+    assert_eq!(before, Verdict::Claim);
+    assert!(counts);
+    assert!(matches!(after, Verdict::Wait(_)), "{after:?}");
+}
+
+/// Guards against an owner that is never replaced though nothing is heard of its jobs.
+#[test]
+fn an_owner_of_which_nothing_is_heard_is_replaced_though_it_writes() {
+    let mut election = Election::new(at(0), "a", 1);
+    let owner = claim("b", 2, false);
+
+    let last = (1..20).map(|it| it * 500).find(|it| !election.wrote(at(*it)));
+    let verdict = election.verdict(at(6_000), Some(&owner), RTT);
+
+    assert_eq!(last, Some(4_500));
+    assert_eq!(verdict, Verdict::Claim);
+}
