What a worker that started anew may have been granted is waited for, and half of the witnesses suffice

- An owner that saw a worker start anew allows for the longest lease there, 10 s, and sent that time as the end of its next renewals, so that it was granted indeed; the next owner waits for one lease only.
What may have been granted and what is granted are two figures now.
- A start without an answer may be carried out up to 12 s late by the next incarnation of its worker, which knows no epoch and takes the end of the lease for one far ahead.
The owner that saw the start anew and was never answered gave such a run up at once, as its own wait had long passed; the next owner did so after one lease.
Both wait until such a run is over for sure.
The next owner tells by the incarnation among the witnesses, which are now recorded whenever they change, once a second at most.
- Half of the witnesses suffice to know that nobody before has more than half: a shard of two workers that loses one waited for 10 s more.

--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -34,7 +34,11 @@
     }
 
     fn newly_listed(&mut self, now: Instant, listed: &Listed) {
-        let key = self.workers.alloc(Worker::new(now, listed));
+        let mut worker = Worker::new(now, listed);
+        if self.succession.names_earlier(&worker) {
+            worker.reborn_at = Some(now);
+        }
+        let key = self.workers.alloc(worker);
         self.by_id.insert(listed.id.clone(), key);
         let (here, elsewhere) =
             std::mem::take(&mut self.orphans).into_iter().partition(|it| it.worker == listed.id);
@@ -109,7 +113,7 @@
         worker.clock = None;
         worker.deadline_ms = 0;
         worker.fenced = false;
-        worker.reborn = true;
+        worker.reborn_at = Some(now);
         worker.cursor_seen = 0;
         worker.cursor_durable = 0;
         worker.failures = 0;
@@ -229,7 +233,7 @@
             // An earlier owner may have granted a whole lease just before. An order meant for an
             // earlier incarnation names a time far ahead of this one's clock: the worker then
             // grants as long a lease as it ever does.
-            let granted = if worker.reborn { lease_max } else { lease };
+            let granted = if worker.reborn_at.is_some() { lease_max } else { lease };
             let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.deadline_ms = worker.deadline_ms.max(inherited);
         }
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -18,7 +18,7 @@
 const RESEND_STOP: Duration = Duration::from_millis(200);
 /// How long after it was sent an order may still be carried out: the platform's contract names
 /// 12 s.
-const LATE_MAX: Duration = Duration::from_secs(13);
+pub(super) const LATE_MAX: Duration = Duration::from_secs(13);
 /// How long a worker gets no new work after an order went unanswered.
 const SHUN_SILENT: Duration = Duration::from_millis(700);
 /// How long a worker gets no new work after it refused some.
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -21,7 +21,7 @@
 const ANSWER_COUNTS: Duration = Duration::from_millis(1_000);
 /// Time without an answer of the log from which on witnesses are asked more often.
 const LOG_LATE: Duration = Duration::from_millis(700);
-/// Between looks at whether the witnesses still stand for the workers.
+/// Between looks at whether the witnesses are still the workers.
 const REVIEW_EVERY: Duration = Duration::from_secs(1);
 /// Before the first one, for workers to answer.
 const FIRST_REVIEW: Duration = Duration::from_millis(200);
@@ -61,7 +61,7 @@
     next: Option<Vec<Witness>>,
     /// Those that may be in the log already.
     recording: Option<Vec<Witness>>,
-    /// When to look next whether they still stand for the workers.
+    /// When to look next whether they are still the workers.
     review_at: Instant,
 }
 
@@ -94,6 +94,12 @@
         self.silent_for(now) >= LOG_LATE
     }
 
+    /// Whether the witnesses name an earlier incarnation of a worker.
+    pub(super) fn names_earlier(&self, worker: &Worker) -> bool {
+        let at = self.witnesses.binary_search_by(|it| it.worker.cmp(&worker.id));
+        at.is_ok_and(|at| self.witnesses[at].born_ms < worker.born_ms)
+    }
+
     /// Whether witnesses are to be recorded.
     pub(super) fn has_record(&self) -> bool {
         self.next.is_some()
@@ -137,23 +143,33 @@
 
     /// Whether more than half of the witnesses have answered of late.
     fn most_answer(&self, witnesses: &[Witness], now: Instant) -> bool {
-        self.is_majority(witnesses, |worker, it| {
+        let answers = self.count_answered(witnesses, |worker, it| {
             worker.born_ms == it.born_ms && now.since(worker.answered_since) < ANSWER_COUNTS
-        })
+        });
+        answers * 2 > witnesses.len()
     }
 
-    /// Whether more than half of the witnesses are workers that `holds` is true of, and that have
-    /// answered under this owner's epoch.
-    fn is_majority(
+    /// Whether so many of the witnesses have answered this owner that none before it can have more than
+    /// half of them.
+    fn outvotes(&self) -> bool {
+        let witnesses = &self.succession.witnesses;
+        // A later incarnation that answers tells as much of the one before: it has ended.
+        let answered = self.count_answered(witnesses, |_, _| true);
+        !witnesses.is_empty() && answered * 2 >= witnesses.len()
+    }
+
+    /// How many of the witnesses are workers that `holds` is true of, and that have answered under this
+    /// owner's epoch.
+    fn count_answered(
         &self,
         witnesses: &[Witness],
         holds: impl Fn(&Worker, &Witness) -> bool,
-    ) -> bool {
-        let with = witnesses.iter().filter(|it| {
+    ) -> usize {
+        let answered = witnesses.iter().filter(|it| {
             let worker = self.by_id.get(&it.worker).and_then(|key| self.workers.get(*key));
             worker.is_some_and(|worker| worker.fenced && holds(worker, it))
         });
-        with.count() * 2 > witnesses.len()
+        answered.count()
     }
 
     /// Notes when no owner before can renew anything any more.
@@ -162,8 +178,7 @@
             return;
         }
         let Some(fenced_at) = self.succession.fenced_at else { return };
-        // A later incarnation that answers tells as much of the one before: it has ended.
-        let outvoted = self.is_majority(&self.succession.witnesses, |_, _| true);
+        let outvoted = self.outvotes();
         let it = &mut self.succession;
         if outvoted {
             it.outvoted_at.get_or_insert(now);
@@ -198,7 +213,7 @@
         self.succession.settled_at.is_some_and(|it| now >= it + longest)
     }
 
-    /// Names new witnesses where those in the log do not stand for the workers any more.
+    /// Names new witnesses where those in the log are not the workers any more.
     pub(super) fn review_witnesses(&mut self, now: Instant) {
         let it = &self.succession;
         if it.settled_at.is_none()
@@ -208,21 +223,14 @@
         {
             return;
         }
-        let stands = |worker: &Worker| worker.listed && worker.fenced && worker.hold_failures == 0;
-        let mut now_there: Vec<Witness> = self
-            .workers
-            .iter()
-            .filter(|(_, it)| stands(it))
-            .map(|(_, it)| Witness { worker: it.id.clone(), born_ms: it.born_ms })
-            .collect();
-        now_there.sort_unstable_by(|a, b| a.worker.cmp(&b.worker));
-        let known = now_there.iter().filter(|it| self.succession.witnesses.contains(it)).count();
-        let (old, new) = (self.succession.witnesses.len(), now_there.len());
+        let stands = self.workers.iter().filter(|(_, it)| it.listed && it.fenced);
+        let mut next: Vec<Witness> =
+            stands.map(|(_, it)| Witness { worker: it.id.clone(), born_ms: it.born_ms }).collect();
+        next.sort_unstable_by(|a, b| a.worker.cmp(&b.worker));
         let it = &mut self.succession;
         it.review_at = now + REVIEW_EVERY;
-        // A majority is to be left also if as many again fall silent at once.
-        if new > 0 && (known * 4 < old * 3 || known * 4 < new * 3) {
-            it.next = Some(now_there);
+        if !next.is_empty() && next != it.witnesses {
+            it.next = Some(next);
         }
     }
 }
--- a/daisy-workflow/src/owner/uncertain.rs
+++ b/daisy-workflow/src/owner/uncertain.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Owner,
+    orders::LATE_MAX,
     worker::{Sent, Worker},
 };
 use crate::{TaskId, WorkerId};
@@ -57,7 +58,7 @@
         let mut found = Vec::new();
         for (_, worker) in self.workers.iter() {
             let Some(why) = doubt(worker) else { continue };
-            let over_at = worker.lease_over_at().unwrap_or_else(|| self.inherited_until(now));
+            let over_at = self.try_over_at(worker).unwrap_or_else(|| self.inherited_until(now));
             let left = over_at.since(now);
             let lasting = worker.tasks.iter().filter(|it| it.lasts && it.sent != Sent::Recording);
             found.extend(lasting.map(|it| Uncertain {
@@ -82,7 +83,15 @@
 
     /// When all runs on a worker that is silent are over, if that is known.
     pub(super) fn try_over_at(&self, worker: &Worker) -> Option<Instant> {
-        worker.lease_over_at().or_else(|| self.try_inherited_until())
+        let over_at = worker.lease_over_at().or_else(|| self.late_over_at(worker));
+        over_at.or_else(|| self.try_inherited_until())
+    }
+
+    /// When all is over that orders for an earlier incarnation may bring about at a worker that has not
+    /// answered since it started anew: they name times far ahead of its clock.
+    fn late_over_at(&self, worker: &Worker) -> Option<Instant> {
+        let longest = self.settings.lease_max + self.settings.lease_max / 10;
+        worker.reborn_at.map(|it| it + LATE_MAX + longest)
     }
 
     fn lasts(&self, task: TaskId) -> bool {
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -126,12 +126,13 @@
     pub(crate) tasks: Vec<Assignment>,
     /// The worker's clock in milliseconds, and when it was read.
     pub(crate) clock: Option<(u64, Instant)>,
-    /// The latest end of a lease that was ever sent, answered or not, on the worker's clock.
+    /// The latest end of a lease that it may ever have been granted, on the worker's clock.
     pub(crate) deadline_ms: u64,
     /// Whether it has answered under this owner's epoch: from then on it refuses older orders.
     pub(crate) fenced: bool,
-    /// Whether it started anew under this owner, which may have sent it orders without knowing.
-    pub(crate) reborn: bool,
+    /// When it was noticed that it had started anew: orders for the incarnation before may still reach
+    /// it.
+    pub(crate) reborn_at: Option<Instant>,
     pub(crate) holding: bool,
     pub(crate) held_at: Instant,
     pub(crate) hold_sent_at: Instant,
@@ -187,7 +188,7 @@
             clock: None,
             deadline_ms: 0,
             fenced: false,
-            reborn: false,
+            reborn_at: None,
             holding: false,
             held_at: Instant::default(),
             hold_sent_at: Instant::default(),
@@ -219,7 +220,8 @@
     pub(crate) fn lease_end(&mut self, now: Instant, lease: Duration) -> Option<u64> {
         let end = self.clock_at_least(now)? + lease.as_millis() as u64;
         self.deadline_ms = self.deadline_ms.max(end);
-        Some(self.deadline_ms)
+        // Not the latest end that it may have been granted: the next owner allows for one lease.
+        Some(end)
     }
 
     /// When every lease that was ever sent has surely run out on the worker's own clock, if that was
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -118,9 +118,9 @@
     world.worker("w2").capacity.cpu_milli = 8_000;
     world.change_owner(false);
 
-    world.run_ms(14_000);
+    world.run_ms(6_000);
     let early = world.starts.len();
-    let moved = world.run_until(4_000, |it| it.starts.len() == 12);
+    let moved = world.run_until(1_000, |it| it.starts.len() == 12);
 
     assert_eq!(early, 8);
     assert!(moved);
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -119,6 +119,8 @@
     pub elects: bool,
     /// Whether a process that wakes hears the log's answers before those of workers.
     pub hears_log_first: bool,
+    /// Whether processes that begin know of no witnesses, as those of earlier builds.
+    pub ignores_witnesses: bool,
     /// How long calls to workers are under way; they are then carried out whatever was cut meanwhile.
     pub calls_take: Duration,
     vms: Vec<Vm>,
@@ -147,6 +149,7 @@
             ledger: Ledger::default(),
             elects: false,
             hears_log_first: true,
+            ignores_witnesses: false,
             calls_take: Duration::ZERO,
             vms: (0..vms).map(|_| Vm::default()).collect(),
             cut: Vec::new(),
@@ -291,7 +294,10 @@
         let settled = last.is_none_or(|it| (it.released || it.vm == vm) && it.settled);
         let epoch = last.map_or(0, |it| it.epoch) + 1;
         self.claimed = Some(Claimed { epoch, vm, settled, released: false });
-        let ledger = self.log.read(false, false);
+        let mut ledger = self.log.read(false, false);
+        if self.ignores_witnesses {
+            ledger.fold(Record::Witnesses(Vec::new()));
+        }
         self.vms[vm].process = Some(Process {
             epoch,
             owner: owner(self.now, ledger, settled, ShardId(0), Layout { shards: 1 }),
