Builds side by side read each other's claims and signs of life

What callers saw: in a rolling update neither build read the other's signs of life, so each took the other's owners for dead and claimed their shards in turn; nothing starts in a shard until its new owner has asked all workers.

Any record with bytes behind its known form was refused. A claim or progress that could not be read was passed over: the next owner counted an owner that may still renew leases as none, and a job's recorded starts as never made.

Change: fields are added at the end of a record's form, where builds that don't know them pass them over; what must not be misread gets a higher version, which is refused, now also for kinds of records that aren't known. The bytes that this build writes are those of the build before. Signs of both earlier forms are read, without pieces. A claim that can't be read counts as one under the epoch that its offset gives, by an owner that may still renew leases. A shard whose progress has a higher version is not claimed (event=claim_withheld). Claims have a wire type of their own.

What a build already landed refuses (bytes behind the form of a sign) it goes on refusing: that holds from this build on. After a return to an older build, a shard with progress of a higher version has no owner until the newer one is back.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -4,14 +4,16 @@
 
 use daisy_model::Instant;
 use daisy_platform::{Guard, NodeSettings, Store, StoreError, Topic};
-use daisy_workflow::{Candidate, Claim, Election, Fold, Ledger, Record, ShardId, Verdict, encode};
+use daisy_workflow::{
+    Candidate, Claim, Election, Fold, Ledger, Record, RecordError, ShardId, Verdict, encode,
+};
 use futures::{future::join_all, join};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
     follow::{CALL_TIMEOUT, Read, Tail},
-    jobs::readable,
+    jobs::{self, readable},
     metrics::Metrics,
     own::Ownership,
     shared::Shared,
@@ -73,6 +75,8 @@
     ledger: Ledger,
     jobs: Tail,
     progress: Tail,
+    /// Whether some of the progress is of a newer build's making.
+    is_newer: bool,
 }
 
 /// What a read of progress gave.
@@ -103,8 +107,11 @@
 
     fn fold_progress(&mut self, read: &Read) -> Progressed {
         let mut seen = false;
-        for record in readable("progress", &read.records) {
-            seen |= self.ledger.fold(record) == Fold::Claim;
+        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
+            match jobs::read("progress", it) {
+                Ok(record) => seen |= self.ledger.fold(record) == Fold::Claim,
+                Err(e) => self.is_newer |= matches!(e, RecordError::Version(_)),
+            }
         }
         Progressed { seen, at_end: read.at_end }
     }
@@ -229,6 +236,15 @@
             if rival || claimed.is_some() && seen {
                 break;
             }
+            // Tasks that this build cannot see in the progress would be started again.
+            if reading.is_newer {
+                let shard = self.shard.0;
+                log::warn!(
+                    "event=claim_withheld shard={shard} cause=\"its progress is of a newer build\""
+                );
+                self.election.heard(clock::now());
+                return self.keep(reading);
+            }
             // A read may have taken long.
             if *self.elect.stop.borrow() {
                 return None;
@@ -249,6 +265,7 @@
             ledger: Ledger::default(),
             jobs: Tail::new(store.clone(), Topic::Jobs(shard)),
             progress: Tail::new(store.clone(), Topic::Progress(shard)),
+            is_newer: false,
         })
     }
 
--- a/daisy-node/src/jobs.rs
+++ b/daisy-node/src/jobs.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::Instant;
 use daisy_platform::StoredRecord;
-use daisy_workflow::{Event, Record, decode};
+use daisy_workflow::{Claim, Event, OWNER_KEY, Record, RecordError, decode};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep,
@@ -18,21 +18,22 @@
 /// Between reads: each call is paid for, and a job waits this long for its first start.
 const PAUSE: Duration = Duration::from_millis(4);
 
-/// The records of jobs among `records`; what cannot be read is logged.
+/// The records of jobs and owners among `records`; what cannot be read is logged.
 pub(crate) fn readable<'a>(
     topic: &'a str,
     records: &'a [StoredRecord],
 ) -> impl Iterator<Item = Record> + 'a {
-    records.iter().filter(|it| !it.value.is_empty()).filter_map(move |it| {
-        match decode(&it.key, &it.value) {
-            Ok(record) => Some(record),
-            Err(e) => {
-                log::warn!(
-                    "event=record_unreadable topic={topic} offset={} cause=\"{e}\"",
-                    it.offset
-                );
-                None
-            }
+    records.iter().filter(|it| !it.value.is_empty()).filter_map(|it| read(topic, it).ok())
+}
+
+/// What a record says; that it cannot be read is logged.
+pub(crate) fn read(topic: &str, it: &StoredRecord) -> Result<Record, RecordError> {
+    decode(&it.key, &it.value).or_else(|e| {
+        log::warn!("event=record_unreadable topic={topic} offset={} cause=\"{e}\"", it.offset);
+        match it.key == OWNER_KEY {
+            // Taken for nothing, an owner that may still renew leases would count as none.
+            true => Ok(Record::Claim(Claim::unreadable(it.offset))),
+            false => Err(e),
         }
     })
 }
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -1,4 +1,8 @@
 //! Records of the platform's log: bincode behind one byte of version.
+//!
+//! Builds of several ages read each other's records while a fleet is updated. A field that older
+//! builds may pass over is added at the end of its record's form, where they ignore it. A record
+//! that they must not misread gets a higher version, which they refuse.
 
 mod wire;
 
@@ -7,9 +11,10 @@
 use bincode::{Decode, Encode, config};
 
 use self::wire::{
-    HandoverWire, JobWire, LearntWire, ObservedWire, ProgressWire, SignWire, state_number, state_of,
+    ClaimWire, HandoverWire, JobWire, LearntWire, ObservedWire, PiecesWire, ProgressWire, SignWire,
+    state_number, state_of,
 };
-use crate::{Handover, Hop, JobId, JobSpec, Layout, Progress, ShardId, Sign, TaskId, Told};
+use crate::{Handover, Hop, JobId, JobSpec, Layout, PIECES, Progress, ShardId, Sign, TaskId, Told};
 
 /// The version that this build writes, and the newest that it reads.
 const VERSION: u8 = 1;
@@ -21,7 +26,7 @@
 const LAYOUT_KEY: &str = "layout";
 
 /// Who owns the workers, from this record's offset on.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
     /// The claiming VM's name.
     pub vm: String,
@@ -35,6 +40,15 @@
     pub settled: bool,
 }
 
+impl Claim {
+    /// The claim at `offset` of a shard's log whose record cannot be read: an owner of unknown name
+    /// and of which nothing else may be assumed.
+    pub fn unreadable(offset: u64) -> Claim {
+        let epoch = offset + 1;
+        Claim { vm: String::new(), process: 0, epoch, released: false, settled: false }
+    }
+}
+
 /// What a record says.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Record {
@@ -110,7 +124,7 @@
         Record::Progress(id, progress) => {
             (format!("progress-{id}"), framed(ProgressWire::from(progress)))
         }
-        Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(claim.clone())),
+        Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(ClaimWire::from(claim))),
         Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
         Record::Delegated(id, shard) => (format!("delegated-{id}"), framed(shard.0)),
         Record::TaskHandedOn(id, hop) => (format!("handed-{id}"), framed((hop.number, hop.to.0))),
@@ -122,7 +136,10 @@
         Record::State(id, told) => {
             (format!("state-{id}"), framed((state_number(told.state), told.shard.0)))
         }
-        Record::Sign(sign) => (format!("sign-{}", sign.shard.0), framed(SignWire::from(&**sign))),
+        Record::Sign(sign) => (
+            format!("sign-{}", sign.shard.0),
+            framed((SignWire::from(&**sign), PiecesWire::from(&**sign))),
+        ),
         Record::Observed(shard, seen) => {
             (format!("observed-{}", shard.0), framed(ObservedWire::from(&seen[..])))
         }
@@ -136,8 +153,12 @@
 ///
 /// If the key or the bytes are not of this build's making.
 pub fn decode(key: &str, value: &[u8]) -> Result<Record, RecordError> {
+    // Comes first, as an unknown kind of record may be one that must not be passed over.
+    if let Some(newer) = value.first().filter(|it| **it > VERSION) {
+        return Err(RecordError::Version(*newer));
+    }
     if key == OWNER_KEY {
-        return unframed(value).map(Record::Claim);
+        return unframed::<ClaimWire>(value).map(|it| Record::Claim(it.into()));
     }
     if key == LEARNT_KEY {
         return unframed::<LearntWire>(value).map(|it| Record::Learnt(it.into()));
@@ -152,7 +173,8 @@
     let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
     if kind == "sign" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
-        return unframed::<SignWire>(value).map(|it| Record::Sign(Box::new(it.of(shard))));
+        let (wire, rest): (SignWire, _) = parted(value)?;
+        return Ok(Record::Sign(Box::new(wire.of(shard, pieces(rest)?))));
     }
     if kind == "observed" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
@@ -200,17 +222,29 @@
 }
 
 fn unframed<T: Decode<()>>(bytes: &[u8]) -> Result<T, RecordError> {
-    let (version, body) =
+    parted(bytes).map(|(value, _)| value)
+}
+
+/// The value and the bytes after it.
+fn parted<T: Decode<()>>(bytes: &[u8]) -> Result<(T, &[u8]), RecordError> {
+    let (_, body) =
         bytes.split_first().ok_or_else(|| RecordError::Malformed("empty".to_owned()))?;
-    if *version > VERSION {
-        return Err(RecordError::Version(*version));
-    }
+    unpacked(body)
+}
+
+fn unpacked<T: Decode<()>>(body: &[u8]) -> Result<(T, &[u8]), RecordError> {
     // The limit keeps a corrupt length from allocating memory.
     let cfg = config::standard().with_limit::<{ 4 << 20 }>();
     let (value, len) =
         bincode::decode_from_slice(body, cfg).map_err(|e| RecordError::Malformed(e.to_string()))?;
-    match len == body.len() {
-        true => Ok(value),
-        false => Err(RecordError::Malformed("trailing bytes".to_owned())),
+    Ok((value, &body[len..]))
+}
+
+/// The end of a sign of life. Older builds wrote nothing there, or a number for each piece.
+fn pieces(bytes: &[u8]) -> Result<PiecesWire, RecordError> {
+    let older = bytes.is_empty() || matches!(unpacked::<[u32; PIECES]>(bytes), Ok((_, [])));
+    match older {
+        true => Ok(PiecesWire::default()),
+        false => unpacked(bytes).map(|(pieces, _)| pieces),
     }
 }
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -100,38 +100,74 @@
     }
 }
 
+/// Stands within signs of life: what is added to claims goes to their ends instead.
+#[derive(Debug, Encode, Decode)]
+pub(super) struct ClaimWire {
+    vm: String,
+    process: u64,
+    epoch: u64,
+    released: bool,
+    settled: bool,
+}
+
+impl From<&Claim> for ClaimWire {
+    fn from(claim: &Claim) -> ClaimWire {
+        let Claim { vm, process, epoch, released, settled } = claim.clone();
+        ClaimWire { vm, process, epoch, released, settled }
+    }
+}
+
+impl From<ClaimWire> for Claim {
+    fn from(wire: ClaimWire) -> Claim {
+        let ClaimWire { vm, process, epoch, released, settled } = wire;
+        Claim { vm, process, epoch, released, settled }
+    }
+}
+
+/// What all builds write of a sign of life; what follows it differs.
 #[derive(Debug, Encode, Decode)]
 pub(super) struct SignWire {
-    claim: Claim,
+    claim: ClaimWire,
     current: bool,
     pending: Vec<(String, u32)>,
     /// Capacity, then what lasting, other and best-effort tasks ask for.
     load: [u64; 4],
-    /// The largest free pieces of workers: thousandths of a core, MiB, accelerators.
-    pieces: [[u32; 3]; PIECES],
+}
+
+/// The largest free pieces of workers: thousandths of a core, MiB, accelerators.
+#[derive(Debug, Default, Encode, Decode)]
+pub(super) struct PiecesWire([[u32; 3]; PIECES]);
+
+impl From<&Sign> for PiecesWire {
+    fn from(sign: &Sign) -> PiecesWire {
+        PiecesWire(sign.load.pieces.map(|it| [it.cpu_milli, it.memory_mib, it.accelerators]))
+    }
 }
 
 impl From<&Sign> for SignWire {
     fn from(sign: &Sign) -> SignWire {
-        let Sign { claim, current, pending, load, .. } = sign.clone();
-        let pieces = load.pieces.map(|it| [it.cpu_milli, it.memory_mib, it.accelerators]);
-        let load = [load.capacity, load.lasting, load.once, load.best_effort];
-        SignWire { claim, current, pending, load, pieces }
+        let Load { capacity, lasting, once, best_effort, .. } = sign.load;
+        SignWire {
+            claim: ClaimWire::from(&sign.claim),
+            current: sign.current,
+            pending: sign.pending.clone(),
+            load: [capacity, lasting, once, best_effort],
+        }
     }
 }
 
 impl SignWire {
     /// The sign of the shard that stands in the record's key.
-    pub(super) fn of(self, shard: ShardId) -> Sign {
-        let SignWire { claim, current, pending, load, pieces } = self;
+    pub(super) fn of(self, shard: ShardId, pieces: PiecesWire) -> Sign {
+        let SignWire { claim, current, pending, load } = self;
         let [capacity, lasting, once, best_effort] = load;
-        let pieces = pieces.map(|[cpu_milli, memory_mib, accelerators]| Resources {
+        let pieces = pieces.0.map(|[cpu_milli, memory_mib, accelerators]| Resources {
             cpu_milli,
             memory_mib,
             accelerators,
         });
         let load = Load { capacity, lasting, once, best_effort, pieces };
-        Sign { shard, claim, current, pending, load }
+        Sign { shard, claim: claim.into(), current, pending, load }
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use daisy_platform_standin::{LogFault, WorkerFault};
 use fleet::{Fleet, JOB, OTHER, job_body};
 use nix::sys::signal::Signal;
@@ -352,6 +353,33 @@
     assert!(slowest < Duration::from_secs(2), "{slowest:?}");
 }
 
+/// A claim by a newer build, whose owner may still renew leases, was taken for none.
+#[tokio::test]
+async fn an_owner_whose_claim_cannot_be_read_is_not_taken_for_gone() {
+    let mut fleet = Fleet::start(1, 1, WORK).await;
+    let first = fleet.is_settled(0);
+    fleet.kill(0);
+    fleet.log.write("keyed.progress", "owner", Bytes::from_static(&[200]));
+
+    fleet.restart(0).await;
+    fleet.wait_until(|it| it.changes_of_owner() == 2).await;
+
+    assert_eq!((first, fleet.is_settled(0)), (Some(true), Some(false)));
+}
+
+/// Passed over, a newer build's progress of a job reads as if nothing of the job had begun.
+#[tokio::test]
+async fn a_shard_is_left_to_the_build_that_can_read_its_progress() {
+    let mut fleet = Fleet::start(1, 1, WORK).await;
+    fleet.kill(0);
+    fleet.log.write("keyed.progress", &format!("progress-{JOB}"), Bytes::from_static(&[200]));
+
+    fleet.restart(0).await;
+    fleet.wait_until(|it| it.log_of(0).contains("event=claim_withheld shard=0")).await;
+
+    assert_eq!(fleet.changes_of_owner(), 1);
+}
+
 /// More workers than one owner can carry are divided: each part has an owner of its own, and any VM
 /// takes and tells of any job. One of the owners is killed while tasks run; another process takes its
 /// part over, nothing runs twice and nothing is lost.
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -179,6 +179,18 @@
         self.nodes.iter().map(owner).sum()
     }
 
+    /// All that a process has logged.
+    pub fn log_of(&self, at: usize) -> String {
+        self.nodes[at].log_text()
+    }
+
+    /// What the process at `at` says of the claims before its own, by its log; the newest of them.
+    pub fn is_settled(&self, at: usize) -> Option<bool> {
+        let log = self.nodes[at].log_text();
+        let owner = log.lines().rfind(|it| it.contains("event=owner "))?;
+        Some(owner.contains("settled=true"))
+    }
+
     /// How many workers each process can give work to, once each worker has an owner.
     pub async fn owned(&self) -> Vec<usize> {
         let began = Instant::now();
