A silent partition rejects its own shard's submissions and no others

What callers saw: while two fifths of the log's partitions were silent, nearly every submission was rejected, 503, though four of five shards could store it and had room: 451 of 479 jobs in seven seconds, of all shards alike (100, 72, 99, 91, 89), where one shard's submissions alone lay in a silent partition.

Cause: a VM judged the whole log by one measure. The partition in which owners tell of states was silent too; the log was asked there whether it answers, did not, and counted as silent for all. Where that partition answers instead, an append to the silent one held up those to others, and records went on into it, as reads elsewhere were answered.

Shards 0, 2 and 4 had nothing waiting and 400 free cores each meanwhile.

Change: each shard's partition of submissions has a Silence and a queue of its own, and is asked itself. Reads elsewhere speak for it while nothing hangs there, and after that only if they went unanswered meanwhile too. A partition that left an append unanswered is asked once a second, one that was found silent as callers come.

Tests: jobs_are_taken_and_run_while_nobody_can_tell_of_them and a_silent_partition_holds_up_no_other_shard failed before (the second with 4 of 40 rejected). a_partition_that_returns_takes_jobs_again passed before and guards what is new. silence.rs: three on what speaks for a partition; they need the new inputs and were not run on the code before.

--- a/daisy-node/src/append.rs
+++ b/daisy-node/src/append.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -11,7 +11,6 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, Store, StoreError, Topic};
 use daisy_workflow::{ShardId, Silence, Turn};
-use futures::future::join_all;
 use tokio::{
     sync::{Notify, mpsc, oneshot},
     time::{Instant as Deadline, sleep, timeout_at},
@@ -51,15 +50,20 @@
         /// Requests that wait for an append; more than a small VM has connections.
         const WAITING_MAX: usize = 4_096;
         let (tx, rx) = mpsc::channel(WAITING_MAX);
-        let log = Log { shared, silence: Arc::default(), freed: Arc::default() };
-        tokio::spawn(run(store, rx, log.clone()));
+        let log = Log { store, shared, silences: Arc::default(), freed: Arc::default() };
+        tokio::spawn(run(rx, log.clone()));
         Appender { tx, log }
     }
 
-    /// Whether the log has fallen silent, so that the next append is not worth waiting for.
-    pub fn is_cut_off(&self) -> bool {
+    /// Whether the partition of `shard` has fallen silent, so that the next append is not worth
+    /// waiting for.
+    pub fn is_cut_off(&self, shard: ShardId) -> bool {
         let now = clock::now();
-        self.log.lock(now).is_silent(now)
+        let silent = self.log.silence(now, shard, |it| it.is_silent(now));
+        if silent {
+            self.log.ask_if_due(now, shard);
+        }
+        silent
     }
 
     /// Appends a record by `deadline`; the outcome is that of the append that held it. `again` says
@@ -90,48 +94,71 @@
     }
 }
 
-/// How the log answers, shared between appends.
+/// How the log answers, shared between appends. A part of its partitions may be silent, so each
+/// shard's has its own.
 #[derive(Debug, Clone)]
 struct Log {
+    store: Store,
     shared: Shared,
-    silence: Arc<Mutex<Silence>>,
+    silences: Arc<Mutex<SortedMap<ShardId, Silence>>>,
     freed: Arc<Notify>,
 }
 
 impl Log {
-    /// What is known by `now`, with the last read that was answered.
-    fn lock(&self, now: Instant) -> MutexGuard<'_, Silence> {
-        let read = self.shared.lock().states_read.map(|(at, _)| at);
-        let mut silence = self.silence.lock().unwrap_or_else(PoisonError::into_inner);
-        silence.read(read.unwrap_or_default().min(now));
-        silence
+    /// What `f` gives for the partition of `shard`, of which all is known that was read by `now`.
+    fn silence<T>(&self, now: Instant, shard: ShardId, f: impl FnOnce(&mut Silence) -> T) -> T {
+        let (read, back_at) = {
+            let known = self.shared.lock();
+            (known.states_read.map(|(at, _)| at), known.reach.back_at())
+        };
+        let mut silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
+        let silence = silences.get_or_insert_with(shard, Silence::default);
+        silence.read_elsewhere(read.unwrap_or_default().min(now), back_at.min(now));
+        f(silence)
+    }
+
+    /// The shards that have had a record.
+    fn shards(&self) -> Vec<ShardId> {
+        let silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
+        silences.iter().map(|(shard, _)| *shard).collect()
+    }
+
+    /// Whether some partition has left an append unanswered.
+    fn is_unsure(&self) -> bool {
+        let silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
+        silences.iter().any(|(_, it)| it.is_unsure())
     }
 
-    /// Asks whether the log answers. Two at one time, as one answer may be lost.
-    fn ask(&self, store: &Store, timeout: Duration) {
-        let Some((_, from)) = self.shared.lock().states_read else { return };
+    /// Asks whether the partition of `shard` answers, if that is not known and was not asked just
+    /// before. Two at one time, as one answer may be lost.
+    fn ask_if_due(&self, now: Instant, shard: ShardId) {
+        let due = self.silence(now, shard, |it| {
+            let due = it.try_question(now);
+            due.inspect(|_| it.ask(now))
+        });
+        let Some(timeout) = due else { return };
         for _ in 0..2 {
-            let (store, log) = (store.clone(), self.clone());
+            let log = self.clone();
             tokio::spawn(async move {
-                let read = store.read(Topic::States, from, Duration::ZERO, timeout).await;
-                if !matches!(read, Err(StoreError::Unknown(_))) {
+                let end = log.store.end(Topic::Jobs(shard.0), timeout).await;
+                if !matches!(end, Err(StoreError::Unknown(_))) {
                     let now = clock::now();
-                    log.lock(now).read(now);
+                    log.silence(now, shard, |it| it.read(now));
                     log.freed.notify_one();
                 }
             });
         }
     }
 
-    fn end(&self, began: Instant, outcome: &Result<(), StoreError>) {
+    fn end(&self, shard: ShardId, began: Instant, outcome: &Result<(), StoreError>) {
         let now = clock::now();
         let answered = !matches!(outcome, Err(StoreError::Unknown(_)));
-        self.lock(now).end(now, began, answered);
+        self.silence(now, shard, |it| it.end(now, began, answered));
         self.freed.notify_one();
     }
 }
 
-async fn run(store: Store, mut rx: mpsc::Receiver<Waiter>, log: Log) {
+async fn run(mut rx: mpsc::Receiver<Waiter>, log: Log) {
     let mut waiting: Vec<Waiter> = Vec::new();
     loop {
         // What comes while earlier appends are under way gathers and goes out together.
@@ -141,26 +168,35 @@
                 None => return,
             },
             () = log.freed.notified() => {}
-            () = sleep(LOOK_EVERY), if !waiting.is_empty() => {}
+            () = sleep(LOOK_EVERY), if !waiting.is_empty() || log.is_unsure() => {}
         }
         while let Ok(it) = rx.try_recv() {
             waiting.push(it);
         }
         let now = clock::now();
         reject_hopeless(now, &log, &mut waiting);
-        let Some((batch, timeout)) = try_batch(now, &store, &log, &mut waiting) else { continue };
-        let (store, log) = (store.clone(), log.clone());
-        tokio::spawn(async move {
-            let outcome = append(&store, batch, timeout).await;
-            log.end(now, &outcome);
-        });
+        for shard in log.shards() {
+            let Some((batch, timeout)) = try_batch(now, &log, shard, &mut waiting) else {
+                let unsure = log.silence(now, shard, |it| it.is_unsure());
+                if unsure || waiting.iter().any(|it| it.shard == shard) {
+                    log.ask_if_due(now, shard);
+                }
+                continue;
+            };
+            let log = log.clone();
+            tokio::spawn(async move {
+                let outcome = append(&log.store, shard, batch, timeout).await;
+                log.end(shard, now, &outcome);
+            });
+        }
     }
 }
 
 /// Answers those whose records were never sent and had better not be.
 fn reject_hopeless(now: Instant, log: &Log, waiting: &mut Vec<Waiter>) {
-    let silence = log.lock(now);
-    let hopeless = |it: &mut Waiter| !it.again && silence.is_hopeless(now, it.since);
+    let hopeless = |it: &mut Waiter| {
+        !it.again && log.silence(now, it.shard, |silence| silence.is_hopeless(now, it.since))
+    };
     for it in waiting.extract_if(.., hopeless) {
         let why = "the log does not answer, and nothing was sent to it";
         // A caller that has left needs no answer.
@@ -168,27 +204,21 @@
     }
 }
 
-/// The records to be appended next, and how long that may take.
+/// The records to be appended next to the partition of `shard`, and how long that may take.
 fn try_batch(
     now: Instant,
-    store: &Store,
     log: &Log,
+    shard: ShardId,
     waiting: &mut Vec<Waiter>,
 ) -> Option<(Vec<Waiter>, Duration)> {
-    let mut silence = log.lock(now);
-    let (timeout, all) = match silence.turn(now) {
+    let (timeout, all) = match log.silence(now, shard, |it| it.turn(now)) {
         Turn::All(timeout) => (timeout, true),
         Turn::Again(timeout) => (timeout, false),
-        Turn::Ask(timeout) => {
-            silence.ask(now);
-            log.ask(store, timeout);
-            return None;
-        }
-        Turn::Wait => return None,
+        Turn::Ask(_) | Turn::Wait => return None,
     };
     let mut left = BATCH_MAX;
     let goes = |it: &mut Waiter| {
-        let goes = left > 0 && (all || it.again);
+        let goes = left > 0 && it.shard == shard && (all || it.again);
         left -= usize::from(goes);
         goes
     };
@@ -198,33 +228,11 @@
     if batch.is_empty() {
         return None;
     }
-    silence.begin(now);
+    log.silence(now, shard, |it| it.begin(now));
     Some((batch, timeout))
 }
-/// Appends records of several shards at the same time; the outcome is that of any append that was
-/// answered, as it tells whether the log is there.
-async fn append(store: &Store, batch: Vec<Waiter>, timeout: Duration) -> Result<(), StoreError> {
-    let mut shards: SortedMap<ShardId, Vec<Waiter>> = SortedMap::new();
-    for it in batch {
-        shards.get_or_insert_with(it.shard, Vec::new).push(it);
-    }
-    let mut appends = Vec::with_capacity(shards.len());
-    for (shard, waiters) in shards.iter_mut() {
-        appends.push(append_to(store, *shard, std::mem::take(waiters), timeout));
-    }
-    let outcomes = join_all(appends).await;
-    let unanswered = |it: &Result<(), StoreError>| matches!(it, Err(StoreError::Unknown(_)));
-    let mut first = Ok(());
-    for it in outcomes {
-        if !unanswered(&it) {
-            return it;
-        }
-        first = it;
-    }
-    first
-}
 
-async fn append_to(
+async fn append(
     store: &Store,
     shard: ShardId,
     batch: Vec<Waiter>,
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -83,7 +83,8 @@
                 return Answer::error(StatusCode::BAD_REQUEST, &why);
             }
         };
-        if self.appender.is_cut_off() {
+        let layout = self.shared.lock().directory.layout();
+        if layout.is_some_and(|it| self.appender.is_cut_off(it.of_job(id))) {
             log::warn!("event=submitted id={id} outcome=rejected cause=\"the log is silent\"");
             return Answer::later_by(after_silence(id), "the platform's store does not answer");
         }
@@ -159,7 +160,7 @@
                 Err(e) if !unknown && matches!(e, StoreError::NotDone(_)) => {
                     log::warn!("event={what} id={id} outcome=rejected tries={tries} cause=\"{e}\"");
                     let why = "the platform's store takes nothing at present";
-                    return match self.appender.is_cut_off() {
+                    return match self.appender.is_cut_off(shard) {
                         true => Answer::later_by(after_silence(id), why),
                         false => Answer::later(why),
                     };
@@ -168,7 +169,7 @@
                     unknown = true;
                     // Where the log stays silent, another VM may reach it: the caller is told at
                     // once that the outcome is unknown, and asks there with the same id.
-                    let silent = tries > 1 && self.appender.is_cut_off();
+                    let silent = tries > 1 && self.appender.is_cut_off(shard);
                     if silent || Instant::now() + PAUSE >= deadline {
                         log::warn!(
                             "event={what} id={id} outcome=unknown tries={tries} cause=\"{e}\""
--- a/daisy-workflow/src/silence.rs
+++ b/daisy-workflow/src/silence.rs
@@ -1,4 +1,4 @@
-//! Whether the log answers one VM, and what that VM sends it meanwhile.
+//! Whether a partition of the log answers one VM, and what that VM sends it meanwhile.
 //!
 //! An append that gets no answer may be done all the same, also later: its caller can be told
 //! neither yes nor no. So as few records as possible are sent to a log that has fallen silent. The
@@ -52,11 +52,11 @@
     Again(Duration),
     /// Nothing yet.
     Wait,
-    /// A question, which any answer of the log to is enough, within this time.
+    /// A question, which any answer of the partition to is enough, within this time.
     Ask(Duration),
 }
 
-/// How the log answers a VM's appends.
+/// How a partition of the log answers a VM's appends.
 #[derive(Debug, Clone, Default)]
 pub struct Silence {
     /// What appends took of late that were answered.
@@ -66,6 +66,8 @@
     unanswered: Option<Unanswered>,
     /// When a read was last answered.
     read_at: Instant,
+    /// When an append was last answered.
+    appended_at: Instant,
     asked: Option<Asked>,
 }
 
@@ -87,13 +89,24 @@
 }
 
 impl Silence {
-    /// A read of the log was answered at `now`.
+    /// A read of another partition was answered at `now`; such reads were last answered again after
+    /// a while without any at `back_at`.
+    ///
+    /// It says nothing of an append that hangs here: a part of the log may be silent. What falls
+    /// silent together comes back together.
+    pub fn read_elsewhere(&mut self, now: Instant, back_at: Instant) {
+        let is_idle = self.under_way.is_empty() && self.unanswered.is_none();
+        self.read(if is_idle { now } else { back_at });
+    }
+
+    /// A read of the partition was answered at `now`.
     pub fn read(&mut self, now: Instant) {
         self.read_at = self.read_at.max(now);
         self.asked.take_if(|it| it.first < self.read_at);
     }
 
-    /// A question is sent, as [`turn`](Silence::turn) has said.
+    /// A question is sent, as [`turn`](Silence::turn) or [`try_question`](Silence::try_question) has
+    /// said.
     pub fn ask(&mut self, now: Instant) {
         let first = self.asked.map_or(now, |it| it.first);
         self.asked = Some(Asked { first, last: now });
@@ -111,6 +124,7 @@
         }
         if answered {
             self.took = (self.took + now.since(began)) / 2;
+            self.appended_at = now;
             self.unanswered = None;
             return;
         }
@@ -127,7 +141,7 @@
         let hangs_after = SLOW.max(self.took * HANGS_FACTOR);
         let hangs = |it: &&Instant| now.since(**it) > hangs_after;
         // A log that has answered reads since is not silent.
-        let overtaken_after = OVERTAKEN_AFTER.max(self.took * OVERTAKEN_FACTOR);
+        let overtaken_after = self.overtaken_after();
         let overtaken = |it: &&Instant| self.read_at > **it + overtaken_after;
         let others = || self.under_way.iter().filter(|it| !overtaken(it));
         let most = if self.took > SLOW { 1 } else { UNDER_WAY_MAX };
@@ -139,12 +153,10 @@
         }
         let timeout = (self.took * TIMEOUT_FACTOR).clamp(TIMEOUT_MIN, TIMEOUT_MAX);
         let Some(it) = self.unanswered else {
-            return match self.is_quiet(now) {
-                true if self.asked.is_none_or(|it| now.since(it.last) >= ASK_EVERY) => {
-                    Turn::Ask(ASK_TIMEOUT)
-                }
-                true => Turn::Wait,
-                false => Turn::All(timeout),
+            return match (self.is_quiet(now), self.try_question(now)) {
+                (true, Some(timeout)) => Turn::Ask(timeout),
+                (true, None) => Turn::Wait,
+                (false, _) => Turn::All(timeout),
             };
         };
         match it.is_silent(now, self.read_at) || self.read_at <= it.last {
@@ -153,6 +165,20 @@
         }
     }
 
+    /// How long a question may take that is due now, as it is not known whether the log answers.
+    pub fn try_question(&self, now: Instant) -> Option<Duration> {
+        let after = self.overtaken_after();
+        let hangs = |it: &Instant| now.since(*it) >= after && self.read_at <= *it + after;
+        let unsure = self.is_unsure() || self.is_quiet(now) || self.under_way.iter().any(hangs);
+        let due = self.asked.is_none_or(|it| now.since(it.last) >= ASK_EVERY);
+        (unsure && due).then_some(ASK_TIMEOUT)
+    }
+
+    /// Whether an append went unanswered and nothing was answered since.
+    pub fn is_unsure(&self) -> bool {
+        self.unanswered.is_some_and(|it| self.read_at <= it.last)
+    }
+
     /// Whether the log has fallen silent, so that waiting for it is of no use.
     pub fn is_silent(&self, now: Instant) -> bool {
         let asked = self.asked.is_some_and(|it| now.since(it.first) >= ASK_TIMEOUT);
@@ -161,7 +187,12 @@
 
     /// Whether the log may have fallen silent, as reads have not been answered for a while.
     fn is_quiet(&self, now: Instant) -> bool {
-        self.read_at > Instant::default() && now.since(self.read_at) > READS_EXPECTED
+        let answered_at = self.read_at.max(self.appended_at);
+        self.read_at > Instant::default() && now.since(answered_at) > READS_EXPECTED
+    }
+
+    fn overtaken_after(&self) -> Duration {
+        OVERTAKEN_AFTER.max(self.took * OVERTAKEN_FACTOR)
     }
 
     /// Whether a record that has waited unsent since `since` is to be rejected.
--- a/daisy-workflow/tests/silence.rs
+++ b/daisy-workflow/tests/silence.rs
@@ -134,3 +134,59 @@
     assert!(!log.is_hopeless(at(2_400), at(1_000)));
     assert!(log.is_hopeless(at(2_500), at(1_000)));
 }
+
+/// Two fifths of the log's partitions were silent, and records went on into them as the others answered.
+#[test]
+fn what_another_partition_answers_says_nothing_of_an_append_that_hangs() {
+    let mut log = answering();
+    let mut sent: Vec<u64> = Vec::new();
+
+    for now in (1_000..4_000).step_by(20) {
+        log.read_elsewhere(at(now), at(0));
+        for began in sent.iter().filter(|it| now == **it + 500) {
+            log.end(at(now), at(*began), false);
+        }
+        if let Turn::All(_) = log.turn(at(now)) {
+            sent.push(now);
+            log.begin(at(now));
+        }
+    }
+    let silent = log.is_silent(at(4_000));
+    log.read(at(4_010));
+
+    assert!(sent.len() <= 2 && silent, "{sent:?}");
+    assert!(!log.is_silent(at(4_010)));
+}
+
+/// An append's answer was lost, and so was all trust in a partition that few write to.
+#[test]
+fn a_lost_answer_of_an_append_rejects_nobody() {
+    let mut log = answering();
+    log.begin(at(1_010));
+    log.end(at(1_510), at(1_010), false);
+    log.read_elsewhere(at(1_500), at(0));
+
+    let question = log.try_question(at(1_510));
+    log.ask(at(1_510));
+    let again = log.try_question(at(1_520));
+    log.read(at(1_520));
+    log.read_elsewhere(at(8_980), at(0));
+
+    assert!(question.is_some() && again.is_none());
+    assert!(!log.is_silent(at(9_000)));
+    assert!(matches!(log.turn(at(9_000)), Turn::All(_)));
+}
+
+/// All of the log was silent: each partition would have to be asked before the next caller is served.
+#[test]
+fn partitions_that_fell_silent_together_come_back_together() {
+    let mut log = answering();
+    log.begin(at(1_010));
+    log.end(at(1_510), at(1_010), false);
+
+    let silent = log.is_silent(at(4_990));
+    log.read_elsewhere(at(5_000), at(5_000));
+
+    assert!(silent && !log.is_silent(at(5_000)));
+    assert!(matches!(log.turn(at(5_000)), Turn::All(_)));
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use daisy_platform_standin::{LogFault, WorkerFault};
+use daisy_workflow::{JobId, Layout, ShardId};
 use fleet::{Fleet, JOB, OTHER, job_body};
 use nix::sys::signal::Signal;
 
@@ -407,6 +408,63 @@
     }
 }
 
+/// Ids of `count` jobs of a shard, of a fleet with two.
+fn ids_of(shard: u16, count: usize) -> Vec<String> {
+    let of_shard = |it: &u64| Layout { shards: 2 }.of_job(JobId(*it)) == ShardId(shard);
+    (0x1000..).filter(of_shard).take(count).map(|it| format!("{it:016x}")).collect()
+}
+
+/// Every submission was rejected while only the partition was silent in which VMs tell of states.
+#[tokio::test]
+async fn jobs_are_taken_and_run_while_nobody_can_tell_of_them() {
+    let fleet = Fleet::start(2, 2, WORK).await;
+    fleet.post(0, JOB, job_body(1)).await;
+    fleet.wait_for_state(0, JOB, "completed").await;
+    fleet.log.silence(&["keyed.states"]);
+
+    let ids = ids_of(0, 20);
+    let answers = fleet.post_all(0, &ids, Duration::from_millis(150)).await;
+    fleet.wait_until(|it| ids.iter().all(|id| it.runs_of(id).len() == 1)).await;
+
+    assert!(answers.iter().all(|it| *it == 200), "{answers:?}");
+}
+
+/// Submissions of one shard waited and were rejected as those of another hung.
+#[tokio::test]
+async fn a_silent_partition_holds_up_no_other_shard() {
+    let fleet = Fleet::start(2, 120, WORK).await;
+    fleet.owned().await;
+    fleet.log.silence(&["keyed.jobs/1"]);
+
+    let (silent, healthy) = (ids_of(1, 40), ids_of(0, 40));
+    let gap = Duration::from_millis(80);
+    let (silent, healthy) =
+        futures::join!(fleet.post_all(0, &silent, gap), fleet.post_all(0, &healthy, gap));
+
+    let unknown = silent.iter().filter(|it| **it == 504).count();
+    let rejected = silent.iter().filter(|it| **it == 503).count();
+    assert!(healthy.iter().all(|it| *it == 200), "{healthy:?}");
+    assert!(unknown <= 3, "{silent:?}");
+    assert_eq!(unknown + rejected, silent.len(), "{silent:?}");
+}
+
+/// Once a silent partition answers again, its shard's jobs are taken though nothing else has changed.
+#[tokio::test]
+async fn a_partition_that_returns_takes_jobs_again() {
+    let fleet = Fleet::start(1, 120, WORK).await;
+    fleet.owned().await;
+    fleet.log.silence(&["keyed.jobs/1"]);
+    let ids = ids_of(1, 50);
+    fleet.post_all(0, &ids[..25], Duration::from_millis(80)).await;
+
+    fleet.log.silence(&[]);
+    fleet.post(0, &ids[25], job_body(1)).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let answers = fleet.post_all(0, &ids[26..], Duration::from_millis(80)).await;
+
+    assert!(answers.iter().all(|it| *it == 200), "{answers:?}");
+}
+
 /// The log falls silent while callers go on handing jobs in, one every 60 ms. What was on its way to
 /// the log has an unknown outcome, which its callers cannot do anything about; all others are told at
 /// once that nothing was done and when to come back, and their jobs never run.
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -130,6 +130,15 @@
         self.call(at, "POST", &format!("/jobs/{id}"), body).await.0
     }
 
+    /// Submits a job of each of these ids, one every `gap`.
+    pub async fn post_all(&self, at: usize, ids: &[String], gap: Duration) -> Vec<u16> {
+        let post = async |(number, id): (usize, &String)| {
+            sleep(gap * number as u32).await;
+            self.post(at, id, job_body(1)).await
+        };
+        futures::future::join_all(ids.iter().enumerate().map(post)).await
+    }
+
     /// Submits job number `number` after a while.
     pub async fn post_after(&self, at: usize, number: usize, after: Duration) -> u16 {
         sleep(after).await;
