--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -4,14 +4,16 @@
 
 use daisy_model::Instant;
 use daisy_platform::{Guard, NodeSettings, Store, StoreError, Topic};
-use daisy_workflow::{Candidate, Claim, Election, Fold, Ledger, Record, ShardId, Verdict, encode};
+use daisy_workflow::{
+    Candidate, Claim, Election, Fold, Ledger, Record, RecordError, ShardId, Verdict, encode,
+};
 use futures::{future::join_all, join};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
     follow::{CALL_TIMEOUT, Read, Tail},
-    jobs::readable,
+    jobs::{self, readable},
     metrics::Metrics,
     own::Ownership,
     shared::Shared,
@@ -73,6 +75,8 @@
     ledger: Ledger,
     jobs: Tail,
     progress: Tail,
+    /// Whether some of the progress is of a newer build's making.
+    is_newer: bool,
 }
 
 /// What a read of progress gave.
@@ -104,10 +108,11 @@
 
     fn fold_progress(&mut self, read: &Read) -> Progressed {
         let (mut seen, mut wrote) = (false, false);
-        for record in readable("progress", &read.records) {
-            match self.ledger.fold(record) {
-                Fold::Claim => seen = true,
-                _ => wrote = true,
+        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
+            match jobs::read("progress", it).map(|record| self.ledger.fold(record)) {
+                Ok(Fold::Claim) => seen = true,
+                Ok(_) => wrote = true,
+                Err(e) => self.is_newer |= matches!(e, RecordError::Version(_)),
             }
         }
         Progressed { seen, wrote, at_end: read.at_end }
@@ -244,6 +249,15 @@
             if rival || claimed.is_some() && seen {
                 break;
             }
+            // Tasks that this build cannot see in the progress would be started again.
+            if reading.is_newer {
+                let shard = self.shard.0;
+                log::warn!(
+                    "event=claim_withheld shard={shard} cause=\"its progress is of a newer build\""
+                );
+                self.election.heard(clock::now());
+                return self.keep(reading);
+            }
             // A read may have taken long.
             if *self.elect.stop.borrow() {
                 return None;
@@ -265,6 +279,7 @@
             ledger: Ledger::default(),
             jobs: Tail::new(store.clone(), Topic::Jobs(shard)),
             progress: Tail::new(store.clone(), Topic::Progress(shard)),
+            is_newer: false,
         })
     }
 
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -130,6 +130,15 @@
         self.call(at, "POST", &format!("/jobs/{id}"), body).await.0
     }
 
+    /// Submits a job of each of these ids, one every `gap`.
+    pub async fn post_all(&self, at: usize, ids: &[String], gap: Duration) -> Vec<u16> {
+        let post = async |(number, id): (usize, &String)| {
+            sleep(gap * number as u32).await;
+            self.post(at, id, job_body(1)).await
+        };
+        futures::future::join_all(ids.iter().enumerate().map(post)).await
+    }
+
     /// Submits job number `number` after a while.
     pub async fn post_after(&self, at: usize, number: usize, after: Duration) -> u16 {
         sleep(after).await;
@@ -179,6 +188,18 @@
         self.nodes.iter().map(owner).sum()
     }
 
+    /// All that a process has logged.
+    pub fn log_of(&self, at: usize) -> String {
+        self.nodes[at].log_text()
+    }
+
+    /// What the process at `at` says of the claims before its own, by its log; the newest of them.
+    pub fn is_settled(&self, at: usize) -> Option<bool> {
+        let log = self.nodes[at].log_text();
+        let owner = log.lines().rfind(|it| it.contains("event=owner "))?;
+        Some(owner.contains("settled=true"))
+    }
+
     /// How many workers each process can give work to, once each worker has an owner.
     pub async fn owned(&self) -> Vec<usize> {
         let began = Instant::now();
