Orders that a restarted worker may carry out late take room there until they are gone

Workers saw more tasks than fit: after a restart the owner placed new tasks on all of a worker's room while orders of before, which had gone unanswered and whose runs had ended since, were carried out there once more.

Cause: the stop for such an order got an assignment that counted nothing.

Change: late orders count with what they need until their stop is answered and a list asked for after that does not name them, which is one round trip.

--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisy_model::{Instant, Resources, SortedMap};
+use daisy_model::{Instant, SortedMap};
 
 use super::{
     Owner, Settings,
@@ -141,7 +141,7 @@
     }
 
     /// Orders that once went unanswered and have ended since may yet reach a new incarnation as
-    /// well: each is shut out there by a stop.
+    /// well: each is shut out there by a stop, and takes room until a list shows it to be gone.
     fn shut_out_late(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         for (task, run, until) in std::mem::take(&mut worker.late_orders) {
@@ -151,7 +151,6 @@
             let Some(job) = self.ledger.job(task.job) else { continue };
             let Some(step) = job.spec.steps.get(usize::from(task.step)) else { continue };
             let mut it = super::assignment(now, &mut self.interference, task, run, step);
-            it.counted = Resources::ZERO;
             it.sent = Sent::Unanswered(now);
             it.maybe_late = true;
             it.stop_at(now, StopCause::MaybeLate);
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -187,6 +187,53 @@
     assert!(done);
 }
 
+/// One worker of four cores, which has ended a job of four tasks and may be sent its orders once more.
+fn with_late_orders() -> World {
+    let mut world = World::new(vec![FakeWorker::new("w1", 4)]);
+    world.worker("w1").fault = Fault::Late(60_000);
+    world.submit(1, job(vec![step(4)]));
+    world.run_ms(60);
+    world.worker("w1").fault = Fault::None;
+    let done = world.run_until(3_000, |it| it.state(1) == JobState::Completed);
+    assert!(done && world.worker("w1").late.len() >= 4);
+    world
+}
+
+/// The worker starts anew, and late orders are the first that it carries out.
+fn restart_with_late_orders(world: &mut World) {
+    let now = world.now;
+    world.worker("w1").restart(now);
+    world.worker("w1").late.iter_mut().for_each(|it| it.0 = 0);
+}
+
+/// New tasks were placed beside late orders that a restarted worker had carried out.
+#[test]
+fn late_orders_take_room_at_a_restarted_worker_until_they_are_gone() {
+    let mut world = with_late_orders();
+    restart_with_late_orders(&mut world);
+    world.submit(2, job(vec![step(4)]));
+
+    let done = world.run_until(4_000, |it| it.state(2) == JobState::Completed);
+
+    assert!(done);
+}
+
+/// Orders whose records were under way as the worker started anew went out beside late ones.
+#[test]
+fn an_order_that_fits_no_more_once_it_is_recorded_is_not_sent() {
+    let mut world = with_late_orders();
+    world.log_up = false;
+    world.submit(2, job(vec![step(4)]));
+    world.run_ms(50);
+    restart_with_late_orders(&mut world);
+    world.run_ms(100);
+    world.log_up = true;
+
+    let done = world.run_until(4_000, |it| it.state(2) == JobState::Completed);
+
+    assert!(done);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing_more() {
     let mut world = two_workers();
