An order whose worker fell silent while its record was under way is not sent

Workers saw more tasks than fit: a log that had been away took the records of orders, and the orders went to a worker that had stopped answering meanwhile. Its next incarnation, not yet known to be one, carried them out beside late orders of before. Each such order also put off the end of the silent worker's leases.

Cause: the owner gives silent workers no new tasks and sends them no order again, but looked only as it planned, not once the record was in the log.

Change: a first order to a worker whose renewals go unanswered is taken back, and the task placed anew.

Test: an_order_whose_worker_fell_silent_is_not_sent failed before ("w1 is over its capacity"; alone with the commit before, too) and passes; so do all other tests of the crate.

What remains: a worker that restarts without a renewal of the owner failing takes orders as its old incarnation until a list or an answer names the later start.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -59,11 +59,13 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(sent) = worker.find(task, run).map(|it| it.sent) else { return };
         // Its worker may have changed while the record was under way.
-        let fits = sent != Sent::Recording || worker.used.fits(worker.capacity);
-        let lease_end = if wanted && fits { worker.lease_end(now, lease) } else { None };
+        let takes = worker.hold_failures == 0 && worker.used.fits(worker.capacity);
+        let can = takes || sent != Sent::Recording;
+        let lease_end = if wanted && can { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
         let Some(deadline_ms) = lease_end else {
-            // Not wanted any more, no room, or its worker has just started anew: nothing was sent.
+            // Not wanted any more, no room, or its worker is silent or has just started anew: nothing
+            // was sent.
             self.unassign(key, task, run);
             return;
         };
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -234,6 +234,28 @@
     assert!(done);
 }
 
+/// Orders that were recorded after their worker fell silent went to its next incarnation unseen.
+#[test]
+fn an_order_whose_worker_fell_silent_is_not_sent() {
+    let mut world = with_late_orders();
+    world.log_up = false;
+    world.submit(2, job(vec![step(4)]));
+    world.run_ms(50);
+    world.list_lags = true;
+    world.worker("w1").fault = Fault::Cut;
+    world.run_ms(600);
+    restart_with_late_orders(&mut world);
+    world.log_up = true;
+
+    world.run_ms(60);
+    let sent = world.starts.iter().filter(|(task, ..)| task.job.0 == 2).count();
+    world.list_lags = false;
+    let done = world.run_until(4_000, |it| it.state(2) == JobState::Completed);
+
+    assert_eq!(sent, 0);
+    assert!(done);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing_more() {
     let mut world = two_workers();
