node: a refusal does not break the caller's connection

Callers saw a broken connection in place of an answer: after a 413, or a 404 or 503 that came before the body, the next request on the same connection got none.

Cause: such an answer is given before the request is read to its end. The server then closes the connection, without saying so in the answer, unless the rest happens to be there already; a pool keeps the connection and sends the next request into it. A caller that is still sending may lose the refusal itself.

Change: the rest of a request is read before its answer goes out, up to 4 MiB and a second; where there is more, the answer says that the connection closes.

Test: a_refusal_leaves_the_connection_to_the_next_request sends the rest of a body late, for a 413 and for a 404.

--- a/daisy-node/src/callers.rs
+++ b/daisy-node/src/callers.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use daisy_platform::DEADLINE_HEADER;
 use daisy_workflow::Queues;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -27,6 +27,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a request may take where neither its caller nor its queue sets a bound.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// How many bytes are read of the rest of a request whose answer is known, and for how long.
+const REST_BYTES: usize = 4 << 20;
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves callers until `stop` says so; then finishes the requests that have come.
 pub(crate) async fn serve(
@@ -90,9 +93,10 @@
     metrics: Metrics,
 ) -> Response<Full<Bytes>> {
     let began = Instant::now();
-    let method = req.method().clone();
-    let answer = answer(req, &submissions, began).await;
-    metrics.request(&method, answer.status, began.elapsed());
+    let (parts, mut body) = req.into_parts();
+    let answer = answer(&parts, &mut body, &submissions, began).await;
+    let whole = skip_rest(body).await;
+    metrics.request(&parts.method, answer.status, began.elapsed());
     let mut res = Response::new(Full::new(Bytes::from(answer.body)));
     *res.status_mut() = answer.status;
     let headers = res.headers_mut();
@@ -100,14 +104,18 @@
     if let Some(after) = answer.retry_after {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(after.as_secs()));
     }
-    if submissions.shared.lock().stopping {
+    if !whole || submissions.shared.lock().stopping {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     res
 }
 
-async fn answer(req: Request<Incoming>, submissions: &Submissions, began: Instant) -> Answer {
-    let (parts, body) = req.into_parts();
+async fn answer(
+    parts: &Parts,
+    body: &mut Incoming,
+    submissions: &Submissions,
+    began: Instant,
+) -> Answer {
     let Some(queues) = submissions.shared.lock().queues.clone() else {
         return Answer::later("no configuration was read yet");
     };
@@ -124,7 +132,7 @@
     submissions.answer(&parts.method, queue, rest, &body, deadline).await
 }
 
-async fn collect(body: Incoming, queues: &Arc<Queues>) -> Result<Bytes, Answer> {
+async fn collect(body: &mut Incoming, queues: &Arc<Queues>) -> Result<Bytes, Answer> {
     match Limited::new(body, queues.body_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => {
@@ -134,6 +142,22 @@
     }
 }
 
+/// Reads a request to its end, if that comes soon; whether it came.
+///
+/// The server closes a connection on which a part of a request is left, and a caller that still
+/// sends it, or sends its next request, would get a broken connection in place of an answer.
+async fn skip_rest(mut body: Incoming) -> bool {
+    let read = async {
+        let mut left = REST_BYTES;
+        while let Some(frame) = body.frame().await {
+            let bytes = frame.ok()?.data_ref().map_or(0, Bytes::len);
+            left = left.checked_sub(bytes)?;
+        }
+        Some(())
+    };
+    matches!(tokio::time::timeout(REST_TIMEOUT, read).await, Ok(Some(())))
+}
+
 /// The host that a request names, without a port.
 fn host<'a>(headers: &'a HeaderMap, from_uri: Option<&'a str>) -> &'a str {
     let named = headers.get(header::HOST).and_then(|it| it.to_str().ok());
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -172,6 +172,19 @@
     assert_eq!(fleet.call(0, "GET", "/jobs/", String::new()).await.1, r#"{"pending":0}"#);
 }
 
+/// A caller whose body came after its refusal found the connection broken at its next request.
+#[tokio::test]
+async fn a_refusal_leaves_the_connection_to_the_next_request() {
+    let fleet = Fleet::start(1, 1, WORK).await;
+    let long = ["x".repeat(300_000), "x".repeat(100_000)];
+    let late = [String::new(), job_body(1)];
+
+    let too_long = fleet.post_in_parts(0, &format!("/jobs/{JOB}"), &long).await;
+    let no_queue = fleet.post_in_parts(0, "/nobody/1", &late).await;
+
+    assert_eq!((too_long, no_queue), ([413, 410], [404, 410]));
+}
+
 #[tokio::test]
 async fn a_cancelled_job_is_stopped_and_said_so() {
     let fleet = Fleet::start(2, 2, Duration::from_secs(30)).await;
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -12,7 +12,11 @@
 use http_body_util::Full;
 use nix::sys::signal::Signal;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::process::Process;
 
@@ -126,6 +130,26 @@
         }
     }
 
+    /// Sends a POST with a body of `parts`, a while after one another, on a connection of its own, and
+    /// then a GET of `JOB` on the same; their statuses, 0 where the connection broke.
+    pub async fn post_in_parts(&self, at: usize, path: &str, parts: &[String]) -> [u16; 2] {
+        let mut stream = TcpStream::connect(self.nodes[at].callers).await.expect("a port");
+        let length: usize = parts.iter().map(String::len).sum();
+        let head = "HTTP/1.1\r\nhost: shop.example\r\n";
+        let mut sent = format!("POST {path} {head}content-length: {length}\r\n\r\n");
+        for part in parts {
+            sent.push_str(part);
+            // A connection that the other side has closed shows as one without an answer.
+            let _ = stream.write_all(sent.as_bytes()).await;
+            sent.clear();
+            sleep(Duration::from_millis(200)).await;
+        }
+        let posted = read_status(&mut stream).await;
+        let next = format!("GET /jobs/{JOB} {head}\r\n");
+        let _ = stream.write_all(next.as_bytes()).await;
+        [posted, read_status(&mut stream).await]
+    }
+
     pub async fn post(&self, at: usize, id: &str, body: String) -> u16 {
         self.call(at, "POST", &format!("/jobs/{id}"), body).await.0
     }
@@ -274,6 +298,18 @@
     }
 }
 
+/// The status of the next answer on a connection, all of which is read; 0 if it broke.
+async fn read_status(stream: &mut TcpStream) -> u16 {
+    let mut buf = vec![0; 1 << 14];
+    match tokio::time::timeout(CALL_TIMEOUT, stream.read(&mut buf)).await {
+        Ok(Ok(len)) => {
+            let text = String::from_utf8_lossy(&buf[..len]);
+            text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or_default()
+        }
+        _ => 0,
+    }
+}
+
 /// Workers, over all shards, that a process can give work to, by its metrics.
 fn usable_workers(metrics: &str) -> usize {
     let lines = metrics.lines().filter(|it| it.starts_with("daisyshift_usable_workers{"));
