A worker's clock that went back shows that it started anew

Workers saw more tasks than fit: for a moment after a restart, until a list or a renewal names the later start, the owner placed tasks beside orders of before that the new incarnation had carried out.

Cause: the answer to an order tells the worker's clock, which begins anew with each incarnation. The owner took the smaller value over and went on.

Change: an answer whose clock is more than 2 s behind the known one, longer than any call lasts, shows a later incarnation. The worker then gets nothing new until a renewal or a list names it.

The first batch of orders remains.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -59,7 +59,8 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(sent) = worker.find(task, run).map(|it| it.sent) else { return };
         // Its worker may have changed while the record was under way.
-        let takes = worker.hold_failures == 0 && worker.used.fits(worker.capacity);
+        let answers = worker.fenced && worker.hold_failures == 0;
+        let takes = answers && worker.used.fits(worker.capacity);
         let can = takes || sent != Sent::Recording;
         let lease_end = if wanted && can { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
@@ -107,7 +108,11 @@
         if let OrderReply::Done { clock_ms } = reply
             && worker.fenced
         {
-            worker.clock = Some((clock_ms, now));
+            match worker.is_clock_reset(clock_ms) {
+                // Its next list names the incarnation; until then it gets nothing new.
+                true => worker.fenced = false,
+                false => worker.clock = Some((clock_ms, now)),
+            }
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -14,6 +14,8 @@
 /// A worker's clock may run this much slower than the owner's, in thousandths: the platform's
 /// contract allows 2 %.
 const CLOCK_SLOW_PERMILLE: u64 = 20;
+/// Answers of one incarnation that overtake each other differ by less than this: no call lasts as long.
+const OVERTAKEN_MS: u64 = 2_000;
 /// Added before a lease counts as over, for the time that the worker takes to end its tasks.
 const EXPIRY_MARGIN_MS: u64 = 150;
 
@@ -128,7 +130,8 @@
     pub(crate) clock: Option<(u64, Instant)>,
     /// The latest end of a lease that was ever sent, answered or not, on the worker's clock.
     pub(crate) deadline_ms: u64,
-    /// Whether it has answered under this owner's epoch: from then on it refuses older orders.
+    /// Whether it has answered under this owner's epoch, as the incarnation that is known: from then on
+    /// it refuses older orders.
     pub(crate) fenced: bool,
     /// Whether it started anew under this owner, which may have sent it orders without knowing.
     pub(crate) reborn: bool,
@@ -212,6 +215,11 @@
         Some(clock + passed - passed * CLOCK_SLOW_PERMILLE / 1_000)
     }
 
+    /// Whether an answer shows the clock of a later incarnation, which begins anew.
+    pub(crate) fn is_clock_reset(&self, clock_ms: u64) -> bool {
+        self.clock.is_some_and(|(known, _)| clock_ms + OVERTAKEN_MS < known)
+    }
+
     /// The end of a lease that begins now, on the worker's clock.
     pub(crate) fn lease_end(&mut self, now: Instant, lease: Duration) -> Option<u64> {
         let end = self.clock_at_least(now)? + lease.as_millis() as u64;
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -28,6 +28,8 @@
     pub log_up: bool,
     /// Whether the platform's list of workers stands still.
     pub list_lags: bool,
+    /// The longest that a worker waits before it answers a renewal.
+    pub hold_wait_max: Duration,
     /// Orders to start that were sent: task, run, worker.
     pub starts: Vec<(TaskId, u32, String)>,
     pub stepped_down: bool,
@@ -65,6 +67,7 @@
             ledger,
             log_up: true,
             list_lags: false,
+            hold_wait_max: Duration::from_millis(50),
             starts: Vec::new(),
             stepped_down: false,
             work: |_| 1_000,
@@ -233,14 +236,12 @@
         let epoch = self.epoch;
         match action {
             Action::Hold { worker: key, deadline_ms, cursor, wait } => {
+                let wait = wait.min(self.hold_wait_max);
                 let worker = self.of(key);
                 let (after, event) = match worker.hold(now, epoch, deadline_ms, cursor) {
                     None => (Duration::from_millis(300), Event::Held(key, None)),
                     Some(Err(())) => (STEP, Event::Fenced(key)),
-                    Some(Ok(answer)) => {
-                        let wait = wait.min(Duration::from_millis(50));
-                        (wait.max(STEP), Event::Held(key, Some(answer)))
-                    }
+                    Some(Ok(answer)) => (wait.max(STEP), Event::Held(key, Some(answer))),
                 };
                 self.events.push((now + after, event));
             }
