keys: what a claim rests on goes with it to its new home

Callers saw 409 outcome-unknown for an order that had not run: it was refused, or its grant was lost, while the home of its key stopped or an entry VM joined, and its next attempt was told for good that nobody knows.

Cause: a claim that runs is handed over without what it rests on. At the new home its end as not run left the key unknown, and a claim that was asked for again was granted only by the other data centres' word, of which a deployment with one data centre has none.

Change: the kind of a claim is handed over with it. A claim that replaces a fence ends as unknown, as before. On the wire it is a state of its own after the others: what older entry VMs send is read as before; they do not read a running claim of a newer one.

Tests: a_refusal_leaves_nothing_behind_at_a_new_home (told Unknown before) and a_grant_that_was_lost_is_given_again_at_a_new_home (told Conditional before).

--- a/daisy-routing/src/key.rs
+++ b/daisy-routing/src/key.rs
@@ -41,6 +41,21 @@
     Unknown,
 }
 
+/// What a claim rests on; decides what is left when it ends without having run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimKind {
+    /// A first attempt's, by the word of its home alone: nothing is left.
+    First,
+    /// A first attempt's that needs the other data centres' word: nothing is left, as its home did not
+    /// vouch for its past and must not seem to have.
+    Conditional,
+    /// A repeated attempt's: the key is fenced, as it may have been before.
+    Repeated,
+    /// One of the three, granted by an earlier home that did not say which: unknown, which is safe
+    /// for each.
+    Handed,
+}
+
 /// What a home knows of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyState {
@@ -48,6 +63,8 @@
     Running {
         /// The claim.
         claim: ClaimId,
+        /// What it rests on.
+        kind: ClaimKind,
     },
     /// The request ran, and this is its answer.
     Answered(StoredAnswer),
--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -11,10 +11,10 @@
 use daisy_model::{DcId, Instant, VmId};
 
 use crate::{
-    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, Routes, digest,
+    ClaimEnd, ClaimId, ClaimKind, HandedKey, KeyAnswer, KeyId, KeyQuery, Routes, digest,
     keys::{
         past::{Past, Word},
-        store::{ClaimKind, Held, Holding, Store},
+        store::{Held, Holding, Store},
         view::View,
     },
     weight,
--- a/daisy-routing/src/keys/store.rs
+++ b/daisy-routing/src/keys/store.rs
@@ -5,26 +5,13 @@
 use daisy_model::{Instant, SortedMap};
 
 use crate::{
-    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyState, StoredAnswer, digest, keys::KeyLimits,
+    ClaimEnd, ClaimId, ClaimKind, HandedKey, KeyAnswer, KeyId, KeyState, StoredAnswer, digest,
+    keys::KeyLimits,
 };
 
 /// Keys are spread over this many sorted vectors, so that an insertion moves few.
 const BUCKETS: u64 = 512;
 
-/// What a claim rests on; decides what is left when it ends without having run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ClaimKind {
-    /// A first attempt's, by this home's word alone: nothing is left.
-    First,
-    /// A first attempt's that needs the other data centres' word: nothing is left, as this home
-    /// did not vouch for its past and must not seem to have.
-    Conditional,
-    /// A repeated attempt's: the key is fenced, as it may have been before.
-    Repeated,
-    /// One of the three, granted by an earlier home: unknown, which is safe for each.
-    Handed,
-}
-
 /// What is known of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Holding {
@@ -67,7 +54,7 @@
 impl From<KeyState> for Holding {
     fn from(state: KeyState) -> Holding {
         match state {
-            KeyState::Running { claim } => Holding::Running { claim, kind: ClaimKind::Handed },
+            KeyState::Running { claim, kind } => Holding::Running { claim, kind },
             KeyState::Answered(answer) => Holding::Answered(answer),
             KeyState::Unknown => Holding::Unknown { claim: None },
             KeyState::Fenced => Holding::Fenced,
@@ -122,7 +109,7 @@
     /// The key as it is handed over at `now`.
     pub(super) fn handed(&self, key: &KeyId, now: Instant) -> HandedKey {
         let state = match &self.holding {
-            Holding::Running { claim, .. } => KeyState::Running { claim: *claim },
+            Holding::Running { claim, kind } => KeyState::Running { claim: *claim, kind: *kind },
             Holding::Answered(answer) => KeyState::Answered(answer.clone()),
             Holding::Unknown { .. } => KeyState::Unknown,
             Holding::Fenced => KeyState::Fenced,
@@ -192,12 +179,18 @@
 
     /// Keeps a handed key beside or in place of what is known of it, also beyond the limit: the
     /// old home has forgotten it by now.
-    pub(super) fn merge(&mut self, key: KeyId, held: Held) {
+    pub(super) fn merge(&mut self, key: KeyId, mut held: Held) {
         match self.get_mut(&key) {
             Some(known) if known.certainty() >= held.certainty() => {
                 known.until = known.until.max(held.until);
             }
-            Some(_) => self.replace(&key, held),
+            Some(_) => {
+                // Only a fence is less sure than a claim, and it must not go when the claim ends.
+                if let Holding::Running { kind, .. } = &mut held.holding {
+                    *kind = ClaimKind::Handed;
+                }
+                self.replace(&key, held);
+            }
             None => self.insert(key, held),
         }
     }
--- a/daisy-routing/src/lib.rs
+++ b/daisy-routing/src/lib.rs
@@ -28,7 +28,9 @@
     attempt::{KeyStep, KeyStop, after_home, after_others},
     call::{Call, CallerId, Grant, Offer, Reason, Refusal, Target, Ticket, TryId, Urgency},
     digest::{digest, weight},
-    key::{ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer},
+    key::{
+        ClaimEnd, ClaimId, ClaimKind, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer,
+    },
     keys::{KeyLimits, KeyTable},
     learn::{Report, TryEnd},
     router::Router,
--- a/daisy-routing/tests/keys/home.rs
+++ b/daisy-routing/tests/keys/home.rs
@@ -4,7 +4,8 @@
 
 use daisy_model::{DcId, Instant, VmId};
 use daisy_routing::{
-    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyLimits, KeyQuery, KeyState, KeyTable, StoredAnswer,
+    ClaimEnd, ClaimId, ClaimKind, HandedKey, KeyAnswer, KeyId, KeyLimits, KeyQuery, KeyState,
+    KeyTable, StoredAnswer,
 };
 
 use crate::world::{Ended, World, key, routes};
@@ -275,7 +276,7 @@
     let answer = StoredAnswer { status: 200, headers: Vec::new(), body: None };
     let end = ClaimEnd::Answered(answer.clone());
     let finish = KeyQuery::Finish { key: own.clone(), claim: ClaimId(1), end };
-    let state = KeyState::Running { claim: ClaimId(1) };
+    let state = KeyState::Running { claim: ClaimId(1), kind: ClaimKind::First };
     let running = HandedKey { key: own.clone(), shape: 0, state, keep: seconds(4) };
     let handover = KeyQuery::Handover {
         keys: vec![running],
@@ -326,3 +327,51 @@
 
     assert_ne!(told, KeyAnswer::Granted);
 }
+
+/// A stopped home that has granted a first attempt under claim 1, the one that took its keys over, and
+/// the key.
+fn handed_over_while_running() -> (KeyTable, KeyTable, KeyId) {
+    let (new, old) = (VmId(1), VmId(2));
+    let now = Instant::from_millis(200);
+    let limits = KeyLimits { keys: 10, bytes: 1 << 10 };
+    let mut tables = [new, old].map(|vm| KeyTable::new(vm, limits, Instant::default()));
+    let entries = vec![(A, new), (A, old)];
+    let routes = routes(A, entries.clone(), entries);
+    let messages = tables.each_mut().map(|it| it.set_routes(now, &routes));
+    let [mut at_new, mut at_old] = tables;
+    let [from_new, from_old] = messages;
+    from_new.into_iter().for_each(|(_, query)| drop(at_old.handle(now, new, query)));
+    from_old.into_iter().for_each(|(_, query)| drop(at_new.handle(now, old, query)));
+    let key = (0..20).map(key).find(|key| at_old.homes(A, key)[0] == old).unwrap();
+    assert_eq!(at_old.handle(now, old, first(&key, 1)), KeyAnswer::Granted);
+    for (_, query) in at_old.leave(now) {
+        at_new.handle(now, old, query);
+    }
+    (at_old, at_new, key)
+}
+
+fn first(key: &KeyId, claim: u64) -> KeyQuery {
+    let (key, claim) = (key.clone(), ClaimId(claim));
+    KeyQuery::Claim { key, shape: 0, claim, repeated: false, hold: seconds(4) }
+}
+
+/// A buyer whose order was refused while its home stopped was told at the next try that nobody knows.
+#[test]
+fn a_refusal_leaves_nothing_behind_at_a_new_home() {
+    let (_, mut home, key) = handed_over_while_running();
+    let now = Instant::from_millis(300);
+    let finish = KeyQuery::Finish { key: key.clone(), claim: ClaimId(1), end: ClaimEnd::NotRun };
+
+    home.handle(now, VmId(1), finish);
+
+    assert_eq!(home.handle(now, VmId(1), first(&key, 2)), KeyAnswer::Granted);
+}
+
+/// An order whose grant was lost as its home stopped was refused for good, though it had not run.
+#[test]
+fn a_grant_that_was_lost_is_given_again_at_a_new_home() {
+    let (_, mut home, key) = handed_over_while_running();
+    let now = Instant::from_millis(300);
+
+    assert_eq!(home.handle(now, VmId(1), first(&key, 1)), KeyAnswer::Granted);
+}
--- a/daisy-wire/src/peer/key.rs
+++ b/daisy-wire/src/peer/key.rs
@@ -5,7 +5,7 @@
 use bincode::{Decode, Encode};
 use daisy_model::Name;
 use daisy_routing::{
-    ClaimEnd, ClaimId, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer,
+    ClaimEnd, ClaimId, ClaimKind, HandedKey, KeyAnswer, KeyId, KeyQuery, KeyState, StoredAnswer,
 };
 
 use crate::WireError;
@@ -39,10 +39,24 @@
     Unknown,
 }
 
+/// See [`ClaimKind`].
+#[derive(Debug, Encode, Decode)]
+pub enum ClaimKindWire {
+    /// See [`ClaimKind::First`].
+    First,
+    /// See [`ClaimKind::Conditional`].
+    Conditional,
+    /// See [`ClaimKind::Repeated`].
+    Repeated,
+    /// See [`ClaimKind::Handed`].
+    Handed,
+}
+
 /// See [`KeyState`].
 #[derive(Debug, Encode, Decode)]
 pub enum KeyStateWire {
-    /// See [`KeyState::Running`].
+    /// A claim of which it is not said what it rests on: so older entry VMs write
+    /// [`KeyState::Running`].
     Running(u64),
     /// See [`KeyState::Answered`].
     Answered(StoredAnswerWire),
@@ -50,6 +64,8 @@
     Unknown,
     /// See [`KeyState::Fenced`].
     Fenced,
+    /// See [`KeyState::Running`].
+    Claimed(u64, ClaimKindWire),
 }
 
 /// See [`HandedKey`].
@@ -200,10 +216,32 @@
     }
 }
 
+impl From<ClaimKind> for ClaimKindWire {
+    fn from(it: ClaimKind) -> ClaimKindWire {
+        match it {
+            ClaimKind::First => ClaimKindWire::First,
+            ClaimKind::Conditional => ClaimKindWire::Conditional,
+            ClaimKind::Repeated => ClaimKindWire::Repeated,
+            ClaimKind::Handed => ClaimKindWire::Handed,
+        }
+    }
+}
+
+impl From<ClaimKindWire> for ClaimKind {
+    fn from(it: ClaimKindWire) -> ClaimKind {
+        match it {
+            ClaimKindWire::First => ClaimKind::First,
+            ClaimKindWire::Conditional => ClaimKind::Conditional,
+            ClaimKindWire::Repeated => ClaimKind::Repeated,
+            ClaimKindWire::Handed => ClaimKind::Handed,
+        }
+    }
+}
+
 impl From<KeyState> for KeyStateWire {
     fn from(it: KeyState) -> KeyStateWire {
         match it {
-            KeyState::Running { claim } => KeyStateWire::Running(claim.0),
+            KeyState::Running { claim, kind } => KeyStateWire::Claimed(claim.0, kind.into()),
             KeyState::Answered(answer) => KeyStateWire::Answered(answer.into()),
             KeyState::Unknown => KeyStateWire::Unknown,
             KeyState::Fenced => KeyStateWire::Fenced,
@@ -214,7 +252,12 @@
 impl From<KeyStateWire> for KeyState {
     fn from(it: KeyStateWire) -> KeyState {
         match it {
-            KeyStateWire::Running(claim) => KeyState::Running { claim: ClaimId(claim) },
+            KeyStateWire::Running(claim) => {
+                KeyState::Running { claim: ClaimId(claim), kind: ClaimKind::Handed }
+            }
+            KeyStateWire::Claimed(claim, kind) => {
+                KeyState::Running { claim: ClaimId(claim), kind: kind.into() }
+            }
             KeyStateWire::Answered(answer) => KeyState::Answered(answer.into()),
             KeyStateWire::Unknown => KeyState::Unknown,
             KeyStateWire::Fenced => KeyState::Fenced,
