A test of peers takes a refusal that comes before it has sent the body

broken_messages_are_refused_and_the_process_lives_on failed in 2 of 4 runs beside load: "sent: InactiveStreamId".

Cause: an entry VM refuses a request by its head alone, such as one without the sender's number, and the test then fails as it sends the body on the closed stream.

Change: sending the body may fail. Every status is asserted as before; the valid message at the end still has to show in the peer's state.

--- a/daisy-entry/tests/control/peers.rs
+++ b/daisy-entry/tests/control/peers.rs
@@ -46,7 +46,8 @@
     let mut requests = requests.ready().await.expect("takes a stream");
     let req = req.body(()).expect("a valid request");
     let (response, mut stream) = requests.send_request(req, false).expect("sent");
-    stream.send_data(Bytes::copy_from_slice(body), true).expect("sent");
+    // A refusal by the head alone may come first, and closes the stream.
+    let _ = stream.send_data(Bytes::copy_from_slice(body), true);
     let response = tokio::time::timeout(Duration::from_secs(5), response).await;
     response.expect("an answer or an end").ok().map(|it| it.status())
 }
