keys: a claim that has not run ends where its copies are, too

Callers could see 409 for an order that had not run, in a rolling restart: an entry VM joins and takes the key over while the order's claim runs, the claim ends as not run, and then the old home stops and hands over all it has, the claim among it. Nobody ends it again, so the next attempt finds an attempt that runs, and later on one that nobody knows of.

Cause: a home keeps what it has handed over, and the end of a claim goes to its present home alone. An answer outweighs the old copy; the end of a claim that has not run leaves nothing that could.

Change: if the home changed while a claim ran, its end as not run is told to the other entry VMs of the data centre as well, which drop their copies.

Test: a_claim_that_has_not_run_ends_at_the_old_home_too; before, the next claim was told Running.

--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -166,8 +166,13 @@
 
     /// The home of `key` in the own data centre.
     pub(super) fn home(&self, key: &KeyId) -> Option<VmId> {
+        self.homes(key).first().copied()
+    }
+
+    /// Those in the own data centre that may be the home of `key`, the likeliest first.
+    pub(super) fn homes(&self, key: &KeyId) -> Vec<VmId> {
         let keys = lock(&self.keys);
-        keys.homes(keys.dc(), key).first().copied()
+        keys.homes(keys.dc(), key)
     }
 
     /// The homes of `key` in all other data centres; `None` where none shows.
--- a/daisy-entry/src/proxy/keyed.rs
+++ b/daisy-entry/src/proxy/keyed.rs
@@ -35,11 +35,18 @@
 /// How long the platform's log is given to take an intent.
 const INTENT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A claim, and the home that was asked first for it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    id: ClaimId,
+    home: Option<VmId>,
+}
+
 /// What a claim came to.
 #[derive(Debug)]
 pub(super) enum Claimed {
-    /// The request runs, under this name.
-    Run(ClaimId),
+    /// The request runs.
+    Run(Claim),
     /// An earlier attempt ran, with this answer.
     Replay(StoredAnswer),
 }
@@ -60,9 +67,11 @@
     pub(super) async fn claim(&self) -> Result<Claimed, Failure> {
         let begun = self.core.clock.now();
         let mut pause = FIRST_PAUSE;
-        let mut claim = ClaimId(self.core.draw());
+        let mut claim = Claim { id: ClaimId(self.core.draw()), home: None };
         loop {
-            let mut step = self.ask_home(claim).await;
+            let home = self.core.home(&self.id);
+            claim.home = claim.home.or(home);
+            let mut step = self.ask_home(home, claim.id).await;
             let granted = matches!(step, KeyStep::Run | KeyStep::AskOthers);
             if granted && self.key.logged {
                 step = self.intend().await;
@@ -81,7 +90,7 @@
                 KeyStep::Stop(stop) | KeyStep::Wait(stop) if granted => {
                     self.finish(claim, ClaimEnd::NotRun).await;
                     // A finish may overtake the next claim of the same name and release it.
-                    claim = ClaimId(self.core.draw());
+                    claim = Claim { id: ClaimId(self.core.draw()), home: None };
                     stop
                 }
                 KeyStep::Stop(stop) | KeyStep::Wait(stop) => stop,
@@ -99,12 +108,16 @@
 
     /// Tells the home how a claim ended; a home that is not there is looked for for a while, and
     /// after that lets the claim expire as unknown.
-    pub(super) async fn finish(&self, claim: ClaimId, end: ClaimEnd) {
+    pub(super) async fn finish(&self, claim: Claim, end: ClaimEnd) {
+        let not_run = end == ClaimEnd::NotRun;
+        let query = KeyQuery::Finish { key: self.id.clone(), claim: claim.id, end };
         for _ in 0..FINISH_TRIES {
-            let query = KeyQuery::Finish { key: self.id.clone(), claim, end: end.clone() };
             if let Some(home) = self.core.home(&self.id)
-                && self.ask(home, query).await == Some(KeyAnswer::Taken)
+                && self.ask(home, query.clone()).await == Some(KeyAnswer::Taken)
             {
+                if not_run && claim.home != Some(home) {
+                    self.tell_others(home, query).await;
+                }
                 return;
             }
             tokio::time::sleep(FINISH_PAUSE).await;
@@ -112,7 +125,13 @@
         log::warn!("event=claim_end_untold key_digest={:016x}", digest(self.id.key.as_bytes()));
     }
 
-    async fn ask_home(&self, claim: ClaimId) -> KeyStep {
+    /// Tells those beside the home that may have a copy of a claim from a handover.
+    async fn tell_others(&self, home: VmId, query: KeyQuery) {
+        let others = self.core.homes(&self.id).into_iter().filter(|it| *it != home);
+        join_all(others.map(|it| self.ask(it, query.clone()))).await;
+    }
+
+    async fn ask_home(&self, home: Option<VmId>, claim: ClaimId) -> KeyStep {
         let left = self.deadline.since(self.core.clock.now());
         let repeated = self.key.repeated && !self.key.logged;
         let query = KeyQuery::Claim {
@@ -122,7 +141,7 @@
             repeated,
             hold: left + HOLD_MARGIN,
         };
-        let Some(home) = self.core.home(&self.id) else {
+        let Some(home) = home else {
             return KeyStep::Wait(KeyStop::Unreachable);
         };
         after_home(self.ask(home, query).await, repeated)
--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -204,7 +204,12 @@
     }
 
     fn finish(&mut self, now: Instant, key: KeyId, claim: ClaimId, end: ClaimEnd) -> KeyAnswer {
+        let until = now + self.window;
         if !self.is_home(&key) {
+            // Its copy would come back as a claim that runs with the next handover.
+            if end == ClaimEnd::NotRun {
+                self.store.finish(&key, claim, end, until);
+            }
             return KeyAnswer::NotHome;
         }
         // Guards against an answer that is forgotten because it came before the key that the old
@@ -212,7 +217,6 @@
         if self.store.get_mut(&key).is_none() && !self.past.is_settled(now) {
             return KeyAnswer::Settling;
         }
-        let until = now + self.window;
         self.store.finish(&key, claim, end, until);
         KeyAnswer::Taken
     }
--- a/daisy-routing/tests/keys/home.rs
+++ b/daisy-routing/tests/keys/home.rs
@@ -375,3 +375,20 @@
 
     assert_eq!(home.handle(now, VmId(1), first(&key, 1)), KeyAnswer::Granted);
 }
+
+/// A claim that had ended came back with the next handover of the old home, and nobody ended it again.
+#[test]
+fn a_claim_that_has_not_run_ends_at_the_old_home_too() {
+    let (mut old, mut home, key) = handed_over_while_running();
+    let now = Instant::from_millis(300);
+    let finish = KeyQuery::Finish { key: key.clone(), claim: ClaimId(1), end: ClaimEnd::NotRun };
+
+    home.handle(now, VmId(1), finish.clone());
+    let told = old.handle(now, VmId(1), finish);
+    for (_, query) in old.leave(now) {
+        home.handle(now, VmId(2), query);
+    }
+
+    assert_eq!(told, KeyAnswer::NotHome);
+    assert_eq!(home.handle(now, VmId(1), first(&key, 2)), KeyAnswer::Granted);
+}
