--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -59,10 +59,16 @@
         let state = &steps[task.occurrence as usize][usize::from(task.step)][task.index as usize];
         let checkpoint = state.checkpoint.clone();
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let lease_end = if wanted { worker.lease_end(now, lease) } else { None };
+        let Some(sent) = worker.find(task, run).map(|it| it.sent) else { return };
+        // Its worker may have changed while the record was under way.
+        let answers = worker.fenced && worker.hold_failures == 0;
+        let takes = answers && worker.used.fits(worker.capacity);
+        let can = takes || sent != Sent::Recording;
+        let lease_end = if wanted && can { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
         let Some(deadline_ms) = lease_end else {
-            // Not wanted any more, or its worker has just started anew: nothing was sent.
+            // Not wanted any more, no room, or its worker is silent or has just started anew: nothing
+            // was sent.
             self.unassign(key, task, run);
             return;
         };
@@ -104,7 +110,11 @@
         if let OrderReply::Done { clock_ms } = reply
             && worker.fenced
         {
-            worker.clock = Some((clock_ms, now));
+            match worker.is_clock_reset(clock_ms) {
+                // Its next list names the incarnation; until then it gets nothing new.
+                true => worker.fenced = false,
+                false => worker.clock = Some((clock_ms, now)),
+            }
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -11,7 +11,7 @@
 use super::{
     LASTS_MS, STEP, job, lasting,
     log::Log,
-    worker::{FakeWorker, target, unanswered},
+    worker::{FakeWorker, HOLD_WAIT_MAX, target, unanswered, with_wait},
     world::{check_runs, owner},
 };
 
@@ -548,6 +548,7 @@
         let (worker, now) = (&mut self.workers[at], self.now);
         let before = worker.runs.len();
         let start = if let Action::Start(_, it) = &action { Some(it.clone()) } else { None };
+        let action = with_wait(action, HOLD_WAIT_MAX);
         let answer = worker.obey(now, epoch, action, work_ms);
         if let Some(start) = start.filter(|_| self.workers[at].runs.len() > before) {
             let state = self.ledger.job(start.task.job).and_then(|it| it.progress.task(start.task));
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -11,7 +11,7 @@
 use super::{
     LEASE_MAX, STEP,
     log::Log,
-    worker::{FakeWorker, target},
+    worker::{FakeWorker, HOLD_WAIT_MAX, target, with_wait},
 };
 
 /// Between signs of life, in microseconds.
@@ -29,6 +29,8 @@
     pub log_up: bool,
     /// Whether the platform's list of workers stands still.
     pub list_lags: bool,
+    /// The longest that a worker waits before it answers a renewal.
+    pub hold_wait_max: Duration,
     /// Orders to start that were sent: task, run, worker.
     pub starts: Vec<(TaskId, u32, String)>,
     pub stepped_down: bool,
@@ -64,6 +66,7 @@
             ledger,
             log_up: true,
             list_lags: false,
+            hold_wait_max: HOLD_WAIT_MAX,
             starts: Vec::new(),
             stepped_down: false,
             work: |_| 1_000,
@@ -225,6 +228,7 @@
         let Some(key) = target(&action) else { return };
         let work_ms = if let Action::Start(_, it) = &action { (self.work)(it.task) } else { 0 };
         let (now, epoch) = (self.now, self.epoch);
+        let action = with_wait(action, self.hold_wait_max);
         if let Some((after, event)) = self.of(key).obey(now, epoch, action, work_ms) {
             self.events.push((now + after, event));
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -199,6 +199,19 @@
     assert_eq!(fleet.call(0, "GET", "/jobs/", String::new()).await.1, r#"{"pending":0}"#);
 }
 
+/// A caller whose body came after its refusal found the connection broken at its next request.
+#[tokio::test]
+async fn a_refusal_leaves_the_connection_to_the_next_request() {
+    let fleet = Fleet::start(1, 1, WORK).await;
+    let long = ["x".repeat(300_000), "x".repeat(100_000)];
+    let late = [String::new(), job_body(1)];
+
+    let too_long = fleet.post_in_parts(0, &format!("/jobs/{JOB}"), &long).await;
+    let no_queue = fleet.post_in_parts(0, "/nobody/1", &late).await;
+
+    assert_eq!((too_long, no_queue), ([413, 410], [404, 410]));
+}
+
 #[tokio::test]
 async fn a_cancelled_job_is_stopped_and_said_so() {
     let fleet = Fleet::start(2, 2, Duration::from_secs(30)).await;
@@ -301,6 +314,23 @@
     assert_eq!((later, fleet.changes_of_owner()), (200, before));
 }
 
+/// A VM whose reads for a claim were answered before its read of the owners' signs replaced an owner.
+#[tokio::test]
+async fn an_owner_stays_whose_signs_are_answered_last() {
+    let fleet = Fleet::start(2, 2, WORK).await;
+    let before = fleet.changes_of_owner();
+
+    fleet.log.set_fault(LogFault::Silent);
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    fleet.log.silence(&["keyed.states"]);
+    fleet.log.set_fault(LogFault::None);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    fleet.log.silence(&[]);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    assert_eq!(fleet.changes_of_owner(), before);
+}
+
 /// The owner stops as planned while answers with the newest records take longer than other calls may.
 #[tokio::test]
 async fn a_shard_whose_records_come_slowly_gets_an_owner() {
