Seeded schedules of partitions between owners and workers

Cuts, freezes, deaths, releases, crashes and late calls come in series and overlap; in the end, with all healed, every task that lasts runs within 20 s.

The harness took a start after a recorded end as broken. Now workers keep which ends count, as the contract has it; nothing may start after one, also if it counts only later, and the newest owner may order nothing whose end is recorded.

--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use util::{Cluster, Node, job, lasting, task};
+use util::{Cluster, Fault, Node, job, lasting, step, task};
 
 /// Guards against starting elsewhere what an owner without the log goes on renewing.
 #[test]
@@ -59,3 +59,119 @@
     assert!(moved);
     assert!(cluster.longest_away() < Duration::from_millis(1_000));
 }
+
+const VMS: usize = 3;
+/// Seeds that CI plays.
+const SEEDS: u64 = 150;
+const WORKERS: usize = 6;
+
+/// A seeded schedule of faults that come in series and overlap.
+struct Play {
+    rng: fastrand::Rng,
+    cluster: Cluster,
+    jobs: u64,
+}
+
+fn begin(seed: u64) -> Play {
+    let mut cluster = Cluster::busy(VMS, WORKERS as u32);
+    cluster.elects = true;
+    Play { rng: fastrand::Rng::with_seed(seed), cluster, jobs: 1 }
+}
+
+impl Play {
+    fn vm(&mut self) -> Node {
+        Node::Vm(self.rng.usize(..VMS))
+    }
+
+    fn worker(&mut self) -> Node {
+        Node::Worker(self.rng.usize(..WORKERS))
+    }
+
+    fn submit(&mut self) {
+        self.jobs += 1;
+        let count = self.rng.u32(1..4);
+        let spec = if self.jobs < 5 { lasting(count) } else { step(count) };
+        self.cluster.submit(self.jobs, job(vec![spec]));
+    }
+
+    fn cut(&mut self) {
+        let (vm, worker) = (self.vm(), self.worker());
+        match self.rng.u8(..6) {
+            0 => drop(self.cluster.cut(&[vm], &[Node::Store])),
+            1 => drop(self.cluster.cut(&[vm], &[worker])),
+            2 => drop(self.cluster.cut_off(&[worker])),
+            3 => {
+                let group = [vm, worker, self.worker()];
+                self.cluster.cut_off(&group);
+            }
+            it => {
+                let other = if self.rng.bool() { worker } else { Node::Store };
+                let (from, to) = if it == 4 { (vm, other) } else { (other, vm) };
+                self.cluster.cut_way(from, to);
+            }
+        }
+    }
+
+    fn event(&mut self) {
+        let (vm, worker) = (self.rng.usize(..VMS), self.rng.usize(..WORKERS));
+        match self.rng.u8(..16) {
+            0 | 1 => self.submit(),
+            2..=5 => self.cut(),
+            6 | 7 => self.cluster.heal_links(),
+            8 => self.cluster.freeze(vm),
+            9 => self.cluster.wake(vm),
+            10 => self.cluster.kill(vm),
+            11 => drop(self.cluster.release(vm)),
+            12 if !self.cluster.is_down(worker) => {
+                let away = Duration::from_millis(self.rng.u64(300..5_000));
+                self.cluster.crash(worker, away, self.rng.bool());
+            }
+            13 => {
+                let millis = *self.rng.choice(&[0, 0, 30, 300, 3_000]).expect("some");
+                self.cluster.calls_take = Duration::from_millis(millis);
+            }
+            14 => {
+                let faults = [Fault::None, Fault::LosesAnswers, Fault::Late(self.rng.u64(..8_000))];
+                self.cluster.workers[worker].fault = self.rng.choice(faults).expect("some");
+            }
+            _ => self.cluster.hears_log_first = self.rng.bool(),
+        }
+    }
+}
+
+/// Tells what was played if that fails.
+#[derive(Debug)]
+struct Told<T: std::fmt::Debug>(T);
+
+impl<T: std::fmt::Debug> Drop for Told<T> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            println!("{self:?}");
+        }
+    }
+}
+
+fn check(seed: u64) {
+    let _told = Told(seed);
+    let mut play = begin(seed);
+    for _ in 0..30 {
+        play.event();
+        let pause = if play.rng.u8(..3) == 0 { 0 } else { play.rng.u64(10..2_500) };
+        play.cluster.run_ms(pause);
+    }
+    let mut cluster = play.cluster;
+    cluster.heal_all();
+    cluster.workers.iter_mut().for_each(|it| it.fault = Fault::None);
+
+    cluster.run_ms(2_000);
+    let lasts = cluster.run_until(18_000, Cluster::all_last);
+
+    assert!(lasts, "seed {seed}: a task that lasts does not run");
+}
+
+#[test]
+fn no_schedule_of_partitions_breaks_a_promise() {
+    for seed in 0..SEEDS {
+        check(seed);
+    }
+}
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -62,6 +62,11 @@
     pub runs: Vec<FakeRun>,
     pub ends: Vec<Ended>,
     pub number: u64,
+    /// Ends as done that were neither acknowledged nor made void by the end of the lease: their
+    /// numbers, their tasks, and when.
+    pub done: Vec<(u64, TaskId, Instant)>,
+    /// Ends as done that count for good, and when they came.
+    pub noted: Vec<(TaskId, Instant)>,
     /// Highest run of each task that ended or was shut out here.
     pub shut: Vec<(TaskId, u32)>,
     /// Whether runs that are more than its processors, a core each, share these equally.
@@ -114,6 +119,8 @@
             runs: Vec::new(),
             ends: Vec::new(),
             number: 0,
+            done: Vec::new(),
+            noted: Vec::new(),
             shut: Vec::new(),
             shares: false,
             passed_at: 0,
@@ -197,6 +204,7 @@
             self.accept(clock, epoch, &start, work_ms);
         }
         if clock > self.deadline {
+            self.done.clear();
             for run in std::mem::take(&mut self.runs) {
                 self.end(&run, Outcome::Lapsed);
             }
@@ -213,6 +221,7 @@
                 self.end(&run, Outcome::Failed);
             } else if self.fault != Fault::Hangs && age >= run.work_ms {
                 self.end(&run, Outcome::Done);
+                self.done.push((self.number, run.task, now));
             } else {
                 self.runs.push(run);
             }
@@ -325,6 +334,10 @@
         let clock = self.clock(now);
         self.grant(clock, deadline_ms.unwrap_or_default());
         self.ends.retain(|it| it.number > cursor);
+        let (noted, left) = self.done.drain(..).partition(|it| it.0 <= cursor);
+        self.done = left;
+        let noted: Vec<_> = noted;
+        self.noted.extend(noted.into_iter().map(|(_, task, at)| (task, at)));
         let percent = |it: &FakeRun| match self.fault {
             Fault::Hangs => 7,
             // A task that lasts is at work from its start.
