A failing test of a lease that outlasts a change of the owner

An owner that has seen a worker restart grants it up to 10 s, as it sends the latest end that it reckons with instead of a lease from now. Not mended here.

--- a/daisy-workflow/tests/old_owner.rs
+++ b/daisy-workflow/tests/old_owner.rs
@@ -3,6 +3,8 @@
 
 mod util;
 
+use std::time::Duration;
+
 use util::{Cluster, Fault, Node, job, lasting, task};
 
 /// Has a start recorded of which the owner on the first VM has not heard; the worker that it is for.
@@ -109,3 +111,22 @@
 
     assert!(cluster.all_last());
 }
+
+/// Guards against a lease that an old owner granted for longer than owners do, after a restart.
+#[test]
+fn a_longer_lease_after_a_restart_runs_nothing_twice() {
+    let mut cluster = Cluster::busy(2, 2);
+    let worker = cluster.host();
+    cluster.crash(worker, Duration::ZERO, true);
+    cluster.run_ms(800);
+    cluster.crash(1 - worker, Duration::ZERO, true);
+    let back = cluster.run_until(1_000, |it| it.all_last() && it.host() == worker);
+    cluster.kill(0);
+    assert!(back && cluster.claim(1));
+    cluster.run_ms(200);
+    cluster.cut_off(&[Node::Worker(worker)]);
+
+    cluster.run_ms(12_000);
+
+    assert!(cluster.all_last());
+}
