--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -175,3 +175,145 @@
         check(seed);
     }
 }
+
+/// What may happen as one owner follows another; the first VM has the old one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Op {
+    CutOldFromLog,
+    /// The old owner, the worker and another one reach only each other.
+    CutOldWithWorkers,
+    FreezeOld,
+    WakeOld,
+    KillOld,
+    CutWorkerFromNew,
+    CutWorkerFromAll,
+    CrashWorker,
+    Claim,
+    /// The new owner dies and a third one claims.
+    Replace,
+    Heal,
+}
+
+const OPS: [Op; 11] = [
+    Op::CutOldFromLog,
+    Op::CutOldWithWorkers,
+    Op::FreezeOld,
+    Op::WakeOld,
+    Op::KillOld,
+    Op::CutWorkerFromNew,
+    Op::CutWorkerFromAll,
+    Op::CrashWorker,
+    Op::Claim,
+    Op::Replace,
+    Op::Heal,
+];
+
+/// A hand-over that is being searched.
+#[derive(Debug, Clone)]
+struct Search {
+    workers: u32,
+    /// Whether a start is recorded of which the old owner has not heard.
+    starting: bool,
+    gap_ms: u64,
+    ops: Vec<Op>,
+}
+
+/// Whether it changes anything.
+fn apply(cluster: &mut Cluster, worker: usize, op: Op) -> bool {
+    let (old, here) = (Node::Vm(0), Node::Worker(worker));
+    let beside = Node::Worker((worker + 1) % cluster.workers.len());
+    let new: Vec<usize> = (1..VMS).filter(|vm| cluster.epoch(*vm).is_some()).collect();
+    match op {
+        Op::CutOldFromLog => cluster.cut(&[old], &[Node::Store]),
+        Op::CutOldWithWorkers => cluster.cut_off(&[old, here, beside]),
+        Op::FreezeOld if !cluster.is_frozen(0) => {
+            cluster.freeze(0);
+            true
+        }
+        Op::WakeOld if cluster.is_frozen(0) => {
+            cluster.wake(0);
+            true
+        }
+        Op::KillOld if cluster.epoch(0).is_some() => {
+            cluster.kill(0);
+            true
+        }
+        Op::CutWorkerFromNew => cluster.cut(&[here], &[Node::Vm(1), Node::Vm(2)]),
+        Op::CutWorkerFromAll => cluster.cut_off(&[here]),
+        Op::CrashWorker if !cluster.is_down(worker) => {
+            cluster.crash(worker, Duration::from_millis(1_000), true);
+            true
+        }
+        Op::Claim => (1..VMS).any(|vm| cluster.claim(vm)),
+        Op::Replace if !new.is_empty() => {
+            cluster.kill(new[0]);
+            (1..VMS).filter(|vm| *vm != new[0]).any(|vm| cluster.claim(vm))
+        }
+        Op::Heal if !cluster.is_whole() => {
+            cluster.heal_all();
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Plays a hand-over to its end; whether each op of it changed anything.
+fn play(search: &Search) -> bool {
+    let _told = Told(search.clone());
+    let mut cluster = Cluster::busy(VMS, search.workers);
+    cluster.step = Duration::from_millis(20);
+    let mut worker = cluster.host();
+    if search.starting {
+        cluster.submit(2, job(vec![lasting(1)]));
+        assert!(cluster.run_until(200, |it| it.recorded(2).is_some()));
+        worker = cluster.recorded(2).expect("just recorded");
+    }
+    for op in &search.ops {
+        if !apply(&mut cluster, worker, *op) {
+            return false;
+        }
+        cluster.run_ms(search.gap_ms);
+    }
+
+    // Long enough for a new owner to start elsewhere what it does not reach.
+    cluster.run_ms(17_000);
+    cluster.heal_all();
+    cluster.elects = true;
+    cluster.run_ms(2_000);
+    assert!(cluster.run_until(18_000, Cluster::all_last), "a task that lasts does not run");
+    true
+}
+
+/// Plays a hand-over and all that are longer, up to `depth` operations.
+fn search(it: &Search, depth: usize) {
+    if play(it) && it.ops.len() < depth {
+        for op in OPS {
+            search(&Search { ops: [&it.ops[..], &[op]].concat(), ..it.clone() }, depth);
+        }
+    }
+}
+
+/// The same from the beginning, in some threads.
+fn search_all(it: &Search, depth: usize) {
+    std::thread::scope(|scope| {
+        for ops in OPS.chunks(3) {
+            scope.spawn(move || {
+                let begin = |op: &Op| Search { ops: vec![*op], ..it.clone() };
+                ops.iter().for_each(|op| search(&begin(op), depth));
+            });
+        }
+    });
+}
+
+#[test]
+fn no_hand_over_breaks_a_promise() {
+    let calm = Search { workers: 3, starting: false, gap_ms: 300, ops: Vec::new() };
+    search_all(&calm, 4);
+}
+
+/// Guards against leases that lapse, and owners that settle, between the operations.
+#[test]
+fn no_slow_hand_over_breaks_a_promise() {
+    let slow = Search { workers: 5, starting: false, gap_ms: 4_100, ops: Vec::new() };
+    search_all(&slow, 3);
+}
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -12,7 +12,7 @@
     LASTS_MS, LEASE_MAX, STEP, job, lasting,
     log::Log,
     worker::{FakeWorker, target, unanswered},
-    world::{check_runs, owner},
+    world::{check_runs, check_start, owner},
 };
 
 /// Between signs of life.
@@ -452,11 +452,10 @@
         let now = self.now;
         let is_newest = self.claimed.as_ref().is_some_and(|it| it.epoch == process.epoch);
         for action in process.outbox.drain(..) {
-            if let Action::Start(_, Start { task, .. }) = &action
+            if let Action::Start(_, start) = &action
                 && is_newest
             {
-                let state = self.ledger.job(task.job).and_then(|it| it.progress.task(*task));
-                assert!(state.is_some_and(|it| !it.done), "{task} is ordered after its end");
+                check_start(&self.ledger, start);
             }
             let Some(key) = target(&action) else { continue };
             let name = &process.owner.worker(key).expect("the owner's worker").id.0;
@@ -563,14 +562,10 @@
         };
         let (worker, now) = (&mut self.workers[at], self.now);
         let before = worker.runs.len();
-        let start = if let Action::Start(_, it) = &action { Some(it.clone()) } else { None };
+        let task = if let Action::Start(_, it) = &action { Some(it.task) } else { None };
         let answer = worker.obey(now, epoch, action, work_ms);
-        if let Some(start) = start.filter(|_| self.workers[at].runs.len() > before) {
-            let state = self.ledger.job(start.task.job).and_then(|it| it.progress.task(start.task));
-            let recorded = state.is_some_and(|it| it.runs >= start.run);
-            assert!(recorded, "{} run {} began before its record", start.task, start.run);
-            self.begun.push((start.task, now));
-        }
+        let began = worker.runs.len() > before;
+        self.begun.extend(task.filter(|_| began).map(|it| (it, now)));
         answer
     }
 
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -211,7 +211,9 @@
 
     fn carry_out(&mut self, action: Action) {
         if let Action::Start(key, start) = &action {
-            self.check_start(*key, start);
+            check_start(&self.ledger, start);
+            let name = self.of(*key).name.clone();
+            self.starts.push((start.task, start.run, name));
         }
         match action {
             Action::Forward(shard, record) => self.forwarded.push((shard, record)),
@@ -230,17 +232,6 @@
         }
     }
 
-    fn check_start(&mut self, key: WorkerKey, start: &Start) {
-        // An end that its worker lost with all else before it was recorded is no end.
-        let job = self.ledger.job(start.task.job);
-        let state = job.and_then(|it| it.progress.task(start.task));
-        assert!(state.is_some_and(|it| !it.done), "{} is started after its end", start.task);
-        let recorded = state.is_some_and(|it| it.copies.iter().any(|it| it.run == start.run));
-        assert!(recorded, "{} run {} was ordered before its record", start.task, start.run);
-        let name = self.of(key).name.clone();
-        self.starts.push((start.task, start.run, name));
-    }
-
     fn of(&mut self, key: WorkerKey) -> &mut FakeWorker {
         let id = self.owner.worker(key).expect("the owner's worker").id.clone();
         self.worker(&id.0)
@@ -251,6 +242,16 @@
     }
 }
 
+/// What must hold of an order as it is sent.
+pub fn check_start(ledger: &Ledger, start: &Start) {
+    // An end that its worker lost with all else before it was recorded is no end.
+    let job = ledger.job(start.task.job);
+    let state = job.and_then(|it| it.progress.task(start.task));
+    assert!(state.is_some_and(|it| !it.done), "{} is started after its end", start.task);
+    let recorded = state.is_some_and(|it| it.copies.iter().any(|it| it.run == start.run));
+    assert!(recorded, "{} run {} was ordered before its record", start.task, start.run);
+}
+
 /// What must hold of all that runs at each moment.
 pub fn check_runs(workers: &[FakeWorker], ledger: &Ledger) {
     let mut seen: Vec<TaskId> = Vec::new();
