A failing search of hand-overs while a start is under way

The old owner has a start recorded and has not heard of it. Frozen then, with its worker out of the new owner's reach, it starts the task as it wakes, while that runs elsewhere: the cause of a_start_recorded_before_a_freeze.

--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -317,3 +317,9 @@
     let slow = Search { workers: 5, starting: false, gap_ms: 4_100, ops: Vec::new() };
     search_all(&slow, 3);
 }
+
+#[test]
+fn no_hand_over_during_a_start_breaks_a_promise() {
+    let starting = Search { workers: 3, starting: true, gap_ms: 300, ops: Vec::new() };
+    search_all(&starting, 3);
+}
