A task whose worker was out of reach waits no more before it is handed on

What callers would see: a task that lasts down for a second longer where only another shard has room. A task is handed on once it has found no room here for a second; that counted from the moment its old run was given up, though it had been without a run for seconds by then.

Such a task now waits for 0.1 s, enough to be placed here.

--- a/daisy-workflow/src/owner/hand_over.rs
+++ b/daisy-workflow/src/owner/hand_over.rs
@@ -17,6 +17,8 @@
 
 /// How long a task waits for room in its shard before it is handed on.
 const PATIENCE: Duration = Duration::from_millis(1_000);
+/// The same, for one that was without a run for longer than that already, as its worker was out of reach.
+const PATIENCE_DISPLACED: Duration = Duration::from_millis(100);
 /// Hops after which the patience does not grow any more.
 const PATIENT_HOPS: u32 = 4;
 
@@ -44,6 +46,12 @@
         PATIENCE * 2u32.pow(hops.min(PATIENT_HOPS))
     }
 
+    /// Notes that a task has waited already while the fate of its run was not known.
+    pub(super) fn displaced(&mut self, now: Instant, task: TaskId) {
+        let since = now - (PATIENCE - PATIENCE_DISPLACED);
+        self.waits_since.insert(task, since);
+    }
+
     /// Notes since when tasks that last have waited.
     pub(super) fn update_waits(&mut self, now: Instant) {
         let waiting = self.waiting_tasks(now);
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -65,6 +65,7 @@
             .collect();
         for (task, run) in lost {
             self.lose(key, task, run, "its worker is silent and its lease has run out");
+            self.displaced(now, task);
         }
     }
 
@@ -74,6 +75,7 @@
         }
         for it in std::mem::take(&mut self.orphans) {
             self.drop_copy(it.task, it.run, "");
+            self.displaced(now, it.task);
         }
     }
 
--- a/daisy-workflow/tests/takeover.rs
+++ b/daisy-workflow/tests/takeover.rs
@@ -2,7 +2,8 @@
 
 mod util;
 
-use util::{FakeWorker, Fault, LASTS_MS, World, job, lasting, task};
+use daisy_workflow::ShardId;
+use util::{FakeWorker, Fault, Fleet, LASTS_MS, World, job, lasting, task};
 
 const TASKS: u32 = 10;
 
@@ -90,3 +91,24 @@
 
     assert_eq!(world.workers[at].tasks(), before);
 }
+
+/// A task waited for room in its shard once more, after it had been away for longer than that.
+#[test]
+fn a_task_of_a_lost_worker_is_handed_on_soon_after_a_change_of_owner() {
+    let workers =
+        |names: &[&str], cores| names.iter().map(|it| FakeWorker::new(it, cores)).collect();
+    let mut fleet = Fleet::new(vec![workers(&["a", "b", "c"], 4), workers(&["d", "e"], 8)]);
+    let id = fleet.job_of(ShardId(0));
+    fleet.worlds[0].submit(id.0, job(vec![lasting(12)]));
+    fleet.run_ms(8_000);
+    assert!(fleet.worlds[0].workers.iter().all(|it| it.runs.len() == 4), "its shard is full");
+    let lost = &mut fleet.worlds[0].workers[0];
+    lost.runs.clear();
+    lost.listed = false;
+    lost.fault = Fault::Cut;
+    fleet.worlds[0].change_owner(false);
+
+    fleet.run_told(CALM_MS);
+
+    assert!((0..12).all(|it| !fleet.places(task(id.0, 0, it)).is_empty()));
+}
