Witnesses count only where every owner since heeds them; a claim in vain is no sign of life

- In a rolling update an owner of an earlier build may stand between two of this one.
The record of witnesses now names the last owner that heeds them; each one confirms it as it begins.
Where the chain is broken, owners wait for the 10 s.
- The bound on how long an owner counts as alive by its writes alone began anew with each claim that came to nothing (by reading).

--- a/daisy-measure/src/overload/drive.rs
+++ b/daisy-measure/src/overload/drive.rs
@@ -269,7 +269,7 @@
             rules,
         };
         let now = Instant::from_millis(0);
-        let claimed = Claimed { at: now, alone: true };
+        let claimed = Claimed { at: now, alone: true, epoch: 1, after: 0 };
         let owner = Owner::new(now, 0, settings, Ledger::default(), queues(), claimed);
         Shard {
             owner,
--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -124,8 +124,9 @@
 /// A claim that stands, with all that the log says of the shard.
 struct Won {
     epoch: u64,
-    /// A time before the claim was sent.
+    /// A time before the claim was sent, and the epoch of the claim before it.
     claimed_at: Instant,
+    after: u64,
     ledger: Ledger,
     jobs: Tail,
     settled: bool,
@@ -214,7 +215,7 @@
         }
         self.rtt = clock::now().since(began);
         let mut claimed = None;
-        let mut claimed_at = began;
+        let (mut claimed_at, mut after) = (began, 0);
         for _ in 0..TRIES {
             let read = match progress.take() {
                 Some(it) => Some(it),
@@ -247,7 +248,7 @@
                     }
                 }
                 let Reading { ledger, jobs, .. } = reading;
-                return Some(Won { epoch, claimed_at, ledger, jobs, settled });
+                return Some(Won { epoch, claimed_at, after, ledger, jobs, settled });
             }
             let rival = self.election.is_just_claimed(last);
             if rival || claimed.is_some() && seen {
@@ -268,10 +269,11 @@
             }
             let settled = self.is_settled(last);
             claimed_at = clock::now();
+            after = last.map_or(0, |it| it.epoch);
             claimed = self.append_claim(reading.progress.next()?, settled).await;
         }
-        // Somebody else was faster, or the log does not answer: as after a sign of life.
-        self.election.heard(clock::now());
+        // Somebody else was faster, or the log does not answer.
+        self.election.wait_anew(clock::now());
         None
     }
 
@@ -334,7 +336,7 @@
     }
 
     async fn own(&mut self, won: Won) {
-        let Won { epoch, claimed_at, ledger, jobs, settled } = won;
+        let Won { epoch, claimed_at, after, ledger, jobs, settled } = won;
         let (shard, elect) = (self.shard, &self.elect);
         log::info!("event=owner shard={} epoch={epoch} settled={settled}", shard.0);
         elect.metrics.owner("won");
@@ -349,6 +351,7 @@
             epoch,
             claim: self.election.claim(epoch, settled),
             claimed_at,
+            after,
             told,
         };
         let why = ownership.run(ledger, jobs).await;
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -45,8 +45,9 @@
     pub shard: ShardId,
     pub epoch: u64,
     pub claim: Claim,
-    /// A time before the claim was sent.
+    /// A time before the claim was sent, and the epoch of the claim before it.
     pub claimed_at: Instant,
+    pub after: u64,
     /// States that all VMs know already.
     pub told: SortedMap<JobId, Told>,
 }
@@ -155,7 +156,12 @@
         let lease_max = self.elect.settings.lease_max;
         let rules = Rules::default();
         let settings = Settings { lease, lease_max, shard: self.shard, layout, rules };
-        let claimed = Claimed { at: self.claimed_at, alone: self.claim.settled };
+        let claimed = Claimed {
+            at: self.claimed_at,
+            alone: self.claim.settled,
+            epoch: self.epoch,
+            after: self.after,
+        };
         known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
         Owner::new(now, clock::wall_ms(), settings, ledger, queues, claimed)
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -72,8 +72,13 @@
 
     /// A sign of the owner's life came in, or anything else that is as good as one.
     pub fn heard(&mut self, now: Instant) {
-        self.heard_at = self.heard_at.max(now);
         self.signed_at = self.signed_at.max(now);
+        self.wait_anew(now);
+    }
+
+    /// The silence of an owner counts anew from now on, as nothing came of a claim.
+    pub fn wait_anew(&mut self, now: Instant) {
+        self.heard_at = self.heard_at.max(now);
     }
 
     /// The owner has written to the shard's log of late; whether that counts as a sign of life. Signs
@@ -81,7 +86,7 @@
     pub fn wrote(&mut self, now: Instant) -> bool {
         let counts = now.since(self.signed_at) < UNHEARD_MAX;
         if counts {
-            self.heard_at = self.heard_at.max(now);
+            self.wait_anew(now);
         }
         counts
     }
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Claim, Disturbance, Handover, Hop, JobId, JobSpec, Moved, Phase, Progress, Record, ShardId,
-    TaskId, Witness,
+    TaskId, Witnesses,
 };
 
 /// A job as the records tell it.
@@ -160,7 +160,7 @@
     early_hops: SortedMap<TaskId, Hop>,
     owner: Option<Claim>,
     learnt: Vec<Disturbance>,
-    witnesses: Vec<Witness>,
+    witnesses: Witnesses,
 }
 
 impl Ledger {
@@ -316,8 +316,8 @@
         &self.learnt
     }
 
-    /// The workers that the last owner to name any has to be answered by while it goes without the log.
-    pub fn witnesses(&self) -> &[Witness] {
+    /// The workers that owners have to be answered by while they go without the log.
+    pub fn witnesses(&self) -> &Witnesses {
         &self.witnesses
     }
 
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -40,7 +40,7 @@
     owner::{
         Action, Batch, Claimed, Doubt, Ended, Event, HoldAnswer, Lacks, Listed, Note, OrderReply,
         Outcome, Owner, Packing, Refusal, Rules, Running, Settings, Start, StopCause, Summary,
-        Uncertain, WaitCause, Witness, Worker, WorkerKey,
+        Uncertain, WaitCause, Witness, Witnesses, Worker, WorkerKey,
     },
     patience::Patience,
     progress::{Copy, Phase, Progress, TaskState},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -42,7 +42,7 @@
         Action, Batch, Ended, Event, HoldAnswer, Listed, Note, OrderReply, Outcome, Refusal,
         Running, Start, StopCause, WaitCause,
     },
-    succession::{Claimed, Witness},
+    succession::{Claimed, Witness, Witnesses},
     summary::Summary,
     uncertain::{Doubt, Uncertain},
     worker::{Worker, WorkerKey},
@@ -192,7 +192,7 @@
         queues: Arc<Queues>,
         claimed: Claimed,
     ) -> Owner {
-        let succession = Succession::new(now, claimed, ledger.witnesses().to_vec());
+        let succession = Succession::new(now, claimed, ledger.witnesses());
         let interference = Interference::inherit(now, ledger.learnt());
         let mut owner = Owner {
             settings,
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -26,6 +26,16 @@
 /// Before the first one, for workers to answer.
 const FIRST_REVIEW: Duration = Duration::from_millis(200);
 
+/// The workers that owners without the log have to be answered by.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Witnesses {
+    /// The epoch of the last owner that heeds them, as all between it and the one that named them do.
+    /// An owner of a build that knows of none is not among these.
+    pub heeded_by: u64,
+    /// The workers, in order.
+    pub workers: Vec<Witness>,
+}
+
 /// A worker that an owner without the log has to be answered by.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Witness {
@@ -42,11 +52,16 @@
     pub at: Instant,
     /// No owner before it can renew anything any more.
     pub alone: bool,
+    /// Its epoch, and that of the claim before.
+    pub epoch: u64,
+    /// See [`epoch`](Claimed::epoch).
+    pub after: u64,
 }
 
 /// What an owner knows of those before and after it.
 #[derive(Debug)]
 pub(super) struct Succession {
+    epoch: u64,
     /// When what the log last took was sent.
     appended_at: Instant,
     /// When the log had first refused all owners before.
@@ -55,7 +70,7 @@
     outvoted_at: Option<Instant>,
     /// From when on no owner before renews anything, once that is known.
     settled_at: Option<Instant>,
-    /// Those in the log: of the last owner that recorded any.
+    /// Those in the log that all owners before heed as well.
     witnesses: Vec<Witness>,
     /// Those that are to be recorded.
     next: Option<Vec<Witness>>,
@@ -66,14 +81,19 @@
 }
 
 impl Succession {
-    pub(super) fn new(now: Instant, claimed: Claimed, witnesses: Vec<Witness>) -> Succession {
+    pub(super) fn new(now: Instant, claimed: Claimed, known: &Witnesses) -> Succession {
+        // Where not all owners before heed them, they say nothing.
+        let heeded = known.heeded_by == claimed.after;
+        let witnesses = if heeded { known.workers.clone() } else { Vec::new() };
+        let next = (!witnesses.is_empty()).then(|| witnesses.clone());
         Succession {
+            epoch: claimed.epoch,
             appended_at: claimed.at,
             fenced_at: None,
             outvoted_at: None,
             settled_at: claimed.alone.then_some(now),
             witnesses,
-            next: None,
+            next,
             recording: None,
             review_at: now + FIRST_REVIEW,
         }
@@ -109,7 +129,7 @@
     pub(super) fn try_record(&mut self) -> Option<Record> {
         let next = self.next.take()?;
         self.recording = Some(next.clone());
-        Some(Record::Witnesses(next))
+        Some(Record::Witnesses(Witnesses { heeded_by: self.epoch, workers: next }))
     }
 
     /// The batch under way is in the log.
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -15,7 +15,7 @@
     WitnessesWire, state_number, state_of,
 };
 use crate::{
-    Handover, Hop, JobId, JobSpec, Layout, PIECES, Progress, ShardId, Sign, TaskId, Told, Witness,
+    Handover, Hop, JobId, JobSpec, Layout, PIECES, Progress, ShardId, Sign, TaskId, Told, Witnesses,
 };
 
 /// The version that this build writes, and the newest that it reads.
@@ -66,8 +66,8 @@
     Claim(Claim),
     /// What the owner has learnt of images that disturb each other.
     Learnt(Vec<Disturbance>),
-    /// The workers that a shard's owner has to be answered by while it goes without the log.
-    Witnesses(Vec<Witness>),
+    /// The workers that a shard's owners have to be answered by while they go without the log.
+    Witnesses(Witnesses),
     /// The owner of a job's own shard has handed it to another one.
     Delegated(JobId, ShardId),
     /// A shard has handed a task to another one.
@@ -133,7 +133,7 @@
         Record::Claim(claim) => (OWNER_KEY.to_owned(), framed(ClaimWire::from(claim))),
         Record::Learnt(pairs) => (LEARNT_KEY.to_owned(), framed(LearntWire::from(&pairs[..]))),
         Record::Witnesses(witnesses) => {
-            (WITNESSES_KEY.to_owned(), framed(WitnessesWire::from(&witnesses[..])))
+            (WITNESSES_KEY.to_owned(), framed(WitnessesWire::from(witnesses)))
         }
         Record::Delegated(id, shard) => (format!("delegated-{id}"), framed(shard.0)),
         Record::TaskHandedOn(id, hop) => (format!("handed-{id}"), framed((hop.number, hop.to.0))),
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -8,7 +8,7 @@
 use super::{Claim, Disturbance, Observations, RecordError};
 use crate::{
     Copy, Handover, JobSpec, JobState, Load, PIECES, Phase, Progress, ShardId, Sign, StepSpec,
-    TaskId, TaskState, Terms, Witness,
+    TaskId, TaskState, Terms, Witness, Witnesses,
 };
 
 /// Images by their position in `images`, so that each pair needs numbers only.
@@ -198,22 +198,25 @@
 
 #[derive(Debug, Encode, Decode)]
 pub(super) struct WitnessesWire {
+    heeded_by: u64,
     /// Worker, start of its incarnation in milliseconds since 1970.
     workers: Vec<(String, u64)>,
 }
 
-impl From<&[Witness]> for WitnessesWire {
-    fn from(witnesses: &[Witness]) -> WitnessesWire {
-        let workers = witnesses.iter().map(|it| (it.worker.0.to_string(), it.born_ms));
-        WitnessesWire { workers: workers.collect() }
+impl From<&Witnesses> for WitnessesWire {
+    fn from(witnesses: &Witnesses) -> WitnessesWire {
+        let workers = witnesses.workers.iter().map(|it| (it.worker.0.to_string(), it.born_ms));
+        WitnessesWire { heeded_by: witnesses.heeded_by, workers: workers.collect() }
     }
 }
 
-impl From<WitnessesWire> for Vec<Witness> {
-    fn from(wire: WitnessesWire) -> Vec<Witness> {
+impl From<WitnessesWire> for Witnesses {
+    fn from(wire: WitnessesWire) -> Witnesses {
         let witness =
             |(worker, born_ms): (String, u64)| Witness { worker: worker.as_str().into(), born_ms };
-        wire.workers.into_iter().map(witness).collect()
+        let mut workers: Vec<Witness> = wire.workers.into_iter().map(witness).collect();
+        workers.sort_unstable_by(|a, b| a.worker.cmp(&b.worker));
+        Witnesses { heeded_by: wire.heeded_by, workers }
     }
 }
 
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -39,7 +39,7 @@
         layout: LAYOUT,
         rules: Rules::default(),
     };
-    let claimed = Claimed { at: at(1_000), alone: true };
+    let claimed = Claimed { at: at(1_000), alone: true, epoch: 1, after: 0 };
     Owner::new(at(1_000), 0, settings, ledger, util::queues(), claimed)
 }
 
--- a/daisy-workflow/tests/outlasting.rs
+++ b/daisy-workflow/tests/outlasting.rs
@@ -109,3 +109,23 @@
         |it: &Cluster| it.places(task(1, 0, 0)).iter().any(|name| *name != it.workers[own].name);
     assert!(cluster.run_until(7_000, places));
 }
+
+/// An owner of an earlier build renews without witnesses, though the log names some.
+#[test]
+fn an_owner_of_an_earlier_build_between_two_runs_nothing_twice() {
+    let mut cluster = Cluster::busy(3, 4);
+    cluster.run_ms(2_000);
+    let own = cluster.host();
+    cluster.kill(0);
+    cluster.ignores_witnesses = true;
+    assert!(cluster.claim(1));
+    cluster.ignores_witnesses = false;
+    cluster.run_ms(1_000);
+    cluster.cut_off(&[Node::Vm(1), Node::Worker(own)]);
+    cluster.run_ms(1_400);
+    assert!(cluster.claim(2));
+
+    cluster.run_ms(20_000);
+
+    assert!(cluster.all_last());
+}
--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -15,7 +15,7 @@
 fn at_work() -> Cluster {
     let mut cluster = Cluster::busy(2, 4);
     cluster.run_ms(2_000);
-    assert!(!cluster.ledger.witnesses().is_empty(), "the owner names its witnesses");
+    assert!(!cluster.ledger.witnesses().workers.is_empty(), "the owner names its witnesses");
     cluster
 }
 
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -7,7 +7,7 @@
 use daisy_workflow::{
     Claim, Copy, Disturbance, Fold, Handover, Hop, JobId, JobState, Layout, Ledger, Load,
     Observations, PIECES, Phase, Progress, Record, RecordError, ShardId, Sign, SpecError,
-    TaskState, Told, Witness, decode, encode,
+    TaskState, Told, Witness, Witnesses, decode, encode,
 };
 use util::{after, best_effort, job, lasting, step, task};
 
@@ -77,7 +77,10 @@
                 products: vec![("a".into(), "a".into(), 0.125), ("a".into(), "b".into(), 0.5)],
             }],
         ),
-        Record::Witnesses(vec![Witness { worker: "w1".into(), born_ms: 1_700_000_000_000 }]),
+        Record::Witnesses(Witnesses {
+            heeded_by: 9,
+            workers: vec![Witness { worker: "w1".into(), born_ms: 1_700_000_000_000 }],
+        }),
         Record::Learnt(vec![Disturbance {
             serving: "s".into(),
             best_effort: "b".into(),
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -5,7 +5,7 @@
 use daisy_model::Instant;
 use daisy_workflow::{
     Action, Batch, Event, JobId, JobSpec, Layout, Ledger, Listed, Owner, Record, ShardId, Start,
-    TaskId, WorkerKey,
+    TaskId, Witnesses, WorkerKey,
 };
 
 use super::{
@@ -314,11 +314,11 @@
         self.claimed = Some(Claimed { epoch, vm, settled, released: false });
         let mut ledger = self.log.read(false, false);
         if self.ignores_witnesses {
-            ledger.fold(Record::Witnesses(Vec::new()));
+            ledger.fold(Record::Witnesses(Witnesses::default()));
         }
         self.vms[vm].process = Some(Process {
             epoch,
-            owner: owner(self.now, ledger, settled, ShardId(0), Layout { shards: 1 }),
+            owner: owner(self.now, epoch, ledger, settled, ShardId(0), Layout { shards: 1 }),
             settled,
             signed_at: None,
             listed_at: None,
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -58,7 +58,7 @@
         World {
             now,
             epoch: 1,
-            owner: owner(now, ledger.clone(), true, shard, layout),
+            owner: owner(now, 1, ledger.clone(), true, shard, layout),
             shard,
             layout,
             forwarded: Vec::new(),
@@ -98,15 +98,21 @@
         self.pending = None;
         self.events.clear();
         self.stepped_down = false;
-        self.owner =
-            owner(self.now, self.ledger.clone(), predecessor_gone, self.shard, self.layout);
+        self.owner = owner(
+            self.now,
+            self.epoch,
+            self.ledger.clone(),
+            predecessor_gone,
+            self.shard,
+            self.layout,
+        );
     }
 
     /// The same; the new one reads the log anew, in the order of its keys or as it was written.
     pub fn change_owner_that_reads(&mut self, by_key: bool, progress_first: bool) {
         self.change_owner(true);
         let ledger = self.log.read(by_key, progress_first);
-        self.owner = owner(self.now, ledger, true, self.shard, self.layout);
+        self.owner = owner(self.now, self.epoch, ledger, true, self.shard, self.layout);
     }
 
     /// The owner's process dies; what it was appending is stored all the same, or not.
@@ -278,6 +284,7 @@
 
 pub fn owner(
     now: Instant,
+    epoch: u64,
     ledger: Ledger,
     predecessor_gone: bool,
     shard: ShardId,
@@ -290,6 +297,6 @@
         layout,
         rules: Rules::default(),
     };
-    let claimed = Claimed { at: now, alone: predecessor_gone };
+    let claimed = Claimed { at: now, alone: predecessor_gone, epoch, after: epoch - 1 };
     Owner::new(now, 0, settings, ledger, super::queues(), claimed)
 }
