Tests of a worker that restarts, of a fleet that grows, and of one that is lost

For a rule by which an old owner is over once most workers know the new one: a worker that restarts has forgotten the new owner, and two owners may go by different sets of workers while the fleet grows. Both pass on the owner as it is.

--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -60,6 +60,63 @@
     assert!(cluster.longest_away() < Duration::from_millis(1_000));
 }
 
+/// Guards against taking a worker that has forgotten the new owner for one that still knows the old.
+#[test]
+fn a_restarted_worker_does_not_speak_for_an_old_owner() {
+    for wakes_after in [500, 2_000, 3_500] {
+        let mut cluster = Cluster::busy(2, 3);
+        let own = cluster.host();
+        let other = (own + 1) % 3;
+        cluster.freeze(0);
+        cluster.cut(&[Node::Vm(1)], &[Node::Worker(own)]);
+        assert!(cluster.claim(1));
+        cluster.run_ms(500);
+        cluster.cut_off(&[Node::Vm(0), Node::Worker(own), Node::Worker(other)]);
+        cluster.crash(other, Duration::ZERO, true);
+        cluster.run_ms(wakes_after);
+        cluster.wake(0);
+
+        cluster.run_ms(20_000);
+
+        assert!(cluster.all_last());
+    }
+}
+
+/// Guards against owners that go by different sets of workers, as the fleet has just grown.
+#[test]
+fn an_old_owner_that_has_not_heard_of_new_workers_runs_nothing_twice() {
+    for heard in 0..25 {
+        let mut cluster = Cluster::busy(2, 3);
+        let old: Vec<Node> = (0..3).map(Node::Worker).collect();
+        cluster.grow(4);
+        cluster.run_ms(heard * 10);
+        cluster.cut_way(Node::Store, Node::Vm(0));
+        cluster.run_ms(300);
+        cluster.cut_off(&[&[Node::Vm(0)], &old[..]].concat());
+        assert!(cluster.claim(1));
+
+        cluster.run_ms(20_000);
+
+        assert!(cluster.all_last());
+    }
+}
+
+/// Guards against a wait that begins anew with each owner: for a worker that is gone for good.
+#[test]
+fn a_task_of_a_lost_worker_is_back_after_a_change_of_the_owner() {
+    let mut cluster = Cluster::busy(2, 4);
+    let own = cluster.host();
+    cluster.crash(own, Duration::from_secs(60), false);
+    cluster.run_ms(4_000);
+    cluster.kill(0);
+    cluster.run_ms(1_500);
+    assert!(cluster.claim(1));
+
+    let back = cluster.run_until(16_000, Cluster::all_last);
+
+    assert!(back);
+}
+
 const VMS: usize = 3;
 /// Seeds that CI plays.
 const SEEDS: u64 = 150;
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -170,13 +170,19 @@
 
     /// The same, with as many tasks that last as there are workers, whose clocks are as slow as any.
     pub fn busy(vms: usize, workers: u32) -> Cluster {
-        let slow = |at| FakeWorker { slow_permille: 20, ..FakeWorker::new(&format!("w{at}"), 8) };
-        let mut cluster = Cluster::new(vms, (0..workers).map(slow).collect());
+        let mut cluster = Cluster::new(vms, (0..workers).map(slow_worker).collect());
         cluster.submit(1, job(vec![lasting(workers)]));
         assert!(cluster.run_until(2_000, Cluster::all_last), "they start");
         cluster
     }
 
+    /// More workers start.
+    pub fn grow(&mut self, count: u32) {
+        let from = self.workers.len() as u32;
+        self.workers.extend((from..from + count).map(slow_worker));
+        self.down.extend((0..count).map(|_| None));
+    }
+
     pub fn submit(&mut self, id: u64, spec: JobSpec) {
         let lasting = (0u16..).zip(&spec.steps).filter(|(_, it)| it.long_running);
         let tasks = lasting.flat_map(|(step, it)| {
@@ -618,6 +624,11 @@
     }
 }
 
+/// A worker whose clock is as slow as any.
+fn slow_worker(at: u32) -> FakeWorker {
+    FakeWorker { slow_permille: 20, ..FakeWorker::new(&format!("w{at}"), 8) }
+}
+
 fn is_of_log(event: &Event) -> bool {
     matches!(event, Event::Appended | Event::Reached | Event::Fenced(LOG))
 }
