--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -186,7 +186,7 @@
     cluster.run_ms(1_500);
     assert!(cluster.claim(1));
 
-    let back = cluster.run_until(16_000, Cluster::all_last);
+    let back = cluster.run_until(CALM_MS, Cluster::all_last);
 
     assert!(back);
 }
