--- a/daisy-workflow/tests/partition.rs
+++ b/daisy-workflow/tests/partition.rs
@@ -343,6 +343,8 @@
 #[derive(Debug, Clone)]
 struct Search {
     workers: u32,
+    /// How long the old owner has been at work: after a while it has named its witnesses.
+    before_ms: u64,
     /// Whether a start is recorded of which the old owner has not heard.
     starting: bool,
     gap_ms: u64,
@@ -392,6 +394,7 @@
 fn play(search: &Search) -> bool {
     let _told = Told(search.clone());
     let mut cluster = Cluster::busy(VMS, search.workers);
+    cluster.run_ms(search.before_ms);
     cluster.step = Duration::from_millis(20);
     let mut worker = cluster.host();
     if search.starting {
@@ -438,19 +441,27 @@
 
 #[test]
 fn no_hand_over_breaks_a_promise() {
-    let calm = Search { workers: 3, starting: false, gap_ms: 300, ops: Vec::new() };
+    let calm = Search { workers: 3, before_ms: 1_000, starting: false, gap_ms: 300, ops: vec![] };
     search_all(&calm, 4);
 }
 
+/// Guards against owners that are replaced before they have named their witnesses.
+#[test]
+fn no_early_hand_over_breaks_a_promise() {
+    let early = Search { workers: 4, before_ms: 0, starting: false, gap_ms: 100, ops: vec![] };
+    search_all(&early, 3);
+}
+
 /// Guards against leases that lapse, and owners that settle, between the operations.
 #[test]
 fn no_slow_hand_over_breaks_a_promise() {
-    let slow = Search { workers: 5, starting: false, gap_ms: 4_100, ops: Vec::new() };
+    let slow = Search { workers: 5, before_ms: 1_000, starting: false, gap_ms: 4_100, ops: vec![] };
     search_all(&slow, 3);
 }
 
 #[test]
 fn no_hand_over_during_a_start_breaks_a_promise() {
-    let starting = Search { workers: 3, starting: true, gap_ms: 300, ops: Vec::new() };
+    let starting =
+        Search { workers: 3, before_ms: 1_000, starting: true, gap_ms: 300, ops: vec![] };
     search_all(&starting, 3);
 }
