--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -3,8 +3,8 @@
 //! An owner that the log does not hear cannot tell whether another has taken its place. It goes on
 //! renewing only while more than half of its witnesses answer it: workers that are named in the log
 //! beside its claim. A worker refuses an owner once a newer one has called it. So a newer owner
-//! that more than half of the same witnesses have answered knows that nobody before it renews
-//! anything from then on, whoever else is cut off together with the one before.
+//! that half of the same witnesses have answered knows that nobody before it renews anything from
+//! then on, whoever else is cut off together with the one before.
 
 use std::time::Duration;
 
