No shard is claimed while its owner's signs of life could not be read

While the partition of states was silent and progress was not, owners that ran on were replaced after 1.4 s, by owners that count no earlier one as gone and so wait for every worker that they do not reach; the next change of owners began that wait anew.

Cause: a claim read the shard's submissions and progress, not the states in which owners show that they live. A VM took what it last read of those for fresh for 2.6 s, longer than the silence after which it claims. A log that is silent as a whole let no claim through meanwhile; one that is silent in part did.

Change: beside its reads, a claim asks whether states can be read, twice as one answer may be lost, and goes on only if they can and were read all the time before. Otherwise the owner's silence is counted from then, as after a log that was away.

The owners of before the silence stay until they are killed.

Tests: owners_stay_while_their_signs_of_life_are_not_heard (five silences of 1.6 s to 4 s) had 12 owners for 2 before, twice of two runs; with the change 8 of 8 alone and 1 of 1 in the whole file.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -7,7 +7,10 @@
 use daisy_workflow::{
     Candidate, Claim, Election, Fold, Ledger, Record, RecordError, ShardId, Verdict, encode,
 };
-use futures::{future::join_all, join};
+use futures::{
+    future::{join_all, select_ok},
+    join,
+};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
@@ -197,11 +200,18 @@
         const TRIES: u32 = 4;
         let mut reading = self.begin_reading();
         let began = clock::now();
-        let (jobs, progress) =
-            join!(reading.jobs.try_read(Duration::ZERO), reading.progress.try_read(Duration::ZERO));
+        let (jobs, progress, heard) = join!(
+            reading.jobs.try_read(Duration::ZERO),
+            reading.progress.try_read(Duration::ZERO),
+            self.could_hear()
+        );
         let jobs = jobs.map(|it| reading.fold_jobs(&it));
         let mut progress = progress.map(|it| reading.fold_progress(&it));
-        if jobs.is_none() || progress.is_none() {
+        if !heard {
+            // As with a log that is away: the owner has to be silent while it could be heard.
+            self.election.heard(clock::now());
+        }
+        if jobs.is_none() || progress.is_none() || !heard {
             return self.keep(reading);
         }
         self.rtt = clock::now().since(began);
@@ -257,6 +267,28 @@
         None
     }
 
+    /// Whether a sign of life of the owner could be read now and all the time before. Where the
+    /// partition of states alone is silent, owners run on that nobody hears.
+    async fn could_hear(&self) -> bool {
+        /// Longer than a read waits for a record, and the pause after it.
+        const READS_EXPECTED: Duration = Duration::from_millis(1_300);
+        let Some((read_at, from)) = self.elect.shared.lock().states_read else { return false };
+        let began = clock::now();
+        let store = &self.elect.store;
+        let ask = || {
+            Box::pin(async {
+                match store.read(Topic::States, from, Duration::ZERO, CALL_TIMEOUT).await {
+                    Ok(_) | Err(StoreError::Expired(_)) => Ok(()),
+                    Err(e) => Err(e),
+                }
+            })
+        };
+        // One answer may be lost.
+        let answered = select_ok([ask(), ask()]).await.is_ok();
+        let rtt = clock::now().since(began);
+        answered && began.since(read_at) < READS_EXPECTED + rtt * 2
+    }
+
     /// What an earlier claim has read that the log did not let get any further, or nothing.
     fn begin_reading(&mut self) -> Reading {
         let (shard, store) = (self.shard.0, &self.elect.store);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -465,6 +465,25 @@
     assert!(answers.iter().all(|it| *it == 200), "{answers:?}");
 }
 
+/// Owners that ran on were replaced, as nobody could read that they lived.
+#[tokio::test]
+async fn owners_stay_while_their_signs_of_life_are_not_heard() {
+    let fleet = Fleet::start(3, 120, WORK).await;
+    fleet.owned().await;
+    let before = fleet.changes_of_owner();
+
+    for millis in [1_600, 2_000, 2_400, 2_800, 4_000] {
+        fleet.log.silence(&["keyed.states"]);
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+        fleet.log.silence(&[]);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    fleet.post(0, JOB, job_body(4)).await;
+    fleet.wait_for_state(1, JOB, "completed").await;
+
+    assert_eq!(fleet.changes_of_owner(), before);
+}
+
 /// The log falls silent while callers go on handing jobs in, one every 60 ms. What was on its way to
 /// the log has an unknown outcome, which its callers cannot do anything about; all others are told at
 /// once that nothing was done and when to come back, and their jobs never run.
