Room is kept for late orders at a worker that may have started anew unseen

Workers saw more tasks than fit: a worker starts anew and carries orders of before out once more, and until a list tells of the restart the owner gives the same room to others.

Cause: late orders took room only from the moment the restart was seen. To keep room for them all the time, 13 s long, had been ruled out, as it would stand empty.

Change: what fits beside late orders is placed as before. More is placed only in the 150 ms after an answer of the worker, which shows that it is still the same: work that waits for room mostly comes with such an answer.

Test: late_orders_take_room_at_a_worker_that_may_have_restarted failed before ("w1 is over its capacity").

What the change costs where many orders go unanswered was not measured.

--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -7,7 +7,7 @@
 use super::{
     Owner, Settings,
     message::{Action, HoldAnswer, Listed, Note, Running, StopCause},
-    worker::{Sent, Stop, Worker, WorkerKey},
+    worker::{LateOrder, Sent, Stop, Worker, WorkerKey},
 };
 use crate::{TaskId, WorkerId};
 
@@ -144,7 +144,7 @@
     /// well: each is shut out there by a stop, and takes room until a list shows it to be gone.
     fn shut_out_late(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        for (task, run, until) in std::mem::take(&mut worker.late_orders) {
+        for LateOrder { task, run, until, .. } in std::mem::take(&mut worker.late_orders) {
             if until < now || worker.find(task, run).is_some() {
                 continue;
             }
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -7,7 +7,7 @@
 use super::{
     InFlight, Owner,
     message::{Action, OrderReply, Refusal, Start, StopCause},
-    worker::{Sent, Stop, WorkerKey},
+    worker::{LateOrder, Sent, Stop, WorkerKey},
 };
 use crate::{JobState, TaskId};
 
@@ -125,8 +125,9 @@
             OrderReply::Unknown => {
                 it.maybe_late = true;
                 it.sent = Sent::Unanswered(now + RESEND_START * it.tries.min(8));
-                worker.late_orders.retain(|(.., until)| *until > now);
-                worker.late_orders.push((task, run, now + LATE_MAX));
+                let (counted, until) = (it.counted, now + LATE_MAX);
+                worker.late_orders.retain(|it| it.until > now && (it.task, it.run) != (task, run));
+                worker.late_orders.push(LateOrder { task, run, counted, until });
                 self.shun(now, key, SHUN_SILENT);
             }
             OrderReply::NotSent if it.maybe_late => {
--- a/daisy-workflow/src/owner/place.rs
+++ b/daisy-workflow/src/owner/place.rs
@@ -78,7 +78,7 @@
                 && step.required_label.as_ref().is_none_or(|label| it.has_label(label))
                 && rack.is_none_or(|rack| it.has_label(rack))
                 && kept.iter().all(|kept| kept.worker != key || spares(step, it, kept.need))
-                && fits(step, it, key, taken)
+                && fits(now, step, it, key, taken)
                 && !crowded(step, it, key, task, taken);
             if !can {
                 continue;
@@ -156,13 +156,16 @@
 }
 
 fn fits(
+    now: Instant,
     step: &StepSpec,
     worker: &Worker,
     key: WorkerKey,
     taken: &[(WorkerKey, Resources)],
 ) -> bool {
     let mut need = step.counted();
-    for (_, more) in taken.iter().filter(|(it, _)| *it == key) {
+    let late = worker.late(now);
+    let others = taken.iter().filter(|(it, _)| *it == key).map(|(_, more)| more);
+    for more in others.chain([&late]) {
         match need.try_add(*more) {
             Some(sum) => need = sum,
             None => return false,
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -16,6 +16,8 @@
 const CLOCK_SLOW_PERMILLE: u64 = 20;
 /// Answers of one incarnation that overtake each other differ by less than this: no call lasts as long.
 const OVERTAKEN_MS: u64 = 2_000;
+/// How long after an answer a worker is taken not to have started anew since.
+const KNOWN_FOR: Duration = Duration::from_millis(150);
 /// Added before a lease counts as over, for the time that the worker takes to end its tasks.
 const EXPIRY_MARGIN_MS: u64 = 150;
 
@@ -107,6 +109,16 @@
     pub own_headroom: f64,
 }
 
+/// An order to start that went unanswered.
+#[derive(Debug, Clone)]
+pub(crate) struct LateOrder {
+    pub task: TaskId,
+    pub run: u32,
+    pub counted: Resources,
+    /// Until when it may still be carried out.
+    pub until: Instant,
+}
+
 /// A worker of the owner.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -142,8 +154,8 @@
     /// The highest end that was taken in, and the highest whose record is in the log.
     pub(crate) cursor_seen: u64,
     pub(crate) cursor_durable: u64,
-    /// Orders to start that went unanswered, and until when each may still be carried out.
-    pub(crate) late_orders: Vec<(TaskId, u32, Instant)>,
+    /// Orders to start that went unanswered and may still be carried out, each run once.
+    pub(crate) late_orders: Vec<LateOrder>,
     pub(crate) failures: u32,
     /// When the last of them came.
     pub(crate) failed_at: Instant,
@@ -236,6 +248,17 @@
         self.capacity.try_sub(self.used).unwrap_or(Resources::ZERO)
     }
 
+    /// What late orders of runs that have ended would take, had the worker started anew since its last
+    /// answer: it then carries them out once more.
+    pub(crate) fn late(&self, now: Instant) -> Resources {
+        if self.clock.is_some_and(|(_, at)| now.since(at) <= KNOWN_FOR) {
+            return Resources::ZERO;
+        }
+        let here = |it: &LateOrder| self.tasks.iter().any(|t| t.task == it.task && t.run == it.run);
+        let late = self.late_orders.iter().filter(|it| it.until > now && !here(it));
+        late.fold(Resources::ZERO, |sum, it| sum.try_add(it.counted).unwrap_or(self.capacity))
+    }
+
     /// What is free once all has ended that ends by itself.
     pub(crate) fn room_in_time(&self) -> Resources {
         let lasting = self.tasks.iter().filter(|it| it.lasts);
--- a/daisy-workflow/tests/owner.rs
+++ b/daisy-workflow/tests/owner.rs
@@ -280,6 +280,26 @@
     assert!(done);
 }
 
+/// Until its restart shows, late orders at a restarted worker were joined by as many tasks as it has room for.
+#[test]
+fn late_orders_take_room_at_a_worker_that_may_have_restarted() {
+    let mut world = with_late_orders(2);
+    world.hold_wait_max = Duration::from_secs(2);
+    world.run_ms(100);
+    world.list_lags = true;
+    world.run_ms(300);
+    restart_with_late_orders(&mut world);
+    world.submit(2, job(vec![step(4)]));
+    world.run_ms(200);
+    let sent = world.starts.iter().filter(|(task, ..)| task.job.0 == 2).count();
+    world.list_lags = false;
+
+    let done = world.run_until(6_000, |it| it.state(2) == JobState::Completed);
+
+    assert!(done);
+    assert_eq!(sent, 2, "those that fit beside the late ones");
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing_more() {
     let mut world = two_workers();
