Workers in partitions have run for long

The clock of a worker's next incarnation begins anew. With clocks that had run for seconds only, orders from before a restart came after their leases and were refused; with long ones they are carried out, as the contract allows.

--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -624,9 +624,9 @@
     }
 }
 
-/// A worker whose clock is as slow as any.
+/// A worker whose clock is as slow as any, and far ahead of that of its next incarnation.
 fn slow_worker(at: u32) -> FakeWorker {
-    FakeWorker { slow_permille: 20, ..FakeWorker::new(&format!("w{at}"), 8) }
+    FakeWorker { slow_permille: 20, offset: 500_000, ..FakeWorker::new(&format!("w{at}"), 8) }
 }
 
 fn is_of_log(event: &Event) -> bool {
