--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -4,14 +4,16 @@
 
 use daisy_model::Instant;
 use daisy_platform::{Guard, NodeSettings, Store, StoreError, Topic};
-use daisy_workflow::{Candidate, Claim, Election, Fold, Ledger, Record, ShardId, Verdict, encode};
+use daisy_workflow::{
+    Candidate, Claim, Election, Fold, Ledger, Record, RecordError, ShardId, Verdict, encode,
+};
 use futures::{future::join_all, join};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
     clock,
     follow::{CALL_TIMEOUT, Read, Tail},
-    jobs::readable,
+    jobs::{self, readable},
     metrics::Metrics,
     own::Ownership,
     shared::Shared,
@@ -64,6 +66,8 @@
     /// The last epoch under which this process owned the shard or failed to.
     ended_epoch: u64,
     unfit_until: Instant,
+    /// When the log last gave a claim no answer.
+    lost_at: Instant,
     /// Of a claim that got no further as the log did not answer, and since when.
     unfinished: Option<(Instant, Reading)>,
 }
@@ -73,12 +77,15 @@
     ledger: Ledger,
     jobs: Tail,
     progress: Tail,
+    /// Whether some of the progress is of a newer build's making.
+    is_newer: bool,
 }
 
 /// What a read of progress gave.
 struct Progressed {
-    /// Whether there was a claim in it.
+    /// Whether there was a claim in it, and whether there was anything else.
     seen: bool,
+    wrote: bool,
     at_end: bool,
 }
 
@@ -102,17 +109,24 @@
     }
 
     fn fold_progress(&mut self, read: &Read) -> Progressed {
-        let mut seen = false;
-        for record in readable("progress", &read.records) {
-            seen |= self.ledger.fold(record) == Fold::Claim;
+        let (mut seen, mut wrote) = (false, false);
+        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
+            match jobs::read("progress", it).map(|record| self.ledger.fold(record)) {
+                Ok(Fold::Claim) => seen = true,
+                Ok(_) => wrote = true,
+                Err(e) => self.is_newer |= matches!(e, RecordError::Version(_)),
+            }
         }
-        Progressed { seen, at_end: read.at_end }
+        Progressed { seen, wrote, at_end: read.at_end }
     }
 }
 
 /// A claim that stands, with all that the log says of the shard.
 struct Won {
     epoch: u64,
+    /// A time before the claim was sent, and the epoch of the claim before it.
+    claimed_at: Instant,
+    after: u64,
     ledger: Ledger,
     jobs: Tail,
     settled: bool,
@@ -129,6 +143,7 @@
             rtt: Duration::from_millis(5),
             ended_epoch: 0,
             unfit_until: Instant::default(),
+            lost_at: Instant::default(),
             unfinished: None,
         }
     }
@@ -156,7 +171,8 @@
         let now = clock::now();
         let known = self.elect.shared.lock();
         // Without a configuration and the newest signs of life, a claim would go by nothing.
-        if known.queues.is_none() || !known.is_fresh() {
+        let sure = known.is_fresh() && known.reach.shows_silence(now, self.lost_at);
+        if known.queues.is_none() || !sure {
             return Verdict::Wait(PAUSE);
         }
         let heard = known.directory.owner(self.shard);
@@ -199,12 +215,21 @@
         }
         self.rtt = clock::now().since(began);
         let mut claimed = None;
+        let (mut claimed_at, mut after) = (began, 0);
         for _ in 0..TRIES {
             let read = match progress.take() {
                 Some(it) => Some(it),
                 None => reading.read_progress().await,
             };
-            let Some(Progressed { seen, at_end }) = read else { return self.keep(reading) };
+            let Some(Progressed { seen, wrote, at_end }) = read else { return self.keep(reading) };
+            // What is read after a claim was refused has just been written.
+            if claimed.is_some() && !seen && wrote && self.election.wrote(clock::now()) {
+                log::info!(
+                    "event=claim_dropped shard={} cause=\"the owner writes though no sign of it is heard\"",
+                    self.shard.0
+                );
+                return self.keep(reading);
+            }
             if !at_end {
                 continue;
             }
@@ -223,21 +248,32 @@
                     }
                 }
                 let Reading { ledger, jobs, .. } = reading;
-                return Some(Won { epoch, ledger, jobs, settled });
+                return Some(Won { epoch, claimed_at, after, ledger, jobs, settled });
             }
             let rival = self.election.is_just_claimed(last);
             if rival || claimed.is_some() && seen {
                 break;
             }
+            // Tasks that this build cannot see in the progress would be started again.
+            if reading.is_newer {
+                let shard = self.shard.0;
+                log::warn!(
+                    "event=claim_withheld shard={shard} cause=\"its progress is of a newer build\""
+                );
+                self.election.heard(clock::now());
+                return self.keep(reading);
+            }
             // A read may have taken long.
             if *self.elect.stop.borrow() {
                 return None;
             }
             let settled = self.is_settled(last);
+            claimed_at = clock::now();
+            after = last.map_or(0, |it| it.epoch);
             claimed = self.append_claim(reading.progress.next()?, settled).await;
         }
-        // Somebody else was faster, or the log does not answer: as after a sign of life.
-        self.election.heard(clock::now());
+        // Somebody else was faster, or the log does not answer.
+        self.election.wait_anew(clock::now());
         None
     }
 
@@ -249,13 +285,15 @@
             ledger: Ledger::default(),
             jobs: Tail::new(store.clone(), Topic::Jobs(shard)),
             progress: Tail::new(store.clone(), Topic::Progress(shard)),
+            is_newer: false,
         })
     }
 
     /// Ends a claim that the log did not let get any further.
     fn keep(&mut self, reading: Reading) -> Option<Won> {
         let whole = !reading.jobs.has_gap() && !reading.progress.has_gap();
-        self.unfinished = whole.then(|| (clock::now(), reading));
+        self.lost_at = clock::now();
+        self.unfinished = whole.then_some((self.lost_at, reading));
         None
     }
 
@@ -298,7 +336,7 @@
     }
 
     async fn own(&mut self, won: Won) {
-        let Won { epoch, ledger, jobs, settled } = won;
+        let Won { epoch, claimed_at, after, ledger, jobs, settled } = won;
         let (shard, elect) = (self.shard, &self.elect);
         log::info!("event=owner shard={} epoch={epoch} settled={settled}", shard.0);
         elect.metrics.owner("won");
@@ -312,6 +350,8 @@
             shard,
             epoch,
             claim: self.election.claim(epoch, settled),
+            claimed_at,
+            after,
             told,
         };
         let why = ownership.run(ledger, jobs).await;
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -11,8 +11,8 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Lateness, Layout, Ledger, Owner, RENEW_ALONE_MAX, Record, Rules,
-    Settings, ShardId, Sign, Telling, Told, WorkerKey, encode,
+    Action, Claim, Claimed, Event, JobId, Lateness, Layout, Ledger, Owner, Record, Rules, Settings,
+    ShardId, Sign, Telling, Told, Uncertain, WorkerKey, encode,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -45,6 +45,9 @@
     pub shard: ShardId,
     pub epoch: u64,
     pub claim: Claim,
+    /// A time before the claim was sent, and the epoch of the claim before it.
+    pub claimed_at: Instant,
+    pub after: u64,
     /// States that all VMs know already.
     pub told: SortedMap<JobId, Told>,
 }
@@ -82,7 +85,8 @@
 #[derive(Debug)]
 enum Append {
     Progress,
-    States,
+    /// States, or a sign of life, first sent at this time.
+    States(Instant),
     Fenced,
 }
 
@@ -125,10 +129,10 @@
             telling_now: false,
             told_seq: 0,
             jobs_read,
-            began_at: now,
             observed_at: now,
             lateness: Lateness::new(now, TICK),
             reported_at: now,
+            uncertain: Vec::new(),
             ownership: self,
         };
         let why = running.serve(rx, appended).await;
@@ -152,9 +156,15 @@
         let lease_max = self.elect.settings.lease_max;
         let rules = Rules::default();
         let settings = Settings { lease, lease_max, shard: self.shard, layout, rules };
+        let claimed = Claimed {
+            at: self.claimed_at,
+            alone: self.claim.settled,
+            epoch: self.epoch,
+            after: self.after,
+        };
         known.begin_owner(self.shard, events.clone());
         let queues = known.queues.clone().unwrap_or_default();
-        Owner::new(now, clock::wall_ms(), settings, ledger, queues, self.claim.settled)
+        Owner::new(now, clock::wall_ms(), settings, ledger, queues, claimed)
     }
 }
 
@@ -176,11 +186,12 @@
     told_seq: u64,
     /// When all submissions had last been read.
     jobs_read: watch::Receiver<Instant>,
-    began_at: Instant,
     /// When what was learnt was last given to other owners.
     observed_at: Instant,
     lateness: Lateness,
     reported_at: Instant,
+    /// Runs whose fate was not known at the last report.
+    uncertain: Vec<Uncertain>,
 }
 
 impl Running {
@@ -267,7 +278,8 @@
         log::info!(
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
-             unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={}",
+             unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={} \
+             uncertain={} uncertain_for_ms={}",
             self.ownership.shard.0,
             self.ownership.epoch,
             it.jobs,
@@ -283,8 +295,11 @@
             it.largest_room,
             it.largest_room_in_time,
             it.least_lasting,
-            it.longest_wait.as_millis()
+            it.longest_wait.as_millis(),
+            it.uncertain,
+            it.uncertain_for.as_millis()
         );
+        self.report_uncertain(now);
         if let Some(it) = self.owner.try_longest_wait(now) {
             log::info!(
                 "event=longest_wait id={} task={} shard={} waited_ms={} cpu={} memory_mib={} \
@@ -306,6 +321,29 @@
         self.ownership.elect.metrics.shard(self.ownership.shard, it.jobs, it.usable);
     }
 
+    /// Logs each run of a task that last whose fate is not known, once for each cause.
+    fn report_uncertain(&mut self, now: Instant) {
+        let uncertain = self.owner.uncertain(now);
+        for it in &uncertain {
+            let told =
+                |known: &Uncertain| (known.task, known.run, known.why) == (it.task, it.run, it.why);
+            if self.uncertain.iter().any(told) {
+                continue;
+            }
+            log::info!(
+                "event=uncertain id={} task={} run={} shard={} worker={} over_in_ms={} cause=\"{}\"",
+                it.task.job,
+                it.task,
+                it.run,
+                self.ownership.shard.0,
+                it.worker,
+                it.left.as_millis(),
+                it.why.words()
+            );
+        }
+        self.uncertain = uncertain;
+    }
+
     fn call(&self, key: WorkerKey, action: Action) {
         if let Some(worker) = self.owner.worker(key) {
             self.calls.begin(key, worker, action);
@@ -368,19 +406,16 @@
         self.telling_now = true;
         let guard = self.guard(self.told_seq);
         self.told_seq += 1;
-        self.send(Topic::States, records, guard, Append::States);
+        self.send(Topic::States, records, guard, Append::States(clock::now()));
     }
 
     /// A sign of life.
     fn sign(&self, now: Instant, released: bool) -> Sign {
         /// Twice the longest wait for a new record.
         const CURRENT: Duration = Duration::from_millis(800);
-        let lease = self.ownership.elect.settings.lease_max;
-        // By then, what owners before this one may have granted has run out by any worker's clock.
-        let settles_at = self.began_at + RENEW_ALONE_MAX + lease + lease / 10;
         let claim = Claim {
             released,
-            settled: self.ownership.claim.settled || now >= settles_at,
+            settled: self.ownership.claim.settled || self.owner.is_settled(now),
             ..self.ownership.claim.clone()
         };
         let shard = self.ownership.shard;
@@ -420,9 +455,9 @@
                 self.appending = false;
                 Event::Appended
             }
-            Some(Append::States) => {
+            Some(Append::States(sent_at)) => {
                 self.telling_now = false;
-                Event::Reached
+                Event::Reached { sent_at }
             }
             Some(Append::Fenced) | None => return false,
         };
--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisy_model::{Instant, Resources, SortedMap};
+use daisy_model::{Instant, SortedMap};
 
 use super::{
     Owner, Settings,
@@ -34,7 +34,11 @@
     }
 
     fn newly_listed(&mut self, now: Instant, listed: &Listed) {
-        let key = self.workers.alloc(Worker::new(now, listed));
+        let mut worker = Worker::new(now, listed);
+        if self.succession.names_earlier(&worker) {
+            worker.reborn_at = Some(now);
+        }
+        let key = self.workers.alloc(worker);
         self.by_id.insert(listed.id.clone(), key);
         let (here, elsewhere) =
             std::mem::take(&mut self.orphans).into_iter().partition(|it| it.worker == listed.id);
@@ -109,7 +113,7 @@
         worker.clock = None;
         worker.deadline_ms = 0;
         worker.fenced = false;
-        worker.reborn = true;
+        worker.reborn_at = Some(now);
         worker.cursor_seen = 0;
         worker.cursor_durable = 0;
         worker.failures = 0;
@@ -141,7 +145,7 @@
     }
 
     /// Orders that once went unanswered and have ended since may yet reach a new incarnation as
-    /// well: each is shut out there by a stop.
+    /// well: each is shut out there by a stop, and takes room until a list shows it to be gone.
     fn shut_out_late(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         for (task, run, until) in std::mem::take(&mut worker.late_orders) {
@@ -151,7 +155,6 @@
             let Some(job) = self.ledger.job(task.job) else { continue };
             let Some(step) = job.spec.steps.get(usize::from(task.step)) else { continue };
             let mut it = super::assignment(now, &mut self.interference, task, run, step);
-            it.counted = Resources::ZERO;
             it.sent = Sent::Unanswered(now);
             it.maybe_late = true;
             it.stop_at(now, StopCause::MaybeLate);
@@ -222,13 +225,14 @@
         }
         worker.clock = Some((answer.clock_ms, now));
         worker.held_at = now;
+        worker.answered_since = worker.hold_sent_at;
         if !worker.fenced {
             worker.fenced = true;
             self.plan_due = true;
             // An earlier owner may have granted a whole lease just before. An order meant for an
             // earlier incarnation names a time far ahead of this one's clock: the worker then
             // grants as long a lease as it ever does.
-            let granted = if worker.reborn { lease_max } else { lease };
+            let granted = if worker.reborn_at.is_some() { lease_max } else { lease };
             let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.deadline_ms = worker.deadline_ms.max(inherited);
         }
@@ -274,18 +278,19 @@
     /// Renews a worker's lease if that is due.
     pub(super) fn renew(&mut self, now: Instant, key: WorkerKey) {
         let lease = self.settings.lease;
-        let alone = now.since(self.appended_at) > super::RENEW_ALONE_MAX;
+        let may_renew = self.may_renew(now);
+        let log_late = self.succession.is_log_late(now);
         let Some(worker) = self.workers.get_mut(key) else { return };
         if worker.holding || !hold_due(now, worker) {
             return;
         }
         // While a worker is silent, nothing is granted: else its leases would never run out.
-        let grant = worker.fenced && worker.hold_failures == 0 && !alone;
+        let grant = worker.fenced && worker.hold_failures == 0 && may_renew;
         let deadline_ms = if grant { worker.lease_end(now, lease) } else { None };
         worker.holding = true;
         worker.hold_sent_at = now;
         let cursor = worker.cursor_durable;
-        let wait = hold_wait(worker);
+        let wait = hold_wait(worker, log_late);
         self.actions.push(Action::Hold { worker: key, deadline_ms, cursor, wait });
     }
 
@@ -341,13 +346,18 @@
 
 /// How long a worker may wait for an end before it answers: it bounds how old the picture of the
 /// worker gets, and how late its silence shows. Each renewal is paid for.
-fn hold_wait(worker: &Worker) -> Duration {
+fn hold_wait(worker: &Worker, log_late: bool) -> Duration {
     const IDLE: Duration = Duration::from_millis(1_500);
     const AT_WORK: Duration = Duration::from_millis(800);
     const SERVING: Duration = Duration::from_millis(500);
+    /// Often enough that each worker's answer counts until the next.
+    const LOG_LATE: Duration = Duration::from_millis(300);
     if !worker.fenced || worker.hold_failures > 0 || worker.cursor_seen > worker.cursor_durable {
         return Duration::ZERO;
     }
+    if log_late {
+        return LOG_LATE;
+    }
     let beside = worker.serving() > 0 && worker.best_effort_cpu() > 0;
     match (worker.tasks.is_empty(), beside) {
         (true, _) => IDLE,
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -18,7 +18,7 @@
 const RESEND_STOP: Duration = Duration::from_millis(200);
 /// How long after it was sent an order may still be carried out: the platform's contract names
 /// 12 s.
-const LATE_MAX: Duration = Duration::from_secs(13);
+pub(super) const LATE_MAX: Duration = Duration::from_secs(13);
 /// How long a worker gets no new work after an order went unanswered.
 const SHUN_SILENT: Duration = Duration::from_millis(700);
 /// How long a worker gets no new work after it refused some.
@@ -29,9 +29,10 @@
 impl Owner {
     /// The batch under way is in the log: its starts may go out, its ends are acknowledged.
     pub(super) fn appended(&mut self, now: Instant) {
-        self.appended_at = now;
         let Some(it) = self.in_flight.take() else { return };
-        let InFlight { starts, cursors, states, delegated, handed } = it;
+        self.succession.taken(it.began);
+        self.succession.recorded();
+        let InFlight { began: _, starts, cursors, states, delegated, handed } = it;
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward(id));
         handed.into_iter().for_each(|task| self.forward_task(task));
@@ -50,17 +51,24 @@
 
     fn start(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
         let lease = self.settings.lease;
-        let wanted = self.is_wanted(task);
+        // A record that took long to be told of may stand behind those of another owner.
+        let wanted = self.is_wanted(task) && self.may_renew(now);
         let Some(job) = self.ledger.job(task.job) else { return };
         let text = job.spec.text.clone();
         let steps = &job.progress.occurrences;
         let state = &steps[task.occurrence as usize][usize::from(task.step)][task.index as usize];
         let checkpoint = state.checkpoint.clone();
         let Some(worker) = self.workers.get_mut(key) else { return };
-        let lease_end = if wanted { worker.lease_end(now, lease) } else { None };
+        let Some(sent) = worker.find(task, run).map(|it| it.sent) else { return };
+        // Its worker may have changed while the record was under way.
+        let answers = worker.fenced && worker.hold_failures == 0;
+        let takes = answers && worker.used.fits(worker.capacity);
+        let can = takes || sent != Sent::Recording;
+        let lease_end = if wanted && can { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
         let Some(deadline_ms) = lease_end else {
-            // Not wanted any more, or its worker has just started anew: nothing was sent.
+            // Not wanted any more, no room, or its worker is silent or has just started anew: nothing
+            // was sent.
             self.unassign(key, task, run);
             return;
         };
@@ -102,7 +110,11 @@
         if let OrderReply::Done { clock_ms } = reply
             && worker.fenced
         {
-            worker.clock = Some((clock_ms, now));
+            match worker.is_clock_reset(clock_ms) {
+                // Its next list names the incarnation; until then it gets nothing new.
+                true => worker.fenced = false,
+                false => worker.clock = Some((clock_ms, now)),
+            }
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
@@ -199,6 +211,9 @@
 
     /// Sends unanswered starts again.
     pub(super) fn resend_starts(&mut self, now: Instant) {
+        if !self.may_renew(now) {
+            return;
+        }
         for at in 0..self.workers.len() {
             let key = WorkerKey(at as u32);
             let Some(worker) = self.workers.get(key) else { continue };
--- a/daisy-workflow/src/owner/watch.rs
+++ b/daisy-workflow/src/owner/watch.rs
@@ -31,6 +31,8 @@
 impl Owner {
     /// Looks after all that is due.
     pub(super) fn watch(&mut self, now: Instant) {
+        self.settle(now);
+        self.review_witnesses(now);
         self.renew_due(now);
         self.resend_starts(now);
         for at in 0..self.workers.len() {
@@ -52,11 +54,7 @@
         if worker.tasks.is_empty() || (worker.hold_failures == 0 && worker.listed) {
             return;
         }
-        let over = match worker.clock {
-            Some(_) => worker.lease_over(now),
-            None => now >= self.inherited_until,
-        };
-        if !over {
+        if self.try_over_at(worker).is_none_or(|it| now < it) {
             return;
         }
         let lost: Vec<(TaskId, u32)> = worker
@@ -67,15 +65,17 @@
             .collect();
         for (task, run) in lost {
             self.lose(key, task, run, "its worker is silent and its lease has run out");
+            self.displaced(now, task);
         }
     }
 
     fn give_up_orphans(&mut self, now: Instant) {
-        if now < self.inherited_until || self.orphans.is_empty() {
+        if self.orphans.is_empty() || self.try_inherited_until().is_none_or(|it| now < it) {
             return;
         }
         for it in std::mem::take(&mut self.orphans) {
             self.drop_copy(it.task, it.run, "");
+            self.displaced(now, it.task);
         }
     }
 
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -14,6 +14,8 @@
 /// A worker's clock may run this much slower than the owner's, in thousandths: the platform's
 /// contract allows 2 %.
 const CLOCK_SLOW_PERMILLE: u64 = 20;
+/// Answers of one incarnation that overtake each other differ by less than this: no call lasts as long.
+const OVERTAKEN_MS: u64 = 2_000;
 /// Added before a lease counts as over, for the time that the worker takes to end its tasks.
 const EXPIRY_MARGIN_MS: u64 = 150;
 
@@ -126,15 +128,19 @@
     pub(crate) tasks: Vec<Assignment>,
     /// The worker's clock in milliseconds, and when it was read.
     pub(crate) clock: Option<(u64, Instant)>,
-    /// The latest end of a lease that was ever sent, answered or not, on the worker's clock.
+    /// The latest end of a lease that it may ever have been granted, on the worker's clock.
     pub(crate) deadline_ms: u64,
-    /// Whether it has answered under this owner's epoch: from then on it refuses older orders.
+    /// Whether it has answered under this owner's epoch, as the incarnation that is known: from then on
+    /// it refuses older orders.
     pub(crate) fenced: bool,
-    /// Whether it started anew under this owner, which may have sent it orders without knowing.
-    pub(crate) reborn: bool,
+    /// When it was noticed that it had started anew: orders for the incarnation before may still reach
+    /// it.
+    pub(crate) reborn_at: Option<Instant>,
     pub(crate) holding: bool,
     pub(crate) held_at: Instant,
     pub(crate) hold_sent_at: Instant,
+    /// When the renewal was sent that was last answered.
+    pub(crate) answered_since: Instant,
     pub(crate) hold_failures: u32,
     /// The highest end that was taken in, and the highest whose record is in the log.
     pub(crate) cursor_seen: u64,
@@ -185,10 +191,11 @@
             clock: None,
             deadline_ms: 0,
             fenced: false,
-            reborn: false,
+            reborn_at: None,
             holding: false,
             held_at: Instant::default(),
             hold_sent_at: Instant::default(),
+            answered_since: Instant::default(),
             hold_failures: 0,
             cursor_seen: 0,
             cursor_durable: 0,
@@ -212,16 +219,25 @@
         Some(clock + passed - passed * CLOCK_SLOW_PERMILLE / 1_000)
     }
 
+    /// Whether an answer shows the clock of a later incarnation, which begins anew.
+    pub(crate) fn is_clock_reset(&self, clock_ms: u64) -> bool {
+        self.clock.is_some_and(|(known, _)| clock_ms + OVERTAKEN_MS < known)
+    }
+
     /// The end of a lease that begins now, on the worker's clock.
     pub(crate) fn lease_end(&mut self, now: Instant, lease: Duration) -> Option<u64> {
         let end = self.clock_at_least(now)? + lease.as_millis() as u64;
         self.deadline_ms = self.deadline_ms.max(end);
-        Some(self.deadline_ms)
+        // Not the latest end that it may have been granted: the next owner allows for one lease.
+        Some(end)
     }
 
-    /// Whether every lease that was ever sent has surely run out on the worker's own clock.
-    pub(crate) fn lease_over(&self, now: Instant) -> bool {
-        self.clock_at_least(now).is_some_and(|it| it > self.deadline_ms + EXPIRY_MARGIN_MS)
+    /// When every lease that was ever sent has surely run out on the worker's own clock, if that was
+    /// ever read.
+    pub(crate) fn lease_over_at(&self) -> Option<Instant> {
+        let (clock, at) = self.clock?;
+        let left = (self.deadline_ms + EXPIRY_MARGIN_MS + 1).saturating_sub(clock);
+        Some(at + Duration::from_millis(left * 1_000 / (1_000 - CLOCK_SLOW_PERMILLE) + 1))
     }
 
     pub(crate) fn free(&self) -> Resources {
--- a/daisy-workflow/tests/delegate.rs
+++ b/daisy-workflow/tests/delegate.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Action, Copy, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, Others, Owner,
-    Progress, Record, Rules, Settings, ShardId,
+    Action, Claimed, Copy, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, Others,
+    Owner, Progress, Record, Rules, Settings, ShardId,
 };
 use std::time::Duration;
 use util::{CORE, FakeWorker, best_effort, job, lasting, step};
@@ -39,7 +39,8 @@
         layout: LAYOUT,
         rules: Rules::default(),
     };
-    Owner::new(at(1_000), 0, settings, ledger, util::queues(), true)
+    let claimed = Claimed { at: at(1_000), alone: true, epoch: 1, after: 0 };
+    Owner::new(at(1_000), 0, settings, ledger, util::queues(), claimed)
 }
 
 /// Lists a worker and lets it answer what the owner asks of it.
@@ -240,7 +241,9 @@
 
     let batch = owner.try_batch(at(1_520)).expect("a start is to be recorded");
 
-    assert!(matches!(batch.records[..], [Record::Progress(..)]), "{:?}", batch.records);
+    let of_jobs = batch.records.iter().filter(|it| !matches!(it, Record::Witnesses(_)));
+    let of_jobs: Vec<&Record> = of_jobs.collect();
+    assert!(matches!(of_jobs[..], [Record::Progress(..)]), "{:?}", batch.records);
 }
 
 #[test]
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -4,14 +4,14 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, Layout, Ledger, Listed, Owner, RENEW_ALONE_MAX, Record,
-    ShardId, Start, TaskId, WorkerKey,
+    Action, Batch, Event, JobId, JobSpec, Layout, Ledger, Listed, Owner, Record, ShardId, Start,
+    TaskId, Witnesses, WorkerKey,
 };
 
 use super::{
-    LASTS_MS, LEASE_MAX, STEP, job, lasting,
+    LASTS_MS, STEP, job, lasting,
     log::Log,
-    worker::{FakeWorker, target, unanswered},
+    worker::{FakeWorker, HOLD_WAIT_MAX, target, unanswered, with_wait},
     world::{check_runs, check_start, owner},
 };
 
@@ -47,6 +47,8 @@
 struct Write {
     /// What is recorded; `None` for a sign of life.
     batch: Option<Batch>,
+    /// When it was first to be sent, and when it is sent next.
+    sent_at: Instant,
     send_at: Instant,
 }
 
@@ -55,7 +57,6 @@
     epoch: u64,
     owner: Owner,
     settled: bool,
-    began_at: Instant,
     signed_at: Option<Instant>,
     listed_at: Option<Instant>,
     writes: Vec<Write>,
@@ -118,6 +119,8 @@
     pub elects: bool,
     /// Whether a process that wakes hears the log's answers before those of workers.
     pub hears_log_first: bool,
+    /// Whether processes that begin know of no witnesses, as those of earlier builds.
+    pub ignores_witnesses: bool,
     /// How long calls to workers are under way; they are then carried out whatever was cut meanwhile.
     pub calls_take: Duration,
     vms: Vec<Vm>,
@@ -151,6 +154,7 @@
             ledger: Ledger::default(),
             elects: false,
             hears_log_first: true,
+            ignores_witnesses: false,
             calls_take: Duration::ZERO,
             vms: (0..vms).map(|_| Vm::default()).collect(),
             cut: Vec::new(),
@@ -314,12 +318,14 @@
         let settled = last.is_none_or(|it| (it.released || it.vm == vm) && it.settled);
         let epoch = last.map_or(0, |it| it.epoch) + 1;
         self.claimed = Some(Claimed { epoch, vm, settled, released: false });
-        let ledger = self.log.read(false, false);
+        let mut ledger = self.log.read(false, false);
+        if self.ignores_witnesses {
+            ledger.fold(Record::Witnesses(Witnesses::default()));
+        }
         self.vms[vm].process = Some(Process {
             epoch,
-            owner: owner(self.now, ledger, settled, ShardId(0), Layout { shards: 1 }),
+            owner: owner(self.now, epoch, ledger, settled, ShardId(0), Layout { shards: 1 }),
             settled,
-            began_at: self.now,
             signed_at: None,
             listed_at: None,
             writes: Vec::new(),
@@ -443,12 +449,16 @@
             return;
         }
         if let Some(batch) = process.owner.try_batch(now) {
-            process.writes.push(Write { batch: Some(batch), send_at: now + self.step });
+            process.writes.push(Write {
+                batch: Some(batch),
+                sent_at: now,
+                send_at: now + self.step,
+            });
         }
         let signs = process.writes.iter().any(|it| it.batch.is_none());
         if !signs && process.signed_at.is_none_or(|it| now.since(it) >= SIGN_EVERY) {
             process.signed_at = Some(now);
-            process.writes.push(Write { batch: None, send_at: now });
+            process.writes.push(Write { batch: None, sent_at: now, send_at: now });
         }
         self.write(vm, &mut process);
         self.vms[vm].process = Some(process);
@@ -503,7 +513,7 @@
         let now = self.now;
         for mut write in std::mem::take(&mut process.writes) {
             let sent = write.send_at <= now && self.passes(Node::Vm(vm), Node::Store);
-            let answer = sent.then(|| self.take(process, write.batch.as_ref()));
+            let answer = sent.then(|| self.take(process, &write));
             match answer.filter(|_| self.passes(Node::Store, Node::Vm(vm))) {
                 Some(event) => process.inbox.push((now + self.step, event)),
                 None => {
@@ -517,7 +527,8 @@
     }
 
     /// The log takes a write, or refuses it; taken again, it changes nothing.
-    fn take(&mut self, process: &Process, batch: Option<&Batch>) -> Event {
+    fn take(&mut self, process: &Process, write: &Write) -> Event {
+        let Write { batch, sent_at, .. } = write;
         let claimed = self.claimed.as_mut().expect("the first owner has claimed");
         let newest = if batch.is_some() { claimed.epoch } else { self.signed.0 };
         if process.epoch < newest {
@@ -532,11 +543,10 @@
             }
             None => {
                 self.signed = (process.epoch, self.now);
-                let settles_at = process.began_at + RENEW_ALONE_MAX + LEASE_MAX + LEASE_MAX / 10;
                 if process.epoch == claimed.epoch {
-                    claimed.settled = process.settled || self.now >= settles_at;
+                    claimed.settled = process.settled || process.owner.is_settled(self.now);
                 }
-                Event::Reached
+                Event::Reached { sent_at: *sent_at }
             }
         }
     }
@@ -569,6 +579,7 @@
         let (worker, now) = (&mut self.workers[at], self.now);
         let before = worker.runs.len();
         let task = if let Action::Start(_, it) = &action { Some(it.task) } else { None };
+        let action = with_wait(action, HOLD_WAIT_MAX);
         let answer = worker.obey(now, epoch, action, work_ms);
         let began = worker.runs.len() > before;
         self.begun.extend(task.filter(|_| began).map(|it| (it, now)));
@@ -630,5 +641,5 @@
 }
 
 fn is_of_log(event: &Event) -> bool {
-    matches!(event, Event::Appended | Event::Reached | Event::Fenced(LOG))
+    matches!(event, Event::Appended | Event::Reached { .. } | Event::Fenced(LOG))
 }
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -27,6 +27,9 @@
     Hangs,
 }
 
+/// How long a renewal waits for an end at most, unless a test is about that.
+pub const HOLD_WAIT_MAX: Duration = Duration::from_millis(50);
+
 /// A task with this much work lasts until it is stopped.
 pub const LASTS_MS: u64 = 600_000;
 
@@ -166,10 +169,7 @@
                 match self.hold(now, epoch, deadline_ms, cursor) {
                     None => (Duration::from_millis(300), Event::Held(key, None)),
                     Some(Err(())) => (STEP, Event::Fenced(key)),
-                    Some(Ok(answer)) => {
-                        let wait = wait.min(Duration::from_millis(50));
-                        (wait.max(STEP), Event::Held(key, Some(answer)))
-                    }
+                    Some(Ok(answer)) => (wait.max(STEP), Event::Held(key, Some(answer))),
                 }
             }
             Action::Start(key, start) => {
@@ -374,3 +374,13 @@
         *self = FakeWorker { born_ms, labels, late: late.collect(), ..fresh };
     }
 }
+
+/// A renewal that waits no longer than `most`; any other action as it is.
+pub fn with_wait(action: Action, most: Duration) -> Action {
+    match action {
+        Action::Hold { worker, deadline_ms, cursor, wait } => {
+            Action::Hold { worker, deadline_ms, cursor, wait: wait.min(most) }
+        }
+        other => other,
+    }
+}
--- a/daisy-workflow/tests/util/world.rs
+++ b/daisy-workflow/tests/util/world.rs
@@ -4,14 +4,14 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, Record, Rules, Settings,
-    ShardId, Start, TaskId, WorkerKey,
+    Action, Batch, Claimed, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, Record, Rules,
+    Settings, ShardId, Start, TaskId, WorkerKey,
 };
 
 use super::{
     LEASE_MAX, STEP,
     log::Log,
-    worker::{FakeWorker, target},
+    worker::{FakeWorker, HOLD_WAIT_MAX, target, with_wait},
 };
 
 /// Between signs of life, in microseconds.
@@ -29,6 +29,8 @@
     pub log_up: bool,
     /// Whether the platform's list of workers stands still.
     pub list_lags: bool,
+    /// The longest that a worker waits before it answers a renewal.
+    pub hold_wait_max: Duration,
     /// Orders to start that were sent: task, run, worker.
     pub starts: Vec<(TaskId, u32, String)>,
     pub stepped_down: bool,
@@ -56,7 +58,7 @@
         World {
             now,
             epoch: 1,
-            owner: owner(now, ledger.clone(), true, shard, layout),
+            owner: owner(now, 1, ledger.clone(), true, shard, layout),
             shard,
             layout,
             forwarded: Vec::new(),
@@ -64,6 +66,7 @@
             ledger,
             log_up: true,
             list_lags: false,
+            hold_wait_max: HOLD_WAIT_MAX,
             starts: Vec::new(),
             stepped_down: false,
             work: |_| 1_000,
@@ -95,15 +98,21 @@
         self.pending = None;
         self.events.clear();
         self.stepped_down = false;
-        self.owner =
-            owner(self.now, self.ledger.clone(), predecessor_gone, self.shard, self.layout);
+        self.owner = owner(
+            self.now,
+            self.epoch,
+            self.ledger.clone(),
+            predecessor_gone,
+            self.shard,
+            self.layout,
+        );
     }
 
     /// The same; the new one reads the log anew, in the order of its keys or as it was written.
     pub fn change_owner_that_reads(&mut self, by_key: bool, progress_first: bool) {
         self.change_owner(true);
         let ledger = self.log.read(by_key, progress_first);
-        self.owner = owner(self.now, ledger, true, self.shard, self.layout);
+        self.owner = owner(self.now, self.epoch, ledger, true, self.shard, self.layout);
     }
 
     /// The owner's process dies; what it was appending is stored all the same, or not.
@@ -174,7 +183,7 @@
         }
         // Signs of life show that the log takes what is written.
         if self.log_up && now.0.is_multiple_of(SIGN_EVERY_US) {
-            self.owner.step(now, Event::Reached);
+            self.owner.step(now, Event::Reached { sent_at: now });
         }
         self.owner.step(now, Event::Tick);
         for action in self.owner.act(now) {
@@ -227,6 +236,7 @@
         let Some(key) = target(&action) else { return };
         let work_ms = if let Action::Start(_, it) = &action { (self.work)(it.task) } else { 0 };
         let (now, epoch) = (self.now, self.epoch);
+        let action = with_wait(action, self.hold_wait_max);
         if let Some((after, event)) = self.of(key).obey(now, epoch, action, work_ms) {
             self.events.push((now + after, event));
         }
@@ -274,6 +284,7 @@
 
 pub fn owner(
     now: Instant,
+    epoch: u64,
     ledger: Ledger,
     predecessor_gone: bool,
     shard: ShardId,
@@ -286,5 +297,6 @@
         layout,
         rules: Rules::default(),
     };
-    Owner::new(now, 0, settings, ledger, super::queues(), predecessor_gone)
+    let claimed = Claimed { at: now, alone: predecessor_gone, epoch, after: epoch - 1 };
+    Owner::new(now, 0, settings, ledger, super::queues(), claimed)
 }
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -12,7 +12,11 @@
 use http_body_util::Full;
 use nix::sys::signal::Signal;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::process::Process;
 
@@ -126,10 +130,39 @@
         }
     }
 
+    /// Sends a POST with a body of `parts`, a while after one another, on a connection of its own, and
+    /// then a GET of `JOB` on the same; their statuses, 0 where the connection broke.
+    pub async fn post_in_parts(&self, at: usize, path: &str, parts: &[String]) -> [u16; 2] {
+        let mut stream = TcpStream::connect(self.nodes[at].callers).await.expect("a port");
+        let length: usize = parts.iter().map(String::len).sum();
+        let head = "HTTP/1.1\r\nhost: shop.example\r\n";
+        let mut sent = format!("POST {path} {head}content-length: {length}\r\n\r\n");
+        for part in parts {
+            sent.push_str(part);
+            // A connection that the other side has closed shows as one without an answer.
+            let _ = stream.write_all(sent.as_bytes()).await;
+            sent.clear();
+            sleep(Duration::from_millis(200)).await;
+        }
+        let posted = read_status(&mut stream).await;
+        let next = format!("GET /jobs/{JOB} {head}\r\n");
+        let _ = stream.write_all(next.as_bytes()).await;
+        [posted, read_status(&mut stream).await]
+    }
+
     pub async fn post(&self, at: usize, id: &str, body: String) -> u16 {
         self.call(at, "POST", &format!("/jobs/{id}"), body).await.0
     }
 
+    /// Submits a job of each of these ids, one every `gap`.
+    pub async fn post_all(&self, at: usize, ids: &[String], gap: Duration) -> Vec<u16> {
+        let post = async |(number, id): (usize, &String)| {
+            sleep(gap * number as u32).await;
+            self.post(at, id, job_body(1)).await
+        };
+        futures::future::join_all(ids.iter().enumerate().map(post)).await
+    }
+
     /// Submits job number `number` after a while.
     pub async fn post_after(&self, at: usize, number: usize, after: Duration) -> u16 {
         sleep(after).await;
@@ -179,6 +212,18 @@
         self.nodes.iter().map(owner).sum()
     }
 
+    /// All that a process has logged.
+    pub fn log_of(&self, at: usize) -> String {
+        self.nodes[at].log_text()
+    }
+
+    /// What the process at `at` says of the claims before its own, by its log; the newest of them.
+    pub fn is_settled(&self, at: usize) -> Option<bool> {
+        let log = self.nodes[at].log_text();
+        let owner = log.lines().rfind(|it| it.contains("event=owner "))?;
+        Some(owner.contains("settled=true"))
+    }
+
     /// How many workers each process can give work to, once each worker has an owner.
     pub async fn owned(&self) -> Vec<usize> {
         let began = Instant::now();
@@ -274,6 +319,18 @@
     }
 }
 
+/// The status of the next answer on a connection, all of which is read; 0 if it broke.
+async fn read_status(stream: &mut TcpStream) -> u16 {
+    let mut buf = vec![0; 1 << 14];
+    match tokio::time::timeout(CALL_TIMEOUT, stream.read(&mut buf)).await {
+        Ok(Ok(len)) => {
+            let text = String::from_utf8_lossy(&buf[..len]);
+            text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or_default()
+        }
+        _ => 0,
+    }
+}
+
 /// Workers, over all shards, that a process can give work to, by its metrics.
 fn usable_workers(metrics: &str) -> usize {
     let lines = metrics.lines().filter(|it| it.starts_with("daisyshift_usable_workers{"));
