A failing test of a late order to a worker whose restart nobody tells

The order is carried out 2 s after it was sent, for the longest lease, by the next incarnation of a worker that is cut off from the list and from the new owner, which waits for an ordinary lease only. Not mended here: whoever allows for it waits 5 s longer for each worker that is lost.

--- a/daisy-workflow/tests/old_owner.rs
+++ b/daisy-workflow/tests/old_owner.rs
@@ -168,3 +168,17 @@
 
     assert!(cluster.all_last());
 }
+
+/// Guards against the same, where no list tells the new owner of the restart.
+#[test]
+fn a_late_order_to_a_worker_that_restarted_unseen_runs_nothing_twice() {
+    let mut cluster = Cluster::busy(2, 4);
+    let worker = order_late(&mut cluster, Duration::from_secs(2));
+    cluster.kill(0);
+    cluster.cut_off(&[Node::Worker(worker)]);
+    assert!(cluster.claim(1));
+
+    cluster.run_ms(30_000);
+
+    assert!(cluster.all_last());
+}
