Inherited runs of a worker that starts anew are stopped before they start elsewhere

What would be seen: a task in two places, as an order of the owner before is carried out late by its worker's next incarnation. The owner that saw the start anew gave up at once what it had inherited there; its own orders that may be late it stops. Inherited ones are stopped now as well. Test: a_late_order_of_an_old_owner_to_a_restarted_worker_runs_nothing_twice failed before.

--- a/daisy-workflow/src/owner/hold.rs
+++ b/daisy-workflow/src/owner/hold.rs
@@ -122,17 +122,18 @@
         for it in &mut worker.tasks {
             match it.sent {
                 Sent::Recording => {}
-                // An order that is still under way may reach the new incarnation, which knows no
-                // epoch and no run: only a stop that it has answered shuts the run out.
-                Sent::InFlight | Sent::Unanswered(_) => it.stop_at(now, StopCause::MaybeLate),
-                Sent::There(_) | Sent::Inherited if it.maybe_late => {
+                // An order that is still under way, also one of an earlier owner, may reach the new
+                // incarnation, which knows no epoch and no run: only a stop that it has answered
+                // shuts the run out.
+                Sent::InFlight | Sent::Unanswered(_) | Sent::Inherited => {
                     it.stop_at(now, StopCause::MaybeLate);
                 }
+                Sent::There(_) if it.maybe_late => it.stop_at(now, StopCause::MaybeLate),
                 // An answer to an order does not tell which incarnation gave it. Taken for one that
                 // ended with the old one, the run would go on here while it is started elsewhere;
                 // the next lists tell whether it is there.
                 Sent::There(_) if !it.listed => {}
-                Sent::There(_) | Sent::Inherited => lost.push((it.task, it.run)),
+                Sent::There(_) => lost.push((it.task, it.run)),
             }
             it.listed = false;
         }
