--- a/daisy-measure/src/overload.rs
+++ b/daisy-measure/src/overload.rs
@@ -34,6 +34,9 @@
     /// one rule alone: first_fit, worst_fit, best_fit, kept or bound
     #[argh(option)]
     rule: Option<String>,
+    /// jobs that last come and hardly leave, instead of a mix drawn by each seed
+    #[argh(switch)]
+    filling: bool,
 }
 
 /// The rules that are compared, and whether one worker has the room of all.
@@ -56,7 +59,7 @@
             if args.rule.as_ref().is_some_and(|it| it != name) {
                 continue;
             }
-            let report = Drive::new(seed, args.workers, args.seconds, rules, whole).run();
+            let report = Drive::new(args, seed, rules, whole).run();
             println!("seed={seed} rule={name} {}", report.line());
         }
     }
--- a/daisy-measure/src/overload/drive.rs
+++ b/daisy-measure/src/overload/drive.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{
+    Args,
     load::{Arrival, LEAD_MS, MIB_PER_MILLI, Mix},
     report::Report,
     worker::Worker,
@@ -47,10 +48,11 @@
 }
 
 impl Drive {
-    /// A fleet of `workers` under a load; one worker that has the room of all if `whole`.
-    pub fn new(seed: u64, workers: usize, seconds: u64, rules: Rules, whole: bool) -> Drive {
+    /// A fleet under the load of a seed; one worker that has the room of all if `whole`.
+    pub fn new(args: &Args, seed: u64, rules: Rules, whole: bool) -> Drive {
+        let (workers, seconds) = (args.workers, args.seconds);
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mix = Mix::draw(&mut rng);
+        let mix = if args.filling { Mix::FILLING } else { Mix::draw(&mut rng) };
         let sizes: Vec<u32> = (0..workers)
             .map(|at| if at % 3 == 2 { mix.cores * 3 / 2 } else { mix.cores })
             .collect();
--- a/daisy-measure/src/overload/load.rs
+++ b/daisy-measure/src/overload/load.rs
@@ -21,8 +21,9 @@
     /// A lasting task's size, and the part of all processors that lasting tasks fill at first.
     lasting: f64,
     fill: f64,
-    /// How long lasting jobs stay in the mean, in seconds.
+    /// How long lasting jobs stay in the mean, in seconds, and how long they would if as many left as come.
     stay_s: f64,
+    turnover_s: f64,
     /// The size of a task that ends by itself, and the part of all processors that these need.
     once: f64,
     once_load: f64,
@@ -63,13 +64,31 @@
 }
 
 impl Mix {
+    /// Lasting jobs come and hardly leave, until they hold nearly all processors.
+    pub const FILLING: Mix = Mix {
+        cores: 64,
+        lasting: 0.2,
+        fill: 0.84,
+        stay_s: 1_700.0,
+        turnover_s: 170.0,
+        once: 0.33,
+        once_load: 0.05,
+        best_effort: 0.11,
+        best_effort_load: 0.3,
+    };
+
     /// The mix of a seed.
     pub fn draw(rng: &mut fastrand::Rng) -> Mix {
+        let cores = [16, 64][rng.usize(..2)];
+        let lasting = between(rng, 0.12, 0.26);
+        let fill = between(rng, 0.70, 0.84);
+        let stay_s = between(rng, 50.0, 90.0);
         Mix {
-            cores: [16, 64][rng.usize(..2)],
-            lasting: between(rng, 0.12, 0.26),
-            fill: between(rng, 0.70, 0.84),
-            stay_s: between(rng, 50.0, 90.0),
+            cores,
+            lasting,
+            fill,
+            stay_s,
+            turnover_s: stay_s,
             once: between(rng, 0.12, 0.36),
             once_load: between(rng, 0.03, 0.07),
             best_effort: between(rng, 0.08, 0.16),
@@ -90,7 +109,7 @@
         }
         // As many come as leave: the fleet stays as full as it was.
         let width = filled / all.len() as f64;
-        let rate = filled / width / self.stay_s * 1.15;
+        let rate = filled / width / self.turnover_s * 1.15;
         self.stream(rng, &mut all, rate, end_ms, Mix::lasting_job);
         let once_s = 1.6 * 9.0 * 0.64 * self.once * f64::from(self.cores);
         let rate = self.once_load * cores as f64 / once_s;
