--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -30,6 +30,9 @@
 const ENTRY_STANDS: Duration = Duration::from_millis(3_300);
 /// The shortest time for which a crashed worker is away.
 const DOWN_MIN: Duration = Duration::from_millis(300);
+/// The shortest time after a restart for which orders from before are under way: an owner has had the time
+/// for a call.
+const LATE_MIN_MS: u64 = 300;
 /// A key that stands for the log, whose refusals end an owner as those of workers do.
 const LOG: WorkerKey = WorkerKey(u32::MAX);
 
@@ -387,11 +390,21 @@
                 && let Some(it) = down.take()
             {
                 let slow_permille = worker.slow_permille;
+                let clock = worker.clock(now);
+                let late: Vec<u64> = worker.late.iter().map(|it| it.0).collect();
                 worker.restart(now);
+                if worker.name != it.name {
+                    // Orders name the worker that they are for.
+                    worker.late.clear();
+                }
                 worker.name = it.name;
                 worker.slow_permille = slow_permille;
                 worker.zero_ms = now.0 / 1_000;
                 worker.offset = 1;
+                // What is still under way arrives when it was to, by the clock that begins anew.
+                for (order, at) in worker.late.iter_mut().zip(late) {
+                    order.0 = 1 + at.saturating_sub(clock).max(LATE_MIN_MS);
+                }
             }
             if down.is_none() {
                 worker.pass(now, &|_| false);
