Keep the records of each proof's run, and log why a key is denied

Each run now has a directory of its own, which stays when the run fails.

A 409 said nothing of its cause. `event=key_denied` names the request, the claim, its first and its present home and the denial; `event=key_history_gap` names each gap in a home's history with its cause: a freeze of the process, peers that are lost or do not answer, or a gap of a peer that has stopped. A gap that continues is logged once.

No decision changes.

--- a/daisy-entry/src/proxy/core.rs
+++ b/daisy-entry/src/proxy/core.rs
@@ -201,7 +201,14 @@
     /// Advances the time of the queue and the keys.
     pub(super) fn tick(&self) {
         let now = self.clock.now();
-        lock(&self.keys).observe_time(now);
+        let gaps = {
+            let mut keys = lock(&self.keys);
+            keys.observe_time(now);
+            keys.take_history_gaps()
+        };
+        for gap in gaps {
+            log::info!("event=key_history_gap vm={} cause=\"{gap:?}\"", self.options.vm);
+        }
         lock(&self.router_state).apply(|router, rng| router.tick(now, rng), now);
     }
 
--- a/daisy-entry/src/proxy/keyed.rs
+++ b/daisy-entry/src/proxy/keyed.rs
@@ -59,6 +59,8 @@
 pub(super) struct KeyedRequest<K> {
     pub(super) core: Arc<Core>,
     pub(super) peers: K,
+    /// The id under which the caller receives the answer.
+    pub(super) request: u64,
     pub(super) id: KeyId,
     pub(super) request_digest: u64,
     pub(super) key: Key,
@@ -103,6 +105,7 @@
                 if denial == KeyDenial::Unreachable {
                     self.finish(claim, ClaimEnd::NotRun).await;
                 }
+                self.log_denial(denial, home, claim);
                 return Err(self.failure(denial));
             }
             tokio::time::sleep(pause).await;
@@ -195,6 +198,21 @@
         next < end
     }
 
+    /// Logs why the request does not run, and the claim and the home that this is about.
+    fn log_denial(&self, denial: KeyDenial, home: Option<VmId>, claim: Claim) {
+        let name = |home: Option<VmId>| home.map_or("none".to_owned(), |it| it.to_string());
+        log::info!(
+            "event=key_denied request={:016x} key_digest={:016x} repeated={} denial={denial:?} \
+             claim={:016x} home={} first_home={}",
+            self.request,
+            digest(self.id.key.as_bytes()),
+            self.key.repeated,
+            claim.id.0,
+            name(home),
+            name(claim.home)
+        );
+    }
+
     fn failure(&self, denial: KeyDenial) -> Failure {
         Failure::from_key_denial(denial, denial.proves_not_run(self.key.repeated))
     }
--- a/daisy-entry/src/proxy/request.rs
+++ b/daisy-entry/src/proxy/request.rs
@@ -90,9 +90,10 @@
             ProxiedRequest { call, forwarded: ForwardedRequest::new(parts, id, deadline), payload };
         match head.key {
             None => run_request(core, proxied).await.map_err(RequestFailure::Final),
-            Some(key) => {
-                self.run_keyed(proxied, key, request_digest).await.map_err(RequestFailure::Final)
-            }
+            Some(key) => self
+                .run_keyed(proxied, id, key, request_digest)
+                .await
+                .map_err(RequestFailure::Final),
         }
     }
 
@@ -101,13 +102,14 @@
     async fn run_keyed(
         &self,
         proxied: ProxiedRequest,
+        request: u64,
         key: Key,
         request_digest: u64,
     ) -> Result<Response<AnswerBody>, Failure> {
         let id = KeyId { service: proxied.call.service.clone(), key: key.key.clone() };
         let deadline = proxied.call.deadline;
         let Requests { core, peers } = self.clone();
-        let keyed = KeyedRequest { core, peers, id, request_digest, key, deadline };
+        let keyed = KeyedRequest { core, peers, request, id, request_digest, key, deadline };
         let permit = self.core.keyed_permits.clone().acquire_owned().await;
         let task = tokio::spawn(async move {
             let answer = run_claimed(keyed, proxied).await;
--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -21,6 +21,8 @@
     weight,
 };
 
+pub use self::history::HistoryGap;
+
 mod history;
 mod membership;
 mod store;
@@ -83,6 +85,11 @@
         self.store.expire(now, self.retry_window);
     }
 
+    /// Returns the gaps in this table's history that were recorded since the last call.
+    pub fn take_history_gaps(&mut self) -> Vec<HistoryGap> {
+        self.history.take_gaps()
+    }
+
     /// Returns the entry VMs of the data centre `dc` that may be the home of `key`, the likeliest
     /// first, by the routes that this entry VM knows.
     pub fn candidate_homes(&self, dc: DcId, key: &KeyId) -> Vec<VmId> {
--- a/daisy-routing/src/keys/history.rs
+++ b/daisy-routing/src/keys/history.rs
@@ -29,6 +29,21 @@
     pub(super) leaving: bool,
 }
 
+/// Why a home's history has a gap.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HistoryGap {
+    /// The process did not observe the time for so long.
+    Frozen(Duration),
+    /// These entry VMs are no longer live and have not handed over.
+    Lost(Vec<VmId>),
+    /// An entry VM that started earlier is no longer listed and has not handed over.
+    LostBeforeHandover,
+    /// A listed entry VM does not answer.
+    NotAnswering,
+    /// The history that this entry VM handed over when it stopped has a gap.
+    Inherited(VmId),
+}
+
 /// The home's knowledge of the gaps in its own history.
 #[derive(Debug)]
 pub(super) struct History {
@@ -53,6 +68,8 @@
     last_members: Vec<VmId>,
     /// Entry VMs that have handed over and are stopping.
     departed: Vec<VmId>,
+    /// Gaps that were recorded since they were last taken.
+    gaps: Vec<HistoryGap>,
 }
 
 impl History {
@@ -70,15 +87,23 @@
             all_sources_new: true,
             last_members: Vec::new(),
             departed: Vec::new(),
+            gaps: Vec::new(),
         }
     }
 
+    /// Returns the gaps that were recorded since the last call. A gap that continues is returned
+    /// once.
+    pub(super) fn take_gaps(&mut self) -> Vec<HistoryGap> {
+        std::mem::take(&mut self.gaps)
+    }
+
     /// Records the time of an observation. Detects a freeze of this process by the gap between two
     /// observations: its peers may have treated it as lost and another entry VM may have become the
     /// home, which this one does not know when it resumes.
     pub(super) fn observe_time(&mut self, now: Instant) {
-        if now.since(self.last_observed) > MAX_OBSERVATION_GAP {
-            self.record_gap(now);
+        let unobserved = now.since(self.last_observed);
+        if unobserved > MAX_OBSERVATION_GAP {
+            self.record_gap(now, Some(HistoryGap::Frozen(unobserved)));
         }
         self.last_observed = self.last_observed.max(now);
     }
@@ -99,8 +124,8 @@
             self.awaiting_handover = membership.listed(own_vm);
             self.awaiting_handover.retain(|vm| !self.handover_sources.contains(vm));
         }
-        let lost = |vm: &&VmId| !members.contains(vm) && !self.departed.contains(vm);
-        let any_lost = self.last_members.iter().any(|vm| lost(&vm));
+        let mut lost = self.last_members.clone();
+        lost.retain(|vm| !members.contains(vm) && !self.departed.contains(vm));
         let any_member_missing = membership.is_member_missing(now, own_vm);
         let listed = membership.listed(own_vm);
         self.handover_sources.retain(|vm| listed.contains(vm));
@@ -110,8 +135,14 @@
         // the home, which continues to grant claims there. Also detects an entry VM that started
         // earlier and died without a handover: no entry VM knows what it had granted, also not
         // those that have not noticed its death yet and treat their history as complete.
-        if any_lost || any_unlisted || any_member_missing || self.any_member_missing {
-            self.record_gap(now);
+        if !lost.is_empty() {
+            self.record_gap(now, Some(HistoryGap::Lost(lost)));
+        }
+        if any_unlisted {
+            self.record_gap(now, Some(HistoryGap::LostBeforeHandover));
+        }
+        if any_member_missing || self.any_member_missing {
+            self.record_gap(now, (!self.any_member_missing).then_some(HistoryGap::NotAnswering));
         }
         self.any_member_missing = any_member_missing;
         self.departed.retain(|vm| !joined.contains(vm) && membership.is_listed_or_live(*vm));
@@ -132,7 +163,7 @@
             // An entry VM whose only gap is before its own start cannot have granted anything in
             // that time.
             if !complete_in_window && !only_gap_is_before_start {
-                self.record_gap(now);
+                self.record_gap(now, Some(HistoryGap::Inherited(from)));
             }
         }
         self.complete_after_handovers();
@@ -179,8 +210,10 @@
         }
     }
 
-    fn record_gap(&mut self, now: Instant) {
+    /// Records a gap that lasts until now; `cause` is `None` if it was reported before.
+    fn record_gap(&mut self, now: Instant, cause: Option<HistoryGap>) {
         self.gap_free_since = Some(now);
         self.only_gap_is_before_start = false;
+        self.gaps.extend(cause);
     }
 }
--- a/daisy-routing/src/lib.rs
+++ b/daisy-routing/src/lib.rs
@@ -36,7 +36,7 @@
         TransferredKey,
     },
     key_step::{KeyDenial, KeyStep, next_step_after_home, next_step_after_other_dcs},
-    keys::{KeyLimits, KeyTable},
+    keys::{HistoryGap, KeyLimits, KeyTable},
     outcome::{TryOutcome, TryReport},
     router::Router,
     routes::{Backend, Routes, Service},
--- a/tests/proofs/cluster.rs
+++ b/tests/proofs/cluster.rs
@@ -5,7 +5,8 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
-    time::{Duration, Instant},
+    process,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use daisy_history::{EventKind, History, RunEnd};
@@ -77,9 +78,7 @@
     pub async fn start(test: &str, config: ClusterConfig) -> Cluster {
         let permit = TEST_PERMITS.acquire().await.expect("the semaphore is never closed");
         let addresses = Addresses::allocate();
-        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("proofs-{test}"));
-        let _ = fs::remove_dir_all(&dir);
-        fs::create_dir_all(&dir).expect("a directory for the test");
+        let dir = create_run_dir(test);
         let jobs = serde_json::to_vec(&config.jobs).expect("JSON");
         fs::write(dir.join(JOBS_FILE), jobs).expect("the jobs' file");
         let vms = config.vms(addresses);
@@ -393,12 +392,24 @@
         for watcher in &self.config_watchers {
             watcher.task.abort();
         }
-        if !std::thread::panicking() {
+        if std::thread::panicking() {
+            eprintln!("the records of this run are kept in {}", self.dir.display());
+        } else {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
 }
 
+/// Creates a directory that no other run of the test uses: concurrent runs would delete each
+/// other's files, and a later run the records of a failed one.
+fn create_run_dir(test: &str) -> PathBuf {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970");
+    let name = format!("proofs-{test}-{}-{}", since_epoch.as_millis(), process::id());
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir(&dir).expect("a directory for the run");
+    dir
+}
+
 fn start_platform(
     dir: &Path,
     config: &ClusterConfig,
