Keep dead peers dead after a pause of the process

What callers saw: while entry VMs were replaced on a busy machine, keyed requests that had not run were answered 503 `key-home-unreachable`, and then, for the rest of the retry window, 409 `key-unknown`, which tells the caller that the outcome is unknown and that asking again will not help.

Cause: after a pause of more than two heartbeat intervals a process restarts the timeouts of its peers, so that it does not take them for dead because of its own pause. It did so for every peer that it had ever heard of. Entry VMs that had stopped counted as live for one more timeout: their keys had a home that did not answer, and when the timeout ran out, the peer counted as lost, not as stopped, so that the history of keys had a gap and no claim was granted for the retry window.

Fix: only the timeouts of peers that were alive when the pause began are restarted.

The new test failed before: the dead peer was alive after the pause.

--- a/daisy-membership/src/membership.rs
+++ b/daisy-membership/src/membership.rs
@@ -210,13 +210,14 @@
     ///
     /// Guard: a paused process receives nothing. When it resumes, it would treat the holder and
     /// every peer as dead, and make a needless claim after each pause. Their timeouts therefore do
-    /// not include the pause. The own lease of the process is not extended.
+    /// not include the pause. Peers that were dead before it stay dead: this process would take
+    /// them for homes of keys that they lost when they stopped. The own lease of the process is not
+    /// extended.
     fn detect_pause(&mut self, now: Instant) {
-        let pause = now.since(self.last_step_at);
-        self.last_step_at = now;
-        if pause > self.options.heartbeat_interval * 2 {
+        let paused_at = std::mem::replace(&mut self.last_step_at, now);
+        if now.since(paused_at) > self.options.heartbeat_interval * 2 {
             self.holder_state.holder_seen_at = now;
-            self.peers.restart_timeouts(now);
+            self.peers.restart_timeouts(&self.options, paused_at, now);
         }
     }
 
--- a/daisy-membership/src/peers.rs
+++ b/daisy-membership/src/peers.rs
@@ -27,6 +27,16 @@
         Peer { dc, listed: false, last_received: None, last_heartbeat: None, last_sent: None }
     }
 
+    /// Returns whether a heartbeat was received within the timeout; `local_count` is the number of
+    /// peers in the own data centre.
+    fn is_alive(&self, options: &Options, local_count: usize, now: Instant) -> bool {
+        let timeout = match self.dc == options.dc {
+            true => options.peer_timeout(local_count),
+            false => options.remote_timeout(),
+        };
+        self.last_received.is_some_and(|last_received| now.since(last_received) <= timeout)
+    }
+
     /// Returns whether its last heartbeat announced a planned stop.
     pub fn is_leaving(&self) -> bool {
         self.last_heartbeat.is_some_and(|last| last.status == Status::Leaving)
@@ -80,10 +90,12 @@
         true
     }
 
-    /// Restarts the timeouts of all peers, after a pause of this process.
-    pub(crate) fn restart_timeouts(&mut self, now: Instant) {
+    /// Restarts the timeouts of the peers that were alive at `paused_at`, after a pause of this
+    /// process until `now`.
+    pub(crate) fn restart_timeouts(&mut self, options: &Options, paused_at: Instant, now: Instant) {
+        let local_count = self.local_count;
         for (_, peer) in self.peers.iter_mut() {
-            if peer.last_received.is_some() {
+            if peer.is_alive(options, local_count, paused_at) {
                 peer.last_received = Some(now);
             }
         }
@@ -110,12 +122,7 @@
 
     /// Returns whether a heartbeat of `vm` was received within its timeout.
     pub fn is_alive(&self, options: &Options, now: Instant, vm: VmId) -> bool {
-        let Some(peer) = self.peers.get(&vm) else { return false };
-        let timeout = match peer.dc == options.dc {
-            true => options.peer_timeout(self.local_count),
-            false => options.remote_timeout(),
-        };
-        peer.last_received.is_some_and(|last_received| now.since(last_received) <= timeout)
+        self.peers.get(&vm).is_some_and(|peer| peer.is_alive(options, self.local_count, now))
     }
 
     /// Iterates over the live peers of the own data centre.
--- a/daisy-membership/tests/membership/pauses.rs
+++ b/daisy-membership/tests/membership/pauses.rs
@@ -112,3 +112,24 @@
     fleet.run(Duration::from_secs(10));
     assert_eq!(fleet.claims.len(), 1, "{:?}", fleet.claims);
 }
+
+/// Guards against peers that died long ago and are treated as live again after a pause.
+#[test]
+fn a_pause_does_not_revive_dead_peers() {
+    let mut fleet = started_fleet(3);
+    let (paused, dead, live) = (VmId(1), VmId(2), VmId(3));
+    let dead_at = fleet.at(dead);
+    fleet.nodes[dead_at].alive = false;
+    fleet.run(Duration::from_secs(10));
+    let at = fleet.at(paused);
+    fleet.nodes[at].is_paused = true;
+    fleet.run(Duration::from_secs(2));
+    fleet.nodes[at].is_paused = false;
+
+    fleet.step();
+
+    let membership = &fleet.nodes[at].membership;
+    let is_alive = |vm| membership.peers().is_alive(membership.options(), fleet.now, vm);
+    assert!(is_alive(live));
+    assert!(!is_alive(dead));
+}
