Date a stopped home's gap at its end, not at its handover

What callers saw: one freeze of half a second of one entry VM, and then a rolling restart: each planned stop made the keys' homes reject keyed requests for a further retry window, 120 s by default, so that a data centre answered 409 `key-unknown` until one window after the last stop.

Cause: a home that stops tells the new homes only whether its history has a gap within the window. They recorded a gap that lasts until the handover, however old it was, and passed it on in the same way when they stopped themselves.

Fix: the handover of a stopping home says how long ago its newest gap ended, and the new homes date the gap there. What the stopped home missed lies before that time, and what the new homes know themselves is complete since their own gaps. The message is a new variant at the end of the encoding; an older build rejects it and gets the handover without the time, which it treats as before.

The new test failed before: the repeat of a new key was denied 22 s after the freeze with a window of 20 s. The random faults pass.

--- a/daisy-entry/src/proxy/keyed.rs
+++ b/daisy-entry/src/proxy/keyed.rs
@@ -266,12 +266,16 @@
     queries: Vec<KeyQuery>,
     timeout: Duration,
 ) -> bool {
-    for query in queries {
+    for mut query in queries {
         let started_at = core.clock.now();
         while send_query(core, peers, peer, query.clone()).await != Some(KeyAnswer::Acknowledged) {
             if core.clock.now().since(started_at) >= timeout {
                 return false;
             }
+            // Entry VMs of older builds reject a message that dates the gap.
+            if let KeyQuery::Handover { time_since_gap, .. } = &mut query {
+                *time_since_gap = None;
+            }
             tokio::time::sleep(RESEND_PAUSE).await;
         }
     }
--- a/daisy-routing/src/key.rs
+++ b/daisy-routing/src/key.rs
@@ -140,6 +140,9 @@
         only_gap_is_before_start: bool,
         /// Whether the old home is stopping.
         leaving: bool,
+        /// How long ago the newest gap in the history of a stopping home ended; `None` if it has no
+        /// gap, or if the new home is to date the gap at the handover.
+        time_since_gap: Option<Duration>,
     },
 }
 
--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -132,13 +132,19 @@
                 complete_in_window,
                 only_gap_is_before_start,
                 leaving,
+                time_since_gap,
             } => {
                 self.merge_transferred(now, keys);
                 if last {
                     self.history.record_handover(
                         now,
                         from,
-                        HistorySummary { complete_in_window, only_gap_is_before_start, leaving },
+                        HistorySummary {
+                            complete_in_window,
+                            only_gap_is_before_start,
+                            leaving,
+                            time_since_gap,
+                        },
                     );
                     self.membership.set_departed(from, leaving);
                     self.membership.add_seen_by_handover(from);
@@ -301,12 +307,15 @@
     fn handover_message(&self, now: Instant, keys: Vec<TransferredKey>, last: bool) -> KeyQuery {
         let complete_in_window = self.history.is_complete(now, self.retry_window);
         let only_gap_is_before_start = self.history.only_gap_is_before_start();
+        let has_gap = self.leaving && !complete_in_window;
+        let time_since_gap = if has_gap { self.history.time_since_gap(now) } else { None };
         KeyQuery::Handover {
             keys,
             last,
             complete_in_window,
             only_gap_is_before_start,
             leaving: self.leaving,
+            time_since_gap,
         }
     }
 }
--- a/daisy-routing/src/keys/history.rs
+++ b/daisy-routing/src/keys/history.rs
@@ -27,6 +27,8 @@
     pub(super) only_gap_is_before_start: bool,
     /// Whether it is stopping.
     pub(super) leaving: bool,
+    /// How long ago its newest gap ended; `None` if that is not known.
+    pub(super) time_since_gap: Option<Duration>,
 }
 
 /// Why a home's history has a gap.
@@ -150,9 +152,19 @@
         self.complete_after_handovers();
     }
 
+    /// Returns the time since the end of the newest gap; `None` if there is no gap.
+    pub(super) fn time_since_gap(&self, now: Instant) -> Option<Duration> {
+        self.gap_free_since.map(|at| now.since(at))
+    }
+
     /// Records that `from` has handed over all keys that it has for this home.
     pub(super) fn record_handover(&mut self, now: Instant, from: VmId, summary: HistorySummary) {
-        let HistorySummary { complete_in_window, only_gap_is_before_start, leaving } = summary;
+        let HistorySummary {
+            complete_in_window,
+            only_gap_is_before_start,
+            leaving,
+            time_since_gap,
+        } = summary;
         self.awaiting_handover.retain(|vm| *vm != from);
         self.handover_sources.push(from);
         self.has_complete_source |= complete_in_window;
@@ -163,7 +175,10 @@
             // An entry VM whose only gap is before its own start cannot have granted anything in
             // that time.
             if !complete_in_window && !only_gap_is_before_start {
-                self.record_gap(now, Some(HistoryGap::Inherited(from)));
+                // What `from` missed lies before the end of its gap; dated later, the gap would be
+                // renewed by every planned stop of a rolling restart.
+                let ended_at = now - time_since_gap.unwrap_or_default();
+                self.record_gap(ended_at, Some(HistoryGap::Inherited(from)));
             }
         }
         self.complete_after_handovers();
@@ -210,9 +225,9 @@
         }
     }
 
-    /// Records a gap that lasts until now; `cause` is `None` if it was reported before.
-    fn record_gap(&mut self, now: Instant, cause: Option<HistoryGap>) {
-        self.gap_free_since = Some(now);
+    /// Records a gap that lasts until `ended_at`; `cause` is `None` if it was reported before.
+    fn record_gap(&mut self, ended_at: Instant, cause: Option<HistoryGap>) {
+        self.gap_free_since = self.gap_free_since.max(Some(ended_at));
         self.only_gap_is_before_start = false;
         self.gaps.extend(cause);
     }
--- a/daisy-routing/tests/keys/single_fault.rs
+++ b/daisy-routing/tests/keys/single_fault.rs
@@ -8,7 +8,7 @@
     StoredAnswer, TransferredKey,
 };
 
-use crate::simulation::{Ended, Simulation, key, routes};
+use crate::simulation::{Ended, Simulation, WINDOW, key, routes};
 
 const DC_A: DcId = DcId(0);
 const DC_B: DcId = DcId(1);
@@ -172,6 +172,27 @@
     assert!(replayed >= 5, "only {replayed} of 20 repeats got the stored answer");
 }
 
+/// Guards against a rolling restart during which each planned stop renews the gap that one short
+/// freeze has left, so that no home grants repeats until a retry window after the last stop.
+#[test]
+fn a_planned_stop_does_not_renew_an_old_gap() {
+    let mut sim = Simulation::new(13, 3);
+    let stopping = entry_vm_in(&sim, DC_A);
+    sim.node(stopping).frozen = true;
+    sim.advance(seconds(1));
+    sim.node(stopping).frozen = false;
+    sim.advance(WINDOW - seconds(5));
+    sim.stop_planned(stopping);
+    sim.advance(seconds(1));
+    sim.kill(stopping);
+    sim.advance(seconds(6));
+
+    let repeat = sim.send_attempt(entry_vm_in(&sim, DC_A), key(1), true);
+    sim.advance(seconds(2));
+
+    assert_eq!(sim.ended[repeat], Ended::Ran);
+}
+
 #[test]
 fn a_new_entry_vm_has_a_complete_history_after_the_handovers() {
     let mut sim = Simulation::new(9, 3);
@@ -252,6 +273,7 @@
         complete_in_window: false,
         only_gap_is_before_start: true,
         leaving: false,
+        time_since_gap: None,
     };
     table.handle(Instant::from_millis(100), VmId(2), handover);
     let now = Instant::from_millis(200);
@@ -296,6 +318,7 @@
         complete_in_window: true,
         only_gap_is_before_start: false,
         leaving: false,
+        time_since_gap: None,
     };
 
     let early = table.handle(now, old, finish.clone());
@@ -331,6 +354,7 @@
         complete_in_window: true,
         only_gap_is_before_start: false,
         leaving: false,
+        time_since_gap: None,
     };
     table.handle(now, old, handover);
 
--- a/daisy-wire/src/peer/key.rs
+++ b/daisy-wire/src/peer/key.rs
@@ -122,6 +122,20 @@
         /// Whether the sender is about to stop.
         leaving: bool,
     },
+    /// A [`KeyQuery::Handover`] of a stopping home whose history has a gap. Entry VMs of older
+    /// builds reject it.
+    StoppingHandover {
+        /// The transferred keys.
+        keys: Vec<TransferredKeyWire>,
+        /// Whether this is the last message of the handover.
+        last: bool,
+        /// Whether the sender's history is complete for the retry window.
+        complete_in_window: bool,
+        /// Whether the sender's history lacks only the time before its start.
+        only_gap_is_before_start: bool,
+        /// The time since the end of the newest gap in the sender's history, in milliseconds.
+        since_gap_ms: u64,
+    },
 }
 
 /// See [`KeyAnswer`].
@@ -307,12 +321,27 @@
             KeyQuery::Finish { key, claim, end } => {
                 KeyQueryWire::Finish { key: key.into(), claim: claim.0, end: end.into() }
             }
+            KeyQuery::Handover {
+                keys,
+                last,
+                complete_in_window,
+                only_gap_is_before_start,
+                leaving: true,
+                time_since_gap: Some(since_gap),
+            } => KeyQueryWire::StoppingHandover {
+                keys: keys.into_iter().map(TransferredKeyWire::from).collect(),
+                last,
+                complete_in_window,
+                only_gap_is_before_start,
+                since_gap_ms: millis(since_gap),
+            },
             KeyQuery::Handover {
                 keys,
                 last,
                 complete_in_window,
                 only_gap_is_before_start,
                 leaving,
+                time_since_gap: _,
             } => KeyQueryWire::Handover {
                 keys: keys.into_iter().map(TransferredKeyWire::from).collect(),
                 last,
@@ -356,6 +385,21 @@
                 complete_in_window,
                 only_gap_is_before_start,
                 leaving,
+                time_since_gap: None,
+            },
+            KeyQueryWire::StoppingHandover {
+                keys,
+                last,
+                complete_in_window,
+                only_gap_is_before_start,
+                since_gap_ms,
+            } => KeyQuery::Handover {
+                keys: keys.into_iter().map(TransferredKey::try_from).collect::<Result<_, _>>()?,
+                last,
+                complete_in_window,
+                only_gap_is_before_start,
+                leaving: true,
+                time_since_gap: Some(Duration::from_millis(since_gap_ms)),
             },
         })
     }
--- a/daisy-wire/tests/peer.rs
+++ b/daisy-wire/tests/peer.rs
@@ -89,6 +89,27 @@
     assert_eq!(read, Ok(sent));
 }
 
+#[test]
+fn handovers_survive_the_round_trip_with_and_without_the_time_of_a_gap() {
+    for time_since_gap in [None, Some(Duration::from_millis(1_500))] {
+        let query = KeyQuery::Handover {
+            keys: Vec::new(),
+            last: true,
+            complete_in_window: false,
+            only_gap_is_before_start: false,
+            leaving: true,
+            time_since_gap,
+        };
+        let bytes = frame(&PeerQueryWire::from(PeerQuery::Key(query.clone())));
+        let mut frames = FrameDecoder::new(LIMIT);
+        frames.push(&bytes);
+
+        let decoded = frames.only::<PeerQueryWire>().unwrap();
+
+        assert_eq!(PeerQuery::try_from(decoded).unwrap(), PeerQuery::Key(query));
+    }
+}
+
 #[test]
 fn a_truncated_message_is_none_and_an_error_at_the_end_of_the_stream() {
     let complete = frame(&NoticeWire::from(&heartbeat()));
