Report a first attempt that nobody confirms as not run

What callers saw: 409 `key-unknown` with `outcome-unknown` for a request that was not sent anywhere, so that an order could neither be sent again as the same attempt nor placed anew.

Cause: a home whose history has a gap grants a first attempt only if the other data centres confirm that they do not know the key. Where one of them is cut off, or there is none, the attempt was denied with the reason for repeated attempts, whose earlier attempts may have run. A first attempt has none, and neither the home nor any answer contradicts that.

Fix: the denial is `Unconfirmed`: 503 `key-unconfirmed`, `not-run`, to be sent again after a second, as for a home that does not answer. An answer that does know something of the key goes before it: a fence that a repeat may have set, or an unknown state, is `key-unknown` as before.

The new test failed before: both denials were `Unknown`.

--- a/daisy-entry/src/proxy/answer.rs
+++ b/daisy-entry/src/proxy/answer.rs
@@ -74,6 +74,7 @@
             KeyDenial::Full => (StatusCode::SERVICE_UNAVAILABLE, "keys-full"),
             KeyDenial::Settling => (StatusCode::SERVICE_UNAVAILABLE, "key-home-settling"),
             KeyDenial::Unreachable => (StatusCode::SERVICE_UNAVAILABLE, "key-home-unreachable"),
+            KeyDenial::Unconfirmed => (StatusCode::SERVICE_UNAVAILABLE, "key-unconfirmed"),
         };
         let is_permanent = matches!(denial, KeyDenial::Unknown | KeyDenial::Mismatch);
         let retry_after = (!is_permanent).then_some(KEY_RETRY_DELAY);
--- a/daisy-routing/src/key_step.rs
+++ b/daisy-routing/src/key_step.rs
@@ -32,6 +32,9 @@
     Settling,
     /// The home did not answer.
     Unreachable,
+    /// The history of the home is incomplete, and another data centre that would have to confirm a
+    /// first attempt cannot, or there is none.
+    Unconfirmed,
 }
 
 impl KeyDenial {
@@ -42,7 +45,11 @@
     pub fn proves_not_run(self, repeated: bool) -> bool {
         let not_run = matches!(
             self,
-            KeyDenial::Mismatch | KeyDenial::Full | KeyDenial::Settling | KeyDenial::Unreachable
+            KeyDenial::Mismatch
+                | KeyDenial::Full
+                | KeyDenial::Settling
+                | KeyDenial::Unreachable
+                | KeyDenial::Unconfirmed
         );
         not_run && !repeated
     }
@@ -80,10 +87,11 @@
 /// A first attempt gets here only if the history of its local home is incomplete. For it, a fence
 /// that existed before ([`KeyAnswer::AlreadyFenced`]) is not a confirmation: a repeated attempt may
 /// have set the fence and then run in this data centre. Without any other data centre, nothing
-/// confirms a first attempt, and it does not run.
+/// confirms a first attempt, and it does not run. As no answer contradicts that it is the first,
+/// its caller is told that it has not run.
 pub fn next_step_after_other_dcs(answers: Vec<Option<KeyAnswer>>, repeated: bool) -> KeyStep {
     if answers.is_empty() && !repeated {
-        return KeyStep::Deny(KeyDenial::Unknown);
+        return KeyStep::Deny(KeyDenial::Unconfirmed);
     }
     let mut step = KeyStep::Run;
     for answer in answers {
@@ -93,10 +101,22 @@
             Some(KeyAnswer::Answered(answer)) => return KeyStep::Replay(answer),
             Some(KeyAnswer::Running) => KeyStep::Wait(KeyDenial::Running),
             Some(KeyAnswer::Mismatch) => KeyStep::Deny(KeyDenial::Mismatch),
+            None | Some(KeyAnswer::NotHome | KeyAnswer::Settling | KeyAnswer::Full)
+                if !repeated =>
+            {
+                KeyStep::Deny(KeyDenial::Unconfirmed)
+            }
             _ => KeyStep::Deny(KeyDenial::Unknown),
         };
-        if step == KeyStep::Run || matches!(next, KeyStep::Deny(_)) {
-            step = if next == KeyStep::Run { step } else { next };
+        // An answer that says something of the key goes before one that says nothing.
+        let is_stronger = match next {
+            KeyStep::Run => false,
+            KeyStep::Deny(KeyDenial::Unconfirmed) => step == KeyStep::Run,
+            KeyStep::Deny(_) => true,
+            _ => matches!(step, KeyStep::Run | KeyStep::Deny(KeyDenial::Unconfirmed)),
+        };
+        if is_stronger {
+            step = next;
         }
     }
     step
--- a/daisy-routing/tests/keys/single_fault.rs
+++ b/daisy-routing/tests/keys/single_fault.rs
@@ -4,8 +4,8 @@
 
 use daisy_model::{DcId, Instant, VmId};
 use daisy_routing::{
-    ClaimEnd, ClaimId, ClaimKind, KeyAnswer, KeyId, KeyLimits, KeyQuery, KeyState, KeyTable,
-    StoredAnswer, TransferredKey,
+    ClaimEnd, ClaimId, ClaimKind, KeyAnswer, KeyDenial, KeyId, KeyLimits, KeyQuery, KeyState,
+    KeyStep, KeyTable, StoredAnswer, TransferredKey, next_step_after_other_dcs,
 };
 
 use crate::simulation::{Ended, Simulation, WINDOW, key, routes};
@@ -120,6 +120,24 @@
     assert_eq!(sim.run_count(&key(1)), 1);
 }
 
+/// Guards against a caller who is told that the outcome of its order is unknown, although the order
+/// was not sent anywhere: its home was frozen, and no other data centre answers or there is none.
+#[test]
+fn a_first_attempt_that_nobody_confirms_is_reported_as_not_run() {
+    let unconfirmed = KeyStep::Deny(KeyDenial::Unconfirmed);
+    let unknown = KeyStep::Deny(KeyDenial::Unknown);
+
+    let alone = next_step_after_other_dcs(vec![], false);
+    let cut_off = next_step_after_other_dcs(vec![Some(KeyAnswer::Fenced), None], false);
+    let fenced_by_a_repeat =
+        next_step_after_other_dcs(vec![Some(KeyAnswer::AlreadyFenced), None], false);
+    let repeated = next_step_after_other_dcs(vec![None], true);
+
+    assert_eq!([alone, cut_off], [unconfirmed.clone(), unconfirmed]);
+    assert_eq!([fenced_by_a_repeat, repeated], [unknown.clone(), unknown]);
+    assert!(KeyDenial::Unconfirmed.proves_not_run(false));
+}
+
 /// Guards against an order that runs twice: two entry VMs of a data centre are cut off from each
 /// other, and each considers itself the home.
 #[test]
