Forget entry VMs that are neither listed nor alive

What callers saw: after each replaced entry VM a lost one is noticed later, and callers' keys have a home that does not answer until then.

Cause: a peer was forgotten only if it had never sent a heartbeat. The heartbeat interval and with it the timeout of peers grow with their number, one step for each eight, so that twenty replaced VMs made the timeout 9 s in place of 3 s.

Fix: a peer that the platform's list does not name stays only while it is alive. One that returns is added again with its first heartbeat.

--- a/daisy-membership/src/membership.rs
+++ b/daisy-membership/src/membership.rs
@@ -172,7 +172,7 @@
         match event {
             Event::Vms(vms) => {
                 self.readiness.has_vm_list = true;
-                self.peers.update_listed(&self.options, vms);
+                self.peers.update_listed(&self.options, now, vms);
             }
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat),
             Event::Folded { next, generation, holder_claim } => {
--- a/daisy-membership/src/peers.rs
+++ b/daisy-membership/src/peers.rs
@@ -52,7 +52,7 @@
 
 impl Peers {
     /// Updates the peers from the platform's VM list.
-    pub(crate) fn update_listed(&mut self, options: &Options, vms: &[Vm]) {
+    pub(crate) fn update_listed(&mut self, options: &Options, now: Instant, vms: &[Vm]) {
         for (_, peer) in self.peers.iter_mut() {
             peer.listed = false;
         }
@@ -61,10 +61,11 @@
             let peer = self.peers.get_or_insert_with(vm.id, || Peer::new(vm.dc));
             peer.listed = vm.status == VmStatus::Live;
         }
-        // Peers that are no longer listed and never sent a heartbeat are removed, so that VMs
-        // replaced over the years do not accumulate.
+        // Peers that are neither listed nor alive are removed: the timeouts grow with the number
+        // of peers, so that each VM ever replaced would delay the detection of a lost one.
         let known = |id: &VmId| vms.iter().any(|vm| vm.id == *id);
-        self.peers.retain(|id, peer| known(id) || peer.last_received.is_some());
+        let local_count = self.local_count;
+        self.peers.retain(|id, peer| known(id) || peer.is_alive(options, local_count, now));
         self.recount_local(options);
     }
 
--- a/daisy-membership/tests/membership/changeover.rs
+++ b/daisy-membership/tests/membership/changeover.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use daisy_membership::{Event, Role};
-use daisy_model::DcId;
+use daisy_model::{DcId, VmId};
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, vm};
 
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 /// The longest time without a holder that users accept.
@@ -158,3 +158,24 @@
         "the new process acted under the epoch of its predecessor"
     );
 }
+
+/// Guards against a lost peer that is noticed later with each entry VM that was ever replaced.
+#[test]
+fn replaced_peers_do_not_lengthen_the_timeout() {
+    let mut fleet = Fleet::new(1, 2, 3);
+    fleet.run(Duration::from_secs(5));
+    for replaced in 2..=20 {
+        let at = fleet.at(VmId(replaced));
+        fleet.nodes[at].alive = false;
+        fleet.vms = vec![vm(1, 0), vm(replaced + 1, 0)];
+        fleet.add(replaced + 1, 0);
+        fleet.run(Duration::from_secs(5));
+        let vms = fleet.vms.clone();
+        fleet.event(0, Event::Vms(&vms));
+    }
+
+    let membership = &fleet.nodes[0].membership;
+
+    let peers = membership.peers().local_count();
+    assert_eq!(membership.options().peer_timeout(peers), membership.options().peer_timeout(1));
+}
