Let a rejected first attempt pass the fence that it has set

What callers saw: an order that was answered 503 `not-run` and sent again as the same attempt, as docs/PROTOCOL.md asks, got 409 `key-unknown`, which no further try changes.

Cause: a first attempt whose home has a gap in its history is fenced in the other data centres before it runs. If it is then rejected (overload, a backend server that refuses, another data centre that does not confirm), its claim is removed, but the fences stay, and the next first attempt takes them for those of a repeat that may have run.

Fix: a fence says whether a repeat has set it. A first attempt is confirmed by, and passes, the fence of a first attempt: a caller has one first attempt at a time, and sends a repeat, which renews the fence as its own, as soon as an outcome is not known. The question of a first attempt is a new message; an older build rejects it, so that a data centre of that build does not confirm first attempts of homes with a gap (503, not run). Fences that are handed over count as those of repeats.

The two new tests: the first failed with the rule off (`AlreadyFenced`).

--- a/daisy-entry/src/proxy/keyed.rs
+++ b/daisy-entry/src/proxy/keyed.rs
@@ -161,8 +161,11 @@
     async fn fence_other_dcs(&self) -> KeyStep {
         let candidate_homes = self.core.other_homes(&self.id);
         let answers = join_all(candidate_homes.into_iter().map(async |home| {
-            let query =
-                KeyQuery::Fence { key: self.id.clone(), request_digest: self.request_digest };
+            let query = KeyQuery::Fence {
+                key: self.id.clone(),
+                request_digest: self.request_digest,
+                repeated: self.key.repeated,
+            };
             self.send_query(home?, query).await
         }));
         next_step_after_other_dcs(answers.await, self.key.repeated)
--- a/daisy-routing/src/key.rs
+++ b/daisy-routing/src/key.rs
@@ -118,6 +118,8 @@
         key: KeyId,
         /// A digest of the request's method and path.
         request_digest: u64,
+        /// Whether the caller declares that it has sent the request before.
+        repeated: bool,
     },
     /// Sent to the home that granted a claim: reports how the claim ended.
     Finish {
--- a/daisy-routing/src/keys.rs
+++ b/daisy-routing/src/keys.rs
@@ -156,7 +156,9 @@
                 let claimed = StoredKey::running(request_digest, claim, kind, now + claim_timeout);
                 self.claim(now, key, claimed, kind)
             }
-            KeyQuery::Fence { key, request_digest } => self.fence(now, key, request_digest),
+            KeyQuery::Fence { key, request_digest, repeated } => {
+                self.fence(now, key, request_digest, repeated)
+            }
             KeyQuery::Finish { key, claim, end } => self.finish(now, key, claim, end),
         }
     }
@@ -213,21 +215,28 @@
         self.insert_new(now, key, claimed, kind.grant_answer())
     }
 
-    fn fence(&mut self, now: Instant, key: KeyId, request_digest: u64) -> KeyAnswer {
+    fn fence(
+        &mut self,
+        now: Instant,
+        key: KeyId,
+        request_digest: u64,
+        repeated: bool,
+    ) -> KeyAnswer {
         if !self.is_home(&key) {
             return KeyAnswer::NotHome;
         }
         let expires_at = now + self.retry_window;
         let is_complete = self.history.is_complete(now, self.retry_window);
         if let Some(stored) = self.store.get_mut(&key) {
-            return stored.fence(request_digest, is_complete, expires_at);
+            return stored.fence(request_digest, repeated, is_complete, expires_at);
         }
         if !is_complete {
             return KeyAnswer::Unknown;
         }
         // Prevents a delayed first attempt from running here after the repeated attempt has run
         // elsewhere.
-        let fenced = StoredKey { request_digest, stored_state: StoredState::Fenced, expires_at };
+        let stored_state = StoredState::Fenced { by_repeat: repeated };
+        let fenced = StoredKey { request_digest, stored_state, expires_at };
         self.insert_new(now, key, fenced, KeyAnswer::Fenced)
     }
 
--- a/daisy-routing/src/keys/store.rs
+++ b/daisy-routing/src/keys/store.rs
@@ -29,8 +29,12 @@
         /// The claim that may have run.
         claim: Option<ClaimId>,
     },
-    /// The request has not run here; a first attempt must not run any more.
-    Fenced,
+    /// The request has not run here. After the fence of a repeated attempt, a first attempt must not
+    /// run any more.
+    Fenced {
+        /// Whether a repeated attempt has set the fence.
+        by_repeat: bool,
+    },
 }
 
 /// The state of a key and when it expires.
@@ -58,7 +62,7 @@
             KeyState::Running { claim, kind } => StoredState::Running { claim, kind },
             KeyState::Answered(answer) => StoredState::Answered(answer),
             KeyState::Unknown => StoredState::Unknown { claim: None },
-            KeyState::Fenced => StoredState::Fenced,
+            KeyState::Fenced => StoredState::Fenced { by_repeat: true },
         }
     }
 }
@@ -86,10 +90,22 @@
             ) if claim == repeated_claim => kind.grant_answer(),
             (StoredState::Running { .. }, _) => KeyAnswer::Running,
             (StoredState::Answered(answer), _) => KeyAnswer::Answered(answer.clone()),
-            (StoredState::Fenced, _) if may_pass_fence => {
+            (StoredState::Fenced { .. }, _) if may_pass_fence => {
                 *self = claimed;
                 KeyAnswer::Granted
             }
+            // A first attempt that was not run set the fence, and its caller sends it again.
+            (
+                StoredState::Fenced { by_repeat: false },
+                StoredState::Running {
+                    kind: kind @ (ClaimKind::First | ClaimKind::Conditional),
+                    ..
+                },
+            ) => {
+                let answer = kind.grant_answer();
+                *self = claimed;
+                answer
+            }
             _ => KeyAnswer::Unknown,
         }
     }
@@ -98,19 +114,24 @@
     pub(super) fn fence(
         &mut self,
         request_digest: u64,
+        repeated: bool,
         is_complete: bool,
         expires_at: Instant,
     ) -> KeyAnswer {
         if self.request_digest != request_digest {
             return KeyAnswer::Mismatch;
         }
-        match &self.stored_state {
+        match &mut self.stored_state {
             StoredState::Running { .. } => KeyAnswer::Running,
             StoredState::Answered(answer) => KeyAnswer::Answered(answer.clone()),
             StoredState::Unknown { .. } => KeyAnswer::Unknown,
-            StoredState::Fenced if !is_complete => KeyAnswer::Unknown,
-            StoredState::Fenced => {
+            StoredState::Fenced { .. } if !is_complete => KeyAnswer::Unknown,
+            StoredState::Fenced { by_repeat } => {
                 self.expires_at = self.expires_at.max(expires_at);
+                if !*by_repeat && !repeated {
+                    return KeyAnswer::Fenced;
+                }
+                *by_repeat |= repeated;
                 KeyAnswer::AlreadyFenced
             }
         }
@@ -124,7 +145,7 @@
             }
             StoredState::Answered(answer) => KeyState::Answered(answer.clone()),
             StoredState::Unknown { .. } => KeyState::Unknown,
-            StoredState::Fenced => KeyState::Fenced,
+            StoredState::Fenced { .. } => KeyState::Fenced,
         };
         TransferredKey {
             key: key.clone(),
@@ -146,7 +167,7 @@
     /// rank is used.
     fn certainty(&self) -> u8 {
         match self.stored_state {
-            StoredState::Fenced => 0,
+            StoredState::Fenced { .. } => 0,
             StoredState::Running { .. } => 1,
             StoredState::Unknown { .. } => 2,
             StoredState::Answered(_) => 3,
@@ -239,7 +260,7 @@
                     ClaimEnd::Unknown => StoredState::Unknown { claim: Some(claim) },
                     ClaimEnd::NotRun => match kind {
                         ClaimKind::First | ClaimKind::Conditional => return self.remove(key),
-                        ClaimKind::Repeated => StoredState::Fenced,
+                        ClaimKind::Repeated => StoredState::Fenced { by_repeat: true },
                         ClaimKind::Unspecified => StoredState::Unknown { claim: None },
                     },
                 }
--- a/daisy-routing/tests/keys/simulation.rs
+++ b/daisy-routing/tests/keys/simulation.rs
@@ -416,7 +416,7 @@
 
     fn query_other_dcs(&mut self, id: usize) {
         let now = self.now;
-        let Attempt { at, ref key, claim, .. } = self.attempts[id];
+        let Attempt { at, ref key, claim, repeated, .. } = self.attempts[id];
         let key = key.clone();
         let table = &self.node(at).table;
         let candidate_homes: Vec<Option<VmId>> = table
@@ -433,7 +433,7 @@
             return self.take_next_step(id);
         }
         for (question, home) in candidate_homes.into_iter().enumerate() {
-            let query = KeyQuery::Fence { key: key.clone(), request_digest: 0 };
+            let query = KeyQuery::Fence { key: key.clone(), request_digest: 0, repeated };
             if let Some(home) = home {
                 self.send(
                     at,
--- a/daisy-routing/tests/keys/single_fault.rs
+++ b/daisy-routing/tests/keys/single_fault.rs
@@ -138,6 +138,39 @@
     assert!(KeyDenial::Unconfirmed.proves_not_run(false));
 }
 
+/// Guards against an unknown outcome of an order that was rejected and is sent again as the same
+/// attempt: the fence that the rejected attempt has set in another data centre is still there.
+#[test]
+fn a_fence_of_a_rejected_first_attempt_does_not_deny_the_next_one() {
+    let mut sim = Simulation::new(14, 3);
+    let home = sim.home(DC_B, &key(1));
+    let now = sim.now;
+    let fence = |repeated| KeyQuery::Fence { key: key(1), request_digest: 0, repeated };
+    let table = &mut sim.node(home).table;
+
+    let answers = [false, false, true, false].map(|it| table.handle(now, home, fence(it)));
+
+    let (fenced, already) = (KeyAnswer::Fenced, KeyAnswer::AlreadyFenced);
+    assert_eq!(answers, [fenced.clone(), fenced, already.clone(), already]);
+}
+
+/// Guards against the same where the next attempt reaches the data centre that has the fence, and
+/// against an order that runs twice because the fence of a repeat is passed.
+#[test]
+fn a_first_attempt_passes_only_the_fence_of_a_first_attempt() {
+    let claim_after_fence = |repeated| {
+        let mut sim = Simulation::new(15, 3);
+        let home = sim.home(DC_B, &key(1));
+        let now = sim.now;
+        let table = &mut sim.node(home).table;
+        table.handle(now, home, KeyQuery::Fence { key: key(1), request_digest: 0, repeated });
+        table.handle(now, home, first(&key(1), 1))
+    };
+
+    assert_eq!(claim_after_fence(false), KeyAnswer::Granted);
+    assert_eq!(claim_after_fence(true), KeyAnswer::Unknown);
+}
+
 /// Guards against an order that runs twice: two entry VMs of a data centre are cut off from each
 /// other, and each considers itself the home.
 #[test]
@@ -272,7 +305,7 @@
     sim.send_attempt(at, key(1), false);
     sim.advance(seconds(1));
     let now = sim.now;
-    let other = KeyQuery::Fence { key: key(1), request_digest: 1 };
+    let other = KeyQuery::Fence { key: key(1), request_digest: 1, repeated: true };
 
     let answer = sim.node(at).table.handle(now, at, other);
 
--- a/daisy-wire/src/peer/key.rs
+++ b/daisy-wire/src/peer/key.rs
@@ -93,7 +93,7 @@
         /// The time until the claim expires, in milliseconds.
         claim_timeout_ms: u64,
     },
-    /// See [`KeyQuery::Fence`].
+    /// A [`KeyQuery::Fence`] of a repeated attempt; older builds also send it for a first one.
     Fence {
         /// The key.
         key: KeyIdWire,
@@ -136,6 +136,13 @@
         /// The time since the end of the newest gap in the sender's history, in milliseconds.
         since_gap_ms: u64,
     },
+    /// A [`KeyQuery::Fence`] of a first attempt. Entry VMs of older builds reject it.
+    FirstFence {
+        /// The key.
+        key: KeyIdWire,
+        /// A digest of the request's method and path.
+        request_digest: u64,
+    },
 }
 
 /// See [`KeyAnswer`].
@@ -315,9 +322,12 @@
                     claim_timeout_ms: millis(claim_timeout),
                 }
             }
-            KeyQuery::Fence { key, request_digest } => {
+            KeyQuery::Fence { key, request_digest, repeated: true } => {
                 KeyQueryWire::Fence { key: key.into(), request_digest }
             }
+            KeyQuery::Fence { key, request_digest, repeated: false } => {
+                KeyQueryWire::FirstFence { key: key.into(), request_digest }
+            }
             KeyQuery::Finish { key, claim, end } => {
                 KeyQueryWire::Finish { key: key.into(), claim: claim.0, end: end.into() }
             }
@@ -368,7 +378,10 @@
                 }
             }
             KeyQueryWire::Fence { key, request_digest } => {
-                KeyQuery::Fence { key: key.try_into()?, request_digest }
+                KeyQuery::Fence { key: key.try_into()?, request_digest, repeated: true }
+            }
+            KeyQueryWire::FirstFence { key, request_digest } => {
+                KeyQuery::Fence { key: key.try_into()?, request_digest, repeated: false }
             }
             KeyQueryWire::Finish { key, claim, end } => {
                 KeyQuery::Finish { key: key.try_into()?, claim: ClaimId(claim), end: end.into() }
