Play random faults with first attempts that are sent again

The callers of the simulation sent each first attempt once. They may send one again as the same attempt when they were told that it has not run, which the fences of first attempts now allow. A second run of the random faults does so as long as no repeat was sent. Existing seeds draw the same numbers as before.

--- a/daisy-routing/tests/keys/random_faults.rs
+++ b/daisy-routing/tests/keys/random_faults.rs
@@ -126,8 +126,36 @@
     vm: VmId,
 }
 
-fn run_random_faults(seed: u64, per_dc: u32) -> (u32, u32) {
+/// How the callers of a run send a first attempt again that they were told has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Resending {
+    /// Not at all.
+    Never,
+    /// As the same attempt, as long as they have sent no repeat.
+    AsFirst,
+}
+
+/// The newest first attempt of a key whose caller may send it again.
+struct FirstAttempt {
+    number: u32,
+    attempt: usize,
+}
+
+/// Sends first attempts again whose callers were told that they have not run.
+fn resend_first_attempts(sim: &mut Simulation, firsts: &mut [FirstAttempt]) {
+    for first in firsts {
+        if sim.told_not_run[first.attempt]
+            && sim.rng.u8(..5) == 0
+            && let Some(vm) = pick_node(sim, |node| node.alive)
+        {
+            first.attempt = sim.send_attempt(vm, key(first.number), false);
+        }
+    }
+}
+
+fn run_random_faults(seed: u64, per_dc: u32, resending: Resending) -> (u32, u32) {
     let mut g = Gen::from_size_and_seed(10, seed);
+    let mut firsts: Vec<FirstAttempt> = Vec::new();
     let mut sim = Simulation::new(seed, per_dc);
     sim.loss_percent = *g.choose(&[0, 5, 20]).unwrap();
     sim.delivery_percent = *g.choose(&[100, 50, 20]).unwrap();
@@ -151,9 +179,15 @@
                     let at = step + sim.rng.u32(1..100);
                     delayed.extend(vm.map(|vm| DelayedAttempt { number, at, vm }));
                 }
-                _ => send_attempt(&mut sim, number, false),
+                _ => {
+                    let attempt = send_attempt(&mut sim, number, false);
+                    firsts.extend(attempt.map(|attempt| FirstAttempt { number, attempt }));
+                }
             }
         }
+        if resending == Resending::AsFirst {
+            resend_first_attempts(&mut sim, &mut firsts);
+        }
         for DelayedAttempt { number, vm, .. } in delayed.iter().filter(|attempt| attempt.at == step)
         {
             if sim.node(*vm).alive {
@@ -165,6 +199,7 @@
         let recent: Vec<u32> = recent.map(|(number, _)| *number).collect();
         for number in recent {
             if sim.rng.u8(..30) == 0 {
+                firsts.retain(|it| it.number != number);
                 send_attempt(&mut sim, number, true);
             }
         }
@@ -176,10 +211,9 @@
     (most_runs, ran as u32)
 }
 
-fn send_attempt(sim: &mut Simulation, number: u32, repeated: bool) {
-    if let Some(vm) = pick_node(sim, |node| node.alive) {
-        sim.send_attempt(vm, key(number), repeated);
-    }
+fn send_attempt(sim: &mut Simulation, number: u32, repeated: bool) -> Option<usize> {
+    let vm = pick_node(sim, |node| node.alive)?;
+    Some(sim.send_attempt(vm, key(number), repeated))
 }
 
 /// Guards against an order that runs twice through a combination of faults, none of which explains
@@ -190,7 +224,7 @@
     let mut ran = 0;
     let seeds = (0..SEEDS_PER_SIZE).flat_map(|seed| [(seed, 1), (seed, 2), (seed, 3)]);
     for (seed, per_dc) in seeds.chain(REGRESSION_SEEDS) {
-        let (most_runs, ran_keys) = run_random_faults(seed, per_dc);
+        let (most_runs, ran_keys) = run_random_faults(seed, per_dc, Resending::Never);
         assert!(
             most_runs <= 1,
             "seed {seed}, {per_dc} entry VMs in each data centre: a key ran {most_runs} times"
@@ -200,3 +234,17 @@
     // Enough keys must run for the test to be meaningful.
     assert!(ran > 2_000, "only {ran} keys ran");
 }
+
+/// Guards against an order that runs twice because a first attempt that was rejected is sent again
+/// as the same attempt, past the fences that it has set.
+#[test]
+fn no_first_attempt_that_is_sent_again_runs_twice() {
+    let seeds = (0..SEEDS_PER_SIZE).flat_map(|seed| [(seed, 1), (seed, 2), (seed, 3)]);
+    for (seed, per_dc) in seeds {
+        let (most_runs, _) = run_random_faults(seed, per_dc, Resending::AsFirst);
+        assert!(
+            most_runs <= 1,
+            "seed {seed}, {per_dc} entry VMs in each data centre: a key ran {most_runs} times"
+        );
+    }
+}
--- a/daisy-routing/tests/keys/simulation.rs
+++ b/daisy-routing/tests/keys/simulation.rs
@@ -80,6 +80,8 @@
     network: Vec<Message>,
     attempts: Vec<Attempt>,
     pub ended: Vec<Ended>,
+    /// Whether the caller of each attempt was told that its request has not run.
+    pub told_not_run: Vec<bool>,
     pub runs: SortedMap<KeyId, u32>,
     pub cuts: Vec<(VmId, VmId)>,
     pub rng: fastrand::Rng,
@@ -105,6 +107,7 @@
             network: Vec::new(),
             attempts: Vec::new(),
             ended: Vec::new(),
+            told_not_run: Vec::new(),
             runs: SortedMap::new(),
             cuts: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
@@ -187,6 +190,7 @@
             started_at: self.now,
         });
         self.ended.push(Ended::Stopped);
+        self.told_not_run.push(false);
         let id = self.attempts.len() - 1;
         self.query_home(id);
         id
@@ -351,6 +355,7 @@
             Phase::Done => return,
         };
         let too_late = self.now.since(attempt.started_at) >= CLAIM_TIMEOUT;
+        let repeated = attempt.repeated;
         match step {
             // The deadline is checked right before the request is sent.
             KeyStep::Run if !too_late => self.run(id),
@@ -363,7 +368,16 @@
                 }
                 self.query_home(id);
             }
-            _ => self.end(id, Ended::Stopped, ClaimEnd::NotRun),
+            step => {
+                self.told_not_run[id] = match step {
+                    KeyStep::Deny(denial) | KeyStep::Wait(denial) => {
+                        denial.proves_not_run(repeated)
+                    }
+                    // It was not sent before its deadline.
+                    _ => !repeated,
+                };
+                self.end(id, Ended::Stopped, ClaimEnd::NotRun);
+            }
         }
     }
 
