Do not take requests in flight for an excess of load in Retry-After

Cause: Retry-After grows with the excess of requests over completions of the last second. A process that has just started has counted more requests than completions, as some are still in flight, and after a short pause of the backend servers so has any other. A pause of 0.4 s after the first three answers made it 11.4 s.

Fix: completions are taken at no less than half of what Little's law gives for the requests in flight, as for the expected wait of a queued request.

--- a/daisy-routing/src/service.rs
+++ b/daisy-routing/src/service.rs
@@ -87,15 +87,21 @@
         log.map_or(INITIAL_LATENCY_ESTIMATE, |log| Duration::from_micros(log.exp() as u64))
     }
 
-    /// Returns how long a request is expected to wait with `ahead` requests of its service before
-    /// it.
+    /// Returns the rate at which requests end.
     ///
-    /// The measured rate of the last second lags after a pause, so at least half of the rate that
-    /// Little's law gives for the requests in flight is assumed.
-    pub(crate) fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+    /// The measured rate of the last second lags after a pause, and in a process that has just
+    /// started, so at least half of the rate that Little's law gives for the requests in flight is
+    /// assumed.
+    fn service_rate(&self, now: Instant) -> f64 {
         let littles_law_rate =
             f64::from(self.in_flight) / self.typical_latency().as_secs_f64().max(1e-6);
-        let per_second = self.completions.per_second(now).max(littles_law_rate / 2.0).max(1e-3);
+        self.completions.per_second(now).max(littles_law_rate / 2.0)
+    }
+
+    /// Returns how long a request is expected to wait with `ahead` requests of its service before
+    /// it.
+    pub(crate) fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        let per_second = self.service_rate(now).max(1e-3);
         Duration::from_secs_f64(((ahead + 1) as f64 / per_second).min(3_600.0))
     }
 
@@ -105,11 +111,11 @@
     }
 
     /// Returns after how long a rejected caller should retry: the delay grows with the excess of
-    /// requests over completions and is spread, so that callers rejected together do not retry
+    /// requests over those that end and is spread, so that callers rejected together do not retry
     /// together.
     pub(crate) fn retry_after(&self, now: Instant, rng: &mut fastrand::Rng) -> Duration {
-        let completions = self.completions.per_second(now).max(1.0);
-        let excess = (self.arrivals.per_second(now) / completions - 1.0).clamp(0.0, 10.0);
+        let per_second = self.service_rate(now).max(1.0);
+        let excess = (self.arrivals.per_second(now) / per_second - 1.0).clamp(0.0, 10.0);
         let base = self.max_queue_wait().as_secs_f64() + excess * OVERLOAD_RECOVERY_SECS;
         let spread = 1.0 + rng.f64() * (RETRY_AFTER_SPREAD - 1.0);
         Duration::from_secs_f64(base * spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
--- a/daisy-routing/tests/queue.rs
+++ b/daisy-routing/tests/queue.rs
@@ -106,6 +106,24 @@
     );
 }
 
+/// Guards against callers who are told to return after seconds because of a short pause of the
+/// backend servers: an entry VM that has just started has counted more requests than answers.
+#[test]
+fn a_new_entry_vm_does_not_mistake_requests_in_flight_for_an_excess() {
+    let mut rng = rng();
+    let mut router = router(&routes(vec![backend(100), backend(101)]));
+    let now = answer_requests(&mut router, millis(0), 3, Duration::from_millis(100), &mut rng);
+    send_requests(&mut router, now, 16, &mut rng);
+    expect_waiting(router.admit(now, &call(now), &mut rng));
+
+    let decisions = router.tick(now + Duration::from_millis(400), &mut rng);
+
+    let [QueueDecision::Reject(_, rejection)] = &decisions[..] else {
+        panic!("request was not rejected: {decisions:?}")
+    };
+    assert!(rejection.retry_after < Duration::from_secs(1), "{:?}", rejection.retry_after);
+}
+
 /// Guards against a checkout that waits while catalogue renders are served: the renders arrived
 /// first and fill the queue, and the request of the buyer is behind them.
 #[test]
