Send no start to a worker that drains

Cause: an unanswered start is sent again every 0.1 to 0.8 s until it is answered. Whether its worker drains was checked only when the task was placed, and not when the order was sent, or sent again; nor was the age of the platform's list.

Fix: a start is sent, and sent again, only to a worker that does not drain, by a list that is at most 2.3 s old: 1.9 s for placing and the 0.4 s that recording takes. A recorded start that was not sent is taken back; an unanswered one on a draining worker is stopped, so that its task starts elsewhere as soon as the stop is answered.

The three new tests failed before.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -18,6 +18,10 @@
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// How long after it was sent an order may still be carried out: the platform specifies up to 12 s.
 pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
+/// Maximum age of the platform's list for sending a start: what it allows for placing a task, and
+/// the time to record the start. The platform allows starts until 2.5 s after a worker has announced
+/// that it drains.
+const MAX_LIST_AGE_AT_START: Duration = Duration::from_millis(2_300);
 /// How long a worker gets no new tasks after it left an order unanswered.
 const EXCLUSION_NO_ANSWER: Duration = Duration::from_millis(700);
 /// How long a worker gets no new tasks after it rejected an order.
@@ -59,17 +63,19 @@
         let steps = &job.progress.occurrences;
         let state = &steps[task.occurrence as usize][usize::from(task.step)][task.index as usize];
         let checkpoint = state.checkpoint.clone();
+        let is_list_current = now.since(self.list_read_at) < MAX_LIST_AGE_AT_START;
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(start_state) = worker.find(task, run).map(|it| it.start_state) else { return };
         // The worker may have changed while the record was being stored.
-        let is_reachable = worker.fenced && worker.renewal_failures == 0;
+        let is_reachable =
+            worker.fenced && worker.renewal_failures == 0 && worker.ready && is_list_current;
         let has_capacity = is_reachable && worker.used.fits(worker.capacity);
         let may_send = has_capacity || start_state != StartState::Recording;
         let lease_end = if wanted && may_send { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
         let Some(deadline_ms) = lease_end else {
-            // The task is not wanted any more, does not fit, or its worker is unreachable or has
-            // just restarted: nothing was sent.
+            // The task is not wanted any more, does not fit, or its worker drains, is unreachable
+            // or has just restarted: nothing was sent.
             self.unassign(key, task, run);
             return;
         };
@@ -230,7 +236,7 @@
 
     /// Sends unanswered start orders again.
     pub(super) fn resend_starts(&mut self, now: Instant) {
-        if !self.may_renew(now) {
+        if !self.may_renew(now) || now.since(self.list_read_at) >= MAX_LIST_AGE_AT_START {
             return;
         }
         for at in 0..self.workers.len() {
@@ -243,8 +249,9 @@
                 .filter(|it| it.stop_state == StopState::NotRequested && due(it.start_state))
                 .map(|it| (it.task, it.run))
                 .collect();
-            // No lease is granted while a worker does not answer, so that its leases expire.
-            if worker.renewal_failures > 0 || worker.clock.is_none() {
+            // No lease is granted while a worker does not answer, so that its leases expire. A
+            // draining worker must start nothing, also what was ordered before.
+            if worker.renewal_failures > 0 || worker.clock.is_none() || !worker.ready {
                 continue;
             }
             for (task, run) in due {
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -119,14 +119,20 @@
         }
     }
 
-    /// Stops runs on a draining worker that would not end before it exits.
+    /// Stops runs on a draining worker that would not end before it exits, and those that it may
+    /// start late, so that their tasks start elsewhere.
     fn stop_on_draining(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(leaves_at) = worker.leaves_at else { return };
         for it in &mut worker.tasks {
-            let is_running = matches!(it.start_state, StartState::Confirmed(_))
-                && it.stop_state == StopState::NotRequested;
-            if is_running && !ends_before(now, leaves_at, it.percent, now.since(it.began_at)) {
+            let must_stop = match it.start_state {
+                StartState::Confirmed(_) => {
+                    !ends_before(now, leaves_at, it.percent, now.since(it.began_at))
+                }
+                StartState::Unanswered(_) => true,
+                StartState::Recording | StartState::InFlight | StartState::Inherited => false,
+            };
+            if must_stop && it.stop_state == StopState::NotRequested {
                 it.request_stop(now, StopCause::Draining);
             }
         }
--- a/daisy-workflow/tests/delayed_orders.rs
+++ b/daisy-workflow/tests/delayed_orders.rs
@@ -122,3 +122,66 @@
     assert!(done);
     assert_eq!(sent, 2, "only tasks that fit beside the delayed orders are started");
 }
+
+/// Returns two workers that leave orders unanswered, and the name of the one that was sent the only
+/// task of a job.
+fn with_unanswered_order() -> (Simulation, String) {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), FakeWorker::new("w2", 4)]);
+    for name in ["w1", "w2"] {
+        sim.worker(name).fault = Fault::DelaysStarts(60_000);
+    }
+    sim.submit(1, job(vec![step(1)]));
+    assert!(sim.run_until(100, |it| !it.starts.is_empty()));
+    let name = sim.starts[0].2.clone();
+    (sim, name)
+}
+
+/// Guards against a task that starts seconds after its worker has announced that it drains: an
+/// unanswered order was sent again until it was answered.
+#[test]
+fn an_unanswered_order_is_not_sent_again_to_a_draining_worker() {
+    let (mut sim, draining) = with_unanswered_order();
+    sim.worker(&draining).ready = false;
+    sim.run_ms(20);
+    let sent = sim.starts.len();
+    sim.worker("w1").fault = Fault::None;
+    sim.worker("w2").fault = Fault::None;
+
+    let done = sim.run_until(4_000, |it| it.state(1) == JobState::Completed);
+
+    let sent_there = sim.starts[sent..].iter().filter(|(.., name)| *name == draining).count();
+    assert_eq!(sent_there, 0);
+    assert!(done);
+}
+
+/// Guards against the same where the platform's list could not be read since the order was placed.
+#[test]
+fn an_unanswered_order_is_not_sent_again_by_an_old_list() {
+    let (mut sim, draining) = with_unanswered_order();
+    sim.list_is_stale = true;
+    sim.worker(&draining).ready = false;
+    sim.run_ms(2_500);
+    let sent = sim.starts.len();
+    sim.worker(&draining).fault = Fault::None;
+
+    sim.run_ms(2_000);
+
+    assert_eq!(sim.starts.len(), sent);
+}
+
+/// Guards against the same where the worker announced it while the start was being recorded.
+#[test]
+fn an_order_to_a_worker_that_drains_once_it_is_recorded_is_not_sent() {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4)]);
+    sim.run_ms(100);
+    sim.log_up = false;
+    sim.submit(1, job(vec![step(1)]));
+    sim.run_ms(50);
+    sim.worker("w1").ready = false;
+    sim.run_ms(50);
+    sim.log_up = true;
+
+    sim.run_ms(1_000);
+
+    assert!(sim.starts.is_empty(), "{:?}", sim.starts);
+}
