--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -67,9 +67,9 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let Some(start_state) = worker.find(task, run).map(|it| it.start_state) else { return };
         // The worker may have changed while the record was being stored.
-        let is_reachable =
-            worker.fenced && worker.renewal_failures == 0 && worker.ready && is_list_current;
-        let has_capacity = is_reachable && worker.used.fits(worker.capacity);
+        let is_reachable = worker.fenced && worker.renewal_failures == 0;
+        let accepts_starts = is_reachable && worker.ready && is_list_current;
+        let has_capacity = accepts_starts && worker.used.fits(worker.capacity);
         let may_send = has_capacity || start_state != StartState::Recording;
         let lease_end = if wanted && may_send { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
