Acknowledge no end while a copy of a start order of its task may be carried out

What callers saw: nothing yet. A task could start once more, and do its work again, after its end was noted for good.

Cause: the platform may carry out an order up to 12 s late, also on the worker's next incarnation under the same id. An order that goes unanswered is sent again, which leaves two copies. The second is carried out, the run ends, the end is recorded and acknowledged; the worker crashes and restarts, and the first copy is its first call. No call of ours can prevent that; what can be prevented is that the end counts by then.

Evidence: the order of events is forced instead of waited for.

Change: the owner counts the copies of each start order that are neither answered nor used up by a run that its worker has listed. While one may still be carried out (13 s after it was sent), the end of its task is processed and recorded as before, but not acknowledged: an end that its worker loses in a crash before its acknowledgement does not count. An order that was sent once and carried out leaves nothing behind, so only orders with several copies wait.

The next owner has to know them: a new record `open-starts` lists the runs whose orders may still be carried out, in the batch that records their starts. An order is sent again only once the log says so.

A new owner also acknowledges ends of jobs whose end the log has already: it waited for the next batch with these, which nothing caused to be written.

`a_job_that_has_begun_is_not_transferred` looks at the records of jobs; the new record, like that of the witnesses, is not one. It checks the same as before.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -290,7 +290,7 @@
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
              unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={} \
-             uncertain={} uncertain_for_ms={}",
+             uncertain={} uncertain_for_ms={} open_starts={} held_ends={}",
             self.ownership.shard.0,
             self.ownership.epoch,
             summary.jobs,
@@ -308,7 +308,9 @@
             summary.smallest_waiting_cpu,
             summary.longest_wait.as_millis(),
             summary.unconfirmed_runs,
-            summary.unconfirmed_for.as_millis()
+            summary.unconfirmed_for.as_millis(),
+            summary.open_starts,
+            summary.held_ends
         );
         if let Some(it) = self.owner.try_inherited_leases(now) {
             log::info!(
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -5,8 +5,8 @@
 use daisy_model::SortedMap;
 
 use crate::{
-    Claim, ImageInterference, IncomingTransfer, JobId, JobSpec, OutgoingTransfer, Phase, Progress,
-    Record, ShardId, TaskId, TransferState, Witnesses,
+    Claim, ImageInterference, IncomingTransfer, JobId, JobSpec, OpenStart, OutgoingTransfer, Phase,
+    Progress, Record, ShardId, TaskId, TransferState, Witnesses,
 };
 
 /// A job as folded from the records.
@@ -164,6 +164,7 @@
     owner_vouches_for: Option<u64>,
     learned_interference: Vec<ImageInterference>,
     witnesses: Witnesses,
+    open_starts: Vec<OpenStart>,
 }
 
 impl Ledger {
@@ -182,6 +183,10 @@
                 self.witnesses = witnesses;
                 FoldEffect::Nothing
             }
+            Record::OpenStarts(runs) => {
+                self.open_starts = runs;
+                FoldEffect::Nothing
+            }
             Record::Delegated(id, shard) => {
                 match self.jobs.get_mut(&id) {
                     Some(job) => job.delegate(shard),
@@ -327,6 +332,11 @@
         &self.witnesses
     }
 
+    /// Returns the runs whose start orders may still be carried out.
+    pub fn open_starts(&self) -> &[OpenStart] {
+        &self.open_starts
+    }
+
     /// Returns the `accepted_by_epoch` of the newest witnesses if all owners up to the newest claim
     /// comply with them. A claimant that has read the whole log vouches for that epoch.
     pub fn vouched_epoch(&self) -> Option<u64> {
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -37,8 +37,8 @@
     ledger::{FoldEffect, Job, JobState, Ledger},
     log_health::{LogHealth, SendDecision},
     owner::{
-        Action, ActiveRun, Batch, EndedRun, Event, InheritedLeases, Note, OrderReply, Outcome,
-        Owner, OwnershipStart, Packing, PlacementRules, PlacementShortfall, RejectReason,
+        Action, ActiveRun, Batch, EndedRun, Event, InheritedLeases, Note, OpenStart, OrderReply,
+        Outcome, Owner, OwnershipStart, Packing, PlacementRules, PlacementShortfall, RejectReason,
         RenewalAnswer, Settings, Start, StopCause, Summary, UnconfirmedCause, UnconfirmedRun,
         WaitCause, Witness, Witnesses, Worker, WorkerKey, WorkerListing,
     },
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -11,6 +11,7 @@
 mod intake;
 mod interference;
 mod message;
+mod open_starts;
 mod orders;
 mod pace;
 mod placement;
@@ -32,6 +33,7 @@
 use self::{
     defragment::Relocation,
     interference::Interference,
+    open_starts::OpenStarts,
     placement::Reservation,
     succession::Succession,
     worker::{Assignment, StartState, StopState},
@@ -41,6 +43,7 @@
         Action, ActiveRun, Batch, EndedRun, Event, Note, OrderReply, Outcome, RejectReason,
         RenewalAnswer, Start, StopCause, WaitCause, WorkerListing,
     },
+    open_starts::OpenStart,
     shortfall::PlacementShortfall,
     succession::{InheritedLeases, OwnershipStart, Witness, Witnesses},
     summary::Summary,
@@ -127,6 +130,8 @@
     /// Starts whose record is not in the log yet.
     unrecorded_starts: Vec<(WorkerKey, TaskId, u32)>,
     in_flight: Option<InFlightBatch>,
+    /// Start orders that may still be carried out.
+    open_starts: OpenStarts,
     interference: Interference,
     /// When the learned interference was last recorded.
     interference_recorded_at: Instant,
@@ -199,6 +204,7 @@
     ) -> Owner {
         let succession = Succession::new(now, ownership, ledger.witnesses());
         let interference = Interference::inherit(now, ledger.learned_interference());
+        let open_starts = OpenStarts::inherit(ledger.open_starts());
         let mut owner = Owner {
             settings,
             ledger,
@@ -211,6 +217,7 @@
             delegating: Vec::new(),
             unrecorded_starts: Vec::new(),
             in_flight: None,
+            open_starts,
             interference,
             interference_recorded_at: now,
             orphans: Vec::new(),
@@ -318,7 +325,10 @@
         let nothing_unrecorded = self.unrecorded_jobs.is_empty()
             && self.delegating.is_empty()
             && self.unrecorded_starts.is_empty();
-        self.in_flight.is_none() && (!nothing_unrecorded || self.succession.has_witnesses_record())
+        self.in_flight.is_none()
+            && (!nothing_unrecorded
+                || self.succession.has_witnesses_record()
+                || self.open_starts.is_record_due())
     }
 
     /// Returns the records to append next, or `None` while a batch is being appended or if there
@@ -356,6 +366,10 @@
         let seen = self.workers.iter().filter(|(_, it)| it.cursor_seen > it.cursor_durable);
         let cursors = seen.map(|(key, it)| (key, it.started_at_ms, it.cursor_seen)).collect();
         let starts = std::mem::take(&mut self.unrecorded_starts);
+        for (key, task, run) in &starts {
+            self.open_starts.will_send(*key, *task, *run);
+        }
+        records.extend(self.open_starts.take_record());
         self.in_flight = Some(InFlightBatch {
             created_at: now,
             starts,
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -7,6 +7,7 @@
 use super::{
     InFlightBatch, Owner,
     message::{Action, OrderReply, RejectReason, Start, StopCause},
+    open_starts::MAX_ORDER_DELAY,
     worker::{DelayedStart, StartState, StopState, WorkerKey},
 };
 use crate::{JobState, TaskId};
@@ -16,8 +17,6 @@
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval before an unanswered stop is sent again.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-/// How long after it was sent an order may still be carried out: the platform specifies up to 12 s.
-pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
 /// Maximum age of the platform's list for sending a start: what it allows for placing a task, and
 /// the time to record the start. The platform allows starts until 2.5 s after a worker has announced
 /// that it drains.
@@ -36,6 +35,7 @@
         let Some(it) = self.in_flight.take() else { return };
         self.succession.append_accepted(it.created_at);
         self.succession.witnesses_recorded();
+        self.open_starts.record_stored();
         let InFlightBatch { created_at: _, starts, cursors, states, delegated, transferring } = it;
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward_job(id));
@@ -84,6 +84,7 @@
         it.began_at = now;
         it.progressed_at = now;
         it.checkpoint.clone_from(&checkpoint);
+        self.open_starts.sent(now, key, task, run);
         let start = Start { task, run, text, deadline_ms, checkpoint };
         self.actions.push(Action::Start(key, start));
     }
@@ -102,6 +103,7 @@
         if let Some(worker) = self.workers.get_mut(key) {
             worker.remove(task, run);
         }
+        self.open_starts.not_sent(task, run);
         self.remove_copy(task, run, "");
     }
 
@@ -113,6 +115,10 @@
         run: u32,
         reply: OrderReply,
     ) {
+        if reply != OrderReply::Unknown {
+            let is_confirmed = matches!(reply, OrderReply::Done { .. });
+            self.open_starts.answered(task, run, is_confirmed);
+        }
         let Some(worker) = self.workers.get_mut(key) else { return };
         if let OrderReply::Done { clock_ms } = reply
             && worker.fenced
@@ -134,8 +140,12 @@
             }
             OrderReply::Unknown => {
                 it.may_be_delayed = true;
-                it.start_state =
-                    StartState::Unanswered(now + START_RETRY_INTERVAL * it.start_attempts.min(8));
+                // A listed run needs no other copy of its order.
+                if !it.listed {
+                    let retry_at = now + START_RETRY_INTERVAL * it.start_attempts.min(8);
+                    it.start_state = StartState::Unanswered(retry_at);
+                    self.open_starts.request_resend(key, task, run);
+                }
                 let (allocation, until) = (it.allocation, now + MAX_ORDER_DELAY);
                 worker
                     .delayed_starts
@@ -255,7 +265,11 @@
                 continue;
             }
             for (task, run) in due {
-                self.send_start(now, key, task, run);
+                // The next owner has to know that there are several copies.
+                match self.open_starts.may_resend(task, run) {
+                    true => self.send_start(now, key, task, run),
+                    false => self.open_starts.request_resend(key, task, run),
+                }
             }
         }
     }
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -81,6 +81,7 @@
         }
         if let Some(worker) = self.workers.get_mut(key) {
             worker.add(it);
+            self.open_starts.assign(key, task, run);
         }
     }
 
@@ -130,6 +131,7 @@
         worker.restarted_at = Some(now);
         worker.cursor_seen = 0;
         worker.cursor_durable = 0;
+        worker.held_ends.clear();
         worker.failures = 0;
         worker.renewal_failures = 0;
         let mut lost = Vec::new();
@@ -299,6 +301,7 @@
                     known.load = it.load;
                     known.missed_lists = 0;
                     known.listed = true;
+                    self.open_starts.listed(it.task, it.run);
                     if !it.checkpoint.is_empty() && known.checkpoint != it.checkpoint {
                         known.checkpoint = it.checkpoint.clone();
                     }
@@ -328,9 +331,10 @@
         let lease = self.settings.lease;
         let may_renew = self.may_renew(now);
         let is_log_slow = self.succession.is_log_slow(now);
+        let cursor = self.acknowledged_ends(now, key);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let is_awaited = self.succession.awaits(&worker.id);
-        if worker.renewal_in_flight || !is_renewal_due(now, worker, is_awaited) {
+        if worker.renewal_in_flight || !is_renewal_due(now, worker, cursor, is_awaited) {
             return;
         }
         // No lease is granted while a worker does not answer: otherwise its leases would never
@@ -339,8 +343,7 @@
         let deadline_ms = if grant { worker.lease_end(now, lease) } else { None };
         worker.renewal_in_flight = true;
         worker.renewal_sent_at = now;
-        let cursor = worker.cursor_durable;
-        let wait = renewal_wait(worker, is_log_slow);
+        let wait = renewal_wait(worker, cursor, is_log_slow);
         self.actions.push(Action::Renew { worker: key, deadline_ms, cursor, wait });
     }
 
@@ -379,10 +382,10 @@
     missing
 }
 
-fn is_renewal_due(now: Instant, worker: &Worker, is_awaited: bool) -> bool {
-    /// Minimum interval between renewals while processed ends are not in the log yet: the worker
+fn is_renewal_due(now: Instant, worker: &Worker, cursor: u64, is_awaited: bool) -> bool {
+    /// Minimum interval between renewals while processed ends are not acknowledged yet: the worker
     /// would answer at once and list them again.
-    const UNRECORDED_ENDS_INTERVAL: Duration = Duration::from_millis(300);
+    const UNACKNOWLEDGED_ENDS_INTERVAL: Duration = Duration::from_millis(300);
     /// Retry interval for a worker that does not answer; doubled with each failure up to the
     /// maximum.
     const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -396,19 +399,19 @@
         let pause = RETRY_INTERVAL * 2u32.pow(worker.renewal_failures.min(4));
         return since >= pause.min(MAX_RETRY_INTERVAL);
     }
-    worker.cursor_seen == worker.cursor_durable || since >= UNRECORDED_ENDS_INTERVAL
+    worker.cursor_seen == cursor || since >= UNACKNOWLEDGED_ENDS_INTERVAL
 }
 
 /// Returns how long a worker may wait for a run to end before it answers. This bounds the age of
 /// the owner's view of the worker, and the time to notice that it is unreachable; each renewal has
 /// a cost.
-fn renewal_wait(worker: &Worker, is_log_slow: bool) -> Duration {
+fn renewal_wait(worker: &Worker, cursor: u64, is_log_slow: bool) -> Duration {
     const IDLE_WAIT: Duration = Duration::from_millis(1_500);
     const RUNNING_WAIT: Duration = Duration::from_millis(800);
     const SERVING_WAIT: Duration = Duration::from_millis(500);
     /// Short enough that each answer of a witness is still valid when the next one arrives.
     const LOG_SLOW_WAIT: Duration = Duration::from_millis(300);
-    if !worker.fenced || worker.renewal_failures > 0 || worker.cursor_seen > worker.cursor_durable {
+    if !worker.fenced || worker.renewal_failures > 0 || worker.cursor_seen > cursor {
         return Duration::ZERO;
     }
     if is_log_slow {
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -17,10 +17,26 @@
 /// Failures further apart than this are not consecutive: long-running tasks seldom end, and may
 /// fail at any time.
 const FAILURE_WINDOW: Duration = Duration::from_secs(3);
+/// Maximum number of ended runs on a worker that wait for an acknowledgement behind one that is held
+/// back: a worker lists at most 500.
+const MAX_HELD_ENDS: u64 = 400;
+
 impl Owner {
     pub(super) fn run_ended(&mut self, now: Instant, key: WorkerKey, it: EndedRun) {
+        self.open_starts.listed(it.task, it.run);
+        let is_held = it.outcome == Outcome::Done && self.may_start_again(now, it.task);
+        // The log keeps no tasks of an ended job, so there is nothing to record.
+        let is_recorded = self.ledger.job(it.task.job).is_some_and(|job| {
+            job.progress.phase != Phase::Active && job.progress.task(it.task).is_none()
+        });
         let Some(worker) = self.workers.get_mut(key) else { return };
+        if is_recorded && worker.cursor_durable == worker.cursor_seen {
+            worker.cursor_durable = worker.cursor_durable.max(it.number);
+        }
         worker.cursor_seen = worker.cursor_seen.max(it.number);
+        if is_held {
+            worker.held_ends.push((it.number, it.task));
+        }
         let id = worker.id.clone();
         worker.remove(it.task, it.run);
         self.plan_due = true;
@@ -44,6 +60,42 @@
         self.remove_if_ended(task.job);
     }
 
+    /// Returns the number of the last ended run on a worker that may be acknowledged.
+    ///
+    /// An end as done is held back while a copy of a start order of its task may be carried out:
+    /// the worker could crash, and its next incarnation could start the task again after its
+    /// acknowledged end.
+    pub(super) fn acknowledged_ends(&mut self, now: Instant, key: WorkerKey) -> u64 {
+        let Some(worker) = self.workers.get_mut(key) else { return 0 };
+        if worker.held_ends.is_empty() {
+            return worker.cursor_durable;
+        }
+        let (seen, durable) = (worker.cursor_seen, worker.cursor_durable);
+        let mut held_ends = std::mem::take(&mut worker.held_ends);
+        held_ends.retain(|(number, task)| {
+            *number + MAX_HELD_ENDS > seen && self.may_start_again(now, *task)
+        });
+        let cursor = held_ends.iter().map(|(number, _)| number - 1).fold(durable, u64::min);
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.held_ends = held_ends;
+        }
+        cursor
+    }
+
+    /// Whether a copy of a start order may still start a task whose end must be final.
+    fn may_start_again(&self, now: Instant, task: TaskId) -> bool {
+        let step =
+            self.ledger.job(task.job).and_then(|it| it.spec.steps.get(usize::from(task.step)));
+        // The copies of a speculative step may run at any time. One end of a gang stands for all of
+        // its tasks.
+        let tasks = match step {
+            Some(it) if it.speculative => return false,
+            Some(it) if it.gang => TaskId { index: 0, ..task }..=TaskId { index: u32::MAX, ..task },
+            _ => task..=task,
+        };
+        self.open_starts.any_may_be_carried_out(now, tasks)
+    }
+
     fn task_done(&mut self, now: Instant, key: WorkerKey, task: TaskId) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.failures = 0;
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -159,6 +159,11 @@
         self.awaited_witnesses().binary_search_by(|it| it.worker.cmp(worker)).is_ok()
     }
 
+    /// Returns from when on no earlier owner renews leases or sends orders, once that is known.
+    pub(super) fn predecessors_ended_at(&self) -> Option<Instant> {
+        self.predecessors_ended_at
+    }
+
     /// Whether there are witnesses to record.
     pub(super) fn has_witnesses_record(&self) -> bool {
         self.next_witnesses.is_some()
@@ -294,7 +299,7 @@
     /// Whether no earlier owner can renew leases any more, and all leases that earlier owners
     /// renewed have expired on every worker, however its clock drifts.
     pub fn are_predecessor_leases_over(&self, now: Instant) -> bool {
-        let max_lease = self.settings.lease_max + self.settings.lease_max / 10;
+        let max_lease = self.max_granted_lease();
         self.succession.predecessors_ended_at.is_some_and(|it| now >= it + max_lease)
     }
 
--- a/daisy-workflow/src/owner/summary.rs
+++ b/daisy-workflow/src/owner/summary.rs
@@ -30,6 +30,10 @@
     pub unconfirmed_runs: usize,
     /// Time until the last of the `unconfirmed_runs` can be treated as ended.
     pub unconfirmed_for: Duration,
+    /// Runs whose start orders may still be carried out.
+    pub open_starts: usize,
+    /// Ends of runs that are not acknowledged yet because their tasks could start again.
+    pub held_ends: usize,
     /// Free processor time on usable workers, in thousandths of a core.
     pub free_cpu: u64,
     /// The part of `free_cpu` on workers with less free processor time than a finite task reserves
@@ -50,10 +54,15 @@
 impl Owner {
     /// Returns the figures of this moment.
     pub fn summary(&self, now: Instant) -> Summary {
-        let mut sum = Summary { jobs: self.active.len(), ..Summary::default() };
+        let mut sum = Summary {
+            jobs: self.active.len(),
+            open_starts: self.open_starts.len(),
+            ..Summary::default()
+        };
         for (_, worker) in self.workers.iter() {
             sum.runs += worker.tasks.len();
             sum.workers += usize::from(worker.listed);
+            sum.held_ends += worker.held_ends.len();
             sum.unresponsive +=
                 usize::from(worker.renewal_failures > 0 && !worker.tasks.is_empty());
             if self.is_usable(now, worker) {
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -32,6 +32,7 @@
     /// Processes everything that is due.
     pub(super) fn tick(&mut self, now: Instant) {
         self.update_predecessors_ended(now);
+        self.expire_open_starts(now);
         self.review_witnesses(now);
         self.renew_due(now);
         self.resend_starts(now);
--- a/daisy-workflow/src/owner/unconfirmed_runs.rs
+++ b/daisy-workflow/src/owner/unconfirmed_runs.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Owner,
-    orders::MAX_ORDER_DELAY,
+    open_starts::MAX_ORDER_DELAY,
     worker::{StartState, Worker},
 };
 use crate::{TaskId, WorkerId};
@@ -97,8 +97,12 @@
     /// worker which has not answered since it restarted: these orders name times far ahead of its
     /// clock.
     fn delayed_starts_over_at(&self, worker: &Worker) -> Option<Instant> {
-        let max_lease = self.settings.lease_max + self.settings.lease_max / 10;
-        worker.restarted_at.map(|it| it + MAX_ORDER_DELAY + max_lease)
+        worker.restarted_at.map(|it| it + MAX_ORDER_DELAY + self.max_granted_lease())
+    }
+
+    /// Returns how long the longest lease that a worker grants may last, however its clock drifts.
+    pub(super) fn max_granted_lease(&self) -> Duration {
+        self.settings.lease_max + self.settings.lease_max / 10
     }
 
     fn is_long_running(&self, task: TaskId) -> bool {
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -169,6 +169,9 @@
     /// the log.
     pub(crate) cursor_seen: u64,
     pub(crate) cursor_durable: u64,
+    /// Ends as done, by number, of tasks of which another start order might still be carried out:
+    /// an end that the worker loses in a crash before it is acknowledged does not count.
+    pub(crate) held_ends: Vec<(u64, TaskId)>,
     /// Start orders that went unanswered and may still be carried out, one per run.
     pub(crate) delayed_starts: Vec<DelayedStart>,
     pub(crate) failures: u32,
@@ -225,6 +228,7 @@
             renewal_failures: 0,
             cursor_seen: 0,
             cursor_durable: 0,
+            held_ends: Vec::new(),
             delayed_starts: Vec::new(),
             failures: 0,
             failed_at: Instant::default(),
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -12,12 +12,12 @@
 
 use self::wire::{
     ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
-    LearnedInterferenceWire, ProgressWire, TransferWire, WitnessAddressesWire, WitnessesWire,
-    state_from_number, state_to_number,
+    LearnedInterferenceWire, OpenStartsWire, ProgressWire, TransferWire, WitnessAddressesWire,
+    WitnessesWire, state_from_number, state_to_number,
 };
 use crate::{
-    FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OutgoingTransfer, OwnerHeartbeat,
-    Progress, PublishedState, ShardId, TaskId, Witnesses,
+    FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
+    OwnerHeartbeat, Progress, PublishedState, ShardId, TaskId, Witnesses,
 };
 
 /// The version that this build writes, and the highest that it reads.
@@ -28,6 +28,8 @@
 const INTERFERENCE_KEY: &str = "learnt";
 /// The key of an owner's witnesses.
 const WITNESSES_KEY: &str = "witnesses";
+/// The key of the runs whose start orders may still be carried out.
+const OPEN_STARTS_KEY: &str = "open-starts";
 /// The key of the layout of shards.
 const LAYOUT_KEY: &str = "layout";
 
@@ -67,6 +69,8 @@
     /// An owner's claim, and the `accepted_by_epoch` of the [`Witnesses`] for which it vouches: the
     /// claimant complies with them, and so do all owners from that epoch up to the claim.
     Claim(Claim, Option<u64>),
+    /// The runs whose start orders may still be carried out.
+    OpenStarts(Vec<OpenStart>),
     /// What the owner has learned about interference between images.
     LearnedInterference(Vec<ImageInterference>),
     /// The workers that must answer a shard's owners while these operate without the log.
@@ -144,6 +148,9 @@
             let wire = (WitnessesWire::from(witnesses), WitnessAddressesWire::from(witnesses));
             (WITNESSES_KEY.to_owned(), encode_framed(wire))
         }
+        Record::OpenStarts(runs) => {
+            (OPEN_STARTS_KEY.to_owned(), encode_framed(OpenStartsWire::from(&runs[..])))
+        }
         Record::Delegated(id, shard) => (format!("delegated-{id}"), encode_framed(shard.0)),
         Record::TaskTransferredOut(id, transfer) => {
             (format!("handed-{id}"), encode_framed((transfer.number, transfer.to.0)))
@@ -198,6 +205,9 @@
         };
         return Ok(Record::Witnesses((wire, addresses).into()));
     }
+    if key == OPEN_STARTS_KEY {
+        return decode_framed::<OpenStartsWire>(value).map(|it| Record::OpenStarts(it.into()));
+    }
     if key == LAYOUT_KEY {
         return match decode_framed(value)? {
             0 => Err(RecordError::Malformed("layout without shards".to_owned())),
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -7,8 +7,8 @@
 
 use super::{Claim, ImageInterference, InterferenceSums, RecordError};
 use crate::{
-    FREE_BLOCKS, IncomingTransfer, JobSpec, JobState, Load, OwnerHeartbeat, Phase, Progress,
-    ShardId, StepSpec, TaskCopy, TaskId, TaskState, Terms, Witness, Witnesses,
+    FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, JobState, Load, OpenStart, OwnerHeartbeat,
+    Phase, Progress, ShardId, StepSpec, TaskCopy, TaskId, TaskState, Terms, Witness, Witnesses,
 };
 
 /// Names images by their position in `images`, so that each pair needs only numbers.
@@ -252,6 +252,32 @@
     }
 }
 
+/// The job, the occurrence, the step, the index, the number of the run, and whether its order was
+/// sent more than once.
+#[derive(Debug, Encode, Decode)]
+pub(super) struct OpenStartsWire(Vec<(u64, u32, u16, u32, u32, bool)>);
+
+impl From<&[OpenStart]> for OpenStartsWire {
+    fn from(runs: &[OpenStart]) -> OpenStartsWire {
+        let wire = |it: &OpenStart| {
+            let TaskId { job, occurrence, step, index } = it.task;
+            (job.0, occurrence, step, index, it.run, it.resent)
+        };
+        OpenStartsWire(runs.iter().map(wire).collect())
+    }
+}
+
+impl From<OpenStartsWire> for Vec<OpenStart> {
+    fn from(wire: OpenStartsWire) -> Vec<OpenStart> {
+        let open_start = |(job, occurrence, step, index, run, resent)| OpenStart {
+            task: TaskId { job: JobId(job), occurrence, step, index },
+            run,
+            resent,
+        };
+        wire.0.into_iter().map(open_start).collect()
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 pub(super) struct JobWire {
     queue: String,
--- a/daisy-workflow/tests/job_transfer.rs
+++ b/daisy-workflow/tests/job_transfer.rs
@@ -249,7 +249,8 @@
 
     let batch = owner.try_batch(at(1_520)).expect("a start is to be recorded");
 
-    let of_jobs = batch.records.iter().filter(|it| !matches!(it, Record::Witnesses(_)));
+    let is_of_job = |it: &&Record| !matches!(it, Record::Witnesses(_) | Record::OpenStarts(_));
+    let of_jobs = batch.records.iter().filter(is_of_job);
     let of_jobs: Vec<&Record> = of_jobs.collect();
     assert!(matches!(of_jobs[..], [Record::Progress(..)]), "{:?}", batch.records);
 }
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -9,7 +9,7 @@
 use daisy_model::Resources;
 use daisy_workflow::{
     Claim, FREE_BLOCKS, FoldEffect, ImageInterference, IncomingTransfer, InterferenceSums, JobId,
-    JobState, Layout, Ledger, Load, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
+    JobState, Layout, Ledger, Load, OpenStart, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
     PublishedState, Record, RecordError, ShardId, SpecError, TaskCopy, TaskState, Witness,
     Witnesses, decode, encode, substitute,
 };
@@ -126,6 +126,10 @@
             }],
         ),
         Record::Witnesses(sample_witnesses()),
+        Record::OpenStarts(vec![
+            OpenStart { task: task(7, 2, 9), run: 1, resent: false },
+            OpenStart { task: task(8, 0, 300), run: 4, resent: true },
+        ]),
         Record::LearnedInterference(vec![ImageInterference {
             serving: "s".into(),
             best_effort: "b".into(),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -55,6 +55,32 @@
     run_seed_unless_others_requested(6).await;
 }
 
+/// Guards against the failure of seed 6: a copy of an order is carried out by the worker's next
+/// incarnation, before any call reaches that, after the acknowledged end of its task.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_copy_of_an_order_starts_nothing_after_an_acknowledged_end() {
+    /// How late the first copy is carried out: after all other events.
+    const FIRST_COPY_DELAY: Duration = Duration::from_secs(8);
+    /// Time for the task's end to be recorded and acknowledged.
+    const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_secs(2);
+    let _exclusive = EXCLUSIVE.lock().await;
+    let mut fleet = Fleet::start(&Plan::without_faults(1, 1)).await;
+    fleet.set_order_delay(0, Some(FIRST_COPY_DELAY));
+    let job = callers::submit_job(&fleet.caller_addresses(), 1).await;
+    fleet
+        .wait_until(|_, log| log.contains("event=start ") && log.contains("outcome=unknown"))
+        .await;
+    fleet.set_order_delay(0, None);
+    fleet.wait_until(|runs, _| runs.iter().any(|(_, it)| it.done)).await;
+    tokio::time::sleep(ACKNOWLEDGEMENT_TIME).await;
+
+    fleet.restart_unreachable_worker(0);
+    fleet.wait_until(|runs, _| runs.len() == 2).await;
+    fleet.end_all_faults().await;
+
+    assert_eq!(promises::violations(&[job], &fleet.runs()), Vec::<String>::new());
+}
+
 /// Runs a seed that failed once, unless other seeds are requested.
 async fn run_seed_unless_others_requested(seed: u64) {
     let _exclusive = EXCLUSIVE.lock().await;
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -80,6 +80,35 @@
     }
 }
 
+/// Submits a job of `task_count` tasks to the first VM that accepts it.
+pub async fn submit_job(vms: &[SocketAddr], task_count: usize) -> SubmittedJob {
+    let http = Http::new(None);
+    let mut job = new_job(1, task_count);
+    for vm in vms {
+        let body = job_body(task_count);
+        let status = send_request(&http, *vm, Method::POST, &job.id, body).await.0;
+        job.submit_statuses.push(status);
+        if status == 200 {
+            job.accepted_at = Some(Instant::now());
+            return job;
+        }
+    }
+    panic!("no VM accepted the job: {:?}", job.submit_statuses);
+}
+
+/// Returns a job that is not submitted yet.
+fn new_job(id: u64, task_count: usize) -> SubmittedJob {
+    SubmittedJob {
+        id: format!("{id:016x}"),
+        task_count,
+        submit_statuses: Vec::new(),
+        accepted_at: None,
+        cancel_sent_at: None,
+        cancelled_at: None,
+        answers: Vec::new(),
+    }
+}
+
 async fn submit_jobs_until(
     until: Instant,
     mut rng: Rng,
@@ -97,16 +126,7 @@
 /// Submits a job and polls its state some times; one accepted job in six is cancelled.
 async fn submit_and_poll_job(http: &Http, rng: &mut Rng, vms: &[SocketAddr]) -> SubmittedJob {
     let task_count = rng.usize(1..=6);
-    let id = format!("{:016x}", rng.u64(..));
-    let mut job = SubmittedJob {
-        id,
-        task_count,
-        submit_statuses: Vec::new(),
-        accepted_at: None,
-        cancel_sent_at: None,
-        cancelled_at: None,
-        answers: Vec::new(),
-    };
+    let mut job = new_job(rng.u64(..), task_count);
     for _ in 0..SUBMIT_TRIES_MAX {
         let vm = vms[rng.usize(..vms.len())];
         let status = send_request(http, vm, Method::POST, &job.id, job_body(task_count)).await.0;
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -174,6 +174,31 @@
         }
     }
 
+    /// Makes a worker delay the orders to start that it receives, or end that fault.
+    pub fn set_order_delay(&self, worker: usize, delay: Option<Duration>) {
+        let fault = delay.map_or(WorkerFault::None, WorkerFault::DelaysStarts);
+        self.workers[worker].set_fault(fault);
+    }
+
+    /// Cuts a worker off from all processes, crashes it, and restarts it under its id.
+    pub fn restart_unreachable_worker(&self, worker: usize) {
+        self.worker_links[worker].set_faults(link_faults(LinkFault::Cut));
+        self.workers[worker].crash();
+    }
+
+    /// Waits until `is_met` returns true for the runs and for what all processes have logged.
+    pub async fn wait_until(&self, is_met: impl Fn(&[(usize, StartedRun)], &str) -> bool) {
+        let began = Instant::now();
+        loop {
+            let log_text: String = self.processes.iter().map(Process::log_text).collect();
+            if is_met(&self.runs(), &log_text) {
+                return;
+            }
+            assert!(began.elapsed() < READY_TIMEOUT, "the condition was not met in time");
+            sleep(SCHEDULE_INTERVAL).await;
+        }
+    }
+
     fn set_log_fault(&mut self, fault: LogFault, until: Instant) {
         self.log.set_fault(fault);
         self.scheduled_ends.push((until, FaultEnd::RestoreLog));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -87,6 +87,17 @@
         let clock_permille = (0..workers).map(|_| rng.u64(980..=1_000)).collect();
         Plan { vms, workers, duration, faults, clock_permille }
     }
+
+    /// Returns a schedule without faults, in which nothing is submitted.
+    pub fn without_faults(vms: usize, workers: usize) -> Plan {
+        Plan {
+            vms,
+            workers,
+            duration: Duration::ZERO,
+            faults: Vec::new(),
+            clock_permille: vec![1_000; workers],
+        }
+    }
 }
 
 fn random_time(rng: &mut Rng, millis: std::ops::Range<u64>) -> Duration {
