Wait for a late order to a silent worker that the platform's list of machines names

What callers saw: nothing yet. A task could run in two places: its order went unanswered, its worker crashed and restarted under its id where neither the owner nor the list of workers sees it, and carries the order out there, while the task runs elsewhere.

Cause: an owner gives up the runs of a silent worker when the leases that it knows of are over. An order that is still under way is carried out up to 12 s after it was sent, and the next incarnation grants the longest lease, as the order names a time far ahead of its clock. No call can prevent that, so the task has to wait; but most silent workers have ended, and tasks that last must not wait for these.

Change: an owner that has a run with an open start order on a silent worker reads the platform's list of machines, once a second. While that names the worker, which includes a restart under its id, the run is kept until a late order and the longest lease are over. Otherwise, also where the list cannot be read, it is given up as before. The new owner knows the open orders from the log.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -10,7 +10,7 @@
 
 use daisy_http::Http;
 use daisy_model::{Instant, SortedMap};
-use daisy_platform::{Guard, Topic, WorkerCalls};
+use daisy_platform::{Guard, MachineList, Topic, WorkerCalls};
 use daisy_workflow::{
     Action, Claim, Event, JobId, Layout, Ledger, Owner, OwnerHeartbeat, OwnershipStart,
     PlacementRules, PublishedState, Record, Settings, ShardId, StatePublisher, TickDelay,
@@ -34,6 +34,10 @@
 /// worker) after a renewal that was 1.5 s ago. It should be short, as the tasks of a lost worker
 /// are started again only after this time.
 const LEASE: Duration = Duration::from_millis(5_000);
+/// The interval at which the list of machines is read while a decision depends on it.
+const MACHINES_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long a page of the list of machines may take.
+const MACHINES_TIMEOUT: Duration = Duration::from_millis(900);
 /// The interval of the owner's ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The shortest time between two appends of progress, so that one append carries several records:
@@ -137,6 +141,12 @@
             measurements_shared_at: now,
             tick_delay: TickDelay::new(now, TICK_INTERVAL),
             summary_logged_at: now,
+            machine_list: self
+                .context
+                .settings
+                .machines_address
+                .map(|it| MachineList::new(Http::new(None), it)),
+            machines_requested_at: now - MACHINES_INTERVAL,
             logged_unconfirmed_runs: Vec::new(),
             ownership: self,
         };
@@ -196,6 +206,9 @@
     /// When interference measurements were last shared with other owners.
     measurements_shared_at: Instant,
     tick_delay: TickDelay,
+    machine_list: Option<MachineList>,
+    /// When the list of machines was last requested.
+    machines_requested_at: Instant,
     /// When a summary was last logged.
     summary_logged_at: Instant,
     /// The runs whose outcome was unconfirmed when a summary was last logged.
@@ -238,6 +251,7 @@
                         self.ownership.context.shared.lock().directory.loads(self.ownership.shard);
                     self.owner.handle_event(now, Event::Loads(loads));
                     self.owner.handle_event(now, Event::Tick);
+                    self.read_machines(now);
                     if self.tick_delay.record_tick(now) {
                         return self.release(outcomes, EndCause::TooSlow).await;
                     }
@@ -375,6 +389,29 @@
         self.logged_unconfirmed_runs = unconfirmed_runs;
     }
 
+    /// Reads the platform's list of machines if a decision depends on it.
+    fn read_machines(&mut self, now: Instant) {
+        let Some(list) = &self.machine_list else { return };
+        if now.since(self.machines_requested_at) < MACHINES_INTERVAL
+            || !self.owner.awaits_machines(now)
+        {
+            return;
+        }
+        self.machines_requested_at = now;
+        let (list, events) = (list.clone(), self.calls.events.clone());
+        tokio::spawn(async move {
+            match list.workers(MACHINES_TIMEOUT).await {
+                Ok(workers) => {
+                    log::info!("event=machines_read workers={}", workers.len());
+                    // Sending fails once the owner has stepped down, and the event no longer
+                    // matters.
+                    let _ = events.send(Event::MachinesListed { requested_at: now, workers });
+                }
+                Err(e) => log::warn!("event=machines_unreadable cause=\"{e}\""),
+            }
+        });
+    }
+
     fn call_worker(&self, key: WorkerKey, action: Action) {
         if let Some(worker) = self.owner.worker(key) {
             self.calls.begin(key, worker, action);
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -174,6 +174,8 @@
     worker: WorkerId,
     task: TaskId,
     run: u32,
+    /// When the last list of the platform's machines was requested, if it names the worker.
+    named_at: Option<Instant>,
 }
 
 /// A batch that is being appended to the log.
@@ -265,7 +267,7 @@
         for (worker, task, run) in copies {
             match self.by_id.get(&worker).copied() {
                 Some(key) => self.adopt_run(now, key, task, run, StartState::Inherited),
-                None => self.orphans.push(Orphan { worker, task, run }),
+                None => self.orphans.push(Orphan { worker, task, run, named_at: None }),
             }
         }
     }
@@ -279,6 +281,9 @@
                 self.workers_listed(now, &listed);
             }
             Event::ListUnchanged => self.list_read_at = now,
+            Event::MachinesListed { requested_at, workers } => {
+                self.machines_listed(requested_at, &workers);
+            }
             Event::QueueConfig(queues) => {
                 if queues.version >= self.queues.version {
                     self.queues = queues;
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -155,6 +155,13 @@
     Workers(Vec<WorkerListing>),
     /// The platform's list of workers was read and has not changed.
     ListUnchanged,
+    /// The platform's complete list of machines was read.
+    MachinesListed {
+        /// When the list was requested.
+        requested_at: Instant,
+        /// The workers on the machines, sorted.
+        workers: Vec<WorkerId>,
+    },
     /// A new version of the queue configuration.
     QueueConfig(Arc<QueueConfig>),
     /// The answer to [`Action::Renew`]; `None` if the call was not answered.
--- a/daisy-workflow/src/owner/open_starts.rs
+++ b/daisy-workflow/src/owner/open_starts.rs
@@ -10,10 +10,13 @@
 use daisy_model::{Instant, SortedMap};
 
 use super::{Owner, worker::WorkerKey};
-use crate::{Record, TaskId};
+use crate::{Record, TaskId, WorkerId};
 
 /// How long after it was sent an order may still be carried out: the platform specifies up to 12 s.
 pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
+/// How long the platform's list of machines is taken to be current, counted from its request. It is
+/// read once a second while it decides.
+const MACHINES_VALIDITY: Duration = Duration::from_millis(2_500);
 /// How long the log may list runs as open that no longer are, before a batch is appended for that
 /// alone.
 const MAX_RECORD_STALENESS: Duration = Duration::from_millis(500);
@@ -219,6 +222,56 @@
 }
 
 impl Owner {
+    /// Returns when the run has ended with the longest lease if its worker carried out a copy of its
+    /// order as late as possible; `None` if there is no open copy.
+    fn late_run_over_at(&self, now: Instant, task: TaskId, run: u32) -> Option<Instant> {
+        let it = self.open_starts.copies.get(&(task, run)).filter(|it| it.open() > 0)?;
+        let last_sent_at = it.last_sent_at.unwrap_or(now);
+        Some(last_sent_at + MAX_ORDER_DELAY + self.max_granted_lease())
+    }
+
+    /// Returns until when a worker without answers may be running `run`, started by a late copy of
+    /// its order: it may have restarted unseen, and its next incarnation grants the longest lease.
+    ///
+    /// `None` unless the platform's list of machines, requested at `named_at`, still names the
+    /// worker: one that has ended carries out nothing, and its tasks must not wait.
+    pub(super) fn late_run_expected_until(
+        &self,
+        now: Instant,
+        named_at: Option<Instant>,
+        task: TaskId,
+        run: u32,
+    ) -> Option<Instant> {
+        let is_named = named_at.is_some_and(|at| now.since(at) < MACHINES_VALIDITY);
+        self.late_run_over_at(now, task, run).filter(|over_at| is_named && now < *over_at)
+    }
+
+    /// Whether the platform's list of machines decides if a run may still be started late.
+    pub fn awaits_machines(&self, now: Instant) -> bool {
+        if self.open_starts.copies.is_empty() {
+            return false;
+        }
+        let is_late = |task, run| self.late_run_over_at(now, task, run).is_some_and(|it| now < it);
+        let unreachable = self.workers.iter().filter(|(_, it)| it.is_unreachable() && !it.replaced);
+        let mut tasks = unreachable.flat_map(|(_, it)| &it.tasks);
+        tasks.any(|it| is_late(it.task, it.run))
+            || self.orphans.iter().any(|it| is_late(it.task, it.run))
+    }
+
+    /// Processes the platform's list of machines, requested at `requested_at`: `workers` are those
+    /// that it names, sorted.
+    pub(super) fn machines_listed(&mut self, requested_at: Instant, workers: &[WorkerId]) {
+        let is_named = |id: &WorkerId| workers.binary_search(id).is_ok();
+        for at in 0..self.workers.len() {
+            if let Some(worker) = self.workers.get_mut(WorkerKey(at as u32)) {
+                worker.named_at = is_named(&worker.id).then_some(requested_at);
+            }
+        }
+        for it in &mut self.orphans {
+            it.named_at = is_named(&it.worker).then_some(requested_at);
+        }
+    }
+
     /// Removes the start orders that cannot be carried out any more, and those of reachable workers
     /// whose lists show whether they were.
     pub(super) fn expire_open_starts(&mut self, now: Instant) {
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -5,7 +5,7 @@
 use daisy_model::Instant;
 
 use super::{
-    Owner,
+    Orphan, Owner,
     message::StopCause,
     worker::{Assignment, StartState, StopState, Worker, WorkerKey},
 };
@@ -52,14 +52,23 @@
     /// Gives up all runs on an unreachable worker once its last lease has expired for certain.
     fn give_up_unreachable(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
-        if worker.tasks.is_empty() || (worker.renewal_failures == 0 && worker.listed) {
+        if worker.tasks.is_empty() || !worker.is_unreachable() {
             return;
         }
         if self.runs_over_at(worker).is_none_or(|it| now < it) {
             return;
         }
+        let over: Vec<(TaskId, u32)> = worker
+            .tasks
+            .iter()
+            .filter(|it| it.start_state != StartState::Recording)
+            .filter(|it| {
+                self.late_run_expected_until(now, worker.named_at, it.task, it.run).is_none()
+            })
+            .map(|it| (it.task, it.run))
+            .collect();
         self.give_up_runs(now, key, "its worker is silent and its lease has run out", |it| {
-            it.start_state != StartState::Recording
+            over.contains(&(it.task, it.run))
         });
     }
 
@@ -84,7 +93,12 @@
         if self.orphans.is_empty() || self.inherited_leases_end().is_none_or(|it| now < it) {
             return;
         }
-        for it in std::mem::take(&mut self.orphans) {
+        let (waiting, over): (Vec<Orphan>, Vec<Orphan>) =
+            std::mem::take(&mut self.orphans).into_iter().partition(|it| {
+                self.late_run_expected_until(now, it.named_at, it.task, it.run).is_some()
+            });
+        self.orphans = waiting;
+        for it in over {
             self.remove_copy(it.task, it.run, "");
             self.note_displaced(now, it.task);
         }
--- a/daisy-workflow/src/owner/unconfirmed_runs.rs
+++ b/daisy-workflow/src/owner/unconfirmed_runs.rs
@@ -62,27 +62,36 @@
             let Some(cause) = unconfirmed_cause(worker) else { continue };
             let over_at =
                 self.runs_over_at(worker).unwrap_or_else(|| self.latest_inherited_leases_end(now));
-            let time_left = over_at.since(now);
             let long_running = worker
                 .tasks
                 .iter()
                 .filter(|it| it.is_long_running && it.start_state != StartState::Recording);
-            found.extend(long_running.map(|it| UnconfirmedRun {
-                task: it.task,
-                run: it.run,
-                worker: worker.id.clone(),
-                cause,
-                time_left,
+            found.extend(long_running.map(|it| {
+                UnconfirmedRun {
+                    task: it.task,
+                    run: it.run,
+                    worker: worker.id.clone(),
+                    cause,
+                    time_left: self
+                        .late_run_expected_until(now, worker.named_at, it.task, it.run)
+                        .map_or(over_at, |it| it.max(over_at))
+                        .since(now),
+                }
             }));
         }
-        let time_left = self.latest_inherited_leases_end(now).since(now);
+        let over_at = self.latest_inherited_leases_end(now);
         let long_running = self.orphans.iter().filter(|it| self.is_long_running(it.task));
-        found.extend(long_running.map(|it| UnconfirmedRun {
-            task: it.task,
-            run: it.run,
-            worker: it.worker.clone(),
-            cause: UnconfirmedCause::NotListed,
-            time_left,
+        found.extend(long_running.map(|it| {
+            UnconfirmedRun {
+                task: it.task,
+                run: it.run,
+                worker: it.worker.clone(),
+                cause: UnconfirmedCause::NotListed,
+                time_left: self
+                    .late_run_expected_until(now, it.named_at, it.task, it.run)
+                    .map_or(over_at, |it| it.max(over_at))
+                    .since(now),
+            }
         }));
         found
     }
@@ -114,7 +123,7 @@
 
 /// Returns why it is unknown what runs on a worker, if it is.
 fn unconfirmed_cause(worker: &Worker) -> Option<UnconfirmedCause> {
-    match (worker.clock, worker.renewal_failures > 0 || !worker.listed) {
+    match (worker.clock, worker.is_unreachable()) {
         (None, _) => Some(UnconfirmedCause::NeverAnswered),
         (Some(_), true) => Some(UnconfirmedCause::Unresponsive),
         (Some(_), false) => None,
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -159,6 +159,8 @@
     /// Whether another incarnation has answered at the worker's address, so that the known one has
     /// ended.
     pub(crate) replaced: bool,
+    /// When the last list of the platform's machines was requested, if it names the worker.
+    pub(crate) named_at: Option<Instant>,
     pub(crate) renewal_in_flight: bool,
     pub(crate) renewal_answered_at: Instant,
     pub(crate) renewal_sent_at: Instant,
@@ -221,6 +223,7 @@
             fenced: false,
             restarted_at: None,
             replaced: false,
+            named_at: None,
             renewal_in_flight: false,
             renewal_answered_at: Instant::default(),
             renewal_sent_at: Instant::default(),
@@ -333,6 +336,11 @@
         Some(it)
     }
 
+    /// Whether the worker does not answer, or the platform's list no longer names it.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.renewal_failures > 0 || !self.listed
+    }
+
     /// Whether the worker has `label`, such as its rack `r1-3`.
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.labels.iter().any(|it| &**it == label)
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -6,7 +6,7 @@
 use daisy_model::Instant;
 use daisy_workflow::{
     Action, Batch, Claim, Event, JobId, JobSpec, Layout, Ledger, Owner, Record, ShardId, Start,
-    TaskId, Witnesses, WorkerKey, WorkerListing,
+    TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
 };
 
 use super::{
@@ -139,6 +139,9 @@
     /// How long calls to workers are in flight; they are then carried out even if the link was cut
     /// meanwhile.
     pub call_latency: Duration,
+    /// Whether owners can read the platform's list of machines, which names all workers that are up,
+    /// whoever reaches them.
+    pub lists_machines: bool,
     /// Number of orders to start a task that were sent to a worker which had been replaced.
     pub starts_for_replaced: usize,
     vms: Vec<Vm>,
@@ -178,6 +181,7 @@
             receives_log_first: true,
             ignores_witnesses: false,
             call_latency: Duration::ZERO,
+            lists_machines: false,
             starts_for_replaced: 0,
             vms: (0..vms).map(|_| Vm::default()).collect(),
             blocked_links: Vec::new(),
@@ -597,6 +601,14 @@
             process.listed_at = Some(now);
             let listed = self.worker_entries.iter().map(|(_, it)| it.clone()).collect();
             process.owner.handle_event(now, Event::Workers(listed));
+            if self.lists_machines && process.owner.awaits_machines(now) {
+                let up = (0..self.workers.len()).filter(|at| !self.is_down(*at));
+                let mut workers: Vec<WorkerId> =
+                    up.map(|at| self.workers[at].name.as_str().into()).collect();
+                workers.sort_unstable();
+                let event = Event::MachinesListed { requested_at: now, workers };
+                process.owner.handle_event(now, event);
+            }
         }
     }
 
