Start nothing in a data centre that operators evacuate

Cause: only the configuration was followed of the operators' records.

Change: the operators' records are folded into a set of evacuated data centres, which each owner gets with the time of the read: a new owner and a VM that has just started before their first start, as without a read nothing starts. Placing, sending after the record, sending again, reservations, relocations, gangs, copies and the load told to other shards all ask it. An unanswered start there is stopped, so that its task may start elsewhere. What is older than 3 s (3.4 s at sending) starts nothing: the records are read about once a second, and such an owner can hardly record starts either. What runs there ends by itself. A record that cannot be parsed changes nothing.

--- a/daisy-measure/src/overload/simulation.rs
+++ b/daisy-measure/src/overload/simulation.rs
@@ -177,6 +177,8 @@
         if steps_done.is_multiple_of(HEARTBEAT_STEPS) || steps_done == 1 {
             let listed = shard.workers.iter().map(Worker::listing).collect();
             shard.owner.handle_event(now, Event::Workers(listed));
+            let evacuations = Arc::default();
+            shard.owner.handle_event(now, Event::EvacuationsRead { read_at: now, evacuations });
         }
         let (due, later) =
             std::mem::take(&mut shard.events).into_iter().partition(|it| it.0 <= now);
--- a/daisy-measure/src/overload/worker.rs
+++ b/daisy-measure/src/overload/worker.rs
@@ -79,6 +79,7 @@
             id: self.name.as_str().into(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             service: "shop".into(),
+            data_centre: "here".into(),
             ready: true,
             capacity: self.capacity,
             labels: Vec::new(),
--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod metrics;
 mod node;
+mod operators;
 mod own;
 mod readiness;
 mod shared;
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use daisy_workflow::ShardId;
+use daisy_workflow::{Evacuations, ShardId};
 use http::{Method, StatusCode};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -33,6 +33,11 @@
     shard: u16,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DataCentreLabels {
+    data_centre: String,
+}
+
 /// The metrics of a process.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -45,6 +50,7 @@
     ownership: Family<OutcomeLabels, Counter>,
     backlog: Family<ShardLabels, Gauge>,
     usable_workers: Family<ShardLabels, Gauge>,
+    evacuated: Family<DataCentreLabels, Gauge>,
 }
 
 impl Metrics {
@@ -60,6 +66,7 @@
             ownership: Family::default(),
             backlog: Family::default(),
             usable_workers: Family::default(),
+            evacuated: Family::default(),
         };
         let mut registry = Registry::with_prefix("daisyshift");
         registry.register("requests", "Callers' requests", metrics.requests.clone());
@@ -73,6 +80,8 @@
         registry.register("backlog", "Jobs not ended", metrics.backlog.clone());
         let help = "Workers that take new tasks";
         registry.register("usable_workers", help, metrics.usable_workers.clone());
+        let help = "Data centres whose workers get no new tasks";
+        registry.register("evacuated", help, metrics.evacuated.clone());
         *metrics.registry.lock().unwrap_or_else(PoisonError::into_inner) = registry;
         metrics
     }
@@ -117,6 +126,15 @@
         self.usable_workers.get_or_create(&labels).set(usable_workers as i64);
     }
 
+    /// Sets which data centres are evacuated.
+    pub fn set_evacuations(&self, evacuations: &Evacuations) {
+        self.evacuated.clear();
+        for (data_centre, _) in evacuations.iter() {
+            let labels = DataCentreLabels { data_centre: data_centre.to_owned() };
+            self.evacuated.get_or_create(&labels).set(1);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn to_text(&self) -> String {
         let mut text = String::new();
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use daisy_http::Http;
-use daisy_platform::{LogClient, NodeSettings, Topic, parse_queue_config, parse_settings};
+use daisy_platform::{LogClient, NodeSettings, parse_settings};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
@@ -15,8 +15,8 @@
     append::Appender,
     callers,
     elect::{self, ElectionContext},
-    follow::TopicReader,
     metrics::Metrics,
+    operators::follow_operators,
     readiness,
     shared::Shared,
     states::{choose_layout, follow_states},
@@ -29,10 +29,6 @@
 /// How long before the end of a planned stop's grace period the process stops waiting for open
 /// requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// How long a read of the configuration waits for a record.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
-/// The pause between reads until a configuration has been read.
-const CONFIGURATION_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Runs an entry VM with the settings file at `path`, until SIGTERM and the planned stop that
 /// follows.
@@ -55,7 +51,7 @@
         appender: Appender::start(log_client.clone(), shared.clone()),
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
-    tokio::spawn(follow_configuration(log_client.clone(), shared.clone()));
+    tokio::spawn(follow_operators(log_client.clone(), shared.clone(), metrics.clone()));
     tokio::spawn(follow_states(log_client.clone(), shared.clone()));
     tokio::spawn(choose_layout(log_client.clone(), shared.clone(), settings.partitions));
     let serving_task = tokio::spawn(callers::serve(
@@ -116,25 +112,3 @@
         }
     }
 }
-
-async fn follow_configuration(log_client: LogClient, shared: Shared) {
-    let mut reader = TopicReader::new(log_client, Topic::Operators);
-    loop {
-        let Some(read) = reader.try_read(READ_WAIT).await else { continue };
-        for it in read.records {
-            match parse_queue_config(&it.key, &it.value) {
-                Some(Ok(queues)) => shared.lock().apply_configuration(queues),
-                Some(Err(cause)) => {
-                    log::warn!(
-                        "event=configuration_unreadable offset={} cause=\"{cause}\"",
-                        it.offset
-                    );
-                }
-                None => {}
-            }
-        }
-        if shared.lock().queues.is_none() {
-            sleep(CONFIGURATION_RETRY_INTERVAL).await;
-        }
-    }
-}
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -7,7 +7,7 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Directory, Event, JobId, JobState, LogReachability, QueueConfig, Record, ShardId,
+    Directory, Evacuations, Event, JobId, JobState, LogReachability, QueueConfig, Record, ShardId,
 };
 use tokio::sync::mpsc;
 
@@ -24,6 +24,8 @@
     pub directory: Directory,
     /// The newest configuration, once one has been read.
     pub queues: Option<Arc<QueueConfig>>,
+    /// The operators' requests to evacuate data centres, and when they were last read to their end.
+    evacuations: Option<(Instant, Arc<Evacuations>)>,
     /// The time at which the topic of states was last read to its end, and the offset of that end.
     pub states_caught_up: Option<(Instant, u64)>,
     /// The reachability of the log, judged by the reads of the topic of states.
@@ -93,8 +95,21 @@
         self.queues = Some(queues);
     }
 
-    /// Registers the event channel of the owner of a shard that this process now owns.
+    /// Applies the operators' requests to evacuate data centres as they were read at `read_at`.
+    pub fn apply_evacuations(&mut self, read_at: Instant, evacuations: Arc<Evacuations>) {
+        self.evacuations = Some((read_at, evacuations.clone()));
+        let event = Event::EvacuationsRead { read_at, evacuations };
+        self.owner_events.retain(|_, tx| tx.send(event.clone()).is_ok());
+    }
+
+    /// Registers the event channel of the owner of a shard that this process now owns, and tells
+    /// the owner which data centres are evacuated.
     pub fn register_owner(&mut self, shard: ShardId, events: mpsc::UnboundedSender<Event>) {
+        if let Some((read_at, evacuations)) = self.evacuations.clone()
+            && events.send(Event::EvacuationsRead { read_at, evacuations }).is_err()
+        {
+            return;
+        }
         self.owner_events.insert(shard, events);
     }
 
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -14,6 +14,7 @@
 mod balance;
 mod directory;
 mod election;
+mod evacuation;
 mod id;
 mod ledger;
 mod log_health;
@@ -33,6 +34,7 @@
     balance::{Demand, FREE_BLOCKS, Load, OtherShards},
     directory::{Directory, OwnerHeartbeat, PublishedState, ReceivedHeartbeat},
     election::{Candidate, Election, ElectionDecision},
+    evacuation::{EvacuationRequest, Evacuations},
     id::{JobId, ParseIdError, TaskId, WorkerId},
     ledger::{FoldEffect, Job, JobState, Ledger},
     log_health::{LogHealth, SendDecision},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -8,6 +8,7 @@
 mod best_effort;
 mod defragment;
 mod delegate;
+mod evacuation;
 mod intake;
 mod interference;
 mod message;
@@ -32,6 +33,7 @@
 
 use self::{
     defragment::Relocation,
+    evacuation::KnownEvacuations,
     interference::Interference,
     open_starts::OpenStarts,
     placement::Reservation,
@@ -121,6 +123,7 @@
     by_id: SortedMap<WorkerId, WorkerKey>,
     /// When the platform's list of workers was last read.
     list_read_at: Instant,
+    evacuations: KnownEvacuations,
     /// Jobs that have not ended.
     active: SortedMap<JobId, JobView>,
     /// Jobs whose progress has to be recorded.
@@ -214,6 +217,7 @@
             workers: Arena::new(),
             by_id: SortedMap::new(),
             list_read_at: now,
+            evacuations: KnownEvacuations::default(),
             active: SortedMap::new(),
             unrecorded_jobs: Vec::new(),
             delegating: Vec::new(),
@@ -281,6 +285,9 @@
                 self.workers_listed(now, &listed);
             }
             Event::ListUnchanged => self.list_read_at = now,
+            Event::EvacuationsRead { read_at, evacuations } => {
+                self.evacuations_read(read_at, evacuations);
+            }
             Event::MachinesListed { requested_at, workers } => {
                 self.machines_listed(requested_at, &workers);
             }
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -79,8 +79,13 @@
     /// Returns the shard's capacity and the demand on it.
     fn demand(&self, now: Instant) -> Load {
         let mut load = Load::default();
-        let is_reachable = |it: &Worker| it.listed && it.ready && it.renewal_failures == 0;
-        for (_, worker) in self.workers.iter().filter(|(_, it)| is_reachable(it)) {
+        let counts = |it: &Worker| {
+            it.listed
+                && it.ready
+                && it.renewal_failures == 0
+                && self.evacuations.allows_placement(now, &it.data_centre)
+        };
+        for (_, worker) in self.workers.iter().filter(|(_, it)| counts(it)) {
             load.capacity += u64::from(worker.capacity.cpu_milli);
         }
         for (id, _) in self.active.iter() {
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -5,8 +5,8 @@
 use daisy_model::{Instant, Resources, SortedMap};
 
 use crate::{
-    InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId, WorkerId,
-    owner::WorkerKey,
+    Evacuations, InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId,
+    WorkerId, owner::WorkerKey,
 };
 
 /// A worker in the platform's list of workers.
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     /// Service that the worker belongs to.
     pub service: Arc<str>,
+    /// Data centre that the worker is in.
+    pub data_centre: Arc<str>,
     /// Whether the worker accepts new tasks; `false` while it drains.
     pub ready: bool,
     /// Total resources of the worker.
@@ -155,6 +157,13 @@
     Workers(Vec<WorkerListing>),
     /// The platform's list of workers was read and has not changed.
     ListUnchanged,
+    /// The operators' requests to evacuate data centres were read to their end.
+    EvacuationsRead {
+        /// When they were read.
+        read_at: Instant,
+        /// The data centres that are evacuated.
+        evacuations: Arc<Evacuations>,
+    },
     /// The platform's complete list of machines was read.
     MachinesListed {
         /// When the list was requested.
@@ -211,6 +220,8 @@
     NoProgress,
     /// The worker exits before the run would end.
     Draining,
+    /// The start order was not answered, and the worker's data centre is evacuated.
+    Evacuated,
     /// The start order may still be carried out, after the worker rejected it once or restarted.
     PossiblyDelayed,
     /// The worker's lists do not contain the run, though it was started.
@@ -229,6 +240,7 @@
             StopCause::Moved => "moved to make space for another task",
             StopCause::NoProgress => "no progress",
             StopCause::Draining => "its worker drains",
+            StopCause::Evacuated => "its data centre is evacuated",
             StopCause::PossiblyDelayed => "its order may be carried out late",
             StopCause::Absent => "its worker does not list it",
             StopCause::Unknown => "unknown to this owner",
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -68,14 +68,17 @@
         let Some(start_state) = worker.find(task, run).map(|it| it.start_state) else { return };
         // The worker may have changed while the record was being stored.
         let is_reachable = worker.fenced && worker.renewal_failures == 0;
-        let accepts_starts = is_reachable && worker.ready && is_list_current;
+        let accepts_starts = is_reachable
+            && worker.ready
+            && is_list_current
+            && self.evacuations.allows_start(now, &worker.data_centre);
         let has_capacity = accepts_starts && worker.used.fits(worker.capacity);
         let may_send = has_capacity || start_state != StartState::Recording;
         let lease_end = if wanted && may_send { worker.lease_end(now, lease) } else { None };
         let Some(it) = worker.find(task, run) else { return };
         let Some(deadline_ms) = lease_end else {
-            // The task is not wanted any more, does not fit, or its worker drains, is unreachable
-            // or has just restarted: nothing was sent.
+            // The task is not wanted any more, does not fit, or its worker drains, is unreachable,
+            // has just restarted or is in an evacuated data centre: nothing was sent.
             self.unassign(key, task, run);
             return;
         };
@@ -260,8 +263,13 @@
                 .map(|it| (it.task, it.run))
                 .collect();
             // No lease is granted while a worker does not answer, so that its leases expire. A
-            // draining worker must start nothing, also what was ordered before.
-            if worker.renewal_failures > 0 || worker.clock.is_none() || !worker.ready {
+            // draining worker must start nothing, also what was ordered before, nor must one in an
+            // evacuated data centre.
+            let accepts_starts = worker.renewal_failures == 0
+                && worker.clock.is_some()
+                && worker.ready
+                && self.evacuations.allows_start(now, &worker.data_centre);
+            if !accepts_starts {
                 continue;
             }
             for (task, run) in due {
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -96,6 +96,7 @@
         let was_listed = std::mem::replace(&mut worker.listed, true);
         worker.address = listed.address;
         worker.service = listed.service.clone();
+        worker.data_centre = listed.data_centre.clone();
         worker.capacity = listed.capacity;
         if worker.labels != listed.labels {
             worker.labels = listed.labels.clone();
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -41,6 +41,7 @@
             self.give_up_unreachable(now, key);
             self.stop_without_progress(now, key);
             self.stop_on_draining(now, key);
+            self.stop_on_evacuated(now, key);
         }
         self.give_up_orphans(now);
         self.send_stops(now);
@@ -184,6 +185,7 @@
             && worker.renewal_failures == 0
             && worker.clock.is_some()
             && worker.excluded_until <= now
+            && self.evacuations.allows_placement(now, &worker.data_centre)
     }
 }
 
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -134,6 +134,7 @@
     /// Address at which the worker accepts calls.
     pub address: SocketAddr,
     pub(crate) service: Arc<str>,
+    pub(crate) data_centre: Arc<str>,
     pub(crate) labels: Vec<Arc<str>>,
     pub(crate) capacity: Resources,
     pub(crate) used: Resources,
@@ -209,6 +210,7 @@
             id: listed.id.clone(),
             address: listed.address,
             service: listed.service.clone(),
+            data_centre: listed.data_centre.clone(),
             labels: listed.labels.clone(),
             capacity: listed.capacity,
             used: Resources::ZERO,
@@ -251,6 +253,7 @@
             id: witness.worker.clone(),
             address,
             service: "".into(),
+            data_centre: "".into(),
             ready: false,
             capacity: Resources::ZERO,
             labels: Vec::new(),
--- a/daisy-workflow/tests/job_transfer.rs
+++ b/daisy-workflow/tests/job_transfer.rs
@@ -7,7 +7,7 @@
     Action, Demand, Event, JobId, JobSpec, JobState, Layout, Ledger, Load, OtherShards, Owner,
     OwnershipStart, PlacementRules, Progress, Record, Settings, ShardId, TaskCopy,
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use util::{CORE, FakeWorker, best_effort, job, long_running_step, step};
 
 const LAYOUT: Layout = Layout { shards: 2 };
@@ -51,6 +51,8 @@
 /// Adds a worker to the list and answers the owner's first renewals.
 fn answer_first_renewals(owner: &mut Owner, worker: &mut FakeWorker, now: Instant) {
     owner.handle_event(now, Event::Workers(vec![worker.listing()]));
+    let evacuations = Arc::default();
+    owner.handle_event(now, Event::EvacuationsRead { read_at: now, evacuations });
     for action in owner.take_actions(now) {
         let Action::Renew { worker: key, deadline_ms, cursor, .. } = action else { continue };
         let answer = worker.hold(now, 1, deadline_ms, cursor);
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -1,12 +1,12 @@
 //! Simulates several owners that run at the same time, each of which reaches some of the store and
 //! of the workers.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Claim, Event, JobId, JobSpec, Layout, Ledger, Owner, Record, ShardId, Start,
-    TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
+    Action, Batch, Claim, Evacuations, Event, JobId, JobSpec, Layout, Ledger, Owner, Record,
+    ShardId, Start, TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
 };
 
 use super::{
@@ -142,6 +142,8 @@
     /// Whether owners can read the platform's list of machines, which names all workers that are up,
     /// whoever reaches them.
     pub lists_machines: bool,
+    /// The operators' requests to evacuate data centres, in the store.
+    pub evacuations: Evacuations,
     /// Number of orders to start a task that were sent to a worker which had been replaced.
     pub starts_for_replaced: usize,
     vms: Vec<Vm>,
@@ -182,6 +184,7 @@
             ignores_witnesses: false,
             call_latency: Duration::ZERO,
             lists_machines: false,
+            evacuations: Evacuations::default(),
             starts_for_replaced: 0,
             vms: (0..vms).map(|_| Vm::default()).collect(),
             blocked_links: Vec::new(),
@@ -601,6 +604,9 @@
             process.listed_at = Some(now);
             let listed = self.worker_entries.iter().map(|(_, it)| it.clone()).collect();
             process.owner.handle_event(now, Event::Workers(listed));
+            let evacuations = Arc::new(self.evacuations.clone());
+            let event = Event::EvacuationsRead { read_at: now, evacuations };
+            process.owner.handle_event(now, event);
             if self.lists_machines && process.owner.awaits_machines(now) {
                 let up = (0..self.workers.len()).filter(|at| !self.is_down(*at));
                 let mut workers: Vec<WorkerId> =
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -1,11 +1,11 @@
 //! Simulates a log, workers, and one owner at a time that schedules tasks on them.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner, OwnershipStart,
-    PlacementRules, Record, Settings, ShardId, Start, TaskId, WorkerKey,
+    Action, Batch, Evacuations, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner,
+    OwnershipStart, PlacementRules, Record, Settings, ShardId, Start, TaskId, WorkerKey,
 };
 
 use super::{
@@ -29,6 +29,9 @@
     pub log_up: bool,
     /// Whether the platform's list of workers is not updated.
     pub list_is_stale: bool,
+    /// The operators' requests to evacuate data centres, and whether the owner can read them.
+    pub evacuations: Evacuations,
+    pub reads_evacuations: bool,
     /// Maximum time for which a worker waits before it answers a renewal.
     pub hold_wait_max: Duration,
     /// Orders to start that were sent: task, run, worker.
@@ -66,6 +69,8 @@
             ledger,
             log_up: true,
             list_is_stale: false,
+            evacuations: Evacuations::default(),
+            reads_evacuations: true,
             hold_wait_max: HOLD_WAIT_MAX,
             starts: Vec::new(),
             stepped_down: false,
@@ -178,6 +183,11 @@
             let listed = self.workers.iter().filter(|it| it.listed).map(FakeWorker::listing);
             self.owner.handle_event(now, Event::Workers(listed.collect()));
         }
+        if self.reads_evacuations {
+            let evacuations = Arc::new(self.evacuations.clone());
+            let event = Event::EvacuationsRead { read_at: now, evacuations };
+            self.owner.handle_event(now, event);
+        }
         let due = std::mem::take(&mut self.events);
         let (due, later) = due.into_iter().partition(|(at, _)| *at <= now);
         self.events = later;
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -51,6 +51,7 @@
 #[derive(Debug, Clone)]
 pub struct FakeWorker {
     pub name: String,
+    pub data_centre: String,
     /// The port of its address; it keeps its address when it restarts.
     pub port: u16,
     pub capacity: Resources,
@@ -131,6 +132,7 @@
     pub fn new(name: &str, cores: u32) -> FakeWorker {
         FakeWorker {
             name: name.to_owned(),
+            data_centre: "here".to_owned(),
             port: 1,
             capacity: Resources { cpu_milli: cores * 1_000, memory_mib: 64_000, accelerators: 0 },
             labels: vec!["a".to_owned(), "r1".to_owned()],
@@ -161,6 +163,7 @@
             id: self.name.as_str().into(),
             address: SocketAddr::from(([127, 0, 0, 1], self.port)),
             service: "shop".into(),
+            data_centre: self.data_centre.as_str().into(),
             ready: self.ready,
             capacity: self.capacity,
             labels: self.labels.iter().map(|it| it.as_str().into()).collect(),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -15,6 +15,8 @@
 
 /// The duration of a task, unless a test states another.
 const TASK_DURATION: Duration = Duration::from_millis(400);
+/// The data centre of all workers.
+const DATA_CENTRE: &str = "z1";
 
 #[tokio::test]
 async fn a_job_is_run_once_and_every_vm_reports_its_state() {
@@ -153,6 +155,35 @@
     assert_eq!((old_path, new_path), (404, 200));
 }
 
+/// Guards against starts in an evacuated data centre by a process that has just started, after a
+/// record that cannot be read, and after the log has dropped the request.
+#[tokio::test]
+async fn nothing_starts_in_an_evacuated_data_centre_until_the_request_is_removed() {
+    let mut fleet = Fleet::start(2, 2, TASK_DURATION).await;
+    let owner = fleet.wait_for_owner().await;
+    fleet.log.request_evacuation(DATA_CENTRE, "{}");
+    fleet.log.request_evacuation(DATA_CENTRE, "not JSON");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let status = fleet.submit(0, JOB_ID, job_body(2)).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.log.request_evacuation(DATA_CENTRE, "{}");
+    fleet.log.compact("keyed.op");
+    fleet.kill(owner);
+    fleet.restart(owner).await;
+    fleet.wait_until(|it| it.owner_change_count() >= 2).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let started = fleet.runs_of(JOB_ID);
+
+    fleet.log.request_evacuation(DATA_CENTRE, "");
+    fleet.wait_for_state(0, JOB_ID, "completed").await;
+
+    assert_eq!((status, started), (200, Vec::new()));
+    let log = fleet.log_text_of(1 - owner);
+    for event in ["evacuation_begun", "evacuation_unreadable", "evacuation_ended"] {
+        assert!(log.contains(event), "{event} is missing from {log}");
+    }
+}
+
 /// The log carries out appends one after the other, 150 ms each, and three VMs have 20 callers
 /// each. If each VM had several appends in flight, each append would wait for all others, beyond
 /// its timeout, and callers would be told that the outcome is unknown.
