account: judge jobs by the work that they turned out to have

The line of a submission now names the terms, and the account computes the objective from the longest saved work of each step.

--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -206,12 +206,18 @@
     }
 }
 
-/// Returns the kind and the estimated work of a submitted job as fields of a log line; empty for
-/// other records.
+/// Returns the kind, the estimated work and the terms of a submitted job as fields of a log line;
+/// empty for other records.
 fn size_fields(record: &Record) -> String {
     match record {
         Record::Submitted(_, spec) => {
-            format!(" kind={} work_ms={}", spec.kind().label(), spec.work_ms())
+            format!(
+                " kind={} work_ms={} slack_permille={} target_latency_ms={}",
+                spec.kind().label(),
+                spec.work_ms(),
+                spec.terms.slack_permille,
+                spec.terms.target_latency_ms
+            )
         }
         _ => String::new(),
     }
--- a/src/account/job.rs
+++ b/src/account/job.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// What a job's objective is computed from once its work is known.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// How many times as long as its longest chain of work a job may take.
+    slack: f64,
+    /// What a job may take besides, in seconds.
+    target_latency_s: f64,
+}
+
 /// One run of a task; times are in seconds since midnight (UTC).
 #[derive(Debug, Clone)]
 struct Run {
@@ -68,7 +77,9 @@
     /// The estimated work of all tasks, in milliseconds of a core.
     work_ms: u64,
     completed: bool,
-    objective_s: f64,
+    terms: Option<Terms>,
+    /// The objective by the estimates of the caller.
+    estimated_objective_s: f64,
     /// The runs by task and run number.
     runs: SortedMap<(String, u32), Run>,
 }
@@ -82,6 +93,7 @@
                 self.accepted = self.accepted.or(Some(now));
                 self.kind = self.kind.take().or(line.value("kind").map(str::to_owned));
                 self.work_ms = line.number("work_ms").unwrap_or_default();
+                self.terms = self.terms.or(Terms::try_from_line(line));
             }
             "start" if line.has_outcome("start", "done") => self.start_run(now, line),
             "run_ended" | "run_lost" => self.end_run(now, line),
@@ -96,7 +108,8 @@
                 self.ended = self.ended.or(Some(now));
                 self.completed |= line.has_outcome("job_ended", "completed");
                 self.kind = line.value("kind").map(str::to_owned);
-                self.objective_s = line.number::<f64>("objective_ms").unwrap_or_default() / 1_000.0;
+                self.estimated_objective_s =
+                    line.number::<f64>("objective_ms").unwrap_or_default() / 1_000.0;
             }
             _ => {}
         }
@@ -151,7 +164,32 @@
     /// Returns by how many seconds the job exceeded its latency objective; negative if it was in
     /// time.
     pub fn late_by(&self) -> f64 {
-        self.latency().unwrap_or_default() - self.objective_s
+        self.latency().unwrap_or_default() - self.objective_s()
+    }
+
+    /// Returns the job's latency objective in seconds: by the work that its tasks turned out to
+    /// have, as estimates may be far off, or by the estimates if the lines lack the terms or the
+    /// runs.
+    fn objective_s(&self) -> f64 {
+        match self.terms {
+            Some(it) if self.chain_s() > 0.0 => it.slack * self.chain_s() + it.target_latency_s,
+            _ => self.estimated_objective_s,
+        }
+    }
+
+    /// Returns the sum of the longest tasks of all steps, in seconds at full pace. Steps that ran in
+    /// parallel are counted as if each depended on the one before.
+    fn chain_s(&self) -> f64 {
+        let mut tasks: SortedMap<&str, (&str, f64)> = SortedMap::new();
+        for ((task, _), run) in self.runs.iter().filter(|(_, it)| it.is_work_saved) {
+            tasks.get_or_insert_with(task, || (&run.step, 0.0)).1 += run.worked_s();
+        }
+        let mut steps: SortedMap<&str, f64> = SortedMap::new();
+        for (_, (step, worked_s)) in tasks.iter() {
+            let longest = steps.get_or_insert_with(step, || 0.0);
+            *longest = longest.max(*worked_s);
+        }
+        steps.iter().map(|(_, longest)| longest).sum()
     }
 
     /// Returns the part of the job's latency that is due to `cause`, in seconds.
@@ -208,7 +246,29 @@
     }
 }
 
+impl Terms {
+    fn try_from_line(line: &LogLine) -> Option<Terms> {
+        Some(Terms {
+            slack: line.number::<f64>("slack_permille")? / 1_000.0,
+            target_latency_s: line.number::<f64>("target_latency_ms")? / 1_000.0,
+        })
+    }
+}
+
 impl Run {
+    /// Returns for how many seconds of full pace the run worked; 0 for a run that has not ended.
+    fn worked_s(&self) -> f64 {
+        let Some(ended) = self.ended else { return 0.0 };
+        let mut worked = 0.0;
+        let (mut from, mut share) = (self.started, 1.0);
+        for (at, next) in &self.pace_orders {
+            let until = at.clamp(from, ended.max(from));
+            worked += (until - from) * share;
+            (from, share) = (until, *next);
+        }
+        worked + (ended - from).max(0.0) * share
+    }
+
     /// Returns the share of its processor time that the run was allowed at `at`.
     fn pace(&self, at: f64) -> f64 {
         let last_order = self.pace_orders.iter().rev().find(|(ordered_at, _)| *ordered_at <= at);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -158,6 +158,37 @@
     assert!(text.contains("waiting_s=0.50 held_back_s=0.00 lost_s=0.00"), "{text}");
 }
 
+/// Guards against judging jobs by the callers' estimates, which may be off by several times: the
+/// estimate allows 4 s, and the task turns out to need 2 s, a half of it at half the pace.
+#[test]
+fn account_judges_jobs_by_the_work_that_they_had() {
+    let log_line = |second: &str, event: &str| {
+        format!("2026-03-15T15:38:{second}Z [INFO] daisy_node::own: event={event}\n")
+    };
+    let log = [
+        log_line(
+            "10.000",
+            "submitted id=a1 outcome=stored tries=1 kind=best_effort work_ms=900 \
+             slack_permille=1500 target_latency_ms=400",
+        ),
+        log_line("10.000", "start id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        log_line("11.000", "pace id=a1 task=a1.0.0.0 run=1 worker=w1 percent=50 outcome=done"),
+        log_line("13.000", "run_ended id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        log_line("13.300", "start id=a1 task=a1.0.1.0 run=1 worker=w1 outcome=done"),
+        log_line("15.300", "run_ended id=a1 task=a1.0.1.0 run=1 worker=w1 outcome=done"),
+        log_line(
+            "15.300",
+            "job_ended id=a1 outcome=completed kind=best_effort age_ms=5300 objective_ms=4000",
+        ),
+    ];
+    let path = write_file("work.log", &log.concat());
+
+    let output = daisyshift(&["account", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    assert!(text.contains("jobs=1 in_time=1 latency_s=5.30"), "{text}");
+}
+
 /// The figures of all jobs together do not show that large jobs starve while small ones complete.
 #[test]
 fn account_shows_how_many_of_the_largest_jobs_were_completed() {
