Take from the list that a worker has become cold without a restart

After an evacuation, workers may be cold although they have not restarted. The slow time was read only from the first list entry of a worker, so tasks went to cold workers like to warm ones. A changed slow time now counts from when it is read. The test fails before.

--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -101,6 +101,11 @@
         if worker.labels != listed.labels {
             worker.labels = listed.labels.clone();
         }
+        // Workers of an evacuated data centre become cold without a restart. Each list repeats what
+        // the worker wrote last, so only a change counts from now.
+        if std::mem::replace(&mut worker.listed_cold_ms, listed.cold_ms) != listed.cold_ms {
+            worker.slow_start_until = now + Duration::from_millis(listed.cold_ms);
+        }
         let was_ready = std::mem::replace(&mut worker.ready, listed.ready);
         worker.leaves_at = match listed.ready {
             true => None,
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -145,6 +145,8 @@
     pub(crate) ready: bool,
     /// The earliest time at which a draining worker exits.
     pub(crate) leaves_at: Option<Instant>,
+    /// The remaining slow time that the list last told, in milliseconds, and when it is over.
+    pub(crate) listed_cold_ms: u64,
     pub(crate) slow_start_until: Instant,
     pub(crate) tasks: Vec<Assignment>,
     /// The worker's clock in milliseconds, and when it was read.
@@ -218,6 +220,7 @@
             listed: true,
             ready: listed.ready,
             leaves_at: None,
+            listed_cold_ms: listed.cold_ms,
             slow_start_until: now + Duration::from_millis(listed.cold_ms),
             tasks: Vec::new(),
             clock: None,
--- a/daisy-workflow/tests/evacuation.rs
+++ b/daisy-workflow/tests/evacuation.rs
@@ -186,6 +186,27 @@
     assert_eq!(sim.starts.len(), 4);
 }
 
+/// Guards against preferring workers that have become cold without a restart while their data centre
+/// was evacuated.
+#[test]
+fn tasks_prefer_warm_workers_after_an_evacuation() {
+    let mut sim = two_data_centres(4);
+    sim.run_ms(500);
+    begin(&mut sim.evacuations, "north");
+    sim.worker("n").cold_ms = 5_000;
+    sim.run_ms(KNOWN_AFTER_MS);
+    end(&mut sim.evacuations, "north");
+    sim.submit(1, job(vec![step(2)]));
+    sim.run_ms(500);
+    assert_eq!(starts_on(&sim, "s"), 2, "{:?}", sim.starts);
+
+    sim.worker("n").cold_ms = 0;
+    sim.submit(2, job(vec![step(6)]));
+    sim.run_ms(500);
+
+    assert_eq!(starts_on(&sim, "n"), 4, "{:?}", sim.starts);
+}
+
 /// Guards against gangs and copies that take another path to a worker.
 #[test]
 fn gangs_and_copies_start_outside_an_evacuated_data_centre() {
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -61,6 +61,7 @@
     pub clock_zero_ms: u64,
     pub clock_slow_permille: u64,
     pub ready: bool,
+    pub cold_ms: u64,
     pub listed: bool,
     pub fault: Fault,
     pub fence: u64,
@@ -141,6 +142,7 @@
             clock_zero_ms: 0,
             clock_slow_permille: 0,
             ready: true,
+            cold_ms: 0,
             listed: true,
             fault: Fault::None,
             fence: 0,
@@ -168,7 +170,7 @@
             capacity: self.capacity,
             labels: self.labels.iter().map(|it| it.as_str().into()).collect(),
             started_at_ms: self.started_at_ms,
-            cold_ms: 0,
+            cold_ms: self.cold_ms,
             min_remaining_ms: (!self.ready).then_some(2_500),
         }
     }
