Move what a running owner appends into a module of its own

A move without a change of behaviour: functions that the event loop calls became visible to it, nothing else changed.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod follow;
 mod notes;
+mod records;
 
 use std::time::Duration;
 
@@ -12,9 +13,9 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, MachineList, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Layout, Ledger, Owner, OwnerHeartbeat, OwnershipStart,
-    PlacementRules, PublishedState, Record, Settings, ShardId, StatePublisher, TickDelay,
-    UnconfirmedRun, WorkerKey, encode,
+    Action, Claim, Event, JobId, Layout, Ledger, Owner, OwnershipStart, PlacementRules,
+    PublishedState, Record, Settings, ShardId, StatePublisher, TickDelay, UnconfirmedRun,
+    WorkerKey,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -22,7 +23,7 @@
 };
 
 use self::{
-    append::{APPEND_TIMEOUT, Fenced, append},
+    append::append,
     calls::Calls,
     follow::{follow_measurements, follow_workers},
 };
@@ -418,140 +419,6 @@
         }
     }
 
-    /// Appends the owner's pending progress, unless an append is under way or too recent.
-    fn append_progress(&mut self) {
-        let now = clock::now();
-        if self.is_appending_progress || now.since(self.progress_append_began) < MIN_APPEND_INTERVAL
-        {
-            return;
-        }
-        let Some(batch) = self.owner.try_batch(now) else { return };
-        self.is_appending_progress = true;
-        self.progress_append_began = now;
-        let guard = self.guard(self.next_progress_seq);
-        self.next_progress_seq += 1;
-        self.spawn_append(
-            Topic::Progress(self.ownership.shard.0),
-            batch.records,
-            guard,
-            AppendOutcome::Progress,
-        );
-    }
-
-    /// Publishes changed states of jobs and, when due, a heartbeat, unless an append of states is
-    /// under way.
-    fn publish_states(&mut self) {
-        for (id, state) in self.owner.take_states() {
-            self.state_publisher.add(id, state);
-        }
-        if self.is_appending_states {
-            return;
-        }
-        let now = clock::now();
-        let heartbeat =
-            self.state_publisher.is_heartbeat_due(now).then(|| self.heartbeat(now, false));
-        let Some(records) = self.state_publisher.take_due_records(now, heartbeat) else { return };
-        self.append_states(records);
-    }
-
-    /// Shares interference measurements with the owners of other shards. A lost record is not sent
-    /// again, as its measurements are repeated later.
-    fn share_measurements(&mut self) {
-        let now = clock::now();
-        if now.since(self.measurements_shared_at) < MEASUREMENTS_INTERVAL {
-            return;
-        }
-        self.measurements_shared_at = now;
-        let sums = self.owner.take_interference_sums();
-        let Ownership { context, shard, .. } = &self.ownership;
-        let shards = context.shared.lock().directory.layout().map_or(1, |it| it.shards);
-        if sums.is_empty() || shards < 2 {
-            return;
-        }
-        let record = encode(&Record::InterferenceSums(*shard, sums));
-        let log_client = context.log_client.clone();
-        tokio::spawn(async move {
-            let records = [record];
-            let append =
-                log_client.append(Topic::Observed, &records, Guard::Unconditional, APPEND_TIMEOUT);
-            if let Err(e) = append.await {
-                log::debug!("event=log_lost topic=Observed cause=\"{e}\"");
-            }
-        });
-    }
-
-    fn append_states(&mut self, records: Vec<Record>) {
-        self.is_appending_states = true;
-        let guard = self.guard(self.next_states_seq);
-        self.next_states_seq += 1;
-        self.spawn_append(Topic::States, records, guard, AppendOutcome::States(clock::now()));
-    }
-
-    /// Returns a heartbeat of this owner.
-    fn heartbeat(&self, now: Instant, released: bool) -> OwnerHeartbeat {
-        /// Twice the longest wait for a new record.
-        const MAX_READ_AGE: Duration = Duration::from_millis(800);
-        let claim = Claim {
-            released,
-            predecessors_expired: self.ownership.claim.predecessors_expired
-                || self.owner.are_predecessor_leases_over(now),
-            ..self.ownership.claim.clone()
-        };
-        let shard = self.ownership.shard;
-        let is_caught_up =
-            now.since(*self.jobs_read_at.borrow()) < MAX_READ_AGE && self.are_all_published();
-        let pending = self.owner.pending();
-        let load = self.owner.load(now);
-        OwnerHeartbeat { shard, claim, is_caught_up, pending, load }
-    }
-
-    /// Returns whether the states of all jobs that were delegated to other shards are published, so
-    /// that callers can learn them.
-    fn are_all_published(&self) -> bool {
-        let node = self.ownership.context.shared.lock();
-        self.state_publisher.are_all_published(&node.directory, self.owner.delegated_away())
-    }
-
-    fn guard(&self, seq: u64) -> Guard {
-        Guard::Sequence { shard: self.ownership.shard.0, epoch: self.ownership.epoch, seq }
-    }
-
-    fn spawn_append(
-        &self,
-        topic: Topic,
-        records: Vec<Record>,
-        guard: Guard,
-        on_success: AppendOutcome,
-    ) {
-        let log_client = self.ownership.context.log_client.clone();
-        let append_outcomes = self.append_outcomes.clone();
-        tokio::spawn(async move {
-            let outcome = match append(&log_client, topic, &records, guard).await {
-                Ok(()) => on_success,
-                Err(Fenced) => AppendOutcome::Fenced,
-            };
-            // Sending fails once the owner has stepped down, and the outcome no longer matters.
-            let _ = append_outcomes.send(outcome).await;
-        });
-    }
-
-    /// Handles the outcome of an append; returns false if this owner is fenced.
-    fn handle_append_outcome(&mut self, outcome: Option<AppendOutcome>) -> bool {
-        let event = match outcome {
-            Some(AppendOutcome::Progress) => {
-                self.is_appending_progress = false;
-                Event::Appended
-            }
-            Some(AppendOutcome::States(sent_at)) => {
-                self.is_appending_states = false;
-                Event::HeartbeatStored { sent_at }
-            }
-            Some(AppendOutcome::Fenced) | None => return false,
-        };
-        self.owner.handle_event(clock::now(), event);
-        true
-    }
-
     /// Appends a record of a job to another shard's submissions, unless it delegates a job whose
     /// state that shard has already published. The append continues after this owner has stepped
     /// down, as its decision remains in force.
