Measure the distance to the log before the first claim, so that owners stand near it

Cause: a VM's distance to the log decides who claims first, but was measured only in a VM's own last claim. At the first election every VM took itself to be 5 ms away, so half of the owners stood in the region without the log. An owner follows the whole list of workers, which each worker rewrites every 1.1 s: by calculation 3,000 workers are some 0.6 MB a second for each owner, and a dozen owners there fill the 60 Mbit/s between the regions.

Now the shortest read of the topic of states is the estimate, which each VM has before it claims.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -71,9 +71,6 @@
     shard: ShardId,
     shards: u16,
     election: Election,
-    /// How long the reads at the start of the last claim took, as an estimate of the round-trip
-    /// time to the log.
-    rtt: Duration,
     /// The last epoch in which this process owned the shard; that ownership has ended.
     ended_epoch: u64,
     /// Until when this process delays its claims because it was too slow.
@@ -172,7 +169,6 @@
             shard,
             shards,
             election,
-            rtt: Duration::from_millis(5),
             ended_epoch: 0,
             slow_until: Instant::default(),
             claim_interrupted_at: Instant::default(),
@@ -233,7 +229,7 @@
         };
         let slow_delay = if now < self.slow_until { SLOW_VM_CLAIM_DELAY } else { Duration::ZERO };
         self.election.set_claim_delay(candidate.claim_delay() + slow_delay);
-        self.election.decision(now, newest_claim.as_ref(), self.rtt)
+        self.election.decision(now, newest_claim.as_ref(), node.log_rtt.estimate())
     }
 
     /// Reads the whole log of the shard, then claims the shard. Only reading the log again shows
@@ -260,7 +256,6 @@
         if jobs.is_none() || progress.is_none() || !can_read_heartbeats {
             return self.keep_unfinished(reader);
         }
-        self.rtt = clock::now().since(began);
         let mut claimed_epoch = None;
         let mut claimed_at = began;
         for _ in 0..MAX_TRIES {
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -7,7 +7,8 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Directory, Evacuations, Event, JobId, JobState, LogReachability, QueueConfig, Record, ShardId,
+    Directory, Evacuations, Event, JobId, JobState, LogReachability, LogRtt, QueueConfig, Record,
+    ShardId,
 };
 use tokio::sync::mpsc;
 
@@ -28,6 +29,8 @@
     evacuations: Option<(Instant, Arc<Evacuations>)>,
     /// The time at which the topic of states was last read to its end, and the offset of that end.
     pub states_caught_up: Option<(Instant, u64)>,
+    /// The distance to the log, estimated by the reads of the topic of states.
+    pub log_rtt: LogRtt,
     /// The reachability of the log, judged by the reads of the topic of states.
     pub states_reachability: LogReachability,
     /// The number of claims that this process has begun and not ended.
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -29,12 +29,14 @@
     let mut reader = TopicReader::new(log_client, Topic::States);
     loop {
         let is_first_read = reader.next().is_none();
+        let began = clock::now();
         let Some(read) = reader.try_read(READ_WAIT).await else {
             shared.lock().states_reachability.read_failed();
             continue;
         };
         let pause = {
             let mut node = shared.lock();
+            node.log_rtt.read_took(clock::now().since(began));
             node.states_reachability.read_answered(clock::now());
             if is_first_read {
                 node.directory.restart_reading();
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -18,6 +18,7 @@
 mod id;
 mod ledger;
 mod log_health;
+mod log_rtt;
 mod owner;
 mod progress;
 mod publisher;
@@ -38,6 +39,7 @@
     id::{JobId, ParseIdError, TaskId, WorkerId},
     ledger::{FoldEffect, Job, JobState, Ledger},
     log_health::{LogHealth, SendDecision},
+    log_rtt::LogRtt,
     owner::{
         Action, ActiveRun, Batch, EndedRun, Event, InheritedLeases, Note, OpenStart, OrderReply,
         Outcome, Owner, OwnershipStart, Packing, PlacementRules, PlacementShortfall, RejectReason,
