Count the workers only without a layout, and first near the log

Cause: each VM that starts reads the whole list of workers, some 1 MB for 3,000 of them, to choose a layout of shards, although it has not yet read whether there is one. For the 150 VMs of the region without the log this takes 20 s of the 60 Mbit/s between the regions, by calculation, and the reads of states and configuration wait behind it.

Now a VM counts workers once it has read the states to their end and found no layout, and waits a hundred round-trip times first: those near the log choose a layout before the others' turn comes.

--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -86,6 +86,8 @@
     /// The interval at which workers are counted. Workers that start together are listed within a
     /// second.
     const COUNT_INTERVAL: Duration = Duration::from_millis(600);
+    /// The interval at which a VM checks whether its turn to count has come.
+    const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
     /// The time after which the layout is chosen by the last count, even if that is 0 or still
     /// changes. A count of 0 gives the layout of the smallest system.
     const STABLE_COUNT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -93,16 +95,21 @@
     let mut list = TopicReader::new(log_client.clone(), Topic::Workers);
     let mut previous_count = 0;
     loop {
-        let end = {
+        let (end, turn) = {
             let node = shared.lock();
             if node.directory.layout().is_some() {
                 return;
             }
-            node.states_caught_up.map(|(_, end)| end)
+            (node.states_caught_up.map(|(_, end)| end), node.log_rtt.layout_turn())
+        };
+        // A layout that was chosen before this process started is among the states.
+        let Some(end) = end.filter(|_| clock::now().since(began) >= turn) else {
+            sleep(TURN_CHECK_INTERVAL).await;
+            continue;
         };
         let count = count_workers(&mut list).await;
         let is_stable = count.is_some_and(|it| it > 0 && it == previous_count);
-        let (Some(end), Some(workers)) = (end, count) else {
+        let Some(workers) = count else {
             sleep(COUNT_INTERVAL).await;
             continue;
         };
--- a/daisy-workflow/src/log_rtt.rs
+++ b/daisy-workflow/src/log_rtt.rs
@@ -24,4 +24,15 @@
     pub fn estimate(self) -> Duration {
         self.shortest_read.unwrap_or(DEFAULT_RTT)
     }
+
+    /// Returns how long after its start a VM waits before it counts the workers of a system without
+    /// a layout.
+    ///
+    /// The list of workers is long. If all VMs read it when they start together, it delays every
+    /// other read over the link between regions. So those near the log count first, and choose a
+    /// layout before the others' turn comes.
+    pub fn layout_turn(self) -> Duration {
+        const RTTS: u32 = 100;
+        self.estimate() * RTTS
+    }
 }
--- a/daisy-workflow/tests/log_rtt.rs
+++ b/daisy-workflow/tests/log_rtt.rs
@@ -35,3 +35,14 @@
     assert_eq!(by_near, ElectionDecision::Claim);
     assert!(matches!(by_far, ElectionDecision::Wait(_)), "{by_far:?}");
 }
+
+/// Guards against hundreds of VMs that read the whole list of workers over the link between regions
+/// at every start: a VM near the log counts twice, 0.6 s apart, before a far one begins.
+#[test]
+fn vms_near_the_log_choose_the_layout_before_the_others_count() {
+    let near = after_reads(&[NEAR_READ]).layout_turn();
+    let far = after_reads(&[FAR_READ]).layout_turn();
+
+    assert!(near <= Duration::from_secs(1), "{near:?}");
+    assert!(near + Duration::from_millis(1_200) < far, "{near:?}, {far:?}");
+}
