Reject long-running jobs that would take the blocks that finite jobs need

Cause: every long-running job was accepted, whatever it left, and what is accepted runs for minutes. Twenty-seven of them arrived on a fleet that was reserved to four fifths.

Owners now learn the finite work that arrives, plan which blocks it needs, and tell in their heartbeats what is short and what is spare. The VM that receives a long-running job rejects it, before anything is stored, if it does not fit into what is spare; callers return in the order in which they came, which a record of each rejection tells to all VMs. Finite jobs choose their shard by what they could use there. On with `long_running_admission` in the policy file, for queues up to the priority that it names; without the file nothing changes.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -42,6 +42,8 @@
     pub log_client: LogClient,
     pub shared: Shared,
     pub metrics: Metrics,
+    /// The priority of the finite work for which long-running jobs must leave capacity, if any.
+    pub protected_priority: Option<i32>,
     /// A number that identifies the process, drawn at random at its start.
     pub process: u64,
     /// Becomes true when the process must release its shards.
--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod admit;
 mod append;
 mod callers;
 mod clock;
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use daisy_admission::{CapacityReport, Decision, Verdict};
 use daisy_workflow::{Evacuations, ShardId};
 use http::{Method, StatusCode};
 use prometheus_client::{
@@ -51,6 +52,9 @@
     backlog: Family<ShardLabels, Gauge>,
     usable_workers: Family<ShardLabels, Gauge>,
     evacuated: Family<DataCentreLabels, Gauge>,
+    admissions: Family<OutcomeLabels, Counter>,
+    spare_cpu: Family<ShardLabels, Gauge>,
+    short_cpu: Family<ShardLabels, Gauge>,
 }
 
 impl Metrics {
@@ -67,6 +71,9 @@
             backlog: Family::default(),
             usable_workers: Family::default(),
             evacuated: Family::default(),
+            admissions: Family::default(),
+            spare_cpu: Family::default(),
+            short_cpu: Family::default(),
         };
         let mut registry = Registry::with_prefix("daisyshift");
         registry.register("requests", "Callers' requests", metrics.requests.clone());
@@ -82,6 +89,12 @@
         registry.register("usable_workers", help, metrics.usable_workers.clone());
         let help = "Data centres whose workers get no new tasks";
         registry.register("evacuated", help, metrics.evacuated.clone());
+        let help = "Decisions on long-running jobs";
+        registry.register("admissions", help, metrics.admissions.clone());
+        let help = "Thousandths of a core that more long-running tasks could reserve";
+        registry.register("spare_cpu", help, metrics.spare_cpu.clone());
+        let help = "Thousandths of a core that finite work lacks";
+        registry.register("short_cpu", help, metrics.short_cpu.clone());
         *metrics.registry.lock().unwrap_or_else(PoisonError::into_inner) = registry;
         metrics
     }
@@ -126,6 +139,25 @@
         self.usable_workers.get_or_create(&labels).set(usable_workers as i64);
     }
 
+    /// Counts a decision on a long-running job.
+    pub fn count_admission(&self, decision: &Decision) {
+        let outcome = match decision.verdict {
+            Verdict::Accept => "accepted",
+            Verdict::AcceptUnknown => "accepted_unknown",
+            Verdict::Reject(_) => "rejected",
+        };
+        self.admissions.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Sets what the workers of a shard that this process owns can still take.
+    pub fn set_capacity(&self, shard: ShardId, reports: &[CapacityReport]) {
+        let labels = ShardLabels { shard: shard.0 };
+        let spare_cpu: u64 = reports.iter().map(|it| it.plan.spare_cpu).sum();
+        let short_cpu: u64 = reports.iter().map(|it| it.plan.short_cpu).sum();
+        self.spare_cpu.get_or_create(&labels).set(spare_cpu as i64);
+        self.short_cpu.get_or_create(&labels).set(short_cpu as i64);
+    }
+
     /// Sets which data centres are evacuated.
     pub fn set_evacuations(&self, evacuations: &Evacuations) {
         self.evacuated.clear();
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use daisy_http::Http;
 use daisy_platform::{LogClient, NodeSettings, parse_settings};
+use daisy_settings::Policy;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
@@ -30,13 +31,13 @@
 /// requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
-/// Runs an entry VM with the settings file at `path`, until SIGTERM and the planned stop that
+/// Runs an entry VM with the settings file at `path` under `policy`, until SIGTERM and the planned stop that
 /// follows.
 ///
 /// # Errors
 ///
 /// If the settings cannot be used, a port cannot be opened, or the signals cannot be received.
-pub async fn run(path: &Path) -> anyhow::Result<()> {
+pub async fn run(path: &Path, policy: &Policy) -> anyhow::Result<()> {
     let settings = read_settings(path)?;
     let shared = Shared::default();
     let metrics = Metrics::new();
@@ -49,6 +50,9 @@
     let submissions = Submissions {
         shared: shared.clone(),
         appender: Appender::start(log_client.clone(), shared.clone()),
+        log_client: log_client.clone(),
+        metrics: metrics.clone(),
+        protected_priority: policy.protected_priority,
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
     tokio::spawn(follow_operators(log_client.clone(), shared.clone(), metrics.clone()));
@@ -66,6 +70,7 @@
         log_client,
         shared: shared.clone(),
         metrics,
+        protected_priority: policy.protected_priority,
         process,
         stop: owning_stop,
     };
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -171,7 +171,8 @@
         let mut node = self.context.shared.lock();
         let layout = node.directory.layout().unwrap_or(Layout { shards: 1 });
         let lease_max = self.context.settings.max_lease;
-        let rules = PlacementRules::default();
+        let protected_priority = self.context.protected_priority;
+        let rules = PlacementRules { protected_priority, ..PlacementRules::default() };
         let settings = Settings { lease, lease_max, shard: self.shard, layout, rules };
         let ownership_start = OwnershipStart {
             claim_sent_at: self.claimed_at,
@@ -327,6 +328,7 @@
             summary.open_starts,
             summary.held_ends
         );
+        self.log_capacity(now);
         if let Some(it) = self.owner.try_inherited_leases(now) {
             log::info!(
                 "event=inherited_leases shard={} epoch={} witnesses={} answered={} ended={} \
@@ -366,6 +368,28 @@
         );
     }
 
+    /// Logs what the workers can still take besides finite work, if the owner reports it.
+    fn log_capacity(&mut self, now: Instant) {
+        let shard = self.ownership.shard;
+        let reports = self.owner.capacity_reports(now);
+        for it in &reports {
+            log::info!(
+                "event=capacity shard={} service={} offered_cpu={} offered_variance={} \
+                 spare_cpu={} short_cpu={} freed_cpu_per_s={}",
+                shard.0,
+                it.service,
+                it.offered.cpu_milli,
+                it.offered.variance,
+                it.plan.spare_cpu,
+                it.plan.short_cpu,
+                it.freed_cpu_per_s
+            );
+        }
+        if !reports.is_empty() {
+            self.ownership.context.metrics.set_capacity(shard, &reports);
+        }
+    }
+
     /// Logs each run of a long-running task whose outcome is unconfirmed, once for each cause.
     fn log_unconfirmed_runs(&mut self, now: Instant) {
         let unconfirmed_runs = self.owner.unconfirmed_runs(now);
--- a/daisy-node/src/own/records.rs
+++ b/daisy-node/src/own/records.rs
@@ -83,7 +83,7 @@
     }
 
     /// Returns a heartbeat of this owner.
-    pub(super) fn heartbeat(&self, now: Instant, released: bool) -> OwnerHeartbeat {
+    pub(super) fn heartbeat(&mut self, now: Instant, released: bool) -> OwnerHeartbeat {
         /// Twice the longest wait for a new record.
         const MAX_READ_AGE: Duration = Duration::from_millis(800);
         let claim = Claim {
@@ -97,7 +97,8 @@
             now.since(*self.jobs_read_at.borrow()) < MAX_READ_AGE && self.are_all_published();
         let pending = self.owner.pending();
         let load = self.owner.load(now);
-        OwnerHeartbeat { shard, claim, is_caught_up, pending, load }
+        let capacity = self.owner.capacity_reports(now);
+        OwnerHeartbeat { shard, claim, is_caught_up, pending, load, capacity }
     }
 
     /// Returns whether the states of all jobs that were delegated to other shards are published, so
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use daisy_admission::Admission;
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
     Directory, Evacuations, Event, JobId, JobState, LogReachability, LogRtt, QueueConfig, Record,
@@ -33,6 +34,8 @@
     pub log_rtt: LogRtt,
     /// The reachability of the log, judged by the reads of the topic of states.
     pub states_reachability: LogReachability,
+    /// Decides on long-running jobs.
+    pub admission: Admission<JobId>,
     /// The number of claims that this process has begun and not ended.
     claims_in_progress: u32,
     /// Jobs whose submissions this process stored, and when.
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use daisy_platform::{Guard, LogClient, LogError, Topic, parse_worker};
-use daisy_workflow::{Layout, Record, decode, encode};
+use daisy_workflow::{Layout, Record, Rejection, decode, encode};
 use tokio::time::sleep;
 
 use crate::{
@@ -61,8 +61,14 @@
         }
         match decode(&it.key, &it.value) {
             Ok(Record::State(id, state)) => {
+                node.admission.returning.accepted(id);
                 node.directory.set_state(id, state);
             }
+            Ok(Record::Rejected(id, it)) => {
+                let Rejection { service, cpu_milli, retry_after } = it;
+                let returning = &mut node.admission.returning;
+                returning.rejected(now, id, &service, cpu_milli, retry_after);
+            }
             Ok(Record::OwnerHeartbeat(heartbeat)) => {
                 node.directory.receive_heartbeat(now, *heartbeat)
             }
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use daisy_platform::{LogError, encode_job_state, encode_pending_jobs, parse_submission};
+use daisy_platform::{
+    LogClient, LogError, encode_job_state, encode_pending_jobs, parse_submission,
+};
 use daisy_workflow::{JobId, Queue, Record, encode};
 use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
-use crate::{append::Appender, clock, shared::Shared};
+use crate::{admit::Candidate, append::Appender, clock, metrics::Metrics, shared::Shared};
 
 /// An answer to a caller.
 #[derive(Debug)]
@@ -23,6 +25,11 @@
         Answer { status, body, retry_after: None }
     }
 
+    /// Returns the answer to a request whose effect is stored.
+    pub fn stored() -> Answer {
+        Answer::new(StatusCode::OK, b"{}".to_vec())
+    }
+
     pub fn error(status: StatusCode, cause: &str) -> Answer {
         Answer::new(status, serde_json::json!({ "error": cause }).to_string().into_bytes())
     }
@@ -46,6 +53,10 @@
 pub(crate) struct Submissions {
     pub shared: Shared,
     pub appender: Appender,
+    pub log_client: LogClient,
+    pub metrics: Metrics,
+    /// The priority of the finite work for which long-running jobs must leave capacity, if any.
+    pub protected_priority: Option<i32>,
 }
 
 impl Submissions {
@@ -83,7 +94,7 @@
     async fn submit(&self, id: JobId, queue: &Queue, body: &[u8], deadline: Instant) -> Answer {
         if self.shared.lock().job_state(id).is_some() {
             log::info!("event=submitted id={id} outcome=known");
-            return Answer::new(StatusCode::OK, b"{}".to_vec());
+            return Answer::stored();
         }
         let spec = match parse_submission(body, queue.terms.clone(), clock::wall_ms()) {
             Ok(spec) => spec,
@@ -99,8 +110,18 @@
             );
             return Answer::retry_in(retry_delay(id), "the platform's store does not answer");
         }
+        let candidate = Candidate::try_new(id, &spec, self.protected_priority);
+        if let Some(it) = &candidate
+            && let Some(rejection) = self.try_reject(it).await
+        {
+            return rejection;
+        }
         let record = Record::Submitted(id, spec);
-        self.append(id, "submitted", record, deadline).await
+        let answer = self.append(id, "submitted", record, deadline).await;
+        if let Some(it) = candidate.filter(|_| answer.status == StatusCode::OK) {
+            it.accepted(&mut self.shared.lock());
+        }
+        answer
     }
 
     /// Stores a cancellation, even if this process does not know the job. The job may be stored
@@ -128,7 +149,7 @@
 
     /// Checks whether a job exists. The state of a job that another VM has just accepted may not
     /// be published yet, so an unknown job is looked up several times before the answer.
-    async fn check_existence(&self, id: JobId) -> Existence {
+    pub(crate) async fn check_existence(&self, id: JobId) -> Existence {
         /// The owner reads a submission within some 20 ms and publishes its state within 40 ms
         /// more, and this VM reads that within 200 ms.
         const LOOKUP_INTERVAL: Duration = Duration::from_millis(110);
@@ -172,7 +193,7 @@
                 Ok(()) => {
                     self.shared.lock().handle_appended(record);
                     log::info!("event={event} id={id} outcome=stored tries={tries}{size_fields}");
-                    return Answer::new(StatusCode::OK, b"{}".to_vec());
+                    return Answer::stored();
                 }
                 Err(e) if !maybe_stored && matches!(e, LogError::NoEffect(_)) => {
                     log::warn!(
@@ -232,7 +253,7 @@
 }
 
 /// Whether a job exists.
-enum Existence {
+pub(crate) enum Existence {
     Exists,
     DoesNotExist,
     /// The states of jobs have not been read recently enough to be certain.
--- a/daisy-settings/src/lib.rs
+++ b/daisy-settings/src/lib.rs
@@ -8,11 +8,13 @@
 mod fields;
 mod finding;
 mod node;
+mod policy;
 mod read;
 mod settings;
 
 pub use crate::{
     finding::Finding,
+    policy::{Policy, read_policy},
     read::read,
     settings::{DataCentre, Limits, LogLevel, Operator, Settings, Timing},
 };
--- a/daisy-settings/src/read.rs
+++ b/daisy-settings/src/read.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn syntax_finding(error: &serde_saphyr::Error) -> Finding {
+pub(crate) fn syntax_finding(error: &serde_saphyr::Error) -> Finding {
     let (line, column) = error.location().map_or((1, 1), |it| (it.line(), it.column()));
     let message = error.to_string();
     let first_line = message.lines().next().unwrap_or("invalid YAML");
--- a/daisy-workflow/src/balance.rs
+++ b/daisy-workflow/src/balance.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use daisy_admission::{CapacityPlan, CapacityReport};
 use daisy_model::{Instant, Resources, SortedMap};
 
 use crate::{JobKind, JobSpec, ShardId, StepSpec};
@@ -25,6 +26,8 @@
     pub finite: u64,
     /// What best-effort tasks could use, running or waiting.
     pub best_effort: u64,
+    /// What the workers have besides long-running tasks, if the owner plans it.
+    pub plan: Option<CapacityPlan>,
     /// The largest free blocks, in descending order: the capacity that a worker has left for
     /// long-running tasks once all its finite tasks have ended. A worker is reserved for a waiting
     /// long-running task until then.
@@ -60,6 +63,15 @@
         self.free_blocks.copy_from_slice(&free_blocks);
     }
 
+    /// Returns the sum of the plans of all services; `None` without a report.
+    pub fn sum_plans(reports: &[CapacityReport]) -> Option<CapacityPlan> {
+        reports.iter().map(|it| it.plan).reduce(|a, b| CapacityPlan {
+            spare_cpu: a.spare_cpu + b.spare_cpu,
+            short_cpu: a.short_cpu + b.short_cpu,
+            finite_cpu: a.finite_cpu + b.finite_cpu,
+        })
+    }
+
     /// Returns how many long-running tasks of the size `need` fit into the free blocks.
     fn task_slots(&self, need: Resources) -> u64 {
         self.free_blocks.iter().map(|it| u64::from(it.count_fitting(need))).sum()
@@ -82,6 +94,10 @@
         const SERVING_CPU_USE: f64 = 0.55;
         let (long_running, finite, best_effort) =
             (self.long_running as f64, self.finite as f64, self.best_effort as f64);
+        // What long-running tasks leave may be in blocks that no finite task fits into.
+        if let (Some(plan), JobKind::Finite) = (self.plan, kind) {
+            return finite / (plan.finite_cpu + plan.spare_cpu).max(1) as f64;
+        }
         let demand_cpu = match kind {
             JobKind::LongRunning => long_running,
             JobKind::Finite => long_running + finite,
--- a/daisy-workflow/src/directory.rs
+++ b/daisy-workflow/src/directory.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use daisy_admission::{CapacityReport, FleetCapacity};
 use daisy_model::{Instant, SortedMap};
 
 use crate::{Claim, JobId, JobState, Layout, Load, ShardId};
@@ -23,6 +24,9 @@
     pub pending: Vec<(String, u32)>,
     /// The shard's capacity and the demand for it.
     pub load: Load,
+    /// What the shard's workers can still take, by service; empty unless the owner protects finite
+    /// work.
+    pub capacity: Vec<CapacityReport>,
 }
 
 /// The last published state of a job.
@@ -143,6 +147,17 @@
         others.map(|(shard, it)| (*shard, it.heartbeat.load)).collect()
     }
 
+    /// Returns what all shards can still take for a service; `None` if a shard does not report it.
+    pub fn capacity(&self, now: Instant, service: &str) -> Option<FleetCapacity> {
+        let reports = self.layout?.all().map(|shard| {
+            let received = self.heartbeats.get(&shard)?;
+            let heartbeat = &received.heartbeat;
+            let of_service = heartbeat.capacity.iter().find(|it| &*it.service == service);
+            of_service.filter(|_| !heartbeat.claim.released).map(|it| (received.at, it))
+        });
+        FleetCapacity::try_sum(now, reports)
+    }
+
     /// Returns the number of a queue's jobs without set times of which no task was started,
     /// according to the last heartbeats.
     pub fn pending(&self, queue: &str) -> usize {
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -43,6 +43,17 @@
 }
 
 impl JobState {
+    /// Returns the state's name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Cancelled => "cancelled",
+            JobState::Completed => "completed",
+            JobState::Failed => "failed",
+        }
+    }
+
     /// Returns whether the job has ended.
     pub fn is_ended(self) -> bool {
         self >= JobState::Cancelled
@@ -206,6 +217,7 @@
             Record::State(..)
             | Record::OwnerHeartbeat(_)
             | Record::Layout(_)
+            | Record::Rejected(..)
             | Record::InterferenceSums(..) => FoldEffect::Nothing,
         }
     }
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -52,7 +52,8 @@
     reachability::LogReachability,
     read_timeout::LargeReadTimeout,
     record::{
-        Claim, ImageInterference, InterferenceSums, Record, RecordError, decode, encode, substitute,
+        Claim, ImageInterference, InterferenceSums, Record, RecordError, Rejection, decode, encode,
+        substitute,
     },
     shard::{Layout, ShardId},
     spec::{JobKind, JobSpec, SpecError, StepSpec, Terms},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -6,6 +6,7 @@
 //! seen; an owner starts nothing on a worker that has not answered under the owner's own epoch.
 
 mod best_effort;
+mod capacity;
 mod defragment;
 mod delegate;
 mod evacuation;
@@ -32,6 +33,7 @@
 use daisy_model::{Arena, Instant, Resources, SortedMap};
 
 use self::{
+    capacity::ObservedLoad,
     defragment::Relocation,
     evacuation::KnownEvacuations,
     interference::Interference,
@@ -80,11 +82,14 @@
     pub packing: Packing,
     /// Whether long-running tasks are moved to make space for tasks that fit on no worker.
     pub defragments: bool,
+    /// If set, the owner reports what its workers can still take besides the finite work of queues
+    /// with this priority or a lower value.
+    pub protected_priority: Option<i32>,
 }
 
 impl Default for PlacementRules {
     fn default() -> PlacementRules {
-        PlacementRules { packing: Packing::BestFit, defragments: true }
+        PlacementRules { packing: Packing::BestFit, defragments: true, protected_priority: None }
     }
 }
 
@@ -169,6 +174,7 @@
     /// The running mean of the processor time that a finite task reserves, in thousandths of a
     /// core.
     mean_task_cpu: u32,
+    observed_load: ObservedLoad,
 }
 
 /// A recorded run on a worker that the platform's list has not named to this owner.
@@ -243,6 +249,7 @@
             relocations: Vec::new(),
             defragmented_at: now,
             mean_task_cpu: 0,
+            observed_load: ObservedLoad::default(),
         };
         let own = owner.ledger.jobs().filter(|(_, it)| !it.belongs_to_other_shard());
         owner.states = own.map(|(id, job)| (id, job.state())).collect();
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -88,6 +88,7 @@
         for (_, worker) in self.workers.iter().filter(|(_, it)| counts(it)) {
             load.capacity += u64::from(worker.capacity.cpu_milli);
         }
+        load.plan = self.last_plan();
         for (id, _) in self.active.iter() {
             self.add_job(now, *id, &mut load);
         }
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -18,6 +18,7 @@
                 self.job_submitted(now, id);
             }
             FoldEffect::Cancelled(id) => {
+                self.observe_cancel(now, id);
                 self.publish_state(id);
                 self.forward_cancel(id);
                 self.cancel(now, id);
@@ -86,6 +87,7 @@
         };
         let cancelled = job.cancelled;
         self.mean_task_cpu = mean_task_cpu(self.mean_task_cpu, spec);
+        self.observe_job(accepted_at, id);
         self.active.insert(id, view);
         if cancelled {
             self.cancel(now, id);
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -24,6 +24,9 @@
 impl Owner {
     pub(super) fn run_ended(&mut self, now: Instant, key: WorkerKey, it: EndedRun) {
         self.open_starts.listed(it.task, it.run);
+        if it.outcome == Outcome::Done {
+            self.observe_end(now, key, it.task, it.run);
+        }
         let is_held = it.outcome == Outcome::Done && self.may_start_again(now, it.task);
         // The log keeps no tasks of an ended job, so there is nothing to record.
         let is_recorded = self.ledger.job(it.task.job).is_some_and(|job| {
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -6,14 +6,14 @@
 
 mod wire;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bincode::{Decode, Encode, config};
 
 use self::wire::{
-    ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
-    LearnedInterferenceWire, OpenStartsWire, ProgressWire, TransferWire, WitnessAddressesWire,
-    WitnessesWire, state_from_number, state_to_number,
+    CapacityWire, ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
+    LearnedInterferenceWire, OpenStartsWire, ProgressWire, RejectionWire, TransferWire,
+    WitnessAddressesWire, WitnessesWire, state_from_number, state_to_number,
 };
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
@@ -30,6 +30,9 @@
 const WITNESSES_KEY: &str = "witnesses";
 /// The key of the runs whose start orders may still be carried out.
 const OPEN_STARTS_KEY: &str = "open-starts";
+/// The byte before the capacity reports of a heartbeat. What follows the free blocks under another
+/// byte is of a newer build and skipped.
+const CAPACITY_TAG: u8 = b'c';
 /// The key of the layout of shards.
 const LAYOUT_KEY: &str = "layout";
 
@@ -87,10 +90,23 @@
     OwnerHeartbeat(Box<OwnerHeartbeat>),
     /// How jobs and workers are divided among shards.
     Layout(Layout),
+    /// A VM rejected a job and told its caller when to return.
+    Rejected(JobId, Rejection),
     /// Interference sums that a shard's owner has collected since its last record of this kind.
     InterferenceSums(ShardId, Vec<InterferenceSums>),
 }
 
+/// What is known of a job that was rejected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejection {
+    /// The service whose workers would have run it.
+    pub service: Arc<str>,
+    /// What its tasks would have reserved, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// After which time its caller was told to return.
+    pub retry_after: Duration,
+}
+
 /// How much best-effort tasks of one image interfere with serving tasks of another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ImageInterference {
@@ -164,10 +180,17 @@
             format!("state-{id}"),
             encode_framed((state_to_number(published.state), published.shard.0)),
         ),
-        Record::OwnerHeartbeat(heartbeat) => (
-            format!("sign-{}", heartbeat.shard.0),
-            encode_framed((HeartbeatWire::from(&**heartbeat), FreeBlocksWire::from(&**heartbeat))),
-        ),
+        Record::OwnerHeartbeat(heartbeat) => {
+            let wire = (HeartbeatWire::from(&**heartbeat), FreeBlocksWire::from(&**heartbeat));
+            let mut value = encode_framed(wire);
+            if !heartbeat.capacity.is_empty() {
+                value.extend(encode_unframed((CAPACITY_TAG, CapacityWire::from(&**heartbeat))));
+            }
+            (format!("sign-{}", heartbeat.shard.0), value)
+        }
+        Record::Rejected(id, rejection) => {
+            (format!("rejected-{id}"), encode_framed(RejectionWire::from(rejection)))
+        }
         Record::InterferenceSums(shard, sums) => {
             (format!("observed-{}", shard.0), encode_framed(InterferenceSumsWire::from(&sums[..])))
         }
@@ -219,9 +242,9 @@
     if kind == "sign" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
         let (wire, rest): (HeartbeatWire, _) = decode_with_rest(value)?;
-        return Ok(Record::OwnerHeartbeat(Box::new(
-            wire.into_heartbeat(shard, decode_free_blocks(rest)?),
-        )));
+        let (free_blocks, capacity) = decode_heartbeat_rest(rest)?;
+        let heartbeat = wire.into_heartbeat(shard, free_blocks, capacity);
+        return Ok(Record::OwnerHeartbeat(Box::new(heartbeat)));
     }
     if kind == "observed" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
@@ -248,6 +271,9 @@
             Ok(Record::Submitted(id, wire.try_into()?))
         }
         "cancel" => decode_framed(value).map(|()| Record::Cancelled(id)),
+        "rejected" => {
+            decode_framed::<RejectionWire>(value).map(|it| Record::Rejected(id, it.into()))
+        }
         "delegated" => decode_framed(value).map(|it| Record::Delegated(id, ShardId(it))),
         "state" => {
             let (state, shard) = decode_framed(value)?;
@@ -279,11 +305,15 @@
 
 fn encode_framed<T: Encode>(value: T) -> Vec<u8> {
     let mut bytes = vec![VERSION];
-    // Encoding into memory can't fail for the types used here.
-    bytes.extend(bincode::encode_to_vec(value, config::standard()).unwrap_or_default());
+    bytes.extend(encode_unframed(value));
     bytes
 }
 
+fn encode_unframed<T: Encode>(value: T) -> Vec<u8> {
+    // Encoding into memory can't fail for the types used here.
+    bincode::encode_to_vec(value, config::standard()).unwrap_or_default()
+}
+
 fn decode_framed<T: Decode<()>>(bytes: &[u8]) -> Result<T, RecordError> {
     decode_with_rest(bytes).map(|(value, _)| value)
 }
@@ -303,13 +333,18 @@
     Ok((value, &body[len..]))
 }
 
-/// Decodes the free blocks at the end of a heartbeat. Older builds wrote nothing there, or one
-/// number for each block.
-fn decode_free_blocks(bytes: &[u8]) -> Result<FreeBlocksWire, RecordError> {
+/// Decodes the free blocks and the capacity reports at the end of a heartbeat. Older builds wrote
+/// nothing there, or one number for each block, or the blocks alone.
+fn decode_heartbeat_rest(bytes: &[u8]) -> Result<(FreeBlocksWire, CapacityWire), RecordError> {
     let older =
         bytes.is_empty() || matches!(decode_unframed::<[u32; FREE_BLOCKS]>(bytes), Ok((_, [])));
-    match older {
-        true => Ok(FreeBlocksWire::default()),
-        false => decode_unframed(bytes).map(|(free_blocks, _)| free_blocks),
+    if older {
+        return Ok(Default::default());
     }
+    let (free_blocks, rest) = decode_unframed(bytes)?;
+    let capacity = match rest {
+        [CAPACITY_TAG, rest @ ..] => decode_unframed(rest)?.0,
+        _ => CapacityWire::default(),
+    };
+    Ok((free_blocks, capacity))
 }
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -1,11 +1,12 @@
 //! The encodings of records.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bincode::{Decode, Encode};
+use daisy_admission::{CapacityPlan, CapacityReport, OfferedLoad};
 use daisy_model::Resources;
 
-use super::{Claim, ImageInterference, InterferenceSums, RecordError};
+use super::{Claim, ImageInterference, InterferenceSums, RecordError, Rejection};
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, JobState, Load, OpenStart, OwnerHeartbeat,
     Phase, Progress, ShardId, StepSpec, TaskCopy, TaskId, TaskState, Terms, Witness, Witnesses,
@@ -155,6 +156,58 @@
     }
 }
 
+/// The capacity reports by service: its name, then the offered load and its variance, the spare and
+/// the lacking capacity, what finite work has, and what is freed each second.
+#[derive(Debug, Default, Encode, Decode)]
+pub(super) struct CapacityWire(Vec<(String, [u64; 6])>);
+
+impl From<&OwnerHeartbeat> for CapacityWire {
+    fn from(heartbeat: &OwnerHeartbeat) -> CapacityWire {
+        let report = |it: &CapacityReport| {
+            let OfferedLoad { cpu_milli, variance } = it.offered;
+            let CapacityPlan { spare_cpu, short_cpu, finite_cpu } = it.plan;
+            let figures =
+                [cpu_milli, variance, spare_cpu, short_cpu, finite_cpu, it.freed_cpu_per_s];
+            (it.service.to_string(), figures)
+        };
+        CapacityWire(heartbeat.capacity.iter().map(report).collect())
+    }
+}
+
+impl From<CapacityWire> for Vec<CapacityReport> {
+    fn from(wire: CapacityWire) -> Vec<CapacityReport> {
+        let report = |(service, figures): (String, [u64; 6])| {
+            let [cpu_milli, variance, spare_cpu, short_cpu, finite_cpu, freed_cpu_per_s] = figures;
+            CapacityReport {
+                service: service.into(),
+                offered: OfferedLoad { cpu_milli, variance },
+                plan: CapacityPlan { spare_cpu, short_cpu, finite_cpu },
+                freed_cpu_per_s,
+            }
+        };
+        wire.0.into_iter().map(report).collect()
+    }
+}
+
+/// A rejection: the service, what the job would reserve, and when the caller should return, in
+/// milliseconds.
+#[derive(Debug, Encode, Decode)]
+pub(super) struct RejectionWire(String, u64, u64);
+
+impl From<&Rejection> for RejectionWire {
+    fn from(it: &Rejection) -> RejectionWire {
+        let retry_after_ms = u64::try_from(it.retry_after.as_millis()).unwrap_or(u64::MAX);
+        RejectionWire(it.service.to_string(), it.cpu_milli, retry_after_ms)
+    }
+}
+
+impl From<RejectionWire> for Rejection {
+    fn from(RejectionWire(service, cpu_milli, retry_after_ms): RejectionWire) -> Rejection {
+        let retry_after = Duration::from_millis(retry_after_ms);
+        Rejection { service: service.into(), cpu_milli, retry_after }
+    }
+}
+
 impl From<&OwnerHeartbeat> for HeartbeatWire {
     fn from(heartbeat: &OwnerHeartbeat) -> HeartbeatWire {
         let Load { capacity, long_running, finite, best_effort, .. } = heartbeat.load;
@@ -173,16 +226,20 @@
         self,
         shard: ShardId,
         free_blocks: FreeBlocksWire,
+        capacity: CapacityWire,
     ) -> OwnerHeartbeat {
         let HeartbeatWire { claim, is_caught_up, pending, load } = self;
-        let [capacity, long_running, finite, best_effort] = load;
+        let [cpu_capacity, long_running, finite, best_effort] = load;
         let free_blocks = free_blocks.0.map(|[cpu_milli, memory_mib, accelerators]| Resources {
             cpu_milli,
             memory_mib,
             accelerators,
         });
-        let load = Load { capacity, long_running, finite, best_effort, free_blocks };
-        OwnerHeartbeat { shard, claim: claim.into(), is_caught_up, pending, load }
+        let capacity: Vec<CapacityReport> = capacity.into();
+        let plan = Load::sum_plans(&capacity);
+        let load =
+            Load { capacity: cpu_capacity, long_running, finite, best_effort, plan, free_blocks };
+        OwnerHeartbeat { shard, claim: claim.into(), is_caught_up, pending, load, capacity }
     }
 }
 
--- a/daisy-workflow/src/spec.rs
+++ b/daisy-workflow/src/spec.rs
@@ -214,6 +214,12 @@
         self.steps.iter().map(work).sum::<u64>() * u64::from(self.occurrences)
     }
 
+    /// Returns what the long-running tasks reserve together, in thousandths of a core.
+    pub fn long_running_cpu(&self) -> u64 {
+        let long_running = self.steps.iter().filter(|it| it.long_running);
+        long_running.map(|it| u64::from(it.count) * u64::from(it.allocation().cpu_milli)).sum()
+    }
+
     /// Returns the estimated duration of the longest chain of steps, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
         self.times_to_end_ms().into_iter().max().unwrap_or_default()
--- a/daisy-workflow/tests/directory.rs
+++ b/daisy-workflow/tests/directory.rs
@@ -23,6 +23,7 @@
         is_caught_up: true,
         pending: vec![("q".to_owned(), 3)],
         load,
+        capacity: Vec::new(),
     }
 }
 
--- a/daisy-workflow/tests/ended_witnesses.rs
+++ b/daisy-workflow/tests/ended_witnesses.rs
@@ -7,7 +7,7 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Event, Layout, Ledger, Record, ShardId, Witness, Witnesses, WorkerKey,
+    Action, Event, Layout, Ledger, PlacementRules, Record, ShardId, Witness, Witnesses, WorkerKey,
 };
 use util::{
     Cluster, FakeWorker, LEASE, LONG_RUNNING_WORK_MS, Node, Simulation, job, long_running_step,
@@ -185,7 +185,8 @@
     let mut ledger = Ledger::default();
     ledger.fold(Record::Witnesses(Witnesses { accepted_by_epoch: 1, workers }));
     let (now, layout) = (Instant::from_millis(1_000), Layout { shards: 1 });
-    let mut owner = owner(now, 2, ledger, predecessors_ended, ShardId(0), layout, Some(1));
+    let rules = PlacementRules::default();
+    let mut owner = owner(now, 2, ledger, predecessors_ended, ShardId(0), layout, rules, Some(1));
     owner.handle_event(now, Event::Workers(Vec::new()));
     let called = owner.take_actions(now).into_iter().filter_map(|it| match it {
         Action::Renew { worker, .. } => owner.worker(worker).map(|it| it.id.0.to_string()),
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -3,15 +3,16 @@
 
 mod util;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bincode::{Encode, config};
+use daisy_admission::{CapacityPlan, CapacityReport, OfferedLoad};
 use daisy_model::Resources;
 use daisy_workflow::{
     Claim, FREE_BLOCKS, FoldEffect, ImageInterference, IncomingTransfer, InterferenceSums, JobId,
     JobState, Layout, Ledger, Load, OpenStart, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
-    PublishedState, Record, RecordError, ShardId, SpecError, TaskCopy, TaskState, Witness,
-    Witnesses, decode, encode, substitute,
+    PublishedState, Record, RecordError, Rejection, ShardId, SpecError, TaskCopy, TaskState,
+    Witness, Witnesses, decode, encode, substitute,
 };
 use util::{best_effort, job, long_running_step, step, step_after, task};
 
@@ -63,10 +64,31 @@
         long_running: 5,
         finite: 3,
         best_effort: 7,
+        plan: None,
         free_blocks: [FREE_BLOCK; FREE_BLOCKS],
     };
     let pending = vec![("q".to_owned(), 4)];
-    OwnerHeartbeat { shard: ShardId(3), claim: claim(), is_caught_up: true, pending, load }
+    let capacity = Vec::new();
+    OwnerHeartbeat {
+        shard: ShardId(3),
+        claim: claim(),
+        is_caught_up: true,
+        pending,
+        load,
+        capacity,
+    }
+}
+
+/// Returns a heartbeat of an owner that reports what its workers can still take.
+fn heartbeat_with_capacity() -> OwnerHeartbeat {
+    let report = CapacityReport {
+        service: "shop".into(),
+        offered: OfferedLoad { cpu_milli: 70_000, variance: 400 },
+        plan: CapacityPlan { spare_cpu: 1_000_000, short_cpu: 3, finite_cpu: 80_000 },
+        freed_cpu_per_s: 12_000,
+    };
+    let load = Load { plan: Some(report.plan), ..sample_heartbeat().load };
+    OwnerHeartbeat { capacity: vec![report], load, ..sample_heartbeat() }
 }
 
 /// Encodes a claim as older builds do.
@@ -89,6 +111,11 @@
     buf
 }
 
+/// Returns the free blocks of the sample heartbeat as they are encoded.
+fn encoded_free_blocks() -> [[u32; 3]; FREE_BLOCKS] {
+    [[FREE_BLOCK.cpu_milli, FREE_BLOCK.memory_mib, FREE_BLOCK.accelerators]; FREE_BLOCKS]
+}
+
 fn records() -> Vec<Record> {
     vec![
         Record::Submitted(
@@ -102,6 +129,15 @@
         Record::Delegated(JobId(7), ShardId(2)),
         Record::State(JobId(7), PublishedState { state: JobState::Completed, shard: ShardId(2) }),
         Record::OwnerHeartbeat(Box::new(sample_heartbeat())),
+        Record::OwnerHeartbeat(Box::new(heartbeat_with_capacity())),
+        Record::Rejected(
+            JobId(7),
+            Rejection {
+                service: "shop".into(),
+                cpu_milli: 182_000,
+                retry_after: Duration::from_secs(3),
+            },
+        ),
         Record::Layout(Layout { shards: 6 }),
         Record::TaskTransferredOut(task(7, 0, 1), OutgoingTransfer { number: 3, to: ShardId(2) }),
         Record::TaskTransferredIn(
@@ -159,6 +195,7 @@
                 Record::OwnerHeartbeat(_) => vec![
                     encoded_heartbeat_ending_with(()).len(),
                     encoded_heartbeat_ending_with([0_u8; FREE_BLOCKS]).len(),
+                    encoded_heartbeat_ending_with(encoded_free_blocks()).len(),
                 ],
                 Record::Claim(..) => vec![encoded_claim_of_older_builds().len()],
                 Record::Witnesses(_) => vec![encoded_witnesses_without_addresses().len()],
@@ -172,15 +209,20 @@
 
 #[test]
 fn heartbeats_are_encoded_as_by_the_previous_build() {
-    let free_blocks =
-        [[FREE_BLOCK.cpu_milli, FREE_BLOCK.memory_mib, FREE_BLOCK.accelerators]; FREE_BLOCKS];
-
     assert_eq!(
         encode(&Record::OwnerHeartbeat(Box::new(sample_heartbeat()))).1,
-        encoded_heartbeat_ending_with(free_blocks)
+        encoded_heartbeat_ending_with(encoded_free_blocks())
     );
 }
 
+/// Guards against builds side by side that treat each other's owners as lost.
+#[test]
+fn a_build_without_capacity_reports_decodes_what_precedes_them() {
+    let value = encode(&Record::OwnerHeartbeat(Box::new(heartbeat_with_capacity()))).1;
+
+    assert!(value.starts_with(&encoded_heartbeat_ending_with(encoded_free_blocks())));
+}
+
 /// Guards against builds that cannot decode each other's claims, or take an older one to vouch.
 #[test]
 fn claims_of_older_builds_are_decoded_and_vouch_for_nothing() {
--- a/daisy-workflow/tests/state_publishing.rs
+++ b/daisy-workflow/tests/state_publishing.rs
@@ -27,6 +27,7 @@
         is_caught_up: true,
         pending: Vec::new(),
         load: Load::default(),
+        capacity: Vec::new(),
     }
 }
 
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -5,8 +5,8 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Claim, Evacuations, Event, JobId, JobSpec, Layout, Ledger, Owner, Record,
-    ShardId, Start, TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
+    Action, Batch, Claim, Evacuations, Event, JobId, JobSpec, Layout, Ledger, Owner,
+    PlacementRules, Record, ShardId, Start, TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
 };
 
 use super::{
@@ -377,6 +377,7 @@
                 predecessors_expired,
                 ShardId(0),
                 Layout { shards: 1 },
+                PlacementRules::default(),
                 vouched_epoch,
             ),
             predecessors_expired,
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -41,6 +41,7 @@
     pub forwarded: Vec<(ShardId, Record)>,
     shard: ShardId,
     layout: Layout,
+    rules: PlacementRules,
     /// The work of a task, in milliseconds.
     pub work_ms: fn(TaskId) -> u64,
     pub fails: fn(TaskId) -> bool,
@@ -55,15 +56,30 @@
     }
 
     /// Returns one shard of several, with its own workers.
+    /// Returns the only shard, whose owner follows `rules`.
+    pub fn with_rules(workers: Vec<FakeWorker>, rules: PlacementRules) -> Simulation {
+        Simulation::of_shard_with_rules(workers, ShardId(0), Layout { shards: 1 }, rules)
+    }
+
     pub fn of_shard(workers: Vec<FakeWorker>, shard: ShardId, layout: Layout) -> Simulation {
+        Simulation::of_shard_with_rules(workers, shard, layout, PlacementRules::default())
+    }
+
+    fn of_shard_with_rules(
+        workers: Vec<FakeWorker>,
+        shard: ShardId,
+        layout: Layout,
+        rules: PlacementRules,
+    ) -> Simulation {
         let now = Instant::from_millis(1_000);
         let ledger = Ledger::default();
         Simulation {
             now,
             epoch: 1,
-            owner: owner(now, 1, ledger.clone(), true, shard, layout, None),
+            owner: owner(now, 1, ledger.clone(), true, shard, layout, rules, None),
             shard,
             layout,
+            rules,
             forwarded: Vec::new(),
             workers,
             ledger,
@@ -110,6 +126,7 @@
             predecessor_ended,
             self.shard,
             self.layout,
+            self.rules,
             Some(self.epoch - 1),
         );
     }
@@ -120,8 +137,16 @@
         self.change_owner(true);
         let ledger = self.log.read(by_key, progress_first);
         let vouched_epoch = Some(self.epoch - 1);
-        self.owner =
-            owner(self.now, self.epoch, ledger, true, self.shard, self.layout, vouched_epoch);
+        self.owner = owner(
+            self.now,
+            self.epoch,
+            ledger,
+            true,
+            self.shard,
+            self.layout,
+            self.rules,
+            vouched_epoch,
+        );
     }
 
     /// Kills the owner; `stored` says whether the batch it was appending is stored.
@@ -297,6 +322,7 @@
     }
 }
 
+#[allow(clippy::too_many_arguments, reason = "a fixture")]
 pub fn owner(
     now: Instant,
     epoch: u64,
@@ -304,15 +330,10 @@
     predecessor_ended: bool,
     shard: ShardId,
     layout: Layout,
+    rules: PlacementRules,
     vouched_epoch: Option<u64>,
 ) -> Owner {
-    let settings = Settings {
-        lease: LEASE,
-        lease_max: LEASE_MAX,
-        shard,
-        layout,
-        rules: PlacementRules::default(),
-    };
+    let settings = Settings { lease: LEASE, lease_max: LEASE_MAX, shard, layout, rules };
     let claimed = OwnershipStart {
         claim_sent_at: now,
         predecessors_ended: predecessor_ended,
--- a/src/args.rs
+++ b/src/args.rs
@@ -54,10 +54,13 @@
     pub files: Vec<PathBuf>,
 }
 
-/// Check a settings file, or a file of statements, and print every finding.
+/// Check a settings file, a policy file or a file of statements, and print every finding.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
+    /// the file holds the policy of a deployment
+    #[argh(switch)]
+    pub policy: bool,
     /// the file; .yaml and .yml hold settings, anything else holds statements
     #[argh(positional)]
     pub file: PathBuf,
@@ -109,6 +112,9 @@
     /// the platform's settings file; DAISYSHIFT_CONFIG in the environment if not given
     #[argh(option)]
     pub settings: Option<PathBuf>,
+    /// the file with the policy of the deployment; without it, no rule of it applies
+    #[argh(option)]
+    pub policy: Option<PathBuf>,
     /// events of this level and above go to standard output (default info)
     #[argh(option, default = "daisy_settings::LogLevel::Info")]
     pub log_level: daisy_settings::LogLevel,
--- a/src/check.rs
+++ b/src/check.rs
@@ -15,7 +15,9 @@
     let path = &options.file;
     let text =
         std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    let findings: Vec<String> = if is_settings_file(path) {
+    let findings: Vec<String> = if options.policy {
+        format_findings(daisy_settings::read_policy(&text).err().unwrap_or_default())
+    } else if is_settings_file(path) {
         format_findings(daisy_settings::read(&text).err().unwrap_or_default())
     } else {
         statement_findings(&text)
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -63,6 +63,27 @@
     assert!(text.contains("two-mistakes.daisy:2:6: "), "{text}");
 }
 
+#[test]
+fn check_prints_every_finding_of_a_policy_with_its_position() {
+    let path = write_file("two-mistakes-policy.yaml", "room: 1\nlong_running_admission: {}\n");
+
+    let output = daisyshift(&["check", "--policy", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("two-mistakes-policy.yaml:1:1: room: unknown"), "{text}");
+    assert!(text.contains(":2:25: protected_priority: missing"), "{text}");
+}
+
+#[test]
+fn the_policy_that_is_deployed_is_good() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/policy.yaml");
+
+    let output = daisyshift(&["check", "--policy", path]);
+
+    assert!(output.status.success(), "{}", stdout(&output));
+}
+
 #[test]
 fn check_accepts_good_statements() {
     let path = write_file("good.daisy", "drain vm worker-1;\nshow tasks\n");
