Hold queries of jobs that have not ended, and count when callers were told

Cause: callers ask within some 20 ms of their last end. The VM that answers reads states with a pause of 200 ms, so it said that the job runs, and the caller heard of the end only when it asked again.

Now such a query is held for the end, at most for the target latency of the job's queue and for `query_hold_ms` of the policy file, and the VM reads with its shortest pause meanwhile. Each answer is a line, from which `account` tells how many callers heard of the end within the objective.

--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod operators;
 mod own;
+mod queries;
 mod readiness;
 mod shared;
 mod states;
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -18,6 +18,7 @@
     elect::{self, ElectionContext},
     metrics::Metrics,
     operators::follow_operators,
+    queries::HeldQueries,
     readiness,
     shared::Shared,
     states::{choose_layout, follow_states},
@@ -47,16 +48,18 @@
 
     let caller_listener = callers::listen(settings.caller_address).await?;
     let readiness_listener = callers::listen(settings.readiness_address).await?;
+    let queries = HeldQueries::default();
     let submissions = Submissions {
         shared: shared.clone(),
         appender: Appender::start(log_client.clone(), shared.clone()),
         log_client: log_client.clone(),
         metrics: metrics.clone(),
-        protected_priority: policy.protected_priority,
+        queries: queries.clone(),
+        policy: *policy,
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
     tokio::spawn(follow_operators(log_client.clone(), shared.clone(), metrics.clone()));
-    tokio::spawn(follow_states(log_client.clone(), shared.clone()));
+    tokio::spawn(follow_states(log_client.clone(), shared.clone(), queries));
     tokio::spawn(choose_layout(log_client.clone(), shared.clone(), settings.partitions));
     let serving_task = tokio::spawn(callers::serve(
         caller_listener,
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -10,6 +10,7 @@
 use crate::{
     clock,
     follow::{CALL_TIMEOUT, Read, TopicReader},
+    queries::HeldQueries,
     shared::{NodeState, Shared},
 };
 
@@ -25,7 +26,7 @@
 const MAX_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the topic of states.
-pub(crate) async fn follow_states(log_client: LogClient, shared: Shared) {
+pub(crate) async fn follow_states(log_client: LogClient, shared: Shared, queries: HeldQueries) {
     let mut reader = TopicReader::new(log_client, Topic::States);
     loop {
         let is_first_read = reader.next().is_none();
@@ -49,7 +50,8 @@
             let shards = node.directory.layout().map_or(1, |it| it.shards);
             (READ_PAUSE + READ_PAUSE_PER_SHARD * u32::from(shards)).min(MAX_READ_PAUSE)
         };
-        sleep(pause).await;
+        queries.states_read();
+        queries.pause(READ_PAUSE, pause).await;
     }
 }
 
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -5,11 +5,15 @@
 use daisy_platform::{
     LogClient, LogError, encode_job_state, encode_pending_jobs, parse_submission,
 };
+use daisy_settings::Policy;
 use daisy_workflow::{JobId, Queue, Record, encode};
 use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
-use crate::{admit::Candidate, append::Appender, clock, metrics::Metrics, shared::Shared};
+use crate::{
+    admit::Candidate, append::Appender, clock, metrics::Metrics, queries::HeldQueries,
+    shared::Shared,
+};
 
 /// An answer to a caller.
 #[derive(Debug)]
@@ -55,8 +59,8 @@
     pub appender: Appender,
     pub log_client: LogClient,
     pub metrics: Metrics,
-    /// The priority of the finite work for which long-running jobs must leave capacity, if any.
-    pub protected_priority: Option<i32>,
+    pub queries: HeldQueries,
+    pub policy: Policy,
 }
 
 impl Submissions {
@@ -82,7 +86,7 @@
         };
         match *method {
             Method::POST => self.submit(id, queue, body, deadline).await,
-            Method::GET => self.query_state(id).await,
+            Method::GET => self.query_state(id, queue).await,
             Method::DELETE => self.cancel(id, deadline).await,
             _ => Answer::error(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -110,7 +114,7 @@
             );
             return Answer::retry_in(retry_delay(id), "the platform's store does not answer");
         }
-        let candidate = Candidate::try_new(id, &spec, self.protected_priority);
+        let candidate = Candidate::try_new(id, &spec, self.policy.protected_priority);
         if let Some(it) = &candidate
             && let Some(rejection) = self.try_reject(it).await
         {
@@ -131,13 +135,17 @@
         self.append(id, "cancelled", Record::Cancelled(id), deadline).await
     }
 
-    async fn query_state(&self, id: JobId) -> Answer {
+    async fn query_state(&self, id: JobId, queue: &Queue) -> Answer {
         match self.check_existence(id).await {
             Existence::Exists => {
-                let state = self.shared.lock().job_state(id);
+                let hold = self.query_hold(queue);
+                let asked_at = clock::now();
+                let state = self.queries.wait_for_end(&self.shared, id, hold).await;
                 let Some(state) = state else {
                     return Answer::error(StatusCode::GONE, "no such job");
                 };
+                let held_ms = clock::now().since(asked_at).as_millis();
+                log::info!("event=queried id={id} state={} held_ms={held_ms}", state.label());
                 Answer::new(StatusCode::OK, encode_job_state(state))
             }
             Existence::DoesNotExist => Answer::error(StatusCode::GONE, "no such job"),
@@ -147,6 +155,13 @@
         }
     }
 
+    /// Returns how long a query of a job that has not ended is held: at most the constant part of
+    /// the latency objective, so that it is short where callers count on short latencies.
+    fn query_hold(&self, queue: &Queue) -> Duration {
+        let target = Duration::from_millis(u64::from(queue.terms.target_latency_ms));
+        self.policy.query_hold.min(target)
+    }
+
     /// Checks whether a job exists. The state of a job that another VM has just accepted may not
     /// be published yet, so an unknown job is looked up several times before the answer.
     pub(crate) async fn check_existence(&self, id: JobId) -> Existence {
--- a/daisy-settings/src/policy.rs
+++ b/daisy-settings/src/policy.rs
@@ -1,5 +1,7 @@
 //! The policy under which the VMs of a deployment share its capacity.
 
+use std::time::Duration;
+
 use serde_saphyr::Spanned;
 
 use crate::{
@@ -9,15 +11,21 @@
     read::syntax_finding,
 };
 
-const FIELDS: &[&str] = &["long_running_admission"];
+const FIELDS: &[&str] = &["long_running_admission", "query_hold_ms"];
 const ADMISSION_FIELDS: &[&str] = &["protected_priority"];
 
+/// A longer hold could outlast what callers wait for an answer.
+const QUERY_HOLD_MAX: Duration = Duration::from_millis(1_000);
+
 /// Rules that an operator chooses for all VMs of a deployment. Without a file, none applies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Policy {
     /// Long-running jobs are accepted only while they leave the capacity that finite jobs need of
     /// queues with this priority or a lower value; `None` accepts all.
     pub protected_priority: Option<i32>,
+    /// How long a caller's query of a job that has not ended is held for its end at most; zero
+    /// answers at once.
+    pub query_hold: Duration,
 }
 
 /// Reads and validates the policy in `text`.
@@ -45,6 +53,13 @@
         policy.protected_priority = priority.map(|it| it.value);
         admission.finish(ADMISSION_FIELDS, findings);
     }
+    if let Some(hold) = fields.try_value::<u64>("query_hold_ms", "a whole number", findings) {
+        policy.query_hold = Duration::from_millis(hold.value);
+        if policy.query_hold > QUERY_HOLD_MAX {
+            let max = QUERY_HOLD_MAX.as_millis();
+            findings.add(hold.position, format!("query_hold_ms: more than the maximum, {max}"));
+        }
+    }
     fields.finish(FIELDS, findings);
     policy
 }
--- a/src/account.rs
+++ b/src/account.rs
@@ -13,7 +13,8 @@
 use crate::{args, log_lines};
 
 /// The events that the account is computed from.
-const EVENTS: [&str; 6] = ["submitted", "start", "run_ended", "run_lost", "pace", "job_ended"];
+const EVENTS: [&str; 7] =
+    ["submitted", "start", "run_ended", "run_lost", "pace", "job_ended", "queried"];
 
 /// Prints, for each kind of job, how many met their latency objective, the mean seconds by cause
 /// and how many of the largest were completed; then the jobs that exceeded their objective the
@@ -44,6 +45,9 @@
         let of_kind: Vec<&Job> =
             ended.iter().filter(|(_, it)| it.kind() == kind).map(|(_, it)| *it).collect();
         println!("{}", summary(kind, &of_kind));
+        if let Some(line) = try_told(kind, &of_kind) {
+            println!("{line}");
+        }
         let accepted: Vec<&Job> = jobs
             .iter()
             .map(|(_, it)| it)
@@ -75,6 +79,17 @@
     line
 }
 
+/// Returns one line about the jobs of a kind whose callers were told of their ends: owners see a job
+/// in time that its caller hears of too late. `None` if the logs hold no such answers.
+fn try_told(kind: &str, jobs: &[&Job]) -> Option<String> {
+    let told: Vec<f64> = jobs.iter().filter_map(|it| it.told_after()).collect();
+    let in_time = jobs.iter().filter(|it| it.is_told_in_time()).count();
+    let seconds = told.iter().sum::<f64>() / told.len() as f64;
+    let line =
+        format!("kind={kind} told={} in_time={in_time} told_after_s={seconds:.2}", told.len());
+    (!told.is_empty()).then_some(line)
+}
+
 /// Returns one line about all accepted jobs of a kind: how many were completed of the tenth with
 /// the most work, of the next fifth, and of all.
 fn completed_by_size(kind: &str, mut jobs: Vec<&Job>) -> String {
--- a/src/account/job.rs
+++ b/src/account/job.rs
@@ -77,6 +77,8 @@
     /// The estimated work of all tasks, in milliseconds of a core.
     work_ms: u64,
     completed: bool,
+    /// When a caller was first told that the job has ended.
+    told: Option<f64>,
     terms: Option<Terms>,
     /// The objective by the estimates of the caller.
     estimated_objective_s: f64,
@@ -111,6 +113,9 @@
                 self.estimated_objective_s =
                     line.number::<f64>("objective_ms").unwrap_or_default() / 1_000.0;
             }
+            "queried" if matches!(line.value("state"), Some("completed" | "failed")) => {
+                self.told = self.told.or(Some(now));
+            }
             _ => {}
         }
     }
@@ -161,6 +166,17 @@
         Some((self.ended? - self.accepted?).max(0.0))
     }
 
+    /// Returns the time from the job's end until a caller was told of it, in seconds; `None` if no
+    /// caller was.
+    pub fn told_after(&self) -> Option<f64> {
+        Some((self.told? - self.ended?).max(0.0))
+    }
+
+    /// Returns whether a caller was told of the job's end within its latency objective.
+    pub fn is_told_in_time(&self) -> bool {
+        self.told_after().is_some_and(|it| self.late_by() + it <= 0.0)
+    }
+
     /// Returns by how many seconds the job exceeded its latency objective; negative if it was in
     /// time.
     pub fn late_by(&self) -> f64 {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -210,6 +210,33 @@
     assert!(text.contains("jobs=1 in_time=1 latency_s=5.30"), "{text}");
 }
 
+/// Guards against counting a job as in time that ends within its objective, while its caller asks too
+/// early, is told that it runs, and learns of its end a second later.
+#[test]
+fn account_shows_when_callers_were_told_of_the_end() {
+    let log_line = |second: &str, event: &str| {
+        format!("2026-03-15T15:38:{second}Z [INFO] daisy_node::own: event={event}\n")
+    };
+    let log = [
+        log_line("10.000", "submitted id=a1 outcome=stored tries=1 kind=once work_ms=900"),
+        log_line("10.000", "start id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        log_line("12.000", "run_ended id=a1 task=a1.0.0.0 run=1 worker=w1 outcome=done"),
+        log_line(
+            "12.000",
+            "job_ended id=a1 outcome=completed kind=once age_ms=2000 objective_ms=2500",
+        ),
+        log_line("12.000", "queried id=a1 state=running held_ms=0"),
+        log_line("13.000", "queried id=a1 state=completed held_ms=0"),
+    ];
+    let path = write_file("told.log", &log.concat());
+
+    let output = daisyshift(&["account", path.to_str().expect("UTF-8")]);
+
+    let text = stdout(&output);
+    assert!(text.contains("kind=once jobs=1 in_time=1 latency_s=2.00"), "{text}");
+    assert!(text.contains("kind=once told=1 in_time=0 told_after_s=1.00"), "{text}");
+}
+
 /// The figures of all jobs together do not show that large jobs starve while small ones complete.
 #[test]
 fn account_shows_how_many_of_the_largest_jobs_were_completed() {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use daisy_platform_standin::{LogFault, WorkerFault};
 use daisy_workflow::{JobId, Layout, ShardId};
-use fleet::{Fleet, JOB_ID, OTHER_JOB_ID, job_body};
+use fleet::{Fleet, JOB_ID, OTHER_JOB_ID, job_body, long_running_body};
 use nix::sys::signal::Signal;
 
 /// The duration of a task, unless a test states another.
@@ -614,3 +614,48 @@
     assert!(unknown <= 3, "{statuses:?}");
     assert_eq!(unknown + rejected, 16, "{statuses:?}");
 }
+
+/// Guards against long-running jobs that take for good what finite jobs need: rejected before it is
+/// stored, the job never runs, and is accepted when the finite jobs have ended.
+#[tokio::test]
+async fn a_long_running_job_is_rejected_while_finite_jobs_need_the_capacity() {
+    let fleet = Fleet::start(2, 2, TASK_DURATION).await;
+    for number in 0..30 {
+        fleet.submit(0, &format!("{number:016x}"), job_body(8)).await;
+    }
+    fleet
+        .wait_until(|it| {
+            it.log_text_of(0).contains("event=capacity")
+                || it.log_text_of(1).contains("event=capacity")
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let rejected = fleet.submit(1, JOB_ID, long_running_body(4)).await;
+    let (state, _) = fleet.get_job(0, JOB_ID).await;
+    let runs = fleet.runs_of(JOB_ID).len();
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let returned = fleet.submit(0, JOB_ID, long_running_body(4)).await;
+    // The workers of these tests end every task.
+    fleet.wait_for_state(1, JOB_ID, "completed").await;
+
+    assert_eq!((rejected, state, runs, returned), (503, 410, 0, 200));
+    fleet.wait_for_trace(JOB_ID, "event=admission").await;
+}
+
+/// Guards against a caller that asks when its last task has ended, is told that the job runs, and
+/// learns of its end only when it asks again.
+#[tokio::test]
+async fn a_query_right_after_the_last_end_returns_the_end() {
+    let fleet = Fleet::start(2, 2, TASK_DURATION).await;
+    let mut answers = Vec::new();
+    for number in 0..4_u32 {
+        let id = format!("{number:016x}");
+        fleet.submit(0, &id, job_body(1)).await;
+        fleet.wait_until(|it| it.runs_of(&id).iter().any(|it| it.ended.is_some())).await;
+        answers.push(fleet.get_job(number as usize % 2, &id).await);
+    }
+
+    let completed = (200, r#"{"state":"completed"}"#.to_owned());
+    assert!(answers.iter().all(|it| *it == completed), "{answers:?}");
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -36,6 +36,14 @@
     .to_string()
 }
 
+/// Returns the body of a submission: a job of `count` tasks of a core each that run until they are
+/// cancelled.
+pub fn long_running_body(count: u32) -> String {
+    json!({ "spec": "text", "steps": [{ "count": count, "cpu": 1_000, "mem-mb": 16,
+        "est-runtime-ms": 400, "long-running": true }] })
+    .to_string()
+}
+
 /// The stand-ins and processes of one test.
 pub struct Fleet {
     pub log: Log,
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -16,6 +16,8 @@
     unistd::Pid,
 };
 
+/// The policy that is deployed.
+const POLICY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/policy.yaml");
 const CALLERS_PORT: u16 = 7_001;
 const READINESS_PORT: u16 = 7_002;
 
@@ -109,7 +111,7 @@
 
 fn spawn(settings: &Path, log: Stdio, errors: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_daisyshift"))
-        .args(["node", "--settings"])
+        .args(["node", "--policy", POLICY, "--settings"])
         .arg(settings)
         .stdout(log)
         .stderr(errors)
