--- a/daisy-measure/src/overload.rs
+++ b/daisy-measure/src/overload.rs
@@ -7,6 +7,7 @@
 //! figures for tasks that reserve capacity bound those of the other variants. They say nothing
 //! about best-effort tasks, since there every best-effort task interferes with every serving task.
 
+mod callers;
 mod load;
 mod report;
 mod simulation;
@@ -32,7 +33,7 @@
     /// number of seeds (default 3)
     #[argh(option, default = "3")]
     seeds: u64,
-    /// run one rule only: first_fit, worst_fit, best_fit, kept or bound
+    /// run one rule only: first_fit, worst_fit, best_fit, kept, admitted or bound
     #[argh(option)]
     rule: Option<String>,
     /// long-running jobs arrive and hardly ever end, instead of a mix drawn from each seed
@@ -41,7 +42,8 @@
 }
 
 /// Returns the names and rules that are compared, and whether a single worker has the capacity of all.
-fn variants() -> [(&'static str, PlacementRules, bool); 5] {
+/// Long-running jobs are admitted by the variant whose rules protect finite work.
+fn variants() -> [(&'static str, PlacementRules, bool); 6] {
     let default_rules = PlacementRules::default();
     let without_defragmentation = PlacementRules { defragments: false, ..default_rules };
     [
@@ -57,6 +59,7 @@
         ),
         ("best_fit", without_defragmentation, false),
         ("kept", default_rules, false),
+        ("admitted", PlacementRules { protected_priority: Some(0), ..default_rules }, false),
         ("bound", without_defragmentation, true),
     ]
 }
--- a/daisy-measure/src/overload/report.rs
+++ b/daisy-measure/src/overload/report.rs
@@ -33,6 +33,8 @@
     pub over_target: usize,
     /// Tasks whose move to another worker was started.
     pub moves_started: usize,
+    /// Callers of long-running jobs that were rejected until they gave up.
+    pub given_up: usize,
 }
 
 /// A result is treated as useful up to this many times the job's objective.
@@ -78,7 +80,8 @@
         format!(
             "once_in_time={:.3} once_served={:.3} largest_tenth={:.3} largest_fifth={:.3} \
              best_effort_in_time={:.3} best_effort_served={:.3} waiting_once={:.0} \
-             waiting_lasting={:.1} free_cores={:.0} unusable_cores={:.0} over_target={:.4} moved={}",
+             waiting_lasting={:.1} free_cores={:.0} unusable_cores={:.0} over_target={:.4} moved={} \
+             lasting_given_up={}",
             self.finite.in_time_share(),
             self.finite.useful_share(0.0, 1.0),
             self.finite.useful_share(0.9, 1.0),
@@ -91,6 +94,7 @@
             mean(self.unusable_cpu as f64 / 1_000.0),
             self.over_target as f64 / self.serving.max(1) as f64,
             self.moves_started,
+            self.given_up,
         )
     }
 }
--- a/daisy-measure/src/overload/simulation.rs
+++ b/daisy-measure/src/overload/simulation.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Args,
+    callers::Callers,
     load::{Arrival, MIB_PER_MILLI, Mix, WARM_UP_MS},
     report::Report,
     worker::Worker,
@@ -51,6 +52,8 @@
     steps: SortedMap<JobId, Vec<Arc<daisy_workflow::StepSpec>>>,
     /// Records, the shards they are sent to, and when they arrive.
     in_transit: Vec<(Instant, ShardId, Record)>,
+    /// The callers of long-running jobs, if these are admitted.
+    callers: Option<Callers>,
     report: Report,
 }
 
@@ -87,7 +90,9 @@
         let steps = steps.collect();
         let now = Instant::from_millis(0);
         let report = Report::default();
-        Simulation { now, layout, shards, arrivals, steps, in_transit: Vec::new(), report }
+        let callers = rules.protected_priority.map(|_| Callers::default());
+        let in_transit = Vec::new();
+        Simulation { now, layout, shards, arrivals, steps, in_transit, callers, report }
     }
 
     /// Runs the simulation to its end and returns the results.
@@ -98,14 +103,20 @@
             self.now = self.now + TIME_STEP;
             steps_done += 1;
             while let Some(it) = self.arrivals.get(next_arrival).filter(|it| it.at <= self.now) {
-                let id = JobId(it.id);
-                self.in_transit.push((
-                    self.now + APPEND_DELAY,
-                    self.layout.shard_of_job(id),
-                    Record::Submitted(id, it.spec.clone()),
-                ));
+                let is_admitted = it.spec.kind() != JobKind::LongRunning
+                    || self
+                        .callers
+                        .as_mut()
+                        .is_none_or(|callers| callers.admit(self.now, next_arrival, it));
+                if is_admitted {
+                    self.submit(next_arrival);
+                }
                 next_arrival += 1;
             }
+            if let Some(callers) = &mut self.callers {
+                let returned = callers.returned(self.now, &self.arrivals);
+                returned.into_iter().for_each(|it| self.submit(it));
+            }
             self.cancel_departing_jobs();
             self.deliver_records();
             if steps_done.is_multiple_of(HEARTBEAT_STEPS) {
@@ -121,6 +132,17 @@
         self.into_report()
     }
 
+    /// Submits the job at this position of the load.
+    fn submit(&mut self, arrival: usize) {
+        let it = &self.arrivals[arrival];
+        let id = JobId(it.id);
+        self.in_transit.push((
+            self.now + APPEND_DELAY,
+            self.layout.shard_of_job(id),
+            Record::Submitted(id, it.spec.clone()),
+        ));
+    }
+
     /// Cancels the long-running jobs whose time ended within this step.
     fn cancel_departing_jobs(&mut self) {
         let (now, before) = (self.now, self.now - TIME_STEP);
@@ -149,6 +171,10 @@
     /// Passes each owner's load and interference sums to the other owners, and confirms heartbeats.
     fn publish_heartbeats(&mut self) {
         let now = self.now;
+        if let Some(callers) = &mut self.callers {
+            let reports = self.shards.iter_mut().flat_map(|it| it.owner.capacity_reports(now));
+            callers.reported(reports.map(|it| (now, it)).collect());
+        }
         let loads: Vec<_> =
             self.layout.all().zip(&self.shards).map(|(id, it)| (id, it.owner.load(now))).collect();
         let observed: Vec<_> =
@@ -271,6 +297,7 @@
     }
 
     fn into_report(mut self) -> Report {
+        self.report.given_up = self.callers.as_ref().map_or(0, |it| it.given_up);
         for it in &self.arrivals {
             let id = JobId(it.id);
             let state = self.shards.iter().find_map(|shard| {
