--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -14,6 +14,9 @@
 
 /// The number of concurrent callers; each keeps its connections open.
 const CALLER_COUNT: usize = 6;
+/// Seeds from here on also submit long-running jobs; the schedules of lower ones, some of which have
+/// found faults, stay as they were.
+const FIRST_MIXED_SEED: u64 = 1_000;
 /// How long a caller waits for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The maximum number of tries of a submission whose outcome is unknown.
@@ -63,9 +66,10 @@
         let jobs = Arc::new(Mutex::new(Vec::new()));
         let mut tasks = JoinSet::new();
         let until = Instant::now() + duration;
+        let mixes_kinds = seed >= FIRST_MIXED_SEED;
         for number in 0..CALLER_COUNT {
             let rng = Rng::with_seed(seed * 1_000 + number as u64);
-            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), jobs.clone()));
+            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), mixes_kinds, jobs.clone()));
         }
         Callers { jobs, tasks }
     }
@@ -85,7 +89,7 @@
     let http = Http::new(None);
     let mut job = new_job(1, task_count);
     for vm in vms {
-        let body = job_body(task_count);
+        let body = job_body(task_count, false);
         let status = send_request(&http, *vm, Method::POST, &job.id, body).await.0;
         job.submit_statuses.push(status);
         if status == 200 {
@@ -113,23 +117,31 @@
     until: Instant,
     mut rng: Rng,
     vms: Vec<SocketAddr>,
+    mixes_kinds: bool,
     jobs: Arc<Mutex<Vec<SubmittedJob>>>,
 ) {
     let http = Http::new(None);
     while Instant::now() < until {
-        let job = submit_and_poll_job(&http, &mut rng, &vms).await;
+        let job = submit_and_poll_job(&http, &mut rng, &vms, mixes_kinds).await;
         jobs.lock().unwrap_or_else(PoisonError::into_inner).push(job);
         sleep(Duration::from_millis(rng.u64(50..250))).await;
     }
 }
 
 /// Submits a job and polls its state some times; one accepted job in six is cancelled.
-async fn submit_and_poll_job(http: &Http, rng: &mut Rng, vms: &[SocketAddr]) -> SubmittedJob {
+async fn submit_and_poll_job(
+    http: &Http,
+    rng: &mut Rng,
+    vms: &[SocketAddr],
+    mixes_kinds: bool,
+) -> SubmittedJob {
     let task_count = rng.usize(1..=6);
     let mut job = new_job(rng.u64(..), task_count);
+    let is_long_running = mixes_kinds && job.id.ends_with(['8', 'f']);
     for _ in 0..SUBMIT_TRIES_MAX {
         let vm = vms[rng.usize(..vms.len())];
-        let status = send_request(http, vm, Method::POST, &job.id, job_body(task_count)).await.0;
+        let body = job_body(task_count, is_long_running);
+        let status = send_request(http, vm, Method::POST, &job.id, body).await.0;
         job.submit_statuses.push(status);
         if status == 200 {
             job.accepted_at = Some(Instant::now());
@@ -157,10 +169,12 @@
     job
 }
 
-/// Returns the body of a submission: a job of one step, with half a core for each task.
-fn job_body(task_count: usize) -> String {
+/// Returns the body of a submission: a job of one step, with half a core for each task. A
+/// long-running one may be rejected beside the others.
+fn job_body(task_count: usize, is_long_running: bool) -> String {
+    let kind = if is_long_running { r#","long-running":true"# } else { "" };
     format!(
-        r#"{{"spec":"text","steps":[{{"count":{task_count},"cpu":500,"mem-mb":16,"est-runtime-ms":400}}]}}"#
+        r#"{{"spec":"text","steps":[{{"count":{task_count},"cpu":500,"mem-mb":16,"est-runtime-ms":400{kind}}}]}}"#
     )
 }
 
