Skip the rejections that a VM reads at its start: their callers are gone

Found by reading, before any caller met it: the newest record of each rejected job is kept, and a VM that starts reads them all. It would have taken up to 256 callers of any age for such as are about to return, and rejected every other long-running job for up to 8 s. Records of the first read, and of the first after a gap, may be of any age, so rejections among them are skipped.

--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -66,6 +66,8 @@
                 node.admission.returning.accepted(id);
                 node.directory.set_state(id, state);
             }
+            // Callers of old rejections, which are read after a start, no longer return.
+            Ok(Record::Rejected(..)) if !node.directory.reads_recent_records() => {}
             Ok(Record::Rejected(id, it)) => {
                 let Rejection { service, cpu_milli, retry_after } = it;
                 let returning = &mut node.admission.returning;
--- a/daisy-workflow/src/directory.rs
+++ b/daisy-workflow/src/directory.rs
@@ -108,6 +108,12 @@
         self.caught_up_at = None;
     }
 
+    /// Returns whether the records that are read now were written recently. The newest record of a
+    /// key, which is read first, may be of any age.
+    pub fn reads_recent_records(&self) -> bool {
+        self.caught_up_at.is_some()
+    }
+
     /// Returns whether the job does not exist if it is not known: the owner of its shard is alive
     /// and has published all submissions up to a short while ago.
     ///
--- a/daisy-workflow/tests/directory.rs
+++ b/daisy-workflow/tests/directory.rs
@@ -128,3 +128,18 @@
 
     assert_eq!((directory.pending("q"), directory.pending("other")), (3, 0));
 }
+
+/// Guards against a VM that takes the rejections of weeks, which it reads at its start, for callers
+/// that are about to return, and rejects everybody else.
+#[test]
+fn records_of_the_first_read_may_be_of_any_age() {
+    let mut directory = Directory::default();
+
+    let at_start = directory.reads_recent_records();
+    directory.mark_caught_up(Instant::from_millis(1_000));
+    let caught_up = directory.reads_recent_records();
+    directory.restart_reading();
+    let after_gap = directory.reads_recent_records();
+
+    assert_eq!((at_start, caught_up, after_gap), (false, true, false));
+}
