Store rejections under a bounded number of keys

The log keeps the newest record of each key for good, so each rejected job would have left a record that every starting VM reads. Rejections now share 256 keys: a VM that follows the topic reads each as it is appended, and what is older is skipped anyway.

--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -33,6 +33,9 @@
 /// The byte before the capacity reports of a heartbeat. What follows the free blocks under another
 /// byte is of a newer build and skipped.
 const CAPACITY_TAG: u8 = b'c';
+/// The number of keys under which rejections are stored. The log keeps the newest record of each key
+/// for good, and only those who read a rejection as it is appended need it.
+const REJECTION_KEYS: u64 = 256;
 /// The key of the layout of shards.
 const LAYOUT_KEY: &str = "layout";
 
@@ -189,7 +192,8 @@
             (format!("sign-{}", heartbeat.shard.0), value)
         }
         Record::Rejected(id, rejection) => {
-            (format!("rejected-{id}"), encode_framed(RejectionWire::from(rejection)))
+            let key = format!("rejected-{}", id.0 % REJECTION_KEYS);
+            (key, encode_framed((id.0, RejectionWire::from(rejection))))
         }
         Record::InterferenceSums(shard, sums) => {
             (format!("observed-{}", shard.0), encode_framed(InterferenceSumsWire::from(&sums[..])))
@@ -251,6 +255,10 @@
         let wire: InterferenceSumsWire = decode_framed(value)?;
         return Ok(Record::InterferenceSums(shard, wire.try_into()?));
     }
+    if kind == "rejected" {
+        let (id, wire): (u64, RejectionWire) = decode_framed(value)?;
+        return Ok(Record::Rejected(JobId(id), wire.into()));
+    }
     if kind == "handed" {
         let id: TaskId = id.parse().map_err(|_| unknown())?;
         return decode_framed(value).map(|(number, to)| {
@@ -271,9 +279,6 @@
             Ok(Record::Submitted(id, wire.try_into()?))
         }
         "cancel" => decode_framed(value).map(|()| Record::Cancelled(id)),
-        "rejected" => {
-            decode_framed::<RejectionWire>(value).map(|it| Record::Rejected(id, it.into()))
-        }
         "delegated" => decode_framed(value).map(|it| Record::Delegated(id, ShardId(it))),
         "state" => {
             let (state, shard) = decode_framed(value)?;
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -215,6 +215,19 @@
     );
 }
 
+/// Guards against a store that fills with the rejections of weeks.
+#[test]
+fn rejections_take_a_bounded_number_of_keys() {
+    let rejection = Rejection { service: "s".into(), cpu_milli: 1, retry_after: Duration::ZERO };
+    let key = |id: u64| encode(&Record::Rejected(JobId(id), rejection.clone())).0;
+
+    let mut keys: Vec<String> = (0..10_000).map(key).collect();
+    keys.sort();
+    keys.dedup();
+
+    assert_eq!(keys.len(), 256);
+}
+
 /// Guards against builds side by side that treat each other's owners as lost.
 #[test]
 fn a_build_without_capacity_reports_decodes_what_precedes_them() {
