Spread the turns to count workers, so that the layout is chosen before far VMs read the list

Cause: all 150 VMs near the log counted the workers at the same moment. Their lists, 1 MB each, exceed the 80 MB a second that the log sends to all together, so that none had counted twice after a hundred round-trip times of the far VMs; these then read the list too, over the 60 Mbit/s between the regions.

Now turns begin after two hundred round-trip times and are spread over four hundred more by a hash of the VM's name.

--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -60,7 +60,12 @@
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
     tokio::spawn(follow_operators(log_client.clone(), shared.clone(), metrics.clone()));
     tokio::spawn(follow_states(log_client.clone(), shared.clone(), queries));
-    tokio::spawn(choose_layout(log_client.clone(), shared.clone(), settings.partitions));
+    tokio::spawn(choose_layout(
+        log_client.clone(),
+        shared.clone(),
+        settings.vm.clone(),
+        settings.partitions,
+    ));
     let serving_task = tokio::spawn(callers::serve(
         caller_listener,
         submissions,
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -92,7 +92,12 @@
 /// Chooses the shard layout of a system that has none, by the number of listed workers once that
 /// number has stopped changing. If several VMs choose a layout, the record that is appended first
 /// applies.
-pub(crate) async fn choose_layout(log_client: LogClient, shared: Shared, partitions: u16) {
+pub(crate) async fn choose_layout(
+    log_client: LogClient,
+    shared: Shared,
+    vm: String,
+    partitions: u16,
+) {
     /// The interval at which workers are counted. Workers that start together are listed within a
     /// second.
     const COUNT_INTERVAL: Duration = Duration::from_millis(600);
@@ -110,7 +115,7 @@
             if node.directory.layout().is_some() {
                 return;
             }
-            (node.states_caught_up.map(|(_, end)| end), node.log_rtt.layout_turn())
+            (node.states_caught_up.map(|(_, end)| end), node.log_rtt.layout_turn(&vm))
         };
         // A layout that was chosen before this process started is among the states.
         let Some(end) = end.filter(|_| clock::now().since(began) >= turn) else {
--- a/daisy-workflow/src/log_rtt.rs
+++ b/daisy-workflow/src/log_rtt.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::shard::hash;
+
 /// The estimate before the first read: that of a VM in the data centre of the log.
 const DEFAULT_RTT: Duration = Duration::from_millis(5);
 
@@ -25,14 +27,18 @@
         self.shortest_read.unwrap_or(DEFAULT_RTT)
     }
 
-    /// Returns how long after its start a VM waits before it counts the workers of a system without
-    /// a layout.
+    /// Returns how long after its start the VM named `vm` waits before it counts the workers of a
+    /// system without a layout.
     ///
-    /// The list of workers is long. If all VMs read it when they start together, it delays every
-    /// other read over the link between regions. So those near the log count first, and choose a
-    /// layout before the others' turn comes.
-    pub fn layout_turn(self) -> Duration {
-        const RTTS: u32 = 100;
-        self.estimate() * RTTS
+    /// The list of workers is long. If all VMs read it when they start together, they exceed what
+    /// the log sends to all together, and delay every other read over the link between regions. So
+    /// the turns of VMs near the log are spread by name, and one of them has chosen a layout before
+    /// the turns of the others.
+    pub fn layout_turn(self, vm: &str) -> Duration {
+        /// The earliest turn and the spread of the turns, in round-trip times.
+        const EARLIEST_RTTS: u32 = 200;
+        const SPREAD_RTTS: u64 = 400;
+        let spread = (hash(vm.as_bytes()) % SPREAD_RTTS) as u32;
+        self.estimate() * (EARLIEST_RTTS + spread)
     }
 }
