Let a few VMs of each data centre read the log for the others

Cause: every VM read the states of all shards and every configuration, 30 KB each, from the log by itself: bytes grow as VMs times shards. After 206 VMs were turned away at once and returned, the link between the regions was full of answers that nobody waited for any more; a read given up after 0.35 or 0.9 s began anew. Change: crate daisy-relay (cache of a topic, choice of the source), readers told by the platform's groups, reads over h2 within the data centre; the stream of frames moves from daisy-entry to daisy-stream, which both use. On with `relay` in the policy file, from 12 shards on. A VM is ready only while the log answers its joins, as it now has recent records also when the log turns it away.

--- a/daisy-entry/src/peers.rs
+++ b/daisy-entry/src/peers.rs
@@ -6,7 +6,6 @@
 mod link;
 mod links;
 mod serve;
-mod stream;
 mod tail;
 mod traffic;
 
--- a/daisy-entry/src/peers/link.rs
+++ b/daisy-entry/src/peers/link.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use daisy_membership::Heartbeat;
 use daisy_model::{DcId, Offset, SortedMap, VmId};
+use daisy_stream::{Receiver, Sender, StreamError};
 use daisy_wire::{
     headers,
     peer::{
@@ -22,10 +23,7 @@
 
 use crate::{
     control::Replicas,
-    peers::{
-        NOTICES, QUERY, RECORDS, Traffic,
-        stream::{Receiver, Sender, StreamError},
-    },
+    peers::{NOTICES, QUERY, RECORDS, Traffic},
 };
 
 /// How long opening a connection may take.
--- a/daisy-entry/src/peers/serve.rs
+++ b/daisy-entry/src/peers/serve.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use daisy_model::{DcId, Offset, SortedMap, VmId};
 use daisy_routing::{KeyAnswer, KeyQuery};
+use daisy_stream::{Receiver, Sender, StreamError};
 use daisy_wire::{
     headers,
     peer::{
@@ -31,11 +32,7 @@
 use crate::{
     boundary::RequestSide,
     control::{Input, Replicas},
-    peers::{
-        NOTICES, QUERY, RECORDS, Tail, Traffic,
-        stream::{Receiver, Sender, StreamError},
-        tail::Chunk,
-    },
+    peers::{NOTICES, QUERY, RECORDS, Tail, Traffic, tail::Chunk},
 };
 
 /// The maximum size of an unsolicited message from a peer, in bytes; handovers of keys are the
--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -132,7 +132,7 @@
         for record in decode_all("jobs", &read.records) {
             self.ledger.fold(record);
         }
-        read.at_end
+        read.at_end()
     }
 
     async fn read_progress(&mut self) -> Option<ProgressRead> {
@@ -149,7 +149,7 @@
                 Err(e) => self.has_newer_records |= matches!(e, RecordError::Version(_)),
             }
         }
-        ProgressRead { has_claim, has_progress, at_end: read.at_end }
+        ProgressRead { has_claim, has_progress, at_end: read.at_end() }
     }
 }
 
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -2,11 +2,14 @@
 
 use std::{pin::pin, time::Duration};
 
-use daisy_platform::{LogClient, LogError, NewestPage, StoredRecord, Topic};
+use daisy_model::Instant;
+use daisy_platform::{LogClient, LogError, NewestPage, Topic};
+use daisy_relay::{Source, StoredRecord};
+use daisy_wire::relay::RelayedTopic;
 use daisy_workflow::LargeReadTimeout;
 use tokio::time::{sleep, timeout};
 
-use crate::clock;
+use crate::{clock, relay::Relay};
 
 /// How long a call to the platform may take, not counting the time for which the call requests to
 /// wait for records.
@@ -37,6 +40,8 @@
     /// The newest records that have been read so far, while more pages of them follow.
     newest_so_far: Option<NewestPage>,
     newest_timeout: LargeReadTimeout,
+    /// Where to read from instead of the log, for a topic that VMs read for each other.
+    relay: Option<(Relay, RelayedTopic)>,
 }
 
 /// The records that a read returned.
@@ -45,8 +50,19 @@
     /// The records in the order of their offsets; the newest records of each key in the order of
     /// the keys.
     pub records: Vec<StoredRecord>,
-    /// Whether the log had no records after them.
-    pub at_end: bool,
+    /// Whether they are the newest records of each key.
+    pub is_snapshot: bool,
+    /// When the log had no records after them; `None` if it had some.
+    pub at_end_at: Option<Instant>,
+    /// The distance to the log by the word of the VM that read it; `None` if this VM read it.
+    pub log_rtt: Option<Duration>,
+}
+
+impl Read {
+    /// Returns whether the log had no records after those read.
+    pub fn at_end(&self) -> bool {
+        self.at_end_at.is_some()
+    }
 }
 
 impl TopicReader {
@@ -60,9 +76,15 @@
             failures: 0,
             newest_so_far: None,
             newest_timeout: LargeReadTimeout::default(),
+            relay: None,
         }
     }
 
+    /// Makes the reader read through `relay`, if there is one.
+    pub fn through(self, relay: Option<Relay>, topic: RelayedTopic) -> TopicReader {
+        TopicReader { relay: relay.map(|it| (it, topic)), ..self }
+    }
+
     /// Returns the offset at which the next read continues; `None` if the next read is a first one.
     pub fn next(&self) -> Option<u64> {
         self.next
@@ -77,6 +99,43 @@
     /// Reads the new records; waits up to `wait` for one. Returns `None` after a failure, which is
     /// logged and followed by a short pause.
     pub async fn try_read(&mut self, wait: Duration) -> Option<Read> {
+        let Some((relay, topic)) = self.relay.clone() else {
+            return self.try_read_log(wait).await;
+        };
+        match relay.select(topic) {
+            Source::Log => {
+                if relay.must_restart(topic, self.next) {
+                    self.next = None;
+                }
+                let from = self.next;
+                let read = self.try_read_log(wait).await?;
+                let next = self.next?;
+                relay.keep(topic, &read.records, from, next, read.at_end_at);
+                Some(read)
+            }
+            Source::Reader(reader) => {
+                let from = self.next;
+                let read = relay.try_read(reader, topic, from, wait).await?;
+                let batch = read.batch;
+                let from = from.filter(|_| !batch.is_snapshot);
+                relay.keep(topic, &batch.records, from, batch.next, read.at_end_at);
+                self.next = Some(batch.next);
+                self.newest_so_far = None;
+                Some(Read {
+                    records: batch.records,
+                    is_snapshot: batch.is_snapshot,
+                    at_end_at: read.at_end_at,
+                    log_rtt: Some(read.log_rtt),
+                })
+            }
+            Source::Wait(time) => {
+                sleep(time).await;
+                None
+            }
+        }
+    }
+
+    async fn try_read_log(&mut self, wait: Duration) -> Option<Read> {
         let (wait, timeout) = match self.failures {
             0 => (wait, CALL_TIMEOUT),
             it if it % 2 == 1 => (Duration::ZERO, SHORT_CALL_TIMEOUT),
@@ -88,7 +147,8 @@
                 let page = self.log_client.read(self.topic, from, wait, timeout).await;
                 page.map(|it| {
                     self.next = Some(it.next);
-                    Read { records: it.records, at_end: it.next >= it.end }
+                    let at_end_at = (it.next >= it.end).then(clock::now);
+                    Read { records: it.records, is_snapshot: false, at_end_at, log_rtt: None }
                 })
             }
         };
@@ -141,7 +201,8 @@
                 let records = std::mem::take(&mut pages.records);
                 self.next = Some(pages.end);
                 self.newest_so_far = None;
-                return Ok(Read { records, at_end: true });
+                let at_end_at = Some(clock::now());
+                return Ok(Read { records, is_snapshot: true, at_end_at, log_rtt: None });
             }
         }
     }
--- a/daisy-node/src/jobs.rs
+++ b/daisy-node/src/jobs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisy_model::Instant;
-use daisy_platform::StoredRecord;
+use daisy_relay::StoredRecord;
 use daisy_workflow::{Event, Record, RecordError, decode, substitute};
 use tokio::{
     sync::{mpsc, watch},
@@ -51,7 +51,7 @@
                 return;
             }
         }
-        if read.at_end {
+        if read.at_end() {
             caught_up_at.send_replace(clock::now());
         }
         sleep(READ_PAUSE).await;
--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -20,6 +20,7 @@
 mod own;
 mod queries;
 mod readiness;
+mod relay;
 mod shared;
 mod states;
 mod submit;
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -1,11 +1,12 @@
 //! Counters, gauges and latencies in the Prometheus text format.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
 use daisy_admission::{CapacityReport, Decision, Verdict};
+use daisy_platform::LogUsage;
 use daisy_workflow::{Evacuations, ShardId};
 use http::{Method, StatusCode};
 use prometheus_client::{
@@ -39,6 +40,12 @@
     data_centre: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LogCallLabels {
+    call: &'static str,
+    topic: &'static str,
+}
+
 /// The metrics of a process.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -55,6 +62,10 @@
     admissions: Family<OutcomeLabels, Counter>,
     spare_cpu: Family<ShardLabels, Gauge>,
     short_cpu: Family<ShardLabels, Gauge>,
+    log_calls: Family<LogCallLabels, Counter>,
+    log_bytes: Family<LogCallLabels, Counter>,
+    is_reader: Gauge,
+    followers: Gauge,
 }
 
 impl Metrics {
@@ -74,6 +85,10 @@
             admissions: Family::default(),
             spare_cpu: Family::default(),
             short_cpu: Family::default(),
+            log_calls: Family::default(),
+            log_bytes: Family::default(),
+            is_reader: Gauge::default(),
+            followers: Gauge::default(),
         };
         let mut registry = Registry::with_prefix("daisyshift");
         registry.register("requests", "Callers' requests", metrics.requests.clone());
@@ -95,6 +110,13 @@
         registry.register("spare_cpu", help, metrics.spare_cpu.clone());
         let help = "Thousandths of a core that finite work lacks";
         registry.register("short_cpu", help, metrics.short_cpu.clone());
+        registry.register("log_calls", "Calls to the log", metrics.log_calls.clone());
+        let help = "Bytes of the bodies of calls to the log, both ways";
+        registry.register("log_bytes", help, metrics.log_bytes.clone());
+        let help = "Whether this VM reads the log for others";
+        registry.register("reader", help, metrics.is_reader.clone());
+        let help = "Connections of VMs that read from this one";
+        registry.register("followers", help, metrics.followers.clone());
         *metrics.registry.lock().unwrap_or_else(PoisonError::into_inner) = registry;
         metrics
     }
@@ -158,6 +180,25 @@
         self.short_cpu.get_or_create(&labels).set(short_cpu as i64);
     }
 
+    /// Sets the calls to the log so far.
+    pub fn set_log_usage(&self, usage: &[LogUsage]) {
+        for it in usage {
+            let labels = LogCallLabels { call: it.call.label(), topic: it.topic };
+            self.log_calls.get_or_create(&labels).inner().store(it.calls, Ordering::Relaxed);
+            self.log_bytes.get_or_create(&labels).inner().store(it.bytes, Ordering::Relaxed);
+        }
+    }
+
+    /// Sets whether this process reads the log for others.
+    pub fn set_reader(&self, is_reader: bool) {
+        self.is_reader.set(i64::from(is_reader));
+    }
+
+    /// Adds to the number of connections of VMs that read from this process.
+    pub fn add_followers(&self, change: i64) {
+        self.followers.inc_by(change);
+    }
+
     /// Sets which data centres are evacuated.
     pub fn set_evacuations(&self, evacuations: &Evacuations) {
         self.evacuated.clear();
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -4,9 +4,10 @@
 
 use anyhow::Context;
 use daisy_http::Http;
-use daisy_platform::{LogClient, NodeSettings, parse_settings};
+use daisy_platform::{LogClient, LogUsage, NodeSettings, parse_settings};
 use daisy_settings::Policy;
 use tokio::{
+    net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     time::{sleep, timeout},
@@ -20,6 +21,7 @@
     operators::follow_operators,
     queries::HeldQueries,
     readiness,
+    relay::{self, Membership, Relay},
     shared::Shared,
     states::{choose_layout, follow_states},
     submit::Submissions,
@@ -32,6 +34,10 @@
 /// requests.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// A VM with a smaller share of a core does not read for others: its link is too narrow for a
+/// hundred followers.
+const READER_CPU_SHARE_MIN: f64 = 0.2;
+
 /// Runs an entry VM with the settings file at `path` under `policy`, until SIGTERM and the planned stop that
 /// follows.
 ///
@@ -58,8 +64,15 @@
         policy: *policy,
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
-    tokio::spawn(follow_operators(log_client.clone(), shared.clone(), metrics.clone()));
-    tokio::spawn(follow_states(log_client.clone(), shared.clone(), queries));
+    tokio::spawn(report_log_usage(log_client.clone(), metrics.clone()));
+    let relay = start_relay(&settings, policy, &log_client, &shared, &metrics).await?;
+    tokio::spawn(follow_operators(
+        log_client.clone(),
+        relay.clone(),
+        shared.clone(),
+        metrics.clone(),
+    ));
+    tokio::spawn(follow_states(log_client.clone(), relay, shared.clone(), queries));
     tokio::spawn(choose_layout(
         log_client.clone(),
         shared.clone(),
@@ -104,6 +117,60 @@
     Ok(())
 }
 
+/// Sets the metrics of calls to the log, and logs the calls of each interval in one line.
+async fn report_log_usage(log_client: LogClient, metrics: Metrics) {
+    const INTERVAL: Duration = Duration::from_secs(10);
+    let mut known: Vec<LogUsage> = Vec::new();
+    loop {
+        sleep(INTERVAL).await;
+        let usage = log_client.usage();
+        metrics.set_log_usage(&usage);
+        let mut line = String::new();
+        for it in &usage {
+            let before = known.iter().find(|old| (old.call, old.topic) == (it.call, it.topic));
+            let (calls, bytes) = before.map_or((0, 0), |old| (old.calls, old.bytes));
+            if it.calls > calls {
+                let (calls, bytes) = (it.calls - calls, it.bytes - bytes);
+                line += &format!(" {}_{}={calls}/{bytes}", it.call.label(), it.topic);
+            }
+        }
+        log::info!("event=log_usage{line}");
+        known = usage;
+    }
+}
+
+/// Starts this VM's part in reading the log for others, if the policy asks for it.
+async fn start_relay(
+    settings: &NodeSettings,
+    policy: &Policy,
+    log_client: &LogClient,
+    shared: &Shared,
+    metrics: &Metrics,
+) -> anyhow::Result<Option<Relay>> {
+    let Some((min_shards, address)) = policy.relay_min_shards.zip(settings.peer_address) else {
+        return Ok(None);
+    };
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("listening on {address}"))?;
+    let is_candidate = settings.cpu_share >= READER_CPU_SHARE_MIN;
+    let relay = Relay::new(shared.clone(), metrics.clone(), is_candidate);
+    let membership = Membership::new(settings, address, is_candidate, min_shards);
+    tokio::spawn(relay::serve(relay.clone(), listener));
+    tokio::spawn(relay::stay_in_group(
+        membership.clone(),
+        log_client.clone(),
+        relay.clone(),
+        shared.clone(),
+    ));
+    tokio::spawn(relay::follow_readers(
+        membership,
+        log_client.clone(),
+        relay.clone(),
+        shared.clone(),
+    ));
+    Ok(Some(relay))
+}
+
 fn read_settings(path: &Path) -> anyhow::Result<NodeSettings> {
     let text =
         std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
--- a/daisy-node/src/readiness.rs
+++ b/daisy-node/src/readiness.rs
@@ -56,9 +56,13 @@
 }
 
 /// Returns whether the VM can serve callers: it has a configuration and a layout, has read the
-/// states recently, and is not stopping.
+/// states recently, the log answers it, and it is not stopping.
 fn is_ready(shared: &Shared) -> bool {
     let node = shared.lock();
     let has_layout = node.directory.layout().is_some();
-    !node.is_stopping && node.queues.is_some() && has_layout && node.is_up_to_date()
+    !node.is_stopping
+        && node.queues.is_some()
+        && has_layout
+        && node.is_up_to_date()
+        && node.reaches_log()
 }
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -42,6 +42,9 @@
     accepted_jobs: SortedMap<JobId, Instant>,
     /// The event channels of the owners of the shards that this process owns.
     owner_events: SortedMap<ShardId, mpsc::UnboundedSender<Event>>,
+    /// When the last join of the data centre's group that was answered was sent; `None` if this VM
+    /// joins none.
+    pub joined_at: Option<Instant>,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
 }
@@ -150,6 +153,14 @@
         self.states_caught_up.is_some_and(|(at, _)| clock::now().since(at).as_millis() < MAX_AGE_MS)
     }
 
+    /// Returns whether the log answers this VM, as far as is known. A VM that follows another one
+    /// has recent records also while the log turns it away, but cannot store what callers send.
+    pub fn reaches_log(&self) -> bool {
+        /// Two joins and the time of a slow one.
+        const MAX_AGE_MS: u128 = 2_600;
+        self.joined_at.is_none_or(|at| clock::now().since(at).as_millis() < MAX_AGE_MS)
+    }
+
     /// Returns whether an unknown job is certain not to exist.
     pub fn is_absence_certain(&self, id: JobId) -> bool {
         self.directory.is_complete(clock::now(), id)
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisy_platform::{Guard, LogClient, LogError, Topic, parse_worker};
+use daisy_wire::relay::RelayedTopic;
 use daisy_workflow::{Layout, Record, Rejection, decode, encode};
 use tokio::time::sleep;
 
@@ -11,6 +12,7 @@
     clock,
     follow::{CALL_TIMEOUT, Read, TopicReader},
     queries::HeldQueries,
+    relay::Relay,
     shared::{NodeState, Shared},
 };
 
@@ -22,33 +24,43 @@
 const READ_PAUSE: Duration = Duration::from_millis(40);
 /// The part of the pause for each shard.
 const READ_PAUSE_PER_SHARD: Duration = Duration::from_millis(32);
+/// The longest pause between the reads of a VM that reads for others, whose pauses add to its own.
+const READERS_READ_PAUSE: Duration = Duration::from_millis(80);
 /// The longest pause between reads.
 const MAX_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the topic of states.
-pub(crate) async fn follow_states(log_client: LogClient, shared: Shared, queries: HeldQueries) {
-    let mut reader = TopicReader::new(log_client, Topic::States);
+pub(crate) async fn follow_states(
+    log_client: LogClient,
+    relay: Option<Relay>,
+    shared: Shared,
+    queries: HeldQueries,
+) {
+    let reader = TopicReader::new(log_client, Topic::States);
+    let mut reader = reader.through(relay.clone(), RelayedTopic::States);
     loop {
-        let is_first_read = reader.next().is_none();
         let began = clock::now();
         let Some(read) = reader.try_read(READ_WAIT).await else {
             shared.lock().states_reachability.read_failed();
             continue;
         };
+        let now = clock::now();
+        let reads_for_others = relay.as_ref().is_some_and(|it| it.reads_for_others(now));
         let pause = {
             let mut node = shared.lock();
-            node.log_rtt.read_took(clock::now().since(began));
-            node.states_reachability.read_answered(clock::now());
-            if is_first_read {
+            node.log_rtt.read_took(read.log_rtt.unwrap_or(now.since(began)));
+            node.states_reachability.read_answered(now);
+            if read.is_snapshot {
                 node.directory.restart_reading();
             }
             fold_states(&mut node, &read);
-            if let Some(end) = reader.next().filter(|_| read.at_end) {
-                node.states_caught_up = Some((clock::now(), end));
-                node.directory.mark_caught_up(clock::now());
+            if let Some((at, end)) = read.at_end_at.zip(reader.next()) {
+                node.states_caught_up = Some((at, end));
+                node.directory.mark_caught_up(at);
             }
             let shards = node.directory.layout().map_or(1, |it| it.shards);
-            (READ_PAUSE + READ_PAUSE_PER_SHARD * u32::from(shards)).min(MAX_READ_PAUSE)
+            let longest = if reads_for_others { READERS_READ_PAUSE } else { MAX_READ_PAUSE };
+            (READ_PAUSE + READ_PAUSE_PER_SHARD * u32::from(shards)).min(longest)
         };
         queries.states_read();
         queries.pause(READ_PAUSE, pause).await;
--- a/daisy-settings/src/policy.rs
+++ b/daisy-settings/src/policy.rs
@@ -11,8 +11,9 @@
     read::syntax_finding,
 };
 
-const FIELDS: &[&str] = &["long_running_admission", "query_hold_ms"];
+const FIELDS: &[&str] = &["long_running_admission", "query_hold_ms", "relay"];
 const ADMISSION_FIELDS: &[&str] = &["protected_priority"];
+const RELAY_FIELDS: &[&str] = &["min_shards"];
 
 /// A longer hold could outlast what callers wait for an answer.
 const QUERY_HOLD_MAX: Duration = Duration::from_millis(1_000);
@@ -26,6 +27,9 @@
     /// How long a caller's query of a job that has not ended is held for its end at most; zero
     /// answers at once.
     pub query_hold: Duration,
+    /// With this many shards or more, a few VMs of each data centre read the log for the others;
+    /// `None` lets each VM read for itself.
+    pub relay_min_shards: Option<u16>,
 }
 
 /// Reads and validates the policy in `text`.
@@ -60,6 +64,12 @@
             findings.add(hold.position, format!("query_hold_ms: more than the maximum, {max}"));
         }
     }
+    if let Some(node) = fields.try_node("relay", findings) {
+        let mut relay = Fields::new(node, "relay", findings);
+        let shards = relay.value::<u16>("min_shards", "a whole number up to 65535", findings);
+        policy.relay_min_shards = shards.map(|it| it.value);
+        relay.finish(RELAY_FIELDS, findings);
+    }
     fields.finish(FIELDS, findings);
     policy
 }
--- a/daisy-settings/tests/policy.rs
+++ b/daisy-settings/tests/policy.rs
@@ -43,3 +43,12 @@
     assert!(findings[0].message.contains("more than the maximum, 1000"), "{findings:?}");
     assert_eq!((findings[0].line, findings[0].column), (2, 16));
 }
+
+#[test]
+fn the_least_number_of_shards_with_relays_is_read() {
+    let policy = read_policy("relay:\n  min_shards: 12\n").expect("a good policy");
+    let findings = read_policy("relay:\n  min_shards: many\n").expect_err("no number");
+
+    assert_eq!(policy.relay_min_shards, Some(12));
+    assert_eq!((findings.len(), findings[0].line, findings[0].column), (1, 2, 15));
+}
--- a/daisy-entry/src/peers/stream.rs
+++ b/daisy-stream/src/stream.rs
@@ -12,7 +12,7 @@
 
 /// Why a stream between peers failed.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum StreamError {
+pub enum StreamError {
     /// The connection or the stream broke.
     #[error(transparent)]
     H2(#[from] h2::Error),
@@ -26,7 +26,7 @@
 
 /// Receives messages.
 #[derive(Debug)]
-pub(crate) struct Receiver {
+pub struct Receiver {
     stream: RecvStream,
     frames: FrameDecoder,
 }
@@ -38,6 +38,10 @@
     }
 
     /// Returns the next message, or `None` at the regular end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// If the stream broke, ended within a message, or holds something that does not decode.
     pub async fn next<T: Decode<()>>(&mut self) -> Result<Option<T>, StreamError> {
         loop {
             if let Some(message) = self.frames.try_next()? {
@@ -56,6 +60,10 @@
     }
 
     /// Returns the only message of a stream.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Receiver::next`], and if the stream ends before a message.
     pub async fn only<T: Decode<()>>(&mut self) -> Result<T, StreamError> {
         self.next().await?.ok_or(StreamError::Cut)
     }
@@ -63,7 +71,7 @@
 
 /// Sends messages.
 #[derive(Debug)]
-pub(crate) struct Sender {
+pub struct Sender {
     stream: SendStream<Bytes>,
 }
 
@@ -74,6 +82,10 @@
     }
 
     /// Sends a message as fast as the peer's flow control allows.
+    ///
+    /// # Errors
+    ///
+    /// If the stream broke, or the peer closed it.
     pub async fn send<T: Encode>(&mut self, message: &T, last: bool) -> Result<(), StreamError> {
         let mut rest = Bytes::from(frame(message));
         while !rest.is_empty() {
--- a/daisy-wire/src/lib.rs
+++ b/daisy-wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod relay;
 pub mod report_merger;
 pub mod snapshot;
 pub mod worker;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -659,3 +659,66 @@
     let completed = (200, r#"{"state":"completed"}"#.to_owned());
     assert!(answers.iter().all(|it| *it == completed), "{answers:?}");
 }
+
+/// The longest time until a configuration is in force at each VM.
+const CONFIGURATION_TIME_MAX: Duration = Duration::from_secs(5);
+
+/// VMs follow readers, which are killed and paused one after the other. Guards against followers
+/// that keep the configuration of a source that is gone or stands still.
+#[tokio::test]
+async fn configurations_reach_all_vms_while_readers_are_lost() {
+    const VMS: usize = 6;
+    let mut fleet = Fleet::start_with_relays(VMS, 2, TASK_DURATION).await;
+    fleet.wait_until(|it| it.readers().len() == 2).await;
+    let [killed, paused] = fleet.readers()[..] else { panic!("two readers") };
+    let others: Vec<_> = (0..VMS).filter(|it| *it != killed && *it != paused).collect();
+
+    let first = fleet.time_until_configured(&others, 2).await;
+    fleet.kill(killed);
+    let after_kill = fleet.time_until_configured(&others, 3).await;
+    fleet.signal(paused, Signal::SIGSTOP);
+    let after_pause = fleet.time_until_configured(&others, 4).await;
+    fleet.signal(paused, Signal::SIGCONT);
+    fleet.restart(killed).await;
+    let all: Vec<_> = (0..VMS).collect();
+    let after_return = fleet.time_until_configured(&all, 5).await;
+
+    let times = [first, after_kill, after_pause, after_return];
+    assert!(times.iter().all(|it| *it < CONFIGURATION_TIME_MAX), "{times:?}");
+}
+
+/// Guards against calls to the log that grow with the number of VMs: those that follow a reader
+/// only join a group.
+#[tokio::test]
+async fn vms_that_follow_a_reader_do_not_read_the_log() {
+    let fleet = Fleet::start_with_relays(6, 2, TASK_DURATION).await;
+    fleet.wait_until(|it| it.readers().len() == 2).await;
+
+    fleet.wait_until(|it| it.followers().len() == 4).await;
+    fleet.submit(0, JOB_ID, job_body(2)).await;
+    for vm in 0..6 {
+        fleet.wait_for_state(vm, JOB_ID, "completed").await;
+    }
+
+    fleet.assert_each_task_ran_once(JOB_ID, 2);
+}
+
+/// The log is silent for three seconds and answers again. Guards against followers that all read it
+/// at once, or that hold old states for recent.
+#[tokio::test]
+async fn followers_survive_a_silent_log() {
+    let fleet = Fleet::start_with_relays(5, 2, TASK_DURATION).await;
+    fleet.wait_until(|it| it.followers().len() == 3).await;
+
+    fleet.log.set_fault(LogFault::Unresponsive);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let ready_while_silent = fleet.is_ready(fleet.followers()[0]).await;
+    fleet.log.set_fault(LogFault::None);
+    let configured = fleet.time_until_configured(&[0, 1, 2, 3, 4], 2).await;
+    fleet.submit(0, JOB_ID, job_body(2)).await;
+    fleet.wait_for_state(4, JOB_ID, "completed").await;
+
+    assert!(!ready_while_silent);
+    assert!(configured < CONFIGURATION_TIME_MAX, "{configured:?}");
+    fleet.assert_each_task_ran_once(JOB_ID, 2);
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -19,7 +19,7 @@
     time::sleep,
 };
 
-use crate::process::{POLICY, Process};
+use crate::process::{POLICY, Process, RELAY_POLICY};
 
 /// The id of the job that most tests submit.
 pub const JOB_ID: &str = "00000000000000aa";
@@ -63,6 +63,11 @@
         Fleet::start_under(Some(POLICY), processes, workers, work).await
     }
 
+    /// As [`start`](Fleet::start), with VMs that read the log for each other.
+    pub async fn start_with_relays(processes: usize, workers: usize, work: Duration) -> Fleet {
+        Fleet::start_under(Some(RELAY_POLICY), processes, workers, work).await
+    }
+
     async fn start_under(
         policy: Option<&'static str>,
         processes: usize,
@@ -307,6 +312,34 @@
         }
     }
 
+    /// Returns the VMs that read the log for others, by the last such line of their logs.
+    pub fn readers(&self) -> Vec<usize> {
+        self.vms_whose_last("event=reader_role", "reads_for_others=true")
+    }
+
+    /// Returns the VMs that read the states from another one, by the last such line of their logs.
+    pub fn followers(&self) -> Vec<usize> {
+        self.vms_whose_last("event=source_changed topic=States", "source=reader")
+    }
+
+    fn vms_whose_last(&self, event: &str, field: &str) -> Vec<usize> {
+        let logs = self.processes.iter().map(Process::log_text).enumerate();
+        let last = |log: &str| log.lines().rfind(|it| it.contains(event)).map(str::to_owned);
+        logs.filter(|(_, log)| last(log).is_some_and(|it| it.contains(field)))
+            .map(|(vm, _)| vm)
+            .collect()
+    }
+
+    /// Writes the configuration `version`, and returns the time until all of `vms` have it in force.
+    pub async fn time_until_configured(&self, vms: &[usize], version: u64) -> Duration {
+        let began = Instant::now();
+        self.configure(version, "/jobs/");
+        let line = format!("event=configured version={version} ");
+        let is_configured = |it: &Fleet| vms.iter().all(|vm| it.log_text_of(*vm).contains(&line));
+        self.wait_until(is_configured).await;
+        began.elapsed()
+    }
+
     /// Waits until workers have begun `count` runs of `JOB_ID`.
     pub async fn wait_for_runs(&self, count: usize) {
         self.wait_until(|it| it.runs_of(JOB_ID).len() >= count).await;
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -18,8 +18,11 @@
 
 /// The policy that is deployed.
 pub const POLICY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/policy.yaml");
+/// The policy under which VMs read the log for each other in a fleet of any size.
+pub const RELAY_POLICY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/node/relay-policy.yaml");
 const CALLERS_PORT: u16 = 7_001;
 const READINESS_PORT: u16 = 7_002;
+const PEERS_PORT: u16 = 7_003;
 
 /// The process of a VM, which can be ended and restarted.
 pub struct Process {
@@ -44,7 +47,8 @@
         let text = format!(
             "node-name: vm-{index}\nzone: z1\nregion: r1\nlisten:\n  front: \"{caller_address}\"\n  \
              ready: \"{readiness_address}\"\ncontrol-mode: push\nplatform:\n  address: \
-             \"{log_address}\"\n  form: log\n  parts: 12\nbounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
+             \"{log_address}\"\n  form: log\n  parts: 12\nip: \"{address}\"\nport-range: [{PEERS_PORT}, \
+             {PEERS_PORT}]\nbounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
         );
         let mut file = File::create(&settings).expect("a new settings file");
         file.write_all(text.as_bytes()).expect("space for the settings");
