Let one VM count the workers of a system without a layout

Callers saw nothing; the log sent 1.07 GB of lists of workers in the first ten seconds of the whole fleet, and the layout rested on 5,198 of 6,002 workers. Cause: turns to count are spread over two seconds whatever the number of VMs, so with 308 VMs near the log all of them count: bytes grow as VMs times workers, and the counts take longer than the time after which the last one is taken. Change: the member of a group that holds the first partition counts; turns remain for a platform that does not say.

--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -104,6 +104,9 @@
 /// Chooses the shard layout of a system that has none, by the number of listed workers once that
 /// number has stopped changing. If several VMs choose a layout, the record that is appended first
 /// applies.
+///
+/// The list of workers is long. The platform makes one VM the counter, so that the bytes of the
+/// counts do not grow with the number of VMs; if it does not say which, VMs count by turns.
 pub(crate) async fn choose_layout(
     log_client: LogClient,
     shared: Shared,
@@ -113,13 +116,16 @@
     /// The interval at which workers are counted. Workers that start together are listed within a
     /// second.
     const COUNT_INTERVAL: Duration = Duration::from_millis(600);
-    /// The interval at which a VM checks whether its turn to count has come.
+    /// The interval at which a VM checks whether its turn to count has come, and at which it asks
+    /// whether it is the counter.
     const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+    const COUNTER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
     /// The time after which the layout is chosen by the last count, even if that is 0 or still
     /// changes. A count of 0 gives the layout of the smallest system.
     const STABLE_COUNT_TIMEOUT: Duration = Duration::from_secs(8);
     let began = clock::now();
     let mut list = TopicReader::new(log_client.clone(), Topic::Workers);
+    let mut counter = Counter { vm: vm.clone(), generation: 0 };
     let mut previous_count = 0;
     loop {
         let (end, turn) = {
@@ -130,10 +136,22 @@
             (node.states_caught_up.map(|(_, end)| end), node.log_rtt.layout_turn(&vm))
         };
         // A layout that was chosen before this process started is among the states.
-        let Some(end) = end.filter(|_| clock::now().since(began) >= turn) else {
+        let Some(end) = end else {
             sleep(TURN_CHECK_INTERVAL).await;
             continue;
         };
+        match counter.is_chosen(&log_client).await {
+            Some(true) => {}
+            Some(false) => {
+                sleep(COUNTER_CHECK_INTERVAL).await;
+                continue;
+            }
+            None if clock::now().since(began) >= turn => {}
+            None => {
+                sleep(TURN_CHECK_INTERVAL).await;
+                continue;
+            }
+        }
         let count = count_workers(&mut list).await;
         let is_stable = count.is_some_and(|it| it > 0 && it == previous_count);
         let Some(workers) = count else {
@@ -149,6 +167,32 @@
     }
 }
 
+/// Asks the platform which VM counts the workers: the member of a group that holds the first
+/// partition.
+struct Counter {
+    vm: String,
+    generation: u64,
+}
+
+impl Counter {
+    /// Returns whether this VM counts; `None` if the platform does not say.
+    async fn is_chosen(&mut self, log_client: &LogClient) -> Option<bool> {
+        const GROUP: &str = "layout";
+        const MEMBER_TTL: Duration = Duration::from_millis(2_000);
+        let joined = log_client.join(GROUP, &self.vm, self.generation, MEMBER_TTL, CALL_TIMEOUT);
+        match joined.await {
+            Ok(it) => {
+                self.generation = it.generation;
+                Some(it.partitions.contains(&0))
+            }
+            Err(e) => {
+                log::info!("event=counter_unknown cause=\"{e}\"");
+                None
+            }
+        }
+    }
+}
+
 /// Returns the number of workers with valid records in the platform's list; `None` if the list
 /// could not be read.
 async fn count_workers(list: &mut TopicReader) -> Option<usize> {
