Acknowledge no end of a run after its task was started again

Cause: a worker out of reach completes the only task that it runs; its owner gives the run up when the lease is over and starts the task elsewhere; when the worker is reached again, its end is acknowledged. Change: the end of a run that was superseded by a later one is neither processed nor acknowledged.

--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -55,6 +55,13 @@
                 "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{cause}\""
             );
         }
+        Note::EndSuperseded { task, run, worker } => {
+            let (id, cause) = (task.job, "its task was started again before this end was known");
+            log::info!(
+                "event=end_superseded id={id} task={task} run={run} worker={worker} \
+                 cause=\"{cause}\""
+            );
+        }
         Note::WorkerChanged { worker, state, cause } => {
             log::info!("event=worker worker={worker} is={state} cause=\"{cause}\"");
         }
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -23,6 +23,7 @@
 mod shortfall;
 mod succession;
 mod summary;
+mod superseded;
 mod tick;
 mod transfer;
 mod unconfirmed_runs;
@@ -40,6 +41,7 @@
     open_starts::OpenStarts,
     placement::Reservation,
     succession::Succession,
+    superseded::GivenUpRuns,
     worker::{Assignment, StartState, StopState},
 };
 pub use self::{
@@ -175,6 +177,7 @@
     /// core.
     mean_task_cpu: u32,
     observed_load: ObservedLoad,
+    given_up_runs: GivenUpRuns,
 }
 
 /// A recorded run on a worker that the platform's list has not named to this owner.
@@ -226,6 +229,7 @@
             evacuations: KnownEvacuations::default(),
             active: SortedMap::new(),
             unrecorded_jobs: Vec::new(),
+            given_up_runs: GivenUpRuns::default(),
             delegating: Vec::new(),
             unrecorded_starts: Vec::new(),
             in_flight: None,
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -377,6 +377,16 @@
         /// Why it cannot be running any more.
         cause: &'static str,
     },
+    /// A run that was given up has ended as done, after its task was started again: the end is not
+    /// acknowledged and has no effect.
+    EndSuperseded {
+        /// The task.
+        task: TaskId,
+        /// Number of the run among the task's starts.
+        run: u32,
+        /// The worker that lists the end.
+        worker: WorkerId,
+    },
     /// The state of a worker, as the owner sees it, changed.
     WorkerChanged {
         /// The worker.
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -7,7 +7,7 @@
 use super::{
     Owner,
     message::{Action, EndedRun, Note, Outcome, StopCause},
-    worker::{StartState, StopState, Worker, WorkerKey},
+    worker::{HeldEnd, StartState, StopState, Worker, WorkerKey},
 };
 use crate::{JobId, Phase, TaskId};
 
@@ -27,6 +27,7 @@
         if it.outcome == Outcome::Done {
             self.observe_end(now, key, it.task, it.run);
         }
+        let is_superseded = it.outcome == Outcome::Done && self.is_superseded(it.task, it.run);
         let is_held = it.outcome == Outcome::Done && self.may_start_again(now, it.task);
         // The log keeps no tasks of an ended job, so there is nothing to record.
         let is_recorded = self.ledger.job(it.task.job).is_some_and(|job| {
@@ -37,13 +38,17 @@
             worker.cursor_durable = worker.cursor_durable.max(it.number);
         }
         worker.cursor_seen = worker.cursor_seen.max(it.number);
-        if is_held {
-            worker.held_ends.push((it.number, it.task));
+        if is_superseded || is_held {
+            worker.held_ends.push(HeldEnd { number: it.number, task: it.task, is_superseded });
         }
         let id = worker.id.clone();
         worker.remove(it.task, it.run);
         self.plan_due = true;
         let EndedRun { task, run, outcome, .. } = it;
+        if is_superseded {
+            self.actions.push(Action::Note(Note::EndSuperseded { task, run, worker: id }));
+            return self.remove_if_ended(task.job);
+        }
         let saved = !it.checkpoint.is_empty();
         self.actions.push(Action::Note(Note::RunEnded { task, run, worker: id, outcome, saved }));
         let failed_elsewhere = self.failed_before(task);
@@ -67,7 +72,7 @@
     ///
     /// An end as done is held back while a copy of a start order of its task may be carried out:
     /// the worker could crash, and its next incarnation could start the task again after its
-    /// acknowledged end.
+    /// acknowledged end. So is one of a run that was superseded, for as long as the worker lists it.
     pub(super) fn acknowledged_ends(&mut self, now: Instant, key: WorkerKey) -> u64 {
         let Some(worker) = self.workers.get_mut(key) else { return 0 };
         if worker.held_ends.is_empty() {
@@ -75,10 +80,11 @@
         }
         let (seen, durable) = (worker.cursor_seen, worker.cursor_durable);
         let mut held_ends = std::mem::take(&mut worker.held_ends);
-        held_ends.retain(|(number, task)| {
-            *number + MAX_HELD_ENDS > seen && self.may_start_again(now, *task)
+        held_ends.retain(|it| {
+            it.number + MAX_HELD_ENDS > seen
+                && (it.is_superseded || self.may_start_again(now, it.task))
         });
-        let cursor = held_ends.iter().map(|(number, _)| number - 1).fold(durable, u64::min);
+        let cursor = held_ends.iter().map(|it| it.number - 1).fold(durable, u64::min);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.held_ends = held_ends;
         }
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -116,6 +116,17 @@
     pub own_headroom: f64,
 }
 
+/// An end as done that is not acknowledged: of a task of which another start order might still be
+/// carried out, as an end that the worker loses in a crash before it is acknowledged does not count;
+/// or of a run that was superseded by a later one.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldEnd {
+    /// The number of the end on its worker.
+    pub number: u64,
+    pub task: TaskId,
+    pub is_superseded: bool,
+}
+
 /// A start order that went unanswered.
 #[derive(Debug, Clone)]
 pub(crate) struct DelayedStart {
@@ -174,9 +185,8 @@
     /// the log.
     pub(crate) cursor_seen: u64,
     pub(crate) cursor_durable: u64,
-    /// Ends as done, by number, of tasks of which another start order might still be carried out:
-    /// an end that the worker loses in a crash before it is acknowledged does not count.
-    pub(crate) held_ends: Vec<(u64, TaskId)>,
+    /// Ends as done that are not acknowledged.
+    pub(crate) held_ends: Vec<HeldEnd>,
     /// Start orders that went unanswered and may still be carried out, one per run.
     pub(crate) delayed_starts: Vec<DelayedStart>,
     pub(crate) failures: u32,
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -72,8 +72,8 @@
     pub runs: Vec<FakeRun>,
     pub ends: Vec<EndedRun>,
     pub last_end_number: u64,
-    /// Ends as done that were neither acknowledged nor made void by the end of the lease: the
-    /// number, the task, and when it ended.
+    /// Ends as done that were neither acknowledged nor made void by the end of the lease of other
+    /// runs: the number, the task, and when it ended.
     pub unconfirmed_ends: Vec<(u64, TaskId, Instant)>,
     /// Ends as done that were acknowledged and are final: the task, and when it ended.
     pub final_ends: Vec<(TaskId, Instant)>,
@@ -235,7 +235,8 @@
         for (_, epoch, start, work_ms) in due {
             self.accept(clock, epoch, &start, work_ms);
         }
-        if clock > self.deadline {
+        // A lease that ends while nothing runs makes no end void.
+        if clock > self.deadline && !self.runs.is_empty() {
             self.unconfirmed_ends.clear();
             for run in std::mem::take(&mut self.runs) {
                 self.end(&run, Outcome::LeaseExpired);
