--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -158,6 +158,7 @@
             sleep(COUNT_INTERVAL).await;
             continue;
         };
+        log::info!("event=counted workers={workers} previous={previous_count}");
         previous_count = workers;
         if is_stable || clock::now().since(began) > STABLE_COUNT_TIMEOUT {
             append_layout(&log_client, Layout::for_workers(workers, partitions), workers, end)
