Send each owner the workers of its shard instead of the whole list

Cause: the list has one partition, and each owner reads all of it, of which it needs one in 24: bytes grow as shards times workers. Change: readers keep the list while owners ask for it, and send each the records of its shard; an owner whose reader has no recent list reads the log as before.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -20,6 +20,7 @@
     jobs::{self, decode_all},
     metrics::Metrics,
     own::Ownership,
+    relay::Relay,
     shared::Shared,
 };
 
@@ -40,6 +41,7 @@
 pub(crate) struct ElectionContext {
     pub settings: NodeSettings,
     pub log_client: LogClient,
+    pub relay: Option<Relay>,
     pub shared: Shared,
     pub metrics: Metrics,
     /// The priority of the finite work for which long-running jobs must leave capacity, if any.
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -9,7 +9,10 @@
 use daisy_workflow::LargeReadTimeout;
 use tokio::time::{sleep, timeout};
 
-use crate::{clock, relay::Relay};
+use crate::{
+    clock,
+    relay::{FollowedRead, Relay},
+};
 
 /// How long a call to the platform may take, not counting the time for which the call requests to
 /// wait for records.
@@ -110,24 +113,18 @@
                 let from = self.next;
                 let read = self.try_read_log(wait).await?;
                 let next = self.next?;
-                relay.keep(topic, &read.records, from, next, read.at_end_at);
+                if !topic.is_kept_on_demand() {
+                    relay.keep(topic, &read.records, from, next, read.at_end_at);
+                }
                 Some(read)
             }
-            Source::Reader(reader) => {
-                let from = self.next;
-                let read = relay.try_read(reader, topic, from, wait).await?;
-                let batch = read.batch;
-                let from = from.filter(|_| !batch.is_snapshot);
-                relay.keep(topic, &batch.records, from, batch.next, read.at_end_at);
-                self.next = Some(batch.next);
-                self.newest_so_far = None;
-                Some(Read {
-                    records: batch.records,
-                    is_snapshot: batch.is_snapshot,
-                    at_end_at: read.at_end_at,
-                    log_rtt: Some(read.log_rtt),
-                })
-            }
+            Source::Reader(reader) => match relay.try_read(reader, topic, self.next, wait).await {
+                Some(read) => Some(self.followed(&relay, topic, read)),
+                // Owners need the list at once, and few of them lack a reader that keeps it.
+                None if topic.is_kept_on_demand() => self.try_read_log(wait).await,
+                None => None,
+            },
+            Source::Wait(_) if topic.is_kept_on_demand() => self.try_read_log(wait).await,
             Source::Wait(time) => {
                 sleep(time).await;
                 None
@@ -135,6 +132,23 @@
         }
     }
 
+    /// Continues after what was read from another VM.
+    fn followed(&mut self, relay: &Relay, topic: RelayedTopic, read: FollowedRead) -> Read {
+        let FollowedRead { batch, at_end_at, log_rtt } = read;
+        if !topic.is_kept_on_demand() {
+            let from = self.next.filter(|_| !batch.is_snapshot);
+            relay.keep(topic, &batch.records, from, batch.next, at_end_at);
+        }
+        self.next = Some(batch.next);
+        self.newest_so_far = None;
+        Read {
+            records: batch.records,
+            is_snapshot: batch.is_snapshot,
+            at_end_at,
+            log_rtt: Some(log_rtt),
+        }
+    }
+
     async fn try_read_log(&mut self, wait: Duration) -> Option<Read> {
         let (wait, timeout) = match self.failures {
             0 => (wait, CALL_TIMEOUT),
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -72,7 +72,7 @@
         shared.clone(),
         metrics.clone(),
     ));
-    tokio::spawn(follow_states(log_client.clone(), relay, shared.clone(), queries));
+    tokio::spawn(follow_states(log_client.clone(), relay.clone(), shared.clone(), queries));
     tokio::spawn(choose_layout(
         log_client.clone(),
         shared.clone(),
@@ -89,6 +89,7 @@
     let context = ElectionContext {
         settings: settings.clone(),
         log_client,
+        relay,
         shared: shared.clone(),
         metrics,
         protected_priority: policy.protected_priority,
@@ -156,6 +157,9 @@
     let relay = Relay::new(shared.clone(), metrics.clone(), is_candidate);
     let membership = Membership::new(settings, address, is_candidate, min_shards);
     tokio::spawn(relay::serve(relay.clone(), listener));
+    if is_candidate {
+        tokio::spawn(relay::keep_workers(log_client.clone(), relay.clone()));
+    }
     tokio::spawn(relay::stay_in_group(
         membership.clone(),
         log_client.clone(),
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -111,6 +111,7 @@
         let readers = [
             tokio::spawn(follow_workers(
                 log_client,
+                self.context.relay.clone(),
                 self.context.shared.clone(),
                 self.shard,
                 events.clone(),
--- a/daisy-node/src/own/follow.rs
+++ b/daisy-node/src/own/follow.rs
@@ -5,11 +5,12 @@
 
 use daisy_model::SortedMap;
 use daisy_platform::{LogClient, Topic, parse_worker};
+use daisy_wire::relay::RelayedTopic;
 use daisy_workflow::{Event, Record, ShardId, WorkerListing};
 use tokio::{sync::mpsc, time::sleep};
 
 use super::MEASUREMENTS_INTERVAL;
-use crate::{follow::TopicReader, jobs::decode_all, shared::Shared};
+use crate::{follow::TopicReader, jobs::decode_all, relay::Relay, shared::Shared};
 
 /// The interval at which the list of workers is read.
 const LIST_INTERVAL: Duration = Duration::from_millis(300);
@@ -44,22 +45,24 @@
 /// [`Event::ListUnchanged`].
 pub(super) async fn follow_workers(
     log_client: LogClient,
+    relay: Option<Relay>,
     shared: Shared,
     shard: ShardId,
     events: mpsc::UnboundedSender<Event>,
 ) {
     let layout = shared.lock().directory.layout();
     let is_in_shard = |id: &str| layout.is_some_and(|it| it.shard_of_worker(&id.into()) == shard);
-    let mut reader = TopicReader::new(log_client, Topic::Workers);
+    let shards = layout.map_or(1, |it| it.shards);
+    let topic = RelayedTopic::Workers { shard: shard.0, shards };
+    let mut reader = TopicReader::new(log_client, Topic::Workers).through(relay, topic);
     let mut listings: SortedMap<String, Arc<WorkerListing>> = SortedMap::new();
     let mut logged_unreadable = SortedMap::new();
     while !events.is_closed() {
-        let is_first_read = reader.next().is_none();
         let Some(read) = reader.try_read(Duration::ZERO).await else { continue };
-        if is_first_read {
+        if read.is_snapshot {
             listings = SortedMap::new();
         }
-        let changed = is_first_read || read.records.iter().any(|it| is_in_shard(&it.key));
+        let changed = read.is_snapshot || read.records.iter().any(|it| is_in_shard(&it.key));
         for it in read.records.into_iter().filter(|it| is_in_shard(&it.key)) {
             if it.value.is_empty() {
                 listings.remove(&it.key);
--- a/daisy-node/src/relay.rs
+++ b/daisy-node/src/relay.rs
@@ -4,6 +4,7 @@
 mod client;
 mod group;
 mod serve;
+mod workers;
 
 use std::{
     net::SocketAddr,
@@ -22,6 +23,7 @@
 pub(crate) use self::{
     group::{Membership, follow_readers, stay_in_group},
     serve::serve,
+    workers::keep_workers,
 };
 
 /// How long a VM that is no longer a reader goes on reading for its followers, so that they find
@@ -31,6 +33,9 @@
 /// a reader that is paused notices only by the end of this time.
 const WAIT_MAX: Duration = Duration::from_millis(400);
 
+/// How old the workers' records of a reader may be; it reads them every 0.3 s.
+const WORKERS_AGE_MAX: Duration = Duration::from_millis(1_000);
+
 /// Whether others follow this VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Role {
@@ -58,6 +63,9 @@
     selector: Mutex<SourceSelector>,
     operators: KeptTopic,
     states: KeptTopic,
+    workers: KeptTopic,
+    /// When an owner last asked this VM for workers' records.
+    workers_asked_at: Mutex<Option<Instant>>,
     client: ReaderClient,
 }
 
@@ -85,6 +93,8 @@
             selector: Mutex::new(SourceSelector::new(clock::now(), fastrand::u64(..))),
             operators: KeptTopic::default(),
             states: KeptTopic::default(),
+            workers: KeptTopic::default(),
+            workers_asked_at: Mutex::default(),
             client: ReaderClient::default(),
         }))
     }
@@ -97,18 +107,16 @@
             true => Source::Log,
             false => lock(&self.0.selector).select(now),
         };
-        let kept = self.topic(topic);
-        let mut logged = lock(&kept.logged_source);
+        let mut logged = lock(&self.topic(topic).logged_source);
         if !matches!(source, Source::Wait(_)) && *logged != Some(source) {
             *logged = Some(source);
+            let topic = topic.label();
             match source {
                 Source::Reader(reader) => {
-                    log::info!(
-                        "event=source_changed topic={topic:?} source=reader reader={reader}"
-                    );
+                    log::info!("event=source_changed topic={topic} source=reader reader={reader}");
                 }
                 _ => log::info!(
-                    "event=source_changed topic={topic:?} source=log chosen={}",
+                    "event=source_changed topic={topic} source=log chosen={}",
                     !reads_log
                 ),
             }
@@ -147,7 +155,9 @@
     /// Returns whether a read of the log must begin with the newest record of each key, as others
     /// follow this VM and the records that it keeps do not reach up to `next`.
     pub fn must_restart(&self, topic: RelayedTopic, next: Option<u64>) -> bool {
-        self.reads_for_others(clock::now()) && lock(&self.topic(topic).cache).end() != next
+        !topic.is_kept_on_demand()
+            && self.reads_for_others(clock::now())
+            && lock(&self.topic(topic).cache).end() != next
     }
 
     /// Keeps records that were read from `from` up to `next`, or the newest of each key if there is
@@ -199,13 +209,21 @@
                 if is_leaving {
                     selector.reader_leaves();
                 }
-                if !is_behind && selector.reader_answered(now, reader, at_end_at) {
+                let is_recent = match topic.is_kept_on_demand() {
+                    true => batch.age.is_none_or(|it| it < WORKERS_AGE_MAX),
+                    false => selector.reader_answered(now, reader, at_end_at),
+                };
+                if !is_behind && is_recent {
                     return Some(FollowedRead { batch, at_end_at, log_rtt });
                 }
                 let age_ms = batch.age.map_or(0, |it| it.as_millis());
+                if topic.is_kept_on_demand() {
+                    return None;
+                }
                 selector.reader_failed(now, reader);
                 format!("its records are old, age_ms={age_ms} behind={is_behind}")
             }
+            Ok(ReadAnswer::NoRecords) if topic.is_kept_on_demand() => return None,
             Ok(ReadAnswer::NoRecords) => {
                 lock(&self.0.selector).reader_failed(now, reader);
                 "it has no recent records".to_owned()
@@ -224,6 +242,7 @@
         match topic {
             RelayedTopic::Operators => &self.0.operators,
             RelayedTopic::States => &self.0.states,
+            RelayedTopic::Workers { .. } => &self.0.workers,
         }
     }
 }
--- a/daisy-node/src/relay/serve.rs
+++ b/daisy-node/src/relay/serve.rs
@@ -5,7 +5,8 @@
 use anyhow::Context;
 use bytes::Bytes;
 use daisy_stream::{Receiver, Sender};
-use daisy_wire::relay::{ReadAnswer, ReadAnswerWire, ReadRequest, ReadRequestWire};
+use daisy_wire::relay::{ReadAnswer, ReadAnswerWire, ReadRequest, ReadRequestWire, RelayedTopic};
+use daisy_workflow::{Layout, ShardId};
 use h2::{
     RecvStream,
     server::{self, SendResponse},
@@ -118,7 +119,17 @@
         let now = clock::now();
         let held = now.since(arrived_at);
         // A VM that follows others answers too: what it keeps is as old as it says.
-        let batch = lock(&kept.cache).read(now, req.from, ANSWER_BYTES);
+        let batch = match req.topic {
+            RelayedTopic::Operators | RelayedTopic::States => {
+                lock(&kept.cache).read(now, req.from, ANSWER_BYTES)
+            }
+            RelayedTopic::Workers { shard, shards } => {
+                *lock(&relay.0.workers_asked_at) = Some(now);
+                let is_of_shard =
+                    |key: &str| Layout { shards }.shard_of_worker(&key.into()) == ShardId(shard);
+                lock(&kept.cache).read_matching(now, req.from, ANSWER_BYTES, is_of_shard)
+            }
+        };
         let Some(batch) = batch else { return ReadAnswer::NoRecords };
         if !batch.records.is_empty() || held >= wait {
             let log_rtt = relay.0.shared.lock().log_rtt.estimate();
--- a/daisy-relay/src/cache.rs
+++ b/daisy-relay/src/cache.rs
@@ -78,26 +78,36 @@
     /// Returns the records from `from` on, at most about `max_bytes`, or a snapshot if `from` is
     /// `None` or earlier than what the cache holds. Returns `None` while the cache is empty.
     pub fn read(&self, now: Instant, from: Option<u64>, max_bytes: usize) -> Option<Batch> {
+        self.read_matching(now, from, max_bytes, |_| true)
+    }
+
+    /// As [`read`](RecordCache::read), without the records whose keys do not match.
+    pub fn read_matching(
+        &self,
+        now: Instant,
+        from: Option<u64>,
+        max_bytes: usize,
+        matches: impl Fn(&str) -> bool,
+    ) -> Option<Batch> {
         let end = self.end?;
         let Some(from) = from.filter(|it| *it >= self.tail_from) else {
-            let records = self.newest.iter().map(|(_, it)| it.clone()).collect();
+            let records = self.newest.iter().filter(|(key, _)| matches(key));
+            let records = records.map(|(_, it)| it.clone()).collect();
             return Some(Batch { records, is_snapshot: true, next: end, age: self.age(now) });
         };
         let first = self.tail.partition_point(|it| it.offset < from);
         let mut bytes = 0;
         let mut records = Vec::new();
-        for it in self.tail.range(first..) {
+        let mut next = end.max(from);
+        let mut is_whole = true;
+        for it in self.tail.range(first..).filter(|it| matches(&it.key)) {
             if bytes > 0 && bytes + size(it) > max_bytes {
+                (next, is_whole) = (it.offset, false);
                 break;
             }
             bytes += size(it);
             records.push(it.clone());
         }
-        let is_whole = first + records.len() == self.tail.len();
-        let next = match records.last() {
-            Some(last) if !is_whole => last.offset + 1,
-            _ => end.max(from),
-        };
         // A follower may have read further than this reader, from another one or from the log.
         let age = if is_whole && from <= end { self.age(now) } else { None };
         Some(Batch { records, is_snapshot: false, next, age })
--- a/daisy-relay/tests/cache.rs
+++ b/daisy-relay/tests/cache.rs
@@ -54,6 +54,21 @@
     assert_eq!((batch.next, batch.age), (11, None));
 }
 
+#[test]
+fn a_follower_of_some_keys_gets_only_these_and_knows_that_it_has_all() {
+    let cache = cache();
+    let is_wanted = |key: &str| key == "b" || key == "d";
+
+    let whole = cache.read_matching(NOW, Some(10), ALL, is_wanted).expect("records");
+    let part = cache.read_matching(NOW, Some(10), 1, is_wanted).expect("records");
+    let snapshot = cache.read_matching(NOW, None, ALL, is_wanted).expect("records");
+
+    assert_eq!((offsets(&whole), whole.next), (vec![11, 12], 14));
+    assert!(whole.age.is_some());
+    assert_eq!((offsets(&part), part.next, part.age), (vec![11], 12, None));
+    assert_eq!((offsets(&snapshot), snapshot.next), (vec![11, 12], 14));
+}
+
 /// Guards against a follower that goes back, or holds its records for recent, after it has changed
 /// to a reader that has read less than itself.
 #[test]
--- a/daisy-wire/src/relay.rs
+++ b/daisy-wire/src/relay.rs
@@ -15,6 +15,29 @@
     Operators,
     /// The states of jobs and the heartbeats of owners.
     States,
+    /// The workers' records of themselves, of one shard.
+    Workers {
+        /// The shard's number.
+        shard: u16,
+        /// The number of shards.
+        shards: u16,
+    },
+}
+
+impl RelayedTopic {
+    /// Returns the topic's label in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            RelayedTopic::Operators => "operators",
+            RelayedTopic::States => "states",
+            RelayedTopic::Workers { .. } => "workers",
+        }
+    }
+
+    /// Returns whether readers keep the topic only while a follower asks for it.
+    pub fn is_kept_on_demand(self) -> bool {
+        matches!(self, RelayedTopic::Workers { .. })
+    }
 }
 
 /// A follower's request.
@@ -31,8 +54,10 @@
 /// See [`ReadRequest`].
 #[derive(Debug, Encode, Decode)]
 pub struct ReadRequestWire {
-    /// 0 for the operators' records, 1 for the states.
+    /// 0 for the operators' records, 1 for the states, 2 for the workers' records.
     pub topic: u8,
+    /// The shard and the number of shards, for the workers' records.
+    pub shard: Option<(u16, u16)>,
     /// The offset of the first record.
     pub from: Option<u64>,
     /// How long the reader waits, in milliseconds.
@@ -87,12 +112,13 @@
 
 impl From<ReadRequest> for ReadRequestWire {
     fn from(req: ReadRequest) -> ReadRequestWire {
-        let topic = match req.topic {
-            RelayedTopic::Operators => 0,
-            RelayedTopic::States => 1,
+        let (topic, shard) = match req.topic {
+            RelayedTopic::Operators => (0, None),
+            RelayedTopic::States => (1, None),
+            RelayedTopic::Workers { shard, shards } => (2, Some((shard, shards))),
         };
         let wait_ms = u32::try_from(req.wait.as_millis()).unwrap_or(u32::MAX);
-        ReadRequestWire { topic, from: req.from, wait_ms }
+        ReadRequestWire { topic, shard, from: req.from, wait_ms }
     }
 }
 
@@ -100,11 +126,12 @@
     type Error = WireError;
 
     fn try_from(wire: ReadRequestWire) -> Result<ReadRequest, WireError> {
-        let topic = match wire.topic {
-            0 => RelayedTopic::Operators,
-            1 => RelayedTopic::States,
-            other => {
-                let reason = format!("{other} is no topic");
+        let topic = match (wire.topic, wire.shard) {
+            (0, None) => RelayedTopic::Operators,
+            (1, None) => RelayedTopic::States,
+            (2, Some((shard, shards))) if shard < shards => RelayedTopic::Workers { shard, shards },
+            (other, shard) => {
+                let reason = format!("{other} of shard {shard:?} is no topic");
                 return Err(WireError::Field { field: "topic", reason });
             }
         };
--- a/daisy-wire/tests/relay.rs
+++ b/daisy-wire/tests/relay.rs
@@ -11,7 +11,8 @@
 
 #[test]
 fn a_request_arrives_as_it_was_sent() {
-    for topic in [RelayedTopic::Operators, RelayedTopic::States] {
+    let workers = RelayedTopic::Workers { shard: 3, shards: 24 };
+    for topic in [RelayedTopic::Operators, RelayedTopic::States, workers] {
         let req = ReadRequest { topic, from: Some(7), wait: Duration::from_millis(400) };
         let mut frames = FrameDecoder::new(MAX_FRAME);
         frames.push(&frame(&ReadRequestWire::from(req)));
@@ -25,9 +26,11 @@
 /// Guards against records of another topic in answer to a request of a newer build.
 #[test]
 fn a_request_for_an_unknown_topic_is_rejected() {
-    let wire = ReadRequestWire { topic: 2, from: None, wait_ms: 0 };
+    for (topic, shard) in [(3, None), (2, None), (2, Some((24, 24))), (0, Some((0, 1)))] {
+        let wire = ReadRequestWire { topic, shard, from: None, wait_ms: 0 };
 
-    assert!(ReadRequest::try_from(wire).is_err());
+        assert!(ReadRequest::try_from(wire).is_err(), "{topic} {shard:?}");
+    }
 }
 
 #[test]
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -722,3 +722,29 @@
     assert!(configured < CONFIGURATION_TIME_MAX, "{configured:?}");
     fleet.assert_each_task_ran_once(JOB_ID, 2);
 }
+
+/// Guards against an owner that places nothing, or on workers that have left, when the VM that reads
+/// the list of workers for it is lost.
+#[tokio::test]
+async fn an_owner_goes_on_when_the_reader_of_its_workers_is_lost() {
+    let mut fleet = Fleet::start_with_relays(6, 3, TASK_DURATION).await;
+    fleet.wait_until(|it| it.readers().len() == 2).await;
+    let owner = fleet.wait_for_owner().await;
+    let readers = fleet.readers();
+    // An owner that is a reader itself has no reader to lose.
+    let lost = if readers.contains(&owner) {
+        readers.into_iter().find(|it| *it != owner).expect("another reader")
+    } else {
+        fleet.wait_until(|it| !it.keepers_of_workers().is_empty()).await;
+        fleet.keepers_of_workers()[0]
+    };
+    fleet.submit(owner, OTHER_JOB_ID, job_body(2)).await;
+    fleet.wait_for_state(owner, OTHER_JOB_ID, "completed").await;
+
+    fleet.kill(lost);
+    fleet.submit(owner, JOB_ID, job_body(6)).await;
+    fleet.wait_for_state(owner, JOB_ID, "completed").await;
+
+    fleet.assert_each_task_ran_once(OTHER_JOB_ID, 2);
+    fleet.assert_each_task_ran_once(JOB_ID, 6);
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -319,7 +319,12 @@
 
     /// Returns the VMs that read the states from another one, by the last such line of their logs.
     pub fn followers(&self) -> Vec<usize> {
-        self.vms_whose_last("event=source_changed topic=States", "source=reader")
+        self.vms_whose_last("event=source_changed topic=states", "source=reader")
+    }
+
+    /// Returns the VMs that have kept the workers' records for an owner.
+    pub fn keepers_of_workers(&self) -> Vec<usize> {
+        self.vms_whose_last("event=workers_kept", "")
     }
 
     fn vms_whose_last(&self, event: &str, field: &str) -> Vec<usize> {
