--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -141,6 +141,7 @@
         }
         self.next = Some(batch.next);
         self.newest_so_far = None;
+        self.note_answer();
         Read {
             records: batch.records,
             is_snapshot: batch.is_snapshot,
@@ -149,6 +150,13 @@
         }
     }
 
+    /// Records that the last read succeeded.
+    fn note_answer(&mut self) {
+        if std::mem::take(&mut self.failures) > 0 {
+            log::info!("event=log_regained topic={:?}", self.topic);
+        }
+    }
+
     async fn try_read_log(&mut self, wait: Duration) -> Option<Read> {
         let (wait, timeout) = match self.failures {
             0 => (wait, CALL_TIMEOUT),
@@ -168,9 +176,7 @@
         };
         match outcome {
             Ok(read) => {
-                if std::mem::take(&mut self.failures) > 0 {
-                    log::info!("event=log_regained topic={:?}", self.topic);
-                }
+                self.note_answer();
                 Some(read)
             }
             Err(e) => {
--- a/daisy-node/src/relay.rs
+++ b/daisy-node/src/relay.rs
@@ -148,8 +148,8 @@
         *role = new;
     }
 
-    fn is_leaving(&self) -> bool {
-        matches!(*lock(&self.0.role), Role::Leaving(_))
+    fn is_leaving(&self, now: Instant) -> bool {
+        matches!(*lock(&self.0.role), Role::Leaving(until) if now < until)
     }
 
     /// Returns whether a read of the log must begin with the newest record of each key, as others
--- a/daisy-node/src/relay/serve.rs
+++ b/daisy-node/src/relay/serve.rs
@@ -133,7 +133,7 @@
         let Some(batch) = batch else { return ReadAnswer::NoRecords };
         if !batch.records.is_empty() || held >= wait {
             let log_rtt = relay.0.shared.lock().log_rtt.estimate();
-            let is_leaving = relay.is_leaving();
+            let is_leaving = relay.is_leaving(now);
             return ReadAnswer::Records { batch, held, log_rtt, is_leaving };
         }
         // Neither the end of the wait nor a closed channel needs an answer of its own.
