Count a reader that is behind its follower as failed

Callers saw nothing; found on reading the code again. An answer of a reader that has read less than its follower first counted as recent, so that a follower whose readers are all behind would wait for them without end instead of reading the log; and a stale answer counted as two failures, so that its reader was left out for twice the time. Changed: an answer counts once, as recent or as failed.

--- a/daisy-node/src/relay.rs
+++ b/daisy-node/src/relay.rs
@@ -205,22 +205,26 @@
                 // The time on the way is not known, so the records count as old as they can be.
                 let at_end_at = batch.age.map(|it| sent_at + held - it);
                 let is_behind = batch.age.is_none() && batch.records.is_empty();
+                let age_ms = batch.age.map_or(0, |it| it.as_millis());
                 let mut selector = lock(&self.0.selector);
                 if is_leaving {
                     selector.reader_leaves();
                 }
-                let is_recent = match topic.is_kept_on_demand() {
-                    true => batch.age.is_none_or(|it| it < WORKERS_AGE_MAX),
-                    false => selector.reader_answered(now, reader, at_end_at),
+                let is_recent = match (is_behind, topic.is_kept_on_demand()) {
+                    (true, true) => false,
+                    (true, false) => {
+                        selector.reader_failed(now, reader);
+                        false
+                    }
+                    (false, true) => batch.age.is_none_or(|it| it < WORKERS_AGE_MAX),
+                    (false, false) => selector.reader_answered(now, reader, at_end_at),
                 };
-                if !is_behind && is_recent {
+                if is_recent {
                     return Some(FollowedRead { batch, at_end_at, log_rtt });
                 }
-                let age_ms = batch.age.map_or(0, |it| it.as_millis());
                 if topic.is_kept_on_demand() {
                     return None;
                 }
-                selector.reader_failed(now, reader);
                 format!("its records are old, age_ms={age_ms} behind={is_behind}")
             }
             Ok(ReadAnswer::NoRecords) if topic.is_kept_on_demand() => return None,
