Let a reader whose joins fail follow its successor

Callers saw nothing: a VM that the log turns away is not ready. Cause: only an answered join told a reader that it is none any more, so one that the log turns away read in vain. Change: a reader steps down when its last answered join is older than its membership lasts.

--- a/daisy-node/src/relay/group.rs
+++ b/daisy-node/src/relay/group.rs
@@ -103,6 +103,11 @@
                     // turns away from the start becomes unready.
                     shared.lock().joined_at.get_or_insert(sent_at);
                 }
+                // The platform has given the partitions to another member by now.
+                let joined_at = shared.lock().joined_at;
+                if joined_at.is_some_and(|it| now.since(it) > MEMBER_TTL) {
+                    relay.set_reader(now, false);
+                }
                 sleep(JOIN_RETRY_PAUSE).await;
             }
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -748,3 +748,20 @@
     fleet.assert_each_task_ran_once(OTHER_JOB_ID, 2);
     fleet.assert_each_task_ran_once(JOB_ID, 6);
 }
+
+/// Guards against a reader that the log turns away, which reads in vain while its followers have
+/// long gone to its successor.
+#[tokio::test]
+async fn a_reader_whose_joins_are_rejected_follows_another_one() {
+    let fleet = Fleet::start_with_relays(4, 1, TASK_DURATION).await;
+    fleet.wait_until(|it| it.readers().len() == 2).await;
+    let turned_away = fleet.readers()[0];
+
+    fleet.refuse_joins(turned_away);
+
+    fleet.wait_until(|it| it.followers().contains(&turned_away)).await;
+    fleet.wait_until(|it| it.readers().len() == 2).await;
+    let all: Vec<_> = (0..4).collect();
+    assert!(fleet.time_until_configured(&all, 2).await < CONFIGURATION_TIME_MAX);
+    assert!(!fleet.is_ready(turned_away).await);
+}
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -327,6 +327,11 @@
         self.vms_whose_last("event=workers_kept", "")
     }
 
+    /// Makes the log reject the joins of a VM.
+    pub fn refuse_joins(&self, index: usize) {
+        self.log.refuse_joins(&self.processes[index].peer_address.to_string());
+    }
+
     fn vms_whose_last(&self, event: &str, field: &str) -> Vec<usize> {
         let logs = self.processes.iter().map(Process::log_text).enumerate();
         let last = |log: &str| log.lines().rfind(|it| it.contains(event)).map(str::to_owned);
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -31,6 +31,8 @@
     pub caller_address: SocketAddr,
     /// The address for readiness checks and metrics.
     pub readiness_address: SocketAddr,
+    /// The address for other VMs.
+    pub peer_address: SocketAddr,
     /// The settings file.
     pub settings: PathBuf,
     /// The policy file, if there is one.
@@ -43,6 +45,7 @@
         let address = unique_loopback_address();
         let caller_address = SocketAddr::new(address, CALLERS_PORT);
         let readiness_address = SocketAddr::new(address, READINESS_PORT);
+        let peer_address = SocketAddr::new(address, PEERS_PORT);
         let settings = std::env::temp_dir().join(format!("daisyshift-{address}.yaml"));
         let text = format!(
             "node-name: vm-{index}\nzone: z1\nregion: r1\nlisten:\n  front: \"{caller_address}\"\n  \
@@ -54,7 +57,7 @@
         file.write_all(text.as_bytes()).expect("space for the settings");
         let log = open_log_file(&settings);
         let child = spawn(&settings, policy, log, open_log_file(&settings));
-        Process { child, caller_address, readiness_address, settings, policy }
+        Process { child, caller_address, readiness_address, peer_address, settings, policy }
     }
 
     /// Starts the process again after its end.
