--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod record;
 mod store;
+mod unseen_restart;
 mod worker;
 
 use std::{
@@ -231,6 +232,7 @@
             "inherited-start" => inherited_start::play(&mut site, trouble).await,
             "lost-end" => lost_end::play(&mut site, trouble).await,
             "images" => images::play(&mut site, trouble).await,
+            "unseen-restart" => unseen_restart::play(&mut site, trouble).await,
             other => Verdict::CouldNotRun(format!("no case {other}")),
         }
     };
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -66,6 +66,10 @@
     /// Appends that were rejected because of their size.
     oversized: u64,
     largest_accepted: usize,
+    /// Whether the list of machines is down.
+    machines_down: bool,
+    /// All workers ever listed: a machine stays in the list of machines when its worker is silent.
+    machines: BTreeMap<String, serde_json::Value>,
 }
 
 pub struct Store {
@@ -84,11 +88,20 @@
     /// Writes a record of the operator or of a worker.
     pub fn write(&self, topic: &str, key: &str, value: Vec<u8>) {
         let mut state = self.state.lock().unwrap();
+        if topic == "keyed.servers" && !value.is_empty() {
+            let entry = serde_json::from_slice(&value).unwrap_or_default();
+            state.machines.insert(key.to_owned(), entry);
+        }
         state.partitions.entry(format!("{topic}/0")).or_default().push(key.to_owned(), value);
         drop(state);
         self.appended.notify_waiters();
     }
 
+    /// Makes the list of machines answer 503.
+    pub fn set_machines_down(&self) {
+        self.state.lock().unwrap().machines_down = true;
+    }
+
     /// Returns how many appends were rejected because of their size, and the most bytes of a record
     /// that was accepted.
     pub fn sizes(&self) -> (u64, usize) {
@@ -244,15 +257,16 @@
     (200, body.to_string().into_bytes())
 }
 
-/// Lists the machines of all workers that have written to the list of workers.
+/// Lists the machines of all workers.
 fn machines(store: &Store) -> (u16, Vec<u8>) {
     let state = store.state.lock().unwrap();
-    let listed = state.partitions.get("keyed.servers/0");
-    let machines: Vec<_> = listed
+    if state.machines_down {
+        return (503, Vec::new());
+    }
+    let machines: Vec<_> = state
+        .machines
         .iter()
-        .flat_map(|it| &it.newest)
-        .map(|(id, (_, value))| {
-            let it: serde_json::Value = serde_json::from_slice(value).unwrap_or_default();
+        .map(|(id, it)| {
             json!({ "machine": it["machine"], "pool": it["service"], "state": "up",
                 "zone": it["zone"], "labels": it["labels"], "capacity": it["capacity"], "id": id })
         })
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -48,6 +48,8 @@
 struct Faults {
     /// Whether no call reaches the worker.
     cut: bool,
+    /// Whether the worker's entries don't reach the store either.
+    unlisted: bool,
     /// Leave the next start order unanswered and carry it out after this time.
     delay_next_start: Option<Duration>,
 }
@@ -204,20 +206,28 @@
     async fn announce(self: Arc<Worker>, store: Arc<Store>, address: SocketAddr) {
         let mut due = Instant::now();
         let mut last_born = 0;
+        let (mut written, mut dropped) = (Instant::now(), false);
         for seq in 1u64.. {
             let (born, clock_ms, is_dark) = {
                 let state = self.state.lock().unwrap();
-                (state.born, state.clock_ms(), Instant::now() < state.dark_until)
+                let is_dark = Instant::now() < state.dark_until || state.faults.unlisted;
+                (state.born, state.clock_ms(), is_dark)
             };
             if last_born != 0 && born != last_born {
                 due = Instant::now() + FIRST_HEARTBEAT;
             }
             last_born = born;
+            // The store drops the entry after three heartbeats of silence.
+            if is_dark && !dropped && written.elapsed() > HEARTBEAT * 3 {
+                dropped = true;
+                store.write("keyed.servers", &self.id, Vec::new());
+            }
             if is_dark || Instant::now() < due {
                 sleep(STEP).await;
                 continue;
             }
             due = Instant::now() + HEARTBEAT;
+            (written, dropped) = (Instant::now(), false);
             let body = json!({
                 "service": "devis", "address": address.to_string(), "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "ready", "cold-ms": 0, "seq-no": seq,
@@ -248,6 +258,11 @@
         self.state.lock().unwrap().faults.cut = cut;
     }
 
+    /// Cuts the worker off from the store as well, or connects it again.
+    pub fn set_unlisted(&self, unlisted: bool) {
+        self.state.lock().unwrap().faults.unlisted = unlisted;
+    }
+
     pub fn delay_next_start(&self, delay: Duration) {
         self.state.lock().unwrap().faults.delay_next_start = Some(delay);
     }
