Acknowledge ends only to the incarnation that listed them

Callers saw a quick job's task run twice, the whole of it: its worker lost power for 0.3 s, started again under its id, and ended the task as done; 2.7 s later the task was started once more.

Cause: a renewal names a worker by its id, and its cursor acknowledges ends by number. Numbers begin anew with each incarnation. The owner sent the last incarnation's cursor with every renewal, also after that incarnation had taken it, after a failed call, and after an answer whose clock had begun anew. The next incarnation forgot as many ends of its own, unread.

In the new test, on the code before, the first renewal after a failed one reaches the new incarnation with cursor 3 while its list holds end number 1; its answer lists nothing, and the task starts twice. Ruled out by the same trace: a cursor derived from the new incarnation (nothing of it had been read), and an end that was never listed.

A renewal now carries a cursor only right after an answer of the known incarnation, and only until that has taken it; all others carry 0, which acknowledges nothing.

--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -276,7 +276,8 @@
         worker: WorkerKey,
         /// The lease's end on the worker's clock, in milliseconds; `None` to only read the lists.
         deadline_ms: Option<u64>,
-        /// The worker may forget ended runs up to this number.
+        /// The worker may forget ended runs up to this number; 0 if it forgets no others than
+        /// before.
         cursor: u64,
         /// How long the worker waits for a run to end before it answers.
         wait: Duration,
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -137,6 +137,8 @@
         worker.restarted_at = Some(now);
         worker.cursor_seen = 0;
         worker.cursor_durable = 0;
+        worker.cursor_sent = 0;
+        worker.cursor_taken = 0;
         worker.held_ends.clear();
         worker.failures = 0;
         worker.renewal_failures = 0;
@@ -282,6 +284,7 @@
         worker.clock = Some((answer.clock_ms, now));
         worker.renewal_answered_at = now;
         worker.answered_renewal_sent_at = worker.renewal_sent_at;
+        worker.cursor_taken = worker.cursor_taken.max(worker.cursor_sent);
         if !worker.fenced {
             worker.fenced = true;
             self.plan_due = true;
@@ -351,6 +354,8 @@
         worker.renewal_in_flight = true;
         worker.renewal_sent_at = now;
         let wait = renewal_wait(worker, cursor, is_log_slow);
+        let cursor = worker.cursor_to_send(cursor);
+        worker.cursor_sent = cursor;
         self.actions.push(Action::Renew { worker: key, deadline_ms, cursor, wait });
     }
 
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -185,6 +185,10 @@
     /// the log.
     pub(crate) cursor_seen: u64,
     pub(crate) cursor_durable: u64,
+    /// The cursor that the last renewal carried, and the highest that the known incarnation has
+    /// taken.
+    pub(crate) cursor_sent: u64,
+    pub(crate) cursor_taken: u64,
     /// Ends as done that are not acknowledged.
     pub(crate) held_ends: Vec<HeldEnd>,
     /// Start orders that went unanswered and may still be carried out, one per run.
@@ -246,6 +250,8 @@
             renewal_failures: 0,
             cursor_seen: 0,
             cursor_durable: 0,
+            cursor_sent: 0,
+            cursor_taken: 0,
             held_ends: Vec::new(),
             delayed_starts: Vec::new(),
             failures: 0,
@@ -289,6 +295,17 @@
         self.clock.is_some_and(|(known, _)| clock_ms + MAX_REORDERING_MS < known)
     }
 
+    /// Returns the cursor for a renewal where the ends up to `acknowledged` may be forgotten; 0 for
+    /// none.
+    ///
+    /// A renewal names a worker by its id, and a later incarnation that takes it would forget as
+    /// many ends of its own. So a cursor is sent only right after an answer of the known
+    /// incarnation, and not again once that has taken it.
+    pub(crate) fn cursor_to_send(&self, acknowledged: u64) -> u64 {
+        let is_known = self.fenced && self.renewal_failures == 0;
+        if is_known && acknowledged > self.cursor_taken { acknowledged } else { 0 }
+    }
+
     /// Returns the end of a lease that starts now, on the worker's clock, and remembers it.
     pub(crate) fn lease_end(&mut self, now: Instant, lease: Duration) -> Option<u64> {
         let end = self.min_clock_ms(now)? + lease.as_millis() as u64;
--- /dev/null
+++ b/daisy-workflow/tests/incarnations.rs
@@ -0,0 +1,64 @@
+//! Calls that name a worker by its id and reach a later incarnation under the same id.
+
+mod util;
+
+use std::time::Duration;
+
+use daisy_workflow::JobState;
+use util::{FakeWorker, Fault, Simulation, job, step, task};
+
+/// Returns an idle worker three of whose ends were acknowledged.
+fn with_acknowledged_ends() -> Simulation {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4)]);
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.work_ms = |_| 100;
+    sim.submit(1, job(vec![step(3)]));
+    assert!(sim.run_until(2_000, |it| it.state(1) == JobState::Completed));
+    sim.run_ms(500);
+    assert!(sim.worker("w1").ends.is_empty(), "all ends are acknowledged");
+    sim
+}
+
+/// Restarts the worker while a renewal is on the way to its last incarnation, and where the list
+/// does not show it yet.
+fn restart_unseen(sim: &mut Simulation) {
+    sim.list_is_stale = true;
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.run_ms(70);
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+}
+
+/// Guards against a task that runs again after its end: a renewal acknowledged the ends of the last
+/// incarnation, and the next one forgot its own.
+#[test]
+fn ends_of_an_unseen_incarnation_are_not_acknowledged_unread() {
+    let mut sim = with_acknowledged_ends();
+    restart_unseen(&mut sim);
+    sim.submit(2, job(vec![step(1)]));
+
+    let done = sim.run_until(4_000, |it| it.state(2) == JobState::Completed);
+
+    let starts = sim.starts.iter().filter(|(it, ..)| *it == task(2, 0, 0)).count();
+    assert!(done);
+    assert_eq!(starts, 1, "the task ended with its first run");
+}
+
+/// Guards against the same where the link to a worker that did not restart fails: ends that are
+/// recorded meanwhile must still be acknowledged.
+#[test]
+fn ends_are_acknowledged_once_their_worker_answers_again() {
+    let mut sim = with_acknowledged_ends();
+    sim.submit(2, job(vec![step(2)]));
+    sim.run_ms(110);
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.run_ms(1_000);
+    sim.worker("w1").fault = Fault::None;
+    sim.hold_wait_max = Duration::ZERO;
+
+    let done = sim.run_until(2_000, |it| it.state(2) == JobState::Completed);
+    sim.run_ms(500);
+
+    assert!(done);
+    assert!(sim.worker("w1").ends.is_empty(), "{:?}", sim.worker("w1").ends);
+}
