Bound what is learned of interference by the number of images

No end was acknowledged any more.

Cause: the owner records the factors of all pairs of a serving and a best-effort image in one record, names both images of each pair in full, and never forgets an image. The log refuses a record of more than 262,144 bytes, and with it the whole batch: starts, ends and progress of all jobs. The batch was repeated, unchanged, for ever.

Of either kind at most 64 images are remembered; the one unused for longest gives way to a new one, once it was unused for a minute. Until then nothing is learned of the new one, as of any unknown image. Only best-effort and serving tasks take a key. The record names each image once. What earlier builds wrote is still read; they read this record as one without pairs and begin with their initial factors.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -466,8 +466,8 @@
     job.delegated.is_none() || job.has_received_tasks()
 }
 
-/// Interval between records of the learned interference, about 1 KB each, from which a new owner
-/// continues.
+/// Interval between records of the learned interference, from which a new owner continues. A record
+/// has up to 20 KB besides the names of the images.
 const INTERFERENCE_RECORD_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Minimum interval between planning passes: each pass visits all jobs and workers, and on a busy
@@ -486,9 +486,9 @@
     step: &crate::StepSpec,
 ) -> Assignment {
     let image = match (&step.image, step.target_ms) {
-        (None, _) => None,
-        (Some(it), 0) => Some(interference.best_effort_key(it)),
-        (Some(it), _) => Some(interference.serving_key(now, it)),
+        (Some(it), 0) if step.best_effort => interference.try_add_best_effort(now, it),
+        (None, _) | (_, 0) => None,
+        (Some(it), _) => interference.try_add_serving(now, it),
     };
     Assignment {
         task,
--- a/daisy-workflow/src/owner/interference.rs
+++ b/daisy-workflow/src/owner/interference.rs
@@ -8,7 +8,7 @@
 //! it is eliminated by comparing each report with the running means of the same worker's earlier
 //! reports.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use daisy_model::{Instant, SortedMap};
 
@@ -25,6 +25,12 @@
 const PRIOR_STRENGTH: f64 = 0.006;
 /// Weight of a factor that an earlier owner had learned.
 const INHERITED_STRENGTH: f64 = 0.03;
+/// The most images of serving tasks, and of best-effort tasks, of which interference is learned. The
+/// memory grows with the third power, the time for each report with the second.
+const IMAGES_MAX: usize = 64;
+/// How long an image is remembered after the last of its tasks was seen, if its key is needed for
+/// another: longer than workers are silent before their tasks are given up.
+const IMAGE_RETENTION: Duration = Duration::from_secs(60);
 /// Iterations per fit; the next report continues from the last result.
 const SOLVER_PASSES: usize = 4;
 
@@ -38,23 +44,59 @@
     }
 }
 
-/// Keys of images, numbered in the order in which they were first seen.
+/// The images that have a key; an unused key is given to a new image.
 #[derive(Debug, Clone, Default)]
-struct Images(SortedMap<Arc<str>, ImageKey>);
+struct Images {
+    keys: SortedMap<Arc<str>, ImageKey>,
+    /// When a task of each image was last seen, by key.
+    used_at: Vec<Instant>,
+}
+
+/// The key of an image, and whether it belonged to no other image or to one that is forgotten.
+struct AssignedKey {
+    key: ImageKey,
+    is_reused: bool,
+}
 
 impl Images {
     fn len(&self) -> usize {
-        self.0.len()
+        self.used_at.len()
     }
 
-    fn key(&mut self, image: &Arc<str>) -> ImageKey {
-        let next = ImageKey(self.0.len() as u16);
-        *self.0.get_or_insert_with(image.clone(), || next)
+    /// Notes that a task of the image was seen.
+    fn touch(&mut self, now: Instant, key: ImageKey) {
+        if let Some(at) = self.used_at.get_mut(key.index()) {
+            *at = (*at).max(now);
+        }
+    }
+
+    /// Returns the key of an image and gives it one if it has none; `None` while all keys are in
+    /// use.
+    fn try_key(&mut self, now: Instant, image: &Arc<str>) -> Option<AssignedKey> {
+        if let Some(key) = self.keys.get(image).copied() {
+            self.touch(now, key);
+            return Some(AssignedKey { key, is_reused: false });
+        }
+        if self.len() < IMAGES_MAX {
+            let key = ImageKey(self.len() as u16);
+            self.used_at.push(now);
+            self.keys.insert(image.clone(), key);
+            return Some(AssignedKey { key, is_reused: false });
+        }
+        let (at, oldest) = self.used_at.iter().enumerate().min_by_key(|(_, it)| **it)?;
+        if now.since(*oldest) < IMAGE_RETENTION {
+            return None;
+        }
+        let key = ImageKey(at as u16);
+        self.keys.retain(|_, it| *it != key);
+        self.keys.insert(image.clone(), key);
+        self.used_at[at] = now;
+        Some(AssignedKey { key, is_reused: true })
     }
 
     /// Returns all images in the order of their keys.
     fn names(&self) -> Vec<Arc<str>> {
-        let mut names: Vec<_> = self.0.iter().map(|(it, key)| (key.0, it.clone())).collect();
+        let mut names: Vec<_> = self.keys.iter().map(|(it, key)| (key.0, it.clone())).collect();
         names.sort_unstable();
         names.into_iter().map(|(_, it)| it).collect()
     }
@@ -127,6 +169,20 @@
         self.priors.resize(len, (PRIOR_WEIGHT, PRIOR_STRENGTH));
     }
 
+    /// Forgets what was learned about a best-effort image, whose key another image gets.
+    fn forget(&mut self, at: usize) {
+        if at >= self.weights.len() {
+            return;
+        }
+        self.share_products[at].iter_mut().for_each(|it| *it = 0.0);
+        self.share_products.iter_mut().for_each(|row| row[at] = 0.0);
+        self.loss_sums[at] = 0.0;
+        self.weights[at] = PRIOR_WEIGHT;
+        self.priors[at] = (PRIOR_WEIGHT, PRIOR_STRENGTH);
+        self.unshared.loss_sums.remove(&at);
+        self.unshared.share_products.retain(|(i, j), _| *i != at && *j != at);
+    }
+
     fn decay(&mut self, now: Instant) {
         let remaining = 0.5f64.powf(now.since(self.at).as_secs_f64() / HALF_LIFE_S);
         self.at = now;
@@ -172,28 +228,46 @@
 }
 
 impl Interference {
-    /// Returns the key of an image of serving tasks, and adds the image if it is new.
-    pub fn serving_key(&mut self, now: Instant, image: &Arc<str>) -> ImageKey {
-        let key = self.serving.key(image);
-        if key.index() == self.fits.len() {
-            self.fits.push(Fit::new(now));
+    /// Returns the key of an image of serving tasks, and adds the image if it is new; `None` while
+    /// there are too many.
+    pub fn try_add_serving(&mut self, now: Instant, image: &Arc<str>) -> Option<ImageKey> {
+        let AssignedKey { key, is_reused } = self.serving.try_key(now, image)?;
+        match self.fits.get_mut(key.index()) {
+            Some(fit) if is_reused => *fit = Fit::new(now),
+            Some(_) => {}
+            None => self.fits.push(Fit::new(now)),
         }
-        key
+        Some(key)
+    }
+
+    /// Returns the key of an image of best-effort tasks, and adds the image if it is new; `None`
+    /// while there are too many.
+    pub fn try_add_best_effort(&mut self, now: Instant, image: &Arc<str>) -> Option<ImageKey> {
+        let AssignedKey { key, is_reused } = self.best_effort.try_key(now, image)?;
+        if is_reused {
+            self.fits.iter_mut().for_each(|it| it.forget(key.index()));
+        }
+        Some(key)
+    }
+
+    /// Notes that a serving task of the image is on a worker.
+    pub fn serving_seen(&mut self, now: Instant, image: ImageKey) {
+        self.serving.touch(now, image);
     }
 
-    /// Returns the key of an image of best-effort tasks, and adds the image if it is new.
-    pub fn best_effort_key(&mut self, image: &Arc<str>) -> ImageKey {
-        self.best_effort.key(image)
+    /// Notes that a best-effort task of the image is on a worker.
+    pub fn best_effort_seen(&mut self, now: Instant, image: ImageKey) {
+        self.best_effort.touch(now, image);
     }
 
     /// Returns the key of an image of serving tasks, if it is known.
     pub fn try_serving(&self, image: &Arc<str>) -> Option<ImageKey> {
-        self.serving.0.get(image).copied()
+        self.serving.keys.get(image).copied()
     }
 
     /// Returns the key of an image of best-effort tasks, if it is known.
     pub fn try_best_effort(&self, image: &Arc<str>) -> Option<ImageKey> {
-        self.best_effort.0.get(image).copied()
+        self.best_effort.keys.get(image).copied()
     }
 
     /// Counts the best-effort images that, using all of a worker's processors, take less than
@@ -209,8 +283,10 @@
     pub fn inherit(now: Instant, pairs: &[ImageInterference]) -> Interference {
         let mut interference = Interference::default();
         for pair in pairs {
-            let at = interference.best_effort.key(&pair.best_effort).index();
-            let key = interference.serving_key(now, &pair.serving);
+            let best_effort = interference.try_add_best_effort(now, &pair.best_effort);
+            let serving = interference.try_add_serving(now, &pair.serving);
+            let Some((best_effort, key)) = best_effort.zip(serving) else { continue };
+            let at = best_effort.index();
             let len = interference.best_effort.len();
             let fit = &mut interference.fits[key.index()];
             fit.grow(len);
@@ -224,9 +300,9 @@
     /// Returns the factors of all pairs.
     pub fn pairs(&self) -> Vec<ImageInterference> {
         let mut pairs = Vec::new();
-        for (serving, key) in self.serving.0.iter() {
+        for (serving, key) in self.serving.keys.iter() {
             let fit = &self.fits[key.index()];
-            for (best_effort, at) in self.best_effort.0.iter() {
+            for (best_effort, at) in self.best_effort.keys.iter() {
                 if let Some(weight) = fit.weights.get(at.index()) {
                     pairs.push(ImageInterference {
                         serving: serving.clone(),
@@ -258,7 +334,7 @@
         let names = self.best_effort.names();
         let name = |at: usize| names[at].clone();
         let mut taken = Vec::new();
-        for (serving, key) in self.serving.0.iter() {
+        for (serving, key) in self.serving.keys.iter() {
             let unshared = std::mem::take(&mut self.fits[key.index()].unshared);
             if unshared.loss_sums.is_empty() {
                 continue;
@@ -285,15 +361,17 @@
     /// a fifth of the workers would have a fifth of the information on a pair, and interference
     /// changes within seconds.
     pub fn add_interference_sums(&mut self, now: Instant, sums_of_other: &InterferenceSums) {
+        let Some(key) = self.try_add_serving(now, &sums_of_other.serving) else { return };
         let mut sums = Sums::default();
+        let mut index = |it| Some(self.try_add_best_effort(now, it)?.index());
         for (image, it) in &sums_of_other.loss_sums {
-            sums.loss_sums.insert(self.best_effort.key(image).index(), f64::from(*it));
+            let Some(at) = index(image) else { continue };
+            sums.loss_sums.insert(at, f64::from(*it));
         }
         for (a, b, it) in &sums_of_other.share_products {
-            let (a, b) = (self.best_effort.key(a).index(), self.best_effort.key(b).index());
+            let Some((a, b)) = index(a).zip(index(b)) else { continue };
             sums.share_products.insert((a.min(b), a.max(b)), f64::from(*it));
         }
-        let key = self.serving_key(now, &sums_of_other.serving);
         let len = self.best_effort.len();
         let fit = &mut self.fits[key.index()];
         fit.grow(len);
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -60,6 +60,13 @@
     /// Learns from a worker's report and sets the paces of its best-effort tasks.
     pub(super) fn pace(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        for it in &worker.tasks {
+            let Some(image) = it.image else { continue };
+            match it.target_ms {
+                0 => self.interference.best_effort_seen(now, image),
+                _ => self.interference.serving_seen(now, image),
+            }
+        }
         if !worker.tasks.iter().any(|it| it.target_ms > 0) {
             order_paces(now, worker, key, |_| 100, &mut self.actions);
             return;
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -12,8 +12,8 @@
 
 use self::wire::{
     CapacityWire, ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
-    LearnedInterferenceWire, OpenStartsWire, ProgressWire, RejectionWire, TransferWire,
-    WitnessAddressesWire, WitnessesWire, state_from_number, state_to_number,
+    LearnedInterferenceWire, NamedPairsWire, OpenStartsWire, ProgressWire, RejectionWire,
+    TransferWire, WitnessAddressesWire, WitnessesWire, state_from_number, state_to_number,
 };
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
@@ -161,7 +161,8 @@
             (OWNER_KEY.to_owned(), encode_framed((ClaimWire::from(claim), *vouched_epoch)))
         }
         Record::LearnedInterference(pairs) => {
-            (INTERFERENCE_KEY.to_owned(), encode_framed(LearnedInterferenceWire::from(&pairs[..])))
+            let wire = (NamedPairsWire::default(), LearnedInterferenceWire::from(&pairs[..]));
+            (INTERFERENCE_KEY.to_owned(), encode_framed(wire))
         }
         Record::Witnesses(witnesses) => {
             let wire = (WitnessesWire::from(witnesses), WitnessAddressesWire::from(witnesses));
@@ -220,8 +221,12 @@
         return Ok(Record::Claim(wire.into(), vouched_epoch));
     }
     if key == INTERFERENCE_KEY {
-        return decode_framed::<LearnedInterferenceWire>(value)
-            .map(|it| Record::LearnedInterference(it.into()));
+        let (named, rest): (NamedPairsWire, _) = decode_with_rest(value)?;
+        let pairs = match rest {
+            [] => named.into(),
+            _ => decode_unframed::<LearnedInterferenceWire>(rest)?.0.try_into()?,
+        };
+        return Ok(Record::LearnedInterference(pairs));
     }
     if key == WITNESSES_KEY {
         let (wire, rest): (WitnessesWire, _) = decode_with_rest(value)?;
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -29,13 +29,7 @@
 impl From<&[InterferenceSums]> for InterferenceSumsWire {
     fn from(observed: &[InterferenceSums]) -> InterferenceSumsWire {
         let mut images: Vec<String> = Vec::new();
-        let mut number = |name: &Arc<str>| match images.iter().position(|it| **it == **name) {
-            Some(at) => at as u16,
-            None => {
-                images.push(name.to_string());
-                (images.len() - 1) as u16
-            }
-        };
+        let mut number = |name: &Arc<str>| position_of(&mut images, name);
         let mut sums = Vec::with_capacity(observed.len());
         for it in observed {
             sums.push(ImageSumsWire {
@@ -243,28 +237,69 @@
     }
 }
 
-#[derive(Debug, Encode, Decode)]
+/// The pairs as earlier builds wrote them: the serving image, the best-effort image, and the lost
+/// headroom in thousandths. This build writes none, and [`LearnedInterferenceWire`] after them.
+#[derive(Debug, Default, Encode, Decode)]
+pub(super) struct NamedPairsWire(Vec<(String, String, u32)>);
+
+/// Names each image once; pairs have the positions of their images.
+#[derive(Debug, Default, Encode, Decode)]
 pub(super) struct LearnedInterferenceWire {
+    serving: Vec<String>,
+    best_effort: Vec<String>,
     /// The serving image, the best-effort image, and the lost headroom in thousandths.
-    pairs: Vec<(String, String, u32)>,
+    pairs: Vec<(u16, u16, u32)>,
+}
+
+/// Returns the position of `name` in `names`, where it is added if it is new.
+fn position_of(names: &mut Vec<String>, name: &str) -> u16 {
+    match names.iter().position(|it| it == name) {
+        Some(at) => at as u16,
+        None => {
+            names.push(name.to_owned());
+            (names.len() - 1) as u16
+        }
+    }
 }
 
 impl From<&[ImageInterference]> for LearnedInterferenceWire {
     fn from(pairs: &[ImageInterference]) -> LearnedInterferenceWire {
-        let wire = |it: &ImageInterference| {
-            (it.serving.to_string(), it.best_effort.to_string(), it.permille)
-        };
-        LearnedInterferenceWire { pairs: pairs.iter().map(wire).collect() }
+        let mut wire = LearnedInterferenceWire::default();
+        for it in pairs {
+            let serving = position_of(&mut wire.serving, &it.serving);
+            let best_effort = position_of(&mut wire.best_effort, &it.best_effort);
+            wire.pairs.push((serving, best_effort, it.permille));
+        }
+        wire
     }
 }
 
-impl From<LearnedInterferenceWire> for Vec<ImageInterference> {
-    fn from(wire: LearnedInterferenceWire) -> Vec<ImageInterference> {
+impl From<NamedPairsWire> for Vec<ImageInterference> {
+    fn from(NamedPairsWire(pairs): NamedPairsWire) -> Vec<ImageInterference> {
         let pair = |(serving, best_effort, permille): (String, String, u32)| ImageInterference {
             serving: serving.into(),
             best_effort: best_effort.into(),
             permille,
         };
+        pairs.into_iter().map(pair).collect()
+    }
+}
+
+impl TryFrom<LearnedInterferenceWire> for Vec<ImageInterference> {
+    type Error = RecordError;
+
+    fn try_from(wire: LearnedInterferenceWire) -> Result<Vec<ImageInterference>, RecordError> {
+        let shared = |names: Vec<String>| names.into_iter().map(Arc::from).collect();
+        let serving: Vec<Arc<str>> = shared(wire.serving);
+        let best_effort: Vec<Arc<str>> = shared(wire.best_effort);
+        let name = |names: &[Arc<str>], at: u16| {
+            let name = names.get(usize::from(at)).cloned();
+            name.ok_or_else(|| RecordError::Malformed(format!("unknown image number {at}")))
+        };
+        let pair = |(s, b, permille)| {
+            let (serving, best_effort) = (name(&serving, s)?, name(&best_effort, b)?);
+            Ok(ImageInterference { serving, best_effort, permille })
+        };
         wire.pairs.into_iter().map(pair).collect()
     }
 }
@@ -535,13 +570,7 @@
 impl From<&Progress> for ProgressWire {
     fn from(progress: &Progress) -> ProgressWire {
         let mut workers: Vec<String> = Vec::new();
-        let mut number = |name: &str| match workers.iter().position(|it| it == name) {
-            Some(at) => at as u16,
-            None => {
-                workers.push(name.to_owned());
-                (workers.len() - 1) as u16
-            }
-        };
+        let mut number = |name: &str| position_of(&mut workers, name);
         let mut task = |it: &TaskState| TaskWire {
             done: it.done,
             runs: it.runs,
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -91,6 +91,12 @@
     OwnerHeartbeat { capacity: vec![report], load, ..sample_heartbeat() }
 }
 
+/// Encodes pairs of images as older builds did.
+fn encoded_named_pairs(pairs: &[(String, String, u32)]) -> Vec<u8> {
+    let encoded = bincode::encode_to_vec(pairs.to_vec(), bincode::config::standard());
+    [vec![1], encoded.expect("encodable pairs")].concat()
+}
+
 /// Encodes a claim as older builds do.
 fn encoded_claim_of_older_builds() -> Vec<u8> {
     let Claim { vm, process, epoch, released, predecessors_expired } = claim();
@@ -190,7 +196,7 @@
         for len in 0..value.len() {
             let read = decode(&key, &value[..len]);
 
-            // Earlier builds wrote heartbeats, claims and witnesses that end earlier.
+            // Earlier builds wrote heartbeats, claims, witnesses and interference that end earlier.
             let earlier_lengths = match record {
                 Record::OwnerHeartbeat(_) => vec![
                     encoded_heartbeat_ending_with(()).len(),
@@ -199,6 +205,7 @@
                 ],
                 Record::Claim(..) => vec![encoded_claim_of_older_builds().len()],
                 Record::Witnesses(_) => vec![encoded_witnesses_without_addresses().len()],
+                Record::LearnedInterference(_) => vec![encoded_named_pairs(&[]).len()],
                 _ => vec![],
             };
             let is_earlier_form = earlier_lengths.contains(&len);
@@ -246,6 +253,22 @@
     assert!(value.starts_with(&older), "older builds decode the claim and skip what follows");
 }
 
+/// Guards against builds that cannot decode each other's learned interference.
+#[test]
+fn learned_interference_of_older_builds_is_decoded() {
+    let pair = ("s".to_owned(), "b".to_owned(), 6_500_u32);
+    let expected =
+        ImageInterference { serving: "s".into(), best_effort: "b".into(), permille: 6_500 };
+    let record = Record::LearnedInterference(vec![expected]);
+    let (key, value) = encode(&record);
+
+    assert_eq!(decode(&key, &encoded_named_pairs(&[pair])), Ok(record));
+    assert!(
+        value.starts_with(&encoded_named_pairs(&[])),
+        "older builds read that no pair is known"
+    );
+}
+
 /// Guards against using witnesses with which an owner up to the newest claim does not comply.
 #[test]
 fn a_claim_vouches_for_the_witnesses_only_if_all_owners_comply_with_them() {
