Store records that are longer than the log accepts in parts

Cause: tasks, images and checkpoints decide how long a record is, and callers decide on these. Nothing knew the log's limits, and a refusal that cannot change was handled as an outage: the append was repeated every 0.1 s, while the owner went on with its heartbeats, so that no other VM took over.

Evidence: with a log that stores 1,024 bytes a record, a job of 300 tasks on the code before has no run within 30 s; with one that stores less than its settings say, a job of four tasks beside one of 2,000 does not end either; a submission that is too long is answered 503 with Retry-After. All three new tests of tests/node.rs fail on it.

Values that are too long are stored in parts under several keys, all by one call, and joined when a claimant reads them. Batches are divided into calls of at most `call-bytes`, submissions as well. An append that the log refuses is tried record by record; what is refused by itself is logged with key and size, counted and left out, and tasks of a job whose progress is not stored are not started, as the next owner would not know them. A submission longer than a record gets 413 at once. Interference sums are divided among records.

--- a/daisy-node/src/append.rs
+++ b/daisy-node/src/append.rs
@@ -10,7 +10,7 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, LogClient, LogError, Topic};
-use daisy_workflow::{LogHealth, SendDecision, ShardId};
+use daisy_workflow::{LogHealth, RecordLimits, SendDecision, ShardId};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
     time::{Instant as Deadline, sleep, timeout_at},
@@ -18,8 +18,7 @@
 
 use crate::{clock, shared::Shared};
 
-/// The most records in one append. A submission has at most some 10 KB, and the platform accepts 2
-/// MB.
+/// The most records in one append.
 const MAX_BATCH_RECORDS: usize = 100;
 /// The interval at which waiting records are checked while the log does not answer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -48,13 +47,14 @@
 
 impl Appender {
     /// Starts the task that appends the records.
-    pub fn start(log_client: LogClient, shared: Shared) -> Appender {
+    pub fn start(log_client: LogClient, shared: Shared, limits: RecordLimits) -> Appender {
         /// The most requests that wait for an append; more than a small VM has connections.
         const MAX_WAITING: usize = 4_096;
         let (tx, rx) = mpsc::channel(MAX_WAITING);
         let log = LogState {
             log_client,
             shared,
+            limits,
             partition_health: Arc::default(),
             health_changed: Arc::default(),
         };
@@ -62,6 +62,11 @@
         Appender { tx, log }
     }
 
+    /// Returns whether the log can store a record.
+    pub fn can_store(&self, key: &str, value: &[u8]) -> bool {
+        self.log.limits.fits(key, value)
+    }
+
     /// Returns whether the partition of `shard` does not answer, so that an append to it should not
     /// be awaited. If so, also probes the partition when a probe is due.
     pub fn is_unresponsive(&self, shard: ShardId) -> bool {
@@ -115,6 +120,7 @@
 struct LogState {
     log_client: LogClient,
     shared: Shared,
+    limits: RecordLimits,
     partition_health: Arc<Mutex<SortedMap<ShardId, LogHealth>>>,
     /// Notified when the health of a partition has changed.
     health_changed: Arc<Notify>,
@@ -246,10 +252,15 @@
         SendDecision::RetriesOnly(timeout) => (timeout, false),
         SendDecision::Probe(_) | SendDecision::Wait => return None,
     };
-    let mut remaining = MAX_BATCH_RECORDS;
+    let (mut remaining, mut remaining_bytes) = (MAX_BATCH_RECORDS, log.limits.call_bytes);
     let is_chosen = |it: &mut WaitingRecord| {
-        let is_chosen = remaining > 0 && it.shard == shard && (includes_new || it.maybe_stored);
+        let bytes = RecordLimits::stored_bytes(&it.key, &it.value);
+        let is_chosen = remaining > 0
+            && bytes <= remaining_bytes
+            && it.shard == shard
+            && (includes_new || it.maybe_stored);
         remaining -= usize::from(is_chosen);
+        remaining_bytes -= if is_chosen { bytes } else { 0 };
         is_chosen
     };
     // Records whose caller has stopped waiting are not sent.
--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -5,8 +5,8 @@
 use daisy_model::Instant;
 use daisy_platform::{Guard, LogClient, LogError, NodeSettings, Topic};
 use daisy_workflow::{
-    Candidate, Claim, Election, ElectionDecision, FoldEffect, Ledger, Record, RecordError, ShardId,
-    encode,
+    Candidate, Claim, Election, ElectionDecision, FoldEffect, Ledger, PartCounts, PartJoiner,
+    Record, RecordError, ShardId, encode,
 };
 use futures::{
     future::{join_all, select_ok},
@@ -91,6 +91,8 @@
     ledger: Ledger,
     jobs: TopicReader,
     progress: TopicReader,
+    /// Joins the records of the progress that are stored in parts.
+    parts: PartJoiner,
     /// Whether the progress has records in a newer format than this build can read.
     has_newer_records: bool,
 }
@@ -144,9 +146,10 @@
 
     fn fold_progress(&mut self, read: &Read) -> ProgressRead {
         let (mut has_claim, mut has_progress) = (false, false);
-        for it in read.records.iter().filter(|it| !it.value.is_empty()) {
-            match jobs::decode_record("progress", it).map(|record| self.ledger.fold(record)) {
-                Ok(FoldEffect::Claim) => has_claim = true,
+        for it in &read.records {
+            let record = jobs::join_record("progress", it, &mut self.parts);
+            match record.map(|record| record.map(|it| self.ledger.fold(it))) {
+                Ok(Some(FoldEffect::Claim)) => has_claim = true,
                 Ok(_) => has_progress = true,
                 Err(e) => self.has_newer_records |= matches!(e, RecordError::Version(_)),
             }
@@ -162,6 +165,8 @@
     claimed_at: Instant,
     ledger: Ledger,
     jobs: TopicReader,
+    /// The records of the progress that the log has in several parts.
+    stored_parts: PartCounts,
     predecessors_expired: bool,
 }
 
@@ -293,16 +298,28 @@
                 if !reader.read_all_jobs().await {
                     return self.keep_unfinished(reader);
                 }
-                let ShardReader { ledger, jobs, .. } = reader;
-                return Some(WonClaim { epoch, claimed_at, ledger, jobs, predecessors_expired });
+                let ShardReader { ledger, jobs, parts, .. } = reader;
+                let stored_parts = parts.part_counts();
+                return Some(WonClaim {
+                    epoch,
+                    claimed_at,
+                    ledger,
+                    jobs,
+                    stored_parts,
+                    predecessors_expired,
+                });
             }
             let is_rival = self.election.is_newly_claimed(last_claim);
             if is_rival || claimed_epoch.is_some() && has_claim {
                 break;
             }
             // Tasks whose progress this build cannot read would be started a second time.
-            if reader.has_newer_records {
-                let (shard, cause) = (self.shard.0, "its progress has records of a newer build");
+            let withheld_for = match reader.has_newer_records {
+                true => Some("its progress has records of a newer build"),
+                false => reader.parts.is_incomplete().then_some("its progress has missing parts"),
+            };
+            if let Some(cause) = withheld_for {
+                let shard = self.shard.0;
                 log::warn!("event=claim_withheld shard={shard} cause=\"{cause}\"");
                 self.election.heartbeat_received(clock::now());
                 return self.keep_unfinished(reader);
@@ -355,6 +372,7 @@
         let unfinished_claim = self.unfinished_claim.take().map(|(_, it)| it);
         unfinished_claim.unwrap_or_else(|| ShardReader {
             ledger: Ledger::default(),
+            parts: PartJoiner::default(),
             jobs: TopicReader::new(log_client.clone(), Topic::Jobs(shard)),
             progress: TopicReader::new(log_client.clone(), Topic::Progress(shard)),
             has_newer_records: false,
@@ -418,7 +436,7 @@
 
     /// Runs the ownership of a claim that was won, until it ends.
     async fn own(&mut self, won: WonClaim) {
-        let WonClaim { epoch, claimed_at, ledger, jobs, predecessors_expired } = won;
+        let WonClaim { epoch, claimed_at, ledger, jobs, stored_parts, predecessors_expired } = won;
         let (shard, context) = (self.shard, &self.context);
         log::info!("event=owner shard={} epoch={epoch} settled={predecessors_expired}", shard.0);
         context.metrics.count_ownership_change("won");
@@ -434,6 +452,7 @@
             claim: self.election.claim(epoch, predecessors_expired),
             claimed_at,
             published_states,
+            stored_parts,
         };
         let cause = ownership.run(ledger, jobs).await;
         log::info!(
--- a/daisy-node/src/jobs.rs
+++ b/daisy-node/src/jobs.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::Instant;
 use daisy_relay::StoredRecord;
-use daisy_workflow::{Event, Record, RecordError, decode, substitute};
+use daisy_workflow::{Event, JoinedRecord, PartJoiner, Record, RecordError, decode, substitute};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep,
@@ -30,8 +30,32 @@
 
 /// Decodes a record. If that fails, logs the error and returns it, or the record's substitute if it
 /// must not be ignored.
-pub(crate) fn decode_record(topic: &str, it: &StoredRecord) -> Result<Record, RecordError> {
-    decode(&it.key, &it.value).or_else(|e| {
+fn decode_record(topic: &str, it: &StoredRecord) -> Result<Record, RecordError> {
+    or_substitute(topic, it, decode(&it.key, &it.value))
+}
+
+/// Decodes a record that may be stored in parts; returns `None` if it has no value, or is a part
+/// while others are missing. Errors are handled as by [`decode_record`].
+pub(crate) fn join_record(
+    topic: &str,
+    it: &StoredRecord,
+    parts: &mut PartJoiner,
+) -> Result<Option<Record>, RecordError> {
+    match parts.add(&it.key, &it.value) {
+        Ok(Some(JoinedRecord { key, value })) if !value.is_empty() => {
+            or_substitute(topic, it, decode(key, &value)).map(Some)
+        }
+        Ok(_) => Ok(None),
+        Err(e) => or_substitute(topic, it, Err(e)).map(Some),
+    }
+}
+
+fn or_substitute(
+    topic: &str,
+    it: &StoredRecord,
+    record: Result<Record, RecordError>,
+) -> Result<Record, RecordError> {
+    record.or_else(|e| {
         log::warn!("event=record_unreadable topic={topic} offset={} cause=\"{e}\"", it.offset);
         substitute(&it.key, it.offset, &e).ok_or(e)
     })
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -64,6 +64,7 @@
     short_cpu: Family<ShardLabels, Gauge>,
     log_calls: Family<LogCallLabels, Counter>,
     log_bytes: Family<LogCallLabels, Counter>,
+    refused_records: Counter,
     is_reader: Gauge,
     followers: Gauge,
 }
@@ -87,6 +88,7 @@
             short_cpu: Family::default(),
             log_calls: Family::default(),
             log_bytes: Family::default(),
+            refused_records: Counter::default(),
             is_reader: Gauge::default(),
             followers: Gauge::default(),
         };
@@ -102,6 +104,8 @@
         registry.register("backlog", "Jobs not ended", metrics.backlog.clone());
         let help = "Workers that take new tasks";
         registry.register("usable_workers", help, metrics.usable_workers.clone());
+        let help = "Records that the log does not store";
+        registry.register("refused_records", help, metrics.refused_records.clone());
         let help = "Data centres whose workers get no new tasks";
         registry.register("evacuated", help, metrics.evacuated.clone());
         let help = "Decisions on long-running jobs";
@@ -148,6 +152,11 @@
         self.lost_runs.inc();
     }
 
+    /// Counts records that the log does not store.
+    pub fn count_refused_records(&self, count: usize) {
+        self.refused_records.inc_by(count as u64);
+    }
+
     /// Counts the start or end of an ownership of this process.
     pub fn count_ownership_change(&self, outcome: &'static str) {
         self.ownership.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -57,7 +57,7 @@
     let queries = HeldQueries::default();
     let submissions = Submissions {
         shared: shared.clone(),
-        appender: Appender::start(log_client.clone(), shared.clone()),
+        appender: Appender::start(log_client.clone(), shared.clone(), settings.record_limits),
         log_client: log_client.clone(),
         metrics: metrics.clone(),
         queries: queries.clone(),
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -13,9 +13,9 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_platform::{Guard, MachineList, Topic, WorkerCalls};
 use daisy_workflow::{
-    Action, Claim, Event, JobId, Layout, Ledger, Owner, OwnershipStart, PlacementRules,
-    PublishedState, Record, Settings, ShardId, StatePublisher, TickDelay, UnconfirmedRun,
-    WorkerKey,
+    Action, Claim, Event, JobId, Layout, Ledger, Owner, OwnershipStart, PartCounts, PlacementRules,
+    PublishedState, Record, RecordWriter, Settings, ShardId, StatePublisher, TickDelay,
+    UnconfirmedRun, WorkerKey, WrittenRecord,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -23,7 +23,7 @@
 };
 
 use self::{
-    append::append,
+    append::{Appended, append},
     calls::Calls,
     follow::{follow_measurements, follow_workers},
 };
@@ -58,6 +58,8 @@
     pub claimed_at: Instant,
     /// The states of jobs that are already published.
     pub published_states: SortedMap<JobId, PublishedState>,
+    /// The records that the log has in several parts.
+    pub stored_parts: PartCounts,
 }
 
 /// Why an ownership ended.
@@ -90,12 +92,11 @@
 }
 
 /// The result of an append.
-#[derive(Debug)]
 enum AppendOutcome {
     /// Progress was appended.
-    Progress,
+    Progress(Appended),
     /// States or a heartbeat were appended; they were first sent at this time.
-    States(Instant),
+    States(Instant, Appended),
     /// The log has accepted an append with a higher epoch.
     Fenced,
 }
@@ -135,10 +136,14 @@
             append_outcomes,
             is_appending_progress: false,
             progress_append_began: now,
-            next_progress_seq: 1,
+            record_writer: RecordWriter::new(
+                self.context.settings.record_limits,
+                self.stored_parts.clone(),
+            ),
+            next_progress_guard: self.guard(1),
             state_publisher: StatePublisher::new(now, self.shard, self.published_states.clone()),
             is_appending_states: false,
-            next_states_seq: 0,
+            next_states_guard: self.guard(0),
             jobs_read_at,
             measurements_shared_at: now,
             tick_delay: TickDelay::new(now, TICK_INTERVAL),
@@ -160,6 +165,11 @@
         cause
     }
 
+    /// Returns the condition of the append with this number in the epoch.
+    fn guard(&self, seq: u64) -> Guard {
+        Guard::Sequence { shard: self.shard.0, epoch: self.epoch, seq }
+    }
+
     /// Creates the owner from the fold of its shard's log, and registers its event channel for
     /// later records.
     fn start_owner(
@@ -197,13 +207,14 @@
     is_appending_progress: bool,
     /// When the last append of progress began.
     progress_append_began: Instant,
-    /// The sequence number of the next append of progress in this epoch.
-    next_progress_seq: u64,
+    record_writer: RecordWriter,
+    /// The condition of the next append of progress.
+    next_progress_guard: Guard,
     state_publisher: StatePublisher,
     /// Whether an append of states is under way.
     is_appending_states: bool,
-    /// The sequence number of the next append of states in this epoch.
-    next_states_seq: u64,
+    /// The condition of the next append of states.
+    next_states_guard: Guard,
     /// When the submissions were last read to their end.
     jobs_read_at: watch::Receiver<Instant>,
     /// When interference measurements were last shared with other owners.
@@ -458,11 +469,9 @@
         let shared = context.shared.clone();
         tokio::spawn(async move {
             // This append carries no epoch, so it cannot be fenced.
-            let topic = Topic::Jobs(to.0);
-            if append(&log_client, topic, std::slice::from_ref(&record), Guard::Unconditional)
-                .await
-                .is_ok()
-            {
+            let calls = vec![vec![WrittenRecord::whole(&record)]];
+            let outcome = append(&log_client, Topic::Jobs(to.0), calls, Guard::Unconditional).await;
+            if outcome.is_ok_and(|it| it.refused.is_empty()) {
                 shared.lock().send_to_owner(to, record);
             }
         });
--- a/daisy-node/src/own/append.rs
+++ b/daisy-node/src/own/append.rs
@@ -1,10 +1,10 @@
 //! Appends an owner's records, and retries until the log has stored them or another process owns
 //! the shard.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use daisy_platform::{Guard, LogClient, LogError, Topic};
-use daisy_workflow::{Record, encode};
+use daisy_workflow::{RefusedRecord, WrittenRecord};
 use tokio::time::sleep;
 
 /// How long an append may take before it is sent again.
@@ -18,26 +18,78 @@
 /// The log rejected an append because it has accepted one with a higher epoch.
 pub(super) struct Fenced;
 
-/// Appends records, and retries until the log has stored them or rejects them because of a higher
-/// epoch. A sequence number in `guard` ensures that a repeated append has no second effect.
+/// The outcome of a sequence of appends.
+pub(super) struct Appended {
+    /// The guard of the next append.
+    pub next_guard: Guard,
+    /// The records that the log refused.
+    pub refused: Vec<RefusedRecord>,
+}
+
+/// Makes the calls one after the other, and retries each until the log has stored its records or
+/// rejects them because of a higher epoch. A sequence number in `guard` ensures that a repeated
+/// append has no second effect. Records that the log refuses are left out.
 pub(super) async fn append(
     log_client: &LogClient,
     topic: Topic,
-    records: &[Record],
+    calls: Vec<Vec<WrittenRecord>>,
+    guard: Guard,
+) -> Result<Appended, Fenced> {
+    let mut calls = VecDeque::from(calls);
+    let mut appended = Appended { next_guard: guard, refused: Vec::new() };
+    while let Some(mut call) = calls.pop_front() {
+        match append_call(log_client, topic, &call, appended.next_guard).await? {
+            CallOutcome::Stored => appended.next_guard = appended.next_guard.next(),
+            // The others can be stored without the record that is refused.
+            CallOutcome::Refused(_) if call.len() > 1 => {
+                call.into_iter().rev().for_each(|it| calls.push_front(vec![it]));
+            }
+            CallOutcome::Refused(cause) => {
+                let refused = call.drain(..).map(|it| RefusedRecord {
+                    key: it.key().to_owned(),
+                    job: it.job,
+                    bytes: it.bytes(),
+                });
+                for it in refused {
+                    log_refused(topic, &it, &cause);
+                    appended.refused.push(it);
+                }
+            }
+        }
+    }
+    Ok(appended)
+}
+
+/// Logs a record that the log does not store.
+pub(super) fn log_refused(topic: Topic, it: &RefusedRecord, cause: &str) {
+    let RefusedRecord { key, bytes, .. } = it;
+    log::error!("event=record_refused topic={topic:?} key={key} bytes={bytes} cause=\"{cause}\"");
+}
+
+enum CallOutcome {
+    Stored,
+    Refused(String),
+}
+
+async fn append_call(
+    log_client: &LogClient,
+    topic: Topic,
+    call: &[WrittenRecord],
     guard: Guard,
-) -> Result<(), Fenced> {
-    let encoded: Vec<_> = records.iter().map(encode).collect();
+) -> Result<CallOutcome, Fenced> {
+    let records: Vec<_> = call.iter().flat_map(|it| it.stored.iter().cloned()).collect();
     let mut failures = 0;
     loop {
         let timeout = if failures % 2 == 1 { SHORT_APPEND_TIMEOUT } else { APPEND_TIMEOUT };
-        match log_client.append(topic, &encoded, guard, timeout).await {
+        match log_client.append(topic, &records, guard, timeout).await {
             Ok(_) => {
                 if failures > 0 {
                     log::info!("event=log_regained topic={topic:?}");
                 }
-                return Ok(());
+                return Ok(CallOutcome::Stored);
             }
             Err(LogError::Fenced | LogError::EndMismatch) => return Err(Fenced),
+            Err(e @ LogError::Refused(_)) => return Ok(CallOutcome::Refused(e.to_string())),
             Err(e) => {
                 failures += 1;
                 if failures == 1 {
--- a/daisy-node/src/own/records.rs
+++ b/daisy-node/src/own/records.rs
@@ -4,11 +4,11 @@
 
 use daisy_model::Instant;
 use daisy_platform::{Guard, Topic};
-use daisy_workflow::{Claim, Event, OwnerHeartbeat, Record, encode};
+use daisy_workflow::{Claim, Event, JobId, OwnerHeartbeat, Record, RefusedRecord, WrittenRecord};
 
 use super::{
     AppendOutcome, MEASUREMENTS_INTERVAL, MIN_APPEND_INTERVAL, Ownership, RunningOwner,
-    append::{APPEND_TIMEOUT, Fenced, append},
+    append::{APPEND_TIMEOUT, Appended, Fenced, append, log_refused},
 };
 use crate::clock;
 
@@ -23,14 +23,16 @@
         let Some(batch) = self.owner.try_batch(now) else { return };
         self.is_appending_progress = true;
         self.progress_append_began = now;
-        let guard = self.guard(self.next_progress_seq);
-        self.next_progress_seq += 1;
-        self.spawn_append(
-            Topic::Progress(self.ownership.shard.0),
-            batch.records,
-            guard,
-            AppendOutcome::Progress,
-        );
+        let topic = Topic::Progress(self.ownership.shard.0);
+        let (calls, refused) = self.record_writer.write(&batch.records);
+        for it in &refused {
+            log_refused(topic, it, "it is longer than the log stores");
+        }
+        let guard = self.next_progress_guard;
+        self.spawn_append(topic, calls, guard, move |mut appended| {
+            appended.refused.extend(refused);
+            AppendOutcome::Progress(appended)
+        });
     }
 
     /// Publishes changed states of jobs and, when due, a heartbeat, unless an append of states is
@@ -63,23 +65,30 @@
         if sums.is_empty() || shards < 2 {
             return;
         }
-        let record = encode(&Record::InterferenceSums(*shard, sums));
+        let limits = context.settings.record_limits;
+        let calls = limits.calls(limits.split_sums(*shard, &sums));
         let log_client = context.log_client.clone();
         tokio::spawn(async move {
-            let records = [record];
-            let append =
-                log_client.append(Topic::Observed, &records, Guard::Unconditional, APPEND_TIMEOUT);
-            if let Err(e) = append.await {
-                log::debug!("event=log_lost topic=Observed cause=\"{e}\"");
+            for call in calls {
+                let records: Vec<_> = call.into_iter().flat_map(|it| it.stored).collect();
+                let (topic, guard) = (Topic::Observed, Guard::Unconditional);
+                let append = log_client.append(topic, &records, guard, APPEND_TIMEOUT);
+                if let Err(e) = append.await {
+                    log::debug!("event=log_lost topic={topic:?} cause=\"{e}\"");
+                }
             }
         });
     }
 
     pub(super) fn append_states(&mut self, records: Vec<Record>) {
         self.is_appending_states = true;
-        let guard = self.guard(self.next_states_seq);
-        self.next_states_seq += 1;
-        self.spawn_append(Topic::States, records, guard, AppendOutcome::States(clock::now()));
+        let sent_at = clock::now();
+        let limits = self.ownership.context.settings.record_limits;
+        let calls = limits.calls(records.iter().map(WrittenRecord::whole).collect());
+        let guard = self.next_states_guard;
+        self.spawn_append(Topic::States, calls, guard, move |appended| {
+            AppendOutcome::States(sent_at, appended)
+        });
     }
 
     /// Returns a heartbeat of this owner.
@@ -108,22 +117,18 @@
         self.state_publisher.are_all_published(&node.directory, self.owner.delegated_away())
     }
 
-    fn guard(&self, seq: u64) -> Guard {
-        Guard::Sequence { shard: self.ownership.shard.0, epoch: self.ownership.epoch, seq }
-    }
-
     fn spawn_append(
         &self,
         topic: Topic,
-        records: Vec<Record>,
+        calls: Vec<Vec<WrittenRecord>>,
         guard: Guard,
-        on_success: AppendOutcome,
+        to_outcome: impl FnOnce(Appended) -> AppendOutcome + Send + 'static,
     ) {
         let log_client = self.ownership.context.log_client.clone();
         let append_outcomes = self.append_outcomes.clone();
         tokio::spawn(async move {
-            let outcome = match append(&log_client, topic, &records, guard).await {
-                Ok(()) => on_success,
+            let outcome = match append(&log_client, topic, calls, guard).await {
+                Ok(appended) => to_outcome(appended),
                 Err(Fenced) => AppendOutcome::Fenced,
             };
             // Sending fails once the owner has stepped down, and the outcome no longer matters.
@@ -134,12 +139,16 @@
     /// Handles the outcome of an append; returns false if this owner is fenced.
     pub(super) fn handle_append_outcome(&mut self, outcome: Option<AppendOutcome>) -> bool {
         let event = match outcome {
-            Some(AppendOutcome::Progress) => {
+            Some(AppendOutcome::Progress(Appended { next_guard, refused })) => {
                 self.is_appending_progress = false;
+                self.next_progress_guard = next_guard;
+                self.handle_refused(&refused);
                 Event::Appended
             }
-            Some(AppendOutcome::States(sent_at)) => {
+            Some(AppendOutcome::States(sent_at, Appended { next_guard, refused })) => {
                 self.is_appending_states = false;
+                self.next_states_guard = next_guard;
+                self.ownership.context.metrics.count_refused_records(refused.len());
                 Event::HeartbeatStored { sent_at }
             }
             Some(AppendOutcome::Fenced) | None => return false,
@@ -147,4 +156,13 @@
         self.owner.handle_event(clock::now(), event);
         true
     }
+
+    /// Tells the owner whose progress the log refused.
+    fn handle_refused(&mut self, refused: &[RefusedRecord]) {
+        self.ownership.context.metrics.count_refused_records(refused.len());
+        let jobs: Vec<JobId> = refused.iter().filter_map(|it| it.job).collect();
+        if !jobs.is_empty() {
+            self.owner.handle_event(clock::now(), Event::ProgressRefused(jobs));
+        }
+    }
 }
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -197,6 +197,11 @@
         };
         let shard = layout.shard_of_job(id);
         let (key, value) = encode(&record);
+        if !self.appender.can_store(&key, &value) {
+            log::info!("event={event} id={id} outcome=too_long bytes={}", value.len());
+            let cause = "the job is longer than the platform's store accepts";
+            return Answer::error(StatusCode::PAYLOAD_TOO_LARGE, cause);
+        }
         let size_fields = size_fields(&record);
         let mut tries = 0;
         let mut maybe_stored = false;
@@ -210,7 +215,7 @@
                     log::info!("event={event} id={id} outcome=stored tries={tries}{size_fields}");
                     return Answer::stored();
                 }
-                Err(e) if !maybe_stored && matches!(e, LogError::NoEffect(_)) => {
+                Err(e @ (LogError::NoEffect(_) | LogError::Refused(_))) if !maybe_stored => {
                     log::warn!(
                         "event={event} id={id} outcome=rejected tries={tries} cause=\"{e}\""
                     );
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -52,8 +52,9 @@
     reachability::LogReachability,
     read_timeout::LargeReadTimeout,
     record::{
-        Claim, ImageInterference, InterferenceSums, Record, RecordError, Rejection, decode, encode,
-        substitute,
+        Claim, EncodedRecord, ImageInterference, InterferenceSums, JoinedRecord, PartCounts,
+        PartJoiner, Record, RecordError, RecordLimits, RecordWriter, RefusedRecord, Rejection,
+        WrittenRecord, decode, encode, substitute,
     },
     shard::{Layout, ShardId},
     spec::{JobKind, JobSpec, SpecError, StepSpec, Terms},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -135,6 +135,8 @@
     active: SortedMap<JobId, JobView>,
     /// Jobs whose progress has to be recorded.
     unrecorded_jobs: Vec<JobId>,
+    /// Jobs whose progress the log cannot store; none of their tasks is started.
+    unstorable_jobs: Vec<JobId>,
     /// Jobs that are delegated as a whole, while the delegation is not recorded yet.
     delegating: Vec<JobId>,
     /// Starts whose record is not in the log yet.
@@ -229,6 +231,7 @@
             evacuations: KnownEvacuations::default(),
             active: SortedMap::new(),
             unrecorded_jobs: Vec::new(),
+            unstorable_jobs: Vec::new(),
             given_up_runs: GivenUpRuns::default(),
             delegating: Vec::new(),
             unrecorded_starts: Vec::new(),
@@ -322,6 +325,7 @@
             Event::PaceAnswered(worker, task, run, percent, reply) => {
                 self.pace_answered(worker, task, run, percent, reply);
             }
+            Event::ProgressRefused(jobs) => self.progress_refused(&jobs),
             Event::Appended => self.batch_appended(now),
             Event::HeartbeatStored { sent_at } => self.heartbeat_stored(now, sent_at),
             Event::Loads(loads) => self.other_shards.update(loads),
@@ -372,6 +376,9 @@
             .extend(delegated.iter().filter_map(|id| Some(Record::Delegated(*id, receiver(id)?))));
         for id in changed {
             let Some(job) = ledger.job(id) else { continue };
+            if job.progress.phase == Phase::Active && self.unstorable_jobs.contains(&id) {
+                continue;
+            }
             records.push(Record::Progress(id, job.progress.clone()));
             // This shard runs only some of the job's tasks; the job's own shard publishes its
             // state.
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -186,7 +186,10 @@
     StopAnswered(WorkerKey, TaskId, u32, OrderReply),
     /// The answer to [`Action::Pace`].
     PaceAnswered(WorkerKey, TaskId, u32, u8, OrderReply),
-    /// The last [`Batch`] was stored in the log.
+    /// The log cannot store the progress of these jobs; sent before [`Event::Appended`] for the
+    /// batch that contains it.
+    ProgressRefused(Vec<JobId>),
+    /// The last [`Batch`] was stored in the log, but for what it refused.
     Appended,
     /// The log stored a heartbeat of this owner.
     HeartbeatStored {
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -10,7 +10,7 @@
     open_starts::MAX_ORDER_DELAY,
     worker::{DelayedStart, StartState, StopState, WorkerKey},
 };
-use crate::{JobState, TaskId};
+use crate::{JobId, JobState, TaskId};
 
 /// Interval before an unanswered start is sent again: starts are idempotent, and a worker that
 /// missed one order usually receives the next.
@@ -53,6 +53,23 @@
         }
     }
 
+    /// Withdraws the starts of jobs whose progress the log cannot store: the next owner would not
+    /// know them. The ends in the batch are not acknowledged with it.
+    pub(super) fn progress_refused(&mut self, jobs: &[JobId]) {
+        let Some(batch) = &mut self.in_flight else { return };
+        batch.cursors.clear();
+        batch.states.retain(|(id, _)| !jobs.contains(id));
+        let (withdrawn, starts) = std::mem::take(&mut batch.starts)
+            .into_iter()
+            .partition(|(_, task, _)| jobs.contains(&task.job));
+        batch.starts = starts;
+        self.unstorable_jobs.extend(jobs);
+        let withdrawn: Vec<(WorkerKey, TaskId, u32)> = withdrawn;
+        for (key, task, run) in withdrawn {
+            self.unassign(key, task, run);
+        }
+    }
+
     fn send_start(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
         let lease = self.settings.lease;
         // If the confirmation of the record was slow, another owner's records may precede it in the
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -174,7 +174,7 @@
             .filter_map(|(id, view)| {
                 let job = self.ledger.job(*id)?;
                 let is_open = matches!(job.state(), JobState::Queued | JobState::Running);
-                if !is_open {
+                if !is_open || self.unstorable_jobs.contains(id) {
                     return None;
                 }
                 let chain = self.remaining_chain_ms(*id, view);
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -4,7 +4,9 @@
 //! may ignore is added at the end of its record's encoding, where they skip it. A record that they
 //! must not misread gets a higher version, which they reject.
 
+mod parts;
 mod wire;
+mod writer;
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,6 +17,10 @@
     LearnedInterferenceWire, NamedPairsWire, OpenStartsWire, ProgressWire, RejectionWire,
     TransferWire, WitnessAddressesWire, WitnessesWire, state_from_number, state_to_number,
 };
+pub use self::{
+    parts::{EncodedRecord, JoinedRecord, PartCounts, PartJoiner},
+    writer::{RecordLimits, RecordWriter, RefusedRecord, WrittenRecord},
+};
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
     OwnerHeartbeat, Progress, PublishedState, ShardId, TaskId, Witnesses,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -472,6 +472,55 @@
     );
 }
 
+/// The most bytes of a record and of a call in tests of long records: a record has a few dozen
+/// tasks.
+const SHORT_RECORDS: (usize, usize) = (1_024, 16_384);
+
+/// Guards against a job whose progress is longer than a record: its append was repeated for ever,
+/// and no other start or end was recorded either.
+#[tokio::test]
+async fn a_job_whose_progress_is_longer_than_a_record_runs_beside_others() {
+    let mut fleet = Fleet::start_with_longest(SHORT_RECORDS, 3, 4, TASK_DURATION).await;
+    fleet.submit(0, JOB_ID, job_body(300)).await;
+    fleet.submit(0, OTHER_JOB_ID, job_body(4)).await;
+    fleet.wait_for_runs(100).await;
+
+    let owner = fleet.wait_for_owner().await;
+    fleet.kill(owner);
+    let other = (owner + 1) % 3;
+    fleet.wait_for_state(other, OTHER_JOB_ID, "completed").await;
+    fleet.wait_for_state(other, JOB_ID, "completed").await;
+
+    fleet.assert_each_task_ran_once(OTHER_JOB_ID, 4);
+    fleet.assert_each_task_ran_once(JOB_ID, 300);
+}
+
+/// Guards against the same where the log stores less than its settings say.
+#[tokio::test]
+async fn a_record_that_the_log_refuses_keeps_back_no_other_job() {
+    let fleet = Fleet::start(2, 4, TASK_DURATION).await;
+    fleet.log.limit_records(SHORT_RECORDS.0, SHORT_RECORDS.1);
+    fleet.submit(0, JOB_ID, job_body(2_000)).await;
+    fleet.submit(0, OTHER_JOB_ID, job_body(4)).await;
+
+    fleet.wait_for_state(1, OTHER_JOB_ID, "completed").await;
+
+    fleet.assert_each_task_ran_once(OTHER_JOB_ID, 4);
+    assert!(fleet.runs_of(JOB_ID).is_empty(), "no task runs without a record");
+}
+
+/// Guards against callers who return again and again with a job that can never be stored.
+#[tokio::test]
+async fn a_job_that_is_longer_than_a_record_is_refused_for_good() {
+    let fleet = Fleet::start_with_longest(SHORT_RECORDS, 1, 1, TASK_DURATION).await;
+    let steps: Vec<String> = (0..200).map(|_| r#"{"count":1,"cpu":500}"#.to_owned()).collect();
+    let body = format!(r#"{{"spec":"text","steps":[{}]}}"#, steps.join(","));
+
+    let status = fleet.submit(0, JOB_ID, body).await;
+
+    assert_eq!(status, 413);
+}
+
 /// If a build skipped a job's progress that a newer build wrote, it would treat the job as not
 /// begun.
 #[tokio::test]
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -75,6 +75,28 @@
         work: Duration,
     ) -> Fleet {
         let log = Log::start().await.expect("a port of loopback");
+        Fleet::start_beside(log, policy, processes, workers, work).await
+    }
+
+    /// As [`start`](Fleet::start), with a log that accepts shorter records and calls, in bytes.
+    pub async fn start_with_longest(
+        (record_bytes, call_bytes): (usize, usize),
+        processes: usize,
+        workers: usize,
+        work: Duration,
+    ) -> Fleet {
+        let log = Log::start().await.expect("a port of loopback");
+        log.limit_records(record_bytes, call_bytes);
+        Fleet::start_beside(log, None, processes, workers, work).await
+    }
+
+    async fn start_beside(
+        log: Log,
+        policy: Option<&'static str>,
+        processes: usize,
+        workers: usize,
+        work: Duration,
+    ) -> Fleet {
         let mut fleet =
             Fleet { log, workers: Vec::new(), processes: Vec::new(), http: Http::new(None) };
         fleet.configure(1, "/jobs/");
@@ -84,7 +106,12 @@
             fleet.workers.push(worker.expect("a port of loopback"));
         }
         for index in 0..processes {
-            fleet.processes.push(Process::start(index, fleet.log.address, policy));
+            fleet.processes.push(Process::start(
+                index,
+                fleet.log.address,
+                fleet.log.longest(),
+                policy,
+            ));
         }
         for index in 0..processes {
             fleet.wait_ready(index).await;
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -40,8 +40,15 @@
 }
 
 impl Process {
-    /// Starts the process of VM number `index`, which uses the platform's log at `log_address`.
-    pub fn start(index: usize, log_address: SocketAddr, policy: Option<&'static str>) -> Process {
+    /// Starts the process of VM number `index`, which uses the platform's log at `log_address`. The
+    /// log accepts records and calls of `longest` bytes.
+    pub fn start(
+        index: usize,
+        log_address: SocketAddr,
+        longest: (usize, usize),
+        policy: Option<&'static str>,
+    ) -> Process {
+        let (record_bytes, call_bytes) = longest;
         let address = unique_loopback_address();
         let caller_address = SocketAddr::new(address, CALLERS_PORT);
         let readiness_address = SocketAddr::new(address, READINESS_PORT);
@@ -50,7 +57,8 @@
         let text = format!(
             "node-name: vm-{index}\nzone: z1\nregion: r1\nlisten:\n  front: \"{caller_address}\"\n  \
              ready: \"{readiness_address}\"\ncontrol-mode: push\nplatform:\n  address: \
-             \"{log_address}\"\n  form: log\n  parts: 12\nip: \"{address}\"\nport-range: [{PEERS_PORT}, \
+             \"{log_address}\"\n  form: log\n  parts: 12\n  record-bytes: {record_bytes}\n  \
+             call-bytes: {call_bytes}\nip: \"{address}\"\nport-range: [{PEERS_PORT}, \
              {PEERS_PORT}]\nbounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
         );
         let mut file = File::create(&settings).expect("a new settings file");
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -83,8 +83,11 @@
             log_links.push(link_to(log.address).await);
         }
         let policy = plan.mixes_kinds.then_some(POLICY);
-        let processes =
-            log_links.iter().enumerate().map(|(vm, it)| Process::start(vm, it.address(), policy));
+        let longest = log.longest();
+        let processes = log_links
+            .iter()
+            .enumerate()
+            .map(|(vm, it)| Process::start(vm, it.address(), longest, policy));
         let processes = processes.collect();
         let scheduled_ends = Vec::new();
         let mut fleet =
