Bound how long late jobs are idle

Cause: an overload. Long-running jobs reserve nearly all processors, a third of the workers are lost, and more best-effort work is accepted than the rest does. A queue keeps what can be in time in time; it also held back jobs that could not be any more, beside capacity that nobody had reserved, and had no bound for jobs that later ones overtake.

A best-effort job past its objective of which nothing runs now starts one task at once while half of the usable processors are not reserved, throttled if need be. And one start of finite tasks in 64 goes to the finite job that has been idle for longest, ten seconds at least.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -318,7 +318,8 @@
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
              unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={} \
-             uncertain={} uncertain_for_ms={} open_starts={} held_ends={}",
+             uncertain={} uncertain_for_ms={} open_starts={} held_ends={} idle_jobs={} \
+             longest_idle_ms={}",
             self.ownership.shard.0,
             self.ownership.epoch,
             summary.jobs,
@@ -338,7 +339,9 @@
             summary.unconfirmed_runs,
             summary.unconfirmed_for.as_millis(),
             summary.open_starts,
-            summary.held_ends
+            summary.held_ends,
+            summary.idle_jobs,
+            summary.longest_idle.as_millis()
         );
         self.log_capacity(now);
         if let Some(it) = self.owner.try_inherited_leases(now) {
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -10,6 +10,7 @@
 mod defragment;
 mod delegate;
 mod evacuation;
+mod idle_jobs;
 mod intake;
 mod interference;
 mod message;
@@ -37,6 +38,7 @@
     capacity::ObservedLoad,
     defragment::Relocation,
     evacuation::KnownEvacuations,
+    idle_jobs::Turns,
     interference::Interference,
     open_starts::OpenStarts,
     placement::Reservation,
@@ -84,6 +86,8 @@
     pub packing: Packing,
     /// Whether long-running tasks are moved to make space for tasks that fit on no worker.
     pub defragments: bool,
+    /// Whether finite jobs that have been idle for long take turns with more urgent ones.
+    pub idle_turns: bool,
     /// If set, the owner reports what its workers can still take besides the finite work of queues
     /// with this priority or a lower value.
     pub protected_priority: Option<i32>,
@@ -91,7 +95,12 @@
 
 impl Default for PlacementRules {
     fn default() -> PlacementRules {
-        PlacementRules { packing: Packing::BestFit, defragments: true, protected_priority: None }
+        PlacementRules {
+            packing: Packing::BestFit,
+            defragments: true,
+            idle_turns: true,
+            protected_priority: None,
+        }
     }
 }
 
@@ -116,10 +125,21 @@
     pub objective: Instant,
     /// Estimated time from each step's start to the job's end, in milliseconds.
     pub times_to_end_ms: Vec<u64>,
+    /// Since when the job has a ready step, and no task of it has a run.
+    pub idle_since: Option<Instant>,
     /// Steps for which it was already logged that they wait for capacity.
     pub logged_waiting: Vec<u16>,
 }
 
+impl JobView {
+    /// Returns until when the job's results are of use: operators regard them as useful up to three
+    /// times the objective.
+    fn useful_until(&self) -> Instant {
+        const USEFUL_FACTOR: u32 = 3;
+        self.accepted_at + self.objective.since(self.accepted_at) * USEFUL_FACTOR
+    }
+}
+
 /// The owner of a shard: a state machine that takes [`Event`]s and returns [`Action`]s.
 #[derive(Debug)]
 pub struct Owner {
@@ -167,6 +187,7 @@
     rebalanced_at: Instant,
     /// When the last planning pass ran.
     planned_at: Instant,
+    turns: Turns,
     /// Workers that the last planning pass reserved for tasks that could not be placed or are being
     /// moved.
     reservations: Vec<Reservation>,
@@ -251,6 +272,7 @@
             waiting_since: SortedMap::new(),
             rebalanced_at: now,
             planned_at: now - PLAN_INTERVAL,
+            turns: Turns::default(),
             reservations: Vec::new(),
             unplaced_sizes: Vec::new(),
             relocations: Vec::new(),
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -83,6 +83,7 @@
             accepted_at,
             objective: accepted_at + Duration::from_millis(objective),
             times_to_end_ms: spec.times_to_end_ms(),
+            idle_since: None,
             logged_waiting: Vec::new(),
         };
         let cancelled = job.cancelled;
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -28,6 +28,8 @@
 enum Urgency {
     /// The job's tasks should run all the time: each moment without them matters.
     LongRunning,
+    /// The job is idle for long, and it is its turn.
+    Idle,
     /// The job can be in time.
     InTime,
     /// The job will be late, but still of use.
@@ -43,12 +45,9 @@
 /// does not delay those that can: under overload, earliest deadline first would make all of them
 /// slightly late.
 fn urgency(now: Instant, view: &JobView, chain_ms: u64) -> Urgency {
-    /// Operators regard results as useful up to three times the objective.
-    const USEFUL_FACTOR: u32 = 3;
-    let allowed = view.objective.since(view.accepted_at);
     match now + Duration::from_millis(chain_ms) {
         it if it <= view.objective => Urgency::InTime,
-        it if it <= view.accepted_at + allowed * USEFUL_FACTOR => Urgency::Late,
+        it if it <= view.useful_until() => Urgency::Late,
         _ => Urgency::TooLate,
     }
 }
@@ -65,6 +64,8 @@
     reservations: Vec<Reservation>,
     /// Best-effort tasks that could not be placed.
     unplaceable: Vec<UnplaceableTask>,
+    /// Whether at least half of the workers' processors are not reserved.
+    has_free_capacity: bool,
 }
 
 /// A best-effort task that could not be placed; tasks of the same image that need at least the same
@@ -107,10 +108,16 @@
     pub(super) fn plan(&mut self, now: Instant) {
         self.update_all_interference();
         self.unplaced_sizes.clear();
-        let mut pass =
-            PlanPass { reservations: self.relocation_reservations(), ..PlanPass::default() };
-        for id in self.by_urgency(now) {
-            for ready in self.ready_steps(now, id) {
+        let mut pass = PlanPass {
+            reservations: self.relocation_reservations(),
+            has_free_capacity: self.has_free_capacity(now),
+            ..PlanPass::default()
+        };
+        let has_turn = self.take_turn(now);
+        for id in self.by_urgency(now, has_turn) {
+            let ready_steps = self.ready_steps(now, id);
+            self.update_idle(now, id, !ready_steps.is_empty());
+            for ready in ready_steps {
                 self.place_step(now, ready, &mut pass);
             }
         }
@@ -164,10 +171,10 @@
     }
 
     /// Returns the jobs that have not ended by urgency: first long-running jobs, since each moment
-    /// without their tasks matters; then jobs that can be in time, by priority and by the share of
+    /// without their tasks matters; then the idle job that has its turn; then jobs that can be in time, by priority and by the share of
     /// their work that is left. Work on a job is of no use until its last task has ended, so under
     /// overload jobs that are nearly done go before new ones.
-    fn by_urgency(&self, now: Instant) -> Vec<JobId> {
+    fn by_urgency(&self, now: Instant, has_turn: Option<JobId>) -> Vec<JobId> {
         let mut jobs: Vec<_> = self
             .active
             .iter()
@@ -180,6 +187,7 @@
                 let chain = self.remaining_chain_ms(*id, view);
                 let latest = view.objective.0.saturating_sub(chain * 1_000);
                 let urgency = match (job.spec.kind(), urgency(now, view, chain)) {
+                    _ if has_turn == Some(*id) => Urgency::Idle,
                     (JobKind::LongRunning, _) if yields(now, view, job) => Urgency::NewLongRunning,
                     (JobKind::LongRunning, _) => Urgency::LongRunning,
                     // A wide job cannot be in time where few tasks fit, but it is still of use.
@@ -274,7 +282,9 @@
             return;
         }
         let service = self.service(&spec);
-        if pass.is_unplaceable(&service, step) {
+        let mut allow_throttled =
+            step.best_effort && pass.has_free_capacity && self.is_starved(now, ready.job);
+        if !allow_throttled && pass.is_unplaceable(&service, step) {
             self.note_waiting_step(ready, step, waiting.len());
             return;
         }
@@ -284,7 +294,7 @@
             let options = PlacementOptions {
                 rack: None,
                 tentative: &[],
-                allow_throttled: false,
+                allow_throttled: std::mem::take(&mut allow_throttled),
                 reservations: &pass.reservations,
             };
             let place = self
@@ -404,6 +414,9 @@
             job.progress.has_started = true;
         }
         self.unrecorded_starts.push((key, task, run));
+        if !step.long_running {
+            self.turns.task_started();
+        }
         self.end_relocation(task);
     }
 
--- a/daisy-workflow/src/owner/summary.rs
+++ b/daisy-workflow/src/owner/summary.rs
@@ -49,6 +49,10 @@
     pub smallest_waiting_cpu: u32,
     /// The longest time that a long-running task has waited.
     pub longest_wait: Duration,
+    /// Jobs with ready tasks of which none runs, and how long one of them has been so.
+    pub idle_jobs: usize,
+    /// See [`idle_jobs`](Summary::idle_jobs).
+    pub longest_idle: Duration,
 }
 
 impl Owner {
@@ -77,7 +81,11 @@
                     sum.largest_future_free_cpu.max(worker.eventual_free().cpu_milli);
             }
         }
-        for (id, _) in self.active.iter() {
+        for (id, view) in self.active.iter() {
+            if let Some(since) = view.idle_since {
+                sum.idle_jobs += 1;
+                sum.longest_idle = sum.longest_idle.max(now.since(since));
+            }
             let Some(job) = self.ledger.job(*id) else { continue };
             if !matches!(job.state(), JobState::Queued | JobState::Running) {
                 continue;
