Stop inherited runs on a new incarnation while a copy of their order is open

Cause: on a restart of a worker the owner stops the runs whose orders may still come and gives up the others. Whether an order may come it asked the run, which knows only of orders of this owner. The next owner had inherited the open starts from the log, and did not ask those.

Evidence: the new test fails on the code before, as the task runs on two workers.

--- a/daisy-workflow/src/owner/open_starts.rs
+++ b/daisy-workflow/src/owner/open_starts.rs
@@ -185,6 +185,12 @@
         self.copies.range(&from, &to).any(|(_, it)| it.may_be_carried_out(now))
     }
 
+    /// Whether a copy of the run's order may still be carried out, by whatever incarnation of its
+    /// worker there is then.
+    pub(super) fn may_be_carried_out(&self, now: Instant, task: TaskId, run: u32) -> bool {
+        self.copies.get(&(task, run)).is_some_and(|it| it.may_be_carried_out(now))
+    }
+
     /// Whether the log has to be updated even if there is nothing else to append.
     pub(super) fn is_record_due(&self) -> bool {
         self.is_record_due
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -152,7 +152,10 @@
                 StartState::InFlight | StartState::Unanswered(_) | StartState::Inherited => {
                     it.request_stop(now, StopCause::PossiblyDelayed);
                 }
-                StartState::Confirmed(_) if it.may_be_delayed => {
+                StartState::Confirmed(_)
+                    if it.may_be_delayed
+                        || self.open_starts.may_be_carried_out(now, it.task, it.run) =>
+                {
                     it.request_stop(now, StopCause::PossiblyDelayed)
                 }
                 // An answer to an order does not say which incarnation gave it. If the run were
--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -62,3 +62,39 @@
     assert!(done);
     assert!(sim.worker("w1").ends.is_empty(), "{:?}", sim.worker("w1").ends);
 }
+
+/// Returns a worker that runs the only task of a job by the second copy of its order, and another
+/// that is not listed yet; the first copy is under way.
+fn with_an_open_copy() -> Simulation {
+    let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.work_ms = |_| 8_000;
+    sim.worker("w1").fault = Fault::DelaysStarts(60_000);
+    sim.submit(1, job(vec![step(1)]));
+    assert!(sim.run_until(200, |it| !it.starts.is_empty()));
+    sim.worker("w1").fault = Fault::None;
+    assert!(sim.run_until(1_000, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
+    assert_eq!(sim.worker("w1").delayed_orders.len(), 1, "a copy is under way");
+    sim.worker("w2").listed = true;
+    sim
+}
+
+/// Guards against a run that the next owner gives up as its worker restarted, while a copy of its order
+/// starts it on the next incarnation, behind a cut. The simulation checks that no task runs twice.
+#[test]
+fn an_inherited_run_is_not_given_up_while_a_copy_of_its_order_is_under_way() {
+    let mut sim = with_an_open_copy();
+    sim.run_ms(100);
+    sim.change_owner_and_replay(false, false);
+    sim.run_ms(500);
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.run_ms(5_500);
+    sim.worker("w1").fault = Fault::None;
+
+    let done = sim.run_until(20_000, |it| it.state(1) == JobState::Completed);
+
+    assert!(done);
+}
