Allow for leases that late calls for the last incarnation extend

Cause: such an order still extends the lease, to the longest that workers grant, as its deadline is of the last incarnation's clock, which ran ahead. The owner allowed for that up to the first answer of the new incarnation only.

Evidence: the new test fails on the code before, as the task runs on two workers. The tests' worker granted no lease with a rejection as old; now it does, as the platform specifies, which is stricter.

The owner now remembers until when unanswered calls may be carried out. Those sent before a restart is known are for the last incarnation: until then each answer may come after a grant of the longest lease, and the runs of a silent worker are over only after a longest lease that such a call begins. Counting calls to the new incarnation as well fails old_owner.rs (12 s), so these are kept apart.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -167,6 +167,7 @@
                     self.open_starts.request_resend(key, task, run);
                 }
                 let (allocation, until) = (it.allocation, now + MAX_ORDER_DELAY);
+                worker.unanswered_until = until;
                 worker
                     .delayed_starts
                     .retain(|it| it.until > now && (it.task, it.run) != (task, run));
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -7,6 +7,7 @@
 use super::{
     Owner, Settings,
     message::{Action, ActiveRun, Note, RenewalAnswer, StopCause, WorkerListing},
+    open_starts::MAX_ORDER_DELAY,
     worker::{DelayedStart, StartState, StopState, Worker, WorkerKey},
 };
 use crate::{TaskId, WorkerId};
@@ -129,6 +130,7 @@
     /// Processes a restart of a worker under the same id: no earlier run exists any more.
     fn restarted(&mut self, now: Instant, key: WorkerKey, started_at_ms: u64, cause: &'static str) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        worker.incarnation_ended(now);
         worker.started_at_ms = started_at_ms;
         worker.replaced = false;
         worker.clock = None;
@@ -232,6 +234,7 @@
         worker.renewal_in_flight = false;
         let Some(answer) = answer else {
             worker.renewal_failures += 1;
+            worker.unanswered_until = now + MAX_ORDER_DELAY;
             if worker.renewal_failures == 1 {
                 self.note_worker(key, "silent", "a renewal was not answered");
             }
@@ -285,19 +288,19 @@
             }));
         }
         worker.clock = Some((answer.clock_ms, now));
+        let may_be_extended = worker.lease_extendable_until().is_some();
         worker.renewal_answered_at = now;
         worker.answered_renewal_sent_at = worker.renewal_sent_at;
         worker.cursor_taken = worker.cursor_taken.max(worker.cursor_sent);
-        if !worker.fenced {
-            worker.fenced = true;
-            self.plan_due = true;
-            // An earlier owner may have granted a whole lease just before. An order meant for an
-            // earlier incarnation names a time far ahead of this one's clock, for which the worker
-            // grants its longest lease.
+        let is_first_answer = !std::mem::replace(&mut worker.fenced, true);
+        if is_first_answer || may_be_extended {
+            // An earlier owner may have granted a whole lease just before, and a call for an earlier
+            // incarnation the longest one.
             let granted = if worker.restarted_at.is_some() { lease_max } else { lease };
             let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.max_lease_end_ms = worker.max_lease_end_ms.max(inherited);
         }
+        self.plan_due |= is_first_answer;
     }
 
     /// Compares the runs that a worker lists with the expected ones.
--- a/daisy-workflow/src/owner/unconfirmed_runs.rs
+++ b/daisy-workflow/src/owner/unconfirmed_runs.rs
@@ -98,7 +98,13 @@
 
     /// Returns when all runs on an unreachable worker have ended, if that is known.
     pub(super) fn runs_over_at(&self, worker: &Worker) -> Option<Instant> {
-        let over_at = worker.leases_over_at().or_else(|| self.delayed_starts_over_at(worker));
+        // A late call extends a lease only while that has not expired.
+        let extended = |over_at: Instant| match worker.lease_extendable_until() {
+            Some(until) => over_at.max(over_at.min(until) + self.max_granted_lease()),
+            None => over_at,
+        };
+        let leases_over_at = worker.leases_over_at().map(extended);
+        let over_at = leases_over_at.or_else(|| self.delayed_starts_over_at(worker));
         over_at.or_else(|| self.inherited_leases_end())
     }
 
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -8,6 +8,7 @@
     best_effort::{self, InterferenceLoad},
     interference::{ImageKey, Interference},
     message::StopCause,
+    open_starts::MAX_ORDER_DELAY,
     succession::Witness,
 };
 use crate::{TaskId, WorkerId, WorkerListing};
@@ -170,6 +171,10 @@
     /// When a restart of the worker was noticed: orders for the previous incarnation may still
     /// reach it.
     pub(crate) restarted_at: Option<Instant>,
+    /// Until when unanswered calls to the known incarnation, and to earlier ones, may still be carried
+    /// out.
+    pub(crate) unanswered_until: Instant,
+    pub(crate) late_calls_until: Instant,
     /// Whether another incarnation has answered at the worker's address, so that the known one has
     /// ended.
     pub(crate) replaced: bool,
@@ -241,6 +246,8 @@
             max_lease_end_ms: 0,
             fenced: false,
             restarted_at: None,
+            unanswered_until: Instant::default(),
+            late_calls_until: Instant::default(),
             replaced: false,
             named_at: None,
             renewal_in_flight: false,
@@ -323,6 +330,24 @@
         Some(at + Duration::from_millis(left * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1))
     }
 
+    /// Notes that the calls so far went to an earlier incarnation than the one that is known now.
+    pub(crate) fn incarnation_ended(&mut self, now: Instant) {
+        let is_called = self.renewal_in_flight
+            || self.tasks.iter().any(|it| it.start_state == StartState::InFlight);
+        let in_flight_until = if is_called { now + MAX_ORDER_DELAY } else { now };
+        self.late_calls_until =
+            self.late_calls_until.max(self.unanswered_until).max(in_flight_until);
+        self.unanswered_until = Instant::default();
+    }
+
+    /// Returns until when a call for an earlier incarnation may still be carried out, if that is later
+    /// than the last answer: it names a time far ahead of this one's clock, for which the worker
+    /// grants its longest lease.
+    pub(crate) fn lease_extendable_until(&self) -> Option<Instant> {
+        let until = self.late_calls_until;
+        (self.restarted_at.is_some() && self.renewal_answered_at < until).then_some(until)
+    }
+
     pub(crate) fn free(&self) -> Resources {
         self.capacity.try_sub(self.used).unwrap_or(Resources::ZERO)
     }
--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -98,3 +98,27 @@
 
     assert!(done);
 }
+
+/// Guards against a task that runs on beyond the lease that its owner knows: a late order for the last
+/// incarnation is rejected, but extends the lease. The simulation checks that no task runs twice.
+#[test]
+fn a_late_order_extends_the_lease_of_the_next_incarnation() {
+    let mut sim = with_an_open_copy();
+    sim.work_ms = |_| 20_000;
+    sim.worker("w2").listed = false;
+    sim.run_ms(100);
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    let late_at = sim.worker("w1").clock(now) + 6_000;
+    sim.worker("w1").delayed_orders.iter_mut().for_each(|it| it.0 = late_at);
+    sim.run_ms(6_100);
+    assert_eq!(sim.workers_running(task(1, 0, 0)), ["w1"], "the task runs again");
+    sim.worker("w2").listed = true;
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.run_ms(12_000);
+    sim.worker("w1").fault = Fault::None;
+
+    let done = sim.run_until(40_000, |it| it.state(1) == JobState::Completed);
+
+    assert!(done);
+}
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -307,6 +307,8 @@
             return OrderReply::Done { clock_ms: clock };
         }
         if self.closed_runs.iter().any(|(task, run)| *task == start.task && start.run <= *run) {
+            // The lease is extended all the same.
+            self.grant(clock, start.deadline_ms);
             return OrderReply::Rejected(RejectReason::StaleRun);
         }
         if start.deadline_ms < clock {
