Leave no best-effort job idle beside free capacity once no more arrive

Cause: a job that can be in time by its estimates, here of half a minute, waits until its tasks can run at full pace. That protects jobs that are still to come; when none comes, it protects nobody.

The new test fails on the code before. An idle time of 2.5 s in place of arrivals fails a test of overload.rs (six of twenty jobs are done in place of eight).

Once no job has arrived for 2.5 s, any idle best-effort job starts one task beside free capacity.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -153,6 +153,8 @@
     evacuations: KnownEvacuations,
     /// Jobs that have not ended.
     active: SortedMap<JobId, JobView>,
+    /// When a job last arrived.
+    last_arrival_at: Instant,
     /// Jobs whose progress has to be recorded.
     unrecorded_jobs: Vec<JobId>,
     /// Jobs whose progress the log cannot store; none of their tasks is started.
@@ -251,6 +253,7 @@
             list_read_at: now,
             evacuations: KnownEvacuations::default(),
             active: SortedMap::new(),
+            last_arrival_at: now,
             unrecorded_jobs: Vec::new(),
             unstorable_jobs: Vec::new(),
             given_up_runs: GivenUpRuns::default(),
--- a/daisy-workflow/src/owner/idle_jobs.rs
+++ b/daisy-workflow/src/owner/idle_jobs.rs
@@ -3,7 +3,8 @@
 //! This handles the case of more accepted work than the workers do. Jobs that cannot be in time go
 //! last, so that the others still are, and as long as the load lasts there are always others. Two
 //! rules bound how long a job stands still: one start in [`STARTS_PER_TURN`] goes to the job that
-//! has been idle for longest, and beside free capacity no late job is idle at all.
+//! has been idle for longest, and beside free capacity no job is idle that is late, or that nobody
+//! follows.
 
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use super::Owner;
 use crate::{JobId, JobKind};
 
+/// Time without a new job after which a shard only works off what it has accepted.
+const ARRIVALS_ENDED_AFTER: Duration = Duration::from_millis(2_500);
 /// How long a finite job is idle until it takes turns.
 const MIN_IDLE_FOR_TURN: Duration = Duration::from_secs(10);
 /// The number of starts of finite tasks for each turn. A turn costs one start, but may make a job of
@@ -58,9 +61,13 @@
     }
 
     /// Whether one task of a job is to start beside free capacity even where it is throttled. While
-    /// it can be in time, a job gains more by waiting until it can run at full pace.
+    /// it can be in time, a job gains more by waiting until it can run at full pace, as long as the
+    /// queue also serves jobs that arrive.
     pub(super) fn is_starved(&self, now: Instant, id: JobId) -> bool {
-        self.active.get(&id).is_some_and(|it| it.idle_since.is_some() && now > it.objective)
+        let arrivals_ended = now.since(self.last_arrival_at) >= ARRIVALS_ENDED_AFTER;
+        self.active
+            .get(&id)
+            .is_some_and(|it| it.idle_since.is_some() && (arrivals_ended || now > it.objective))
     }
 
     /// Returns the job whose turn it is to start a task before more urgent finite jobs, if any.
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -90,6 +90,7 @@
         self.mean_task_cpu = mean_task_cpu(self.mean_task_cpu, spec);
         self.observe_job(accepted_at, id);
         self.active.insert(id, view);
+        self.last_arrival_at = now;
         if cancelled {
             self.cancel(now, id);
         }
--- a/daisy-workflow/tests/idle_jobs.rs
+++ b/daisy-workflow/tests/idle_jobs.rs
@@ -83,6 +83,26 @@
     assert_eq!(JOBS.filter(is_idle).collect::<Vec<_>>(), []);
 }
 
+/// Guards against the same for jobs that could still be in time by their estimates, once no more jobs
+/// arrive.
+#[test]
+fn no_job_is_idle_beside_free_capacity_once_no_more_arrive() {
+    /// The jobs are of use for a minute by their estimates, and there is work for 29 s.
+    const JOBS: std::ops::Range<u64> = 100..300;
+    let mut sim = with_reserved(2, PlacementRules::default());
+    for id in JOBS {
+        let step = StepSpec { estimate_ms: 10_000, ..best_effort(JOB_TASKS, "fill") };
+        sim.submit(id, job(vec![step]));
+    }
+    sim.run_ms(3_000);
+
+    let running = running_jobs(&sim);
+
+    let is_idle =
+        |id: &u64| sim.state(*id) != JobState::Completed && !running.contains(&JobId(*id));
+    assert_eq!(JOBS.filter(is_idle).collect::<Vec<_>>(), []);
+}
+
 /// Returns what becomes of the jobs of 80 s in which fifteen tasks a second are submitted, and the
 /// workers do ten.
 fn under_overload(rules: PlacementRules) -> Vec<Course> {
