--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -149,6 +149,11 @@
         });
     }
 
+    /// All that the process has logged.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     pub async fn is_ready(&self, client: &Caller) -> bool {
         let got = client.call(Method::GET, self.ready, "/daisyshift/readiness", "").await;
         got.is_some_and(|(status, _)| status == 200)
