Count a failed run of a gang once, whoever lists its ends

Cause: each end as failed of a member added a failure to all members of the run. What was counted was nowhere recorded, so a count in the owner's memory would begin anew with its successor.

Evidence: a gang of two has two failures after run 1 on the code before.

The progress of a job records the numbers of its failed runs, and a run counts if its number is not among them. The numbers follow the tasks under a tag, where any task has failed: the build before reads the counts, and of its records a failure counts by the recorded copies. The log tells each count (event=failure_counted).

--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -48,6 +48,13 @@
                  saved={saved}"
             );
         }
+        Note::FailureCounted { task, run, failures, attempts } => {
+            let id = task.job;
+            log::info!(
+                "event=failure_counted id={id} task={task} run={run} failures={failures} \
+                 attempts={attempts}"
+            );
+        }
         Note::RunLost { task, run, worker, cause } => {
             metrics.count_lost_run();
             let id = task.job;
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -370,6 +370,17 @@
         /// Whether there is a checkpoint from which the next run continues.
         saved: bool,
     },
+    /// A run of a task, or of its gang, counts as failed.
+    FailureCounted {
+        /// The task.
+        task: TaskId,
+        /// Number of the run among the task's starts.
+        run: u32,
+        /// The failed runs of the task or of its gang so far.
+        failures: u32,
+        /// After how many failed runs the job fails, unless the task is long-running.
+        attempts: u32,
+    },
     /// A run is given up without a report from its worker.
     RunLost {
         /// The task.
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -51,18 +51,15 @@
         }
         let saved = !it.checkpoint.is_empty();
         self.actions.push(Action::Note(Note::RunEnded { task, run, worker: id, outcome, saved }));
-        let failed_elsewhere = self.failed_before(task);
         let Some(state) = self.task_mut(task) else { return };
-        let was_recorded = state.copies.iter().any(|it| it.run == run);
+        let is_uncounted = state.is_uncounted_failure(run);
         state.copies.retain(|it| it.run != run);
         if !it.checkpoint.is_empty() {
             state.checkpoint.clone_from(&it.checkpoint);
         }
         match outcome {
             Outcome::Done => self.task_done(now, key, task),
-            Outcome::Failed if was_recorded => {
-                self.run_failed(now, key, task, run, failed_elsewhere)
-            }
+            Outcome::Failed if is_uncounted => self.run_failed(now, key, task, run),
             _ => {}
         }
         self.remove_if_ended(task.job);
@@ -124,28 +121,24 @@
         self.stop_copies(now, StopCause::Done, |it| it == task);
     }
 
-    fn run_failed(
-        &mut self,
-        now: Instant,
-        key: WorkerKey,
-        task: TaskId,
-        run: u32,
-        failed_elsewhere: bool,
-    ) {
+    fn run_failed(&mut self, now: Instant, key: WorkerKey, task: TaskId, run: u32) {
+        let failed_elsewhere = self.failed_before(task);
         let Some(job) = self.ledger.job_mut(task.job) else { return };
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
         let steps = &mut job.progress.occurrences[task.occurrence as usize];
         let tasks = &mut steps[usize::from(task.step)];
-        // The members of a gang share the numbers of their runs, so one failure of a run counts for
-        // all of them.
+        // The members of a gang share the numbers of their runs, and each may list the failure of
+        // the same run, also to different owners.
         match step.gang {
-            true => tasks.iter_mut().filter(|it| it.runs == run).for_each(|it| it.failures += 1),
-            false => tasks[task.index as usize].failures += 1,
+            true => tasks.iter_mut().for_each(|it| it.count_failure(run)),
+            false => tasks[task.index as usize].count_failure(run),
         }
         let failures = tasks[task.index as usize].failures;
         let is_long_running = step.long_running;
         let attempts = job.spec.terms.max_attempts.max(1);
-        if failures >= attempts && !step.long_running && job.progress.phase == Phase::Active {
+        let is_active = job.progress.phase == Phase::Active;
+        self.actions.push(Action::Note(Note::FailureCounted { task, run, failures, attempts }));
+        if failures >= attempts && !is_long_running && is_active {
             self.end_job(now, task.job, Phase::Failed);
         }
         // A long-running task may fit on no other worker and be started on this one repeatedly.
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -14,6 +14,10 @@
     Failed,
 }
 
+/// How many failed runs of a task are recorded by number. Long-running tasks fail any number of
+/// times, and the length of a record must not depend on it.
+const MAX_NUMBERED_FAILURES: usize = 16;
+
 /// One run of a task that may be on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TaskCopy {
@@ -30,8 +34,10 @@
     pub done: bool,
     /// The highest run number so far.
     pub runs: u32,
-    /// The number of failed runs.
+    /// The number of failed runs; for the members of a gang, of the gang's failed runs.
     pub failures: u32,
+    /// The numbers of the newest failed runs, sorted. Earlier builds recorded none.
+    pub failed_runs: Vec<u32>,
     /// The newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Runs that may be on a worker.
@@ -45,6 +51,28 @@
     pub fn is_waiting(&self) -> bool {
         !self.done && !self.on_other_shard && self.copies.is_empty()
     }
+
+    /// Returns whether the failure of a run is not counted yet: neither for its end, which may be
+    /// listed again, nor for that of another member of its gang.
+    pub fn is_uncounted_failure(&self, run: u32) -> bool {
+        if run > self.runs || self.failed_runs.binary_search(&run).is_ok() {
+            return false;
+        }
+        // A failure without a number may be that of any run whose end is recorded.
+        let all_numbered = self.failures as usize == self.failed_runs.len();
+        all_numbered || self.copies.iter().any(|it| it.run == run)
+    }
+
+    /// Counts the failure of a run.
+    pub(crate) fn count_failure(&mut self, run: u32) {
+        self.failures += 1;
+        if let Err(at) = self.failed_runs.binary_search(&run) {
+            self.failed_runs.insert(at, run);
+        }
+        if self.failed_runs.len() > MAX_NUMBERED_FAILURES {
+            self.failed_runs.remove(0);
+        }
+    }
 }
 
 /// The progress of a job.
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -561,6 +561,49 @@
     copies: Vec<CopyWire>,
 }
 
+/// The failed runs of tasks, in rows of successive tasks of a step with the same ones: the
+/// occurrence, the step, the index of the first task, the number of tasks, and the numbers of the
+/// runs. Follows [`ProgressWire`] if any task has failed; earlier builds skip it.
+#[derive(Debug, Default, Encode, Decode)]
+pub(super) struct FailedRunsWire(Vec<(u32, u16, u32, u32, Vec<u32>)>);
+
+impl FailedRunsWire {
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Adds the failed runs to the progress that they were recorded with.
+    pub(super) fn add_to(self, progress: &mut Progress) {
+        for (occurrence, step, first, count, runs) in self.0 {
+            let steps = progress.occurrences.get_mut(occurrence as usize);
+            let tasks = steps.and_then(|it| it.get_mut(usize::from(step)));
+            let tasks = tasks.into_iter().flatten().skip(first as usize).take(count as usize);
+            tasks.for_each(|it| it.failed_runs.clone_from(&runs));
+        }
+    }
+}
+
+impl From<&Progress> for FailedRunsWire {
+    fn from(progress: &Progress) -> FailedRunsWire {
+        let mut rows = Vec::new();
+        // The tasks of an ended job are not recorded.
+        let active = (progress.phase == Phase::Active).then_some(&progress.occurrences);
+        for (occurrence, steps) in (0u32..).zip(active.into_iter().flatten()) {
+            for (step, tasks) in (0u16..).zip(steps) {
+                let mut first = 0;
+                for same in tasks.chunk_by(|a, b| a.failed_runs == b.failed_runs) {
+                    let count = same.len() as u32;
+                    if !same[0].failed_runs.is_empty() {
+                        rows.push((occurrence, step, first, count, same[0].failed_runs.clone()));
+                    }
+                    first += count;
+                }
+            }
+        }
+        FailedRunsWire(rows)
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 struct CopyWire {
     run: u32,
@@ -619,7 +662,8 @@
         let task = |it: TaskWire| {
             let copies = it.copies.into_iter().map(copy).collect::<Result<_, _>>()?;
             let TaskWire { done, runs, failures, checkpoint, .. } = it;
-            Ok(TaskState { done, runs, failures, checkpoint, copies, on_other_shard: false })
+            let state = TaskState { done, runs, failures, checkpoint, ..TaskState::default() };
+            Ok(TaskState { copies, ..state })
         };
         let step = |it: Vec<TaskWire>| it.into_iter().map(task).collect::<Result<_, _>>();
         let steps = |it: Vec<Vec<TaskWire>>| it.into_iter().map(step).collect::<Result<_, _>>();
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -11,8 +11,8 @@
 use daisy_workflow::{
     Claim, FREE_BLOCKS, FoldEffect, ImageInterference, IncomingTransfer, InterferenceSums, JobId,
     JobState, Layout, Ledger, Load, OpenStart, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
-    PublishedState, Record, RecordError, Rejection, ShardId, SpecError, TaskCopy, TaskState,
-    Witness, Witnesses, decode, encode, substitute,
+    PublishedState, Record, RecordError, Rejection, ShardId, SpecError, StepSpec, TaskCopy,
+    TaskState, Witness, Witnesses, decode, encode, substitute,
 };
 use util::{best_effort, job, long_running_step, step, step_after, task};
 
@@ -33,6 +33,27 @@
     progress
 }
 
+/// Returns the progress of a gang and of another step, of which tasks have failed.
+fn progress_with_failures() -> Progress {
+    let gang = StepSpec { gang: true, ..step(3) };
+    let mut progress = Progress::new(&job(vec![gang, step(2)]));
+    let failed = |runs: &[u32]| TaskState {
+        runs: 9,
+        failures: 2,
+        failed_runs: runs.to_vec(),
+        ..Default::default()
+    };
+    progress.occurrences[0][0].fill(failed(&[1, 300]));
+    progress.occurrences[0][1][1] = failed(&[7]);
+    progress
+}
+
+/// Returns the progress as the build before the numbers of failed runs recorded it.
+fn without_failed_runs(mut progress: Progress) -> Progress {
+    progress.occurrences.iter_mut().flatten().flatten().for_each(|it| it.failed_runs.clear());
+    progress
+}
+
 fn claim() -> Claim {
     Claim { vm: "vm".to_owned(), process: 3, epoch: 9, released: true, predecessors_expired: true }
 }
@@ -130,6 +151,7 @@
         ),
         Record::Cancelled(JobId(7)),
         Record::Progress(JobId(7), progress()),
+        Record::Progress(JobId(7), progress_with_failures()),
         Record::Claim(claim(), None),
         Record::Claim(claim(), Some(70_000)),
         Record::Delegated(JobId(7), ShardId(2)),
@@ -196,8 +218,15 @@
         for len in 0..value.len() {
             let read = decode(&key, &value[..len]);
 
-            // Earlier builds wrote heartbeats, claims, witnesses and interference that end earlier.
+            // Earlier builds wrote records of these kinds that end earlier.
             let earlier_lengths = match record {
+                Record::Progress(id, ref it) => {
+                    let it = without_failed_runs(it.clone());
+                    vec![encode(&Record::Progress(id, it)).1.len()]
+                        .into_iter()
+                        .filter(|it| *it < value.len())
+                        .collect()
+                }
                 Record::OwnerHeartbeat(_) => vec![
                     encoded_heartbeat_ending_with(()).len(),
                     encoded_heartbeat_ending_with([0_u8; FREE_BLOCKS]).len(),
@@ -368,6 +397,17 @@
     );
 }
 
+/// Guards against failed runs that a successor of another build cannot read or misreads.
+#[test]
+fn the_build_before_the_numbers_of_failed_runs_reads_and_writes_their_count() {
+    let before = without_failed_runs(progress_with_failures());
+    let (key, value) = encode(&Record::Progress(JobId(7), progress_with_failures()));
+    let (_, value_before) = encode(&Record::Progress(JobId(7), before.clone()));
+
+    assert!(value.starts_with(&value_before));
+    assert_eq!(decode(&key, &value_before), Ok(Record::Progress(JobId(7), before)));
+}
+
 #[test]
 fn bytes_that_a_newer_build_appends_are_ignored() {
     for record in records() {
--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test binary uses a part")]
 
+mod gangs;
 mod log;
 mod parallel;
 mod partition;
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use daisy_model::Instant;
+use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
     Action, Batch, Evacuations, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner,
     OwnershipStart, PlacementRules, Record, Settings, ShardId, Start, TaskId, WorkerKey,
@@ -10,6 +10,7 @@
 
 use super::{
     LEASE, LEASE_MAX, TICK,
+    gangs::Gangs,
     log::Log,
     worker::{FakeWorker, HOLD_WAIT_MAX, target_worker, with_max_wait},
 };
@@ -48,6 +49,9 @@
     pending: Option<(Instant, Batch)>,
     events: Vec<(Instant, Event)>,
     log: Log,
+    gangs: Gangs,
+    /// The checkpoint that the starts of each run of a gang carry.
+    gang_checkpoints: SortedMap<(TaskId, u32), String>,
 }
 
 impl Simulation {
@@ -95,6 +99,8 @@
             pending: None,
             events: Vec::new(),
             log: Log::default(),
+            gangs: Gangs::default(),
+            gang_checkpoints: SortedMap::new(),
         }
     }
 
@@ -162,6 +168,7 @@
         for worker in &mut self.workers {
             worker.advance(self.now, &self.fails);
         }
+        self.gangs.advance(self.now, &mut self.workers, &self.ledger);
         self.check();
     }
 
@@ -204,6 +211,7 @@
         for worker in &mut self.workers {
             worker.advance(now, &self.fails);
         }
+        self.gangs.advance(now, &mut self.workers, &self.ledger);
         if !self.list_is_stale {
             let listed = self.workers.iter().filter(|it| it.listed).map(FakeWorker::listing);
             self.owner.handle_event(now, Event::Workers(listed.collect()));
@@ -260,6 +268,8 @@
     fn carry_out(&mut self, action: Action) {
         if let Action::Start(key, start) = &action {
             check_start(&self.ledger, start);
+            check_attempts(&self.ledger, &self.workers, start);
+            self.check_gang_start(start);
             let name = self.worker_by_key(*key).name.clone();
             self.starts.push((start.task, start.run, name));
         }
@@ -286,6 +296,18 @@
         self.worker(&id.0)
     }
 
+    /// Checks that all members of a gang's run are started from the same checkpoint.
+    fn check_gang_start(&mut self, start: &Start) {
+        let TaskId { job, step, .. } = start.task;
+        let job = self.ledger.job(job).expect("checked before");
+        if !job.spec.steps[usize::from(step)].gang {
+            return;
+        }
+        let key = (TaskId { index: 0, ..start.task }, start.run);
+        let first = self.gang_checkpoints.get_or_insert_with(key, || start.checkpoint.clone());
+        assert_eq!(*first, start.checkpoint, "{} run {} of a gang", start.task, start.run);
+    }
+
     fn check(&self) {
         check_runs(&self.workers, &self.ledger);
     }
@@ -301,6 +323,16 @@
     assert!(recorded_worker, "{} run {} was ordered before its record", start.task, start.run);
 }
 
+/// Checks that no task is started after as many acknowledged failures as its queue allows.
+pub fn check_attempts(ledger: &Ledger, workers: &[FakeWorker], start: &Start) {
+    let Some(job) = ledger.job(start.task.job) else { return };
+    let step = &job.spec.steps[usize::from(start.task.step)];
+    let all = workers.iter().flat_map(|it| &it.final_failures);
+    let failures = all.filter(|(task, _)| *task == start.task).count();
+    let has_attempts = (failures as u32) < job.spec.terms.max_attempts;
+    assert!(step.long_running || has_attempts, "{} has failed {failures} times", start.task);
+}
+
 /// Checks the invariants of all current runs: no task runs on two workers, and no worker is over
 /// its capacity.
 pub fn check_runs(workers: &[FakeWorker], ledger: &Ledger) {
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -47,6 +47,11 @@
     /// The share of its processor time that the last order to set its pace allows.
     pub pace: f64,
     pub stopping: Option<u64>,
+    /// The newest checkpoint, and at how much work it was made, in milliseconds.
+    pub checkpoint: String,
+    pub saved_ms: f64,
+    /// Whether the run waits for the other members of its gang.
+    pub waits_for_gang: bool,
 }
 
 /// A fake worker. Times are milliseconds of its clock, which shows `clock_offset_ms` at
@@ -86,6 +91,12 @@
     pub advanced_at: u64,
     /// The tail latency of its serving tasks, in milliseconds.
     pub tail_latency_ms: u32,
+    /// The work after which its runs make a checkpoint, in milliseconds; 0 for none.
+    pub checkpoint_ms: u64,
+    /// Ends as failed that were not acknowledged, and those that were: the number, the task, and
+    /// the run.
+    pub unconfirmed_failures: Vec<(u64, TaskId, u32)>,
+    pub final_failures: Vec<(TaskId, u32)>,
     /// Orders that will be carried out later: when, their epoch, the order, and the work in
     /// milliseconds.
     pub delayed_orders: Vec<(u64, u64, Start, u64)>,
@@ -159,6 +170,9 @@
             shares_processors: false,
             advanced_at: 0,
             tail_latency_ms: 10,
+            checkpoint_ms: 0,
+            unconfirmed_failures: Vec::new(),
+            final_failures: Vec::new(),
             delayed_orders: Vec::new(),
         }
     }
@@ -246,8 +260,16 @@
         self.advanced_at = clock;
         let pace = self.pace();
         for mut run in std::mem::take(&mut self.runs) {
+            if run.waits_for_gang && run.stopping.is_none() && self.fault != Fault::Fails {
+                self.runs.push(run);
+                continue;
+            }
             run.done_ms += (clock - run.run_started_ms).min(passed) as f64 * pace * run.pace;
             let age = run.done_ms.round() as u64;
+            if self.checkpoint_ms > 0 && run.done_ms >= run.saved_ms + self.checkpoint_ms as f64 {
+                run.saved_ms = run.done_ms;
+                run.checkpoint = format!("{}-{}-{age}", run.task, run.run);
+            }
             if run.stopping.is_some_and(|at| clock >= at) {
                 self.end(&run, Outcome::Stopped);
             } else if self.fault == Fault::Fails || (fails(run.task) && age >= run.work_ms) {
@@ -270,15 +292,31 @@
         }
     }
 
+    /// Ends the runs for which `ends` returns true.
+    pub fn end_runs(&mut self, now: Instant, outcome: Outcome, ends: impl Fn(&FakeRun) -> bool) {
+        let (ended, left) = std::mem::take(&mut self.runs).into_iter().partition(|it| ends(it));
+        self.runs = left;
+        let ended: Vec<FakeRun> = ended;
+        for run in ended {
+            self.end(&run, outcome);
+            if outcome == Outcome::Done {
+                self.unconfirmed_ends.push((self.last_end_number, run.task, now));
+            }
+        }
+    }
+
     fn end(&mut self, run: &FakeRun, outcome: Outcome) {
         self.last_end_number += 1;
+        if outcome == Outcome::Failed {
+            self.unconfirmed_failures.push((self.last_end_number, run.task, run.run));
+        }
         self.closed_runs.push((run.task, run.run));
         self.ends.push(EndedRun {
             number: self.last_end_number,
             task: run.task,
             run: run.run,
             outcome,
-            checkpoint: String::new(),
+            checkpoint: run.checkpoint.clone(),
         });
     }
 
@@ -324,6 +362,9 @@
             done_ms: 0.0,
             pace: 1.0,
             stopping: None,
+            checkpoint: start.checkpoint.clone(),
+            saved_ms: 0.0,
+            waits_for_gang: false,
         });
         OrderReply::Done { clock_ms: clock }
     }
@@ -373,6 +414,10 @@
         self.unconfirmed_ends = left;
         let noted: Vec<_> = noted;
         self.final_ends.extend(noted.into_iter().map(|(_, task, at)| (task, at)));
+        let (noted, left) = self.unconfirmed_failures.drain(..).partition(|it| it.0 <= cursor);
+        self.unconfirmed_failures = left;
+        let noted: Vec<_> = noted;
+        self.final_failures.extend(noted.into_iter().map(|(_, task, run)| (task, run)));
         let percent = |it: &FakeRun| match self.fault {
             Fault::Hangs => 7,
             // A long-running task counts as complete from its start.
@@ -382,7 +427,7 @@
         let running = self.runs.iter().map(|it| ActiveRun {
             task: it.task,
             run: it.run,
-            checkpoint: String::new(),
+            checkpoint: it.checkpoint.clone(),
             percent: percent(it),
             load: if it.work_ms >= LONG_RUNNING_WORK_MS {
                 self.tail_latency_ms
@@ -411,8 +456,15 @@
         // start, under an epoch that the new incarnation has not seen replaced.
         let at = now.0 / 1_000 + restarted.clock_offset_ms + 300;
         let late = late.into_iter().map(|(_, epoch, start, work)| (at, epoch, start, work));
-        *self =
-            FakeWorker { started_at_ms, port, labels, delayed_orders: late.collect(), ..restarted };
+        *self = FakeWorker {
+            started_at_ms,
+            port,
+            labels,
+            checkpoint_ms: self.checkpoint_ms,
+            final_failures: std::mem::take(&mut self.final_failures),
+            delayed_orders: late.collect(),
+            ..restarted
+        };
     }
 }
 
