Start all members of a gang from one checkpoint

Cause: each order carried the newest checkpoint of its own member.

Members get one checkpoint when all are placed for a new run, when none of them runs, and it is recorded with the starts.

--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -354,11 +354,24 @@
         let Some(keys) = found else { return };
         let members = 0..step.count;
         let run = members.clone().map(|it| self.next_run(task_id(ready, it))).max().unwrap_or(1);
+        self.unify_checkpoints(ready);
         for (index, key) in members.zip(keys) {
             self.assign(now, key, task_id(ready, index), run, step);
         }
     }
 
+    /// Gives all members of a gang one checkpoint, which any of them can continue from. They are not
+    /// running, so no start order that carries another can be repeated.
+    fn unify_checkpoints(&mut self, ready: ReadyStep) {
+        let Some(job) = self.ledger.job_mut(ready.job) else { return };
+        let members =
+            &mut job.progress.occurrences[ready.occurrence as usize][usize::from(ready.step)];
+        let any = members.iter().map(|it| &it.checkpoint).find(|it| !it.is_empty()).cloned();
+        if let Some(checkpoint) = any {
+            members.iter_mut().for_each(|it| it.checkpoint.clone_from(&checkpoint));
+        }
+    }
+
     fn try_place_all(
         &self,
         now: Instant,
--- a/daisy-workflow/tests/gangs.rs
+++ b/daisy-workflow/tests/gangs.rs
@@ -142,3 +142,22 @@
     let failures = sim.ledger.job(JobId(1)).map(|it| it.progress.occurrences[0][0][0].failures);
     assert_eq!(failures, Some(1));
 }
+
+/// Guards against members that continue from different states of their common work.
+#[test]
+fn all_members_are_started_again_from_one_checkpoint() {
+    let mut sim = workers(4, 1);
+    sim.workers.iter_mut().for_each(|it| it.checkpoint_ms = 300);
+    sim.work_ms = |_| 6_000;
+    sim.submit(1, job(vec![StepSpec { gang: true, checkpoints: true, ..step(3) }]));
+    sim.run_ms(2_500);
+    let now = sim.now;
+    let lost = sim.starts[0].2.clone();
+    sim.worker(&lost).restart(now);
+
+    let done = sim.run_until(30_000, |it| it.state(1) == JobState::Completed);
+
+    assert!(done);
+    assert_eq!(runs(&sim), [1, 2]);
+    assert!(sim.gang_checkpoints.iter().any(|((_, run), it)| *run == 2 && !it.is_empty()));
+}
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -51,7 +51,7 @@
     log: Log,
     gangs: Gangs,
     /// The checkpoint that the starts of each run of a gang carry.
-    gang_checkpoints: SortedMap<(TaskId, u32), String>,
+    pub gang_checkpoints: SortedMap<(TaskId, u32), String>,
 }
 
 impl Simulation {
