Count no failure of a task that another copy has completed

Callers would have seen a job shown as failed though the task in question was done: with one attempt allowed, a copy of a speculative step that had completed elsewhere, and whose failure its worker listed after a silence.

Cause: a failure was counted without a look at whether the task is done.

Evidence: the new test fails on the code before ("the job is Failed").

Result: the test passes, and those of gangs.rs and records.rs.

--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -55,7 +55,7 @@
     /// Returns whether the failure of a run is not counted yet: neither for its end, which may be
     /// listed again, nor for that of another member of its gang.
     pub fn is_uncounted_failure(&self, run: u32) -> bool {
-        if run > self.runs || self.failed_runs.binary_search(&run).is_ok() {
+        if self.done || run > self.runs || self.failed_runs.binary_search(&run).is_ok() {
             return false;
         }
         // A failure without a number may be that of any run whose end is recorded.
--- a/daisy-workflow/tests/late_copies.rs
+++ b/daisy-workflow/tests/late_copies.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use daisy_workflow::JobState;
-use util::{FakeWorker, Fault, Simulation, job, step, task};
+use daisy_workflow::{EndedRun, JobState, Outcome, StepSpec};
+use util::{FakeWorker, Fault, Simulation, job, step, step_after, task};
 
 /// Milliseconds after which no copy of an order is carried out any more, with some margin.
 const LAST_COPY_OVER_MS: u64 = 14_500;
@@ -100,3 +100,30 @@
 
     assert!(is_acknowledged(&mut sim));
 }
+
+/// Guards against a job that fails by a copy of a task which another copy has completed.
+#[test]
+fn a_copy_that_fails_after_another_has_completed_does_not_count() {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 1), FakeWorker::new("w2", 1)]);
+    let mut spec = job(vec![StepSpec { speculative: true, ..step(1) }, step_after(&[0], step(1))]);
+    spec.terms.max_attempts = 1;
+    sim.submit(1, spec);
+    assert!(sim.run_until(2_000, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
+    let first = sim.workers_running(task(1, 0, 0))[0].to_owned();
+    sim.worker(&first).fault = Fault::Unreachable;
+    sim.worker(&first).runs.clear();
+    let has_ended = |it: &Simulation| it.workers.iter().any(|it| it.last_end_number > 0);
+    assert!(sim.run_until(5_000, has_ended), "no second copy");
+    sim.run_ms(100);
+    let worker = sim.worker(&first);
+    worker.last_end_number = 1;
+    let checkpoint = String::new();
+    let end =
+        EndedRun { number: 1, task: task(1, 0, 0), run: 1, outcome: Outcome::Failed, checkpoint };
+    worker.ends.push(end);
+    worker.fault = Fault::None;
+
+    let completed = sim.run_until(5_000, |it| it.state(1) == JobState::Completed);
+
+    assert!(completed, "the job is {:?}", sim.state(1));
+}
