--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -206,7 +206,14 @@
     /// pages already read.
     async fn read_newest(&mut self, answer_timeout: Duration) -> Result<Read, LogError> {
         loop {
-            let page = self.read_newest_page(answer_timeout).await?;
+            let mut page = self.read_newest_page(answer_timeout).await?;
+            let last_key = |it: &NewestPage| it.records.last().map(|it| it.key.clone());
+            let before = self.newest_so_far.as_ref().and_then(last_key);
+            if page.has_more && before.is_some() && last_key(&page) == before {
+                // The page after this key would be the same for ever.
+                log::warn!("event=keys_unread topic={:?} after={before:?}", self.topic);
+                page.has_more = false;
+            }
             let pages = match &mut self.newest_so_far {
                 None => self.newest_so_far.insert(page),
                 Some(it) => {
