Show a job as begun once a worker has begun a task of it

Cause: a job counted as started once a start was to be recorded, whatever the worker answered.

That a start was recorded still decides what may run somewhere, and whether a job may be delegated. That a worker has begun a task decides the state and the count: it has answered the start, or lists the run or its end. The progress records it behind the tasks, together with the failed runs; builds before skip it, and of their records a start is taken for a begun one.

--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -30,9 +30,9 @@
 /// the reverse.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum JobState {
-    /// No task was started.
+    /// No worker has begun a task.
     Queued,
-    /// A task was started.
+    /// A worker has begun a task.
     Running,
     /// Cancelled by a caller.
     Cancelled,
@@ -68,11 +68,16 @@
             Phase::Completed => JobState::Completed,
             Phase::Failed => JobState::Failed,
             Phase::Active if self.cancelled => JobState::Cancelled,
-            Phase::Active if self.progress.has_started => JobState::Running,
+            Phase::Active if self.progress.has_begun => JobState::Running,
             Phase::Active => JobState::Queued,
         }
     }
 
+    /// Returns whether the job is open and no start of its tasks was ever recorded.
+    pub fn is_untouched(&self) -> bool {
+        self.state() == JobState::Queued && !self.progress.has_started
+    }
+
     /// Returns whether another shard has the job, so that this one runs only those of its tasks
     /// that were transferred here.
     pub fn belongs_to_other_shard(&self) -> bool {
@@ -251,6 +256,7 @@
         let early = self.early_progress.remove(&id).filter(|it| it.matches_spec(&spec));
         let mut progress = early.unwrap_or_else(|| Progress::new(&spec));
         progress.has_started |= has_only_received_tasks;
+        progress.has_begun |= has_only_received_tasks;
         let cancelled = self.early_cancellations.contains(&id);
         self.early_cancellations.retain(|it| *it != id);
         let delegated = self.early_delegations.remove(&id);
@@ -358,7 +364,7 @@
         (all_comply && !self.witnesses.workers.is_empty()).then_some(epoch)
     }
 
-    /// Returns by queue the number of jobs without set times of which no task was started and that
+    /// Returns by queue the number of jobs without set times of which no task has begun and that
     /// were neither cancelled nor delegated.
     pub fn pending(&self) -> Vec<(String, u32)> {
         let mut counts: SortedMap<&str, u32> = SortedMap::new();
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -446,7 +446,7 @@
         self.interference.take_interference_sums()
     }
 
-    /// Counts, by queue, the untimed jobs of which no task was started.
+    /// Counts, by queue, the untimed jobs of which no task has begun.
     pub fn pending(&self) -> Vec<(String, u32)> {
         self.ledger.pending()
     }
--- a/daisy-workflow/src/owner/delegate.rs
+++ b/daisy-workflow/src/owner/delegate.rs
@@ -132,7 +132,7 @@
             return;
         }
         let Some(job) = self.ledger.job(id) else { return };
-        if job.state() != JobState::Queued || job.delegated.is_some() {
+        if !job.is_untouched() || job.delegated.is_some() {
             return;
         }
         if job.spec.steps.iter().any(|it| self.is_bound_to_shard(it)) {
@@ -164,8 +164,7 @@
         if self.settings.layout.shards < 2 {
             return;
         }
-        let queued =
-            |id: &JobId| self.ledger.job(*id).is_some_and(|it| it.state() == JobState::Queued);
+        let queued = |id: &JobId| self.ledger.job(*id).is_some_and(crate::Job::is_untouched);
         let waiting: Vec<JobId> = self.active.iter().map(|(id, _)| *id).filter(queued).collect();
         for id in waiting {
             self.try_delegate(now, id);
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -109,6 +109,16 @@
         self.actions.push(Action::Start(key, start));
     }
 
+    /// Notes that a worker has begun a task of the job. The job's next record contains it; until then
+    /// another owner learns it from the worker's lists.
+    pub(super) fn mark_begun(&mut self, id: JobId) {
+        let Some(job) = self.ledger.job_mut(id) else { return };
+        let was_known = std::mem::replace(&mut job.progress.has_begun, true);
+        if !was_known && !job.belongs_to_other_shard() {
+            self.states.push((id, job.state()));
+        }
+    }
+
     /// Whether a task still has to run.
     fn is_wanted(&self, task: TaskId) -> bool {
         let Some(job) = self.ledger.job(task.job) else { return false };
@@ -138,6 +148,9 @@
         if reply != OrderReply::Unknown {
             let is_confirmed = matches!(reply, OrderReply::Done { .. });
             self.open_starts.answered(task, run, is_confirmed);
+            if is_confirmed {
+                self.mark_begun(task.job);
+            }
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         if let OrderReply::Done { clock_ms } = reply
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -72,7 +72,7 @@
         start_state: StartState,
     ) {
         let Some(job) = self.ledger.job(task.job) else { return };
-        let ended = job.cancelled || job.state() != crate::JobState::Running;
+        let ended = job.cancelled || job.state().is_ended();
         let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
         let mut it = super::new_assignment(now, &mut self.interference, task, run, step);
         it.start_state = start_state;
@@ -306,6 +306,7 @@
     /// Compares the runs that a worker lists with the expected ones.
     fn compare_running(&mut self, now: Instant, key: WorkerKey, running: &[ActiveRun]) {
         let mut unknown = Vec::new();
+        let mut begun = Vec::new();
         let Some(worker) = self.workers.get_mut(key) else { return };
         for it in running {
             match worker.find(it.task, it.run) {
@@ -323,12 +324,14 @@
                     }
                     if !matches!(known.start_state, StartState::Confirmed(_)) {
                         known.start_state = StartState::Confirmed(now);
+                        begun.push(it.task.job);
                     }
                 }
                 None => unknown.push((it.task, it.run)),
             }
         }
         let missing = missing_runs(worker, running);
+        begun.into_iter().for_each(|it| self.mark_begun(it));
         for (task, run) in unknown {
             // This owner gave the run up, or its job has ended. It takes capacity until it is
             // stopped.
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -24,6 +24,7 @@
 impl Owner {
     pub(super) fn run_ended(&mut self, now: Instant, key: WorkerKey, it: EndedRun) {
         self.open_starts.listed(it.task, it.run);
+        self.mark_begun(it.task.job);
         if it.outcome == Outcome::Done {
             self.observe_end(now, key, it.task, it.run);
         }
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -80,8 +80,10 @@
 pub struct Progress {
     /// The state of the whole job.
     pub phase: Phase,
-    /// Whether any task was started.
+    /// Whether a start of any task was ever recorded, so that it may have been ordered.
     pub has_started: bool,
+    /// Whether a worker has begun any task, as far as a worker has told.
+    pub has_begun: bool,
     /// Tasks by occurrence, step and index.
     pub occurrences: Vec<Vec<Vec<TaskState>>>,
 }
@@ -94,6 +96,7 @@
         Progress {
             phase: Phase::Active,
             has_started: false,
+            has_begun: false,
             occurrences: vec![steps; spec.occurrences as usize],
         }
     }
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -13,9 +13,10 @@
 use bincode::{Decode, Encode, config};
 
 use self::wire::{
-    CapacityWire, ClaimWire, FailedRunsWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire,
-    JobWire, LearnedInterferenceWire, NamedPairsWire, OpenStartsWire, ProgressWire, RejectionWire,
-    TransferWire, WitnessAddressesWire, WitnessesWire, state_from_number, state_to_number,
+    CapacityWire, ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
+    LearnedInterferenceWire, NamedPairsWire, OpenStartsWire, ProgressWire, RejectionWire,
+    TaskEventsWire, TransferWire, WitnessAddressesWire, WitnessesWire, state_from_number,
+    state_to_number,
 };
 pub use self::{
     parts::{EncodedRecord, JoinedRecord, PartCounts, PartJoiner},
@@ -39,9 +40,9 @@
 /// The byte before the capacity reports of a heartbeat. What follows the free blocks under another
 /// byte is of a newer build and skipped.
 const CAPACITY_TAG: u8 = b'c';
-/// The byte before the failed runs of a job's progress. What follows the tasks under another byte is
-/// of a newer build and skipped.
-const FAILED_RUNS_TAG: u8 = b'f';
+/// The byte before the events in a job's progress. What follows the tasks under another byte is of a
+/// newer build and skipped.
+const TASK_EVENTS_TAG: u8 = b'e';
 /// The number of keys under which rejections are stored. The log keeps the newest record of each key
 /// for good, and only those who read a rejection as it is appended need it.
 const REJECTION_KEYS: u64 = 256;
@@ -165,9 +166,9 @@
         Record::Cancelled(id) => (format!("cancel-{id}"), encode_framed(())),
         Record::Progress(id, progress) => {
             let mut value = encode_framed(ProgressWire::from(progress));
-            let failed_runs = FailedRunsWire::from(progress);
-            if !failed_runs.is_empty() {
-                value.extend(encode_unframed((FAILED_RUNS_TAG, failed_runs)));
+            if progress.has_started {
+                let events = TaskEventsWire::from(progress);
+                value.extend(encode_unframed((TASK_EVENTS_TAG, events)));
             }
             (format!("progress-{id}"), value)
         }
@@ -309,8 +310,8 @@
             let (wire, rest): (ProgressWire, _) = decode_with_rest(value)?;
             let mut progress = Progress::try_from(wire)?;
             // Earlier builds wrote nothing after the tasks.
-            if let [FAILED_RUNS_TAG, rest @ ..] = rest {
-                decode_unframed::<FailedRunsWire>(rest)?.0.add_to(&mut progress);
+            if let [TASK_EVENTS_TAG, rest @ ..] = rest {
+                decode_unframed::<TaskEventsWire>(rest)?.0.add_to(&mut progress);
             }
             Ok(Record::Progress(id, progress))
         }
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -561,20 +561,22 @@
     copies: Vec<CopyWire>,
 }
 
-/// The failed runs of tasks, in rows of successive tasks of a step with the same ones: the
-/// occurrence, the step, the index of the first task, the number of tasks, and the numbers of the
-/// runs. Follows [`ProgressWire`] if any task has failed; earlier builds skip it.
-#[derive(Debug, Default, Encode, Decode)]
-pub(super) struct FailedRunsWire(Vec<(u32, u16, u32, u32, Vec<u32>)>);
-
-impl FailedRunsWire {
-    pub(super) fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
+/// What has happened to the tasks of a job, besides their states. Follows [`ProgressWire`] once a
+/// start is recorded; earlier builds skip it.
+#[derive(Debug, Encode, Decode)]
+pub(super) struct TaskEventsWire {
+    has_begun: bool,
+    /// The failed runs of tasks, in rows of successive tasks of a step with the same ones: the
+    /// occurrence, the step, the index of the first task, the number of tasks, and the numbers of
+    /// the runs.
+    failed_runs: Vec<(u32, u16, u32, u32, Vec<u32>)>,
+}
 
-    /// Adds the failed runs to the progress that they were recorded with.
+impl TaskEventsWire {
+    /// Adds the events to the progress that they were recorded with.
     pub(super) fn add_to(self, progress: &mut Progress) {
-        for (occurrence, step, first, count, runs) in self.0 {
+        progress.has_begun = self.has_begun;
+        for (occurrence, step, first, count, runs) in self.failed_runs {
             let steps = progress.occurrences.get_mut(occurrence as usize);
             let tasks = steps.and_then(|it| it.get_mut(usize::from(step)));
             let tasks = tasks.into_iter().flatten().skip(first as usize).take(count as usize);
@@ -583,24 +585,24 @@
     }
 }
 
-impl From<&Progress> for FailedRunsWire {
-    fn from(progress: &Progress) -> FailedRunsWire {
-        let mut rows = Vec::new();
+impl From<&Progress> for TaskEventsWire {
+    fn from(progress: &Progress) -> TaskEventsWire {
+        let mut failed_runs = Vec::new();
         // The tasks of an ended job are not recorded.
         let active = (progress.phase == Phase::Active).then_some(&progress.occurrences);
         for (occurrence, steps) in (0u32..).zip(active.into_iter().flatten()) {
             for (step, tasks) in (0u16..).zip(steps) {
                 let mut first = 0;
                 for same in tasks.chunk_by(|a, b| a.failed_runs == b.failed_runs) {
-                    let count = same.len() as u32;
-                    if !same[0].failed_runs.is_empty() {
-                        rows.push((occurrence, step, first, count, same[0].failed_runs.clone()));
+                    let (count, runs) = (same.len() as u32, &same[0].failed_runs);
+                    if !runs.is_empty() {
+                        failed_runs.push((occurrence, step, first, count, runs.clone()));
                     }
                     first += count;
                 }
             }
         }
-        FailedRunsWire(rows)
+        TaskEventsWire { has_begun: progress.has_begun, failed_runs }
     }
 }
 
@@ -668,6 +670,8 @@
         let step = |it: Vec<TaskWire>| it.into_iter().map(task).collect::<Result<_, _>>();
         let steps = |it: Vec<Vec<TaskWire>>| it.into_iter().map(step).collect::<Result<_, _>>();
         let occurrences = wire.occurrences.into_iter().map(steps).collect::<Result<_, _>>()?;
-        Ok(Progress { phase, has_started: wire.has_started, occurrences })
+        // Earlier builds recorded only whether a start was.
+        let has_started = wire.has_started;
+        Ok(Progress { phase, has_started, has_begun: has_started, occurrences })
     }
 }
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -21,6 +21,7 @@
 fn progress() -> Progress {
     let mut progress = Progress::new(&job(vec![step(3)]));
     progress.has_started = true;
+    progress.has_begun = true;
     let copies =
         vec![TaskCopy { run: 4, worker: "w1".into() }, TaskCopy { run: 5, worker: "w2".into() }];
     progress.occurrences[0][0][1] = TaskState {
@@ -37,6 +38,7 @@
 fn progress_with_failures() -> Progress {
     let gang = StepSpec { gang: true, ..step(3) };
     let mut progress = Progress::new(&job(vec![gang, step(2)]));
+    progress.has_started = true;
     let failed = |runs: &[u32]| TaskState {
         runs: 9,
         failures: 2,
@@ -48,10 +50,15 @@
     progress
 }
 
-/// Returns the progress as the build before the numbers of failed runs recorded it.
-fn without_failed_runs(mut progress: Progress) -> Progress {
+/// Returns the record of a job's progress as builds wrote it that recorded neither what has begun nor
+/// the numbers of failed runs.
+fn encoded_progress_of_older_builds(id: JobId, mut progress: Progress) -> Vec<u8> {
+    /// A tag, whether a task has begun, and no failed runs.
+    const EVENTS_LEN: usize = 3;
     progress.occurrences.iter_mut().flatten().flatten().for_each(|it| it.failed_runs.clear());
-    progress
+    let (_, mut value) = encode(&Record::Progress(id, progress));
+    value.truncate(value.len() - EVENTS_LEN);
+    value
 }
 
 fn claim() -> Claim {
@@ -221,11 +228,7 @@
             // Earlier builds wrote records of these kinds that end earlier.
             let earlier_lengths = match record {
                 Record::Progress(id, ref it) => {
-                    let it = without_failed_runs(it.clone());
-                    vec![encode(&Record::Progress(id, it)).1.len()]
-                        .into_iter()
-                        .filter(|it| *it < value.len())
-                        .collect()
+                    vec![encoded_progress_of_older_builds(id, it.clone()).len()]
                 }
                 Record::OwnerHeartbeat(_) => vec![
                     encoded_heartbeat_ending_with(()).len(),
@@ -397,15 +400,20 @@
     );
 }
 
-/// Guards against failed runs that a successor of another build cannot read or misreads.
+/// Guards against progress that an owner of another build cannot read or misreads.
 #[test]
-fn the_build_before_the_numbers_of_failed_runs_reads_and_writes_their_count() {
-    let before = without_failed_runs(progress_with_failures());
-    let (key, value) = encode(&Record::Progress(JobId(7), progress_with_failures()));
-    let (_, value_before) = encode(&Record::Progress(JobId(7), before.clone()));
+fn progress_is_read_by_builds_without_events_and_from_them() {
+    let progress = progress_with_failures();
+    let (key, value) = encode(&Record::Progress(JobId(7), progress.clone()));
+    let older = encoded_progress_of_older_builds(JobId(7), progress);
 
-    assert!(value.starts_with(&value_before));
-    assert_eq!(decode(&key, &value_before), Ok(Record::Progress(JobId(7), before)));
+    let read = decode(&key, &older);
+
+    assert!(value.starts_with(&older));
+    let Ok(Record::Progress(_, read)) = read else { panic!("{read:?}") };
+    assert!(read.has_begun);
+    let gang = &read.occurrences[0][0];
+    assert!(gang.iter().all(|it| it.failures == 2 && it.failed_runs.is_empty()), "{gang:?}");
 }
 
 #[test]
@@ -474,7 +482,12 @@
 fn a_cancellation_after_the_end_does_not_change_the_state() {
     let mut ledger = Ledger::default();
     ledger.fold(Record::Submitted(JobId(1), job(vec![step(2)])));
-    let done = Progress { phase: Phase::Completed, has_started: true, occurrences: Vec::new() };
+    let done = Progress {
+        phase: Phase::Completed,
+        has_started: true,
+        has_begun: true,
+        occurrences: Vec::new(),
+    };
     ledger.fold(Record::Progress(JobId(1), done));
     ledger.fold(Record::Cancelled(JobId(1)));
 
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -21,6 +21,8 @@
     LosesAnswers,
     /// Orders to start get no answer and are carried out this many milliseconds later.
     DelaysStarts(u64),
+    /// Orders to start are rejected.
+    RejectsStarts,
     /// Every run fails as soon as it starts.
     Fails,
     /// Every run stops making progress.
@@ -324,6 +326,7 @@
         let clock = self.clock(now);
         match self.fault {
             Fault::Unreachable => OrderReply::Unknown,
+            Fault::RejectsStarts => OrderReply::Rejected(RejectReason::Unhealthy),
             Fault::LosesAnswers => {
                 self.accept(clock, epoch, start, work_ms);
                 OrderReply::Unknown
