Play gangs, labels, limits a worker and set times in seeded schedules

The simulation now checks the label of a start and the limit a worker as well, besides one checkpoint for all members of a gang and no start after the last allowed failure.

Workers keep their kind when they restart there, and no task fails by its own fault.

--- a/daisy-workflow/tests/chaos.rs
+++ b/daisy-workflow/tests/chaos.rs
@@ -3,22 +3,45 @@
 
 mod util;
 
-use daisy_workflow::JobState;
+use daisy_workflow::{JobSpec, JobState, StepSpec};
 use util::{FakeWorker, Fault, Simulation, job, long_running_step, step, step_after};
 
 const JOBS: u64 = 12;
 
+fn plain_job(rng: &mut fastrand::Rng) -> JobSpec {
+    job(match rng.u8(..4) {
+        0 => vec![step(rng.u32(1..8)), step_after(&[0], step(rng.u32(1..6)))],
+        1 => vec![long_running_step(rng.u32(1..3))],
+        _ => vec![step(rng.u32(1..10))],
+    })
+}
+
+/// Returns a job with a gang, copies, a label, a limit a worker, or set times.
+fn constrained_job(rng: &mut fastrand::Rng) -> JobSpec {
+    let plain = step(rng.u32(1..5));
+    let constrained = match rng.u8(..5) {
+        0 => StepSpec { gang: true, ..plain },
+        1 => StepSpec { gang: true, checkpoints: true, same_rack: true, ..plain },
+        2 => StepSpec { required_label: Some("a".into()), ..plain },
+        3 => StepSpec { max_per_worker: 1, ..plain },
+        _ => StepSpec { speculative: true, data_rack: Some("r1".into()), ..plain },
+    };
+    let steps = vec![constrained, step_after(&[0], step(1))];
+    let timed = rng.u8(..4) == 0;
+    let (occurrences, interval_ms) = if timed { (3, 800) } else { (1, 0) };
+    JobSpec { timed, occurrences, interval_ms, ..job(steps) }
+}
+
 /// Runs one schedule: jobs are submitted, workers and the log fail and recover, owners change.
-fn run_schedule(seed: u64) -> Simulation {
+fn run_schedule(seed: u64, next_job: fn(&mut fastrand::Rng) -> JobSpec) -> Simulation {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut sim = Simulation::new((0..5).map(|it| FakeWorker::new(&format!("w{it}"), 4)).collect());
+    for worker in &mut sim.workers[3..] {
+        worker.labels = vec!["b".to_owned(), "r2".to_owned()];
+    }
+    sim.workers.iter_mut().for_each(|it| it.checkpoint_ms = 300);
     for round in 0..JOBS {
-        let spec = match rng.u8(..4) {
-            0 => vec![step(rng.u32(1..8)), step_after(&[0], step(rng.u32(1..6)))],
-            1 => vec![long_running_step(rng.u32(1..3))],
-            _ => vec![step(rng.u32(1..10))],
-        };
-        sim.submit(round, job(spec));
+        sim.submit(round, next_job(&mut rng));
         fault(&mut rng, &mut sim);
         sim.run_ms(rng.u64(100..1_500));
     }
@@ -48,8 +71,8 @@
     }
 }
 
-fn check(seed: u64) {
-    let mut sim = run_schedule(seed);
+fn check(seed: u64, next_job: fn(&mut fastrand::Rng) -> JobSpec) {
+    let mut sim = run_schedule(seed, next_job);
     let is_long_running = |sim: &Simulation, id: u64| {
         let job = sim.ledger.job(daisy_workflow::JobId(id)).expect("submitted");
         job.spec.steps[0].long_running
@@ -63,6 +86,14 @@
 #[test]
 fn all_finite_jobs_complete_and_no_task_runs_twice_in_seeded_schedules() {
     for seed in 0..200 {
-        check(seed);
+        check(seed, plain_job);
+    }
+}
+
+/// Guards against starts that the constraints of a step do not allow, and jobs that they hold up.
+#[test]
+fn constrained_jobs_complete_in_seeded_schedules() {
+    for seed in 0..200 {
+        check(seed, constrained_job);
     }
 }
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -270,6 +270,12 @@
             check_start(&self.ledger, start);
             check_attempts(&self.ledger, &self.workers, start);
             self.check_gang_start(start);
+            check_worker(
+                &self.ledger,
+                self.owner.worker(*key).map(|it| &*it.id.0),
+                &self.workers,
+                start,
+            );
             let name = self.worker_by_key(*key).name.clone();
             self.starts.push((start.task, start.run, name));
         }
@@ -323,6 +329,15 @@
     assert!(recorded_worker, "{} run {} was ordered before its record", start.task, start.run);
 }
 
+/// Checks that a worker has the label that the step requires.
+fn check_worker(ledger: &Ledger, name: Option<&str>, workers: &[FakeWorker], start: &Start) {
+    let Some(job) = ledger.job(start.task.job) else { return };
+    let Some(label) = &job.spec.steps[usize::from(start.task.step)].required_label else { return };
+    let worker = workers.iter().find(|it| Some(it.name.as_str()) == name);
+    let has_label = worker.is_some_and(|it| it.labels.iter().any(|it| **it == **label));
+    assert!(has_label, "{} is started without its label", start.task);
+}
+
 /// Checks that no task is started after as many acknowledged failures as its queue allows.
 pub fn check_attempts(ledger: &Ledger, workers: &[FakeWorker], start: &Start) {
     let Some(job) = ledger.job(start.task.job) else { return };
@@ -349,6 +364,11 @@
                 run.task
             );
             seen.push(run.task);
+            let of_step = TaskId { index: 0, ..run.task };
+            let beside = worker.runs.iter().filter(|it| TaskId { index: 0, ..it.task } == of_step);
+            let is_within_limit =
+                step.max_per_worker == 0 || beside.count() <= step.max_per_worker as usize;
+            assert!(is_within_limit, "{} has too many tasks of {of_step}", worker.name);
         }
         assert!(cpu <= worker.capacity.cpu_milli, "{} is over its capacity", worker.name);
     }
