--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -68,14 +68,14 @@
             Phase::Completed => JobState::Completed,
             Phase::Failed => JobState::Failed,
             Phase::Active if self.cancelled => JobState::Cancelled,
-            Phase::Active if self.progress.has_begun => JobState::Running,
+            Phase::Active if self.progress.has_started => JobState::Running,
             Phase::Active => JobState::Queued,
         }
     }
 
-    /// Returns whether the job is open and no start of its tasks was ever recorded.
+    /// Returns whether the job is open and no start of its tasks can have been ordered.
     pub fn is_untouched(&self) -> bool {
-        self.state() == JobState::Queued && !self.progress.has_started
+        self.state() == JobState::Queued && !self.progress.may_have_started()
     }
 
     /// Returns whether another shard has the job, so that this one runs only those of its tasks
@@ -256,7 +256,6 @@
         let early = self.early_progress.remove(&id).filter(|it| it.matches_spec(&spec));
         let mut progress = early.unwrap_or_else(|| Progress::new(&spec));
         progress.has_started |= has_only_received_tasks;
-        progress.has_begun |= has_only_received_tasks;
         let cancelled = self.early_cancellations.contains(&id);
         self.early_cancellations.retain(|it| *it != id);
         let delegated = self.early_delegations.remove(&id);
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -129,5 +129,5 @@
 
 /// Whether no owner has recorded any progress of a job.
 fn job_is_new(job: &Job) -> bool {
-    job.progress.phase == Phase::Active && !job.progress.has_started
+    job.progress.phase == Phase::Active && !job.progress.may_have_started()
 }
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -114,7 +114,7 @@
     /// another owner learns it from the worker's lists.
     pub(super) fn mark_begun(&mut self, id: JobId) {
         let Some(job) = self.ledger.job_mut(id) else { return };
-        let was_known = std::mem::replace(&mut job.progress.has_begun, true);
+        let was_known = std::mem::replace(&mut job.progress.has_started, true);
         if !was_known && !job.belongs_to_other_shard() {
             self.states.push((id, job.state()));
         }
--- a/daisy-workflow/src/owner/plan.rs
+++ b/daisy-workflow/src/owner/plan.rs
@@ -191,7 +191,9 @@
                     (JobKind::LongRunning, _) if yields(now, view, job) => Urgency::NewLongRunning,
                     (JobKind::LongRunning, _) => Urgency::LongRunning,
                     // A wide job cannot be in time where few tasks fit, but it is still of use.
-                    (JobKind::Finite, Urgency::Late) if job.progress.has_started => Urgency::InTime,
+                    (JobKind::Finite, Urgency::Late) if job.progress.may_have_started() => {
+                        Urgency::InTime
+                    }
                     (_, it) => it,
                 };
                 Some((
@@ -423,9 +425,6 @@
         let Some(state) = self.task_mut(task) else { return };
         state.runs = run;
         state.copies.push(TaskCopy { run, worker: id });
-        if let Some(job) = self.ledger.job_mut(task.job) {
-            job.progress.has_started = true;
-        }
         self.unrecorded_starts.push((key, task, run));
         if !step.long_running {
             self.turns.task_started();
--- a/daisy-workflow/src/owner/transfer.rs
+++ b/daisy-workflow/src/owner/transfer.rs
@@ -103,9 +103,8 @@
         self.other_shards.add_transfer(now, to, Demand::of_long_running_task(step));
         let number = job.transfers.get(&task).map_or(0, |it| it.number) + 1;
         job.add_transfer(task, OutgoingTransfer { number, to }.into());
-        job.progress.has_started = true;
         // Only the other shard learns when the task begins.
-        job.progress.has_begun = true;
+        job.progress.has_started = true;
         self.unrecorded_jobs.push(task.job);
         self.transferring.push(task);
         self.actions.push(Action::Note(Note::TaskTransferred { task, number, to }));
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -80,10 +80,9 @@
 pub struct Progress {
     /// The state of the whole job.
     pub phase: Phase,
-    /// Whether a start of any task was ever recorded, so that it may have been ordered.
+    /// Whether a worker has started any task, as far as workers have told, or a task was transferred
+    /// to another shard, whose workers tell that shard alone.
     pub has_started: bool,
-    /// Whether a worker has begun any task, as far as a worker has told.
-    pub has_begun: bool,
     /// Tasks by occurrence, step and index.
     pub occurrences: Vec<Vec<Vec<TaskState>>>,
 }
@@ -96,11 +95,15 @@
         Progress {
             phase: Phase::Active,
             has_started: false,
-            has_begun: false,
             occurrences: vec![steps; spec.occurrences as usize],
         }
     }
 
+    /// Returns whether a start of any task may have been ordered: its run has a number.
+    pub fn may_have_started(&self) -> bool {
+        self.has_started || self.occurrences.iter().flatten().flatten().any(|it| it.runs > 0)
+    }
+
     /// Returns the state of a task, if the job has such a task.
     pub fn task(&self, id: TaskId) -> Option<&TaskState> {
         let steps = self.occurrences.get(id.occurrence as usize)?;
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -166,7 +166,7 @@
         Record::Cancelled(id) => (format!("cancel-{id}"), encode_framed(())),
         Record::Progress(id, progress) => {
             let mut value = encode_framed(ProgressWire::from(progress));
-            if progress.has_started {
+            if progress.may_have_started() {
                 let events = TaskEventsWire::from(progress);
                 value.extend(encode_unframed((TASK_EVENTS_TAG, events)));
             }
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -575,7 +575,7 @@
 impl TaskEventsWire {
     /// Adds the events to the progress that they were recorded with.
     pub(super) fn add_to(self, progress: &mut Progress) {
-        progress.has_begun = self.has_begun;
+        progress.has_started = self.has_begun;
         for (occurrence, step, first, count, runs) in self.failed_runs {
             let steps = progress.occurrences.get_mut(occurrence as usize);
             let tasks = steps.and_then(|it| it.get_mut(usize::from(step)));
@@ -602,7 +602,7 @@
                 }
             }
         }
-        TaskEventsWire { has_begun: progress.has_begun, failed_runs }
+        TaskEventsWire { has_begun: progress.has_started, failed_runs }
     }
 }
 
@@ -641,7 +641,8 @@
             Phase::Completed => 1,
             Phase::Failed => 2,
         };
-        ProgressWire { phase, has_started: progress.has_started, workers, occurrences }
+        let has_started = progress.may_have_started();
+        ProgressWire { phase, has_started, workers, occurrences }
     }
 }
 
@@ -670,8 +671,7 @@
         let step = |it: Vec<TaskWire>| it.into_iter().map(task).collect::<Result<_, _>>();
         let steps = |it: Vec<Vec<TaskWire>>| it.into_iter().map(step).collect::<Result<_, _>>();
         let occurrences = wire.occurrences.into_iter().map(steps).collect::<Result<_, _>>()?;
-        // Earlier builds recorded only whether a start was.
-        let has_started = wire.has_started;
-        Ok(Progress { phase, has_started, has_begun: has_started, occurrences })
+        // Earlier builds recorded only this; it holds unless events follow.
+        Ok(Progress { phase, has_started: wire.has_started, occurrences })
     }
 }
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -21,7 +21,6 @@
 fn progress() -> Progress {
     let mut progress = Progress::new(&job(vec![step(3)]));
     progress.has_started = true;
-    progress.has_begun = true;
     let copies =
         vec![TaskCopy { run: 4, worker: "w1".into() }, TaskCopy { run: 5, worker: "w2".into() }];
     progress.occurrences[0][0][1] = TaskState {
@@ -411,7 +410,7 @@
 
     assert!(value.starts_with(&older));
     let Ok(Record::Progress(_, read)) = read else { panic!("{read:?}") };
-    assert!(read.has_begun);
+    assert!(read.has_started);
     let gang = &read.occurrences[0][0];
     assert!(gang.iter().all(|it| it.failures == 2 && it.failed_runs.is_empty()), "{gang:?}");
 }
@@ -482,12 +481,7 @@
 fn a_cancellation_after_the_end_does_not_change_the_state() {
     let mut ledger = Ledger::default();
     ledger.fold(Record::Submitted(JobId(1), job(vec![step(2)])));
-    let done = Progress {
-        phase: Phase::Completed,
-        has_started: true,
-        has_begun: true,
-        occurrences: Vec::new(),
-    };
+    let done = Progress { phase: Phase::Completed, has_started: true, occurrences: Vec::new() };
     ledger.fold(Record::Progress(JobId(1), done));
     ledger.fold(Record::Cancelled(JobId(1)));
 
