Keep the states alone of jobs that ended long ago

Cause: a claim held all pages of the submissions and of the progress, and then a whole job for each that ever was.

A claim folds page by page, the progress first. Of a job that has ended and was accepted longer ago than states are owed, the ledger keeps the state; a job with a start order that may still be carried out is kept whole. The worker of a run of unknown size gets no other task until the run is stopped.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -98,6 +98,7 @@
 }
 
 /// The result of a read of the shard's progress.
+#[derive(Debug, Default)]
 struct ProgressRead {
     /// Whether it contained a claim.
     has_claim: bool,
@@ -131,6 +132,32 @@
         }
     }
 
+    /// Folds what the first calls for both topics have read, if they have not failed, and reads all
+    /// further pages of the newest records. Returns what was read of the progress, or `None` if a
+    /// read failed.
+    ///
+    /// The ledger keeps no submission of a job that it knows to have ended long ago, so the
+    /// submissions are folded after the progress.
+    async fn read_rest(
+        &mut self,
+        jobs: Option<Read>,
+        progress: Option<Read>,
+    ) -> Option<ProgressRead> {
+        let mut folded = None;
+        if let Some(it) = progress {
+            let mut first = ProgressRead::default();
+            self.fold_progress(&it, &mut first);
+            folded = self.read_progress_pages(first).await;
+        }
+        let jobs = jobs.map(|it| self.fold_jobs(&it));
+        let folded = folded?;
+        jobs?;
+        while self.jobs.next().is_none() {
+            self.read_jobs().await?;
+        }
+        Some(folded)
+    }
+
     /// Folds submissions into the ledger; returns whether their end was reached.
     fn fold_jobs(&mut self, read: &Read) -> bool {
         for record in decode_all("jobs", &read.records) {
@@ -140,21 +167,31 @@
     }
 
     async fn read_progress(&mut self) -> Option<ProgressRead> {
+        let mut folded = ProgressRead::default();
         let read = self.progress.try_read(Duration::ZERO).await?;
-        Some(self.fold_progress(&read))
+        self.fold_progress(&read, &mut folded);
+        self.read_progress_pages(folded).await
+    }
+
+    /// Reads the further pages of the newest progress, if there are any.
+    async fn read_progress_pages(&mut self, mut folded: ProgressRead) -> Option<ProgressRead> {
+        while self.progress.next().is_none() {
+            let read = self.progress.try_read(Duration::ZERO).await?;
+            self.fold_progress(&read, &mut folded);
+        }
+        Some(folded)
     }
 
-    fn fold_progress(&mut self, read: &Read) -> ProgressRead {
-        let (mut has_claim, mut has_progress) = (false, false);
+    fn fold_progress(&mut self, read: &Read, folded: &mut ProgressRead) {
         for it in &read.records {
             let record = jobs::join_record("progress", it, &mut self.parts);
             match record.map(|record| record.map(|it| self.ledger.fold(it))) {
-                Ok(Some(FoldEffect::Claim)) => has_claim = true,
-                Ok(_) => has_progress = true,
+                Ok(Some(FoldEffect::Claim)) => folded.has_claim = true,
+                Ok(_) => folded.has_progress = true,
                 Err(e) => self.has_newer_records |= matches!(e, RecordError::Version(_)),
             }
         }
-        ProgressRead { has_claim, has_progress, at_end: read.at_end() }
+        folded.at_end = read.at_end();
     }
 }
 
@@ -255,14 +292,13 @@
             reader.progress.try_read(Duration::ZERO),
             self.can_read_heartbeats()
         );
-        let jobs = jobs.map(|it| reader.fold_jobs(&it));
-        let mut progress = progress.map(|it| reader.fold_progress(&it));
+        let mut progress = reader.read_rest(jobs, progress).await;
         if !can_read_heartbeats {
             // As when the whole log does not answer, the timeout restarts: the owner is treated
             // as lost only after a time in which its heartbeats could have been read.
             self.election.heartbeat_received(clock::now());
         }
-        if jobs.is_none() || progress.is_none() || !can_read_heartbeats {
+        if progress.is_none() || !can_read_heartbeats {
             return self.keep_unfinished(reader);
         }
         let mut claimed_epoch = None;
@@ -370,11 +406,13 @@
     fn resume_or_begin_reading(&mut self) -> ShardReader {
         let (shard, log_client) = (self.shard.0, &self.context.log_client);
         let unfinished_claim = self.unfinished_claim.take().map(|(_, it)| it);
+        let retention_ms = self.context.settings.state_retention.as_millis() as u64;
+        let accepted_before_ms = clock::wall_ms().saturating_sub(retention_ms);
         unfinished_claim.unwrap_or_else(|| ShardReader {
-            ledger: Ledger::default(),
+            ledger: Ledger::compacting(accepted_before_ms),
             parts: PartJoiner::default(),
-            jobs: TopicReader::new(log_client.clone(), Topic::Jobs(shard)),
-            progress: TopicReader::new(log_client.clone(), Topic::Progress(shard)),
+            jobs: TopicReader::new(log_client.clone(), Topic::Jobs(shard)).by_page(),
+            progress: TopicReader::new(log_client.clone(), Topic::Progress(shard)).by_page(),
             has_newer_records: false,
         })
     }
@@ -442,7 +480,7 @@
         context.metrics.count_ownership_change("won");
         let published_states = {
             let node = context.shared.lock();
-            let ids = ledger.jobs().map(|(id, _)| id);
+            let ids = ledger.jobs().map(|(id, _)| id).chain(ledger.ended().map(|(id, _)| id));
             ids.filter_map(|id| node.directory.state(id).map(|state| (id, state))).collect()
         };
         let ownership = Ownership {
--- a/daisy-node/src/follow.rs
+++ b/daisy-node/src/follow.rs
@@ -28,8 +28,8 @@
 /// The pause before a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// A reader of a topic. Its first read returns the newest record of each key, later reads the
-/// records appended since.
+/// A reader of a topic. Its first read returns the newest record of each key, or a page of them if
+/// it reads [by page](TopicReader::by_page); later reads return the records appended since.
 #[derive(Debug)]
 pub(crate) struct TopicReader {
     log_client: LogClient,
@@ -41,21 +41,36 @@
     /// The number of failed calls since the last successful one.
     failures: u32,
     /// The newest records that have been read so far, while more pages of them follow.
-    newest_so_far: Option<NewestPage>,
+    newest_so_far: Option<NewestSoFar>,
+    /// Whether each page of the newest records is returned by a read of its own.
+    by_page: bool,
     newest_timeout: LargeReadTimeout,
     /// Where to read from instead of the log, for a topic that VMs read for each other.
     relay: Option<(Relay, RelayedTopic)>,
 }
 
+/// The newest records that have been read while more pages of them follow.
+#[derive(Debug)]
+struct NewestSoFar {
+    /// The records that no read has returned yet.
+    records: Vec<StoredRecord>,
+    /// The last key of the pages.
+    last_key: Option<String>,
+    /// Where the log ended as the first page was read. A record appended after it may belong to a
+    /// page that was already read, and must be read again from there.
+    end: u64,
+}
+
 /// The records that a read returned.
 #[derive(Debug)]
 pub(crate) struct Read {
     /// The records in the order of their offsets; the newest records of each key in the order of
     /// the keys.
     pub records: Vec<StoredRecord>,
-    /// Whether they are the newest records of each key.
+    /// Whether they are the newest records of each key, or a page of these.
     pub is_snapshot: bool,
-    /// When the log had no records after them; `None` if it had some.
+    /// When the log had no records after them; `None` if it had some, and for all but the last page
+    /// of the newest records.
     pub at_end_at: Option<Instant>,
     /// The distance to the log by the word of the VM that read it; `None` if this VM read it.
     pub log_rtt: Option<Duration>,
@@ -78,11 +93,18 @@
             has_gap: false,
             failures: 0,
             newest_so_far: None,
+            by_page: false,
             newest_timeout: LargeReadTimeout::default(),
             relay: None,
         }
     }
 
+    /// Makes the reader return each page of the newest records by itself, so that a topic of any
+    /// size takes the memory of a page.
+    pub fn by_page(self) -> TopicReader {
+        TopicReader { by_page: true, ..self }
+    }
+
     /// Makes the reader read through `relay`, if there is one.
     pub fn through(self, relay: Option<Relay>, topic: RelayedTopic) -> TopicReader {
         TopicReader { relay: relay.map(|it| (it, topic)), ..self }
@@ -202,43 +224,41 @@
         self.try_read(Duration::ZERO).await
     }
 
-    /// Reads the newest record of each key. After a failure, the next call continues after the
-    /// pages already read.
+    /// Reads the newest record of each key, or the next page of them. After a failure, the next call
+    /// continues after the pages already read.
     async fn read_newest(&mut self, answer_timeout: Duration) -> Result<Read, LogError> {
         loop {
             let mut page = self.read_newest_page(answer_timeout).await?;
-            let last_key = |it: &NewestPage| it.records.last().map(|it| it.key.clone());
-            let before = self.newest_so_far.as_ref().and_then(last_key);
-            if page.has_more && before.is_some() && last_key(&page) == before {
+            let last_key = page.records.last().map(|it| it.key.clone());
+            let so_far = self.newest_so_far.get_or_insert_with(|| NewestSoFar {
+                records: Vec::new(),
+                last_key: None,
+                end: page.end,
+            });
+            if page.has_more && last_key == so_far.last_key {
                 // The page after this key would be the same for ever.
-                log::warn!("event=keys_unread topic={:?} after={before:?}", self.topic);
+                log::warn!("event=keys_unread topic={:?} after={last_key:?}", self.topic);
                 page.has_more = false;
             }
-            let pages = match &mut self.newest_so_far {
-                None => self.newest_so_far.insert(page),
-                Some(it) => {
-                    // `end` stays that of the first page: a record appended after it may belong to
-                    // a page that was already read, and must be read again from there.
-                    it.records.extend(page.records);
-                    it.has_more = page.has_more;
-                    it
-                }
-            };
-            if !pages.has_more {
-                let records = std::mem::take(&mut pages.records);
-                self.next = Some(pages.end);
+            so_far.records.append(&mut page.records);
+            so_far.last_key = last_key;
+            if page.has_more && !self.by_page {
+                continue;
+            }
+            let records = std::mem::take(&mut so_far.records);
+            let at_end_at = (!page.has_more).then(clock::now);
+            if !page.has_more {
+                self.next = Some(so_far.end);
                 self.newest_so_far = None;
-                let at_end_at = Some(clock::now());
-                return Ok(Read { records, is_snapshot: true, at_end_at, log_rtt: None });
             }
+            return Ok(Read { records, is_snapshot: true, at_end_at, log_rtt: None });
         }
     }
 
     async fn read_newest_page(&mut self, answer_timeout: Duration) -> Result<NewestPage, LogError> {
         let answer_timeout =
             if self.newest_timeout.has_timed_out() { CALL_TIMEOUT } else { answer_timeout };
-        let after =
-            self.newest_so_far.as_ref().and_then(|it| it.records.last()).map(|it| it.key.as_str());
+        let after = self.newest_so_far.as_ref().and_then(|it| it.last_key.as_deref());
         let mut call =
             pin!(self.log_client.read_newest(self.topic, after, LargeReadTimeout::TIMEOUT_MAX));
         let began = clock::now();
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -159,6 +159,8 @@
     Progress(JobId),
     /// A task was transferred to this shard.
     TaskReceived(TaskId),
+    /// A job was submitted of which only the state is kept, as it has ended.
+    Ended(JobId),
     /// The shard was claimed.
     Claim,
     /// No effect that the reader acts on, such as a record that repeats another.
@@ -169,9 +171,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     jobs: SortedMap<JobId, Job>,
-    /// Cancellations, progress, delegations and transfers of jobs whose submission was not read
+    /// The states of jobs that have ended and of which nothing else is kept, or whose submission was
+    /// not read yet.
+    ended: SortedMap<JobId, JobState>,
+    /// Nothing else is kept of those accepted before this time, in milliseconds since 1970.
+    compacts_before_ms: u64,
+    /// Cancellations, progress that has not ended, delegations and transfers of jobs whose submission was not read
     /// yet: the topics are read independently of each other.
-    early_cancellations: Vec<JobId>,
+    early_cancellations: SortedMap<JobId, ()>,
     early_progress: SortedMap<JobId, Progress>,
     early_delegations: SortedMap<JobId, ShardId>,
     early_transfers: SortedMap<TaskId, OutgoingTransfer>,
@@ -184,6 +191,13 @@
 }
 
 impl Ledger {
+    /// Returns an empty ledger that keeps only the states of jobs that have ended and were accepted
+    /// before `accepted_before_ms`, in milliseconds since 1970, if their progress is folded before
+    /// their submission.
+    pub fn compacting(accepted_before_ms: u64) -> Ledger {
+        Ledger { compacts_before_ms: accepted_before_ms, ..Ledger::default() }
+    }
+
     /// Folds one record into the state. Folding a record again changes nothing.
     pub fn fold(&mut self, record: Record) -> FoldEffect {
         match record {
@@ -228,6 +242,13 @@
     }
 
     fn submitted(&mut self, id: JobId, spec: JobSpec) -> FoldEffect {
+        if let Some(state) = self.ended.get(&id).copied() {
+            if self.keeps_only_state(id, &spec) {
+                return FoldEffect::Ended(id);
+            }
+            self.ended.remove(&id);
+            self.early_progress.insert(id, Progress::ended(state));
+        }
         match self.jobs.get_mut(&id) {
             None => self.add_job(id, spec, false),
             // A transfer that returned one of its tasks was read before the submission.
@@ -251,13 +272,20 @@
         }
     }
 
+    /// Returns whether only the state of a job that has ended is kept. A start order of the job that
+    /// may still be carried out needs its steps.
+    fn keeps_only_state(&self, id: JobId, spec: &JobSpec) -> bool {
+        spec.accepted_ms < self.compacts_before_ms
+            && self.early_transfers.iter().all(|(task, _)| task.job != id)
+            && self.open_starts.iter().all(|it| it.task.job != id)
+    }
+
     /// Adds a job and applies all its records that were read before its submission.
     fn add_job(&mut self, id: JobId, spec: JobSpec, has_only_received_tasks: bool) {
         let early = self.early_progress.remove(&id).filter(|it| it.matches_spec(&spec));
         let mut progress = early.unwrap_or_else(|| Progress::new(&spec));
         progress.has_started |= has_only_received_tasks;
-        let cancelled = self.early_cancellations.contains(&id);
-        self.early_cancellations.retain(|it| *it != id);
+        let cancelled = self.early_cancellations.remove(&id).is_some();
         let delegated = self.early_delegations.remove(&id);
         let spec = Arc::new(spec);
         let transfers = SortedMap::new();
@@ -285,9 +313,7 @@
 
     fn cancelled(&mut self, id: JobId) -> FoldEffect {
         let Some(job) = self.jobs.get_mut(&id) else {
-            if !self.early_cancellations.contains(&id) {
-                self.early_cancellations.push(id);
-            }
+            self.early_cancellations.insert(id, ());
             return FoldEffect::Nothing;
         };
         if std::mem::replace(&mut job.cancelled, true) {
@@ -298,7 +324,11 @@
 
     fn progress(&mut self, id: JobId, progress: Progress) -> FoldEffect {
         let Some(job) = self.jobs.get_mut(&id) else {
-            self.early_progress.insert(id, progress);
+            match progress.phase {
+                Phase::Active => drop(self.early_progress.insert(id, progress)),
+                Phase::Completed => drop(self.ended.insert(id, JobState::Completed)),
+                Phase::Failed => drop(self.ended.insert(id, JobState::Failed)),
+            }
             return FoldEffect::Nothing;
         };
         if !progress.matches_spec(&job.spec) {
@@ -334,6 +364,16 @@
         self.jobs.iter().map(|(id, job)| (*id, job))
     }
 
+    /// Iterates over the jobs that have ended and of which only the state is known.
+    pub fn ended(&self) -> impl Iterator<Item = (JobId, JobState)> {
+        self.ended.iter().map(|(id, state)| (*id, *state))
+    }
+
+    /// Returns the state of a job, if it is known.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        self.jobs.get(&id).map(Job::state).or_else(|| self.ended.get(&id).copied())
+    }
+
     /// Returns the newest claim.
     pub fn owner(&self) -> Option<&Claim> {
         self.owner.as_ref()
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -284,7 +284,7 @@
             observed_load: ObservedLoad::default(),
         };
         let own = owner.ledger.jobs().filter(|(_, it)| !it.belongs_to_other_shard());
-        owner.states = own.map(|(id, job)| (id, job.state())).collect();
+        owner.states = own.map(|(id, job)| (id, job.state())).chain(owner.ledger.ended()).collect();
         owner.forward_all_jobs();
         owner.forward_all_tasks();
         owner.inherit(now);
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -23,6 +23,7 @@
                 self.forward_cancel(id);
                 self.cancel(now, id);
             }
+            FoldEffect::Ended(id) => self.states.extend(self.ledger.state(id).map(|it| (id, it))),
             FoldEffect::TaskReceived(task) => self.task_received(now, task),
             FoldEffect::Progress(_) | FoldEffect::Claim | FoldEffect::Nothing => {}
         }
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -10,7 +10,7 @@
     open_starts::MAX_ORDER_DELAY,
     worker::{DelayedStart, StartState, StopState, Worker, WorkerKey},
 };
-use crate::{TaskId, WorkerId};
+use crate::{StepSpec, TaskId, WorkerId};
 
 impl Owner {
     /// Processes the platform's list of workers.
@@ -71,9 +71,20 @@
         run: u32,
         start_state: StartState,
     ) {
-        let Some(job) = self.ledger.job(task.job) else { return };
-        let ended = job.cancelled || job.state().is_ended();
-        let Some(step) = job.spec.steps.get(usize::from(task.step)) else { return };
+        let job = self.ledger.job(task.job);
+        let ended = job.is_none_or(|it| it.cancelled || it.state().is_ended());
+        let size_unknown;
+        let step = match job.map(|it| it.spec.steps.get(usize::from(task.step))) {
+            Some(None) => return,
+            Some(Some(it)) => it,
+            // The job has ended and its steps are not kept. The run may be of any size, so the worker
+            // gets no other task until it is stopped.
+            None => {
+                let free = self.workers.get(key).map(Worker::free).unwrap_or_default();
+                size_unknown = StepSpec { need: free, ..StepSpec::default() };
+                &size_unknown
+            }
+        };
         let mut it = super::new_assignment(now, &mut self.interference, task, run, step);
         it.start_state = start_state;
         it.pace = None;
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -31,9 +31,12 @@
         let is_superseded = it.outcome == Outcome::Done && self.is_superseded(it.task, it.run);
         let is_held = it.outcome == Outcome::Done && self.may_start_again(now, it.task);
         // The log keeps no tasks of an ended job, so there is nothing to record.
-        let is_recorded = self.ledger.job(it.task.job).is_some_and(|job| {
-            job.progress.phase != Phase::Active && job.progress.task(it.task).is_none()
-        });
+        let is_recorded = match self.ledger.job(it.task.job) {
+            Some(job) => {
+                job.progress.phase != Phase::Active && job.progress.task(it.task).is_none()
+            }
+            None => self.ledger.state(it.task.job).is_some(),
+        };
         let Some(worker) = self.workers.get_mut(key) else { return };
         if is_recorded && worker.cursor_durable == worker.cursor_seen {
             worker.cursor_durable = worker.cursor_durable.max(it.number);
@@ -94,10 +97,12 @@
         let step =
             self.ledger.job(task.job).and_then(|it| it.spec.steps.get(usize::from(task.step)));
         // The copies of a speculative step may run at any time. One end of a gang stands for all of
-        // its tasks.
+        // its tasks; of a job whose steps are not kept, any may be one.
         let tasks = match step {
             Some(it) if it.speculative => return false,
-            Some(it) if it.gang => TaskId { index: 0, ..task }..=TaskId { index: u32::MAX, ..task },
+            it if it.is_none_or(|it| it.gang) => {
+                TaskId { index: 0, ..task }..=TaskId { index: u32::MAX, ..task }
+            }
             _ => task..=task,
         };
         self.open_starts.any_may_be_carried_out(now, tasks)
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -1,6 +1,6 @@
 //! The progress of a job as the owner records it.
 
-use crate::{JobSpec, TaskId, WorkerId};
+use crate::{JobSpec, JobState, TaskId, WorkerId};
 
 /// The state of a whole job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Returns the progress of a job that has ended in `state`; its tasks are not recorded.
+    pub(crate) fn ended(state: JobState) -> Progress {
+        let phase = if state == JobState::Failed { Phase::Failed } else { Phase::Completed };
+        Progress { phase, has_started: true, occurrences: Vec::new() }
+    }
+
     /// Returns whether a start of any task may have been ordered: its run has a number.
     pub fn may_have_started(&self) -> bool {
         self.has_started || self.occurrences.iter().flatten().flatten().any(|it| it.runs > 0)
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -140,8 +140,12 @@
     /// Replaces the owner by one that replays the log, with submissions ordered by key or as they
     /// were written.
     pub fn change_owner_and_replay(&mut self, by_key: bool, progress_first: bool) {
+        self.replace_owner(self.log.read(by_key, progress_first));
+    }
+
+    /// Replaces the owner by one that starts from `ledger`.
+    pub fn replace_owner(&mut self, ledger: Ledger) {
         self.change_owner(true);
-        let ledger = self.log.read(by_key, progress_first);
         let vouched_epoch = Some(self.epoch - 1);
         self.owner = owner(
             self.now,
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -1,6 +1,8 @@
 //! A log, workers, and processes of `daisyshift node`. Processes are named by the index of their
 //! VM.
 
+#![allow(dead_code, reason = "each test binary uses only some of the functions")]
+
 use std::{
     net::SocketAddr,
     process::Command,
@@ -78,6 +80,27 @@
         Fleet::start_beside(log, policy, processes, workers, work).await
     }
 
+    /// As [`start`](Fleet::start), with a log that holds `records` of an earlier system. Each is the
+    /// topic, the key and the value.
+    pub async fn start_with_records(
+        records: impl Iterator<Item = (&'static str, String, Vec<u8>)>,
+        processes: usize,
+        workers: usize,
+        work: Duration,
+    ) -> Fleet {
+        let log = Log::start().await.expect("a port of loopback");
+        for (topic, key, value) in records {
+            log.write(topic, &key, value.into());
+            log.compact(topic);
+        }
+        Fleet::start_beside(log, None, processes, workers, work).await
+    }
+
+    /// Returns the most memory that a process has had in use, in bytes.
+    pub fn peak_memory(&self, index: usize) -> u64 {
+        self.processes[index].peak_memory()
+    }
+
     /// As [`start`](Fleet::start), with a log that accepts shorter records and calls, in bytes.
     pub async fn start_with_longest(
         (record_bytes, call_bytes): (usize, usize),
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -102,6 +102,15 @@
         status.map(|it| it.code())
     }
 
+    /// Returns the most memory that the process has had in use since it was started, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the status of a running process");
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|it| it.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kib.expect("a peak in KiB") << 10
+    }
+
     /// Returns all that the process has logged to its file; empty if the log goes elsewhere.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(self.log_path()).unwrap_or_default()
