Remove the records of jobs whose states are no longer owed

An operator's log fills: no record of a job was ever removed, and the platform refuses appends at 400 MB, after some two months of the planned jobs; then no caller can submit anything.

Cause: ended jobs stay under their keys for good, in three topics, and in the memory of all VMs.

Evidence: the tests of removal fail on the code before, as nothing is removed there.

An owner removes the submissions of jobs that ended longer ago than states are owed and two minutes. It forgets a job, and removes the progress and then the state, only once it has read the removal: a successor never finds a submission without the progress, and a request that is sent again within that time stays the same job.

--- a/daisy-measure/src/overload/simulation.rs
+++ b/daisy-measure/src/overload/simulation.rs
@@ -254,7 +254,7 @@
                 Action::Forward(to, record) => {
                     self.in_transit.push((now + FORWARD_DELAY, to, record))
                 }
-                Action::StepDown => {}
+                Action::StepDown | Action::RemoveSubmissions(_) => {}
                 Action::Note(note) => self.report.note(now, &note),
             }
         }
@@ -311,6 +311,9 @@
     }
 }
 
+/// No records are removed while the load is played.
+const LONGER_THAN_THE_LOAD: Duration = Duration::from_secs(3_600);
+
 impl Shard {
     fn new(shard: ShardId, layout: Layout, rules: PlacementRules) -> Shard {
         let settings = Settings {
@@ -319,6 +322,7 @@
             shard,
             layout,
             rules,
+            record_retention: LONGER_THAN_THE_LOAD,
         };
         let now = Instant::from_millis(0);
         let claimed = OwnershipStart {
--- a/daisy-node/src/jobs.rs
+++ b/daisy-node/src/jobs.rs
@@ -4,7 +4,9 @@
 
 use daisy_model::Instant;
 use daisy_relay::StoredRecord;
-use daisy_workflow::{Event, JoinedRecord, PartJoiner, Record, RecordError, decode, substitute};
+use daisy_workflow::{
+    Event, JoinedRecord, PartJoiner, Record, RecordError, decode_stored, substitute,
+};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep,
@@ -19,33 +21,32 @@
 /// pause.
 const READ_PAUSE: Duration = Duration::from_millis(4);
 
-/// Decodes records of a topic. Skips empty records, and logs and skips records that cannot be
-/// decoded.
+/// Decodes records of a topic. Logs and skips records that cannot be decoded.
 pub(crate) fn decode_all<'a>(
     topic: &'a str,
     records: &'a [StoredRecord],
 ) -> impl Iterator<Item = Record> + 'a {
-    records.iter().filter(|it| !it.value.is_empty()).filter_map(|it| decode_record(topic, it).ok())
+    records.iter().filter_map(|it| decode_record(topic, it).ok())
 }
 
 /// Decodes a record. If that fails, logs the error and returns it, or the record's substitute if it
 /// must not be ignored.
 fn decode_record(topic: &str, it: &StoredRecord) -> Result<Record, RecordError> {
-    or_substitute(topic, it, decode(&it.key, &it.value))
+    or_substitute(topic, it, decode_stored(&it.key, &it.value))
 }
 
-/// Decodes a record that may be stored in parts; returns `None` if it has no value, or is a part
-/// while others are missing. Errors are handled as by [`decode_record`].
+/// Decodes a record that may be stored in parts; returns `None` if it is a part while others are
+/// missing, or the removal of a part. Errors are handled as by [`decode_record`].
 pub(crate) fn join_record(
     topic: &str,
     it: &StoredRecord,
     parts: &mut PartJoiner,
 ) -> Result<Option<Record>, RecordError> {
     match parts.add(&it.key, &it.value) {
-        Ok(Some(JoinedRecord { key, value })) if !value.is_empty() => {
-            or_substitute(topic, it, decode(key, &value)).map(Some)
+        Ok(Some(JoinedRecord { key, value })) => {
+            or_substitute(topic, it, decode_stored(key, &value)).map(Some)
         }
-        Ok(_) => Ok(None),
+        Ok(None) => Ok(None),
         Err(e) => or_substitute(topic, it, Err(e)).map(Some),
     }
 }
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -65,6 +65,7 @@
     log_calls: Family<LogCallLabels, Counter>,
     log_bytes: Family<LogCallLabels, Counter>,
     refused_records: Counter,
+    removed_jobs: Counter,
     is_reader: Gauge,
     followers: Gauge,
 }
@@ -89,6 +90,7 @@
             log_calls: Family::default(),
             log_bytes: Family::default(),
             refused_records: Counter::default(),
+            removed_jobs: Counter::default(),
             is_reader: Gauge::default(),
             followers: Gauge::default(),
         };
@@ -106,6 +108,8 @@
         registry.register("usable_workers", help, metrics.usable_workers.clone());
         let help = "Records that the log does not store";
         registry.register("refused_records", help, metrics.refused_records.clone());
+        let help = "Ended jobs whose records were requested to be removed from the log";
+        registry.register("removed_jobs", help, metrics.removed_jobs.clone());
         let help = "Data centres whose workers get no new tasks";
         registry.register("evacuated", help, metrics.evacuated.clone());
         let help = "Decisions on long-running jobs";
@@ -157,6 +161,11 @@
         self.refused_records.inc_by(count as u64);
     }
 
+    /// Counts ended jobs whose records are removed from the log.
+    pub fn count_removed_jobs(&self, count: usize) {
+        self.removed_jobs.inc_by(count as u64);
+    }
+
     /// Counts the start or end of an ownership of this process.
     pub fn count_ownership_change(&self, outcome: &'static str) {
         self.ownership.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -23,7 +23,7 @@
 };
 
 use self::{
-    append::{Appended, append},
+    append::{APPEND_TIMEOUT, Appended, append},
     calls::Calls,
     follow::{follow_measurements, follow_workers},
 };
@@ -44,6 +44,11 @@
 /// The shortest time between two appends of progress, so that one append carries several records:
 /// each call costs money.
 const MIN_APPEND_INTERVAL: Duration = Duration::from_millis(24);
+/// How long the records of an ended job are retained longer than its state is owed: a request whose
+/// answer was lost may be sent again, also by a VM that stood still, and must remain the same job.
+const REPEATED_REQUESTS_MAX: Duration = Duration::from_secs(120);
+/// The interval at which the owner is told which jobs have ended by their published states.
+const ENDED_STATES_INTERVAL: Duration = Duration::from_secs(30);
 /// The interval at which owners append their interference measurements and read those of other
 /// shards: twice the time that a worker's report covers.
 const MEASUREMENTS_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -146,6 +151,7 @@
             next_states_guard: self.guard(0),
             jobs_read_at,
             measurements_shared_at: now,
+            ended_states_told_at: now,
             tick_delay: TickDelay::new(now, TICK_INTERVAL),
             summary_logged_at: now,
             machine_list: self
@@ -184,7 +190,9 @@
         let lease_max = self.context.settings.max_lease;
         let protected_priority = self.context.protected_priority;
         let rules = PlacementRules { protected_priority, ..PlacementRules::default() };
-        let settings = Settings { lease, lease_max, shard: self.shard, layout, rules };
+        let record_retention = self.context.settings.state_retention + REPEATED_REQUESTS_MAX;
+        let shard = self.shard;
+        let settings = Settings { lease, lease_max, shard, layout, rules, record_retention };
         let ownership_start = OwnershipStart {
             claim_sent_at: self.claimed_at,
             predecessors_ended: self.claim.predecessors_expired,
@@ -219,6 +227,8 @@
     jobs_read_at: watch::Receiver<Instant>,
     /// When interference measurements were last shared with other owners.
     measurements_shared_at: Instant,
+    /// When the owner was last told which published states say that their jobs have ended.
+    ended_states_told_at: Instant,
     tick_delay: TickDelay,
     machine_list: Option<MachineList>,
     /// When the list of machines was last requested.
@@ -265,6 +275,7 @@
                         self.ownership.context.shared.lock().directory.loads(self.ownership.shard);
                     self.owner.handle_event(now, Event::Loads(loads));
                     self.owner.handle_event(now, Event::Tick);
+                    self.tell_ended_states(now);
                     self.read_machines(now);
                     if self.tick_delay.record_tick(now) {
                         return self.release(outcomes, EndCause::TooSlow).await;
@@ -296,6 +307,7 @@
                     notes::log_note(&note, self.ownership.shard, &self.ownership.context.metrics);
                 }
                 Action::Forward(shard, record) => self.forward(shard, record),
+                Action::RemoveSubmissions(records) => self.remove_submissions(&records),
                 Action::Renew { worker, .. }
                 | Action::Start(worker, _)
                 | Action::Stop(worker, ..)
@@ -480,6 +492,37 @@
         });
     }
 
+    /// Appends removals to the shard's own submissions. A lost one is requested again, as the owner
+    /// reads back none.
+    fn remove_submissions(&self, records: &[Record]) {
+        let context = &self.ownership.context;
+        let topic = Topic::Jobs(self.ownership.shard.0);
+        let written = records.iter().map(WrittenRecord::whole).collect();
+        let calls = context.settings.record_limits.calls(written);
+        let log_client = context.log_client.clone();
+        tokio::spawn(async move {
+            for call in calls {
+                let records: Vec<_> = call.into_iter().flat_map(|it| it.stored).collect();
+                let guard = Guard::Unconditional;
+                if let Err(e) = log_client.append(topic, &records, guard, APPEND_TIMEOUT).await {
+                    log::warn!("event=removal_failed topic={topic:?} cause=\"{e}\"");
+                }
+            }
+        });
+    }
+
+    /// Tells the owner which of its jobs have ended by their published states: those that other
+    /// shards run, and those of which an earlier owner has removed all other records.
+    fn tell_ended_states(&mut self, now: Instant) {
+        if now.since(self.ended_states_told_at) < ENDED_STATES_INTERVAL {
+            return;
+        }
+        self.ended_states_told_at = now;
+        let Ownership { context, shard, .. } = &self.ownership;
+        let ended = context.shared.lock().directory.ended_jobs(*shard).collect();
+        self.owner.handle_event(now, Event::StatesEnded(ended));
+    }
+
     /// Releases the shard: waits for the appends that are under way, then publishes a heartbeat
     /// that lets any VM claim the shard at once.
     async fn release(
--- a/daisy-node/src/own/calls.rs
+++ b/daisy-node/src/own/calls.rs
@@ -50,7 +50,10 @@
                 Action::Start(_, start) => this.start(&to, &start).await,
                 Action::Stop(_, task, run, cause) => this.stop(&to, task, run, cause).await,
                 Action::Pace(_, task, run, percent) => this.pace(&to, task, run, percent).await,
-                Action::StepDown | Action::Note(_) | Action::Forward(..) => return,
+                Action::StepDown
+                | Action::Note(_)
+                | Action::Forward(..)
+                | Action::RemoveSubmissions(_) => return,
             };
             // Sending fails once the owner has stepped down, and the event no longer matters.
             let _ = this.events.send(event);
--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -21,6 +21,11 @@
                 "event=waits id={job} step={step} tasks={tasks} backlog={backlog} cause=\"{cause}\""
             );
         }
+        Note::JobsRemoved { jobs, remaining } => {
+            metrics.count_removed_jobs(*jobs);
+            let shard = shard.0;
+            log::info!("event=jobs_removed shard={shard} jobs={jobs} remaining={remaining}");
+        }
         Note::JobDelegated { job, to } => {
             let from = shard.0;
             log::info!("event=delegated id={job} shard={from} to={}", to.0);
--- a/daisy-node/src/own/records.rs
+++ b/daisy-node/src/own/records.rs
@@ -38,6 +38,9 @@
     /// Publishes changed states of jobs and, when due, a heartbeat, unless an append of states is
     /// under way.
     pub(super) fn publish_states(&mut self) {
+        for id in self.owner.take_only_published() {
+            self.state_publisher.remove(id);
+        }
         for (id, state) in self.owner.take_states() {
             self.state_publisher.add(id, state);
         }
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -5,7 +5,7 @@
 
 use daisy_platform::{Guard, LogClient, LogError, Topic, parse_worker};
 use daisy_wire::relay::RelayedTopic;
-use daisy_workflow::{Layout, Record, Rejection, decode, encode};
+use daisy_workflow::{Layout, Record, RecordKey, Rejection, decode_stored, encode};
 use tokio::time::sleep;
 
 use crate::{
@@ -70,10 +70,8 @@
 fn fold_states(node: &mut NodeState, read: &Read) {
     let now = clock::now();
     for it in &read.records {
-        if it.value.is_empty() {
-            continue;
-        }
-        match decode(&it.key, &it.value) {
+        match decode_stored(&it.key, &it.value) {
+            Ok(Record::Removed(RecordKey::State(id))) => node.directory.remove(id),
             Ok(Record::State(id, state)) => {
                 node.admission.returning.accepted(id);
                 node.directory.set_state(id, state);
--- a/daisy-workflow/src/directory.rs
+++ b/daisy-workflow/src/directory.rs
@@ -87,6 +87,12 @@
         self.states.get(&id).copied()
     }
 
+    /// Iterates over the jobs of a shard that have ended.
+    pub fn ended_jobs(&self, shard: ShardId) -> impl Iterator<Item = JobId> {
+        let ended = self.states.iter().filter(|(_, it)| it.state.is_ended()).map(|(id, _)| *id);
+        ended.filter(move |id| self.layout.is_some_and(|it| it.shard_of_job(*id) == shard))
+    }
+
     /// Records an owner's heartbeat that was read at `now`.
     pub fn receive_heartbeat(&mut self, now: Instant, heartbeat: OwnerHeartbeat) {
         let newer = |it: &ReceivedHeartbeat| it.heartbeat.claim.epoch <= heartbeat.claim.epoch;
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Claim, ImageInterference, IncomingTransfer, JobId, JobSpec, OpenStart, OutgoingTransfer, Phase,
-    Progress, Record, ShardId, TaskId, TransferState, Witnesses,
+    Progress, Record, RecordKey, ShardId, TaskId, TransferState, Witnesses,
 };
 
 /// A job as folded from the records.
@@ -232,6 +232,7 @@
                 FoldEffect::Nothing
             }
             Record::TaskTransferredIn(id, transfer) => self.task_transferred_in(id, *transfer),
+            Record::Removed(key) => self.removed(key),
             // These are folded by a [`Directory`](crate::Directory) or by the owner.
             Record::State(..)
             | Record::OwnerHeartbeat(_)
@@ -339,17 +340,30 @@
         FoldEffect::Progress(id)
     }
 
+    /// Forgets what a removed record said. A job's submission is removed only long after the job has
+    /// ended, and before its other records; so nothing of the job matters any more, though its
+    /// progress may not have been read.
+    fn removed(&mut self, key: RecordKey) -> FoldEffect {
+        match key {
+            RecordKey::Submission(id) => {
+                self.jobs.remove(&id);
+                self.ended.remove(&id);
+            }
+            RecordKey::Cancellation(id) => drop(self.early_cancellations.remove(&id)),
+            RecordKey::Progress(id) => drop(self.early_progress.remove(&id)),
+            RecordKey::Delegation(id) => drop(self.early_delegations.remove(&id)),
+            RecordKey::TransferOut(task) => drop(self.early_transfers.remove(&task)),
+            RecordKey::TransferIn(..) | RecordKey::State(_) => {}
+        }
+        FoldEffect::Nothing
+    }
+
     fn claim(&mut self, claim: Claim, vouched_epoch: Option<u64>) -> FoldEffect {
         self.owner = Some(claim);
         self.owner_vouches_for = vouched_epoch;
         FoldEffect::Claim
     }
 
-    /// Removes a job.
-    pub fn remove(&mut self, id: JobId) {
-        self.jobs.remove(&id);
-    }
-
     /// Returns the job with this id.
     pub fn job(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
@@ -374,6 +388,15 @@
         self.jobs.get(&id).map(Job::state).or_else(|| self.ended.get(&id).copied())
     }
 
+    /// Iterates over the jobs of which records were read, but no submission. Some are repeated.
+    pub fn without_submission(&self) -> impl Iterator<Item = JobId> {
+        let cancelled = self.early_cancellations.iter().map(|(id, ())| *id);
+        let progressed = self.early_progress.iter().map(|(id, _)| *id);
+        let delegated = self.early_delegations.iter().map(|(id, _)| *id);
+        let transferred = self.early_transfers.iter().map(|(task, _)| task.job);
+        cancelled.chain(progressed).chain(delegated).chain(transferred)
+    }
+
     /// Returns the newest claim.
     pub fn owner(&self) -> Option<&Claim> {
         self.owner.as_ref()
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -53,8 +53,8 @@
     read_timeout::LargeReadTimeout,
     record::{
         Claim, EncodedRecord, ImageInterference, InterferenceSums, JoinedRecord, PartCounts,
-        PartJoiner, Record, RecordError, RecordLimits, RecordWriter, RefusedRecord, Rejection,
-        WrittenRecord, decode, encode, substitute,
+        PartJoiner, Record, RecordError, RecordKey, RecordLimits, RecordWriter, RefusedRecord,
+        Rejection, WrittenRecord, decode, decode_stored, encode, substitute,
     },
     shard::{Layout, ShardId},
     spec::{JobKind, JobSpec, SpecError, StepSpec, Terms},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -19,6 +19,7 @@
 mod pace;
 mod placement;
 mod plan;
+mod removal;
 mod renewal;
 mod run_ends;
 mod shortfall;
@@ -42,6 +43,7 @@
     interference::Interference,
     open_starts::OpenStarts,
     placement::Reservation,
+    removal::Removals,
     succession::Succession,
     superseded::GivenUpRuns,
     worker::{Assignment, StartState, StopState},
@@ -76,6 +78,8 @@
     pub layout: Layout,
     /// How tasks are placed on workers.
     pub rules: PlacementRules,
+    /// How long the records of a job are retained after its end.
+    pub record_retention: Duration,
 }
 
 /// How workers are chosen for tasks that reserve capacity; each rule can be compared with
@@ -203,6 +207,7 @@
     mean_task_cpu: u32,
     observed_load: ObservedLoad,
     given_up_runs: GivenUpRuns,
+    removals: Removals,
 }
 
 /// A recorded run on a worker that the platform's list has not named to this owner.
@@ -228,6 +233,8 @@
     /// Delegated jobs and transferred tasks to be written to other shards once the batch is stored.
     delegated: Vec<JobId>,
     transferring: Vec<TaskId>,
+    /// Jobs whose progress the batch removes.
+    removed: Vec<JobId>,
 }
 
 impl Owner {
@@ -257,6 +264,7 @@
             unrecorded_jobs: Vec::new(),
             unstorable_jobs: Vec::new(),
             given_up_runs: GivenUpRuns::default(),
+            removals: Removals::default(),
             delegating: Vec::new(),
             unrecorded_starts: Vec::new(),
             in_flight: None,
@@ -288,6 +296,7 @@
         owner.forward_all_jobs();
         owner.forward_all_tasks();
         owner.inherit(now);
+        owner.inherit_ended();
         owner
     }
 
@@ -353,6 +362,7 @@
             Event::ProgressRefused(jobs) => self.progress_refused(&jobs),
             Event::Appended => self.batch_appended(now),
             Event::HeartbeatStored { sent_at } => self.heartbeat_stored(now, sent_at),
+            Event::StatesEnded(jobs) => self.removals.noticed.extend(jobs),
             Event::Loads(loads) => self.other_shards.update(loads),
             Event::InterferenceSums(seen) => {
                 seen.iter().for_each(|it| self.interference.add_interference_sums(now, it));
@@ -380,7 +390,8 @@
         self.in_flight.is_none()
             && (!nothing_unrecorded
                 || self.succession.has_witnesses_record()
-                || self.open_starts.is_record_due())
+                || self.open_starts.is_record_due()
+                || self.removals.has_records())
     }
 
     /// Returns the records to append next, or `None` while a batch is being appended or if there
@@ -425,8 +436,11 @@
             self.open_starts.will_send(*key, *task, *run);
         }
         records.extend(self.open_starts.take_record());
+        let (removals, removed) = self.removals.take_records();
+        records.extend(removals);
         self.in_flight = Some(InFlightBatch {
             created_at: now,
+            removed,
             starts,
             cursors,
             states,
--- a/daisy-workflow/src/owner/intake.rs
+++ b/daisy-workflow/src/owner/intake.rs
@@ -9,10 +9,16 @@
     message::StopCause,
     worker::{StartState, StopState, WorkerKey},
 };
-use crate::{FoldEffect, Job, JobId, JobSpec, JobState, Phase, Record};
+use crate::{FoldEffect, Job, JobId, JobSpec, JobState, Phase, Record, RecordKey};
 
 impl Owner {
     pub(super) fn process_record(&mut self, now: Instant, record: Record) {
+        if let Record::Removed(RecordKey::Submission(id)) = &record
+            && !self.submission_removed(*id)
+        {
+            return;
+        }
+        let cancelled = if let Record::Cancelled(id) = &record { Some(*id) } else { None };
         match self.ledger.fold(record) {
             FoldEffect::Submitted(id) => {
                 self.job_submitted(now, id);
@@ -27,6 +33,8 @@
             FoldEffect::TaskReceived(task) => self.task_received(now, task),
             FoldEffect::Progress(_) | FoldEffect::Claim | FoldEffect::Nothing => {}
         }
+        // The submission of a cancelled job may never come.
+        self.removals.noticed.extend(cancelled);
         self.plan_due = true;
     }
 
@@ -112,6 +120,7 @@
         }
         if !has_runs {
             self.active.remove(&id);
+            self.removals.noticed.push(id);
         }
         self.send_stops(now);
     }
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -198,6 +198,8 @@
     },
     /// The loads that the owners of other shards last published.
     Loads(SortedMap<ShardId, Load>),
+    /// Jobs of this shard whose published states say that they have ended.
+    StatesEnded(Vec<JobId>),
     /// Interference sums from the owner of another shard.
     InterferenceSums(Vec<InterferenceSums>),
     /// Time has passed.
@@ -294,6 +296,8 @@
     /// Append this record of a job to another shard's submissions; retried until the log has stored
     /// it.
     Forward(ShardId, Record),
+    /// Append these removals to this shard's submissions. A lost one is requested again.
+    RemoveSubmissions(Vec<Record>),
     /// Another owner has replaced this one.
     StepDown,
     /// Write an event to the process's log.
@@ -329,6 +333,13 @@
         /// Number of jobs that have not ended.
         backlog: usize,
     },
+    /// The submissions of jobs are removed that ended long ago.
+    JobsRemoved {
+        /// Number of the jobs.
+        jobs: usize,
+        /// Number of ended jobs whose records are retained.
+        remaining: usize,
+    },
     /// A job is delegated to another shard.
     JobDelegated {
         /// The job.
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -36,7 +36,8 @@
         self.succession.append_accepted(it.created_at);
         self.succession.witnesses_recorded();
         self.open_starts.record_stored();
-        let InFlightBatch { created_at: _, starts, cursors, states, delegated, transferring } = it;
+        let InFlightBatch { starts, cursors, states, delegated, transferring, removed, .. } = it;
+        self.removals.stored(removed);
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward_job(id));
         transferring.into_iter().for_each(|task| self.forward_task(task));
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -219,6 +219,7 @@
             self.workers.iter().any(|(_, it)| it.tasks.iter().any(|it| it.task.job == id));
         if !has_runs {
             self.active.remove(&id);
+            self.removals.noticed.push(id);
         }
     }
 }
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -47,6 +47,7 @@
         self.send_stops(now);
         self.rebalance(now);
         self.defragment(now);
+        self.remove_submissions(now);
         self.plan_due = true;
     }
 
--- a/daisy-workflow/src/publisher.rs
+++ b/daisy-workflow/src/publisher.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::{Directory, JobId, JobState, OwnerHeartbeat, PublishedState, Record, ShardId};
+use crate::{
+    Directory, JobId, JobState, OwnerHeartbeat, PublishedState, Record, RecordKey, ShardId,
+};
 use daisy_model::{Instant, SortedMap};
 
 /// The minimum interval between two appends of states, so that states are batched: each call is
@@ -19,6 +21,8 @@
     shard: ShardId,
     published: SortedMap<JobId, PublishedState>,
     pending: SortedMap<JobId, JobState>,
+    /// Jobs whose states are to be removed.
+    removed: Vec<JobId>,
     /// When the last append began.
     last_append_at: Instant,
     last_heartbeat_at: Option<Instant>,
@@ -35,6 +39,7 @@
             shard,
             published,
             pending: SortedMap::new(),
+            removed: Vec::new(),
             last_append_at: now,
             last_heartbeat_at: None,
         }
@@ -51,6 +56,13 @@
         }
     }
 
+    /// Removes the state of a job that nobody asks for any more.
+    pub fn remove(&mut self, id: JobId) {
+        self.pending.remove(&id);
+        self.published.remove(&id);
+        self.removed.push(id);
+    }
+
     /// Returns whether a heartbeat is due.
     pub fn is_heartbeat_due(&self, now: Instant) -> bool {
         self.last_heartbeat_at.is_none_or(|at| now.since(at) >= HEARTBEAT_INTERVAL)
@@ -64,7 +76,7 @@
         heartbeat: Option<OwnerHeartbeat>,
     ) -> Option<Vec<Record>> {
         let states_due =
-            !self.pending.is_empty() && now.since(self.last_append_at) >= APPEND_INTERVAL_MIN;
+            self.has_pending_states() && now.since(self.last_append_at) >= APPEND_INTERVAL_MIN;
         if heartbeat.is_none() && !states_due {
             return None;
         }
@@ -89,6 +101,10 @@
             self.published.insert(id, published);
             records.push(Record::State(id, published));
         }
+        // A state that is removed was published long ago, so no pending one is that job's.
+        let removed = self.removed.len().min(STATES_MAX);
+        let removed = self.removed.drain(..removed).map(RecordKey::State).map(Record::Removed);
+        records.extend(removed);
         records
     }
 
@@ -108,6 +124,6 @@
 
     /// Returns whether there are states to be published.
     pub fn has_pending_states(&self) -> bool {
-        !self.pending.is_empty()
+        !self.pending.is_empty() || !self.removed.is_empty()
     }
 }
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -4,6 +4,7 @@
 //! may ignore is added at the end of its record's encoding, where they skip it. A record that they
 //! must not misread gets a higher version, which they reject.
 
+mod key;
 mod parts;
 mod wire;
 mod writer;
@@ -19,6 +20,7 @@
     state_to_number,
 };
 pub use self::{
+    key::RecordKey,
     parts::{EncodedRecord, JoinedRecord, PartCounts, PartJoiner},
     writer::{RecordLimits, RecordWriter, RefusedRecord, WrittenRecord},
 };
@@ -107,6 +109,8 @@
     Rejected(JobId, Rejection),
     /// Interference sums that a shard's owner has collected since its last record of this kind.
     InterferenceSums(ShardId, Vec<InterferenceSums>),
+    /// The record with this key is removed; it is stored as a key without a value.
+    Removed(RecordKey),
 }
 
 /// What is known of a job that was rejected.
@@ -162,15 +166,17 @@
 /// Returns the key and the value of a record.
 pub fn encode(record: &Record) -> (String, Vec<u8>) {
     match record {
-        Record::Submitted(id, spec) => (format!("job-{id}"), encode_framed(JobWire::from(spec))),
-        Record::Cancelled(id) => (format!("cancel-{id}"), encode_framed(())),
+        Record::Submitted(id, spec) => {
+            (RecordKey::Submission(*id).to_string(), encode_framed(JobWire::from(spec)))
+        }
+        Record::Cancelled(id) => (RecordKey::Cancellation(*id).to_string(), encode_framed(())),
         Record::Progress(id, progress) => {
             let mut value = encode_framed(ProgressWire::from(progress));
             if progress.may_have_started() {
                 let events = TaskEventsWire::from(progress);
                 value.extend(encode_unframed((TASK_EVENTS_TAG, events)));
             }
-            (format!("progress-{id}"), value)
+            (RecordKey::Progress(*id).to_string(), value)
         }
         Record::Claim(claim, vouched_epoch) => {
             (OWNER_KEY.to_owned(), encode_framed((ClaimWire::from(claim), *vouched_epoch)))
@@ -186,17 +192,21 @@
         Record::OpenStarts(runs) => {
             (OPEN_STARTS_KEY.to_owned(), encode_framed(OpenStartsWire::from(&runs[..])))
         }
-        Record::Delegated(id, shard) => (format!("delegated-{id}"), encode_framed(shard.0)),
-        Record::TaskTransferredOut(id, transfer) => {
-            (format!("handed-{id}"), encode_framed((transfer.number, transfer.to.0)))
+        Record::Delegated(id, shard) => {
+            (RecordKey::Delegation(*id).to_string(), encode_framed(shard.0))
         }
+        Record::TaskTransferredOut(id, transfer) => (
+            RecordKey::TransferOut(*id).to_string(),
+            encode_framed((transfer.number, transfer.to.0)),
+        ),
         // The log keeps only the newest record of each key, and a transfer may be written again
         // after a later one to the same shard, so each transfer has its own key.
         Record::TaskTransferredIn(id, it) => {
-            (format!("task-{id}.{}", it.number), encode_framed(TransferWire::from(&**it)))
+            let key = RecordKey::TransferIn(*id, it.number);
+            (key.to_string(), encode_framed(TransferWire::from(&**it)))
         }
         Record::State(id, published) => (
-            format!("state-{id}"),
+            RecordKey::State(*id).to_string(),
             encode_framed((state_to_number(published.state), published.shard.0)),
         ),
         Record::OwnerHeartbeat(heartbeat) => {
@@ -215,6 +225,19 @@
             (format!("observed-{}", shard.0), encode_framed(InterferenceSumsWire::from(&sums[..])))
         }
         Record::Layout(layout) => (LAYOUT_KEY.to_owned(), encode_framed(layout.shards)),
+        Record::Removed(key) => (key.to_string(), Vec::new()),
+    }
+}
+
+/// Decodes what the log stores under a key: a record, or the removal of one if there is no value.
+///
+/// # Errors
+///
+/// Fails as [`decode`], or if a record with the key is never removed.
+pub fn decode_stored(key: &str, value: &[u8]) -> Result<Record, RecordError> {
+    match value {
+        [] => key.parse().map(Record::Removed).map_err(|_| unknown_key(key)),
+        value => decode(key, value),
     }
 }
 
@@ -261,7 +284,7 @@
             shards => Ok(Record::Layout(Layout { shards })),
         };
     }
-    let unknown = || RecordError::Key(key.chars().take(40).collect());
+    let unknown = || unknown_key(key);
     let (kind, id) = key.split_once('-').ok_or_else(unknown)?;
     if kind == "sign" {
         let shard = ShardId(id.parse().map_err(|_| unknown())?);
@@ -279,34 +302,29 @@
         let (id, wire): (u64, RejectionWire) = decode_framed(value)?;
         return Ok(Record::Rejected(JobId(id), wire.into()));
     }
-    if kind == "handed" {
-        let id: TaskId = id.parse().map_err(|_| unknown())?;
-        return decode_framed(value).map(|(number, to)| {
+    match key.parse().map_err(|_| unknown())? {
+        RecordKey::TransferOut(id) => decode_framed(value).map(|(number, to)| {
             Record::TaskTransferredOut(id, OutgoingTransfer { number, to: ShardId(to) })
-        });
-    }
-    if kind == "task" {
-        let (id, number) = id.rsplit_once('.').ok_or_else(unknown)?;
-        let id: TaskId = id.parse().map_err(|_| unknown())?;
-        let number: u32 = number.parse().map_err(|_| unknown())?;
-        let transfer = decode_framed::<TransferWire>(value)?.into_transfer(id, number)?;
-        return Ok(Record::TaskTransferredIn(id, Box::new(transfer)));
-    }
-    let id: JobId = id.parse().map_err(|_| unknown())?;
-    match kind {
-        "job" => {
+        }),
+        RecordKey::TransferIn(id, number) => {
+            let transfer = decode_framed::<TransferWire>(value)?.into_transfer(id, number)?;
+            Ok(Record::TaskTransferredIn(id, Box::new(transfer)))
+        }
+        RecordKey::Submission(id) => {
             let wire: JobWire = decode_framed(value)?;
             Ok(Record::Submitted(id, wire.try_into()?))
         }
-        "cancel" => decode_framed(value).map(|()| Record::Cancelled(id)),
-        "delegated" => decode_framed(value).map(|it| Record::Delegated(id, ShardId(it))),
-        "state" => {
+        RecordKey::Cancellation(id) => decode_framed(value).map(|()| Record::Cancelled(id)),
+        RecordKey::Delegation(id) => {
+            decode_framed(value).map(|it| Record::Delegated(id, ShardId(it)))
+        }
+        RecordKey::State(id) => {
             let (state, shard) = decode_framed(value)?;
             let published =
                 PublishedState { state: state_from_number(state)?, shard: ShardId(shard) };
             Ok(Record::State(id, published))
         }
-        "progress" => {
+        RecordKey::Progress(id) => {
             let (wire, rest): (ProgressWire, _) = decode_with_rest(value)?;
             let mut progress = Progress::try_from(wire)?;
             // Earlier builds wrote nothing after the tasks.
@@ -315,7 +333,6 @@
             }
             Ok(Record::Progress(id, progress))
         }
-        _ => Err(unknown()),
     }
 }
 
@@ -333,6 +350,10 @@
     }
 }
 
+fn unknown_key(key: &str) -> RecordError {
+    RecordError::Key(key.chars().take(40).collect())
+}
+
 fn encode_framed<T: Encode>(value: T) -> Vec<u8> {
     let mut bytes = vec![VERSION];
     bytes.extend(encode_unframed(value));
--- a/daisy-workflow/tests/job_transfer.rs
+++ b/daisy-workflow/tests/job_transfer.rs
@@ -38,6 +38,7 @@
         shard: OWN,
         layout: LAYOUT,
         rules: PlacementRules::default(),
+        record_retention: util::RECORD_RETENTION,
     };
     let claimed = OwnershipStart {
         claim_sent_at: at(1_000),
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -12,7 +12,7 @@
     Claim, FREE_BLOCKS, FoldEffect, ImageInterference, IncomingTransfer, InterferenceSums, JobId,
     JobState, Layout, Ledger, Load, OpenStart, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
     PublishedState, Record, RecordError, Rejection, ShardId, SpecError, StepSpec, TaskCopy,
-    TaskState, Witness, Witnesses, decode, encode, substitute,
+    TaskState, Witness, Witnesses, decode, decode_stored, encode, substitute,
 };
 use util::{best_effort, job, long_running_step, step, step_after, task};
 
@@ -509,3 +509,20 @@
     assert_eq!(spec.chain_ms(), 3_000);
     assert_eq!(spec.times_to_end_ms(), [3_000, 2_000, 2_000, 1_000]);
 }
+
+/// Guards against removals of another record than the one meant, and of records that are never
+/// removed.
+#[test]
+fn removals_are_stored_as_keys_without_values() {
+    for record in records() {
+        let (key, _) = encode(&record);
+        let removal = decode_stored(&key, &[]);
+
+        let Ok(Record::Removed(removed)) = &removal else {
+            assert_eq!(removal, Err(RecordError::Key(key)));
+            continue;
+        };
+
+        assert_eq!(encode(&Record::Removed(*removed)), (key, Vec::new()));
+    }
+}
--- a/daisy-workflow/tests/state_publishing.rs
+++ b/daisy-workflow/tests/state_publishing.rs
@@ -2,8 +2,8 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Claim, Directory, JobId, JobState, Load, OwnerHeartbeat, PublishedState, Record, ShardId,
-    StatePublisher,
+    Claim, Directory, JobId, JobState, Layout, Load, OwnerHeartbeat, PublishedState, Record,
+    RecordKey, ShardId, StatePublisher,
 };
 
 const OWN: ShardId = ShardId(1);
@@ -124,3 +124,22 @@
 
     assert_eq!((while_pending, after_publishing), (true, true));
 }
+
+/// Guards against VMs that remember the states of all jobs that ever were.
+#[test]
+fn a_removed_state_is_published_once_and_forgotten() {
+    let mut publisher = StatePublisher::new(at(0), OWN, published_state(JobState::Completed, OWN));
+    let mut directory = Directory::default();
+    directory.set_layout(Layout { shards: 1 });
+    directory.set_state(ID, PublishedState { state: JobState::Completed, shard: OWN });
+    let ended_before: Vec<JobId> = directory.ended_jobs(ShardId(0)).collect();
+
+    publisher.remove(ID);
+    let records = publisher.take_due_records(at(100), None);
+    directory.remove(ID);
+
+    assert_eq!(ended_before, [ID]);
+    assert_eq!(records, Some(vec![Record::Removed(RecordKey::State(ID))]));
+    assert!(!publisher.has_pending_states());
+    assert_eq!(directory.state(ID), None);
+}
--- a/daisy-workflow/tests/util/log.rs
+++ b/daisy-workflow/tests/util/log.rs
@@ -1,6 +1,6 @@
 //! The log of a shard.
 
-use daisy_workflow::{Batch, Ledger, Record, decode, encode};
+use daisy_workflow::{Batch, JobId, Ledger, Record, decode_stored, encode};
 
 /// Holds the shard's submissions, and the newest record of each key of its progress topic.
 #[derive(Debug, Default)]
@@ -17,6 +17,20 @@
         record
     }
 
+    /// Removes the submission, or another record among the submissions, with the key of a removal;
+    /// returns the removal as a reader decodes it.
+    pub fn remove(&mut self, removal: &Record) -> Record {
+        let key = encode(removal).0;
+        self.submissions.retain(|it| encode(it).0 != key);
+        encode_and_decode(removal)
+    }
+
+    /// Returns the keys of all records of a job.
+    pub fn keys_of(&self, id: JobId) -> Vec<String> {
+        let keys = self.submissions.iter().chain(&self.progress).map(|it| encode(it).0);
+        keys.filter(|it| it.contains(&id.to_string())).collect()
+    }
+
     /// Adds the batch of an owner and returns its records as a reader decodes them.
     pub fn store(&mut self, batch: &Batch) -> Vec<Record> {
         self.append(&batch.records)
@@ -28,7 +42,9 @@
         for record in &records {
             let key = encode(record).0;
             self.progress.retain(|it| encode(it).0 != key);
-            self.progress.push(record.clone());
+            if !matches!(record, Record::Removed(_)) {
+                self.progress.push(record.clone());
+            }
         }
         records
     }
@@ -54,5 +70,5 @@
 
 fn encode_and_decode(record: &Record) -> Record {
     let (key, value) = encode(record);
-    decode(&key, &value).expect("a record that was just encoded can be decoded")
+    decode_stored(&key, &value).expect("a record that was just encoded can be decoded")
 }
--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -32,6 +32,10 @@
 /// The lease that owners grant.
 pub const LEASE: Duration = Duration::from_secs(5);
 
+/// How long owners retain the records of jobs that have ended: longer than a late order and the
+/// longest lease take.
+pub const RECORD_RETENTION: Duration = Duration::from_secs(30);
+
 /// The longest lease that a worker grants.
 pub const LEASE_MAX: Duration = Duration::from_secs(10);
 
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    LEASE, LEASE_MAX, TICK,
+    LEASE, LEASE_MAX, RECORD_RETENTION, TICK,
     gangs::Gangs,
     log::Log,
     worker::{FakeWorker, HOLD_WAIT_MAX, target_worker, with_max_wait},
@@ -52,6 +52,10 @@
     gangs: Gangs,
     /// The checkpoint that the starts of each run of a gang carry.
     pub gang_checkpoints: SortedMap<(TaskId, u32), String>,
+    /// Whether owners read removals of submissions long after they were appended.
+    pub delays_removals: bool,
+    /// The jobs whose published states the owners have removed.
+    pub removed_states: Vec<JobId>,
 }
 
 impl Simulation {
@@ -101,6 +105,8 @@
             log: Log::default(),
             gangs: Gangs::default(),
             gang_checkpoints: SortedMap::new(),
+            delays_removals: false,
+            removed_states: Vec::new(),
         }
     }
 
@@ -119,6 +125,11 @@
         self.owner.handle_event(self.now, Event::Record(record));
     }
 
+    /// Lets the owner read a record of the submissions once more.
+    pub fn read_again(&mut self, record: Record) {
+        self.owner.handle_event(self.now, Event::Record(record));
+    }
+
     /// Replaces the owner by one that starts from the folded ledger.
     pub fn change_owner(&mut self, predecessor_ended: bool) {
         self.epoch += 1;
@@ -241,9 +252,15 @@
             self.carry_out(action);
         }
         self.append();
+        self.removed_states.extend(self.owner.take_only_published());
         self.check();
     }
 
+    /// Returns the keys of a job's records in the log of the shard.
+    pub fn stored_keys(&self, id: u64) -> Vec<String> {
+        self.log.keys_of(JobId(id))
+    }
+
     fn append(&mut self) {
         if self.pending.is_none()
             && let Some(batch) = self.owner.try_batch(self.now)
@@ -285,6 +302,13 @@
         }
         match action {
             Action::Forward(shard, record) => self.forwarded.push((shard, record)),
+            Action::RemoveSubmissions(records) => {
+                for record in records {
+                    let record = self.log.remove(&record);
+                    let read_after = if self.delays_removals { 1_000 * TICK } else { TICK };
+                    self.events.push((self.now + read_after, Event::Record(record)));
+                }
+            }
             Action::StepDown => self.stepped_down = true,
             Action::Note(_) => {}
             action => self.call(action),
@@ -389,7 +413,8 @@
     rules: PlacementRules,
     vouched_epoch: Option<u64>,
 ) -> Owner {
-    let settings = Settings { lease: LEASE, lease_max: LEASE_MAX, shard, layout, rules };
+    let (lease, lease_max, record_retention) = (LEASE, LEASE_MAX, RECORD_RETENTION);
+    let settings = Settings { lease, lease_max, shard, layout, rules, record_retention };
     let claimed = OwnershipStart {
         claim_sent_at: now,
         predecessors_ended: predecessor_ended,
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -111,7 +111,9 @@
         | Action::Start(key, _)
         | Action::Stop(key, ..)
         | Action::Pace(key, ..) => Some(*key),
-        Action::Forward(..) | Action::StepDown | Action::Note(_) => None,
+        Action::Forward(..) | Action::RemoveSubmissions(_) | Action::StepDown | Action::Note(_) => {
+            None
+        }
     }
 }
 
@@ -141,7 +143,9 @@
         Action::Pace(key, task, run, percent) => {
             Event::PaceAnswered(key, task, run, percent, reply)
         }
-        Action::Forward(..) | Action::StepDown | Action::Note(_) => return None,
+        Action::Forward(..) | Action::RemoveSubmissions(_) | Action::StepDown | Action::Note(_) => {
+            return None;
+        }
     })
 }
 
@@ -233,7 +237,10 @@
                 let reply = OrderReply::Done { clock_ms: self.clock(now) };
                 (TICK, Event::PaceAnswered(key, task, run, percent, reply))
             }
-            Action::Forward(..) | Action::StepDown | Action::Note(_) => return None,
+            Action::Forward(..)
+            | Action::RemoveSubmissions(_)
+            | Action::StepDown
+            | Action::Note(_) => return None,
         })
     }
 
