List a late order to the incarnation after the next

In a model of the platform a task runs twice: no copy of its order is answered, its worker restarts under its id and answers the stop, the task starts elsewhere, and the worker restarts once more and carries out a copy.

It is of the family of a_late_order_to_a_worker_that_restarted_unseen_runs_nothing_twice.

--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -176,3 +176,28 @@
     assert_eq!(starts_as_other_kind, 0);
     assert!(done, "the worker is of the required kind again");
 }
+
+/// Guards against a start that is carried out late by the incarnation after the next one, which knows
+/// nothing of the stop that the next one has answered.
+#[test]
+fn a_late_order_to_the_incarnation_after_the_next_runs_nothing_twice() {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), FakeWorker::new("w2", 4)]);
+    sim.work_ms = |_| 60_000;
+    sim.worker("w2").listed = false;
+    sim.worker("w1").fault = Fault::DelaysStarts(60_000);
+    sim.submit(1, job(vec![step(1)]));
+    assert!(sim.run_until(2_000, |it| it.starts.len() == 1));
+    sim.run_ms(1_000);
+    sim.worker("w2").listed = true;
+    sim.run_ms(1_000);
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    // Within the 12 s in which the order may be carried out.
+    sim.run_until(8_000, |it| it.starts.iter().any(|(_, _, worker)| worker == "w2"));
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    sim.worker("w1").delayed_orders.iter_mut().for_each(|it| it.0 = 0);
+
+    // The simulation checks that no task runs on two workers.
+    sim.run_ms(1_000);
+}
