Soak: jobs with labels, limits a worker, later steps and set times

No site file sends a required label, a limit a worker or a time, and the soak sent none either, so no play with real processes could show a start in the wrong place or too early.

From seed 2000 on, callers also submit such jobs, and every second worker is of another kind. The checker asks where, when and after what each task began. Lower seeds run as they did.

Gangs and copies are not played here: our stand-in of a worker knows neither.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Randomized soak tests: real processes run under injected faults, and the promises of the system
 //! are checked against what callers and workers observe.
 //!
-//! By default, three fixed seeds and all seeds that ever failed are run, one after the other.
+//! By default, four fixed seeds and all seeds that ever failed are run, one after the other.
 //! `DAISYSHIFT_SOAK=100..150` runs those seeds instead; a failure names its seed and keeps the logs
 //! of all processes.
 
@@ -24,7 +24,7 @@
 use tokio::sync::Mutex;
 
 /// The seeds that are run by default.
-const DEFAULT_SEEDS: [u64; 3] = [1, 2, 1_001];
+const DEFAULT_SEEDS: [u64; 4] = [1, 2, 1_001, 2_001];
 
 /// How long accepted jobs may take to end after all faults: several times the sum of an owner
 /// change, the longest lease and a job's work, for a busy machine.
@@ -101,7 +101,7 @@
 async fn run_seed(seed: u64) {
     let plan = Plan::new(seed);
     let mut fleet = Fleet::start(&plan).await;
-    let callers = Callers::start(seed, fleet.caller_addresses(), plan.duration, plan.mixes_kinds);
+    let callers = Callers::start(seed, fleet.caller_addresses(), &plan);
     fleet.run_schedule(&plan).await;
     let jobs = callers.finish().await;
     fleet.end_all_faults().await;
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use daisy_http::Http;
@@ -12,6 +12,8 @@
 use http_body_util::Full;
 use tokio::{task::JoinSet, time::sleep};
 
+use crate::plan::Plan;
+
 /// The number of concurrent callers; each keeps its connections open.
 const CALLER_COUNT: usize = 6;
 /// How long a caller waits for an answer.
@@ -19,6 +21,65 @@
 /// The maximum number of tries of a submission whose outcome is unknown.
 const SUBMIT_TRIES_MAX: usize = 4;
 
+/// What a job requires of the places and times of its tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Constraint {
+    /// Nothing.
+    None,
+    /// Workers of kind `a`.
+    Label,
+    /// At most one task of a step on a worker.
+    OnePerWorker,
+    /// A task of a second step after all others.
+    Order,
+    /// Several occurrences, the first of which is due at this time, [`INTERVAL`] apart.
+    Timed(Instant),
+}
+
+/// The number of occurrences of a job at set times.
+pub const OCCURRENCES: usize = 3;
+/// The time between them.
+pub const INTERVAL: Duration = Duration::from_millis(700);
+
+impl Constraint {
+    /// Returns what the job with this id requires.
+    fn of(id: u64) -> Constraint {
+        /// How long after its submission a job's first occurrence is due.
+        const FIRST_DUE: Duration = Duration::from_millis(900);
+        match id % 8 {
+            0 => Constraint::Label,
+            1 => Constraint::OnePerWorker,
+            2 => Constraint::Order,
+            3 => Constraint::Timed(Instant::now() + FIRST_DUE),
+            _ => Constraint::None,
+        }
+    }
+
+    /// Returns the fields of the job and of its first step, and the further steps.
+    fn fields(self) -> (String, &'static str, &'static str) {
+        match self {
+            Constraint::None => (String::new(), "", ""),
+            Constraint::Label => (String::new(), r#","required-label":"a""#, ""),
+            Constraint::OnePerWorker => (String::new(), r#","anti-affinity":1"#, ""),
+            Constraint::Order => {
+                let second =
+                    r#",{"count":1,"cpu":500,"mem-mb":16,"est-runtime-ms":400,"depends-on":[0]}"#;
+                (String::new(), "", second)
+            }
+            Constraint::Timed(first) => {
+                let wall =
+                    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock after 1970");
+                let first = wall + (first - Instant::now());
+                let (first_ms, interval_ms) = (first.as_millis(), INTERVAL.as_millis());
+                let times = format!(
+                    r#","start-at-ms":{first_ms},"interval-ms":{interval_ms},"repeats":{OCCURRENCES}"#
+                );
+                (times, "", "")
+            }
+        }
+    }
+}
+
 /// A job and all answers that its caller received.
 #[derive(Debug, Clone)]
 pub struct SubmittedJob {
@@ -26,6 +87,8 @@
     pub id: String,
     /// The number of its tasks.
     pub task_count: usize,
+    /// What it requires of the places and times of its tasks.
+    pub constraint: Constraint,
     /// The statuses of all tries to submit it; 0 for no answer.
     pub submit_statuses: Vec<u16>,
     /// When the caller was told that it was accepted.
@@ -58,19 +121,15 @@
 }
 
 impl Callers {
-    /// Starts callers that submit jobs for `duration`.
-    pub fn start(
-        seed: u64,
-        vms: Vec<SocketAddr>,
-        duration: Duration,
-        mixes_kinds: bool,
-    ) -> Callers {
+    /// Starts callers that submit jobs as the plan says.
+    pub fn start(seed: u64, vms: Vec<SocketAddr>, plan: &Plan) -> Callers {
         let jobs = Arc::new(Mutex::new(Vec::new()));
         let mut tasks = JoinSet::new();
-        let until = Instant::now() + duration;
+        let until = Instant::now() + plan.duration;
+        let kinds = (plan.mixes_kinds, plan.has_constraints);
         for number in 0..CALLER_COUNT {
             let rng = Rng::with_seed(seed * 1_000 + number as u64);
-            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), mixes_kinds, jobs.clone()));
+            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), kinds, jobs.clone()));
         }
         Callers { jobs, tasks }
     }
@@ -90,7 +149,7 @@
     let http = Http::new(None);
     let mut job = new_job(1, task_count);
     for vm in vms {
-        let body = job_body(task_count, false);
+        let body = job_body(&job, false);
         let status = send_request(&http, *vm, Method::POST, &job.id, body).await.0;
         job.submit_statuses.push(status);
         if status == 200 {
@@ -106,6 +165,7 @@
     SubmittedJob {
         id: format!("{id:016x}"),
         task_count,
+        constraint: Constraint::None,
         submit_statuses: Vec::new(),
         accepted_at: None,
         cancel_sent_at: None,
@@ -118,12 +178,12 @@
     until: Instant,
     mut rng: Rng,
     vms: Vec<SocketAddr>,
-    mixes_kinds: bool,
+    kinds: (bool, bool),
     jobs: Arc<Mutex<Vec<SubmittedJob>>>,
 ) {
     let http = Http::new(None);
     while Instant::now() < until {
-        let job = submit_and_poll_job(&http, &mut rng, &vms, mixes_kinds).await;
+        let job = submit_and_poll_job(&http, &mut rng, &vms, kinds).await;
         jobs.lock().unwrap_or_else(PoisonError::into_inner).push(job);
         sleep(Duration::from_millis(rng.u64(50..250))).await;
     }
@@ -134,15 +194,24 @@
     http: &Http,
     rng: &mut Rng,
     vms: &[SocketAddr],
-    mixes_kinds: bool,
+    (mixes_kinds, has_constraints): (bool, bool),
 ) -> SubmittedJob {
     let task_count = rng.usize(1..=6);
-    let mut job = new_job(rng.u64(..), task_count);
+    let id = rng.u64(..);
+    let mut job = new_job(id, task_count);
     let is_long_running = mixes_kinds && job.id.ends_with(['8', 'f']);
+    if has_constraints && !is_long_running {
+        job.constraint = Constraint::of(id);
+    }
+    let body = job_body(&job, is_long_running);
+    job.task_count = match job.constraint {
+        Constraint::Order => task_count + 1,
+        Constraint::Timed(_) => task_count * OCCURRENCES,
+        _ => task_count,
+    };
     for _ in 0..SUBMIT_TRIES_MAX {
         let vm = vms[rng.usize(..vms.len())];
-        let body = job_body(task_count, is_long_running);
-        let status = send_request(http, vm, Method::POST, &job.id, body).await.0;
+        let status = send_request(http, vm, Method::POST, &job.id, body.clone()).await.0;
         job.submit_statuses.push(status);
         if status == 200 {
             job.accepted_at = Some(Instant::now());
@@ -170,12 +239,13 @@
     job
 }
 
-/// Returns the body of a submission: a job of one step, with half a core for each task. A
-/// long-running one may be rejected beside the others.
-fn job_body(task_count: usize, is_long_running: bool) -> String {
+/// Returns the body of a submission: a job of `task_count` tasks and what its constraint adds, with
+/// half a core for each task. A long-running one may be rejected beside the others.
+fn job_body(job: &SubmittedJob, is_long_running: bool) -> String {
+    let (task_count, (times, place, further)) = (job.task_count, job.constraint.fields());
     let kind = if is_long_running { r#","long-running":true"# } else { "" };
     format!(
-        r#"{{"spec":"text","steps":[{{"count":{task_count},"cpu":500,"mem-mb":16,"est-runtime-ms":400{kind}}}]}}"#
+        r#"{{"spec":"text"{times},"steps":[{{"count":{task_count},"cpu":500,"mem-mb":16,"est-runtime-ms":400{kind}{place}}}{further}]}}"#
     )
 }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -60,6 +60,11 @@
     RestoreLog,
 }
 
+/// Returns whether a worker is of kind `a` where workers are of two kinds.
+pub fn is_of_kind_a(worker: usize) -> bool {
+    worker.is_multiple_of(2)
+}
+
 impl Fleet {
     /// Starts all stand-ins and processes, and waits until every process is ready.
     pub async fn start(plan: &Plan) -> Fleet {
@@ -71,6 +76,9 @@
                 Worker::start(&log, &format!("w{index}"), "shop", CORES, TASK_DURATION).await;
             let worker = worker.expect("a port of loopback");
             worker.set_clock_rate(plan.clock_permille[index]);
+            if plan.has_constraints && !is_of_kind_a(index) {
+                worker.set_labels(["b", "r1-1"]);
+            }
             if index < LINKED_WORKERS {
                 let link = link_to(worker.address).await;
                 worker.announce_at(link.address());
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -55,6 +55,8 @@
 /// Seeds from here on mix kinds of jobs under the deployed policy; lower ones, some of which have
 /// found faults, run as they did then.
 const FIRST_MIXED_SEED: u64 = 1_000;
+/// Seeds from here on also submit jobs with constraints, to workers of two kinds.
+const FIRST_CONSTRAINED_SEED: u64 = 2_000;
 
 /// A seed's schedule.
 #[derive(Debug)]
@@ -71,6 +73,9 @@
     pub clock_permille: Vec<u64>,
     /// Whether callers also submit long-running jobs, to processes with the deployed policy.
     pub mixes_kinds: bool,
+    /// Whether callers also submit jobs with [constraints](crate::callers::Constraint), and every
+    /// second worker is of another kind.
+    pub has_constraints: bool,
 }
 
 impl Plan {
@@ -92,7 +97,8 @@
         // The platform's contract allows clocks that are 2 % slow.
         let clock_permille = (0..workers).map(|_| rng.u64(980..=1_000)).collect();
         let mixes_kinds = seed >= FIRST_MIXED_SEED;
-        Plan { vms, workers, duration, faults, clock_permille, mixes_kinds }
+        let has_constraints = seed >= FIRST_CONSTRAINED_SEED;
+        Plan { vms, workers, duration, faults, clock_permille, mixes_kinds, has_constraints }
     }
 
     /// Returns a schedule without faults, in which nothing is submitted.
@@ -104,6 +110,7 @@
             faults: Vec::new(),
             clock_permille: vec![1_000; workers],
             mixes_kinds: false,
+            has_constraints: false,
         }
     }
 }
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -5,8 +5,8 @@
 use daisy_platform_standin::StartedRun;
 
 use crate::{
-    callers::{StateAnswer, SubmittedJob},
-    fleet::CORES,
+    callers::{Constraint, INTERVAL, StateAnswer, SubmittedJob},
+    fleet::{CORES, is_of_kind_a},
 };
 
 /// The number of tasks of half a core that fit on a worker.
@@ -22,6 +22,7 @@
         violations.extend(state_violations(job));
         let of_job: Vec<_> = runs.iter().filter(|(_, it)| it.task.starts_with(&job.id)).collect();
         violations.extend(run_violations(job, &of_job));
+        violations.extend(constraint_violations(job, &of_job));
     }
     let was_submitted = |it: &StartedRun| jobs.iter().any(|job| it.task.starts_with(&job.id));
     let foreign = runs.iter().filter(|(_, it)| !was_submitted(it));
@@ -106,6 +107,45 @@
     violations
 }
 
+/// Checks that tasks ran where and when their job's constraint allows.
+fn constraint_violations(job: &SubmittedJob, runs: &[&(usize, StartedRun)]) -> Vec<String> {
+    /// How long before its time the platform lets a task start.
+    const EARLY_MAX: Duration = Duration::from_millis(250);
+    let is_violated = |(worker, run): &(usize, StartedRun)| match job.constraint {
+        Constraint::None => false,
+        Constraint::Label => !is_of_kind_a(*worker),
+        Constraint::OnePerWorker => runs.iter().any(|(other, it)| {
+            other == worker && it.task != run.task && it.began <= run.began && overlaps(it, run)
+        }),
+        Constraint::Order => {
+            let earlier = runs.iter().filter(|(_, it)| it.done && step_of(&it.task) == 0);
+            let done_before = earlier.filter(|(_, it)| it.ended.is_some_and(|at| at <= run.began));
+            step_of(&run.task) == 1 && done_before.count() + 1 < job.task_count
+        }
+        Constraint::Timed(first) => {
+            run.began + EARLY_MAX < first + INTERVAL * occurrence_of(&run.task)
+        }
+    };
+    let violating = runs.iter().filter(|it| is_violated(it));
+    let describe = |(worker, run): &&&(usize, StartedRun)| {
+        format!("task {} on worker {worker}: {:?}", run.task, job.constraint)
+    };
+    violating.map(|it| describe(&it)).collect()
+}
+
+/// Returns the number of a task's step: `ID.K.STEP.INDEX`.
+fn step_of(task: &str) -> u32 {
+    part_of(task, 2)
+}
+
+fn occurrence_of(task: &str) -> u32 {
+    part_of(task, 1)
+}
+
+fn part_of(task: &str, at: usize) -> u32 {
+    task.split('.').nth(at).and_then(|it| it.parse().ok()).expect("a task's name")
+}
+
 /// Returns whether two runs overlap in time; a run without an end is treated as still running.
 fn overlaps(a: &StartedRun, b: &StartedRun) -> bool {
     let end_of =
