--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -176,8 +176,8 @@
     ended: SortedMap<JobId, JobState>,
     /// Nothing else is kept of those accepted before this time, in milliseconds since 1970.
     compacts_before_ms: u64,
-    /// Cancellations, progress that has not ended, delegations and transfers of jobs whose submission was not read
-    /// yet: the topics are read independently of each other.
+    /// Cancellations, progress that has not ended, delegations and transfers of jobs whose submission
+    /// was not read yet: the topics are read independently of each other.
     early_cancellations: SortedMap<JobId, ()>,
     early_progress: SortedMap<JobId, Progress>,
     early_delegations: SortedMap<JobId, ShardId>,
