Soak: gangs

Our stand-in of a worker knew no gangs, so no play with real processes could show what becomes of them.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -7,7 +7,7 @@
 };
 
 use daisy_http::Http;
-use daisy_platform_standin::{Log, LogFault, StartedRun, Worker, WorkerFault};
+use daisy_platform_standin::{Gangs, Log, LogFault, StartedRun, Worker, WorkerFault};
 use daisy_standin::{
     Link,
     link::{ForwardRule, LinkFaults, Options},
@@ -69,6 +69,7 @@
     /// Starts all stand-ins and processes, and waits until every process is ready.
     pub async fn start(plan: &Plan) -> Fleet {
         let log = Log::start().await.expect("a port of loopback");
+        let gangs = Gangs::default();
         let mut workers = Vec::new();
         let mut worker_links = Vec::new();
         for index in 0..plan.workers {
@@ -76,6 +77,7 @@
                 Worker::start(&log, &format!("w{index}"), "shop", CORES, TASK_DURATION).await;
             let worker = worker.expect("a port of loopback");
             worker.set_clock_rate(plan.clock_permille[index]);
+            worker.join_gangs(&gangs);
             if plan.has_constraints && !is_of_kind_a(index) {
                 worker.set_labels(["b", "r1-1"]);
             }
