Raise the fencing token of calls to a worker that has restarted

Cause: a call names a worker by its id, and the next incarnation carries it out. Its deadline is a time on the former clock, for which the worker grants its longest lease, also where it rejects the order. The owner that noticed the restart allowed for that; the next one, which the worker never answered, did not know of the restart and waited for one usual lease.

Change: a restarted worker is called with a higher token, the log's end after a batch of its owner, and gets a lease only once it has answered that. Late calls of any kind are rejected from then on, so the bookkeeping of unanswered calls goes. Workers that may hold the longest lease are recorded in the batch of their first starts, for the next owner.

The models of the log and of workers take tokens in place of epochs; the epoch of a claim follows from the log's end there, as in the log itself.

--- a/daisy-measure/src/overload/simulation.rs
+++ b/daisy-measure/src/overload/simulation.rs
@@ -223,7 +223,7 @@
             batch.records.into_iter().for_each(|it| {
                 shard.ledger.fold(it);
             });
-            shard.owner.handle_event(now, Event::Appended);
+            shard.owner.handle_event(now, Event::Appended { log_end: 0 });
             self.carry_out_actions(at);
         }
     }
--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -330,7 +330,7 @@
             "event=owner_state shard={} epoch={} jobs={} waiting={} waiting_lasting={} \
              waiting_best_effort={} runs={} workers={} usable={} silent={} free_cpu={} \
              unusable_cpu={} largest_room={} largest_room_in_time={} least_lasting={} longest_wait_ms={} \
-             uncertain={} uncertain_for_ms={} open_starts={} held_ends={} idle_jobs={} \
+             uncertain={} uncertain_for_ms={} open_starts={} long_leases={} held_ends={} idle_jobs={} \
              longest_idle_ms={}",
             self.ownership.shard.0,
             self.ownership.epoch,
@@ -351,6 +351,7 @@
             summary.unconfirmed_runs,
             summary.unconfirmed_for.as_millis(),
             summary.open_starts,
+            summary.long_leases,
             summary.held_ends,
             summary.idle_jobs,
             summary.longest_idle.as_millis()
--- a/daisy-node/src/own/append.rs
+++ b/daisy-node/src/own/append.rs
@@ -24,6 +24,8 @@
     pub next_guard: Guard,
     /// The records that the log refused.
     pub refused: Vec<RefusedRecord>,
+    /// The offset after the last stored record; 0 if none was stored.
+    pub log_end: u64,
 }
 
 /// Makes the calls one after the other, and retries each until the log has stored its records or
@@ -36,10 +38,13 @@
     guard: Guard,
 ) -> Result<Appended, Fenced> {
     let mut calls = VecDeque::from(calls);
-    let mut appended = Appended { next_guard: guard, refused: Vec::new() };
+    let mut appended = Appended { next_guard: guard, refused: Vec::new(), log_end: 0 };
     while let Some(mut call) = calls.pop_front() {
         match append_call(log_client, topic, &call, appended.next_guard).await? {
-            CallOutcome::Stored => appended.next_guard = appended.next_guard.next(),
+            CallOutcome::Stored { log_end } => {
+                appended.next_guard = appended.next_guard.next();
+                appended.log_end = log_end;
+            }
             // The others can be stored without the record that is refused.
             CallOutcome::Refused(_) if call.len() > 1 => {
                 call.into_iter().rev().for_each(|it| calls.push_front(vec![it]));
@@ -67,7 +72,7 @@
 }
 
 enum CallOutcome {
-    Stored,
+    Stored { log_end: u64 },
     Refused(String),
 }
 
@@ -82,11 +87,11 @@
     loop {
         let timeout = if failures % 2 == 1 { SHORT_APPEND_TIMEOUT } else { APPEND_TIMEOUT };
         match log_client.append(topic, &records, guard, timeout).await {
-            Ok(_) => {
+            Ok(offset) => {
                 if failures > 0 {
                     log::info!("event=log_regained topic={topic:?}");
                 }
-                return Ok(CallOutcome::Stored);
+                return Ok(CallOutcome::Stored { log_end: offset + records.len() as u64 });
             }
             Err(LogError::Fenced | LogError::EndMismatch) => return Err(Fenced),
             Err(e @ LogError::Refused(_)) => return Ok(CallOutcome::Refused(e.to_string())),
--- a/daisy-node/src/own/calls.rs
+++ b/daisy-node/src/own/calls.rs
@@ -29,6 +29,7 @@
     id: WorkerId,
     started_at_ms: u64,
     address: SocketAddr,
+    token: u64,
 }
 
 impl Calls {
@@ -40,8 +41,9 @@
             id: worker.id.clone(),
             started_at_ms: worker.started_at_ms,
             address: worker.address,
+            token: worker.token,
         };
-        let this = self.clone();
+        let this = Calls { client: self.client.with_token(worker.token), ..self.clone() };
         tokio::spawn(async move {
             let event = match action {
                 Action::Renew { deadline_ms, cursor, wait, .. } => {
@@ -63,7 +65,7 @@
     async fn renew_lease(&self, to: &CallTarget, order: LeaseRenewal) -> Event {
         match self.client.renew_lease(&to.id, to.address, order, ORDER_TIMEOUT).await {
             Ok(answer) => Event::RenewalAnswered(to.key, Some(answer)),
-            Err(RenewalError::Fenced) => Event::Fenced(to.key),
+            Err(RenewalError::Fenced) => Event::RenewalFenced(to.key, to.token),
             Err(RenewalError::OtherIncarnation) => Event::WorkerReplaced(to.key, to.started_at_ms),
             Err(RenewalError::NoUsableAnswer(cause)) => {
                 log::debug!("event=hold_failed worker={} cause=\"{cause}\"", to.id);
--- a/daisy-node/src/own/records.rs
+++ b/daisy-node/src/own/records.rs
@@ -142,13 +142,13 @@
     /// Handles the outcome of an append; returns false if this owner is fenced.
     pub(super) fn handle_append_outcome(&mut self, outcome: Option<AppendOutcome>) -> bool {
         let event = match outcome {
-            Some(AppendOutcome::Progress(Appended { next_guard, refused })) => {
+            Some(AppendOutcome::Progress(Appended { next_guard, refused, log_end })) => {
                 self.is_appending_progress = false;
                 self.next_progress_guard = next_guard;
                 self.handle_refused(&refused);
-                Event::Appended
+                Event::Appended { log_end }
             }
-            Some(AppendOutcome::States(sent_at, Appended { next_guard, refused })) => {
+            Some(AppendOutcome::States(sent_at, Appended { next_guard, refused, .. })) => {
                 self.is_appending_states = false;
                 self.next_states_guard = next_guard;
                 self.ownership.context.metrics.count_refused_records(refused.len());
--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Claim, ImageInterference, IncomingTransfer, JobId, JobSpec, OpenStart, OutgoingTransfer, Phase,
-    Progress, Record, RecordKey, ShardId, TaskId, TransferState, Witnesses,
+    Progress, Record, RecordKey, ShardId, TaskId, TransferState, Witnesses, WorkerId,
 };
 
 /// A job as folded from the records.
@@ -188,6 +188,7 @@
     learned_interference: Vec<ImageInterference>,
     witnesses: Witnesses,
     open_starts: Vec<OpenStart>,
+    long_leases: Vec<WorkerId>,
 }
 
 impl Ledger {
@@ -217,6 +218,10 @@
                 self.open_starts = runs;
                 FoldEffect::Nothing
             }
+            Record::LongLeases(workers) => {
+                self.long_leases = workers;
+                FoldEffect::Nothing
+            }
             Record::Delegated(id, shard) => {
                 match self.jobs.get_mut(&id) {
                     Some(job) => job.delegate(shard),
@@ -417,6 +422,11 @@
         &self.open_starts
     }
 
+    /// Returns the workers that may hold the longest lease.
+    pub fn long_leases(&self) -> &[WorkerId] {
+        &self.long_leases
+    }
+
     /// Returns the `accepted_by_epoch` of the newest witnesses if all owners up to the newest claim
     /// comply with them. A claimant that has read the whole log vouches for that epoch.
     pub fn vouched_epoch(&self) -> Option<u64> {
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -13,6 +13,7 @@
 mod idle_jobs;
 mod intake;
 mod interference;
+mod long_leases;
 mod message;
 mod open_starts;
 mod orders;
@@ -41,6 +42,7 @@
     evacuation::KnownEvacuations,
     idle_jobs::Turns,
     interference::Interference,
+    long_leases::LongLeases,
     open_starts::OpenStarts,
     placement::Reservation,
     removal::Removals,
@@ -170,6 +172,7 @@
     in_flight: Option<InFlightBatch>,
     /// Start orders that may still be carried out.
     open_starts: OpenStarts,
+    long_leases: LongLeases,
     interference: Interference,
     /// When the learned interference was last recorded.
     interference_recorded_at: Instant,
@@ -235,6 +238,8 @@
     transferring: Vec<TaskId>,
     /// Jobs whose progress the batch removes.
     removed: Vec<JobId>,
+    /// Incarnations of workers whose calls get a token that follows from the batch.
+    raised: Vec<(WorkerKey, u64)>,
 }
 
 impl Owner {
@@ -251,6 +256,7 @@
         let succession = Succession::new(now, ownership, ledger.witnesses());
         let interference = Interference::inherit(now, ledger.learned_interference());
         let open_starts = OpenStarts::inherit(ledger.open_starts());
+        let long_leases = LongLeases::inherit(ledger.long_leases());
         let mut owner = Owner {
             settings,
             ledger,
@@ -269,6 +275,7 @@
             unrecorded_starts: Vec::new(),
             in_flight: None,
             open_starts,
+            long_leases,
             interference,
             interference_recorded_at: now,
             orphans: Vec::new(),
@@ -349,7 +356,7 @@
             Event::WorkerReplaced(worker, started_at_ms) => {
                 self.worker_replaced(now, worker, started_at_ms);
             }
-            Event::Fenced(_) => self.actions.push(Action::StepDown),
+            Event::RenewalFenced(worker, token) => self.renewal_fenced(now, worker, token),
             Event::StartAnswered(worker, task, run, reply) => {
                 self.start_answered(now, worker, task, run, reply);
             }
@@ -360,7 +367,7 @@
                 self.pace_answered(worker, task, run, percent, reply);
             }
             Event::ProgressRefused(jobs) => self.progress_refused(&jobs),
-            Event::Appended => self.batch_appended(now),
+            Event::Appended { log_end } => self.batch_appended(now, log_end),
             Event::HeartbeatStored { sent_at } => self.heartbeat_stored(now, sent_at),
             Event::StatesEnded(jobs) => self.removals.noticed.extend(jobs),
             Event::Loads(loads) => self.other_shards.update(loads),
@@ -391,6 +398,7 @@
             && (!nothing_unrecorded
                 || self.succession.has_witnesses_record()
                 || self.open_starts.is_record_due()
+                || self.long_leases.needs_token()
                 || self.removals.has_records())
     }
 
@@ -436,6 +444,8 @@
             self.open_starts.will_send(*key, *task, *run);
         }
         records.extend(self.open_starts.take_record());
+        let raised = self.workers_without_token();
+        records.extend(self.take_long_leases_record(now));
         let (removals, removed) = self.removals.take_records();
         records.extend(removals);
         self.in_flight = Some(InFlightBatch {
@@ -446,6 +456,7 @@
             states,
             delegated,
             transferring,
+            raised,
         });
         Some(Batch { records })
     }
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -98,8 +98,11 @@
 /// Why a worker rejected an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RejectReason {
-    /// The worker has seen a higher epoch.
-    Fenced,
+    /// The worker has seen a higher fencing token.
+    Fenced {
+        /// The order's token.
+        token: u64,
+    },
     /// The run's number is not above that of a run of the task which was stopped or ended on the
     /// worker.
     StaleRun,
@@ -175,8 +178,8 @@
     QueueConfig(Arc<QueueConfig>),
     /// The answer to [`Action::Renew`]; `None` if the call was not answered.
     RenewalAnswered(WorkerKey, Option<RenewalAnswer>),
-    /// A worker rejected a renewal because it has seen a higher epoch.
-    Fenced(WorkerKey),
+    /// A worker rejected a renewal with this fencing token because it has seen a higher one.
+    RenewalFenced(WorkerKey, u64),
     /// Another incarnation answered a renewal for the incarnation of a worker that started at this
     /// time, in milliseconds since 1970: it now has the worker's address.
     WorkerReplaced(WorkerKey, u64),
@@ -190,7 +193,10 @@
     /// batch that contains it.
     ProgressRefused(Vec<JobId>),
     /// The last [`Batch`] was stored in the log, but for what it refused.
-    Appended,
+    Appended {
+        /// The offset after the last of its records that was stored; 0 if none was.
+        log_end: u64,
+    },
     /// The log stored a heartbeat of this owner.
     HeartbeatStored {
         /// When the heartbeat was first sent.
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -31,12 +31,15 @@
 impl Owner {
     /// Handles the storing of the current batch: sends its starts, and acknowledges its ended
     /// runs.
-    pub(super) fn batch_appended(&mut self, now: Instant) {
+    pub(super) fn batch_appended(&mut self, now: Instant, log_end: u64) {
         let Some(it) = self.in_flight.take() else { return };
         self.succession.append_accepted(it.created_at);
         self.succession.witnesses_recorded();
         self.open_starts.record_stored();
-        let InFlightBatch { starts, cursors, states, delegated, transferring, removed, .. } = it;
+        let InFlightBatch {
+            starts, cursors, states, delegated, transferring, removed, raised, ..
+        } = it;
+        self.raise_tokens(now, &raised, log_end);
         self.removals.stored(removed);
         self.states.extend(states);
         delegated.into_iter().for_each(|id| self.forward_job(id));
@@ -142,6 +145,13 @@
         self.remove_copy(task, run, "");
     }
 
+    /// Whether a worker has rejected an order because another owner has called it. Otherwise this
+    /// owner has raised its own token since it sent the order.
+    pub(super) fn is_deposed(&self, key: WorkerKey, reply: OrderReply) -> bool {
+        let OrderReply::Rejected(RejectReason::Fenced { token }) = reply else { return false };
+        self.workers.get(key).is_some_and(|it| token >= it.token)
+    }
+
     pub(super) fn start_answered(
         &mut self,
         now: Instant,
@@ -150,6 +160,9 @@
         run: u32,
         reply: OrderReply,
     ) {
+        if self.is_deposed(key, reply) {
+            return self.actions.push(Action::StepDown);
+        }
         if reply != OrderReply::Unknown {
             let is_confirmed = matches!(reply, OrderReply::Done { .. });
             self.open_starts.answered(task, run, is_confirmed);
@@ -185,7 +198,6 @@
                     self.open_starts.request_resend(key, task, run);
                 }
                 let (allocation, until) = (it.allocation, now + MAX_ORDER_DELAY);
-                worker.unanswered_until = until;
                 worker
                     .delayed_starts
                     .retain(|it| it.until > now && (it.task, it.run) != (task, run));
@@ -201,7 +213,6 @@
                 self.exclude(now, key, EXCLUSION_NO_ANSWER);
                 self.unassign(key, task, run);
             }
-            OrderReply::Rejected(RejectReason::Fenced) => self.actions.push(Action::StepDown),
             // An earlier attempt was carried out and the run has ended: the worker's list of ended
             // runs will say how.
             OrderReply::Rejected(RejectReason::StaleRun) if it.may_be_delayed => {
@@ -267,16 +278,15 @@
         run: u32,
         reply: OrderReply,
     ) {
+        if self.is_deposed(key, reply) {
+            return self.actions.push(Action::StepDown);
+        }
         let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
         it.stop_state = match reply {
             OrderReply::Done { .. } => StopState::Done(now),
             OrderReply::Rejected(RejectReason::StaleRun | RejectReason::LeaseExpired) => {
                 StopState::Done(now)
             }
-            OrderReply::Rejected(RejectReason::Fenced) => {
-                self.actions.push(Action::StepDown);
-                return;
-            }
             OrderReply::Rejected(_) | OrderReply::NotSent | OrderReply::Unknown => {
                 StopState::Due(now + STOP_RETRY_INTERVAL)
             }
@@ -322,7 +332,7 @@
 
 fn reject_cause(cause: RejectReason) -> &'static str {
     match cause {
-        RejectReason::Fenced => "it has seen a higher epoch",
+        RejectReason::Fenced { .. } => "it has seen a higher fencing token",
         RejectReason::StaleRun => "it has ended a later run of a task",
         RejectReason::LeaseExpired => "a start arrived after its lease had expired",
         RejectReason::DoesNotFit => "a start did not fit",
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -11,7 +11,7 @@
         headroom_cost,
     },
     interference::{ImageKey, Interference},
-    message::{Action, OrderReply, RejectReason, StopCause},
+    message::{Action, OrderReply, StopCause},
     placement::PlacementOptions,
     worker::{Assignment, StartState, StopState, Worker, WorkerKey},
 };
@@ -144,9 +144,8 @@
         percent: u8,
         reply: OrderReply,
     ) {
-        if reply == OrderReply::Rejected(RejectReason::Fenced) {
-            self.actions.push(Action::StepDown);
-            return;
+        if self.is_deposed(key, reply) {
+            return self.actions.push(Action::StepDown);
         }
         let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
         it.pace_in_flight = false;
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -7,7 +7,6 @@
 use super::{
     Owner, Settings,
     message::{Action, ActiveRun, Note, RenewalAnswer, StopCause, WorkerListing},
-    open_starts::MAX_ORDER_DELAY,
     worker::{DelayedStart, StartState, StopState, Worker, WorkerKey},
 };
 use crate::{StepSpec, TaskId, WorkerId};
@@ -47,6 +46,7 @@
     }
 
     fn add_worker(&mut self, now: Instant, mut worker: Worker) {
+        worker.token = self.succession.epoch();
         if self.succession.names_earlier_incarnation(&worker) {
             worker.restarted_at = Some(now);
         }
@@ -142,11 +142,11 @@
     /// Processes a restart of a worker under the same id: no earlier run exists any more.
     fn restarted(&mut self, now: Instant, key: WorkerKey, started_at_ms: u64, cause: &'static str) {
         let Some(worker) = self.workers.get_mut(key) else { return };
-        worker.incarnation_ended(now);
         worker.started_at_ms = started_at_ms;
         worker.replaced = false;
         worker.clock = None;
         worker.max_lease_end_ms = 0;
+        worker.needs_token = true;
         worker.fenced = false;
         worker.restarted_at = Some(now);
         worker.cursor_seen = 0;
@@ -180,6 +180,7 @@
             }
             it.listed = false;
         }
+        self.long_leases.request_token();
         self.stop_delayed_starts(now, key);
         for (task, run) in lost {
             self.give_up_run(key, task, run, "its worker restarted");
@@ -246,7 +247,6 @@
         worker.renewal_in_flight = false;
         let Some(answer) = answer else {
             worker.renewal_failures += 1;
-            worker.unanswered_until = now + MAX_ORDER_DELAY;
             if worker.renewal_failures == 1 {
                 self.note_worker(key, "silent", "a renewal was not answered");
             }
@@ -269,6 +269,18 @@
         self.renew(now, key);
     }
 
+    /// Processes the rejection of a renewal that carried `token`.
+    pub(super) fn renewal_fenced(&mut self, now: Instant, key: WorkerKey, token: u64) {
+        if self.workers.get(key).is_none_or(|it| token >= it.token) {
+            return self.actions.push(Action::StepDown);
+        }
+        // The token was raised while the renewal was under way.
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.renewal_in_flight = false;
+        }
+        self.renew(now, key);
+    }
+
     /// Processes the answer of another incarnation to a renewal for the one that started at
     /// `started_at_ms`.
     pub(super) fn worker_replaced(&mut self, now: Instant, key: WorkerKey, started_at_ms: u64) {
@@ -299,16 +311,21 @@
                 cause: "a renewal was answered again",
             }));
         }
-        worker.clock = Some((answer.clock_ms, now));
-        let may_be_extended = worker.lease_extendable_until().is_some();
-        worker.renewal_answered_at = now;
         worker.answered_renewal_sent_at = worker.renewal_sent_at;
+        // Until it has seen the present token, the worker may carry out calls for an earlier
+        // incarnation, and gets no lease.
+        if worker.needs_token || worker.renewal_token < worker.token {
+            return;
+        }
+        worker.clock = Some((answer.clock_ms, now));
         worker.cursor_taken = worker.cursor_taken.max(worker.cursor_sent);
         let is_first_answer = !std::mem::replace(&mut worker.fenced, true);
-        if is_first_answer || may_be_extended {
+        if is_first_answer {
             // An earlier owner may have granted a whole lease just before, and a call for an earlier
             // incarnation the longest one.
-            let granted = if worker.restarted_at.is_some() { lease_max } else { lease };
+            let is_long =
+                worker.restarted_at.is_some() || self.long_leases.is_inherited(&worker.id);
+            let granted = if is_long { lease_max } else { lease };
             let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.max_lease_end_ms = worker.max_lease_end_ms.max(inherited);
         }
@@ -374,6 +391,7 @@
         let deadline_ms = if grant { worker.lease_end(now, lease) } else { None };
         worker.renewal_in_flight = true;
         worker.renewal_sent_at = now;
+        worker.renewal_token = worker.token;
         let wait = renewal_wait(worker, cursor, is_log_slow);
         let cursor = worker.cursor_to_send(cursor);
         worker.cursor_sent = cursor;
@@ -416,9 +434,9 @@
 }
 
 fn is_renewal_due(now: Instant, worker: &Worker, cursor: u64, is_awaited: bool) -> bool {
-    /// Minimum interval between renewals while processed ends are not acknowledged yet: the worker
-    /// would answer at once and list them again.
-    const UNACKNOWLEDGED_ENDS_INTERVAL: Duration = Duration::from_millis(300);
+    /// Minimum interval between renewals while processed ends are not acknowledged yet, for which
+    /// the worker would answer at once and list them again, or while it gets no lease.
+    const READ_AGAIN_INTERVAL: Duration = Duration::from_millis(300);
     /// Retry interval for a worker that does not answer; doubled with each failure up to the
     /// maximum.
     const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -432,7 +450,8 @@
         let pause = RETRY_INTERVAL * 2u32.pow(worker.renewal_failures.min(4));
         return since >= pause.min(MAX_RETRY_INTERVAL);
     }
-    worker.cursor_seen == cursor || since >= UNACKNOWLEDGED_ENDS_INTERVAL
+    let is_answered_at_once = worker.cursor_seen > cursor || worker.needs_token;
+    !is_answered_at_once || since >= READ_AGAIN_INTERVAL
 }
 
 /// Returns how long a worker may wait for a run to end before it answers. This bounds the age of
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Returns the owner's epoch.
+    pub(super) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Records that the log has stored what was sent at `sent_at`.
     pub(super) fn append_accepted(&mut self, sent_at: Instant) {
         self.last_append_sent_at = self.last_append_sent_at.max(sent_at);
@@ -262,28 +267,42 @@
         }
     }
 
-    /// Returns when all leases that an earlier owner may have renewed have expired, if that is
-    /// known.
-    pub(super) fn inherited_leases_end(&self) -> Option<Instant> {
-        let lease = self.settings.lease;
-        self.succession.predecessors_ended_at.map(|it| it + lease + lease / 20)
+    /// Returns when all leases that an earlier owner may have renewed on a worker have expired, if
+    /// that is known.
+    pub(super) fn inherited_leases_end(&self, worker: &WorkerId) -> Option<Instant> {
+        self.succession.predecessors_ended_at.map(|it| it + self.inherited_lease(worker))
     }
 
-    /// Returns the latest time at which all leases of earlier owners have expired, provided that
-    /// the log continues to answer.
-    pub(super) fn latest_inherited_leases_end(&self, now: Instant) -> Instant {
+    /// Returns the latest time at which all leases of earlier owners on a worker have expired,
+    /// provided that the log continues to answer.
+    pub(super) fn latest_inherited_leases_end(&self, now: Instant, worker: &WorkerId) -> Instant {
+        self.latest_predecessors_end(now) + self.inherited_lease(worker)
+    }
+
+    /// Returns the latest time from which on no earlier owner renews leases.
+    fn latest_predecessors_end(&self, now: Instant) -> Instant {
         let it = &self.succession;
-        let lease = self.settings.lease;
-        let predecessors_ended_at =
+        let known =
             it.predecessors_ended_at.or(it.witness_quorum_at.map(|it| it + ANSWER_VALIDITY));
-        predecessors_ended_at.unwrap_or(it.fenced_at.unwrap_or(now) + MAX_RENEWAL_WITHOUT_LOG)
-            + lease
-            + lease / 20
+        known.unwrap_or(it.fenced_at.unwrap_or(now) + MAX_RENEWAL_WITHOUT_LOG)
+    }
+
+    /// Returns how long a lease lasts that an earlier owner may have renewed.
+    fn inherited_lease(&self, worker: &WorkerId) -> Duration {
+        match self.long_leases.is_inherited(worker) {
+            true => self.max_granted_lease(),
+            false => self.usual_inherited_lease(),
+        }
+    }
+
+    fn usual_inherited_lease(&self) -> Duration {
+        self.settings.lease + self.settings.lease / 20
     }
 
     /// Returns how long this owner waits for inherited leases, or `None` once all have expired.
     pub fn try_inherited_leases(&self, now: Instant) -> Option<InheritedLeases> {
-        let time_left = self.latest_inherited_leases_end(now).since(now);
+        let over_at = self.latest_predecessors_end(now) + self.usual_inherited_lease();
+        let time_left = over_at.since(now);
         let witnesses = &self.succession.witnesses;
         (!time_left.is_zero()).then(|| InheritedLeases {
             witnesses: witnesses.len(),
--- a/daisy-workflow/src/owner/summary.rs
+++ b/daisy-workflow/src/owner/summary.rs
@@ -32,6 +32,8 @@
     pub unconfirmed_for: Duration,
     /// Runs whose start orders may still be carried out.
     pub open_starts: usize,
+    /// Workers that may hold the longest lease since a restart.
+    pub long_leases: usize,
     /// Ends of runs that are not acknowledged yet because their tasks could start again.
     pub held_ends: usize,
     /// Free processor time on usable workers, in thousandths of a core.
@@ -61,6 +63,7 @@
         let mut sum = Summary {
             jobs: self.active.len(),
             open_starts: self.open_starts.len(),
+            long_leases: self.count_long_leases(now),
             ..Summary::default()
         };
         for (_, worker) in self.workers.iter() {
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -92,12 +92,13 @@
     }
 
     fn give_up_orphans(&mut self, now: Instant) {
-        if self.orphans.is_empty() || self.inherited_leases_end().is_none_or(|it| now < it) {
+        if self.orphans.is_empty() {
             return;
         }
         let (waiting, over): (Vec<Orphan>, Vec<Orphan>) =
             std::mem::take(&mut self.orphans).into_iter().partition(|it| {
-                self.late_run_expected_until(now, it.named_at, it.task, it.run).is_some()
+                self.inherited_leases_end(&it.worker).is_none_or(|over_at| now < over_at)
+                    || self.late_run_expected_until(now, it.named_at, it.task, it.run).is_some()
             });
         self.orphans = waiting;
         for it in over {
--- a/daisy-workflow/src/owner/unconfirmed_runs.rs
+++ b/daisy-workflow/src/owner/unconfirmed_runs.rs
@@ -60,8 +60,9 @@
         let mut found = Vec::new();
         for (_, worker) in self.workers.iter() {
             let Some(cause) = unconfirmed_cause(worker) else { continue };
-            let over_at =
-                self.runs_over_at(worker).unwrap_or_else(|| self.latest_inherited_leases_end(now));
+            let over_at = self
+                .runs_over_at(worker)
+                .unwrap_or_else(|| self.latest_inherited_leases_end(now, &worker.id));
             let long_running = worker
                 .tasks
                 .iter()
@@ -79,9 +80,9 @@
                 }
             }));
         }
-        let over_at = self.latest_inherited_leases_end(now);
         let long_running = self.orphans.iter().filter(|it| self.is_long_running(it.task));
         found.extend(long_running.map(|it| {
+            let over_at = self.latest_inherited_leases_end(now, &it.worker);
             UnconfirmedRun {
                 task: it.task,
                 run: it.run,
@@ -98,14 +99,8 @@
 
     /// Returns when all runs on an unreachable worker have ended, if that is known.
     pub(super) fn runs_over_at(&self, worker: &Worker) -> Option<Instant> {
-        // A late call extends a lease only while that has not expired.
-        let extended = |over_at: Instant| match worker.lease_extendable_until() {
-            Some(until) => over_at.max(over_at.min(until) + self.max_granted_lease()),
-            None => over_at,
-        };
-        let leases_over_at = worker.leases_over_at().map(extended);
-        let over_at = leases_over_at.or_else(|| self.delayed_starts_over_at(worker));
-        over_at.or_else(|| self.inherited_leases_end())
+        let over_at = worker.leases_over_at().or_else(|| self.delayed_starts_over_at(worker));
+        over_at.or_else(|| self.inherited_leases_end(&worker.id))
     }
 
     /// Returns when all runs have ended that orders for an earlier incarnation can start on a
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -8,7 +8,6 @@
     best_effort::{self, InterferenceLoad},
     interference::{ImageKey, Interference},
     message::StopCause,
-    open_starts::MAX_ORDER_DELAY,
     succession::Witness,
 };
 use crate::{StepSpec, TaskId, WorkerId, WorkerListing};
@@ -168,23 +167,25 @@
     pub(crate) clock: Option<(u64, Instant)>,
     /// The latest lease end that the worker may ever have been granted, on its own clock.
     pub(crate) max_lease_end_ms: u64,
-    /// Whether the known incarnation has answered under this owner's epoch, and so rejects orders
-    /// of earlier epochs.
+    /// The fencing token of calls to the worker: the owner's epoch, or a later offset of the log if
+    /// the worker has restarted since.
+    pub token: u64,
+    /// Whether calls for an earlier incarnation may carry the same token.
+    pub(crate) needs_token: bool,
+    /// Whether the known incarnation has answered a call with the present token, and so rejects
+    /// those with a lower one.
     pub(crate) fenced: bool,
     /// When a restart of the worker was noticed: orders for the previous incarnation may still
     /// reach it.
     pub(crate) restarted_at: Option<Instant>,
-    /// Until when unanswered calls to the known incarnation, and to earlier ones, may still be carried
-    /// out.
-    pub(crate) unanswered_until: Instant,
-    pub(crate) late_calls_until: Instant,
     /// Whether another incarnation has answered at the worker's address, so that the known one has
     /// ended.
     pub(crate) replaced: bool,
     /// When the last list of the platform's machines was requested, if it names the worker.
     pub(crate) named_at: Option<Instant>,
     pub(crate) renewal_in_flight: bool,
-    pub(crate) renewal_answered_at: Instant,
+    /// The token of the last renewal that was sent.
+    pub(crate) renewal_token: u64,
     pub(crate) renewal_sent_at: Instant,
     /// When the last renewal that was answered was sent.
     pub(crate) answered_renewal_sent_at: Instant,
@@ -248,14 +249,14 @@
             tasks: Vec::new(),
             clock: None,
             max_lease_end_ms: 0,
+            token: 0,
+            needs_token: false,
             fenced: false,
             restarted_at: None,
-            unanswered_until: Instant::default(),
-            late_calls_until: Instant::default(),
             replaced: false,
             named_at: None,
             renewal_in_flight: false,
-            renewal_answered_at: Instant::default(),
+            renewal_token: 0,
             renewal_sent_at: Instant::default(),
             answered_renewal_sent_at: Instant::default(),
             renewal_failures: 0,
@@ -334,24 +335,6 @@
         Some(at + Duration::from_millis(left * 1_000 / (1_000 - MAX_CLOCK_DRIFT_PERMILLE) + 1))
     }
 
-    /// Notes that the calls so far went to an earlier incarnation than the one that is known now.
-    pub(crate) fn incarnation_ended(&mut self, now: Instant) {
-        let is_called = self.renewal_in_flight
-            || self.tasks.iter().any(|it| it.start_state == StartState::InFlight);
-        let in_flight_until = if is_called { now + MAX_ORDER_DELAY } else { now };
-        self.late_calls_until =
-            self.late_calls_until.max(self.unanswered_until).max(in_flight_until);
-        self.unanswered_until = Instant::default();
-    }
-
-    /// Returns until when a call for an earlier incarnation may still be carried out, if that is later
-    /// than the last answer: it names a time far ahead of this one's clock, for which the worker
-    /// grants its longest lease.
-    pub(crate) fn lease_extendable_until(&self) -> Option<Instant> {
-        let until = self.late_calls_until;
-        (self.restarted_at.is_some() && self.renewal_answered_at < until).then_some(until)
-    }
-
     pub(crate) fn free(&self) -> Resources {
         self.capacity.try_sub(self.used).unwrap_or(Resources::ZERO)
     }
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -26,7 +26,7 @@
 };
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
-    OwnerHeartbeat, Progress, PublishedState, ShardId, TaskId, Witnesses,
+    OwnerHeartbeat, Progress, PublishedState, ShardId, TaskId, Witnesses, WorkerId,
 };
 
 /// The version that this build writes, and the highest that it reads.
@@ -39,6 +39,8 @@
 const WITNESSES_KEY: &str = "witnesses";
 /// The key of the runs whose start orders may still be carried out.
 const OPEN_STARTS_KEY: &str = "open-starts";
+/// The key of the workers that may hold the longest lease.
+const LONG_LEASES_KEY: &str = "long-leases";
 /// The byte before the capacity reports of a heartbeat. What follows the free blocks under another
 /// byte is of a newer build and skipped.
 const CAPACITY_TAG: u8 = b'c';
@@ -89,6 +91,9 @@
     Claim(Claim, Option<u64>),
     /// The runs whose start orders may still be carried out.
     OpenStarts(Vec<OpenStart>),
+    /// The workers that may hold the longest lease, as calls for an earlier incarnation may have
+    /// reached the present one.
+    LongLeases(Vec<WorkerId>),
     /// What the owner has learned about interference between images.
     LearnedInterference(Vec<ImageInterference>),
     /// The workers that must answer a shard's owners while these operate without the log.
@@ -192,6 +197,10 @@
         Record::OpenStarts(runs) => {
             (OPEN_STARTS_KEY.to_owned(), encode_framed(OpenStartsWire::from(&runs[..])))
         }
+        Record::LongLeases(workers) => {
+            let names: Vec<&str> = workers.iter().map(|it| &*it.0).collect();
+            (LONG_LEASES_KEY.to_owned(), encode_framed(names))
+        }
         Record::Delegated(id, shard) => {
             (RecordKey::Delegation(*id).to_string(), encode_framed(shard.0))
         }
@@ -278,6 +287,10 @@
     if key == OPEN_STARTS_KEY {
         return decode_framed::<OpenStartsWire>(value).map(|it| Record::OpenStarts(it.into()));
     }
+    if key == LONG_LEASES_KEY {
+        let names: Vec<String> = decode_framed(value)?;
+        return Ok(Record::LongLeases(names.iter().map(|it| it.as_str().into()).collect()));
+    }
     if key == LAYOUT_KEY {
         return match decode_framed(value)? {
             0 => Err(RecordError::Malformed("layout without shards".to_owned())),
--- a/daisy-workflow/tests/job_transfer.rs
+++ b/daisy-workflow/tests/job_transfer.rs
@@ -96,7 +96,7 @@
 
     let batch = owner.try_batch(at(1_020)).expect("the decision is to be recorded");
     let before = forwarded(owner.take_actions(at(1_020)));
-    owner.handle_event(at(1_030), Event::Appended);
+    owner.handle_event(at(1_030), Event::Appended { log_end: 2 });
     let after = forwarded(owner.take_actions(at(1_030)));
 
     assert!(batch.records.contains(&Record::Delegated(second, OTHER)), "{:?}", batch.records);
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -200,6 +200,7 @@
             OpenStart { task: task(7, 2, 9), run: 1, resent: false },
             OpenStart { task: task(8, 0, 300), run: 4, resent: true },
         ]),
+        Record::LongLeases(vec!["w1".into(), "w2".into()]),
         Record::LearnedInterference(vec![ImageInterference {
             serving: "s".into(),
             best_effort: "b".into(),
--- a/daisy-workflow/tests/util/log.rs
+++ b/daisy-workflow/tests/util/log.rs
@@ -7,9 +7,16 @@
 pub struct Log {
     pub submissions: Vec<Record>,
     progress: Vec<Record>,
+    /// The offset after the last record of progress.
+    pub end: u64,
 }
 
 impl Log {
+    /// Returns a log in which an owner has claimed the shard.
+    pub fn with_claim() -> Log {
+        Log { end: 1, ..Log::default() }
+    }
+
     /// Adds a submission and returns the record as a reader decodes it.
     pub fn submit(&mut self, record: &Record) -> Record {
         let record = encode_and_decode(record);
@@ -39,6 +46,7 @@
     /// Adds records of progress and returns them as a reader decodes them.
     pub fn append(&mut self, records: &[Record]) -> Vec<Record> {
         let records: Vec<Record> = records.iter().map(encode_and_decode).collect();
+        self.end += records.len() as u64;
         for record in &records {
             let key = encode(record).0;
             self.progress.retain(|it| encode(it).0 != key);
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -95,6 +95,7 @@
     sent_at: Instant,
     vm: usize,
     epoch: u64,
+    token: u64,
     /// The worker whose address is called, and the id that the call names.
     to: usize,
     id: String,
@@ -355,7 +356,7 @@
         let last = self.claimed.as_ref();
         let predecessors_expired =
             last.is_none_or(|it| (it.released || it.vm == vm) && it.predecessors_expired);
-        let epoch = last.map_or(0, |it| it.epoch) + 1;
+        let epoch = self.log.end + 1;
         self.claimed = Some(NewestClaim { epoch, vm, predecessors_expired, released: false });
         let mut ledger = self.log.read(false, false);
         if self.ignores_witnesses {
@@ -579,6 +580,7 @@
                     sent_at: now,
                     vm,
                     epoch: process.epoch,
+                    token: target.token,
                     to,
                     id: target.id.0.to_string(),
                     started_at_ms: target.started_at_ms,
@@ -642,14 +644,14 @@
         let claimed = self.claimed.as_mut().expect("the first owner has claimed");
         let newest = if batch.is_some() { claimed.epoch } else { self.last_heartbeat.0 };
         if process.epoch < newest {
-            return Event::Fenced(LOG_KEY);
+            return Event::RenewalFenced(LOG_KEY, u64::MAX);
         }
         match batch {
             Some(batch) => {
                 for record in self.log.store(batch) {
                     self.ledger.fold(record);
                 }
-                Event::Appended
+                Event::Appended { log_end: self.log.end }
             }
             None => {
                 self.last_heartbeat = (process.epoch, self.now);
@@ -668,14 +670,14 @@
         let (due, later) = self.calls.drain(..).partition(|it| it.at <= now);
         self.calls = later;
         let due: Vec<Call> = due;
-        for Call { sent_at, vm, epoch, to, id, started_at_ms, action, .. } in due {
+        for Call { sent_at, vm, epoch, token, to, id, started_at_ms, action, .. } in due {
             let lost = unanswered_event(action.clone()).map(|it| (CALL_TIMEOUT, it));
             let is_replaced = self.workers[to].name != id;
             self.starts_for_replaced +=
                 usize::from(is_replaced && matches!(action, Action::Start(..)));
             let answer = match is_replaced {
                 _ if self.is_down(to) => None,
-                false => self.execute(to, epoch, action),
+                false => self.execute(to, token, action),
                 true => replaced_event(action, started_at_ms).map(|it| (TICK, it)),
             };
             let back = !self.is_down(to) && self.can_send(Node::Worker(to), Node::Vm(vm));
@@ -687,7 +689,7 @@
         }
     }
 
-    fn execute(&mut self, at: usize, epoch: u64, action: Action) -> Option<(Duration, Event)> {
+    fn execute(&mut self, at: usize, token: u64, action: Action) -> Option<(Duration, Event)> {
         let work_ms = match &action {
             Action::Start(_, start) => self.work_ms(start),
             _ => 0,
@@ -696,7 +698,7 @@
         let before = worker.runs.len();
         let task = if let Action::Start(_, it) = &action { Some(it.task) } else { None };
         let action = with_max_wait(action, HOLD_WAIT_MAX);
-        let answer = worker.execute(now, epoch, action, work_ms);
+        let answer = worker.execute(now, token, action, work_ms);
         let began = worker.runs.len() > before;
         self.started_runs.extend(task.filter(|_| began).map(|it| (it, now)));
         answer
@@ -769,5 +771,8 @@
 }
 
 fn is_log_answer(event: &Event) -> bool {
-    matches!(event, Event::Appended | Event::HeartbeatStored { .. } | Event::Fenced(LOG_KEY))
+    matches!(
+        event,
+        Event::Appended { .. } | Event::HeartbeatStored { .. } | Event::RenewalFenced(LOG_KEY, _)
+    )
 }
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -22,6 +22,7 @@
 pub struct Simulation {
     pub now: Instant,
     pub epoch: u64,
+    previous_epoch: u64,
     pub owner: Owner,
     pub workers: Vec<FakeWorker>,
     /// The ledger that every entry VM has read.
@@ -86,6 +87,7 @@
         Simulation {
             now,
             epoch: 1,
+            previous_epoch: 0,
             owner: owner(now, 1, ledger.clone(), true, shard, layout, rules, None),
             shard,
             layout,
@@ -104,7 +106,7 @@
             fails: |_| false,
             pending: None,
             events: Vec::new(),
-            log: Log::default(),
+            log: Log::with_claim(),
             gangs: Gangs::default(),
             gang_checkpoints: SortedMap::new(),
             told_incarnations: SortedMap::new(),
@@ -135,7 +137,9 @@
 
     /// Replaces the owner by one that starts from the folded ledger.
     pub fn change_owner(&mut self, predecessor_ended: bool) {
-        self.epoch += 1;
+        self.previous_epoch = self.epoch;
+        self.epoch = self.log.end + 1;
+        self.log.end = self.epoch;
         self.pending = None;
         self.events.clear();
         self.stepped_down = false;
@@ -147,7 +151,7 @@
             self.shard,
             self.layout,
             self.rules,
-            Some(self.epoch - 1),
+            Some(self.previous_epoch),
         );
     }
 
@@ -160,7 +164,7 @@
     /// Replaces the owner by one that starts from `ledger`.
     pub fn replace_owner(&mut self, ledger: Ledger) {
         self.change_owner(true);
-        let vouched_epoch = Some(self.epoch - 1);
+        let vouched_epoch = Some(self.previous_epoch);
         self.owner = owner(
             self.now,
             self.epoch,
@@ -283,7 +287,7 @@
             && let Some((_, batch)) = self.pending.take()
         {
             self.store(&batch);
-            self.owner.handle_event(self.now, Event::Appended);
+            self.owner.handle_event(self.now, Event::Appended { log_end: self.log.end });
             for action in self.owner.take_actions(self.now) {
                 self.carry_out(action);
             }
@@ -323,9 +327,10 @@
     fn call(&mut self, action: Action) {
         let Some(key) = target_worker(&action) else { return };
         let work_ms = if let Action::Start(_, it) = &action { (self.work_ms)(it.task) } else { 0 };
-        let (now, epoch) = (self.now, self.epoch);
+        let token = self.owner.worker(key).expect("a worker that the owner knows").token;
+        let now = self.now;
         let action = with_max_wait(action, self.hold_wait_max);
-        if let Some((after, event)) = self.worker_by_key(key).execute(now, epoch, action, work_ms) {
+        if let Some((after, event)) = self.worker_by_key(key).execute(now, token, action, work_ms) {
             self.events.push((now + after, event));
         }
     }
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -99,7 +99,7 @@
     /// the run.
     pub unconfirmed_failures: Vec<(u64, TaskId, u32)>,
     pub final_failures: Vec<(TaskId, u32)>,
-    /// Orders that will be carried out later: when, their epoch, the order, and the work in
+    /// Orders that will be carried out later: when, their token, the order, and the work in
     /// milliseconds.
     pub delayed_orders: Vec<(u64, u64, Start, u64)>,
 }
@@ -212,24 +212,24 @@
     pub fn execute(
         &mut self,
         now: Instant,
-        epoch: u64,
+        token: u64,
         action: Action,
         work_ms: u64,
     ) -> Option<(Duration, Event)> {
         Some(match action {
             Action::Renew { worker: key, deadline_ms, cursor, wait } => {
-                match self.hold(now, epoch, deadline_ms, cursor) {
+                match self.hold(now, token, deadline_ms, cursor) {
                     None => (Duration::from_millis(300), Event::RenewalAnswered(key, None)),
-                    Some(Err(())) => (TICK, Event::Fenced(key)),
+                    Some(Err(())) => (TICK, Event::RenewalFenced(key, token)),
                     Some(Ok(answer)) => (wait.max(TICK), Event::RenewalAnswered(key, Some(answer))),
                 }
             }
             Action::Start(key, start) => {
-                let reply = self.start(now, epoch, &start, work_ms);
+                let reply = self.start(now, token, &start, work_ms);
                 (TICK, Event::StartAnswered(key, start.task, start.run, reply))
             }
             Action::Stop(key, task, run, _) => {
-                let reply = self.stop(now, epoch, task, run);
+                let reply = self.stop(now, token, task, run);
                 (TICK, Event::StopAnswered(key, task, run, reply))
             }
             Action::Pace(key, task, run, percent) => {
@@ -255,8 +255,8 @@
         let clock = self.clock(now);
         let due: Vec<_> = self.delayed_orders.iter().filter(|it| it.0 <= clock).cloned().collect();
         self.delayed_orders.retain(|it| it.0 > clock);
-        for (_, epoch, start, work_ms) in due {
-            self.accept(clock, epoch, &start, work_ms);
+        for (_, token, start, work_ms) in due {
+            self.accept(clock, token, &start, work_ms);
         }
         // A lease that ends while nothing runs makes no end void.
         if clock > self.deadline && !self.runs.is_empty() {
@@ -329,28 +329,28 @@
         });
     }
 
-    pub fn start(&mut self, now: Instant, epoch: u64, start: &Start, work_ms: u64) -> OrderReply {
+    pub fn start(&mut self, now: Instant, token: u64, start: &Start, work_ms: u64) -> OrderReply {
         let clock = self.clock(now);
         match self.fault {
             Fault::Unreachable => OrderReply::Unknown,
             Fault::RejectsStarts => OrderReply::Rejected(RejectReason::Unhealthy),
             Fault::LosesAnswers => {
-                self.accept(clock, epoch, start, work_ms);
+                self.accept(clock, token, start, work_ms);
                 OrderReply::Unknown
             }
             Fault::DelaysStarts(by) => {
-                self.delayed_orders.push((clock + by, epoch, start.clone(), work_ms));
+                self.delayed_orders.push((clock + by, token, start.clone(), work_ms));
                 OrderReply::Unknown
             }
-            _ => self.accept(clock, epoch, start, work_ms),
+            _ => self.accept(clock, token, start, work_ms),
         }
     }
 
-    fn accept(&mut self, clock: u64, epoch: u64, start: &Start, work_ms: u64) -> OrderReply {
-        if epoch < self.fence {
-            return OrderReply::Rejected(RejectReason::Fenced);
+    fn accept(&mut self, clock: u64, token: u64, start: &Start, work_ms: u64) -> OrderReply {
+        if token < self.fence {
+            return OrderReply::Rejected(RejectReason::Fenced { token });
         }
-        self.fence = epoch;
+        self.fence = token;
         if self.runs.iter().any(|it| it.task == start.task && it.run == start.run) {
             return OrderReply::Done { clock_ms: clock };
         }
@@ -386,14 +386,14 @@
         }
     }
 
-    pub fn stop(&mut self, now: Instant, epoch: u64, task: TaskId, run: u32) -> OrderReply {
+    pub fn stop(&mut self, now: Instant, token: u64, task: TaskId, run: u32) -> OrderReply {
         if self.fault == Fault::Unreachable {
             return OrderReply::Unknown;
         }
-        if epoch < self.fence {
-            return OrderReply::Rejected(RejectReason::Fenced);
+        if token < self.fence {
+            return OrderReply::Rejected(RejectReason::Fenced { token });
         }
-        self.fence = epoch;
+        self.fence = token;
         let clock = self.clock(now);
         match self.runs.iter_mut().find(|it| it.task == task && it.run == run) {
             Some(it) => it.stopping = it.stopping.or(Some(clock + 200)),
@@ -406,17 +406,17 @@
     pub fn hold(
         &mut self,
         now: Instant,
-        epoch: u64,
+        token: u64,
         deadline_ms: Option<u64>,
         cursor: u64,
     ) -> Option<Result<RenewalAnswer, ()>> {
         if self.fault == Fault::Unreachable {
             return None;
         }
-        if epoch < self.fence {
+        if token < self.fence {
             return Some(Err(()));
         }
-        self.fence = epoch;
+        self.fence = token;
         let clock = self.clock(now);
         self.grant(clock, deadline_ms.unwrap_or_default());
         self.ends.retain(|it| it.number > cursor);
@@ -463,9 +463,9 @@
         let (labels, late) = (self.labels.clone(), std::mem::take(&mut self.delayed_orders));
         // Its clock restarts, and orders in flight still arrive, though not before the owner has
         // had time for a call: nobody could prevent an order that is carried out right at the
-        // start, under an epoch that the new incarnation has not seen replaced.
+        // start, with a token that the new incarnation has not seen replaced.
         let at = now.0 / 1_000 + restarted.clock_offset_ms + 300;
-        let late = late.into_iter().map(|(_, epoch, start, work)| (at, epoch, start, work));
+        let late = late.into_iter().map(|(_, token, start, work)| (at, token, start, work));
         *self = FakeWorker {
             started_at_ms,
             port,
