Play lost and late calls of every kind, and gangs without a fault

Kinds of work that no deployment sends were played with late and lost starts alone. Seeded schedules now lose, or delay, renewals, stops and paces too, and each start is checked against the steps that it depends on, its set time, and acknowledged ends of its task. Set times are now later than the submission in most schedules: an owner of the model began at 1970, so all were due at once.

A gang that is started in part is a fault unless something else has failed, so schedules of changes that are no fault end no run as incomplete.

The check that all jobs are completed accepts cancelled ones, which only the schedules without a fault have.

--- a/daisy-workflow/tests/chaos.rs
+++ b/daisy-workflow/tests/chaos.rs
@@ -29,7 +29,8 @@
     let steps = vec![constrained, step_after(&[0], step(1))];
     let timed = rng.u8(..4) == 0;
     let (occurrences, interval_ms) = if timed { (3, 800) } else { (1, 0) };
-    JobSpec { timed, occurrences, interval_ms, ..job(steps) }
+    let first_due_ms = if timed { rng.u64(1_000..15_000) } else { 0 };
+    JobSpec { timed, occurrences, first_due_ms, interval_ms, ..job(steps) }
 }
 
 /// A kind of schedule.
@@ -98,15 +99,35 @@
     }
 }
 
+/// As [`fault_of_kinds`]; besides, calls of any kind are lost or late.
+fn fault_of_calls(rng: &mut fastrand::Rng, sim: &mut Simulation) {
+    let at = rng.usize(..sim.workers.len());
+    match rng.u8(..6) {
+        0 => sim.workers[at].fault = Fault::LosesAllAnswers,
+        1 => sim.workers[at].fault = Fault::DelaysCalls(rng.u64(500..8_000)),
+        _ => fault_of_kinds(rng, sim),
+    }
+}
+
+/// Changes what is no fault: the sizes of the fleet and of the backlog.
+fn no_fault(rng: &mut fastrand::Rng, sim: &mut Simulation) {
+    match rng.u8(..4) {
+        0 => sim.cancel(rng.u64(..JOBS).min(sim.ledger.jobs().count() as u64 - 1)),
+        1 => sim.workers.push(FakeWorker::new(&format!("w{}", sim.workers.len()), 4)),
+        _ => {}
+    }
+}
+
 fn check(seed: u64, schedule: Schedule) {
     let mut sim = run_schedule(seed, schedule);
     let is_long_running = |sim: &Simulation, id: u64| {
         let job = sim.ledger.job(daisy_workflow::JobId(id)).expect("submitted");
         job.spec.steps[0].long_running
     };
-    let done = sim.run_until(60_000, |it| {
-        (0..JOBS).all(|id| is_long_running(it, id) || it.state(id) == JobState::Completed)
-    });
+    let is_done = |it: &Simulation, id: u64| {
+        matches!(it.state(id), JobState::Completed | JobState::Cancelled) || is_long_running(it, id)
+    };
+    let done = sim.run_until(60_000, |it| (0..JOBS).all(|id| is_done(it, id)));
     assert!(done, "seed {seed}: jobs are not completed");
 }
 
@@ -133,3 +154,25 @@
         check(seed, Schedule { next_job: constrained_job, fault: fault_of_kinds });
     }
 }
+
+/// Guards against the same failures where calls of any kind are lost or late.
+#[test]
+fn constrained_jobs_complete_beside_lost_and_late_calls() {
+    for seed in 0..200 {
+        check(seed, Schedule { next_job: constrained_job, fault: fault_of_calls });
+    }
+}
+
+/// Guards against members of a gang that wait in vain for the others, though nothing has failed.
+#[test]
+fn no_gang_is_started_in_part_without_a_fault() {
+    for seed in 0..200 {
+        let sim = run_schedule(seed, Schedule { next_job: constrained_job, fault: no_fault });
+
+        let incomplete = sim.gangs.incomplete.iter();
+        let uncancelled: Vec<_> =
+            incomplete.filter(|it| sim.state(it.job.0) != JobState::Cancelled).collect();
+
+        assert!(uncancelled.is_empty(), "seed {seed}: {uncancelled:?}");
+    }
+}
--- a/daisy-workflow/tests/util/gangs.rs
+++ b/daisy-workflow/tests/util/gangs.rs
@@ -3,14 +3,18 @@
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{Ledger, Outcome, TaskId};
 
-use super::worker::FakeWorker;
+use super::worker::{FakeRun, FakeWorker};
 
 /// How long a member waits for the others, in milliseconds.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 
 /// The runs of gangs whose members were all present at a time.
 #[derive(Debug, Clone, Default)]
-pub struct Gangs(SortedMap<(TaskId, u32), ()>);
+pub struct Gangs {
+    formed: SortedMap<(TaskId, u32), ()>,
+    /// Runs of members that ended because others were missing.
+    pub incomplete: Vec<TaskId>,
+}
 
 impl Gangs {
     /// Lets members work, or ends them, by which members of their run are present.
@@ -34,9 +38,9 @@
             .count as usize;
             let of_gang = |task: TaskId| TaskId { index: 0, ..task } == first;
             if present == count {
-                self.0.insert(key, ());
+                self.formed.insert(key, ());
             }
-            let has_formed = self.0.contains_key(&key);
+            let has_formed = self.formed.contains_key(&key);
             let done = |it: &FakeWorker| {
                 it.ends
                     .iter()
@@ -54,12 +58,15 @@
                 }
                 let members = worker.runs.iter_mut().filter(|it| of_gang(it.task) && it.run == run);
                 members.for_each(|it| it.waits_for_gang = !has_formed);
-                worker.end_runs(now, Outcome::GangIncomplete, |it| {
+                let is_incomplete = |it: &FakeRun| {
                     of_gang(it.task)
                         && it.run == run
                         && it.waits_for_gang
                         && clock >= it.run_started_ms + GANG_TIMEOUT_MS
-                });
+                };
+                let incomplete = worker.runs.iter().filter(|it| is_incomplete(it));
+                self.incomplete.extend(incomplete.map(|it| it.task));
+                worker.end_runs(now, Outcome::GangIncomplete, is_incomplete);
             }
         }
     }
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -50,7 +50,7 @@
     pending: Option<(Instant, Batch)>,
     events: Vec<(Instant, Event)>,
     log: Log,
-    gangs: Gangs,
+    pub gangs: Gangs,
     /// The checkpoint that the starts of each run of a gang carry.
     pub gang_checkpoints: SortedMap<(TaskId, u32), String>,
     /// The start time of each worker's incarnation that an owner was told last.
@@ -304,6 +304,7 @@
         if let Action::Start(key, start) = &action {
             check_start(&self.ledger, start);
             check_attempts(&self.ledger, &self.workers, start);
+            self.check_order(start);
             self.check_gang_start(start);
             self.check_label(*key, start);
             let name = self.worker_by_key(*key).name.clone();
@@ -360,6 +361,22 @@
         assert!(has_label || !is_told, "{} is started without its label", start.task);
     }
 
+    /// Checks that a task is started at its time, after the steps that it depends on, and not after an
+    /// acknowledged end.
+    fn check_order(&self, start: &Start) {
+        let TaskId { job, occurrence, step, .. } = start.task;
+        let job = self.ledger.job(job).expect("checked before");
+        let step = &job.spec.steps[usize::from(step)];
+        let tasks = &job.progress.occurrences[occurrence as usize];
+        let mut before = step.depends_on.iter().flat_map(|it| &tasks[usize::from(*it)]);
+        assert!(before.all(|it| it.done), "{} is started before its turn", start.task);
+        let due = Duration::from_millis(job.spec.due_ms(occurrence));
+        assert!(self.now >= Instant::default() + due, "{} is started early", start.task);
+        let ends = self.workers.iter().flat_map(|it| &it.final_ends);
+        let has_ended = ends.map(|(task, _)| *task).any(|it| it == start.task);
+        assert!(step.speculative || !has_ended, "{} is started after its end", start.task);
+    }
+
     /// Checks that all members of a gang's run are started from the same checkpoint.
     fn check_gang_start(&mut self, start: &Start) {
         let TaskId { job, step, .. } = start.task;
@@ -442,5 +459,5 @@
         epoch,
         vouched_epoch,
     };
-    Owner::new(now, 0, settings, ledger, super::queues(), claimed)
+    Owner::new(now, now.0 / 1_000, settings, ledger, super::queues(), claimed)
 }
--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -21,6 +21,10 @@
     LosesAnswers,
     /// Orders to start get no answer and are carried out this many milliseconds later.
     DelaysStarts(u64),
+    /// Calls of any kind are carried out, but their answers are lost.
+    LosesAllAnswers,
+    /// Calls of any kind get no answer and are carried out this many milliseconds later.
+    DelaysCalls(u64),
     /// Orders to start are rejected.
     RejectsStarts,
     /// Every run fails as soon as it starts.
@@ -32,6 +36,9 @@
 /// Maximum time for which a renewal waits for an end, unless a test sets another.
 pub const HOLD_WAIT_MAX: Duration = Duration::from_millis(50);
 
+/// Time after which a call without an answer ends.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Work in milliseconds of a long-running task, which runs until it is stopped.
 pub const LONG_RUNNING_WORK_MS: u64 = 600_000;
 
@@ -102,6 +109,8 @@
     /// Orders that will be carried out later: when, their token, the order, and the work in
     /// milliseconds.
     pub delayed_orders: Vec<(u64, u64, Start, u64)>,
+    /// Calls of any kind that will be carried out later, as [`FakeWorker::delayed_orders`].
+    pub delayed_calls: Vec<(u64, u64, Action, u64)>,
 }
 
 /// Returns the worker that an action calls.
@@ -180,6 +189,7 @@
             unconfirmed_failures: Vec::new(),
             final_failures: Vec::new(),
             delayed_orders: Vec::new(),
+            delayed_calls: Vec::new(),
         }
     }
 
@@ -215,11 +225,32 @@
         token: u64,
         action: Action,
         work_ms: u64,
+    ) -> Option<(Duration, Event)> {
+        let unanswered = unanswered_event(action.clone()).map(|it| (CALL_TIMEOUT, it));
+        match self.fault {
+            Fault::DelaysCalls(by) => {
+                self.delayed_calls.push((self.clock(now) + by, token, action, work_ms));
+                unanswered
+            }
+            Fault::LosesAllAnswers => {
+                self.carry_out(now, token, action, work_ms);
+                unanswered
+            }
+            _ => self.carry_out(now, token, action, work_ms),
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        token: u64,
+        action: Action,
+        work_ms: u64,
     ) -> Option<(Duration, Event)> {
         Some(match action {
             Action::Renew { worker: key, deadline_ms, cursor, wait } => {
                 match self.hold(now, token, deadline_ms, cursor) {
-                    None => (Duration::from_millis(300), Event::RenewalAnswered(key, None)),
+                    None => (CALL_TIMEOUT, Event::RenewalAnswered(key, None)),
                     Some(Err(())) => (TICK, Event::RenewalFenced(key, token)),
                     Some(Ok(answer)) => (wait.max(TICK), Event::RenewalAnswered(key, Some(answer))),
                 }
@@ -258,6 +289,12 @@
         for (_, token, start, work_ms) in due {
             self.accept(clock, token, &start, work_ms);
         }
+        let due = self.delayed_calls.extract_if(.., |it| it.0 <= clock).collect::<Vec<_>>();
+        let fault = std::mem::take(&mut self.fault);
+        for (_, token, action, work_ms) in due {
+            self.carry_out(now, token, action, work_ms);
+        }
+        self.fault = fault;
         // A lease that ends while nothing runs makes no end void.
         if clock > self.deadline && !self.runs.is_empty() {
             self.unconfirmed_ends.clear();
@@ -466,13 +503,17 @@
         // start, with a token that the new incarnation has not seen replaced.
         let at = now.0 / 1_000 + restarted.clock_offset_ms + 300;
         let late = late.into_iter().map(|(_, token, start, work)| (at, token, start, work));
+        let late_calls = std::mem::take(&mut self.delayed_calls).into_iter();
+        let late_calls = late_calls.map(|(_, token, action, work)| (at, token, action, work));
         *self = FakeWorker {
             started_at_ms,
             port,
             labels,
             checkpoint_ms: self.checkpoint_ms,
             final_failures: std::mem::take(&mut self.final_failures),
+            final_ends: std::mem::take(&mut self.final_ends),
             delayed_orders: late.collect(),
+            delayed_calls: late_calls.collect(),
             ..restarted
         };
     }
