--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -107,3 +107,25 @@
 pub fn task(job: u64, step: u16, index: u32) -> TaskId {
     TaskId { job: JobId(job), occurrence: 0, step, index }
 }
+
+/// Returns a job with a gang, copies, a label, a limit a worker, or set times.
+pub fn constrained_job(rng: &mut fastrand::Rng) -> JobSpec {
+    let plain = step(rng.u32(1..5));
+    let constrained = match rng.u8(..5) {
+        0 => StepSpec { gang: true, ..plain },
+        1 => StepSpec { gang: true, checkpoints: true, same_rack: true, ..plain },
+        2 => StepSpec { required_label: Some("a".into()), ..plain },
+        3 => StepSpec { max_per_worker: 1, ..plain },
+        _ => StepSpec { speculative: true, data_rack: Some("r1".into()), ..plain },
+    };
+    let steps = vec![constrained, step_after(&[0], step(1))];
+    let timed = rng.u8(..4) == 0;
+    let (occurrences, interval_ms) = if timed { (3, 800) } else { (1, 0) };
+    JobSpec { timed, occurrences, interval_ms, ..job(steps) }
+}
+
+/// As [`constrained_job`], with set times that are later than the submission in most schedules.
+pub fn constrained_job_due_later(rng: &mut fastrand::Rng) -> JobSpec {
+    let spec = constrained_job(rng);
+    JobSpec { first_due_ms: if spec.timed { rng.u64(1_000..15_000) } else { 0 }, ..spec }
+}
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -373,6 +373,7 @@
             epoch,
             owner: owner(
                 self.now,
+                0,
                 epoch,
                 ledger,
                 predecessors_expired,
