Bound what callers' unfinished requests take of a process

Cause: what a caller can take was bounded for each request and not for all. Every connection could hold a body of 262,144 bytes for ever, a chunk kept the whole buffer that it was received in, and heads were bounded by the library's default of some 400 KB. The process knew neither its memory nor its descriptors.

Change: connections are bounded by memory and descriptors, and the one that has waited longest for its caller makes place for a new one. Heads follow the configuration's header-bytes. What does not fit is rejected with 503 and Retry-After before anything has run.

--- a/daisy-measure/src/overload/simulation.rs
+++ b/daisy-measure/src/overload/simulation.rs
@@ -362,5 +362,11 @@
 
 fn queue_config() -> Arc<QueueConfig> {
     let services = vec![Service { name: "shop".into(), admission_control: false, connections: 64 }];
-    Arc::new(QueueConfig { version: 1, queues: Vec::<Queue>::new(), services, body_bytes: 1 << 18 })
+    Arc::new(QueueConfig {
+        version: 1,
+        queues: Vec::<Queue>::new(),
+        services,
+        body_bytes: 1 << 18,
+        head_bytes: 1 << 14,
+    })
 }
--- a/daisy-node/src/callers.rs
+++ b/daisy-node/src/callers.rs
@@ -1,12 +1,14 @@
 //! The HTTP server for callers.
 
+mod body;
+mod connections;
+
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use daisy_platform::DEADLINE_HEADER;
-use daisy_workflow::QueueConfig;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -18,6 +20,11 @@
     time::Instant,
 };
 
+use self::body::BodyError;
+pub(crate) use self::{
+    body::{RequestMemory, TakenMemory},
+    connections::{Connection, Connections},
+};
 use crate::{
     metrics::Metrics,
     submit::{Answer, Submissions},
@@ -25,6 +32,10 @@
 
 /// How long the head of a request may take to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The longest time in which a body must arrive, whatever its caller and its queue allow.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+/// The shortest limit on the bytes of a head that the HTTP library accepts.
+const MIN_HEAD_BYTES: usize = 8_192;
 /// How long a request may take if neither its caller nor its queue sets a limit.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most bytes of the rest of a request body that are read once the answer is known.
@@ -36,6 +47,7 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     submissions: Submissions,
+    connections: Connections,
     metrics: Metrics,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -47,11 +59,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let connection = connections.open().await;
                 let watcher = graceful.watcher();
                 let submissions = submissions.clone();
                 let metrics = metrics.clone();
                 tokio::spawn(async move {
-                    serve_connection(stream, submissions, metrics, watcher).await;
+                    serve_connection(stream, connection, submissions, metrics, watcher).await;
                 });
             }
             Err(e) => {
@@ -67,6 +80,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    connection: Connection,
     submissions: Submissions,
     metrics: Metrics,
     watcher: hyper_util::server::graceful::Watcher,
@@ -74,29 +88,40 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=nodelay_refused cause=\"{e}\"");
     }
+    let head_bytes = submissions.shared.lock().queues.as_ref().map_or(0, |it| it.head_bytes);
+    let connection = Arc::new(connection);
+    let (served, request_metrics) = (connection.clone(), metrics.clone());
     let service = service_fn(move |req| {
-        let submissions = submissions.clone();
-        let metrics = metrics.clone();
-        async move { Ok::<_, Infallible>(respond(req, submissions, metrics).await) }
+        let (submissions, metrics) = (submissions.clone(), request_metrics.clone());
+        let connection = served.clone();
+        async move { Ok::<_, Infallible>(respond(req, &connection, submissions, metrics).await) }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(e) = watcher.watch(serving).await {
-        log::debug!("event=caller_lost cause=\"{e}\"");
+    tokio::select! {
+        outcome = watcher.watch(serving) => {
+            if let Err(e) = outcome {
+                log::debug!("event=caller_lost cause=\"{e}\"");
+            }
+        }
+        () = connection.closed() => metrics.count_closed_connection(),
     }
 }
 
 async fn respond(
     req: Request<Incoming>,
+    connection: &Connection,
     submissions: Submissions,
     metrics: Metrics,
 ) -> Response<Full<Bytes>> {
     let began = Instant::now();
     let (parts, mut body) = req.into_parts();
-    let answer = answer(&parts, &mut body, &submissions, began).await;
+    let answer = answer(&parts, &mut body, connection, &submissions, began).await;
     let is_body_consumed = skip_rest(body).await;
+    connection.begin_wait();
     metrics.count_request(&parts.method, answer.status, began.elapsed());
     let mut res = Response::new(Full::new(Bytes::from(answer.body)));
     *res.status_mut() = answer.status;
@@ -114,6 +139,7 @@
 async fn answer(
     parts: &Parts,
     body: &mut Incoming,
+    connection: &Connection,
     submissions: &Submissions,
     began: Instant,
 ) -> Answer {
@@ -124,23 +150,28 @@
     let Some(queue) = queues.route(host(&parts.headers, parts.uri.host()), path) else {
         return Answer::error(StatusCode::NOT_FOUND, "no queue has this host and path");
     };
-    let body = match read_body(body, &queues).await {
-        Ok(body) => body,
-        Err(answer) => return answer,
-    };
     let deadline = began + request_timeout(&parts.headers, queue.timeout_ms);
+    let body_deadline = deadline.min(began + BODY_TIMEOUT);
+    let read = submissions.memory.read(body, queues.body_bytes, body_deadline).await;
+    let is_closing = !connection.end_wait();
+    let (body, taken) = match read {
+        Ok(_) if is_closing => return Answer::retry_later("the connection is being closed"),
+        Ok(it) => it,
+        Err(e) => return refuse_body(&e),
+    };
     let rest = &path[queue.path_prefix.len()..];
-    submissions.answer(&parts.method, queue, rest, &body, deadline).await
+    submissions.answer(&parts.method, queue, rest, &body, taken, deadline).await
 }
 
-async fn read_body(body: &mut Incoming, queues: &Arc<QueueConfig>) -> Result<Bytes, Answer> {
-    match Limited::new(body, queues.body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Answer::error(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is longer than the configured limit",
-        )),
-        Err(e) => Err(Answer::error(StatusCode::BAD_REQUEST, &e.to_string())),
+fn refuse_body(e: &BodyError) -> Answer {
+    let cause = e.to_string();
+    match e {
+        BodyError::TooLong => Answer::error(StatusCode::PAYLOAD_TOO_LARGE, &cause),
+        BodyError::NoMemory | BodyError::Timeout => {
+            log::debug!("event=body_refused cause=\"{cause}\"");
+            Answer::retry_later(&cause)
+        }
+        BodyError::Broken(_) => Answer::error(StatusCode::BAD_REQUEST, &cause),
     }
 }
 
--- a/daisy-node/src/metrics.rs
+++ b/daisy-node/src/metrics.rs
@@ -66,6 +66,7 @@
     log_bytes: Family<LogCallLabels, Counter>,
     refused_records: Counter,
     removed_jobs: Counter,
+    closed_connections: Counter,
     is_reader: Gauge,
     followers: Gauge,
 }
@@ -91,6 +92,7 @@
             log_bytes: Family::default(),
             refused_records: Counter::default(),
             removed_jobs: Counter::default(),
+            closed_connections: Counter::default(),
             is_reader: Gauge::default(),
             followers: Gauge::default(),
         };
@@ -110,6 +112,8 @@
         registry.register("refused_records", help, metrics.refused_records.clone());
         let help = "Ended jobs whose records were requested to be removed from the log";
         registry.register("removed_jobs", help, metrics.removed_jobs.clone());
+        let help = "Connections closed to make place for others";
+        registry.register("closed_connections", help, metrics.closed_connections.clone());
         let help = "Data centres whose workers get no new tasks";
         registry.register("evacuated", help, metrics.evacuated.clone());
         let help = "Decisions on long-running jobs";
@@ -166,6 +170,11 @@
         self.removed_jobs.inc_by(count as u64);
     }
 
+    /// Counts a connection of a caller that was closed to make place for another.
+    pub fn count_closed_connection(&self) {
+        self.closed_connections.inc();
+    }
+
     /// Counts the start or end of an ownership of this process.
     pub fn count_ownership_change(&self, outcome: &'static str) {
         self.ownership.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     append::Appender,
-    callers,
+    callers::{self, Connections, RequestMemory},
     elect::{self, ElectionContext},
     metrics::Metrics,
     operators::follow_operators,
@@ -62,6 +62,7 @@
         metrics: metrics.clone(),
         queries: queries.clone(),
         policy: *policy,
+        memory: RequestMemory::new(settings.memory_bytes),
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
     tokio::spawn(report_log_usage(log_client.clone(), metrics.clone()));
@@ -82,6 +83,7 @@
     let serving_task = tokio::spawn(callers::serve(
         caller_listener,
         submissions,
+        Connections::new(max_connections(&settings)),
         metrics.clone(),
         serving_stop.clone(),
     ));
@@ -118,6 +120,17 @@
     Ok(())
 }
 
+/// Returns how many connections of callers the process keeps open.
+fn max_connections(settings: &NodeSettings) -> usize {
+    /// What a connection takes at most: its buffers, and a body that is not counted otherwise.
+    const CONNECTION_BYTES: u64 = 48 << 10;
+    /// The part of the memory, and of the file descriptors, that is for callers.
+    const PART_OF_MEMORY: u64 = 4;
+    const PART_OF_FDS: usize = 2;
+    let by_memory = (settings.memory_bytes / PART_OF_MEMORY / CONNECTION_BYTES) as usize;
+    by_memory.min(settings.max_fds / PART_OF_FDS).max(1)
+}
+
 /// Sets the metrics of calls to the log, and logs the calls of each interval in one line.
 async fn report_log_usage(log_client: LogClient, metrics: Metrics) {
     const INTERVAL: Duration = Duration::from_secs(10);
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -6,15 +6,23 @@
     LogClient, LogError, encode_job_state, encode_pending_jobs, parse_submission,
 };
 use daisy_settings::Policy;
-use daisy_workflow::{JobId, Queue, Record, encode};
+use daisy_workflow::{JobId, Queue, Record, StepSpec, encode};
 use http::{Method, StatusCode};
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    admit::Candidate, append::Appender, clock, metrics::Metrics, queries::HeldQueries,
+    admit::Candidate,
+    append::Appender,
+    callers::{RequestMemory, TakenMemory},
+    clock,
+    metrics::Metrics,
+    queries::HeldQueries,
     shared::Shared,
 };
 
+/// The number of steps up to which a job is accepted whatever memory other requests take.
+const UNCOUNTED_STEPS: usize = 32;
+
 /// An answer to a caller.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -61,17 +69,19 @@
     pub metrics: Metrics,
     pub queries: HeldQueries,
     pub policy: Policy,
+    pub memory: RequestMemory,
 }
 
 impl Submissions {
     /// Answers a request to `queue` by `deadline`. `rest` is the request's path after the queue's
-    /// prefix: a job's id, or empty.
+    /// prefix: a job's id, or empty. `taken` is the memory of the body.
     pub async fn answer(
         &self,
         method: &Method,
         queue: &Queue,
         rest: &str,
         body: &[u8],
+        taken: TakenMemory,
         deadline: Instant,
     ) -> Answer {
         if rest.is_empty() && method == Method::GET {
@@ -85,7 +95,7 @@
             );
         };
         match *method {
-            Method::POST => self.submit(id, queue, body, deadline).await,
+            Method::POST => self.submit(id, queue, body, taken, deadline).await,
             Method::GET => self.query_state(id, queue).await,
             Method::DELETE => self.cancel(id, deadline).await,
             _ => Answer::error(
@@ -95,7 +105,14 @@
         }
     }
 
-    async fn submit(&self, id: JobId, queue: &Queue, body: &[u8], deadline: Instant) -> Answer {
+    async fn submit(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        body: &[u8],
+        mut taken: TakenMemory,
+        deadline: Instant,
+    ) -> Answer {
         if self.shared.lock().job_state(id).is_some() {
             log::info!("event=submitted id={id} outcome=known");
             return Answer::stored();
@@ -107,6 +124,14 @@
                 return Answer::error(StatusCode::BAD_REQUEST, &cause);
             }
         };
+        // A step takes many times the memory of its shortest form in the body.
+        let steps_bytes = spec.steps.len() * size_of::<StepSpec>();
+        if spec.steps.len() > UNCOUNTED_STEPS && !self.memory.try_take(steps_bytes, &mut taken) {
+            log::warn!(
+                "event=submitted id={id} outcome=rejected cause=\"no memory for its steps\""
+            );
+            return Answer::retry_later("other requests take the memory for large jobs");
+        }
         let layout = self.shared.lock().directory.layout();
         if layout.is_some_and(|it| self.appender.is_unresponsive(it.shard_of_job(id))) {
             log::warn!(
--- a/daisy-workflow/src/queue.rs
+++ b/daisy-workflow/src/queue.rs
@@ -41,6 +41,8 @@
     pub services: Vec<Service>,
     /// The most bytes in a request's body.
     pub body_bytes: usize,
+    /// The most bytes in a request's head.
+    pub head_bytes: usize,
 }
 
 impl QueueConfig {
--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -63,6 +63,7 @@
         }],
         services: vec![Service { name: "shop".into(), admission_control: false, connections: 64 }],
         body_bytes: 1 << 18,
+        head_bytes: 1 << 14,
     })
 }
 
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -96,6 +96,21 @@
         Fleet::start_beside(log, None, processes, workers, work).await
     }
 
+    /// Returns the address of a process for callers.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.processes[index].caller_address
+    }
+
+    /// Returns the number of files and sockets that a process has open.
+    pub fn open_descriptors(&self, index: usize) -> usize {
+        self.processes[index].open_descriptors()
+    }
+
+    /// Returns the exit code of a process if it has ended; `Some(None)` if a signal ended it.
+    pub fn exit_code(&mut self, index: usize) -> Option<Option<i32>> {
+        self.processes[index].try_exit_code()
+    }
+
     /// Returns the most memory that a process has had in use, in bytes.
     pub fn peak_memory(&self, index: usize) -> u64 {
         self.processes[index].peak_memory()
@@ -113,12 +128,31 @@
         Fleet::start_beside(log, None, processes, workers, work).await
     }
 
+    /// As [`start`](Fleet::start), with one process that may use so many MiB of memory and file
+    /// descriptors.
+    pub async fn start_within(memory_mb: u64, max_fds: usize, work: Duration) -> Fleet {
+        let limits = format!("  memory-mb: {memory_mb}\n  max-fds: {max_fds}\n");
+        let log = Log::start().await.expect("a port of loopback");
+        Fleet::start_limited(log, None, 1, 1, work, &limits).await
+    }
+
     async fn start_beside(
         log: Log,
         policy: Option<&'static str>,
         processes: usize,
         workers: usize,
         work: Duration,
+    ) -> Fleet {
+        Fleet::start_limited(log, policy, processes, workers, work, "").await
+    }
+
+    async fn start_limited(
+        log: Log,
+        policy: Option<&'static str>,
+        processes: usize,
+        workers: usize,
+        work: Duration,
+        limits: &str,
     ) -> Fleet {
         let mut fleet =
             Fleet { log, workers: Vec::new(), processes: Vec::new(), http: Http::new(None) };
@@ -134,6 +168,7 @@
                 fleet.log.address,
                 fleet.log.longest(),
                 policy,
+                limits,
             ));
         }
         for index in 0..processes {
--- a/tests/node/process.rs
+++ b/tests/node/process.rs
@@ -41,12 +41,13 @@
 
 impl Process {
     /// Starts the process of VM number `index`, which uses the platform's log at `log_address`. The
-    /// log accepts records and calls of `longest` bytes.
+    /// log accepts records and calls of `longest` bytes. `limits` are lines of the settings' limits.
     pub fn start(
         index: usize,
         log_address: SocketAddr,
         longest: (usize, usize),
         policy: Option<&'static str>,
+        limits: &str,
     ) -> Process {
         let (record_bytes, call_bytes) = longest;
         let address = unique_loopback_address();
@@ -59,7 +60,7 @@
              ready: \"{readiness_address}\"\ncontrol-mode: push\nplatform:\n  address: \
              \"{log_address}\"\n  form: log\n  parts: 12\n  record-bytes: {record_bytes}\n  \
              call-bytes: {call_bytes}\nip: \"{address}\"\nport-range: [{PEERS_PORT}, \
-             {PEERS_PORT}]\nbounds:\n  max-hold-ms: 10000\n  grace-s: 6\n",
+             {PEERS_PORT}]\nbounds:\n  max-hold-ms: 10000\n  grace-s: 6\nlimits:\n  cpu-share: 1.0\n{limits}",
         );
         let mut file = File::create(&settings).expect("a new settings file");
         file.write_all(text.as_bytes()).expect("space for the settings");
@@ -111,6 +112,12 @@
         kib.expect("a peak in KiB") << 10
     }
 
+    /// Returns the number of files and sockets that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).expect("the descriptors of a running process").count()
+    }
+
     /// Returns all that the process has logged to its file; empty if the log goes elsewhere.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(self.log_path()).unwrap_or_default()
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -97,7 +97,7 @@
         let processes = log_links
             .iter()
             .enumerate()
-            .map(|(vm, it)| Process::start(vm, it.address(), longest, policy));
+            .map(|(vm, it)| Process::start(vm, it.address(), longest, policy, ""));
         let processes = processes.collect();
         let scheduled_ends = Vec::new();
         let mut fleet =
