Reject queries after a suspension until the states have been read again

Cause: that VM had been suspended for 3.8 s with a slow link to the log. Until it had read the log again it told what it had read before; a query of a known job does not ask how old that is.

It answers queries of jobs that have not ended, and of pending jobs, with 503 and Retry-After until a read requested after that has reached the end of the states. While the log is silent without a suspension, queries are answered as before.

--- a/daisy-node/src/lib.rs
+++ b/daisy-node/src/lib.rs
@@ -24,5 +24,6 @@
 mod shared;
 mod states;
 mod submit;
+mod suspension;
 
 pub use crate::node::run;
--- a/daisy-node/src/node.rs
+++ b/daisy-node/src/node.rs
@@ -16,6 +16,7 @@
 use crate::{
     append::Appender,
     callers::{self, Connections, RequestMemory},
+    clock,
     elect::{self, ElectionContext},
     metrics::Metrics,
     operators::follow_operators,
@@ -25,6 +26,7 @@
     shared::Shared,
     states::{choose_layout, follow_states},
     submit::Submissions,
+    suspension::NOTE_INTERVAL,
 };
 
 /// How long a planned stop still accepts connections after the VM reports that it is not ready. The
@@ -66,6 +68,7 @@
     };
     tokio::spawn(readiness::serve(readiness_listener, shared.clone(), metrics.clone()));
     tokio::spawn(report_log_usage(log_client.clone(), metrics.clone()));
+    tokio::spawn(note_running(shared.clone()));
     let relay = start_relay(&settings, policy, &log_client, &shared, &metrics).await?;
     tokio::spawn(follow_operators(
         log_client.clone(),
@@ -131,6 +134,14 @@
     by_memory.min(settings.max_fds / PART_OF_FDS).max(1)
 }
 
+/// Notes at intervals that the process runs.
+async fn note_running(shared: Shared) {
+    loop {
+        shared.lock().suspension.note_running(clock::now());
+        sleep(NOTE_INTERVAL).await;
+    }
+}
+
 /// Sets the metrics of calls to the log, and logs the calls of each interval in one line.
 async fn report_log_usage(log_client: LogClient, metrics: Metrics) {
     const INTERVAL: Duration = Duration::from_secs(10);
--- a/daisy-node/src/shared.rs
+++ b/daisy-node/src/shared.rs
@@ -13,7 +13,7 @@
 };
 use tokio::sync::mpsc;
 
-use crate::clock;
+use crate::{clock, suspension::Suspension};
 
 /// How long a job that this process stored is treated as queued while its owner has not published
 /// its state: as long as a change of the owner may take.
@@ -30,6 +30,9 @@
     evacuations: Option<(Instant, Arc<Evacuations>)>,
     /// The time at which the topic of states was last read to its end, and the offset of that end.
     pub states_caught_up: Option<(Instant, u64)>,
+    /// When the read was requested that last reached the end of the topic of states.
+    pub states_requested_at: Option<Instant>,
+    pub suspension: Suspension,
     /// The distance to the log, estimated by the reads of the topic of states.
     pub log_rtt: LogRtt,
     /// The reachability of the log, judged by the reads of the topic of states.
@@ -153,6 +156,12 @@
         self.states_caught_up.is_some_and(|(at, _)| clock::now().since(at).as_millis() < MAX_AGE_MS)
     }
 
+    /// Returns whether this process was suspended after it last read the states of jobs, so that a job
+    /// may have ended long ago.
+    pub fn has_old_states(&mut self) -> bool {
+        self.suspension.is_after(clock::now(), self.states_requested_at)
+    }
+
     /// Returns whether the log answers this VM, as far as is known. A VM that follows another one
     /// has recent records also while the log turns it away, but cannot store what callers send.
     pub fn reaches_log(&self) -> bool {
--- a/daisy-node/src/states.rs
+++ b/daisy-node/src/states.rs
@@ -56,6 +56,8 @@
             fold_states(&mut node, &read);
             if let Some((at, end)) = read.at_end_at.zip(reader.next()) {
                 node.states_caught_up = Some((at, end));
+                // A reader may have been behind when it answered.
+                node.states_requested_at = Some(began.min(at));
                 node.directory.mark_caught_up(at);
             }
             let shards = node.directory.layout().map_or(1, |it| it.shards);
--- a/daisy-node/src/submit.rs
+++ b/daisy-node/src/submit.rs
@@ -85,7 +85,11 @@
         deadline: Instant,
     ) -> Answer {
         if rest.is_empty() && method == Method::GET {
-            let pending = self.shared.lock().directory.pending(&queue.terms.queue);
+            let mut node = self.shared.lock();
+            if node.has_old_states() {
+                return Answer::retry_later("the number of pending jobs is not known at present");
+            }
+            let pending = node.directory.pending(&queue.terms.queue);
             return Answer::new(StatusCode::OK, encode_pending_jobs(pending));
         }
         let Ok(id) = rest.parse::<JobId>() else {
@@ -169,6 +173,12 @@
                 let Some(state) = state else {
                     return Answer::error(StatusCode::GONE, "no such job");
                 };
+                if !state.is_ended() && self.shared.lock().has_old_states() {
+                    log::info!(
+                        "event=queried id={id} outcome=rejected cause=\"this VM was suspended\""
+                    );
+                    return Answer::retry_later("the states of jobs are not known at present");
+                }
                 let held_ms = clock::now().since(asked_at).as_millis();
                 log::info!("event=queried id={id} state={} held_ms={held_ms}", state.label());
                 Answer::new(StatusCode::OK, encode_job_state(state))
