Let a stop end the wait for a place among the connections

A connection that waits while all others are being served would have kept the server from noticing a planned stop. Connections from before the first configuration get the usual limit on heads in place of the library's least.

--- a/daisy-node/src/callers.rs
+++ b/daisy-node/src/callers.rs
@@ -34,6 +34,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// The longest time in which a body must arrive, whatever its caller and its queue allow.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+/// The limit on the bytes of a head until the configuration is known.
+const DEFAULT_HEAD_BYTES: usize = 16_384;
 /// The shortest limit on the bytes of a head that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// How long a request may take if neither its caller nor its queue sets a limit.
@@ -59,7 +61,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = connections.open().await;
+                let connection = tokio::select! {
+                    it = connections.open() => it,
+                    _ = stop.wait_for(|it| *it) => break,
+                };
                 let watcher = graceful.watcher();
                 let submissions = submissions.clone();
                 let metrics = metrics.clone();
@@ -88,7 +93,8 @@
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=nodelay_refused cause=\"{e}\"");
     }
-    let head_bytes = submissions.shared.lock().queues.as_ref().map_or(0, |it| it.head_bytes);
+    let head_bytes = submissions.shared.lock().queues.as_ref().map(|it| it.head_bytes);
+    let head_bytes = head_bytes.unwrap_or(DEFAULT_HEAD_BYTES).max(MIN_HEAD_BYTES);
     let connection = Arc::new(connection);
     let (served, request_metrics) = (connection.clone(), metrics.clone());
     let service = service_fn(move |req| {
@@ -99,7 +105,7 @@
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         outcome = watcher.watch(serving) => {
