Take no clock of a worker from the answer to an order

What callers would see: a task that stands still for minutes. The answer to a start names no incarnation. One that arrives after its worker has restarted under its id, and after the new life has answered a renewal, set the owner's clock of the worker to that of the former life, far ahead. A start that was sent before the next renewal's answer then carried a deadline on that clock: the worker granted its longest lease, and the owner took it to last until the former clock's time, so the runs of a worker that ended then were not given up.

Change: only the answers to renewals, which name the incarnation, set the clock. An answer to an order whose clock lies behind still shows a restart.

Evidence: a_late_answer_of_the_former_incarnation_extends_no_lease fails before (the task is not moved within 20 s) and passes.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -171,15 +171,13 @@
             }
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
+        // The answer may be that of an earlier incarnation, so its clock counts for no lease.
         if let OrderReply::Done { clock_ms } = reply
-            && worker.fenced
+            && worker.is_clock_reset(clock_ms)
         {
-            match worker.is_clock_reset(clock_ms) {
-                // The answer to the next renewal identifies the new incarnation; until then the
-                // worker gets no new tasks.
-                true => worker.fenced = false,
-                false => worker.clock = Some((clock_ms, now)),
-            }
+            // The answer to the next renewal identifies the new incarnation; until then the worker
+            // gets no new tasks.
+            worker.fenced = false;
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use daisy_workflow::{JobState, StepSpec};
-use util::{FakeWorker, Fault, Simulation, job, step, task};
+use daisy_workflow::{Event, JobState, OrderReply, StepSpec, WorkerKey};
+use util::{FakeWorker, Fault, LEASE, Simulation, job, long_running_step, step, task};
 
 /// Returns an idle worker three of whose ends were acknowledged.
 fn with_acknowledged_ends() -> Simulation {
@@ -123,6 +123,41 @@
     assert!(done);
 }
 
+/// Returns a worker that has restarted and runs the only task again; the answer to the first start is
+/// still under way.
+fn with_a_late_answer() -> (Simulation, Event) {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4)]);
+    sim.worker("w1").clock_offset_ms = 500_000;
+    sim.submit(1, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(1_000, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
+    let answer = OrderReply::Done { clock_ms: sim.worker("w1").clock_offset_ms };
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    sim.hold_wait_max = Duration::from_millis(800);
+    sim.run_ms(1_000);
+    assert_eq!(sim.workers_running(task(1, 0, 0)), ["w1"], "the task runs again");
+    (sim, Event::StartAnswered(WorkerKey(0), task(1, 0, 0), 1, answer))
+}
+
+/// Guards against leases by the clock of a former incarnation, which a late answer to an order brings:
+/// their runs were waited for until that clock's time.
+#[test]
+fn a_late_answer_of_the_former_incarnation_extends_no_lease() {
+    let (mut sim, late_answer) = with_a_late_answer();
+    sim.owner.handle_event(sim.now, late_answer);
+    sim.submit(2, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(500, |it| !it.workers_running(task(2, 0, 0)).is_empty()));
+    let now = sim.now;
+    let lease_left = sim.worker("w1").deadline.saturating_sub(sim.worker("w1").clock(now));
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.workers.push(FakeWorker::new("w2", 4));
+
+    let moved = sim.run_until(20_000, |it| it.workers_running(task(2, 0, 0)) == ["w2"]);
+
+    assert!(moved, "the task runs elsewhere once all leases are over");
+    assert!(lease_left <= LEASE.as_millis() as u64);
+}
+
 /// Guards against a start on a worker that came back as another kind, before the list tells so.
 #[test]
 fn a_new_incarnation_gets_no_task_before_the_list_describes_it() {
