Log which bound was over for each run that an owner gives up

run_lost now names the bound (a lease that this owner granted, one that may have been granted before the worker first answered or by earlier owners, usual or longest, late orders, another incarnation, a restart, a list that lacks a stopped or an inherited run), for how long it has held, what was known of the start order, the worker's last clock and its age, the latest end of a lease, the incarnation and the token, and by what the earlier owners had ended. The keys stand behind the former ones, which stay as they are. Runs on unlisted workers get the same line, and so count in lost_runs_total and end in `account`.

No decision changes: runs_over_at now follows from the function that names the bound.

--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -1,6 +1,8 @@
 //! Logs the owner's decisions and counts them in the metrics.
 
-use daisy_workflow::{Note, Outcome, ShardId};
+use std::fmt;
+
+use daisy_workflow::{LossEvidence, Note, Outcome, ShardId, WorkerView};
 
 use crate::metrics::Metrics;
 
@@ -60,11 +62,12 @@
                  attempts={attempts}"
             );
         }
-        Note::RunLost { task, run, worker, cause } => {
+        Note::RunLost { task, run, worker, cause, evidence } => {
             metrics.count_lost_run();
             let id = task.job;
             log::warn!(
-                "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{cause}\""
+                "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{cause}\" {}",
+                LossKeys(evidence)
             );
         }
         Note::EndSuperseded { task, run, worker } => {
@@ -80,6 +83,40 @@
     }
 }
 
+/// Displays the keys of a log line that tell what an owner knew when it gave a run up; those of which
+/// it knew nothing are left out.
+struct LossKeys<'a>(&'a LossEvidence);
+
+impl fmt::Display for LossKeys<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LossKeys(it) = self;
+        let (bound, over_ms) = (it.bound.label(), it.held_for.as_millis());
+        write!(f, "bound={bound} over_ms={over_ms} order={}", it.order)?;
+        write!(f, " open_start={}", it.has_open_start)?;
+        if let Some(worker) = it.worker {
+            write!(f, " {}", WorkerKeys(worker))?;
+        }
+        if let Some((end, held_for)) = it.predecessors_ended {
+            let ended_ms = held_for.as_millis();
+            write!(f, " predecessors_end={} predecessors_ended_ms={ended_ms}", end.label())?;
+        }
+        Ok(())
+    }
+}
+
+/// Displays the keys of a log line that tell what an owner knows of a worker's incarnation.
+struct WorkerKeys(WorkerView);
+
+impl fmt::Display for WorkerKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let WorkerView { clock, lease_end_ms, started_at_ms, token } = self.0;
+        if let Some((clock_ms, age)) = clock {
+            write!(f, "clock_ms={clock_ms} clock_age_ms={} ", age.as_millis())?;
+        }
+        write!(f, "lease_end_ms={lease_end_ms} started_at_ms={started_at_ms} token={token}")
+    }
+}
+
 fn outcome_label(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Done => "done",
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -14,6 +14,7 @@
 mod intake;
 mod interference;
 mod long_leases;
+mod lost_runs;
 mod message;
 mod open_starts;
 mod orders;
@@ -51,13 +52,14 @@
     worker::{Assignment, StartState, StopState},
 };
 pub use self::{
+    lost_runs::{LossBound, LossEvidence, WorkerView},
     message::{
         Action, ActiveRun, Batch, EndedRun, Event, Note, OrderReply, Outcome, RejectReason,
         RenewalAnswer, Start, StopCause, WaitCause, WorkerListing,
     },
     open_starts::OpenStart,
     shortfall::PlacementShortfall,
-    succession::{InheritedLeases, OwnershipStart, Witness, Witnesses},
+    succession::{InheritedLeases, OwnershipStart, PredecessorsEnd, Witness, Witnesses},
     summary::Summary,
     unconfirmed_runs::{UnconfirmedCause, UnconfirmedRun},
     worker::{Worker, WorkerKey},
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     Evacuations, InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId,
-    WorkerId, owner::WorkerKey,
+    WorkerId,
+    owner::{LossEvidence, WorkerKey},
 };
 
 /// A worker in the platform's list of workers.
@@ -408,6 +409,8 @@
         worker: WorkerId,
         /// Why it cannot be running any more.
         cause: &'static str,
+        /// What the owner knew.
+        evidence: LossEvidence,
     },
     /// A run that was given up has ended as done, after its task was started again: the end is not
     /// acknowledged and has no effect.
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Owner, Settings,
+    lost_runs::{Loss, LossBound},
     message::{Action, ActiveRun, Note, RenewalAnswer, StopCause, WorkerListing},
     worker::{DelayedStart, StartState, StopState, Worker, WorkerKey},
 };
@@ -142,10 +143,13 @@
     /// Processes a restart of a worker under the same id: no earlier run exists any more.
     fn restarted(&mut self, now: Instant, key: WorkerKey, started_at_ms: u64, cause: &'static str) {
         let Some(worker) = self.workers.get_mut(key) else { return };
+        let before = worker.view(now);
         worker.started_at_ms = started_at_ms;
         worker.replaced = false;
         worker.clock = None;
         worker.max_lease_end_ms = 0;
+        worker.inherited_lease_end_ms = 0;
+        worker.is_inherited_lease_longest = false;
         worker.needs_token = true;
         worker.fenced = false;
         worker.restarted_at = Some(now);
@@ -182,8 +186,9 @@
         }
         self.long_leases.request_token();
         self.stop_delayed_starts(now, key);
+        let loss = Loss { bound: LossBound::Restarted, over_at: now, worker: Some(before) };
         for (task, run) in lost {
-            self.give_up_run(key, task, run, "its worker restarted");
+            self.give_up_run(now, key, task, run, loss);
         }
         self.note_worker(key, "reborn", cause);
         self.send_stops(now);
@@ -208,22 +213,6 @@
         }
     }
 
-    /// Gives up a run that cannot be running any more.
-    pub(super) fn give_up_run(
-        &mut self,
-        key: WorkerKey,
-        task: TaskId,
-        run: u32,
-        cause: &'static str,
-    ) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
-        let id = worker.id.clone();
-        let Some(it) = worker.remove(task, run) else { return };
-        self.remove_copy(task, run, &it.checkpoint);
-        self.given_up_runs.insert(task, run);
-        self.actions.push(Action::Note(Note::RunLost { task, run, worker: id, cause }));
-    }
-
     /// Removes a run from a task's record.
     pub(super) fn remove_copy(&mut self, task: TaskId, run: u32, checkpoint: &str) {
         self.plan_due = true;
@@ -295,8 +284,7 @@
         self.note_worker(key, "replaced", "another incarnation answers at its address");
         // Only a list tells which incarnation a run is on: the id may be used again elsewhere, and
         // an order that is still under way may reach a later incarnation under the same id.
-        let cause = "another incarnation answers at its worker's address";
-        self.give_up_runs(now, key, cause, |it| it.listed);
+        self.give_up_runs(now, key, LossBound::OtherIncarnation, now, |it| it.listed);
     }
 
     fn mark_reachable(&mut self, now: Instant, key: WorkerKey, answer: &RenewalAnswer) {
@@ -328,6 +316,8 @@
             let granted = if is_long { lease_max } else { lease };
             let inherited = answer.clock_ms + granted.as_millis() as u64;
             worker.max_lease_end_ms = worker.max_lease_end_ms.max(inherited);
+            worker.inherited_lease_end_ms = inherited;
+            worker.is_inherited_lease_longest = is_long;
         }
         self.plan_due |= is_first_answer;
     }
@@ -360,6 +350,7 @@
             }
         }
         let missing = missing_runs(worker, running);
+        let view = worker.view(now);
         begun.into_iter().for_each(|it| self.mark_begun(it));
         for (task, run) in unknown {
             // This owner gave the run up, or its job has ended. It takes capacity until it is
@@ -369,8 +360,8 @@
                 it.request_stop(now, StopCause::Unknown);
             }
         }
-        for (task, run) in missing {
-            self.give_up_run(key, task, run, "its worker does not list it");
+        for (task, run, bound, over_at) in missing {
+            self.give_up_run(now, key, task, run, Loss { bound, over_at, worker: Some(view) });
         }
     }
 
@@ -406,8 +397,11 @@
 }
 
 /// Returns the expected runs that are certainly not on the worker, as its list does not contain
-/// them.
-fn missing_runs(worker: &mut Worker, running: &[ActiveRun]) -> Vec<(TaskId, u32)> {
+/// them; with what shows that, and since when it has held.
+fn missing_runs(
+    worker: &mut Worker,
+    running: &[ActiveRun],
+) -> Vec<(TaskId, u32, LossBound, Instant)> {
     /// Number of consecutive lists that lack a confirmed run after which the run is stopped.
     const MAX_MISSED_LISTS: u8 = 2;
     let sent_at = worker.renewal_sent_at;
@@ -417,10 +411,14 @@
             continue;
         }
         match (it.stop_state, it.start_state) {
-            (StopState::Done(at), _) if at <= sent_at => missing.push((it.task, it.run)),
+            (StopState::Done(at), _) if at <= sent_at => {
+                missing.push((it.task, it.run, LossBound::StoppedUnlisted, at));
+            }
             // The worker rejects the orders of the owner that started the run from now on, so the
             // run cannot appear later.
-            (_, StartState::Inherited) => missing.push((it.task, it.run)),
+            (_, StartState::Inherited) => {
+                missing.push((it.task, it.run, LossBound::InheritedUnlisted, sent_at));
+            }
             (StopState::NotRequested, StartState::Confirmed(at)) if at <= sent_at => {
                 it.missed_lists += 1;
                 if it.missed_lists >= MAX_MISSED_LISTS {
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -83,6 +83,30 @@
     pub time_left: Duration,
 }
 
+/// What shows that no earlier owner can renew leases any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PredecessorsEnd {
+    /// The owner's claim says so: the owner before it had released the shard, or was an earlier
+    /// process of the same VM, and those before that one had ended.
+    Claim,
+    /// So many witnesses reject earlier owners, or have ended, that none gets answers from more than
+    /// half.
+    Witnesses,
+    /// So much time has passed since the log rejects earlier owners that each has stopped.
+    Time,
+}
+
+impl PredecessorsEnd {
+    /// Returns its name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            PredecessorsEnd::Claim => "claim",
+            PredecessorsEnd::Witnesses => "witnesses",
+            PredecessorsEnd::Time => "time",
+        }
+    }
+}
+
 /// What an owner knows of earlier and later owners.
 #[derive(Debug)]
 pub(super) struct Succession {
@@ -95,6 +119,8 @@
     witness_quorum_at: Option<Instant>,
     /// From when on no earlier owner renews leases, once that is known.
     predecessors_ended_at: Option<Instant>,
+    /// What showed it.
+    predecessors_end: PredecessorsEnd,
     /// Witnesses whose record is in the log and with which all earlier owners comply.
     witnesses: Vec<Witness>,
     /// Witnesses that have to be recorded.
@@ -117,6 +143,7 @@
             fenced_at: None,
             witness_quorum_at: None,
             predecessors_ended_at: ownership.predecessors_ended.then_some(now),
+            predecessors_end: PredecessorsEnd::Claim,
             witnesses,
             next_witnesses,
             recording_witnesses: None,
@@ -169,6 +196,12 @@
         self.predecessors_ended_at
     }
 
+    /// Returns what showed that no earlier owner renews leases, and for how long that has held, once
+    /// it is known.
+    pub(super) fn predecessors_ended(&self, now: Instant) -> Option<(PredecessorsEnd, Duration)> {
+        self.predecessors_ended_at.map(|at| (self.predecessors_end, now.since(at)))
+    }
+
     /// Whether there are witnesses to record.
     pub(super) fn has_witnesses_record(&self) -> bool {
         self.next_witnesses.is_some()
@@ -258,12 +291,13 @@
         if has_quorum {
             it.witness_quorum_at.get_or_insert(now);
         }
-        let ended_at = match it.witness_quorum_at {
-            Some(at) => at + ANSWER_VALIDITY,
-            None => fenced_at + MAX_RENEWAL_WITHOUT_LOG,
+        let (end, ended_at) = match it.witness_quorum_at {
+            Some(at) => (PredecessorsEnd::Witnesses, at + ANSWER_VALIDITY),
+            None => (PredecessorsEnd::Time, fenced_at + MAX_RENEWAL_WITHOUT_LOG),
         };
         if now >= ended_at {
             it.predecessors_ended_at = Some(ended_at);
+            it.predecessors_end = end;
         }
     }
 
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Orphan, Owner,
+    lost_runs::{Loss, LossBound},
     message::StopCause,
     worker::{Assignment, StartState, StopState, Worker, WorkerKey},
 };
@@ -57,9 +58,9 @@
         if worker.tasks.is_empty() || !worker.is_unreachable() {
             return;
         }
-        if self.runs_over_at(worker).is_none_or(|it| now < it) {
+        let Some((bound, over_at)) = self.runs_over(worker).filter(|(_, it)| *it <= now) else {
             return;
-        }
+        };
         let over: Vec<(TaskId, u32)> = worker
             .tasks
             .iter()
@@ -69,24 +70,25 @@
             })
             .map(|it| (it.task, it.run))
             .collect();
-        self.give_up_runs(now, key, "its worker is silent and its lease has run out", |it| {
-            over.contains(&(it.task, it.run))
-        });
+        self.give_up_runs(now, key, bound, over_at, |it| over.contains(&(it.task, it.run)));
     }
 
-    /// Gives up the runs on a worker that cannot be running any more.
+    /// Gives up the runs on a worker that cannot be running any more, as `bound` has held since
+    /// `over_at`.
     pub(super) fn give_up_runs(
         &mut self,
         now: Instant,
         key: WorkerKey,
-        cause: &'static str,
+        bound: LossBound,
+        over_at: Instant,
         is_over: impl Fn(&Assignment) -> bool,
     ) {
         let Some(worker) = self.workers.get(key) else { return };
         let lost: Vec<(TaskId, u32)> =
             worker.tasks.iter().filter(|it| is_over(it)).map(|it| (it.task, it.run)).collect();
+        let loss = Loss { bound, over_at, worker: Some(worker.view(now)) };
         for (task, run) in lost {
-            self.give_up_run(key, task, run, cause);
+            self.give_up_run(now, key, task, run, loss);
             self.note_displaced(now, task);
         }
     }
@@ -102,8 +104,7 @@
             });
         self.orphans = waiting;
         for it in over {
-            self.remove_copy(it.task, it.run, "");
-            self.note_displaced(now, it.task);
+            self.give_up_orphan(now, it.worker, it.task, it.run);
         }
     }
 
--- a/daisy-workflow/src/owner/unconfirmed_runs.rs
+++ b/daisy-workflow/src/owner/unconfirmed_runs.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Owner,
+    lost_runs::LossBound,
     open_starts::MAX_ORDER_DELAY,
     worker::{StartState, Worker},
 };
@@ -99,8 +100,21 @@
 
     /// Returns when all runs on an unreachable worker have ended, if that is known.
     pub(super) fn runs_over_at(&self, worker: &Worker) -> Option<Instant> {
-        let over_at = worker.leases_over_at().or_else(|| self.delayed_starts_over_at(worker));
-        over_at.or_else(|| self.inherited_leases_end(&worker.id))
+        self.runs_over(worker).map(|(_, over_at)| over_at)
+    }
+
+    /// Returns what shows that all runs on an unreachable worker have ended, and when, if that is
+    /// known.
+    pub(super) fn runs_over(&self, worker: &Worker) -> Option<(LossBound, Instant)> {
+        if let Some(over_at) = worker.leases_over_at() {
+            return Some((worker.last_lease(), over_at));
+        }
+        if let Some(over_at) = self.delayed_starts_over_at(worker) {
+            return Some((LossBound::LateOrders, over_at));
+        }
+        let longest = self.long_leases.is_inherited(&worker.id);
+        let over_at = self.inherited_leases_end(&worker.id)?;
+        Some((LossBound::PredecessorLease { longest }, over_at))
     }
 
     /// Returns when all runs have ended that orders for an earlier incarnation can start on a
--- a/daisy-workflow/src/owner/worker.rs
+++ b/daisy-workflow/src/owner/worker.rs
@@ -167,6 +167,10 @@
     pub(crate) clock: Option<(u64, Instant)>,
     /// The latest lease end that the worker may ever have been granted, on its own clock.
     pub(crate) max_lease_end_ms: u64,
+    /// The latest end of a lease that may have been granted before the worker first answered, and
+    /// whether it may be the longest lease.
+    pub(crate) inherited_lease_end_ms: u64,
+    pub(crate) is_inherited_lease_longest: bool,
     /// The fencing token of calls to the worker: the owner's epoch, or a later offset of the log if
     /// the worker has restarted since.
     pub token: u64,
@@ -249,6 +253,8 @@
             tasks: Vec::new(),
             clock: None,
             max_lease_end_ms: 0,
+            inherited_lease_end_ms: 0,
+            is_inherited_lease_longest: false,
             token: 0,
             needs_token: false,
             fenced: false,
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -5,7 +5,7 @@
 
 use daisy_model::Instant;
 use daisy_workflow::{
-    Action, Batch, Claim, Evacuations, Event, JobId, JobSpec, Layout, Ledger, Owner,
+    Action, Batch, Claim, Evacuations, Event, JobId, JobSpec, Layout, Ledger, Note, Owner,
     PlacementRules, Record, ShardId, Start, TaskId, Witnesses, WorkerId, WorkerKey, WorkerListing,
 };
 
@@ -147,6 +147,8 @@
     pub evacuations: Evacuations,
     /// Number of orders to start a task that were sent to a worker which had been replaced.
     pub starts_for_replaced: usize,
+    /// What owners have noted for their processes' logs, with the number of the VM.
+    pub notes: Vec<(usize, Note)>,
     vms: Vec<Vm>,
     down: Vec<Option<CrashedWorker>>,
     /// When draining workers exit.
@@ -187,6 +189,7 @@
             lists_machines: false,
             evacuations: Evacuations::default(),
             starts_for_replaced: 0,
+            notes: Vec::new(),
             vms: (0..vms).map(|_| Vm::default()).collect(),
             blocked_links: Vec::new(),
             log: Log::default(),
@@ -567,6 +570,10 @@
         let now = self.now;
         let is_newest = self.claimed.as_ref().is_some_and(|it| it.epoch == process.epoch);
         for action in process.outbox.drain(..) {
+            if let Action::Note(note) = action {
+                self.notes.push((vm, note));
+                continue;
+            }
             if let Action::Start(_, start) = &action
                 && is_newest
             {
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -4,7 +4,7 @@
 
 use daisy_model::{Instant, SortedMap};
 use daisy_workflow::{
-    Action, Batch, Evacuations, Event, JobId, JobSpec, JobState, Layout, Ledger, Owner,
+    Action, Batch, Evacuations, Event, JobId, JobSpec, JobState, Layout, Ledger, Note, Owner,
     OwnershipStart, PlacementRules, Record, Settings, ShardId, Start, TaskId, WorkerId, WorkerKey,
 };
 
@@ -39,6 +39,8 @@
     /// Orders to start that were sent: task, run, worker.
     pub starts: Vec<(TaskId, u32, String)>,
     pub stepped_down: bool,
+    /// What owners have noted for the process's log.
+    pub notes: Vec<Note>,
     /// Records to be written to the submissions of other shards.
     pub forwarded: Vec<(ShardId, Record)>,
     shard: ShardId,
@@ -104,6 +106,7 @@
             hold_wait_max: HOLD_WAIT_MAX,
             starts: Vec::new(),
             stepped_down: false,
+            notes: Vec::new(),
             work_ms: |_| 1_000,
             fails: |_| false,
             wall_ms: |_| 0,
@@ -325,7 +328,7 @@
                 }
             }
             Action::StepDown => self.stepped_down = true,
-            Action::Note(_) => {}
+            Action::Note(note) => self.notes.push(note),
             action => self.call(action),
         }
     }
