Log the lease of each order, and a worker's clock with its state

`start` lines now have the order's deadline_ms and token, the reason of a refusal, and the clock of an answer; `stop` lines the last three; `worker` lines the clock and its age, the end of the last lease, the incarnation and the token, for a restarted worker those of the incarnation before. Two states are new: `fenced`, once for each worker that first answers with an owner's token, with the lease that the owner allows for, and `taken_over`, which names the worker whose rejection makes an owner step down. Each renewal that grants a lease is a `lease` line at log level debug. Former keys stay as they are, and no decision changes.

--- a/daisy-node/src/own.rs
+++ b/daisy-node/src/own.rs
@@ -311,7 +311,7 @@
                 Action::Renew { worker, .. }
                 | Action::Start(worker, _)
                 | Action::Stop(worker, ..)
-                | Action::Pace(worker, ..) => self.call_worker(worker, action),
+                | Action::Pace(worker, ..) => self.call_worker(now, worker, action),
             }
         }
         step_down
@@ -465,9 +465,9 @@
         });
     }
 
-    fn call_worker(&self, key: WorkerKey, action: Action) {
+    fn call_worker(&self, now: Instant, key: WorkerKey, action: Action) {
         if let Some(worker) = self.owner.worker(key) {
-            self.calls.begin(key, worker, action);
+            self.calls.begin(now, key, worker, action);
         }
     }
 
--- a/daisy-node/src/own/calls.rs
+++ b/daisy-node/src/own/calls.rs
@@ -1,10 +1,11 @@
 //! Calls to workers. Each runs in a task of its own and returns its outcome as an event.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
+use daisy_model::Instant;
 use daisy_platform::{LeaseRenewal, RenewalError, WorkerCalls};
 use daisy_workflow::{
-    Action, Event, OrderReply, Start, StopCause, TaskId, Worker, WorkerId, WorkerKey,
+    Action, Event, OrderReply, Start, StopCause, TaskId, Worker, WorkerId, WorkerKey, WorkerView,
 };
 use tokio::sync::mpsc;
 
@@ -35,7 +36,8 @@
 impl Calls {
     /// Begins the call that `action` requires, in a task of its own. `worker` is the worker that
     /// the action names.
-    pub fn begin(&self, key: WorkerKey, worker: &Worker, action: Action) {
+    pub fn begin(&self, now: Instant, key: WorkerKey, worker: &Worker, action: Action) {
+        log_lease(now, worker, &action);
         let to = CallTarget {
             key,
             id: worker.id.clone(),
@@ -79,8 +81,12 @@
         let outcome = reply_label(reply);
         let (task, run, worker) = (start.task, start.run, &to.id);
         log::info!(
-            "event=start id={} task={task} run={run} worker={worker} outcome={outcome}",
-            task.job
+            "event=start id={} task={task} run={run} worker={worker} outcome={outcome} \
+             deadline_ms={} token={}{}",
+            task.job,
+            start.deadline_ms,
+            to.token,
+            ReplyKeys(reply)
         );
         self.metrics.count_start(outcome);
         Event::StartAnswered(to.key, task, run, reply)
@@ -89,11 +95,13 @@
     async fn stop(&self, to: &CallTarget, task: TaskId, run: u32, cause: StopCause) -> Event {
         let reply = self.client.stop(&to.id, to.address, task, run, ORDER_TIMEOUT).await;
         log::info!(
-            "event=stop id={} task={task} run={run} worker={} outcome={} cause=\"{}\"",
+            "event=stop id={} task={task} run={run} worker={} outcome={} cause=\"{}\" token={}{}",
             task.job,
             to.id,
             reply_label(reply),
-            cause.description()
+            cause.description(),
+            to.token,
+            ReplyKeys(reply)
         );
         Event::StopAnswered(to.key, task, run, reply)
     }
@@ -111,6 +119,31 @@
     }
 }
 
+/// Logs the lease that a renewal grants, and the worker's clock that it follows from.
+fn log_lease(now: Instant, worker: &Worker, action: &Action) {
+    let Action::Renew { deadline_ms: Some(deadline_ms), .. } = action else { return };
+    let WorkerView { clock: Some((clock_ms, age)), token, .. } = worker.view(now) else { return };
+    log::debug!(
+        "event=lease worker={} deadline_ms={deadline_ms} clock_ms={clock_ms} clock_age_ms={} \
+         token={token}",
+        worker.id,
+        age.as_millis()
+    );
+}
+
+/// Displays the keys of a log line that only some answers to an order have.
+struct ReplyKeys(OrderReply);
+
+impl fmt::Display for ReplyKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            OrderReply::Done { clock_ms } => write!(f, " clock_ms={clock_ms}"),
+            OrderReply::Rejected(reason) => write!(f, " reason={}", reason.label()),
+            OrderReply::NotSent | OrderReply::Unknown => Ok(()),
+        }
+    }
+}
+
 fn reply_label(reply: OrderReply) -> &'static str {
     match reply {
         OrderReply::Done { .. } => "done",
--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -77,8 +77,9 @@
                  cause=\"{cause}\""
             );
         }
-        Note::WorkerChanged { worker, state, cause } => {
-            log::info!("event=worker worker={worker} is={state} cause=\"{cause}\"");
+        Note::WorkerChanged { worker, state, cause, view } => {
+            let view = WorkerKeys(*view);
+            log::info!("event=worker worker={worker} is={state} cause=\"{cause}\" {view}");
         }
     }
 }
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -366,7 +366,7 @@
                 self.stop_answered(now, worker, task, run, reply);
             }
             Event::PaceAnswered(worker, task, run, percent, reply) => {
-                self.pace_answered(worker, task, run, percent, reply);
+                self.pace_answered(now, worker, task, run, percent, reply);
             }
             Event::ProgressRefused(jobs) => self.progress_refused(&jobs),
             Event::Appended { log_end } => self.batch_appended(now, log_end),
@@ -498,12 +498,24 @@
         Some(state)
     }
 
-    fn note_worker(&mut self, key: WorkerKey, state: &'static str, cause: &'static str) {
+    fn note_worker(
+        &mut self,
+        now: Instant,
+        key: WorkerKey,
+        state: &'static str,
+        cause: &'static str,
+    ) {
         if let Some(worker) = self.workers.get(key) {
-            let worker = worker.id.clone();
-            self.actions.push(Action::Note(Note::WorkerChanged { worker, state, cause }));
+            let (worker, view) = (worker.id.clone(), worker.view(now));
+            self.actions.push(Action::Note(Note::WorkerChanged { worker, state, cause, view }));
         }
     }
+
+    /// Requests that this owner step down, as a worker has seen a higher token.
+    fn step_down(&mut self, now: Instant, key: WorkerKey) {
+        self.note_worker(now, key, "taken_over", "it has seen the token of a later owner");
+        self.actions.push(Action::StepDown);
+    }
 }
 
 /// Lists the runs that may be on a worker according to the job's record.
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -7,7 +7,7 @@
 use crate::{
     Evacuations, InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId,
     WorkerId,
-    owner::{LossEvidence, WorkerKey},
+    owner::{LossEvidence, WorkerKey, WorkerView},
 };
 
 /// A worker in the platform's list of workers.
@@ -121,6 +121,22 @@
     Malformed,
 }
 
+impl RejectReason {
+    /// Returns the reason's name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            RejectReason::Fenced { .. } => "fenced",
+            RejectReason::StaleRun => "stale_run",
+            RejectReason::LeaseExpired => "lease_expired",
+            RejectReason::DoesNotFit => "does_not_fit",
+            RejectReason::InvalidTicket => "invalid_ticket",
+            RejectReason::Unhealthy => "unhealthy",
+            RejectReason::OtherIncarnation => "other_incarnation",
+            RejectReason::Malformed => "malformed",
+        }
+    }
+}
+
 /// The answer to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
@@ -430,6 +446,8 @@
         state: &'static str,
         /// Why the state changed.
         cause: &'static str,
+        /// What the owner knows of the worker; for one that has restarted, of the incarnation before.
+        view: WorkerView,
     },
 }
 
--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -161,7 +161,7 @@
         reply: OrderReply,
     ) {
         if self.is_deposed(key, reply) {
-            return self.actions.push(Action::StepDown);
+            return self.step_down(now, key);
         }
         if reply != OrderReply::Unknown {
             let is_confirmed = matches!(reply, OrderReply::Done { .. });
@@ -235,7 +235,7 @@
             _ => EXCLUSION_REJECTED,
         };
         self.exclude(now, key, pause);
-        self.note_worker(key, "shunned", reject_cause(cause));
+        self.note_worker(now, key, "shunned", reject_cause(cause));
         let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
         // An earlier attempt may still be carried out; only an answered stop rules that out.
         match it.may_be_delayed {
@@ -279,7 +279,7 @@
         reply: OrderReply,
     ) {
         if self.is_deposed(key, reply) {
-            return self.actions.push(Action::StepDown);
+            return self.step_down(now, key);
         }
         let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
         it.stop_state = match reply {
--- a/daisy-workflow/src/owner/pace.rs
+++ b/daisy-workflow/src/owner/pace.rs
@@ -138,6 +138,7 @@
 
     pub(super) fn pace_answered(
         &mut self,
+        now: Instant,
         key: WorkerKey,
         task: TaskId,
         run: u32,
@@ -145,7 +146,7 @@
         reply: OrderReply,
     ) {
         if self.is_deposed(key, reply) {
-            return self.actions.push(Action::StepDown);
+            return self.step_down(now, key);
         }
         let Some(it) = self.workers.get_mut(key).and_then(|it| it.find(task, run)) else { return };
         it.pace_in_flight = false;
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -21,7 +21,7 @@
             let Some(worker) = self.workers.get_mut(key) else { continue };
             if worker.listed && !named.contains_key(&worker.id) {
                 worker.listed = false;
-                self.note_worker(key, "unlisted", "the platform's list no longer names it");
+                self.note_worker(now, key, "unlisted", "the platform's list no longer names it");
             }
         }
         for it in listed {
@@ -130,13 +130,13 @@
         };
         if !was_listed {
             worker.renewal_failures = 0;
-            self.note_worker(key, "listed", "the platform's list names it again");
+            self.note_worker(now, key, "listed", "the platform's list names it again");
         }
         if restarted {
             self.restarted(now, key, listed.started_at_ms, "the list shows a later start time");
         }
         if was_ready && !listed.ready {
-            self.note_worker(key, "draining", "its list entry says that it drains");
+            self.note_worker(now, key, "draining", "its list entry says that it drains");
         }
     }
 
@@ -190,7 +190,11 @@
         for (task, run) in lost {
             self.give_up_run(now, key, task, run, loss);
         }
-        self.note_worker(key, "reborn", cause);
+        if let Some(worker) = self.workers.get(key) {
+            let (worker, state) = (worker.id.clone(), "reborn");
+            let note = Note::WorkerChanged { worker, state, cause, view: before };
+            self.actions.push(Action::Note(note));
+        }
         self.send_stops(now);
     }
 
@@ -237,7 +241,7 @@
         let Some(answer) = answer else {
             worker.renewal_failures += 1;
             if worker.renewal_failures == 1 {
-                self.note_worker(key, "silent", "a renewal was not answered");
+                self.note_worker(now, key, "silent", "a renewal was not answered");
             }
             return;
         };
@@ -261,7 +265,7 @@
     /// Processes the rejection of a renewal that carried `token`.
     pub(super) fn renewal_fenced(&mut self, now: Instant, key: WorkerKey, token: u64) {
         if self.workers.get(key).is_none_or(|it| token >= it.token) {
-            return self.actions.push(Action::StepDown);
+            return self.step_down(now, key);
         }
         // The token was raised while the renewal was under way.
         if let Some(worker) = self.workers.get_mut(key) {
@@ -281,7 +285,7 @@
         }
         worker.replaced = true;
         worker.listed = false;
-        self.note_worker(key, "replaced", "another incarnation answers at its address");
+        self.note_worker(now, key, "replaced", "another incarnation answers at its address");
         // Only a list tells which incarnation a run is on: the id may be used again elsewhere, and
         // an order that is still under way may reach a later incarnation under the same id.
         self.give_up_runs(now, key, LossBound::OtherIncarnation, now, |it| it.listed);
@@ -293,12 +297,9 @@
         if worker.renewal_failures > 0 {
             worker.renewal_failures = 0;
             self.plan_due = true;
-            self.actions.push(Action::Note(Note::WorkerChanged {
-                worker: worker.id.clone(),
-                state: "reached",
-                cause: "a renewal was answered again",
-            }));
+            self.note_worker(now, key, "reached", "a renewal was answered again");
         }
+        let Some(worker) = self.workers.get_mut(key) else { return };
         worker.answered_renewal_sent_at = worker.renewal_sent_at;
         // Until it has seen the present token, the worker may carry out calls for an earlier
         // incarnation, and gets no lease.
@@ -319,7 +320,10 @@
             worker.inherited_lease_end_ms = inherited;
             worker.is_inherited_lease_longest = is_long;
         }
-        self.plan_due |= is_first_answer;
+        if is_first_answer {
+            self.plan_due = true;
+            self.note_worker(now, key, "fenced", "it has answered a call with the present token");
+        }
     }
 
     /// Compares the runs that a worker lists with the expected ones.
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -144,7 +144,7 @@
         let known = worker.suspected_until > now;
         worker.suspected_until = now + SUSPICION_DURATION;
         if !known {
-            self.note_worker(key, "shunned", cause);
+            self.note_worker(now, key, "shunned", cause);
         }
     }
 
