Log which claim an owner follows, and what ended the owners before it

`settled` alone tells neither which owner an owner follows nor why that one counts as ended, and no line tells when it became known that no earlier owner renews leases, from which the wait for inherited leases is counted.

The `owner` line now names the claim that it follows and what decided (released, an earlier process of the VM, none before, or one that may run). When it becomes known that the earlier owners have ended, one `predecessors_ended` line tells by what: the claim, witnesses with their counts, or time alone, and how long ago the log had confirmed that it rejects earlier owners. The decision on a claim moves from the node to daisy-workflow unchanged, where a test covers each case.

--- a/daisy-node/src/elect.rs
+++ b/daisy-node/src/elect.rs
@@ -1,12 +1,12 @@
 //! Claims shards without an owner, and runs the ownership of each claim that is won.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use daisy_model::Instant;
 use daisy_platform::{Guard, LogClient, LogError, NodeSettings, Topic};
 use daisy_workflow::{
     Candidate, Claim, Election, ElectionDecision, FoldEffect, Ledger, PartCounts, PartJoiner,
-    Record, RecordError, ShardId, encode,
+    PredecessorState, Record, RecordError, ShardId, encode,
 };
 use futures::{
     future::{join_all, select_ok},
@@ -205,6 +205,9 @@
     /// The records of the progress that the log has in several parts.
     stored_parts: PartCounts,
     predecessors_expired: bool,
+    /// The claim that it follows, and whether the owners up to that one have ended.
+    follows: Option<Claim>,
+    predecessors: PredecessorState,
 }
 
 impl ShardElection {
@@ -303,6 +306,8 @@
         }
         let mut claimed_epoch = None;
         let mut claimed_at = began;
+        let mut follows = None;
+        let mut predecessors = PredecessorState::LastMayRun;
         for _ in 0..MAX_TRIES {
             let read = match progress.take() {
                 Some(it) => Some(it),
@@ -343,6 +348,8 @@
                     jobs,
                     stored_parts,
                     predecessors_expired,
+                    follows,
+                    predecessors,
                 });
             }
             let is_rival = self.election.is_newly_claimed(last_claim);
@@ -364,7 +371,9 @@
             if *self.context.stop.borrow() {
                 return None;
             }
-            let predecessors_expired = self.are_predecessors_expired(last_claim);
+            predecessors = self.predecessor_state(last_claim);
+            follows = last_claim.cloned();
+            let predecessors_expired = predecessors.have_ended();
             claimed_at = clock::now();
             let vouched_epoch = reader.ledger.vouched_epoch();
             claimed_epoch = self
@@ -458,25 +467,34 @@
         claim.vm == self.context.settings.vm && claim.process == self.context.process
     }
 
-    /// Returns whether no owner before the next one can still renew leases: the last owner has
-    /// certainly ended, and so have all owners before it.
-    ///
-    /// Without the condition on the earlier owners, an owner that cannot reach the log could go on
-    /// renewing leases while its successor starts and ends, and its tasks would be started a second
-    /// time elsewhere.
-    fn are_predecessors_expired(&self, last_claim: Option<&Claim>) -> bool {
-        let Some(last) = last_claim else { return true };
+    /// Returns whether the owners before the next one can still renew leases.
+    fn predecessor_state(&self, last_claim: Option<&Claim>) -> PredecessorState {
         let node = self.context.shared.lock();
         let heartbeat = node.directory.owner(self.shard).map(|it| &it.heartbeat.claim);
-        let last = heartbeat.filter(|it| it.epoch == last.epoch).unwrap_or(last);
-        (last.released || last.vm == self.context.settings.vm) && last.predecessors_expired
+        let last =
+            last_claim.map(|last| heartbeat.filter(|it| it.epoch == last.epoch).unwrap_or(last));
+        PredecessorState::new(last, &self.context.settings.vm)
     }
 
     /// Runs the ownership of a claim that was won, until it ends.
     async fn own(&mut self, won: WonClaim) {
-        let WonClaim { epoch, claimed_at, ledger, jobs, stored_parts, predecessors_expired } = won;
+        let WonClaim {
+            epoch,
+            claimed_at,
+            ledger,
+            jobs,
+            stored_parts,
+            predecessors_expired,
+            follows,
+            predecessors,
+        } = won;
         let (shard, context) = (self.shard, &self.context);
-        log::info!("event=owner shard={} epoch={epoch} settled={predecessors_expired}", shard.0);
+        log::info!(
+            "event=owner shard={} epoch={epoch} settled={predecessors_expired} predecessors={}{}",
+            shard.0,
+            predecessors.label(),
+            FollowedKeys(follows.as_ref())
+        );
         context.metrics.count_ownership_change("won");
         let published_states = {
             let node = context.shared.lock();
@@ -507,3 +525,18 @@
         }
     }
 }
+
+/// Displays the keys of a log line that tell which claim an owner follows; the name of its VM is not
+/// known if the claim cannot be read.
+struct FollowedKeys<'a>(Option<&'a Claim>);
+
+impl fmt::Display for FollowedKeys<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let FollowedKeys(Some(it)) = self else { return Ok(()) };
+        write!(f, " follows_epoch={}", it.epoch)?;
+        match it.vm.is_empty() {
+            true => Ok(()),
+            false => write!(f, " follows_vm={}", it.vm),
+        }
+    }
+}
--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -1,6 +1,6 @@
 //! Logs the owner's decisions and counts them in the metrics.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use daisy_workflow::{LossEvidence, Note, Outcome, ShardId, WorkerView};
 
@@ -77,6 +77,23 @@
                  cause=\"{cause}\""
             );
         }
+        Note::PredecessorsEnded {
+            epoch,
+            end,
+            held_for,
+            confirmed_for,
+            witnesses,
+            answered,
+            ended,
+        } => {
+            let (shard, end, ended_ms) = (shard.0, end.label(), held_for.as_millis());
+            log::info!(
+                "event=predecessors_ended shard={shard} epoch={epoch} predecessors_end={end} \
+                 predecessors_ended_ms={ended_ms} witnesses={witnesses} answered={answered} \
+                 ended={ended}{}",
+                ConfirmedKey(*confirmed_for)
+            );
+        }
         Note::WorkerChanged { worker, state, cause, view } => {
             let view = WorkerKeys(*view);
             log::info!("event=worker worker={worker} is={state} cause=\"{cause}\" {view}");
@@ -105,6 +122,16 @@
     }
 }
 
+/// Displays the key for the time since the log's confirmation, if there was one.
+struct ConfirmedKey(Option<Duration>);
+
+impl fmt::Display for ConfirmedKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ConfirmedKey(Some(it)) = self else { return Ok(()) };
+        write!(f, " confirmed_ms={}", it.as_millis())
+    }
+}
+
 /// Displays the keys of a log line that tell what an owner knows of a worker's incarnation.
 struct WorkerKeys(WorkerView);
 
--- a/daisy-workflow/src/election.rs
+++ b/daisy-workflow/src/election.rs
@@ -28,6 +28,60 @@
     Wait(Duration),
 }
 
+/// Whether the owners before a claim can still renew leases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PredecessorState {
+    /// There was no owner before.
+    NoneBefore,
+    /// The last owner has released the shard, and all before it have ended.
+    Released,
+    /// The last owner was an earlier process of the claiming VM, and all before it have ended.
+    SameVm,
+    /// The last owner has ended, but an earlier one may still run.
+    EarlierMayRun,
+    /// The last owner may still run.
+    LastMayRun,
+}
+
+impl PredecessorState {
+    /// Returns what the newest claim, or its owner's last heartbeat, says to a process of `vm` that
+    /// claims next.
+    ///
+    /// Without the condition on the earlier owners, an owner that cannot reach the log could go on
+    /// renewing leases while its successor starts and ends, and its tasks would be started a second
+    /// time elsewhere.
+    pub fn new(last: Option<&Claim>, vm: &str) -> PredecessorState {
+        match last {
+            None => PredecessorState::NoneBefore,
+            Some(it) if !it.released && it.vm != vm => PredecessorState::LastMayRun,
+            Some(it) if !it.predecessors_expired => PredecessorState::EarlierMayRun,
+            Some(it) if it.released => PredecessorState::Released,
+            Some(_) => PredecessorState::SameVm,
+        }
+    }
+
+    /// Whether no owner before the claim can renew leases any more.
+    pub fn have_ended(self) -> bool {
+        match self {
+            PredecessorState::NoneBefore
+            | PredecessorState::Released
+            | PredecessorState::SameVm => true,
+            PredecessorState::EarlierMayRun | PredecessorState::LastMayRun => false,
+        }
+    }
+
+    /// Returns the state's name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            PredecessorState::NoneBefore => "none",
+            PredecessorState::Released => "released",
+            PredecessorState::SameVm => "same_vm",
+            PredecessorState::EarlierMayRun => "earlier_may_run",
+            PredecessorState::LastMayRun => "last_may_run",
+        }
+    }
+}
+
 /// The state of one process's watch over a shard's owner.
 #[derive(Debug, Clone)]
 pub struct Election {
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -34,7 +34,7 @@
 pub use crate::{
     balance::{Demand, FREE_BLOCKS, Load, OtherShards},
     directory::{Directory, OwnerHeartbeat, PublishedState, ReceivedHeartbeat},
-    election::{Candidate, Election, ElectionDecision},
+    election::{Candidate, Election, ElectionDecision, PredecessorState},
     evacuation::{EvacuationRequest, Evacuations},
     id::{JobId, ParseIdError, TaskId, WorkerId},
     ledger::{FoldEffect, Job, JobState, Ledger},
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -306,6 +306,7 @@
         owner.forward_all_tasks();
         owner.inherit(now);
         owner.inherit_ended();
+        owner.note_predecessors_ended(now);
         owner
     }
 
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -7,7 +7,7 @@
 use crate::{
     Evacuations, InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId,
     WorkerId,
-    owner::{LossEvidence, WorkerKey, WorkerView},
+    owner::{LossEvidence, PredecessorsEnd, WorkerKey, WorkerView},
 };
 
 /// A worker in the platform's list of workers.
@@ -438,6 +438,23 @@
         /// The worker that lists the end.
         worker: WorkerId,
     },
+    /// No earlier owner can renew leases any more.
+    PredecessorsEnded {
+        /// The owner's epoch.
+        epoch: u64,
+        /// What shows it.
+        end: PredecessorsEnd,
+        /// For how long it has held.
+        held_for: Duration,
+        /// Time since the log first confirmed that it rejects all earlier owners, if it has.
+        confirmed_for: Option<Duration>,
+        /// Number of witnesses with which all earlier owners comply.
+        witnesses: usize,
+        /// How many of the witnesses have answered this owner.
+        answered: usize,
+        /// How many of the others have ended.
+        ended: usize,
+    },
     /// The state of a worker, as the owner sees it, changed.
     WorkerChanged {
         /// The worker.
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -13,7 +13,10 @@
 
 use daisy_model::Instant;
 
-use super::{Owner, Worker};
+use super::{
+    Owner, Worker,
+    message::{Action, Note},
+};
 use crate::{Record, WorkerId};
 
 /// How long an owner whose appends the log does not store continues to renew leases.
@@ -298,9 +301,36 @@
         if now >= ended_at {
             it.predecessors_ended_at = Some(ended_at);
             it.predecessors_end = end;
+            self.note_predecessors_ended(now);
         }
     }
 
+    /// Notes what shows that no earlier owner renews leases, if that is known.
+    pub(super) fn note_predecessors_ended(&mut self, now: Instant) {
+        let Some((end, held_for)) = self.succession.predecessors_ended(now) else { return };
+        let (answered, ended) = self.count_lost_witnesses();
+        let it = &self.succession;
+        self.actions.push(Action::Note(Note::PredecessorsEnded {
+            epoch: it.epoch,
+            end,
+            held_for,
+            confirmed_for: it.fenced_at.map(|at| now.since(at)),
+            witnesses: it.witnesses.len(),
+            answered,
+            ended,
+        }));
+    }
+
+    /// Counts the witnesses that have answered this owner, and the others that have ended.
+    fn count_lost_witnesses(&self) -> (usize, usize) {
+        let witnesses = &self.succession.witnesses;
+        let answered = self.count_witnesses(witnesses, has_answered);
+        let ended = self.count_witnesses(witnesses, |worker, it| {
+            !has_answered(worker, it) && has_ended(worker, it)
+        });
+        (answered, ended)
+    }
+
     /// Returns when all leases that an earlier owner may have renewed on a worker have expired, if
     /// that is known.
     pub(super) fn inherited_leases_end(&self, worker: &WorkerId) -> Option<Instant> {
@@ -337,13 +367,14 @@
     pub fn try_inherited_leases(&self, now: Instant) -> Option<InheritedLeases> {
         let over_at = self.latest_predecessors_end(now) + self.usual_inherited_lease();
         let time_left = over_at.since(now);
-        let witnesses = &self.succession.witnesses;
-        (!time_left.is_zero()).then(|| InheritedLeases {
-            witnesses: witnesses.len(),
-            answered: self.count_witnesses(witnesses, has_answered),
-            ended: self.count_witnesses(witnesses, |worker, it| {
-                !has_answered(worker, it) && has_ended(worker, it)
-            }),
+        if time_left.is_zero() {
+            return None;
+        }
+        let (answered, ended) = self.count_lost_witnesses();
+        Some(InheritedLeases {
+            witnesses: self.succession.witnesses.len(),
+            answered,
+            ended,
             predecessors_ended: self.succession.predecessors_ended_at.is_some(),
             time_left,
         })
--- a/daisy-workflow/tests/election.rs
+++ b/daisy-workflow/tests/election.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisy_model::Instant;
-use daisy_workflow::{Claim, Election, ElectionDecision};
+use daisy_workflow::{Claim, Election, ElectionDecision, PredecessorState};
 
 const RTT: Duration = Duration::from_millis(5);
 
@@ -139,3 +139,30 @@
     assert_eq!(last, Some(4_500));
     assert_eq!(decision, ElectionDecision::Claim);
 }
+
+/// Guards against an owner that starts tasks elsewhere while an earlier one still renews leases, and
+/// against a line that gives another reason than the decision had.
+#[test]
+fn earlier_owners_have_ended_only_if_the_last_one_has_and_so_have_those_before_it() {
+    let of = |vm: &str, released, predecessors_expired| Claim {
+        predecessors_expired,
+        ..claim(vm, 1, released)
+    };
+    let cases = [
+        (None, PredecessorState::NoneBefore, true),
+        (Some(of("b", true, true)), PredecessorState::Released, true),
+        (Some(of("a", false, true)), PredecessorState::SameVm, true),
+        (Some(of("a", true, true)), PredecessorState::Released, true),
+        (Some(of("b", true, false)), PredecessorState::EarlierMayRun, false),
+        (Some(of("a", false, false)), PredecessorState::EarlierMayRun, false),
+        (Some(of("b", false, true)), PredecessorState::LastMayRun, false),
+        (Some(of("b", false, false)), PredecessorState::LastMayRun, false),
+        (Some(Claim::unreadable(3)), PredecessorState::LastMayRun, false),
+    ];
+
+    for (last, expected, have_ended) in cases {
+        let state = PredecessorState::new(last.as_ref(), "a");
+
+        assert_eq!((state, state.have_ended()), (expected, have_ended), "{last:?}");
+    }
+}
