--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -139,9 +139,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let WorkerView { clock, lease_end_ms, started_at_ms, token } = self.0;
         if let Some((clock_ms, age)) = clock {
-            write!(f, "clock_ms={clock_ms} clock_age_ms={} ", age.as_millis())?;
+            let age_ms = age.as_millis();
+            write!(f, "clock_ms={clock_ms} clock_age_ms={age_ms} lease_end_ms={lease_end_ms} ")?;
         }
-        write!(f, "lease_end_ms={lease_end_ms} started_at_ms={started_at_ms} token={token}")
+        write!(f, "started_at_ms={started_at_ms} token={token}")
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -418,6 +418,47 @@
     assert!(output.contains("its worker is silent and its lease has run out"), "{output}");
 }
 
+/// Follows the walkthrough of a second run: the lines tell which owner gave the first run up, which
+/// one it follows, and what shows that the first run was over.
+#[tokio::test]
+async fn a_second_run_is_traced_to_the_bound_that_was_over_for_the_first() {
+    let mut fleet = Fleet::start(3, 5, Duration::from_secs(60)).await;
+    fleet.submit(0, JOB_ID, job_body(1)).await;
+    fleet.wait_for_runs(1).await;
+    // The owner soon tells the log that the order was answered.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let owner = fleet.wait_for_owner().await;
+    fleet.set_fault_of_worker_running(JOB_ID, WorkerFault::Unreachable);
+    fleet.kill(owner);
+
+    let output = fleet.wait_for_trace(JOB_ID, "run=2").await;
+
+    let line = |name: &str| {
+        let lines = output.lines().filter(|it| it.contains(&format!("event={name} ")));
+        lines.map(str::to_owned).collect::<Vec<String>>()
+    };
+    let (starts, lost) = (line("start"), line("run_lost"));
+    assert_eq!(lost.len(), 1, "{output}");
+    assert!(starts.iter().all(|it| it.contains(" deadline_ms=") && it.contains(" token=")));
+    assert!(starts.iter().all(|it| it.contains(" clock_ms=")), "{starts:?}");
+    assert!(lost[0].contains(" bound=predecessor_lease over_ms="), "{lost:?}");
+    assert!(lost[0].contains(" order=inherited open_start=false "), "{lost:?}");
+    assert!(lost[0].contains(" predecessors_end=witnesses "), "{lost:?}");
+    let other_logs: String =
+        (0..3).filter(|vm| *vm != owner).map(|vm| fleet.log_text_of(vm)).collect();
+    let followed =
+        format!(" predecessors=last_may_run follows_epoch={} follows_vm=", epoch(&starts[0]));
+    assert!(other_logs.contains(&followed), "{followed} in {other_logs}");
+    assert!(other_logs.contains("event=predecessors_ended "), "{other_logs}");
+    assert!(other_logs.contains(" is=fenced "), "{other_logs}");
+}
+
+/// Returns the owner's epoch, which is the token of calls to workers that have not restarted.
+fn epoch(line: &str) -> &str {
+    let (_, rest) = line.split_once(" token=").expect("a line with a token");
+    rest.split(' ').next().unwrap_or_default()
+}
+
 /// Follows the third walkthrough: a caller was told that the outcome is unknown, and its job ran.
 #[tokio::test]
 async fn an_unknown_outcome_is_traced_to_the_log() {
