--- a/daisy-node/src/own/notes.rs
+++ b/daisy-node/src/own/notes.rs
@@ -1,6 +1,8 @@
 //! Logs the owner's decisions and counts them in the metrics.
 
-use daisy_workflow::{Note, Outcome, ShardId};
+use std::{fmt, time::Duration};
+
+use daisy_workflow::{LossEvidence, Note, Outcome, ShardId, WorkerView};
 
 use crate::metrics::Metrics;
 
@@ -60,11 +62,12 @@
                  attempts={attempts}"
             );
         }
-        Note::RunLost { task, run, worker, cause } => {
+        Note::RunLost { task, run, worker, cause, evidence } => {
             metrics.count_lost_run();
             let id = task.job;
             log::warn!(
-                "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{cause}\""
+                "event=run_lost id={id} task={task} run={run} worker={worker} cause=\"{cause}\" {}",
+                LossKeys(evidence)
             );
         }
         Note::EndSuperseded { task, run, worker } => {
@@ -74,9 +77,72 @@
                  cause=\"{cause}\""
             );
         }
-        Note::WorkerChanged { worker, state, cause } => {
-            log::info!("event=worker worker={worker} is={state} cause=\"{cause}\"");
+        Note::PredecessorsEnded {
+            epoch,
+            end,
+            held_for,
+            confirmed_for,
+            witnesses,
+            answered,
+            ended,
+        } => {
+            let (shard, end, ended_ms) = (shard.0, end.label(), held_for.as_millis());
+            log::info!(
+                "event=predecessors_ended shard={shard} epoch={epoch} predecessors_end={end} \
+                 predecessors_ended_ms={ended_ms} witnesses={witnesses} answered={answered} \
+                 ended={ended}{}",
+                ConfirmedKey(*confirmed_for)
+            );
+        }
+        Note::WorkerChanged { worker, state, cause, view } => {
+            let view = WorkerKeys(*view);
+            log::info!("event=worker worker={worker} is={state} cause=\"{cause}\" {view}");
+        }
+    }
+}
+
+/// Displays the keys of a log line that tell what an owner knew when it gave a run up; those of which
+/// it knew nothing are left out.
+struct LossKeys<'a>(&'a LossEvidence);
+
+impl fmt::Display for LossKeys<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LossKeys(it) = self;
+        let (bound, over_ms) = (it.bound.label(), it.held_for.as_millis());
+        write!(f, "bound={bound} over_ms={over_ms} order={}", it.order)?;
+        write!(f, " open_start={}", it.has_open_start)?;
+        if let Some(worker) = it.worker {
+            write!(f, " {}", WorkerKeys(worker))?;
+        }
+        if let Some((end, held_for)) = it.predecessors_ended {
+            let ended_ms = held_for.as_millis();
+            write!(f, " predecessors_end={} predecessors_ended_ms={ended_ms}", end.label())?;
+        }
+        Ok(())
+    }
+}
+
+/// Displays the key for the time since the log's confirmation, if there was one.
+struct ConfirmedKey(Option<Duration>);
+
+impl fmt::Display for ConfirmedKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ConfirmedKey(Some(it)) = self else { return Ok(()) };
+        write!(f, " confirmed_ms={}", it.as_millis())
+    }
+}
+
+/// Displays the keys of a log line that tell what an owner knows of a worker's incarnation.
+struct WorkerKeys(WorkerView);
+
+impl fmt::Display for WorkerKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let WorkerView { clock, lease_end_ms, started_at_ms, token } = self.0;
+        if let Some((clock_ms, age)) = clock {
+            let age_ms = age.as_millis();
+            write!(f, "clock_ms={clock_ms} clock_age_ms={age_ms} lease_end_ms={lease_end_ms} ")?;
         }
+        write!(f, "started_at_ms={started_at_ms} token={token}")
     }
 }
 
--- a/daisy-workflow/src/owner/message.rs
+++ b/daisy-workflow/src/owner/message.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     Evacuations, InterferenceSums, JobId, JobKind, Load, QueueConfig, Record, ShardId, TaskId,
-    WorkerId, owner::WorkerKey,
+    WorkerId,
+    owner::{LossEvidence, PredecessorsEnd, WorkerKey, WorkerView},
 };
 
 /// A worker in the platform's list of workers.
@@ -120,6 +121,22 @@
     Malformed,
 }
 
+impl RejectReason {
+    /// Returns the reason's name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            RejectReason::Fenced { .. } => "fenced",
+            RejectReason::StaleRun => "stale_run",
+            RejectReason::LeaseExpired => "lease_expired",
+            RejectReason::DoesNotFit => "does_not_fit",
+            RejectReason::InvalidTicket => "invalid_ticket",
+            RejectReason::Unhealthy => "unhealthy",
+            RejectReason::OtherIncarnation => "other_incarnation",
+            RejectReason::Malformed => "malformed",
+        }
+    }
+}
+
 /// The answer to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
@@ -408,6 +425,8 @@
         worker: WorkerId,
         /// Why it cannot be running any more.
         cause: &'static str,
+        /// What the owner knew.
+        evidence: LossEvidence,
     },
     /// A run that was given up has ended as done, after its task was started again: the end is not
     /// acknowledged and has no effect.
@@ -419,6 +438,23 @@
         /// The worker that lists the end.
         worker: WorkerId,
     },
+    /// No earlier owner can renew leases any more.
+    PredecessorsEnded {
+        /// The owner's epoch.
+        epoch: u64,
+        /// What shows it.
+        end: PredecessorsEnd,
+        /// For how long it has held.
+        held_for: Duration,
+        /// Time since the log first confirmed that it rejects all earlier owners, if it has.
+        confirmed_for: Option<Duration>,
+        /// Number of witnesses with which all earlier owners comply.
+        witnesses: usize,
+        /// How many of the witnesses have answered this owner.
+        answered: usize,
+        /// How many of the others have ended.
+        ended: usize,
+    },
     /// The state of a worker, as the owner sees it, changed.
     WorkerChanged {
         /// The worker.
@@ -427,6 +463,8 @@
         state: &'static str,
         /// Why the state changed.
         cause: &'static str,
+        /// What the owner knows of the worker; for one that has restarted, of the incarnation before.
+        view: WorkerView,
     },
 }
 
--- a/daisy-workflow/src/owner/succession.rs
+++ b/daisy-workflow/src/owner/succession.rs
@@ -13,7 +13,10 @@
 
 use daisy_model::Instant;
 
-use super::{Owner, Worker};
+use super::{
+    Owner, Worker,
+    message::{Action, Note},
+};
 use crate::{Record, WorkerId};
 
 /// How long an owner whose appends the log does not store continues to renew leases.
@@ -83,6 +86,30 @@
     pub time_left: Duration,
 }
 
+/// What shows that no earlier owner can renew leases any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PredecessorsEnd {
+    /// The owner's claim says so: the owner before it had released the shard, or was an earlier
+    /// process of the same VM, and those before that one had ended.
+    Claim,
+    /// So many witnesses reject earlier owners, or have ended, that none gets answers from more than
+    /// half.
+    Witnesses,
+    /// So much time has passed since the log rejects earlier owners that each has stopped.
+    Time,
+}
+
+impl PredecessorsEnd {
+    /// Returns its name in log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            PredecessorsEnd::Claim => "claim",
+            PredecessorsEnd::Witnesses => "witnesses",
+            PredecessorsEnd::Time => "time",
+        }
+    }
+}
+
 /// What an owner knows of earlier and later owners.
 #[derive(Debug)]
 pub(super) struct Succession {
@@ -95,6 +122,8 @@
     witness_quorum_at: Option<Instant>,
     /// From when on no earlier owner renews leases, once that is known.
     predecessors_ended_at: Option<Instant>,
+    /// What showed it.
+    predecessors_end: PredecessorsEnd,
     /// Witnesses whose record is in the log and with which all earlier owners comply.
     witnesses: Vec<Witness>,
     /// Witnesses that have to be recorded.
@@ -117,6 +146,7 @@
             fenced_at: None,
             witness_quorum_at: None,
             predecessors_ended_at: ownership.predecessors_ended.then_some(now),
+            predecessors_end: PredecessorsEnd::Claim,
             witnesses,
             next_witnesses,
             recording_witnesses: None,
@@ -169,6 +199,12 @@
         self.predecessors_ended_at
     }
 
+    /// Returns what showed that no earlier owner renews leases, and for how long that has held, once
+    /// it is known.
+    pub(super) fn predecessors_ended(&self, now: Instant) -> Option<(PredecessorsEnd, Duration)> {
+        self.predecessors_ended_at.map(|at| (self.predecessors_end, now.since(at)))
+    }
+
     /// Whether there are witnesses to record.
     pub(super) fn has_witnesses_record(&self) -> bool {
         self.next_witnesses.is_some()
@@ -258,15 +294,43 @@
         if has_quorum {
             it.witness_quorum_at.get_or_insert(now);
         }
-        let ended_at = match it.witness_quorum_at {
-            Some(at) => at + ANSWER_VALIDITY,
-            None => fenced_at + MAX_RENEWAL_WITHOUT_LOG,
+        let (end, ended_at) = match it.witness_quorum_at {
+            Some(at) => (PredecessorsEnd::Witnesses, at + ANSWER_VALIDITY),
+            None => (PredecessorsEnd::Time, fenced_at + MAX_RENEWAL_WITHOUT_LOG),
         };
         if now >= ended_at {
             it.predecessors_ended_at = Some(ended_at);
+            it.predecessors_end = end;
+            self.note_predecessors_ended(now);
         }
     }
 
+    /// Notes what shows that no earlier owner renews leases, if that is known.
+    pub(super) fn note_predecessors_ended(&mut self, now: Instant) {
+        let Some((end, held_for)) = self.succession.predecessors_ended(now) else { return };
+        let (answered, ended) = self.count_lost_witnesses();
+        let it = &self.succession;
+        self.actions.push(Action::Note(Note::PredecessorsEnded {
+            epoch: it.epoch,
+            end,
+            held_for,
+            confirmed_for: it.fenced_at.map(|at| now.since(at)),
+            witnesses: it.witnesses.len(),
+            answered,
+            ended,
+        }));
+    }
+
+    /// Counts the witnesses that have answered this owner, and the others that have ended.
+    fn count_lost_witnesses(&self) -> (usize, usize) {
+        let witnesses = &self.succession.witnesses;
+        let answered = self.count_witnesses(witnesses, has_answered);
+        let ended = self.count_witnesses(witnesses, |worker, it| {
+            !has_answered(worker, it) && has_ended(worker, it)
+        });
+        (answered, ended)
+    }
+
     /// Returns when all leases that an earlier owner may have renewed on a worker have expired, if
     /// that is known.
     pub(super) fn inherited_leases_end(&self, worker: &WorkerId) -> Option<Instant> {
@@ -303,13 +367,14 @@
     pub fn try_inherited_leases(&self, now: Instant) -> Option<InheritedLeases> {
         let over_at = self.latest_predecessors_end(now) + self.usual_inherited_lease();
         let time_left = over_at.since(now);
-        let witnesses = &self.succession.witnesses;
-        (!time_left.is_zero()).then(|| InheritedLeases {
-            witnesses: witnesses.len(),
-            answered: self.count_witnesses(witnesses, has_answered),
-            ended: self.count_witnesses(witnesses, |worker, it| {
-                !has_answered(worker, it) && has_ended(worker, it)
-            }),
+        if time_left.is_zero() {
+            return None;
+        }
+        let (answered, ended) = self.count_lost_witnesses();
+        Some(InheritedLeases {
+            witnesses: self.succession.witnesses.len(),
+            answered,
+            ended,
             predecessors_ended: self.succession.predecessors_ended_at.is_some(),
             time_left,
         })
