Fake worker: extend leases by repeated and roomless starts, fence paces

The platform's workers take the deadline of every start that they answer with 200, `old` or `room`, and reject any call with a lower fencing token. The fake worker left the lease alone where the run was already there, knew no lack of room, and let any owner set a pace. A start that lacks room is a fault that tests can ask for.

--- a/daisy-workflow/tests/util/worker.rs
+++ b/daisy-workflow/tests/util/worker.rs
@@ -27,6 +27,8 @@
     DelaysCalls(u64),
     /// Orders to start are rejected.
     RejectsStarts,
+    /// Orders to start are rejected for lack of room, and extend the lease.
+    LacksRoom,
     /// Every run fails as soon as it starts.
     Fails,
     /// Every run stops making progress.
@@ -264,8 +266,7 @@
                 (TICK, Event::StopAnswered(key, task, run, reply))
             }
             Action::Pace(key, task, run, percent) => {
-                self.set_pace(task, run, percent);
-                let reply = OrderReply::Done { clock_ms: self.clock(now) };
+                let reply = self.accept_pace(now, token, task, run, percent);
                 (TICK, Event::PaceAnswered(key, task, run, percent, reply))
             }
             Action::Forward(..)
@@ -389,6 +390,7 @@
         }
         self.fence = token;
         if self.runs.iter().any(|it| it.task == start.task && it.run == start.run) {
+            self.grant(clock, start.deadline_ms);
             return OrderReply::Done { clock_ms: clock };
         }
         if self.closed_runs.iter().any(|(task, run)| *task == start.task && start.run <= *run) {
@@ -400,6 +402,9 @@
             return OrderReply::Rejected(RejectReason::LeaseExpired);
         }
         self.grant(clock, start.deadline_ms);
+        if self.fault == Fault::LacksRoom {
+            return OrderReply::Rejected(RejectReason::DoesNotFit);
+        }
         let (task, run) = (start.task, start.run);
         self.runs.push(FakeRun {
             task,
@@ -416,6 +421,22 @@
         OrderReply::Done { clock_ms: clock }
     }
 
+    fn accept_pace(
+        &mut self,
+        now: Instant,
+        token: u64,
+        task: TaskId,
+        run: u32,
+        percent: u8,
+    ) -> OrderReply {
+        if token < self.fence {
+            return OrderReply::Rejected(RejectReason::Fenced { token });
+        }
+        self.fence = token;
+        self.set_pace(task, run, percent);
+        OrderReply::Done { clock_ms: self.clock(now) }
+    }
+
     pub fn set_pace(&mut self, task: TaskId, run: u32, percent: u8) {
         let run = self.runs.iter_mut().find(|it| it.task == task && it.run == run);
         if let Some(it) = run {
