Cluster of owners: answers handled late and in any order, calls sent late

The model handled an answer in the step in which it arrived, and sent a call in the step after its decision. Processes that are slowed down do neither: an answer waits in a queue, is overtaken by that of another call, and a call whose task has not run yet is sent seconds later, also after its owner has stepped down or released the shard. Delays are drawn for each answer and each call, on VMs that a test names; without them nothing is drawn, and the schedules of all tests are as before.

--- a/daisy-workflow/tests/util/mod.rs
+++ b/daisy-workflow/tests/util/mod.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     parallel::{PrintOnPanic, check_all, check_seeds},
-    partition::{Cluster, Node},
+    partition::{Cluster, Delays, Node},
     sharded_simulation::ShardedSimulation,
     simulation::{Simulation, owner},
     worker::{FakeWorker, Fault, LONG_RUNNING_WORK_MS},
--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -80,11 +80,22 @@
     submissions_read: usize,
 }
 
+/// The longest delays of a process that goes on meanwhile; each answer and each call has its own, so
+/// that they overtake each other.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Delays {
+    /// Between the arrival of an answer and its processing.
+    pub receive: Duration,
+    /// Between the decision of a call and its sending.
+    pub send: Duration,
+}
+
 /// A VM, which may run an owner.
 #[derive(Default)]
 struct Vm {
     process: Option<Process>,
     frozen: bool,
+    delays: Delays,
     /// Whether it has not run a step since it was resumed.
     just_woken: bool,
 }
@@ -103,6 +114,12 @@
     action: Action,
 }
 
+/// A call that a process has begun and not sent yet.
+struct DelayedCall {
+    send_at: Instant,
+    call: Call,
+}
+
 /// The newest claim, with the state that its heartbeats have published since.
 struct NewestClaim {
     epoch: u64,
@@ -147,6 +164,12 @@
     pub evacuations: Evacuations,
     /// Number of orders to start a task that were sent to a worker which had been replaced.
     pub starts_for_replaced: usize,
+    /// Draws the delays of processes.
+    pub rng: fastrand::Rng,
+    /// Whether a process handles the answers that are due in any order.
+    pub shuffles_answers: bool,
+    /// Whether to print calls, answers and the owners' notes.
+    pub is_traced: bool,
     vms: Vec<Vm>,
     down: Vec<Option<CrashedWorker>>,
     /// When draining workers exit.
@@ -159,6 +182,7 @@
     /// heartbeats alone, as they are in a partition of their own.
     last_heartbeat: (u64, Instant),
     worker_entries: Vec<(Instant, WorkerListing)>,
+    delayed_calls: Vec<DelayedCall>,
     calls: Vec<Call>,
     downtimes: Vec<TaskDowntime>,
     /// Runs that were started, and ends as done that are final.
@@ -187,12 +211,16 @@
             lists_machines: false,
             evacuations: Evacuations::default(),
             starts_for_replaced: 0,
+            rng: fastrand::Rng::with_seed(0),
+            shuffles_answers: false,
+            is_traced: false,
             vms: (0..vms).map(|_| Vm::default()).collect(),
             blocked_links: Vec::new(),
             log: Log::default(),
             claimed: None,
             last_heartbeat: (0, now),
             worker_entries: Vec::new(),
+            delayed_calls: Vec::new(),
             calls: Vec::new(),
             downtimes: Vec::new(),
             started_runs: Vec::new(),
@@ -276,6 +304,7 @@
     pub fn heal_all(&mut self) {
         self.heal_links();
         self.call_latency = Duration::ZERO;
+        self.vms.iter_mut().for_each(|it| it.delays = Delays::default());
         (0..self.vms.len()).for_each(|vm| self.wake(vm));
     }
 
@@ -298,6 +327,11 @@
         self.vms[vm].frozen = true;
     }
 
+    /// Lets the process on a VM handle answers and send calls late.
+    pub fn delay(&mut self, vm: usize, delays: Delays) {
+        self.vms[vm].delays = delays;
+    }
+
     pub fn wake(&mut self, vm: usize) {
         let vm = &mut self.vms[vm];
         vm.just_woken = std::mem::take(&mut vm.frozen);
@@ -305,6 +339,7 @@
 
     /// Kills the process on a VM without a release of the shard; its calls in flight still arrive.
     pub fn kill(&mut self, vm: usize) {
+        self.delayed_calls.retain(|it| it.call.vm != vm);
         self.vms[vm] = Vm::default();
     }
 
@@ -453,6 +488,7 @@
         for vm in 0..self.vms.len() {
             self.run_process(vm);
         }
+        self.send_delayed();
         self.deliver();
         check_runs(&self.workers, &self.ledger);
         self.check_no_start_after_end();
@@ -537,8 +573,16 @@
         };
         let (due, later) = process.inbox.drain(..).partition(is_due);
         process.inbox = later;
-        let due: Vec<(Instant, Event)> = due;
-        due.into_iter().for_each(|(_, event)| process.owner.handle_event(now, event));
+        let mut due: Vec<(Instant, Event)> = due;
+        if self.shuffles_answers {
+            self.rng.shuffle(&mut due);
+        }
+        for (_, event) in due {
+            if self.is_traced {
+                println!("{} vm {vm} handles {event:?}", now.0 / 1_000);
+            }
+            process.owner.handle_event(now, event);
+        }
         process.owner.handle_event(now, Event::Tick);
         process.outbox = process.owner.take_actions(now);
         if process.outbox.contains(&Action::StepDown) {
@@ -572,29 +616,70 @@
             {
                 check_start(&self.ledger, start);
             }
+            if self.is_traced
+                && let Action::Note(note) = &action
+            {
+                println!("{} vm {vm} epoch {}: {note:?}", now.0 / 1_000, process.epoch);
+            }
             let Some(key) = target_worker(&action) else { continue };
             let target = process.owner.worker(key).expect("the owner's worker");
             let to = self.workers.iter().position(|it| it.port == target.address.port());
-            match to.filter(|to| self.can_send(Node::Vm(vm), Node::Worker(*to))) {
-                Some(to) => self.calls.push(Call {
-                    at: now + self.call_latency,
-                    sent_at: now,
-                    vm,
-                    epoch: process.epoch,
-                    token: target.token,
-                    to,
-                    id: target.id.0.to_string(),
-                    started_at_ms: target.started_at_ms,
-                    action,
-                }),
+            let delay = up_to(&mut self.rng, self.vms[vm].delays.send);
+            let can_send = |to: &usize| self.can_send(Node::Vm(vm), Node::Worker(*to));
+            match to.filter(|to| !delay.is_zero() || can_send(to)) {
+                Some(to) => {
+                    let call = Call {
+                        at: now + delay + self.call_latency,
+                        sent_at: now + delay,
+                        vm,
+                        epoch: process.epoch,
+                        token: target.token,
+                        to,
+                        id: target.id.0.to_string(),
+                        started_at_ms: target.started_at_ms,
+                        action,
+                    };
+                    match delay.is_zero() {
+                        true => self.calls.push(call),
+                        false => {
+                            self.delayed_calls.push(DelayedCall { send_at: now + delay, call })
+                        }
+                    }
+                }
                 None => {
-                    let event = unanswered_event(action).map(|it| (now + CALL_TIMEOUT, it));
+                    let delay = up_to(&mut self.rng, self.vms[vm].delays.receive);
+                    let event = unanswered_event(action).map(|it| (now + CALL_TIMEOUT + delay, it));
                     process.inbox.extend(event);
                 }
             }
         }
     }
 
+    /// Sends the delayed calls that are due, also those of owners that have ended since.
+    fn send_delayed(&mut self) {
+        let now = self.now;
+        let is_due = |it: &DelayedCall| it.send_at <= now && !self.vms[it.call.vm].frozen;
+        let due = self.delayed_calls.extract_if(.., |it| is_due(it)).collect::<Vec<_>>();
+        for DelayedCall { mut call, .. } in due {
+            call.sent_at = now;
+            call.at = now + self.call_latency;
+            if self.can_send(Node::Vm(call.vm), Node::Worker(call.to)) {
+                self.calls.push(call);
+            } else if let Some(event) = unanswered_event(call.action) {
+                self.answer(call.vm, call.epoch, now + CALL_TIMEOUT, event);
+            }
+        }
+    }
+
+    /// Lets the owner with an epoch receive an answer, unless it has ended.
+    fn answer(&mut self, vm: usize, epoch: u64, at: Instant, event: Event) {
+        let Vm { process, delays, .. } = &mut self.vms[vm];
+        if let Some(process) = process.as_mut().filter(|it| it.epoch == epoch) {
+            let delay = up_to(&mut self.rng, delays.receive);
+            process.inbox.push((at + delay, event));
+        }
+    }
+
     fn read(&self, vm: usize, process: &mut Process) {
         if !self.are_connected(Node::Vm(vm), Node::Store) {
             return;
@@ -628,7 +713,10 @@
             let sent = write.next_send_at <= now && self.can_send(Node::Vm(vm), Node::Store);
             let answer = sent.then(|| self.store_write(process, &write));
             match answer.filter(|_| self.can_send(Node::Store, Node::Vm(vm))) {
-                Some(event) => process.inbox.push((now + self.step, event)),
+                Some(event) => {
+                    let delay = up_to(&mut self.rng, self.vms[vm].delays.receive);
+                    process.inbox.push((now + self.step + delay, event));
+                }
                 None => {
                     if write.next_send_at <= now {
                         write.next_send_at = now + WRITE_RETRY_INTERVAL;
@@ -672,6 +760,9 @@
         self.calls = later;
         let due: Vec<Call> = due;
         for Call { sent_at, vm, epoch, token, to, id, started_at_ms, action, .. } in due {
+            if self.is_traced {
+                println!("{} vm {vm} calls {id} with token {token}: {action:?}", now.0 / 1_000);
+            }
             let lost = unanswered_event(action.clone()).map(|it| (CALL_TIMEOUT, it));
             let is_replaced = self.workers[to].name != id;
             self.starts_for_replaced +=
@@ -683,9 +774,8 @@
             };
             let back = !self.is_down(to) && self.can_send(Node::Worker(to), Node::Vm(vm));
             let answer = if back && now.since(sent_at) < CALL_TIMEOUT { answer } else { lost };
-            let process = self.vms[vm].process.as_mut().filter(|it| it.epoch == epoch);
-            if let (Some(process), Some((after, event))) = (process, answer) {
-                process.inbox.push(((now + after).max(sent_at + self.step), event));
+            if let Some((after, event)) = answer {
+                self.answer(vm, epoch, (now + after).max(sent_at + self.step), event);
             }
         }
     }
@@ -771,6 +861,14 @@
     }
 }
 
+/// Draws a delay, if there is one.
+fn up_to(rng: &mut fastrand::Rng, longest: Duration) -> Duration {
+    match longest.as_millis() as u64 {
+        0 => Duration::ZERO,
+        longest => Duration::from_millis(rng.u64(..=longest)),
+    }
+}
+
 fn is_log_answer(event: &Event) -> bool {
     matches!(
         event,
