Soak: restarts of workers beside successive owners, with long tasks

Tasks of 0.4 s are over before a lease matters, links were the same for all processes, and restarts, delayed calls and changes of the owner seldom met.

Seeds from 3000 on have tasks of 6 to 20 s, 12 to 20 workers, and series in which some workers restart while calls to them are delayed, the owner of that moment is paused, killed, stopped or cut off from the log, and links to workers fail, from all processes or from one. Lower seeds play as before. A failure also keeps what the workers saw.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,10 +26,6 @@
 /// The seeds that are run by default.
 const DEFAULT_SEEDS: [u64; 4] = [1, 2, 1_001, 2_001];
 
-/// How long accepted jobs may take to end after all faults: several times the sum of an owner
-/// change, the longest lease and a job's work, for a busy machine.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Serializes the runs: each starts as many processes as all tests together may have at a time.
 static EXCLUSIVE: Mutex<()> = Mutex::const_new(());
 
@@ -112,7 +108,7 @@
     fleet.run_schedule(&plan).await;
     let jobs = callers.finish().await;
     fleet.end_all_faults().await;
-    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, SETTLE_TIMEOUT).await;
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, plan.settle_timeout).await;
     let mut violations = promises::violations(&jobs, &fleet.runs());
     violations.extend(unfinished_jobs);
     if violations.is_empty() {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::Range,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -131,9 +132,11 @@
         let mut tasks = JoinSet::new();
         let until = Instant::now() + plan.duration;
         let kinds = (plan.mixes_kinds, plan.has_constraints);
+        let pause_ms = plan.pause.start.as_millis() as u64..plan.pause.end.as_millis() as u64;
         for number in 0..CALLER_COUNT {
             let rng = Rng::with_seed(seed * 1_000 + number as u64);
-            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), kinds, jobs.clone()));
+            let pause_ms = pause_ms.clone();
+            tasks.spawn(submit_jobs_until(until, rng, vms.clone(), kinds, pause_ms, jobs.clone()));
         }
         Callers { jobs, tasks }
     }
@@ -183,13 +186,14 @@
     mut rng: Rng,
     vms: Vec<SocketAddr>,
     kinds: (bool, bool),
+    pause_ms: Range<u64>,
     jobs: Arc<Mutex<Vec<SubmittedJob>>>,
 ) {
     let http = Http::new(None);
     while Instant::now() < until {
         let job = submit_and_poll_job(&http, &mut rng, &vms, kinds).await;
         jobs.lock().unwrap_or_else(PoisonError::into_inner).push(job);
-        sleep(Duration::from_millis(rng.u64(50..250))).await;
+        sleep(Duration::from_millis(rng.u64(pause_ms.clone()))).await;
     }
 }
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     path::PathBuf,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use daisy_http::Http;
@@ -12,6 +12,7 @@
     Link,
     link::{ForwardRule, LinkFaults, Options},
 };
+use futures::future::join_all;
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -19,14 +20,12 @@
 
 use crate::{
     callers::{SubmittedJob, send_request},
-    plan::{Fault, LinkFault, Plan},
+    plan::{Fault, LinkFault, Plan, Target},
     process::{POLICY, Process},
 };
 
 /// The number of workers that have a link of their own.
 const LINKED_WORKERS: usize = 6;
-/// The duration of a task.
-const TASK_DURATION: Duration = Duration::from_millis(400);
 /// The number of cores of a worker; a task takes half a core.
 pub const CORES: u32 = 4;
 /// The interval at which the schedule is checked.
@@ -40,8 +39,8 @@
     workers: Vec<Worker>,
     /// The link of each process to the log.
     log_links: Vec<Link>,
-    /// The links to the first workers.
-    worker_links: Vec<Link>,
+    /// The links to each of the first workers: one, or one from each process.
+    worker_links: Vec<Vec<Link>>,
     processes: Vec<Process>,
     /// The ends of the active faults, with the time at which each is due.
     scheduled_ends: Vec<(Instant, FaultEnd)>,
@@ -56,6 +55,7 @@
     ResumeProcess(usize),
     RestoreLogLink(usize),
     RestoreWorkerLink(usize),
+    RestorePath(usize, usize),
     RestoreWorker(usize),
     RestoreLog,
 }
@@ -73,24 +73,32 @@
         let mut workers = Vec::new();
         let mut worker_links = Vec::new();
         for index in 0..plan.workers {
-            let worker =
-                Worker::start(&log, &format!("w{index}"), "shop", CORES, TASK_DURATION).await;
+            let work = plan.task_durations[index];
+            let worker = Worker::start(&log, &format!("w{index}"), "shop", CORES, work).await;
             let worker = worker.expect("a port of loopback");
             worker.set_clock_rate(plan.clock_permille[index]);
             worker.join_gangs(&gangs);
             if plan.has_constraints && !is_of_kind_a(index) {
                 worker.set_labels(["b", "r1-1"]);
             }
-            if index < LINKED_WORKERS {
-                let link = link_to(worker.address).await;
-                worker.announce_at(link.address());
-                worker_links.push(link);
+            if plan.has_paths {
+                let links = links_to(worker.address, plan.vms).await;
+                worker.announce_in_views(links.iter().map(Link::address).collect());
+                worker_links.push(links);
+            } else if index < LINKED_WORKERS {
+                let links = links_to(worker.address, 1).await;
+                worker.announce_at(links[0].address());
+                worker_links.push(links);
             }
             workers.push(worker);
         }
         let mut log_links = Vec::new();
-        for _ in 0..plan.vms {
-            log_links.push(link_to(log.address).await);
+        for vm in 0..plan.vms {
+            let address = match plan.has_paths {
+                true => log.open_view(vm).await.expect("a port of loopback"),
+                false => log.address,
+            };
+            log_links.push(link_to(address).await);
         }
         let policy = plan.mixes_kinds.then_some(POLICY);
         let longest = log.longest();
@@ -151,21 +159,29 @@
     fn inject(&mut self, fault: Fault) {
         let now = Instant::now();
         match fault {
-            Fault::Kill(vm, down) => self.kill(vm, now + down),
+            Fault::Kill(target, down) => self.kill(self.vm(target), now + down),
             Fault::KillAll(down) => {
                 (0..self.processes.len()).for_each(|vm| self.kill(vm, now + down));
             }
-            Fault::Pause(vm, time) => self.signal(vm, Signal::SIGSTOP, Some(now + time)),
-            Fault::Terminate(vm) => self.signal(vm, Signal::SIGTERM, None),
-            Fault::Hangup(vm) => self.signal(vm, Signal::SIGHUP, None),
-            Fault::LogLink(vm, fault, time) => {
+            Fault::Pause(target, time) => {
+                self.signal(self.vm(target), Signal::SIGSTOP, Some(now + time));
+            }
+            Fault::Terminate(target) => self.signal(self.vm(target), Signal::SIGTERM, None),
+            Fault::Hangup(target) => self.signal(self.vm(target), Signal::SIGHUP, None),
+            Fault::LogLink(target, fault, time) => {
+                let vm = self.vm(target);
                 self.log_links[vm].set_faults(link_faults(fault));
                 self.scheduled_ends.push((now + time, FaultEnd::RestoreLogLink(vm)));
             }
             Fault::WorkerLink(worker, fault, time) => {
-                self.worker_links[worker].set_faults(link_faults(fault));
+                self.worker_links[worker].iter().for_each(|it| it.set_faults(link_faults(fault)));
                 self.scheduled_ends.push((now + time, FaultEnd::RestoreWorkerLink(worker)));
             }
+            Fault::Path(target, worker, fault, time) => {
+                let vm = self.vm(target);
+                self.worker_links[worker][vm].set_faults(link_faults(fault));
+                self.scheduled_ends.push((now + time, FaultEnd::RestorePath(vm, worker)));
+            }
             Fault::CrashWorker(worker) => self.workers[worker].crash(),
             Fault::DelayOrders(worker, delay) => {
                 /// How long the worker delays the orders that it receives.
@@ -173,6 +189,10 @@
                 self.workers[worker].set_fault(WorkerFault::DelaysStarts(delay));
                 self.scheduled_ends.push((now + FAULT_DURATION, FaultEnd::RestoreWorker(worker)));
             }
+            Fault::DelayCalls(worker, delay, time) => {
+                self.workers[worker].set_fault(WorkerFault::DelaysCalls(delay));
+                self.scheduled_ends.push((now + time, FaultEnd::RestoreWorker(worker)));
+            }
             Fault::LogBusy(time) => self.set_log_fault(LogFault::Busy, now + time),
             Fault::LogUnresponsive(time) => self.set_log_fault(LogFault::Unresponsive, now + time),
             Fault::LogLosesAnswers(time) => self.set_log_fault(LogFault::LosesAnswers, now + time),
@@ -188,6 +208,22 @@
         }
     }
 
+    /// Returns the index of the process that a fault is applied to.
+    fn vm(&self, target: Target) -> usize {
+        let newest_epoch = |vm: usize| {
+            let log_text = self.processes[vm].log_text();
+            let lines = log_text.lines().filter(|it| it.contains("event=owner shard=0 "));
+            lines.filter_map(|it| it.split_once("epoch=")?.1.split(' ').next()?.parse().ok()).max()
+        };
+        match target {
+            Target::Vm(vm) => vm,
+            Target::Owner => {
+                let epoch = |vm: &usize| newest_epoch(*vm).unwrap_or(0_u64);
+                (0..self.processes.len()).max_by_key(epoch).unwrap_or(0)
+            }
+        }
+    }
+
     /// Makes a worker delay the orders to start that it receives, or end that fault.
     pub fn set_order_delay(&self, worker: usize, delay: Option<Duration>) {
         let fault = delay.map_or(WorkerFault::None, WorkerFault::DelaysStarts);
@@ -196,7 +232,8 @@
 
     /// Cuts a worker off from all processes, crashes it, and restarts it under its id.
     pub fn restart_unreachable_worker(&self, worker: usize) {
-        self.worker_links[worker].set_faults(link_faults(LinkFault::Cut));
+        let links = &self.worker_links[worker];
+        links.iter().for_each(|it| it.set_faults(link_faults(LinkFault::Cut)));
         self.workers[worker].crash();
     }
 
@@ -259,7 +296,10 @@
             }
             FaultEnd::RestoreLogLink(vm) => self.log_links[vm].set_faults(LinkFaults::default()),
             FaultEnd::RestoreWorkerLink(worker) => {
-                self.worker_links[worker].set_faults(LinkFaults::default())
+                self.worker_links[worker].iter().for_each(|it| it.set_faults(LinkFaults::default()))
+            }
+            FaultEnd::RestorePath(vm, worker) => {
+                self.worker_links[worker][vm].set_faults(LinkFaults::default())
             }
             FaultEnd::RestoreWorker(worker) => self.workers[worker].set_fault(WorkerFault::None),
             FaultEnd::RestoreLog => self.log.set_fault(LogFault::None),
@@ -342,7 +382,8 @@
         unfinished
     }
 
-    /// Copies the logs of all processes into a folder of the seed, and returns its path.
+    /// Copies the logs of all processes, and what the workers saw, into a folder of the seed, and
+    /// returns its path.
     pub fn copy_logs(&self, seed: u64) -> PathBuf {
         let to = std::env::temp_dir().join(format!("daisyshift-soak-{seed}"));
         std::fs::create_dir_all(&to).expect("a folder for logs");
@@ -350,10 +391,31 @@
             // A process that never logged has no file.
             let _ = std::fs::copy(process.log_path(), to.join(format!("vm-{vm}.log")));
         }
+        let mut seen = Vec::new();
+        for it in &self.workers {
+            seen.extend(it.history().into_iter().map(|(at, what)| (at, it.id.clone(), what)));
+        }
+        seen.sort_unstable();
+        let lines =
+            seen.iter().map(|(at, id, what)| format!("{} worker={id} {what}\n", clock(*at)));
+        std::fs::write(to.join("workers.log"), lines.collect::<String>()).expect("space for logs");
         to
     }
 }
 
+/// Formats a time as the processes' logs do, in UTC.
+fn clock(at: SystemTime) -> String {
+    let of_day = at.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() % 86_400_000;
+    let (seconds, millis) = (of_day / 1_000, of_day % 1_000);
+    let (hours, minutes) = (seconds / 3_600, seconds / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{millis:03}", seconds % 60)
+}
+
+/// Starts as many links that forward to an address.
+async fn links_to(to: SocketAddr, count: usize) -> Vec<Link> {
+    join_all((0..count).map(|_| link_to(to))).await
+}
+
 /// Starts a link that forwards to an address.
 async fn link_to(to: SocketAddr) -> Link {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -1,30 +1,44 @@
 //! The schedule of faults that follows from a seed.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use fastrand::Rng;
 
-/// A fault to inject. Processes and workers are named by their index.
+/// A process to which a fault is applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// The process with this index.
+    Vm(usize),
+    /// The process that owns the first shard when the fault is injected.
+    Owner,
+}
+
+/// A fault to inject. Workers are named by their index.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     /// A process is killed, and restarted after this time.
-    Kill(usize, Duration),
+    Kill(Target, Duration),
     /// All processes are killed, and restarted after this time.
     KillAll(Duration),
     /// A process is paused for this time.
-    Pause(usize, Duration),
+    Pause(Target, Duration),
     /// A process is stopped as planned, and restarted when it has ended.
-    Terminate(usize),
+    Terminate(Target),
     /// A process is signalled to reload its settings.
-    Hangup(usize),
+    Hangup(Target),
     /// The link of a process to the log has a fault for this time.
-    LogLink(usize, LinkFault, Duration),
+    LogLink(Target, LinkFault, Duration),
     /// The link to a worker has a fault for this time.
     WorkerLink(usize, LinkFault, Duration),
+    /// The link from a process to a worker has a fault for this time.
+    Path(Target, usize, LinkFault, Duration),
     /// A worker crashes and restarts at once.
     CrashWorker(usize),
     /// A worker does not answer orders to start, and carries them out after this delay.
     DelayOrders(usize, Duration),
+    /// A worker answers no call, and carries each out after the first time, for the duration of the
+    /// second.
+    DelayCalls(usize, Duration, Duration),
     /// The log rejects all calls for this time.
     LogBusy(Duration),
     /// The log neither carries out nor answers calls for this time.
@@ -57,6 +71,9 @@
 const FIRST_MIXED_SEED: u64 = 1_000;
 /// Seeds from here on also submit jobs with constraints, to workers of two kinds.
 const FIRST_CONSTRAINED_SEED: u64 = 2_000;
+/// Seeds from here on have long tasks, and changes of the owner in series beside restarts of
+/// workers.
+const FIRST_SUCCESSION_SEED: u64 = 3_000;
 
 /// A seed's schedule.
 #[derive(Debug)]
@@ -69,6 +86,15 @@
     pub duration: Duration,
     /// The faults with the time since the start at which each is injected, in the order of time.
     pub faults: Vec<(Duration, Fault)>,
+    /// The duration of a task on each worker.
+    pub task_durations: Vec<Duration>,
+    /// The range of a caller's pause between two jobs.
+    pub pause: Range<Duration>,
+    /// How long accepted jobs may take to end after all faults: several times the sum of an owner
+    /// change, the longest lease and a job's work, for a busy machine.
+    pub settle_timeout: Duration,
+    /// Whether each process has a link of its own to each worker.
+    pub has_paths: bool,
     /// The speed of each worker's clock, in thousandths of the real speed.
     pub clock_permille: Vec<u64>,
     /// Whether callers also submit long-running jobs, to processes with the deployed policy.
@@ -86,6 +112,9 @@
         const SHARDED_WORKERS: usize = 105;
         const FEW_WORKERS: usize = 6;
         let mut rng = Rng::with_seed(seed);
+        if seed >= FIRST_SUCCESSION_SEED {
+            return Plan::with_successions(&mut rng);
+        }
         let vms = rng.usize(2..=4);
         let workers = if seed.is_multiple_of(5) { SHARDED_WORKERS } else { FEW_WORKERS };
         let duration = Duration::from_secs(8);
@@ -98,7 +127,48 @@
         let clock_permille = (0..workers).map(|_| rng.u64(980..=1_000)).collect();
         let mixes_kinds = seed >= FIRST_MIXED_SEED;
         let has_constraints = seed >= FIRST_CONSTRAINED_SEED;
-        Plan { vms, workers, duration, faults, clock_permille, mixes_kinds, has_constraints }
+        Plan {
+            duration,
+            faults,
+            clock_permille,
+            mixes_kinds,
+            has_constraints,
+            ..Plan::without_faults(vms, workers)
+        }
+    }
+
+    /// Returns a schedule in which, again and again, some workers restart while calls to them are
+    /// delayed, the owner is disturbed, and others lose touch with some workers.
+    fn with_successions(rng: &mut Rng) -> Plan {
+        const DURATION_MS: u64 = 38_000;
+        let vms = rng.usize(3..=4);
+        let workers = rng.usize(12..=20);
+        let mut faults = Vec::new();
+        let mut at_ms = rng.u64(4_000..7_000);
+        while at_ms < DURATION_MS - 6_000 {
+            add_succession(rng, &mut faults, at_ms, (vms, workers));
+            at_ms += rng.u64(2_000..8_000);
+        }
+        for _ in 0..rng.usize(5..30) {
+            let target = random_target(rng, vms);
+            let pause = Fault::Pause(target, random_time(rng, 40..900));
+            faults.push((random_time(rng, 2_000..DURATION_MS), pause));
+        }
+        faults.sort_by_key(|(at, _)| *at);
+        let task_durations = (0..workers).map(|_| random_time(rng, 6_000..20_000)).collect();
+        let clock_permille = (0..workers).map(|_| rng.u64(980..=1_000)).collect();
+        Plan {
+            duration: Duration::from_millis(DURATION_MS),
+            faults,
+            task_durations,
+            pause: Duration::from_millis(500)..Duration::from_millis(2_000),
+            settle_timeout: Duration::from_secs(150),
+            has_paths: true,
+            clock_permille,
+            mixes_kinds: true,
+            has_constraints: true,
+            ..Plan::without_faults(vms, workers)
+        }
     }
 
     /// Returns a schedule without faults, in which nothing is submitted.
@@ -108,6 +178,10 @@
             workers,
             duration: Duration::ZERO,
             faults: Vec::new(),
+            task_durations: vec![Duration::from_millis(400); workers],
+            pause: Duration::from_millis(50)..Duration::from_millis(250),
+            settle_timeout: Duration::from_secs(60),
+            has_paths: false,
             clock_permille: vec![1_000; workers],
             mixes_kinds: false,
             has_constraints: false,
@@ -122,7 +196,7 @@
 fn random_fault(rng: &mut Rng, vms: usize) -> Fault {
     /// The number of workers that have a link of their own.
     const LINKED_WORKERS: usize = 6;
-    let vm = rng.usize(..vms);
+    let vm = Target::Vm(rng.usize(..vms));
     let worker = rng.usize(..LINKED_WORKERS);
     match rng.u32(..17) {
         0 | 1 => Fault::Kill(vm, random_time(rng, 50..2_500)),
@@ -147,6 +221,67 @@
     }
 }
 
+/// Adds a change of the owner with restarts of workers before it and lost links after it.
+///
+/// A link that is cut carries out later what was sent before; together with a worker's delays, that
+/// is at most 12 s late, as on the platform.
+fn add_succession(
+    rng: &mut Rng,
+    faults: &mut Vec<(Duration, Fault)>,
+    at_ms: u64,
+    (vms, workers): (usize, usize),
+) {
+    let mut all: Vec<usize> = (0..workers).collect();
+    rng.shuffle(&mut all);
+    let (restarting, others) = all.split_at(rng.usize(2..=workers / 2));
+    for worker in restarting {
+        let crashed_ms = at_ms + rng.u64(200..2_500);
+        let delay = random_time(rng, 300..2_000);
+        let delays = match rng.u32(..4) {
+            0 => None,
+            1 => Some(Fault::DelayOrders(*worker, delay)),
+            _ => Some(Fault::DelayCalls(*worker, delay, random_time(rng, 500..2_500))),
+        };
+        let delayed_at = Duration::from_millis(crashed_ms - rng.u64(100..1_500).min(crashed_ms));
+        faults.extend(delays.map(|it| (delayed_at, it)));
+        faults.push((Duration::from_millis(crashed_ms), Fault::CrashWorker(*worker)));
+    }
+    let owner_ms = at_ms + rng.u64(1_500..4_500);
+    let fault = match rng.u32(..8) {
+        0..3 => Fault::Pause(Target::Owner, random_time(rng, 1_000..8_000)),
+        3 | 4 => Fault::Kill(Target::Owner, random_time(rng, 50..4_000)),
+        5 => Fault::Terminate(Target::Owner),
+        _ => Fault::LogLink(Target::Owner, random_link_fault(rng), random_time(rng, 1_000..9_000)),
+    };
+    faults.push((Duration::from_millis(owner_ms), fault));
+    let cut_off = restarting.iter().chain(&others[..rng.usize(..=others.len() / 2)]);
+    for worker in cut_off {
+        if rng.u32(..4) == 0 {
+            continue;
+        }
+        let cut_at = Duration::from_millis(owner_ms + rng.u64(..2_500) - 500);
+        let duration = random_time(rng, 4_000..11_000);
+        let fault = match rng.u32(..5) {
+            0 => LinkFault::Delay(rng.u64(200..2_000)),
+            1 | 2 => LinkFault::Cut,
+            _ => random_link_fault(rng),
+        };
+        let cut = match rng.u32(..4) {
+            0 | 1 => Fault::WorkerLink(*worker, fault, duration),
+            2 => Fault::Path(Target::Owner, *worker, fault, duration),
+            _ => Fault::Path(Target::Vm(rng.usize(..vms)), *worker, fault, duration),
+        };
+        faults.push((cut_at, cut));
+    }
+}
+
+fn random_target(rng: &mut Rng, vms: usize) -> Target {
+    match rng.bool() {
+        true => Target::Owner,
+        false => Target::Vm(rng.usize(..vms)),
+    }
+}
+
 fn random_link_fault(rng: &mut Rng) -> LinkFault {
     match rng.u32(..4) {
         0 => LinkFault::Cut,
