--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,7 +16,7 @@
 #[path = "soak/promises.rs"]
 mod promises;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use callers::Callers;
 use fleet::Fleet;
@@ -84,6 +84,30 @@
     assert_eq!(promises::violations(&[job], &fleet.runs()), Vec::<String>::new());
 }
 
+/// Guards against a failure in which a late renewal for a worker's last incarnation extended the
+/// lease of the next one, which the next owner did not know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_task_runs_twice_after_a_late_renewal_of_a_restarted_worker() {
+    /// From the restart to the time when the late renewal has been carried out.
+    const RENEWED_WITHIN: Duration = Duration::from_millis(2_800);
+    let _exclusive = EXCLUSIVE.lock().await;
+    let plan = Plan::with_late_renewal();
+    let mut fleet = Fleet::start(&plan).await;
+    fleet.run_schedule(&plan).await;
+    let restarted_at = Instant::now();
+    let job = callers::submit_job(&fleet.caller_addresses(), 16).await;
+    fleet.wait_until(|runs, _| runs.iter().any(|(worker, _)| *worker == 0)).await;
+    tokio::time::sleep(RENEWED_WITHIN.saturating_sub(restarted_at.elapsed())).await;
+
+    fleet.run_schedule(&Plan::with_killed_owner()).await;
+    fleet.end_all_faults().await;
+    let jobs = [job];
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, plan.settle_timeout).await;
+
+    let violations = [promises::violations(&jobs, &fleet.runs()), unfinished_jobs].concat();
+    assert_eq!(violations, Vec::<String>::new());
+}
+
 /// Runs a seed that failed once, unless other seeds are requested.
 async fn run_seed_unless_others_requested(seed: u64) {
     let _exclusive = EXCLUSIVE.lock().await;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -171,6 +171,32 @@
         }
     }
 
+    /// Returns a schedule in which a worker restarts, and carries out a renewal for its last
+    /// incarnation within 2.7 s after that.
+    pub fn with_late_renewal() -> Plan {
+        let millis = Duration::from_millis;
+        let faults = vec![
+            (millis(1_000), Fault::DelayCalls(0, millis(3_000), millis(1_900))),
+            (millis(2_800), Fault::CrashWorker(0)),
+        ];
+        Plan {
+            duration: millis(3_000),
+            faults,
+            task_durations: vec![millis(14_000), millis(1_000)],
+            ..Plan::without_faults(2, 2)
+        }
+    }
+
+    /// Returns a schedule in which the owner is killed and the first worker is cut off.
+    pub fn with_killed_owner() -> Plan {
+        let time = Duration::from_secs(14);
+        let faults = vec![
+            (Duration::ZERO, Fault::Kill(Target::Owner, time)),
+            (Duration::ZERO, Fault::WorkerLink(0, LinkFault::Cut, time)),
+        ];
+        Plan { duration: time, faults, ..Plan::without_faults(2, 2) }
+    }
+
     /// Returns a schedule without faults, in which nothing is submitted.
     pub fn without_faults(vms: usize, workers: usize) -> Plan {
         Plan {
