--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,7 +18,7 @@
 
 use std::time::{Duration, Instant};
 
-use callers::Callers;
+use callers::{Callers, SubmittedJob};
 use fleet::Fleet;
 use plan::Plan;
 use tokio::sync::Mutex;
@@ -99,13 +99,38 @@
     fleet.wait_until(|runs, _| runs.iter().any(|(worker, _)| *worker == 0)).await;
     tokio::time::sleep(RENEWED_WITHIN.saturating_sub(restarted_at.elapsed())).await;
 
+    let violations = violations_after_killed_owner(&mut fleet, job).await;
+
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Guards against the same failure after orders that the next incarnation rejects as stale.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_task_runs_twice_after_stale_orders_to_a_restarted_worker() {
+    let _exclusive = EXCLUSIVE.lock().await;
+    let plan = Plan::with_late_orders();
+    let mut fleet = Fleet::start(&plan).await;
+    let vms = fleet.caller_addresses();
+    let submission = async {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        callers::submit_job(&vms, 16).await
+    };
+    let (job, ()) = tokio::join!(submission, fleet.run_schedule(&plan));
+
+    let violations = violations_after_killed_owner(&mut fleet, job).await;
+
+    assert!(fleet.calls_of(0).contains("rejected=Some"), "no order was rejected");
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Kills the owner while the first worker is cut off, waits until the job has ended, and returns all
+/// violations.
+async fn violations_after_killed_owner(fleet: &mut Fleet, job: SubmittedJob) -> Vec<String> {
     fleet.run_schedule(&Plan::with_killed_owner()).await;
     fleet.end_all_faults().await;
     let jobs = [job];
-    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, plan.settle_timeout).await;
-
-    let violations = [promises::violations(&jobs, &fleet.runs()), unfinished_jobs].concat();
-    assert_eq!(violations, Vec::<String>::new());
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, Duration::from_secs(60)).await;
+    [promises::violations(&jobs, &fleet.runs()), unfinished_jobs].concat()
 }
 
 /// Runs a seed that failed once, unless other seeds are requested.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -128,6 +128,11 @@
         self.workers.iter().enumerate().flat_map(runs_of).collect()
     }
 
+    /// Returns what a worker was called with, a line each.
+    pub fn calls_of(&self, worker: usize) -> String {
+        self.workers[worker].history().into_iter().map(|(_, what)| what + "\n").collect()
+    }
+
     /// Publishes a configuration with a new version.
     fn configure(&mut self) {
         self.version += 1;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -187,6 +187,17 @@
         }
     }
 
+    /// Returns a schedule in which a worker restarts after orders to start that come 1.2 s after the
+    /// begin, and carries them out before the end.
+    pub fn with_late_orders() -> Plan {
+        let millis = Duration::from_millis;
+        let faults = vec![
+            (millis(1_000), Fault::DelayOrders(0, millis(3_000))),
+            (millis(1_900), Fault::CrashWorker(0)),
+        ];
+        Plan { duration: millis(5_000), faults, ..Plan::with_late_renewal() }
+    }
+
     /// Returns a schedule in which the owner is killed and the first worker is cut off.
     pub fn with_killed_owner() -> Plan {
         let time = Duration::from_secs(14);
