--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,9 +16,9 @@
 #[path = "soak/promises.rs"]
 mod promises;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use callers::Callers;
+use callers::{Callers, SubmittedJob};
 use fleet::Fleet;
 use plan::Plan;
 use tokio::sync::Mutex;
@@ -26,10 +26,6 @@
 /// The seeds that are run by default.
 const DEFAULT_SEEDS: [u64; 4] = [1, 2, 1_001, 2_001];
 
-/// How long accepted jobs may take to end after all faults: several times the sum of an owner
-/// change, the longest lease and a job's work, for a busy machine.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Serializes the runs: each starts as many processes as all tests together may have at a time.
 static EXCLUSIVE: Mutex<()> = Mutex::const_new(());
 
@@ -88,6 +84,55 @@
     assert_eq!(promises::violations(&[job], &fleet.runs()), Vec::<String>::new());
 }
 
+/// Guards against a failure in which a late renewal for a worker's last incarnation extended the
+/// lease of the next one, which the next owner did not know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_task_runs_twice_after_a_late_renewal_of_a_restarted_worker() {
+    /// From the restart to the time when the late renewal has been carried out.
+    const RENEWED_WITHIN: Duration = Duration::from_millis(2_800);
+    let _exclusive = EXCLUSIVE.lock().await;
+    let plan = Plan::with_late_renewal();
+    let mut fleet = Fleet::start(&plan).await;
+    fleet.run_schedule(&plan).await;
+    let restarted_at = Instant::now();
+    let job = callers::submit_job(&fleet.caller_addresses(), 16).await;
+    fleet.wait_until(|runs, _| runs.iter().any(|(worker, _)| *worker == 0)).await;
+    tokio::time::sleep(RENEWED_WITHIN.saturating_sub(restarted_at.elapsed())).await;
+
+    let violations = violations_after_killed_owner(&mut fleet, job).await;
+
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Guards against the same failure after orders that the next incarnation rejects as stale.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_task_runs_twice_after_stale_orders_to_a_restarted_worker() {
+    let _exclusive = EXCLUSIVE.lock().await;
+    let plan = Plan::with_late_orders();
+    let mut fleet = Fleet::start(&plan).await;
+    let vms = fleet.caller_addresses();
+    let submission = async {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        callers::submit_job(&vms, 16).await
+    };
+    let (job, ()) = tokio::join!(submission, fleet.run_schedule(&plan));
+
+    let violations = violations_after_killed_owner(&mut fleet, job).await;
+
+    assert!(fleet.calls_of(0).contains("rejected=Some"), "no order was rejected");
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+/// Kills the owner while the first worker is cut off, waits until the job has ended, and returns all
+/// violations.
+async fn violations_after_killed_owner(fleet: &mut Fleet, job: SubmittedJob) -> Vec<String> {
+    fleet.run_schedule(&Plan::with_killed_owner()).await;
+    fleet.end_all_faults().await;
+    let jobs = [job];
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, Duration::from_secs(60)).await;
+    [promises::violations(&jobs, &fleet.runs()), unfinished_jobs].concat()
+}
+
 /// Runs a seed that failed once, unless other seeds are requested.
 async fn run_seed_unless_others_requested(seed: u64) {
     let _exclusive = EXCLUSIVE.lock().await;
@@ -112,7 +157,7 @@
     fleet.run_schedule(&plan).await;
     let jobs = callers.finish().await;
     fleet.end_all_faults().await;
-    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, SETTLE_TIMEOUT).await;
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, plan.settle_timeout).await;
     let mut violations = promises::violations(&jobs, &fleet.runs());
     violations.extend(unfinished_jobs);
     if violations.is_empty() {
