Record which tasks of an ended job were started more than once

What callers saw: nothing yet. In two of 6,000 seeded schedules of restarts and cuts a task started again before an end of it that is acknowledged later (TWICE).

Cause: a task is done on a worker that is cut off, its lease runs out, and the task is done again elsewhere, which ends the job. The owner is killed before the worker is back. The log keeps no tasks of an ended job, so the next owner took the first end for one that counts, and acknowledged it.

Evidence: seeds 751 and 3297 of restarts.rs, always; the new test in superseded_ends.rs, with and without the job's steps in the next owner's memory.

Change: the batch that ends a job has a record of the tasks that were started more than once, with the numbers of their last runs, so that every owner decides by the rule of active jobs. It is removed with the job's other records. The bounded memory of given-up runs in one owner goes: of a job that ended under it an owner has the tasks. Older builds skip the record, which has their version under a key that they do not know.

--- a/daisy-workflow/src/ledger.rs
+++ b/daisy-workflow/src/ledger.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Claim, ImageInterference, IncomingTransfer, JobId, JobSpec, OpenStart, OutgoingTransfer, Phase,
-    Progress, Record, RecordKey, ShardId, TaskId, TransferState, Witnesses, WorkerId,
+    Progress, Record, RecordKey, RerunTasks, ShardId, TaskId, TransferState, Witnesses, WorkerId,
 };
 
 /// A job as folded from the records.
@@ -174,6 +174,8 @@
     /// The states of jobs that have ended and of which nothing else is kept, or whose submission was
     /// not read yet.
     ended: SortedMap<JobId, JobState>,
+    /// The tasks of ended jobs that were started more than once.
+    reruns: SortedMap<JobId, Vec<RerunTasks>>,
     /// Nothing else is kept of those accepted before this time, in milliseconds since 1970.
     compacts_before_ms: u64,
     /// Cancellations, progress that has not ended, delegations and transfers of jobs whose submission
@@ -205,6 +207,10 @@
             Record::Submitted(id, spec) => self.submitted(id, spec),
             Record::Cancelled(id) => self.cancelled(id),
             Record::Progress(id, progress) => self.progress(id, progress),
+            Record::Reruns(id, tasks) => {
+                self.set_reruns(id, tasks);
+                FoldEffect::Nothing
+            }
             Record::Claim(claim, vouched_epoch) => self.claim(claim, vouched_epoch),
             Record::LearnedInterference(pairs) => {
                 self.learned_interference = pairs;
@@ -353,9 +359,11 @@
             RecordKey::Submission(id) => {
                 self.jobs.remove(&id);
                 self.ended.remove(&id);
+                self.reruns.remove(&id);
             }
             RecordKey::Cancellation(id) => drop(self.early_cancellations.remove(&id)),
             RecordKey::Progress(id) => drop(self.early_progress.remove(&id)),
+            RecordKey::Reruns(id) => drop(self.reruns.remove(&id)),
             RecordKey::Delegation(id) => drop(self.early_delegations.remove(&id)),
             RecordKey::TransferOut(task) => drop(self.early_transfers.remove(&task)),
             RecordKey::TransferIn(..) | RecordKey::State(_) => {}
@@ -393,13 +401,33 @@
         self.jobs.get(&id).map(Job::state).or_else(|| self.ended.get(&id).copied())
     }
 
+    /// Sets which tasks of an ended job were started more than once, sorted.
+    pub(crate) fn set_reruns(&mut self, id: JobId, tasks: Vec<RerunTasks>) {
+        self.reruns.insert(id, tasks);
+    }
+
+    /// Returns the tasks of an ended job that were started more than once, if there are any.
+    pub(crate) fn reruns(&self, id: JobId) -> Option<&[RerunTasks]> {
+        self.reruns.get(&id).map(Vec::as_slice)
+    }
+
+    /// Returns the number of a task's last run; 0 if it has none, or if the job has ended and no other
+    /// run of the task is known.
+    pub(crate) fn last_run(&self, task: TaskId) -> u32 {
+        let state = self.jobs.get(&task.job).and_then(|it| it.progress.task(task));
+        let reruns = self.reruns(task.job).unwrap_or_default();
+        state.map_or_else(|| RerunTasks::last_run(reruns, task), |it| it.runs)
+    }
+
     /// Iterates over the jobs of which records were read, but no submission. Some are repeated.
     pub fn without_submission(&self) -> impl Iterator<Item = JobId> {
         let cancelled = self.early_cancellations.iter().map(|(id, ())| *id);
         let progressed = self.early_progress.iter().map(|(id, _)| *id);
         let delegated = self.early_delegations.iter().map(|(id, _)| *id);
         let transferred = self.early_transfers.iter().map(|(task, _)| task.job);
-        cancelled.chain(progressed).chain(delegated).chain(transferred)
+        let is_unknown = |id: &JobId| !self.jobs.contains_key(id) && !self.ended.contains_key(id);
+        let rerun = self.reruns.iter().map(|(id, _)| *id).filter(is_unknown);
+        cancelled.chain(progressed).chain(delegated).chain(transferred).chain(rerun)
     }
 
     /// Returns the newest claim.
--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -46,7 +46,7 @@
         RenewalAnswer, Settings, Start, StopCause, Summary, UnconfirmedCause, UnconfirmedRun,
         WaitCause, Witness, Witnesses, Worker, WorkerKey, WorkerListing,
     },
-    progress::{Phase, Progress, TaskCopy, TaskState},
+    progress::{Phase, Progress, RerunTasks, TaskCopy, TaskState},
     publisher::StatePublisher,
     queue::{Queue, QueueConfig, Service},
     reachability::LogReachability,
--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -47,7 +47,6 @@
     placement::Reservation,
     removal::Removals,
     succession::Succession,
-    superseded::GivenUpRuns,
     worker::{Assignment, StartState, StopState},
 };
 pub use self::{
@@ -163,6 +162,9 @@
     last_arrival_at: Instant,
     /// Jobs whose progress has to be recorded.
     unrecorded_jobs: Vec<JobId>,
+    /// Jobs that have ended and of which the log does not say yet which tasks were started more than
+    /// once.
+    unrecorded_reruns: Vec<JobId>,
     /// Jobs whose progress the log cannot store; none of their tasks is started.
     unstorable_jobs: Vec<JobId>,
     /// Jobs that are delegated as a whole, while the delegation is not recorded yet.
@@ -209,7 +211,6 @@
     /// core.
     mean_task_cpu: u32,
     observed_load: ObservedLoad,
-    given_up_runs: GivenUpRuns,
     removals: Removals,
 }
 
@@ -268,8 +269,8 @@
             active: SortedMap::new(),
             last_arrival_at: now,
             unrecorded_jobs: Vec::new(),
+            unrecorded_reruns: Vec::new(),
             unstorable_jobs: Vec::new(),
-            given_up_runs: GivenUpRuns::default(),
             removals: Removals::default(),
             delegating: Vec::new(),
             unrecorded_starts: Vec::new(),
@@ -410,9 +411,11 @@
         }
         self.unrecorded_jobs.sort_unstable();
         self.unrecorded_jobs.dedup();
-        let ledger = &self.ledger;
         let changed: Vec<JobId> = std::mem::take(&mut self.unrecorded_jobs);
-        let mut records = Vec::with_capacity(changed.len());
+        // These precede the ends of the jobs, which several calls may store.
+        let mut records = self.take_reruns();
+        records.reserve(changed.len());
+        let ledger = &self.ledger;
         let mut states = Vec::with_capacity(changed.len());
         let delegated = std::mem::take(&mut self.delegating);
         let receiver = |id: &JobId| ledger.job(*id).and_then(|it| it.delegated);
--- a/daisy-workflow/src/owner/removal.rs
+++ b/daisy-workflow/src/owner/removal.rs
@@ -146,6 +146,7 @@
             job.iter().flat_map(|it| it.transfers.iter().map(|(task, _)| *task)).collect();
         let keys = &mut self.removals.unrecorded;
         keys.push(RecordKey::Progress(id));
+        keys.extend(self.ledger.reruns(id).map(|_| RecordKey::Reruns(id)));
         keys.extend(job.and_then(|it| it.delegated).map(|_| RecordKey::Delegation(id)));
         keys.extend(transferred.into_iter().map(RecordKey::TransferOut));
         self.removals.removed_jobs.push(id);
--- a/daisy-workflow/src/owner/renewal.rs
+++ b/daisy-workflow/src/owner/renewal.rs
@@ -220,7 +220,6 @@
         let id = worker.id.clone();
         let Some(it) = worker.remove(task, run) else { return };
         self.remove_copy(task, run, &it.checkpoint);
-        self.given_up_runs.insert(task, run);
         self.actions.push(Action::Note(Note::RunLost { task, run, worker: id, cause }));
     }
 
--- a/daisy-workflow/src/owner/run_ends.rs
+++ b/daisy-workflow/src/owner/run_ends.rs
@@ -177,6 +177,7 @@
     }
 
     fn end_job(&mut self, now: Instant, id: JobId, phase: Phase) {
+        self.note_reruns(id);
         let Some(job) = self.ledger.job_mut(id) else { return };
         job.progress.phase = phase;
         self.unrecorded_jobs.push(id);
--- a/daisy-workflow/src/progress.rs
+++ b/daisy-workflow/src/progress.rs
@@ -75,6 +75,46 @@
     }
 }
 
+/// Successive tasks of a step that were started equally often, and more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RerunTasks {
+    /// The occurrence of the job.
+    pub occurrence: u32,
+    /// The step's position in the job.
+    pub step: u16,
+    /// The position of the first of the tasks in the step.
+    pub first: u32,
+    /// The number of the tasks.
+    pub count: u32,
+    /// The number of the last run of each of them.
+    pub runs: u32,
+}
+
+impl RerunTasks {
+    fn includes(&self, id: TaskId) -> bool {
+        (self.occurrence, self.step) == (id.occurrence, id.step)
+            && id.index.checked_sub(self.first).is_some_and(|it| it < self.count)
+    }
+
+    /// Adds a task to a list that is sorted and has only earlier ones.
+    pub(crate) fn add(list: &mut Vec<RerunTasks>, id: TaskId, runs: u32) {
+        let TaskId { occurrence, step, index, .. } = id;
+        let next = |it: &RerunTasks| (it.occurrence, it.step, it.first + it.count, it.runs);
+        match list.last_mut().filter(|it| next(it) == (occurrence, step, index, runs)) {
+            Some(it) => it.count += 1,
+            None => list.push(RerunTasks { occurrence, step, first: index, count: 1, runs }),
+        }
+    }
+
+    /// Returns the number of a task's last run according to a sorted list; 0 if that does not
+    /// include the task.
+    pub(crate) fn last_run(list: &[RerunTasks], id: TaskId) -> u32 {
+        let key = (id.occurrence, id.step, id.index);
+        let end = list.partition_point(|it| (it.occurrence, it.step, it.first) <= key);
+        list[..end].last().filter(|it| it.includes(id)).map_or(0, |it| it.runs)
+    }
+}
+
 /// The progress of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Progress {
--- a/daisy-workflow/src/record.rs
+++ b/daisy-workflow/src/record.rs
@@ -16,8 +16,8 @@
 use self::wire::{
     CapacityWire, ClaimWire, FreeBlocksWire, HeartbeatWire, InterferenceSumsWire, JobWire,
     LearnedInterferenceWire, NamedPairsWire, OpenStartsWire, ProgressWire, RejectionWire,
-    TaskEventsWire, TransferWire, WitnessAddressesWire, WitnessesWire, state_from_number,
-    state_to_number,
+    RerunsWire, TaskEventsWire, TransferWire, WitnessAddressesWire, WitnessesWire,
+    state_from_number, state_to_number,
 };
 pub use self::{
     key::RecordKey,
@@ -26,7 +26,7 @@
 };
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, Layout, OpenStart, OutgoingTransfer,
-    OwnerHeartbeat, Progress, PublishedState, ShardId, TaskId, Witnesses, WorkerId,
+    OwnerHeartbeat, Progress, PublishedState, RerunTasks, ShardId, TaskId, Witnesses, WorkerId,
 };
 
 /// The version that this build writes, and the highest that it reads.
@@ -86,6 +86,9 @@
     Cancelled(JobId),
     /// The newest progress of a job.
     Progress(JobId, Progress),
+    /// The tasks of a job that has ended that were started more than once, sorted, except those of
+    /// speculative steps. The job's progress has no tasks any more.
+    Reruns(JobId, Vec<RerunTasks>),
     /// An owner's claim, and the `accepted_by_epoch` of the [`Witnesses`] for which it vouches: the
     /// claimant complies with them, and so do all owners from that epoch up to the claim.
     Claim(Claim, Option<u64>),
@@ -183,6 +186,9 @@
             }
             (RecordKey::Progress(*id).to_string(), value)
         }
+        Record::Reruns(id, tasks) => {
+            (RecordKey::Reruns(*id).to_string(), encode_framed(RerunsWire::from(&tasks[..])))
+        }
         Record::Claim(claim, vouched_epoch) => {
             (OWNER_KEY.to_owned(), encode_framed((ClaimWire::from(claim), *vouched_epoch)))
         }
@@ -328,6 +334,9 @@
             Ok(Record::Submitted(id, wire.try_into()?))
         }
         RecordKey::Cancellation(id) => decode_framed(value).map(|()| Record::Cancelled(id)),
+        RecordKey::Reruns(id) => {
+            decode_framed::<RerunsWire>(value).map(|it| Record::Reruns(id, it.into()))
+        }
         RecordKey::Delegation(id) => {
             decode_framed(value).map(|it| Record::Delegated(id, ShardId(it)))
         }
--- a/daisy-workflow/src/record/key.rs
+++ b/daisy-workflow/src/record/key.rs
@@ -13,6 +13,8 @@
     Cancellation(JobId),
     /// Of the job's newest progress.
     Progress(JobId),
+    /// Of the job's tasks that were started more than once.
+    Reruns(JobId),
     /// Of the job's delegation to another shard.
     Delegation(JobId),
     /// Of the newest transfer of a task to another shard.
@@ -29,6 +31,7 @@
             RecordKey::Submission(id) => write!(f, "job-{id}"),
             RecordKey::Cancellation(id) => write!(f, "cancel-{id}"),
             RecordKey::Progress(id) => write!(f, "progress-{id}"),
+            RecordKey::Reruns(id) => write!(f, "reruns-{id}"),
             RecordKey::Delegation(id) => write!(f, "delegated-{id}"),
             RecordKey::TransferOut(task) => write!(f, "handed-{task}"),
             RecordKey::TransferIn(task, number) => write!(f, "task-{task}.{number}"),
@@ -46,6 +49,7 @@
             "job" => RecordKey::Submission(id.parse()?),
             "cancel" => RecordKey::Cancellation(id.parse()?),
             "progress" => RecordKey::Progress(id.parse()?),
+            "reruns" => RecordKey::Reruns(id.parse()?),
             "delegated" => RecordKey::Delegation(id.parse()?),
             "handed" => RecordKey::TransferOut(id.parse()?),
             "task" => {
--- a/daisy-workflow/src/record/wire.rs
+++ b/daisy-workflow/src/record/wire.rs
@@ -9,7 +9,8 @@
 use super::{Claim, ImageInterference, InterferenceSums, RecordError, Rejection};
 use crate::{
     FREE_BLOCKS, IncomingTransfer, JobId, JobSpec, JobState, Load, OpenStart, OwnerHeartbeat,
-    Phase, Progress, ShardId, StepSpec, TaskCopy, TaskId, TaskState, Terms, Witness, Witnesses,
+    Phase, Progress, RerunTasks, ShardId, StepSpec, TaskCopy, TaskId, TaskState, Terms, Witness,
+    Witnesses,
 };
 
 /// Names images by their position in `images`, so that each pair needs only numbers.
@@ -606,6 +607,31 @@
     }
 }
 
+/// Successive tasks of a step each: the occurrence, the step, the index of the first task, the number
+/// of tasks, and the number of the last run of each.
+#[derive(Debug, Encode, Decode)]
+pub(super) struct RerunsWire(Vec<(u32, u16, u32, u32, u32)>);
+
+impl From<&[RerunTasks]> for RerunsWire {
+    fn from(tasks: &[RerunTasks]) -> RerunsWire {
+        let wire = |it: &RerunTasks| (it.occurrence, it.step, it.first, it.count, it.runs);
+        RerunsWire(tasks.iter().map(wire).collect())
+    }
+}
+
+impl From<RerunsWire> for Vec<RerunTasks> {
+    fn from(wire: RerunsWire) -> Vec<RerunTasks> {
+        let tasks = |(occurrence, step, first, count, runs)| RerunTasks {
+            occurrence,
+            step,
+            first,
+            count,
+            runs,
+        };
+        wire.0.into_iter().map(tasks).collect()
+    }
+}
+
 #[derive(Debug, Encode, Decode)]
 struct CopyWire {
     run: u32,
@@ -627,7 +653,7 @@
                 .map(|copy| CopyWire { run: copy.run, worker: number(&copy.worker.0) })
                 .collect(),
         };
-        // The tasks of an ended job are never read again.
+        // Of the tasks of an ended job, only the reruns are read again, from a record of their own.
         let occurrences = match progress.phase {
             Phase::Active => progress
                 .occurrences
--- a/daisy-workflow/tests/records.rs
+++ b/daisy-workflow/tests/records.rs
@@ -11,8 +11,8 @@
 use daisy_workflow::{
     Claim, FREE_BLOCKS, FoldEffect, ImageInterference, IncomingTransfer, InterferenceSums, JobId,
     JobState, Layout, Ledger, Load, OpenStart, OutgoingTransfer, OwnerHeartbeat, Phase, Progress,
-    PublishedState, Record, RecordError, Rejection, ShardId, SpecError, StepSpec, TaskCopy,
-    TaskState, Witness, Witnesses, decode, decode_stored, encode, substitute,
+    PublishedState, Record, RecordError, Rejection, RerunTasks, ShardId, SpecError, StepSpec,
+    TaskCopy, TaskState, Witness, Witnesses, decode, decode_stored, encode, substitute,
 };
 use util::{best_effort, job, long_running_step, step, step_after, task};
 
@@ -60,6 +60,11 @@
     value
 }
 
+fn reruns() -> Vec<RerunTasks> {
+    let tasks = |step, first, count, runs| RerunTasks { occurrence: 0, step, first, count, runs };
+    vec![tasks(0, 0, 2, 2), tasks(0, 2, 1, 300), tasks(3, 7, 1, 2)]
+}
+
 fn claim() -> Claim {
     Claim { vm: "vm".to_owned(), process: 3, epoch: 9, released: true, predecessors_expired: true }
 }
@@ -158,6 +163,7 @@
         Record::Cancelled(JobId(7)),
         Record::Progress(JobId(7), progress()),
         Record::Progress(JobId(7), progress_with_failures()),
+        Record::Reruns(JobId(7), reruns()),
         Record::Claim(claim(), None),
         Record::Claim(claim(), Some(70_000)),
         Record::Delegated(JobId(7), ShardId(2)),
@@ -442,6 +448,18 @@
     assert!(matches!(decode("pledge-1", &[1]), Err(RecordError::Key(_))));
 }
 
+/// Guards against claims that builds without reruns withhold: they skip a record of a kind that they
+/// do not know if it has their version.
+#[test]
+fn builds_without_reruns_skip_them() {
+    let (_, value) = encode(&Record::Reruns(JobId(7), reruns()));
+
+    let read = decode("unknown-0000000000000007", &value);
+
+    let Err(e @ RecordError::Key(_)) = read else { panic!("{read:?}") };
+    assert_eq!(substitute("unknown-0000000000000007", 8, &e), None);
+}
+
 #[test]
 fn invalid_keys_are_rejected_as_key_errors() {
     for key in ["", "job", "job-1", "task-0000000000000001", "job-00000000000000FF"] {
--- a/daisy-workflow/tests/restarts.rs
+++ b/daisy-workflow/tests/restarts.rs
@@ -60,8 +60,14 @@
     check_seeds(0..150, check);
 }
 
-/// The end of a superseded run is acknowledged by the next owner, once the job has ended.
+/// Guards against the end of a superseded run that the next owner acknowledges, once the job has ended.
 #[test]
 fn no_task_runs_twice_with_restart_seed_751() {
     check(751);
 }
+
+/// As [`no_task_runs_twice_with_restart_seed_751`].
+#[test]
+fn no_task_runs_twice_with_restart_seed_3297() {
+    check(3_297);
+}
--- a/daisy-workflow/tests/superseded_ends.rs
+++ b/daisy-workflow/tests/superseded_ends.rs
@@ -2,7 +2,7 @@
 
 mod util;
 
-use daisy_workflow::JobState;
+use daisy_workflow::{JobId, JobState, Ledger, Record};
 use util::{FakeWorker, Fault, LEASE_MAX, Simulation, job, step, task};
 
 /// Milliseconds after which the owner has given up the runs on a silent worker, with some margin.
@@ -64,6 +64,33 @@
     assert!(sim.worker(&first).final_ends.is_empty());
 }
 
+/// Guards against the same failure where the job has ended before the owner changes: the log keeps
+/// no tasks of it, and the next owner may keep nothing but its state. The second run's end is that
+/// of an ended job as well, and counts.
+#[test]
+fn the_next_owner_does_not_acknowledge_it_after_the_end_of_the_job() {
+    for keeps_job in [true, false] {
+        let (mut sim, first) = with_a_second_run();
+        let second = if first == "w1" { "w2" } else { "w1" };
+        assert!(sim.run_until(5_000, |it| it.state(1) == JobState::Completed));
+        let mut ledger = if keeps_job { Ledger::default() } else { Ledger::compacting(u64::MAX) };
+        let mut records = sim.stored_progress();
+        records.push(Record::Submitted(JobId(1), job(vec![step(1)])));
+        for it in records {
+            ledger.fold(it);
+        }
+        assert_eq!(ledger.job(JobId(1)).is_some(), keeps_job);
+
+        sim.replace_owner(ledger);
+        sim.worker(&first).fault = Fault::None;
+        sim.run_ms(20_000);
+
+        assert!(sim.worker(&first).final_ends.is_empty(), "keeps job: {keeps_job}");
+        assert!(!sim.worker(&first).ends.is_empty(), "the worker still lists the end");
+        assert_eq!(sim.worker(second).final_ends.len(), 1);
+    }
+}
+
 /// Guards against a worker that gets no further work, or whose later ends are never processed,
 /// behind an end that stays listed.
 #[test]
--- a/daisy-workflow/tests/util/log.rs
+++ b/daisy-workflow/tests/util/log.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Default)]
 pub struct Log {
     pub submissions: Vec<Record>,
-    progress: Vec<Record>,
+    pub progress: Vec<Record>,
     /// The offset after the last record of progress.
     pub end: u64,
 }
--- a/daisy-workflow/tests/util/simulation.rs
+++ b/daisy-workflow/tests/util/simulation.rs
@@ -280,6 +280,11 @@
         self.log.keys_of(JobId(id))
     }
 
+    /// Returns the records of the shard's progress, as readers decode them.
+    pub fn stored_progress(&self) -> Vec<Record> {
+        self.log.progress.clone()
+    }
+
     fn append(&mut self) {
         if self.pending.is_none()
             && let Some(batch) = self.owner.try_batch(self.now)
