--- a/daisy-workflow/src/lib.rs
+++ b/daisy-workflow/src/lib.rs
@@ -47,7 +47,7 @@
         StopCause, Summary, UnconfirmedCause, UnconfirmedRun, WaitCause, Witness, Witnesses,
         Worker, WorkerKey, WorkerListing, WorkerView,
     },
-    progress::{Phase, Progress, TaskCopy, TaskState},
+    progress::{Phase, Progress, RerunTasks, TaskCopy, TaskState},
     publisher::StatePublisher,
     queue::{Queue, QueueConfig, Service},
     reachability::LogReachability,
--- a/daisy-workflow/src/owner/lost_runs.rs
+++ b/daisy-workflow/src/owner/lost_runs.rs
@@ -150,7 +150,6 @@
         let id = worker.id.clone();
         let Some(it) = worker.remove(task, run) else { return };
         self.remove_copy(task, run, &it.checkpoint);
-        self.given_up_runs.insert(task, run);
         let evidence = self.loss_evidence(now, (task, run), order_label(it.start_state), loss);
         let cause = loss.bound.cause();
         self.actions.push(Action::Note(Note::RunLost { task, run, worker: id, cause, evidence }));
