Soak: seeds in which processes pause beside successive owners, without restarts

Seeds from 4000 on are as those from 3000 on, but for 30 to 90 pauses of processes of up to 0.9 s and no restart, to look for a lease that is too long by another way. Seeds 3000 to 3999 play as before.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -74,6 +74,8 @@
 /// Seeds from here on have long tasks, and changes of the owner in series beside restarts of
 /// workers.
 const FIRST_SUCCESSION_SEED: u64 = 3_000;
+/// Seeds from here on have more pauses of processes instead of the restarts of workers.
+const FIRST_PAUSE_SEED: u64 = 4_000;
 
 /// A seed's schedule.
 #[derive(Debug)]
@@ -113,7 +115,7 @@
         const FEW_WORKERS: usize = 6;
         let mut rng = Rng::with_seed(seed);
         if seed >= FIRST_SUCCESSION_SEED {
-            return Plan::with_successions(&mut rng);
+            return Plan::with_successions(&mut rng, seed < FIRST_PAUSE_SEED);
         }
         let vms = rng.usize(2..=4);
         let workers = if seed.is_multiple_of(5) { SHARDED_WORKERS } else { FEW_WORKERS };
@@ -137,9 +139,10 @@
         }
     }
 
-    /// Returns a schedule in which, again and again, some workers restart while calls to them are
-    /// delayed, the owner is disturbed, and others lose touch with some workers.
-    fn with_successions(rng: &mut Rng) -> Plan {
+    /// Returns a schedule in which, again and again, calls to some workers are delayed, these
+    /// workers restart if `has_restarts`, the owner is disturbed, and others lose touch with some
+    /// workers.
+    fn with_successions(rng: &mut Rng, has_restarts: bool) -> Plan {
         const DURATION_MS: u64 = 38_000;
         let vms = rng.usize(3..=4);
         let workers = rng.usize(12..=20);
@@ -149,7 +152,10 @@
             add_succession(rng, &mut faults, at_ms, (vms, workers));
             at_ms += rng.u64(2_000..8_000);
         }
-        for _ in 0..rng.usize(5..30) {
+        if !has_restarts {
+            faults.retain(|(_, it)| !matches!(it, Fault::CrashWorker(_)));
+        }
+        for _ in 0..rng.usize(if has_restarts { 5..30 } else { 30..90 }) {
             let target = random_target(rng, vms);
             let pause = Fault::Pause(target, random_time(rng, 40..900));
             faults.push((random_time(rng, 2_000..DURATION_MS), pause));
