Retain the records of a job while a worker lists a superseded end of it

What callers saw: nothing yet. An end that no owner may acknowledge was acknowledged once the records of its job had been removed and the shard had got another owner.

Cause: the end stays listed until its worker restarts, and the next owner knows from the job's records alone that it does not count.

Evidence: the_records_of_the_job_are_retained_while_the_worker_lists_the_end in superseded_ends.rs fails on the code before.

Change: a job is not removed while the owner holds a superseded end of it back.

Result: the test passes.

Left: an end that is first listed after the removal, by a worker that was cut off for as long, is acknowledged.

--- a/daisy-workflow/src/owner/removal.rs
+++ b/daisy-workflow/src/owner/removal.rs
@@ -90,8 +90,10 @@
             return;
         }
         self.removals.last_at = now;
-        let expired =
-            self.removals.ended.iter().filter(|(id, at)| now.since(**at) >= self.retention(**id));
+        let superseded = self.jobs_with_superseded_ends();
+        let expired = self.removals.ended.iter().filter(|(id, at)| {
+            now.since(**at) >= self.retention(**id) && superseded.binary_search(id).is_err()
+        });
         let expired: Vec<JobId> = expired.map(|(id, _)| *id).take(REMOVED_JOBS_MAX).collect();
         self.removals.ended.retain(|id, _| expired.binary_search(id).is_err());
         let requested = self.removals.requested.iter();
--- a/daisy-workflow/src/owner/superseded.rs
+++ b/daisy-workflow/src/owner/superseded.rs
@@ -66,6 +66,16 @@
         jobs.into_iter().filter_map(record).collect()
     }
 
+    /// Returns the jobs of which workers list the ends of superseded runs, sorted: without their records
+    /// the next owner would acknowledge these ends.
+    pub(super) fn jobs_with_superseded_ends(&self) -> Vec<JobId> {
+        let held_ends = self.workers.iter().flat_map(|(_, it)| &it.held_ends);
+        let mut jobs: Vec<JobId> =
+            held_ends.filter(|it| it.is_superseded).map(|it| it.task.job).collect();
+        jobs.sort_unstable();
+        jobs
+    }
+
     /// Returns whether a run's order is not sent yet, because its record is not in the log.
     fn is_recording(&self, task: TaskId, run: u32) -> bool {
         let mut assignments = self.workers.iter().flat_map(|(_, it)| &it.tasks);
--- a/daisy-workflow/tests/superseded_ends.rs
+++ b/daisy-workflow/tests/superseded_ends.rs
@@ -3,7 +3,7 @@
 mod util;
 
 use daisy_workflow::{JobId, JobState, Ledger, Record};
-use util::{FakeWorker, Fault, LEASE_MAX, Simulation, job, step, task};
+use util::{FakeWorker, Fault, LEASE_MAX, RECORD_RETENTION, Simulation, job, step, task};
 
 /// Milliseconds after which the owner has given up the runs on a silent worker, with some margin.
 const LEASES_OVER_MS: u64 = 14_000;
@@ -91,6 +91,27 @@
     }
 }
 
+/// Guards against the same failure where the job's records are removed while the worker lists the
+/// end, and against records that stay for good.
+#[test]
+fn the_records_of_the_job_are_retained_while_the_worker_lists_the_end() {
+    let (mut sim, first) = with_a_second_run();
+    sim.worker(&first).fault = Fault::None;
+    sim.run_ms(RECORD_RETENTION.as_millis() as u64 + 20_000);
+
+    sim.change_owner_and_replay(true, true);
+    sim.submit(2, job(vec![step(1)]));
+    sim.run_ms(5_000);
+    let is_acknowledged = sim.worker(&first).final_ends.iter().any(|it| it.0 == task(1, 0, 0));
+    let now = sim.now;
+    sim.worker(&first).restart(now);
+    let removed = sim
+        .run_until(RECORD_RETENTION.as_millis() as u64 + 20_000, |it| it.stored_keys(1).is_empty());
+
+    assert!(!is_acknowledged);
+    assert!(removed, "{:?}", sim.stored_keys(1));
+}
+
 /// Guards against a worker that gets no further work, or whose later ends are never processed,
 /// behind an end that stays listed.
 #[test]
