--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -123,6 +123,28 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Guards against a late order that a worker's next incarnation carries out, after the last one has
+/// answered the next owner that it does not run the task.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_order_of_an_earlier_owner_runs_nothing_twice() {
+    let _exclusive = EXCLUSIVE.lock().await;
+    let plan = Plan::with_late_orders_of_earlier_owner();
+    let mut fleet = Fleet::start(&plan).await;
+    let vms = fleet.caller_addresses();
+    let submission = async {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        callers::submit_job(&vms, 10).await
+    };
+
+    let (job, ()) = tokio::join!(submission, fleet.run_schedule(&plan));
+    fleet.end_all_faults().await;
+    let jobs = [job];
+    let unfinished_jobs = fleet.wait_for_ended_jobs(&jobs, plan.settle_timeout).await;
+
+    let violations = [promises::violations(&jobs, &fleet.runs()), unfinished_jobs].concat();
+    assert_eq!(violations, Vec::<String>::new());
+}
+
 /// Kills the owner while the first worker is cut off, waits until the job has ended, and returns all
 /// violations.
 async fn violations_after_killed_owner(fleet: &mut Fleet, job: SubmittedJob) -> Vec<String> {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -204,6 +204,24 @@
         Plan { duration: millis(5_000), faults, ..Plan::with_late_renewal() }
     }
 
+    /// Returns a schedule in which orders to start that come 1.2 s after the begin get no answer, the
+    /// owner is killed, and their worker restarts out of reach after the next owner has called it.
+    pub fn with_late_orders_of_earlier_owner() -> Plan {
+        let millis = Duration::from_millis;
+        let faults = vec![
+            (millis(1_000), Fault::DelayOrders(0, millis(5_500))),
+            (millis(1_800), Fault::Kill(Target::Owner, millis(8_000))),
+            (millis(6_000), Fault::WorkerLink(0, LinkFault::Cut, millis(2_000))),
+            (millis(6_000), Fault::CrashWorker(0)),
+        ];
+        Plan {
+            duration: millis(9_000),
+            faults,
+            task_durations: vec![millis(6_000); 3],
+            ..Plan::without_faults(2, 3)
+        }
+    }
+
     /// Returns a schedule in which the owner is killed and the first worker is cut off.
     pub fn with_killed_owner() -> Plan {
         let time = Duration::from_secs(14);
