Test: witnesses' answers from before a freeze extend no lease

An owner without the log renews leases while most of its witnesses answer. The answers that wait for it while it stands still are as old as their requests: were they taken for new, it would renew a lease that its successor counts as over.

--- a/daisy-workflow/tests/stalls.rs
+++ b/daisy-workflow/tests/stalls.rs
@@ -306,3 +306,25 @@
 fn no_task_is_lost_or_run_twice_when_stalled_owners_follow_each_other_beside_restarts() {
     check_seeds(0..30, |seed| check_successions(seed, WorkerFaults::Restarts));
 }
+
+/// Guards against an old owner that treats the answers of witnesses as newer than they are.
+#[test]
+fn answers_of_witnesses_before_a_freeze_do_not_extend_leases() {
+    let mut cluster = Cluster::with_long_running_tasks(2, 4);
+    cluster.run_ms(2_000);
+    let worker = cluster.first_task_worker();
+    cluster.receives_log_first = false;
+    cluster.cut(&[Node::Vm(0)], &[Node::Store]);
+    cluster.run_ms(900);
+    cluster.freeze(0);
+    cluster.cut(&[Node::Vm(1)], &[Node::Worker(worker)]);
+    assert!(cluster.claim(1));
+    cluster.run_ms(4_500);
+    let ran_until_then = cluster.all_long_running_active();
+    cluster.isolate(&[Node::Vm(0), Node::Worker(worker)]);
+    cluster.wake(0);
+
+    cluster.run_ms(20_000);
+
+    assert!(ran_until_then && cluster.all_long_running_active());
+}
