Owner: no run is stopped for lack of progress after its owner has stood still

Callers saw nothing wrong; runs would be stopped and begin anew. Where an owner's process stands still for longer than a run may show no progress (1.8 s), its next tick finds that no run has progressed, as the lists that have arrived meanwhile are from the beginning of the stall: it stops all finite runs that show less than 100 %, and shuns their workers.

An owner that nobody has replaced carries the stops through: of a stall of 2.5 s, the test runs_go_on_after_their_owner_has_stood_still fails on the code before, with no run left on two of four workers.

After a gap of more than 0.5 s between two ticks, the time without progress counts anew.

--- a/daisy-workflow/src/owner.rs
+++ b/daisy-workflow/src/owner.rs
@@ -183,6 +183,8 @@
     /// When this owner started, and the wall clock at that time, in milliseconds since 1970.
     began_at: Instant,
     began_wall_ms: u64,
+    /// When the last tick was processed.
+    ticked_at: Instant,
     plan_due: bool,
     actions: Vec<Action>,
     /// States of jobs that are stored in the log and have to be published to callers.
@@ -282,6 +284,7 @@
             succession,
             began_at: now,
             began_wall_ms: wall_ms,
+            ticked_at: now,
             plan_due: true,
             actions: Vec::new(),
             states: Vec::new(),
--- a/daisy-workflow/src/owner/tick.rs
+++ b/daisy-workflow/src/owner/tick.rs
@@ -16,6 +16,9 @@
 /// The owner's view of a worker is up to 0.8 s old and short tasks come and go in between, so two
 /// consecutive views must show the same progress.
 const NO_PROGRESS_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// A longer time between two ticks means that the process stood still: the answers that it handles next
+/// are as old, and say nothing of the progress of runs meanwhile.
+const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 /// How long a worker is suspected after runs on it failed or made no progress.
 const SUSPICION_DURATION: Duration = Duration::from_secs(4);
 /// How long a suspected worker gets no tasks at all.
@@ -31,6 +34,7 @@
 impl Owner {
     /// Processes everything that is due.
     pub(super) fn tick(&mut self, now: Instant) {
+        self.forget_progress_after_stall(now);
         self.update_predecessors_ended(now);
         self.expire_open_starts(now);
         self.review_witnesses(now);
@@ -107,6 +111,15 @@
         }
     }
 
+    /// Counts the time without progress of all runs anew if the process stood still.
+    fn forget_progress_after_stall(&mut self, now: Instant) {
+        let gap = now.since(std::mem::replace(&mut self.ticked_at, now));
+        if gap > MAX_TICK_GAP {
+            let runs = self.workers.iter_mut().flat_map(|(_, it)| &mut it.tasks);
+            runs.for_each(|it| it.progressed_at = now);
+        }
+    }
+
     /// Stops runs that make no progress, so that they are started elsewhere.
     fn stop_without_progress(&mut self, now: Instant, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else { return };
--- a/daisy-workflow/tests/stalls.rs
+++ b/daisy-workflow/tests/stalls.rs
@@ -328,3 +328,24 @@
 
     assert!(ran_until_then && cluster.all_long_running_active());
 }
+
+/// Guards against runs that are stopped for lack of progress because their owner stood still.
+#[test]
+fn runs_go_on_after_their_owner_has_stood_still() {
+    for receives_log_first in [false, true] {
+        let mut cluster =
+            Cluster::new(1, (0..4).map(|it| FakeWorker::new(&format!("w{it}"), 4)).collect());
+        cluster.receives_log_first = receives_log_first;
+        cluster.submit(1, job(vec![StepSpec { estimate_ms: 30_000, ..step(8) }]));
+        cluster.run_ms(3_000);
+        let before: Vec<_> = cluster.workers.iter().map(FakeWorker::tasks).collect();
+        cluster.freeze(0);
+        cluster.run_ms(2_500);
+        cluster.wake(0);
+
+        cluster.run_ms(1_000);
+
+        let after: Vec<_> = cluster.workers.iter().map(FakeWorker::tasks).collect();
+        assert_eq!(before, after, "log first: {receives_log_first}");
+    }
+}
