Cluster model: carry out late calls soon after a restart

Orders still under way to a worker that restarts arrive after the same delay by the clock that starts anew; calls of any kind kept a due time by the clock before and came seconds later than the schedules mean. Those that name another worker are dropped, as orders are.

--- a/daisy-workflow/tests/util/partition.rs
+++ b/daisy-workflow/tests/util/partition.rs
@@ -509,11 +509,13 @@
                 let clock_slow_permille = worker.clock_slow_permille;
                 let clock = worker.clock(now);
                 let late: Vec<u64> = worker.delayed_orders.iter().map(|it| it.0).collect();
+                let late_calls: Vec<u64> = worker.delayed_calls.iter().map(|it| it.0).collect();
                 worker.restart(now);
                 if worker.name != it.name {
                     // Orders name the worker that they are for, so a worker with a new name rejects
                     // old ones.
                     worker.delayed_orders.clear();
+                    worker.delayed_calls.clear();
                 }
                 worker.name = it.name;
                 worker.clock_slow_permille = clock_slow_permille;
@@ -524,6 +526,9 @@
                 for (order, at) in worker.delayed_orders.iter_mut().zip(late) {
                     order.0 = 1 + at.saturating_sub(clock).max(MIN_ORDER_DELAY_MS);
                 }
+                for (call, at) in worker.delayed_calls.iter_mut().zip(late_calls) {
+                    call.0 = 1 + at.saturating_sub(clock).max(MIN_ORDER_DELAY_MS);
+                }
             }
             if down.is_none() {
                 worker.advance(now, &|_| false);
