Allow for the longest lease once an answer shows that a worker's clock started anew

Cause: a start goes to a worker that has just restarted under its id, with a deadline by the former clock. The next life carries it out, grants its longest lease and answers with its own clock, far behind. The owner took that for a sign of a restart and placed nothing there, but went on with the former clock: it gave the run up after a usual lease if the worker was cut off then, and told the next owner nothing. It also sent unanswered starts again by that clock.

Change: from such an answer on the owner has no clock of the worker, sends it no deadline, counts it as restarted, and so records that it may hold the longest lease.

Evidence: a_run_on_an_unseen_incarnation_is_not_given_up_before_the_longest_lease and .._by_the_next_owner fail before (runs on two workers), no_start_is_sent_ again_by_a_clock_that_was_reset too; all pass.

--- a/daisy-workflow/src/owner/orders.rs
+++ b/daisy-workflow/src/owner/orders.rs
@@ -176,8 +176,10 @@
             && worker.is_clock_reset(clock_ms)
         {
             // The answer to the next renewal identifies the new incarnation; until then the worker
-            // gets no new tasks.
+            // gets no new tasks. The order's deadline, by the former clock, got it the longest lease.
             worker.fenced = false;
+            worker.clock = None;
+            worker.restarted_at = Some(now);
         }
         let Some(it) = worker.find(task, run) else { return };
         match reply {
--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -236,3 +236,71 @@
     // The simulation checks that no task runs on two workers.
     sim.run_ms(1_000);
 }
+
+/// Guards against a run that is given up after a usual lease, though the answer to its order showed that
+/// an unseen incarnation, which grants its longest lease, has started it.
+#[test]
+fn a_run_on_an_unseen_incarnation_is_not_given_up_before_the_longest_lease() {
+    let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
+    sim.work_ms = |_| 60_000;
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.run_ms(500);
+    restart_unseen(&mut sim);
+    sim.submit(1, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(200, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
+    sim.run_ms(20);
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.worker("w1").listed = false;
+    sim.worker("w2").listed = true;
+    sim.list_is_stale = false;
+
+    sim.run_ms(30_000);
+
+    assert_eq!(sim.workers_running(task(1, 0, 0)), ["w2"]);
+}
+
+/// Guards against the same with a change of the owner, which the new incarnation never answers.
+#[test]
+fn a_run_on_an_unseen_incarnation_is_not_given_up_by_the_next_owner() {
+    let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
+    sim.work_ms = |_| 60_000;
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.run_ms(500);
+    restart_unseen(&mut sim);
+    sim.submit(1, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(200, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
+    sim.run_ms(20);
+    sim.worker("w1").fault = Fault::Unreachable;
+    sim.worker("w1").listed = false;
+    sim.worker("w2").listed = true;
+    sim.list_is_stale = false;
+    sim.run_ms(600);
+    sim.change_owner_and_replay(false, false);
+
+    sim.run_ms(30_000);
+
+    assert_eq!(sim.workers_running(task(1, 0, 0)), ["w2"]);
+}
+
+/// Guards against starts by the clock of a former incarnation, once an answer has shown that the clock
+/// was reset.
+#[test]
+fn no_start_is_sent_again_by_a_clock_that_was_reset() {
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4)]);
+    sim.work_ms = |_| 60_000;
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.run_ms(500);
+    sim.worker("w1").fault = Fault::LosesAnswers;
+    sim.submit(1, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(200, |it| !it.starts.is_empty()));
+    restart_unseen(&mut sim);
+    let now = sim.now;
+    let answer = OrderReply::Done { clock_ms: sim.worker("w1").clock(now) };
+    sim.owner.handle_event(now, Event::StartAnswered(WorkerKey(0), task(9, 0, 0), 1, answer));
+    let sent = sim.starts.len();
+    sim.run_ms(200);
+
+    assert_eq!(sim.starts.len(), sent);
+}
