List a late order after a change of the owner in the models too

An order gets no answer, the next owner's list lacks the run, and the worker restarts and carries a copy out: runs on two workers. A fence and a list hold for one incarnation.

--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -304,3 +304,31 @@
 
     assert_eq!(sim.starts.len(), sent);
 }
+
+/// Guards against a run that the next owner gives up by a list of the incarnation before, while a copy of
+/// its order is under way to the next one.
+#[test]
+fn an_inherited_run_that_a_list_lacks_does_not_run_twice_after_a_restart() {
+    let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
+    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
+    sim.work_ms = |_| 60_000;
+    sim.worker("w1").clock_offset_ms = 100_000;
+    sim.worker("w1").fault = Fault::DelaysStarts(60_000);
+    sim.submit(1, job(vec![long_running_step(1)]));
+    assert!(sim.run_until(200, |it| !it.workers[0].delayed_orders.is_empty()));
+    sim.worker("w1").fault = Fault::None;
+    sim.worker("w1").ready = false;
+    sim.worker("w2").listed = true;
+    sim.change_owner_and_replay(false, false);
+    assert!(sim.run_until(2_000, |it| it.workers_running(task(1, 0, 0)) == ["w2"]));
+    let now = sim.now;
+    sim.worker("w1").restart(now);
+    let late_at = sim.worker("w1").clock(now) + 2_000;
+    sim.worker("w1").delayed_orders.iter_mut().for_each(|it| it.0 = late_at);
+    assert_eq!(sim.worker("w1").delayed_orders.len(), 1, "the copy is under way");
+    sim.worker("w1").fault = Fault::Unreachable;
+
+    sim.run_ms(15_000);
+
+    assert_eq!(sim.workers_running(task(1, 0, 0)), ["w2"]);
+}
