--- a/daisy-workflow/tests/incarnations.rs
+++ b/daisy-workflow/tests/incarnations.rs
@@ -237,10 +237,9 @@
     sim.run_ms(1_000);
 }
 
-/// Guards against a run that is given up after a usual lease, though the answer to its order showed that
-/// an unseen incarnation, which grants its longest lease, has started it.
-#[test]
-fn a_run_on_an_unseen_incarnation_is_not_given_up_before_the_longest_lease() {
+/// Returns a worker that runs the only task on an incarnation that no list has shown, and that is cut
+/// off since its answer to the order; and another worker that has room.
+fn with_a_run_on_an_unseen_incarnation() -> Simulation {
     let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
     let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
     sim.work_ms = |_| 60_000;
@@ -254,6 +253,14 @@
     sim.worker("w1").listed = false;
     sim.worker("w2").listed = true;
     sim.list_is_stale = false;
+    sim
+}
+
+/// Guards against a run that is given up after a usual lease, though the answer to its order showed that
+/// an unseen incarnation, which grants its longest lease, has started it.
+#[test]
+fn a_run_on_an_unseen_incarnation_is_not_given_up_before_the_longest_lease() {
+    let mut sim = with_a_run_on_an_unseen_incarnation();
 
     sim.run_ms(30_000);
 
@@ -263,19 +270,7 @@
 /// Guards against the same with a change of the owner, which the new incarnation never answers.
 #[test]
 fn a_run_on_an_unseen_incarnation_is_not_given_up_by_the_next_owner() {
-    let other = FakeWorker { listed: false, ..FakeWorker::new("w2", 4) };
-    let mut sim = Simulation::new(vec![FakeWorker::new("w1", 4), other]);
-    sim.work_ms = |_| 60_000;
-    sim.worker("w1").clock_offset_ms = 100_000;
-    sim.run_ms(500);
-    restart_unseen(&mut sim);
-    sim.submit(1, job(vec![long_running_step(1)]));
-    assert!(sim.run_until(200, |it| !it.workers_running(task(1, 0, 0)).is_empty()));
-    sim.run_ms(20);
-    sim.worker("w1").fault = Fault::Unreachable;
-    sim.worker("w1").listed = false;
-    sim.worker("w2").listed = true;
-    sim.list_is_stale = false;
+    let mut sim = with_a_run_on_an_unseen_incarnation();
     sim.run_ms(600);
     sim.change_owner_and_replay(false, false);
 
